Add documents, configuration store and the platform's client

Cause: daemons need documents in force, and a client of the platform's table that settles lost answers. Change: strict document parser with places, configuration store, watcher and editor, HTTP/JSON client with outage gate and retry budget, stand-in of the platform with faults. platform.go gains ErrAbsent and a note on late puts; internal/clock is new because no clock module is in go.mod. Conclusion: the daemon can be wired to it.

--- /dev/null
+++ b/internal/config/history.go
@@ -0,0 +1,81 @@
+package config
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/platform"
+)
+
+// scanPage is how many rows one scan asks for.
+const scanPage = 100
+
+// Get returns the present record of a service; its Deleted may be set. The
+// error is ErrNoService where the service never existed.
+func (e *Editor) Get(ctx context.Context, service ident.Service) (Record, error) {
+	return e.getRecord(ctx, serviceKey(service))
+}
+
+// At returns a service's record at a revision. Revisions older than 30 days
+// are gone (ErrNoService).
+func (e *Editor) At(ctx context.Context, service ident.Service, revision uint64) (Record, error) {
+	return e.getRecord(ctx, historyKey(service, revision))
+}
+
+func (e *Editor) getRecord(ctx context.Context, key string) (Record, error) {
+	rows, err := e.Table.Get(ctx, key)
+	if err != nil {
+		return Record{}, err
+	}
+	if len(rows) == 0 {
+		return Record{}, ErrNoService
+	}
+	return decode[Record](rows[0])
+}
+
+// List returns the present record of every service by name, deleted ones
+// included.
+func (e *Editor) List(ctx context.Context) ([]Record, error) {
+	return scanRecords(ctx, e.Table, servicePrefix)
+}
+
+// History returns the kept records of a service, the oldest first.
+func (e *Editor) History(ctx context.Context, service ident.Service) ([]Record, error) {
+	return scanRecords(ctx, e.Table, historyPrefix+string(service)+"/")
+}
+
+// Rollback writes the text of an earlier revision as a new revision.
+func (e *Editor) Rollback(ctx context.Context, service ident.Service, to, base uint64) (uint64, error) {
+	old, err := e.At(ctx, service, to)
+	if err != nil {
+		return 0, err
+	}
+	note := fmt.Sprintf("rollback to revision %d", to)
+	if old.Deleted {
+		return e.Delete(ctx, service, base, note)
+	}
+	return e.Apply(ctx, []byte(old.Text), base, note)
+}
+
+func scanRecords(ctx context.Context, table platform.Table, prefix string) ([]Record, error) {
+	var records []Record
+	after := ""
+	for {
+		rows, err := table.Scan(ctx, prefix, after, scanPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			record, err := decode[Record](row)
+			if err != nil {
+				return nil, err
+			}
+			records = append(records, record)
+		}
+		if len(rows) < scanPage {
+			return records, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
--- /dev/null
+++ b/internal/config/watcher.go
@@ -0,0 +1,250 @@
+package config
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/savorystall/savorystall/internal/clock"
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/platform"
+)
+
+// Defaults of WatcherConfig.
+const (
+	DefaultPollInterval = time.Second
+	DefaultPollTimeout  = 2 * time.Second
+	// pollJitter spreads polls by this part of the interval to either side, so
+	// that daemons started together do not read together.
+	pollJitter = 0.2
+)
+
+// WatcherConfig configures a Watcher.
+type WatcherConfig struct {
+	// Table is the platform's table; required.
+	Table platform.Table
+	// Store takes what is read; required.
+	Store *Store
+	// Interval is the mean time between two reads of the head row; default 1s.
+	// 360 daemons then do 360 reads a second of the table's 2,000.
+	Interval time.Duration
+	// Timeout bounds one poll with all its reads; default 2s.
+	Timeout time.Duration
+	// Clock defaults to the real one.
+	Clock clock.Clock
+	// Random returns a number in [0,1); default math/rand/v2.
+	Random func() float64
+	// Logger defaults to slog.Default.
+	Logger *slog.Logger
+	// Scope takes the metrics; default none.
+	Scope tally.Scope
+}
+
+func (c *WatcherConfig) applyDefaults() {
+	if c.Interval <= 0 {
+		c.Interval = DefaultPollInterval
+	}
+	if c.Timeout <= 0 {
+		c.Timeout = DefaultPollTimeout
+	}
+	if c.Clock == nil {
+		c.Clock = clock.Real
+	}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	if c.Logger == nil {
+		c.Logger = slog.Default()
+	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+}
+
+// Watcher keeps a Store up to date with the table. Nothing on the path of a
+// request waits for it: a daemon that cannot read serves what is in force.
+type Watcher struct {
+	config  WatcherConfig
+	metrics watcherMetrics
+	failing bool
+}
+
+type watcherMetrics struct {
+	polls, failures, documents, scans tally.Counter
+	revision                          tally.Gauge
+}
+
+// NewWatcher returns a Watcher; Run starts it.
+func NewWatcher(c WatcherConfig) *Watcher {
+	c.applyDefaults()
+	scope := c.Scope.SubScope("config")
+	return &Watcher{config: c, metrics: watcherMetrics{
+		polls:     scope.Counter("polls"),
+		failures:  scope.Counter("poll_failures"),
+		documents: scope.Counter("documents_read"),
+		scans:     scope.Counter("scans"),
+		revision:  scope.Gauge("revision"),
+	}}
+}
+
+// Run polls until ctx ends and then returns nil.
+func (w *Watcher) Run(ctx context.Context) error {
+	for {
+		w.pollOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.config.Clock.After(w.wait()):
+		}
+	}
+}
+
+func (w *Watcher) wait() time.Duration {
+	spread := 1 + pollJitter*(2*w.config.Random()-1)
+	return time.Duration(float64(w.config.Interval) * spread)
+}
+
+func (w *Watcher) pollOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, w.config.Timeout)
+	defer cancel()
+	w.metrics.polls.Inc(1)
+	err := w.Poll(ctx)
+	w.metrics.revision.Update(float64(w.config.Store.Head()))
+	w.note(err)
+}
+
+// note logs the begin and the end of an outage, not each failure in it.
+func (w *Watcher) note(err error) {
+	if err != nil {
+		w.metrics.failures.Inc(1)
+	}
+	if failing := err != nil; failing != w.failing {
+		w.failing = failing
+		if failing {
+			event.ConfigUnreachable.Log(w.config.Logger, "error", err)
+		} else {
+			event.ConfigReachable.Log(w.config.Logger, "revision", w.config.Store.Head())
+		}
+	}
+}
+
+// Poll reads the head row once and takes what has changed.
+func (w *Watcher) Poll(ctx context.Context) error {
+	rows, err := w.config.Table.Get(ctx, headKey)
+	if err != nil {
+		return merry.Prepend(err, "head row")
+	}
+	if len(rows) == 0 {
+		return nil
+	}
+	latest, err := decode[head](rows[0])
+	if err != nil {
+		return err
+	}
+	if latest.Revision <= w.config.Store.Head() {
+		return nil
+	}
+	return w.catchUp(ctx, latest)
+}
+
+// catchUp takes the listed changes, and reads all documents where these do not
+// suffice. The head's digest decides: a read that was stale or lost leaves the
+// digests unequal and Head where it was, so that the next poll tries again.
+func (w *Watcher) catchUp(ctx context.Context, latest head) error {
+	if w.config.Store.Head() > 0 {
+		if err := w.takeRecent(ctx, latest); err != nil {
+			return err
+		}
+		if w.complete(latest) {
+			return nil
+		}
+	}
+	if err := w.takeAll(ctx); err != nil {
+		return err
+	}
+	if !w.complete(latest) {
+		event.ConfigIncomplete.Log(w.config.Logger, "revision", latest.Revision)
+	}
+	return nil
+}
+
+func (w *Watcher) takeRecent(ctx context.Context, latest head) error {
+	seen := w.config.Store.seen()
+	var keys []string
+	for _, c := range latest.Recent {
+		if c.Revision > seen[c.Service] {
+			keys = append(keys, serviceKey(c.Service))
+		}
+	}
+	if len(keys) == 0 {
+		return nil
+	}
+	rows, err := w.config.Table.Get(ctx, keys...)
+	if err != nil {
+		return merry.Prepend(err, "changed documents")
+	}
+	records := make([]Record, 0, len(rows))
+	for _, row := range rows {
+		record, err := decode[Record](row)
+		if err != nil {
+			return err
+		}
+		records = append(records, record)
+	}
+	w.offer(records)
+	return nil
+}
+
+func (w *Watcher) takeAll(ctx context.Context) error {
+	w.metrics.scans.Inc(1)
+	records, err := scanRecords(ctx, w.config.Table, servicePrefix)
+	if err != nil {
+		return merry.Prepend(err, "all documents")
+	}
+	w.offer(records)
+	return nil
+}
+
+func (w *Watcher) offer(records []Record) {
+	w.metrics.documents.Inc(int64(len(records)))
+	before := w.config.Store.Revisions()
+	entries := make([]Entry, len(records))
+	for i, r := range records {
+		entries[i] = r.Entry()
+	}
+	if _, err := w.config.Store.OfferAll(entries); err != nil {
+		event.ConfigInvalid.Log(w.config.Logger, "error", err)
+	}
+	w.logChanges(before, w.config.Store.Revisions())
+}
+
+func (w *Watcher) logChanges(before, after map[ident.Service]uint64) {
+	for service, revision := range after {
+		if revision != before[service] {
+			event.ConfigInForce.Log(w.config.Logger, "service", service, "revision", revision)
+		}
+	}
+}
+
+// complete tells whether the Store has seen every change up to the head, and
+// raises its Head if so. Where a peer or a later read has brought changes
+// beyond the head, the digests differ without a fault; the next poll brings a
+// later head.
+func (w *Watcher) complete(latest head) bool {
+	seen := w.config.Store.seen()
+	if digestOf(seen) == latest.Digest {
+		w.config.Store.raiseHead(latest.Revision)
+		return true
+	}
+	for _, revision := range seen {
+		if revision > latest.Revision {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/document/document_test.go
@@ -0,0 +1,169 @@
+package document_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/document"
+)
+
+func TestExamplesAreValidAndGetDefaults(t *testing.T) {
+	is := is.New(t)
+	paths, err := filepath.Glob("../../examples/documents/*.yaml")
+	is.NoErr(err)
+	is.Equal(len(paths), 2)
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		is.NoErr(err)
+		d, err := document.Parse(text)
+		is.NoErr(err)
+		is.True(d.Limits.FirstByteTimeout == 30*time.Second)
+		for _, o := range d.Operations {
+			is.True(o.Class != "" && o.Deadline > 0)
+		}
+		for _, w := range d.Workspaces {
+			is.True(w.Limits.Queue > 0)
+		}
+	}
+}
+
+// fields builds a plain or model document with some of its lines replaced.
+func fields(kind string, change map[string]string) string {
+	order := []string{"service", "kind", "models", "workspaces", "operations", "targets"}
+	lines := map[string]string{
+		"service":    "service: s",
+		"kind":       "kind: " + kind,
+		"workspaces": fmt.Sprintf("workspaces: [{name: w, weight: 1, keys: [%q]}]", document.HashKey("k")),
+		"targets":    `targets: [{name: t, zone: z, address: "127.0.0.1:1", slots: 1}]`,
+	}
+	if kind == "model" {
+		lines["models"] = "models: [m]"
+	} else {
+		lines["operations"] = "operations: [{name: o, method: GET, path: /x}]"
+	}
+	var text strings.Builder
+	for _, name := range order {
+		line := lines[name]
+		if changed, ok := change[name]; ok {
+			line = changed
+		}
+		if line != "" {
+			text.WriteString(line + "\n")
+		}
+	}
+	return text.String() + change["end"]
+}
+
+func TestParseNamesLineAndColumn(t *testing.T) {
+	key := document.HashKey("k")
+	workspace := func(name, weight, key string) string {
+		return fmt.Sprintf("{name: %s, weight: %s, keys: [%q]}", name, weight, key)
+	}
+	cases := map[string]struct {
+		kind         string
+		change       map[string]string
+		line, column int
+		want         string
+	}{
+		"syntax":               {"model", map[string]string{"models": "models: [m"}, 4, 1, "must be specified"},
+		"unknown field":        {"model", map[string]string{"end": "colour: red\n"}, 6, 1, `unknown field "colour"`},
+		"unknown inner field":  {"model", map[string]string{"end": "limits:\n  bodybytes: 1\n"}, 7, 3, `unknown field "bodybytes"`},
+		"repeated field":       {"model", map[string]string{"end": "kind: plain\n"}, 6, 1, "already defined"},
+		"wrong type":           {"model", map[string]string{"end": "limits:\n  queue: many\n"}, 7, 10, "cannot unmarshal"},
+		"bad duration":         {"model", map[string]string{"end": "limits:\n  deadline: soon\n"}, 7, 13, "must be a duration"},
+		"no service":           {"model", map[string]string{"service": ""}, 1, 1, "service: is required"},
+		"bad name":             {"model", map[string]string{"service": "service: Upper"}, 1, 10, "service: must be 1 to 64"},
+		"bad kind":             {"other", nil, 2, 7, "kind: must be one of model plain"},
+		"model without models": {"model", map[string]string{"models": ""}, 1, 1, "models: a model service needs"},
+		"plain with models":    {"plain", map[string]string{"models": "models: [m]"}, 3, 9, "a plain service has none"},
+		"model twice":          {"model", map[string]string{"models": "models: [m, m]"}, 3, 13, `repeats "m" of models[0]`},
+		"no workspaces":        {"model", map[string]string{"workspaces": ""}, 1, 1, "workspaces: is required"},
+		"zero weight":          {"model", map[string]string{"workspaces": "workspaces:\n  - " + workspace("w", "0", key)}, 5, 23, "weight: must be greater than 0"},
+		"weight left out":      {"model", map[string]string{"workspaces": "workspaces:\n  - name: w\n    keys: ['" + key + "']"}, 5, 5, "weight: must be greater than 0"},
+		"plain text key":       {"model", map[string]string{"workspaces": "workspaces:\n  - " + workspace("w", "1", "secret")}, 5, 33, "keys[0]: must be sha256:"},
+		"workspace twice":      {"model", map[string]string{"workspaces": "workspaces:\n  - " + workspace("w", "1", key) + "\n  - " + workspace("w", "1", document.HashKey("l"))}, 6, 12, "repeats"},
+		"shared key":           {"model", map[string]string{"workspaces": "workspaces:\n  - " + workspace("v", "1", key) + "\n  - " + workspace("w", "1", key)}, 6, 33, "workspaces[1].keys[0]: repeats"},
+		"bad class":            {"model", map[string]string{"operations": "operations:\n  - {name: o, class: fast, default: true}"}, 6, 22, "class: must be one of"},
+		"no default":           {"model", map[string]string{"operations": "operations:\n  - {name: o}"}, 6, 3, "one must be marked as the default"},
+		"two defaults":         {"model", map[string]string{"operations": "operations:\n  - {name: o, default: true}\n  - {name: p, default: true}"}, 7, 24, "repeats"},
+		"path of a model":      {"model", map[string]string{"operations": "operations:\n  - {name: o, default: true, path: /x}"}, 6, 36, "plain services only"},
+		"plain without method": {"plain", map[string]string{"operations": "operations:\n  - {name: o, path: /x}"}, 5, 5, "method: is required"},
+		"same shape":           {"plain", map[string]string{"operations": "operations:\n  - {name: o, method: GET, path: '/x/{a}'}\n  - {name: p, method: GET, path: '/x/{b}'}"}, 6, 34, "repeats"},
+		"rest in the middle":   {"plain", map[string]string{"operations": "operations:\n  - {name: o, method: GET, path: '/x/**/y'}"}, 5, 34, "at the end only"},
+		"dots in a path":       {"plain", map[string]string{"operations": "operations:\n  - {name: o, method: GET, path: /x/../y}"}, 5, 34, "'.' or '..'"},
+		"host name":            {"model", map[string]string{"targets": "targets:\n  - {name: t, zone: z, address: 'host:1', slots: 1}"}, 6, 33, "must be IP:port"},
+		"no slots":             {"model", map[string]string{"targets": "targets:\n  - {name: t, zone: z, address: '127.0.0.1:1', slots: 0}"}, 6, 55, "slots: must be greater than 0"},
+		"address twice":        {"model", map[string]string{"targets": "targets:\n  - {name: t, zone: z, address: '127.0.0.1:1', slots: 1}\n  - {name: u, zone: z, address: '127.0.0.1:1', slots: 1}"}, 7, 33, "repeats"},
+		"order without target": {"model", map[string]string{"end": "orders:\n  fencing: ignored\n  targets: [{name: x}]\n"}, 8, 20, `no target has the name "x"`},
+		"order without model":  {"model", map[string]string{"end": "orders:\n  fencing: ignored\n  targets: [{name: t, models: [n]}]\n"}, 8, 32, `no model "n"`},
+		"no fencing":           {"model", map[string]string{"end": "orders:\n  targets: [{name: t}]\n"}, 7, 3, "fencing: is required"},
+		"two documents":        {"model", map[string]string{"end": "---\nservice: t\n"}, 1, 1, "one document"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := document.Parse([]byte(fields(c.kind, c.change)))
+			var invalid *document.Invalid
+			is.True(errors.As(err, &invalid))
+			t.Log(err)
+			first := invalid.Problems[0]
+			is.Equal(fmt.Sprint(first.Line, ":", first.Column), fmt.Sprint(c.line, ":", c.column))
+			is.True(strings.Contains(first.String(), c.want))
+		})
+	}
+}
+
+func TestParseNamesEveryProblemInOrder(t *testing.T) {
+	is := is.New(t)
+	_, err := document.Parse([]byte(fields("model", map[string]string{
+		"service": "service: Upper",
+		"targets": "targets: [{name: t, zone: z, address: 'host:1', slots: 0}]",
+	})))
+	var invalid *document.Invalid
+	is.True(errors.As(err, &invalid))
+	is.Equal(len(invalid.Problems), 3)
+	is.Equal(invalid.Problems[0].Path, "service")
+	is.Equal(invalid.Problems[2].Path, "targets[0].slots")
+}
+
+func TestEmptyTextIsRefused(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"", "\n", "# only a comment\n", "[]", "just words"} {
+		_, err := document.Parse([]byte(text))
+		var invalid *document.Invalid
+		is.True(errors.As(err, &invalid))
+	}
+}
+
+func TestPatterns(t *testing.T) {
+	cases := []struct {
+		pattern, path string
+		want          bool
+	}{
+		{"/", "/", true},
+		{"/v1/cases/{id}", "/v1/cases/7", true},
+		{"/v1/cases/{id}", "/v1/cases", false},
+		{"/v1/cases/{id}", "/v1/cases/7/notices", false},
+		{"/v1/cases/{id}", "/v1/cases/", false},
+		{"/files/**", "/files", true},
+		{"/files/**", "/files/a/b", true},
+		{"/files/**", "/files/../secret", false},
+		{"/files/**", "/files//a", false},
+		{"/**", "/", true},
+		{"/**", "relative", false},
+	}
+	for _, c := range cases {
+		p, err := document.ParsePattern(c.pattern)
+		is.New(t).NoErr(err)
+		if got := p.Match(c.path); got != c.want {
+			t.Errorf("%s on %s: %v", c.pattern, c.path, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/event/config.go
@@ -0,0 +1,19 @@
+package event
+
+import "log/slog"
+
+// Events of configuration and the platform.
+var (
+	ConfigInForce        = define(401, slog.LevelInfo, "a document is in force", "none")
+	ConfigInvalid        = define(402, slog.LevelError, "a document in the table is not valid for this release", "apply a valid document, or finish the release on this daemon")
+	ConfigUnreachable    = define(403, slog.LevelWarn, "the table cannot be read; the present configuration stays in force", "see docs/OPERATIONS.md, a store outage")
+	ConfigReachable      = define(404, slog.LevelInfo, "the table can be read again", "none")
+	ConfigIncomplete     = define(405, slog.LevelWarn, "the table's documents do not match its head row; they are read again", "none if it ends within a minute; else the table returns stale reads")
+	SnapshotWritten      = define(406, slog.LevelInfo, "a snapshot of the configuration was written", "none")
+	SnapshotFailed       = define(407, slog.LevelWarn, "no snapshot of the configuration could be written", "none if a later one succeeds; else look at the object store")
+	PlatformOutage       = define(410, slog.LevelWarn, "a store of the platform is out of reach; it is probed by one call at a time", "see docs/OPERATIONS.md, a store outage")
+	PlatformRecovered    = define(411, slog.LevelInfo, "a store of the platform answers again", "none")
+	PlatformAnswerLost   = define(412, slog.LevelWarn, "the answer to a write was lost; the write is settled by its operation id", "none")
+	PlatformUnsettled    = define(413, slog.LevelWarn, "a write may have taken effect and could not be settled in time", "none; the caller of the write treats it as done and not done")
+	PlatformRetriesSpent = define(414, slog.LevelWarn, "the retry budget is spent; calls fail at the first fault", "look at the store's latency and errors")
+)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/savorystall/savorystall/internal/ident"
 )
 
@@ -69,7 +71,12 @@
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 }
 
-// Objects is the platform's object store.
+// ErrAbsent is the error of reading an object that does not exist.
+var ErrAbsent = merry.Sentinel("the object does not exist")
+
+// Objects is the platform's object store. A put replaces the whole object. A
+// put whose answer was lost is repeated, and a copy of it can arrive late and
+// bring an older body back: a reader must not take a body for the latest one.
 type Objects interface {
 	PutObject(ctx context.Context, name string, body []byte) error
 	// GetObject returns ErrAbsent where there is no such object.
