Tell leaving peers apart in the scheduler's types

Cause: a daemon in a planned stop still has waiting requests. Change: Peer.Leaving. Conclusion: ownership and demand of a leaving daemon can differ.

--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -78,6 +78,9 @@
 	ID          ident.Daemon
 	Incarnation uint64
 	Zone        ident.Zone
+	// Leaving tells that the peer is in a planned stop: it owns no targets any
+	// more, but its waiting requests still get grants.
+	Leaving bool
 }
 
 // Result tells how an attempt ended.
