fairshare: keep weighted virtual time with a fast local loop

Cause: owners that follow a lagging counter alone chase the same workspace. Change: a Ledger for one service: own slots divided by weight, corrected by the fleet's virtual time within a horizon; cumulative parts per incarnation, lift on becoming backlogged, bounded debt. Conclusion: the scheduler core can be built on it; the loop is still to be tuned.

--- /dev/null
+++ b/internal/fairshare/ledger_test.go
@@ -0,0 +1,112 @@
+package fairshare
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// A workspace that was idle for a long time comes back with a full queue. Were
+// its idle time credit, it would take every slot until it had caught up, and
+// its neighbours would wait for minutes.
+func TestIdleTimeEarnsNoCredit(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d"})
+	l.SetBacklogged("busy", true)
+	l.Charge("busy", 1e6)
+	l.SetBacklogged("idle", true)
+	is.Equal(l.Lead("idle"), l.Lead("busy"))
+}
+
+func TestOwnSlotsAreDividedByWeight(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d"})
+	l.SetWeight("a", 3)
+	l.SetWeight("b", 1)
+	running := map[ident.Workspace]int{}
+	for range 40 {
+		ws, ok := l.Pick([]Candidate{{"a", running["a"]}, {"b", running["b"]}})
+		is.True(ok)
+		running[ws]++
+	}
+	is.Equal(running["a"], 30)
+	is.Equal(running["b"], 10)
+}
+
+// A message with counters is lost, another arrives twice, and one of a daemon's
+// former incarnation arrives late. Each would shift the shares for good if
+// counters were increments.
+func TestMergeReplacesTotals(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d", Incarnation: 1})
+	l.SetBacklogged("a", true)
+	l.SetBacklogged("b", true)
+	l.Merge("e", 1, "b", 100)
+	l.Merge("e", 1, "b", 300)
+	l.Merge("e", 1, "b", 300)
+	is.Equal(l.Lead("b"), 300.0)
+	l.Merge("e", 2, "b", 50)
+	l.Merge("e", 1, "b", 900)
+	is.Equal(l.Lead("b"), 350.0)
+	l.Forget("e")
+	l.Merge("e", 2, "b", 60)
+	is.Equal(l.Lead("b"), 350.0)
+	l.Merge("e", 2, "b", 70)
+	is.Equal(l.Lead("b"), 360.0)
+}
+
+// A daemon restarts without state and hears totals of daemons that have run for
+// days. Counted in full they would look like a huge lead of whoever those
+// daemons served, and it would be held down.
+func TestRestartTakesOldTotalsAsBaseline(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d", Incarnation: 9})
+	l.SetBacklogged("a", true)
+	l.SetBacklogged("b", true)
+	l.Merge("old", 3, "b", 1e9)
+	is.Equal(l.Lead("b"), 0.0)
+	l.Merge("old", 3, "b", 1e9+10)
+	is.Equal(l.Lead("b"), 10.0)
+	l.Merge("new", 12, "b", 10)
+	is.Equal(l.Lead("b"), 20.0)
+}
+
+// A zone was cut off for an hour and one workspace had it to itself. When the
+// zone is back, that workspace owes an hour of service. It must go on getting
+// part of its share while the difference is repaid.
+func TestOverServedKeepsPartOfItsShare(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d"})
+	l.Tune(Conditions{SlotRate: 50, MeanCost: 300, OwnSlots: 40, FleetSlots: 280})
+	names := []ident.Workspace{"lucky", "b", "c", "d"}
+	for _, ws := range names {
+		l.SetBacklogged(ws, true)
+	}
+	l.Merge("e", 1, "lucky", 1e9)
+	running := map[ident.Workspace]int{}
+	for range 40 {
+		var candidates []Candidate
+		for _, ws := range names {
+			candidates = append(candidates, Candidate{ws, running[ws]})
+		}
+		ws, _ := l.Pick(candidates)
+		running[ws]++
+	}
+	is.True(running["lucky"] >= 2)
+	is.True(running["lucky"] < 10)
+	const thirtySecondsOfFairShare = 30 * 50 * 280 / 4
+	is.True(l.Lead("lucky") <= thirtySecondsOfFairShare)
+}
+
+func TestChangedListsEachChangeOnce(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d"})
+	l.Charge("b", 5)
+	l.Charge("a", 7)
+	l.Charge("a", -2)
+	is.Equal(l.Changed(), []ident.Workspace{"a", "b"})
+	is.Equal(len(l.Changed()), 0)
+	is.Equal(l.Own("a"), 5.0)
+}
--- /dev/null
+++ b/internal/fairshare/pick.go
@@ -0,0 +1,133 @@
+package fairshare
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// Candidate is a workspace that could use the free slot.
+type Candidate struct {
+	Workspace ident.Workspace
+	// Running counts its requests, and its grants not yet used, on the own
+	// slots of the service.
+	Running int
+}
+
+// scored is a candidate with what Pick compares.
+type scored struct {
+	*account
+	workspace ident.Workspace
+	running   int
+	score     float64
+}
+
+// Pick returns the candidate that gets the next slot; ok is false when there is
+// none. The score of a workspace is its running requests here over its weight,
+// plus its lead in virtual time over the median in the same unit. The least
+// score wins, then the least virtual time, then an order of this owner's own.
+func (l *Ledger) Pick(candidates []Candidate) (ws ident.Workspace, ok bool) {
+	if len(candidates) == 0 {
+		return "", false
+	}
+	list := l.list(candidates)
+	fair := fairSlots(list)
+	middle := median(list)
+	clamp(list, middle, l.maxDebt(list))
+	limit := authority * (1 - l.config.Keep) * fair
+	best := 0
+	for i := range list {
+		s := &list[i]
+		lead := (s.virtual - middle) / l.charge
+		s.score = float64(s.running)/s.weight + max(-limit, min(lead, limit))
+		if s.before(&list[best]) {
+			best = i
+		}
+	}
+	return list[best].workspace, true
+}
+
+// authority bounds how far virtual time may move a workspace from its fair
+// share of the own slots. At worst half of the weight leads by -limit and one
+// workspace by +limit, which leaves that one 1 - 1.5 x limit of its share.
+const authority = 1 / 1.5
+
+func (l *Ledger) list(candidates []Candidate) []scored {
+	list := make([]scored, len(candidates))
+	for i, c := range candidates {
+		list[i] = scored{account: l.account(c.Workspace), workspace: c.Workspace, running: c.Running}
+	}
+	return list
+}
+
+func (s *scored) before(other *scored) bool {
+	if s.score != other.score {
+		return s.score < other.score
+	}
+	if s.virtual != other.virtual {
+		return s.virtual < other.virtual
+	}
+	return s.tie < other.tie
+}
+
+// fairSlots is the number of own slots per weight when all candidates have
+// their share.
+func fairSlots(list []scored) float64 {
+	slots, weight := 1, 0.0
+	for i := range list {
+		slots += list[i].running
+		weight += list[i].weight
+	}
+	return float64(slots) / weight
+}
+
+// median returns the weighted lower median of the virtual times. Leads are
+// measured from it because a workspace that cannot use its share, being bound
+// to few targets, stays far behind and would hide the differences between the
+// others were they measured from the least.
+func median(list []scored) float64 {
+	sorted := make([]*account, len(list))
+	total := 0.0
+	for i := range list {
+		sorted[i] = list[i].account
+		total += list[i].weight
+	}
+	slices.SortFunc(sorted, func(a, b *account) int { return cmp.Compare(a.virtual, b.virtual) })
+	sum := 0.0
+	for _, a := range sorted {
+		sum += a.weight
+		if sum >= total/2 {
+			return a.virtual
+		}
+	}
+	return sorted[len(sorted)-1].virtual
+}
+
+// clamp forgets the part of each lead or arrear that is above the bound.
+func clamp(list []scored, middle, bound float64) {
+	for i := range list {
+		a := list[i].account
+		a.virtual = max(middle-bound, min(a.virtual, middle+bound))
+	}
+}
+
+// maxDebt is the largest remembered lead in units of the service over weight:
+// MaxDebt at the fair rate, or, until the conditions are measured, four
+// horizons of it. It counts all own slots, not those in use, because a debt is
+// not to be forgotten while the slots fill up.
+func (l *Ledger) maxDebt(list []scored) float64 {
+	running, weight := 1, 0.0
+	for i := range list {
+		running += list[i].running
+		weight += list[i].weight
+	}
+	l.slots = max(l.slots, running)
+	c := l.conditions
+	if c.SlotRate <= 0 || c.OwnSlots <= 0 {
+		return unmeasuredDebt * l.charge * float64(l.slots) / weight
+	}
+	return l.config.MaxDebt.Seconds() * c.SlotRate * float64(max(c.FleetSlots, c.OwnSlots)) / weight
+}
+
+const unmeasuredDebt = 4
