--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,243 @@
+// Package control runs the one goroutine that owns a daemon's control state.
+// Everything else talks to it through typed calls that become events in its
+// channel; what it decides goes out through the Actions interface.
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
+// Actions carries out what the scheduler decided. The methods are called from
+// the control goroutine and must not block.
+type Actions interface {
+	// Send passes a message to another daemon.
+	Send(to ident.Daemon, m scheduler.Message)
+}
+
+// Placed is the end of a request's wait: a target or a failure.
+type Placed struct {
+	Target  ident.Target
+	Failure *resultcode.Failure
+}
+
+// Config holds the intervals of the loop.
+type Config struct {
+	// Tick is how often deadlines and demand are looked at. Default 20 ms,
+	// the time after which waiting work is shown to other zones.
+	Tick time.Duration
+	// Events bounds the events that wait for the loop. Default 4096; a full
+	// channel blocks traffic goroutines, which bounds the memory they take.
+	Events int
+}
+
+const (
+	defaultTick   = 20 * time.Millisecond
+	defaultEvents = 4096
+)
+
+type event func(now time.Time)
+
+// Loop owns a scheduler.Core.
+type Loop struct {
+	cfg     Config
+	core    *scheduler.Core
+	actions Actions
+	events  chan event
+	done    chan struct{}
+	waiters map[ident.Request]chan Placed
+}
+
+// New returns a Loop around core. Run must be called for anything to happen.
+func New(cfg Config, core *scheduler.Core, actions Actions) *Loop {
+	if cfg.Tick == 0 {
+		cfg.Tick = defaultTick
+	}
+	if cfg.Events == 0 {
+		cfg.Events = defaultEvents
+	}
+	return &Loop{
+		cfg:     cfg,
+		core:    core,
+		actions: actions,
+		events:  make(chan event, cfg.Events),
+		done:    make(chan struct{}),
+		waiters: map[ident.Request]chan Placed{},
+	}
+}
+
+// Run handles events until ctx ends. Requests that still wait then are refused
+// as not run.
+func (l *Loop) Run(ctx context.Context) {
+	ticker := time.NewTicker(l.cfg.Tick)
+	defer ticker.Stop()
+	defer close(l.done)
+	for {
+		select {
+		case <-ctx.Done():
+			l.refuseAll()
+			return
+		case now := <-ticker.C:
+			l.core.Tick(now)
+		case e := <-l.events:
+			e(time.Now())
+			l.drain()
+		}
+		l.carryOut()
+	}
+}
+
+// drain handles the events that already wait, so that a burst of requests costs
+// one message to each peer instead of one a request.
+func (l *Loop) drain() {
+	for range len(l.events) {
+		(<-l.events)(time.Now())
+	}
+}
+
+func (l *Loop) carryOut() {
+	for _, effect := range l.core.Take() {
+		switch e := effect.(type) {
+		case scheduler.Dispatch:
+			l.place(e.Request, Placed{Target: e.Target})
+		case scheduler.Refuse:
+			l.place(e.Request, Placed{Failure: e.Failure})
+		case scheduler.Send:
+			l.actions.Send(e.To, e.Message)
+		}
+	}
+}
+
+func (l *Loop) place(id ident.Request, p Placed) {
+	if w, ok := l.waiters[id]; ok {
+		delete(l.waiters, id)
+		w <- p // buffered: one value a waiter
+	}
+}
+
+func (l *Loop) refuseAll() {
+	for id := range l.waiters {
+		l.place(id, Placed{Failure: resultcode.Fail(resultcode.Stopping, "")})
+	}
+}
+
+// do runs f on the control goroutine, or drops it once the loop has ended.
+func (l *Loop) do(f event) bool {
+	select {
+	case l.events <- f:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// call runs f on the control goroutine and waits for it.
+func (l *Loop) call(f event) bool {
+	ran := make(chan struct{})
+	if !l.do(func(now time.Time) { f(now); close(ran) }) {
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Place queues a request and waits until it has a target or is refused. A
+// caller that leaves while waiting withdraws it. Again tells that the request
+// was placed before and did not run.
+func (l *Loop) Place(ctx context.Context, r scheduler.Request, again bool) Placed {
+	placed := make(chan Placed, 1)
+	submit := l.core.Submit
+	if again {
+		submit = l.core.Requeue
+	}
+	ok := l.do(func(now time.Time) {
+		l.waiters[r.ID] = placed
+		if failure := submit(now, r); failure != nil {
+			l.place(r.ID, Placed{Failure: failure})
+		}
+	})
+	if !ok {
+		return Placed{Failure: resultcode.Fail(resultcode.Stopping, "")}
+	}
+	select {
+	case p := <-placed:
+		return p
+	case <-l.done:
+		return l.last(placed)
+	case <-ctx.Done():
+		return l.withdraw(r.ID, placed)
+	}
+}
+
+// withdraw cancels a waiting request. A grant that was on its way is given
+// back, so that the slot does not idle.
+func (l *Loop) withdraw(id ident.Request, placed chan Placed) Placed {
+	l.call(func(now time.Time) {
+		l.core.Cancel(now, id)
+		delete(l.waiters, id)
+		l.core.Finish(now, id, scheduler.Result{NotRun: true})
+	})
+	return Placed{Failure: resultcode.Fail(resultcode.CallerGone, "")}
+}
+
+func (l *Loop) last(placed chan Placed) Placed {
+	select {
+	case p := <-placed:
+		return p
+	default:
+		return Placed{Failure: resultcode.Fail(resultcode.Stopping, "")}
+	}
+}
+
+// Progress reports what a running request has received so far.
+func (l *Loop) Progress(id ident.Request, served float64) {
+	l.do(func(time.Time) { l.core.Progress(id, served) })
+}
+
+// Finish reports how the attempt of a placed request ended.
+func (l *Loop) Finish(id ident.Request, result scheduler.Result) {
+	l.do(func(now time.Time) { l.core.Finish(now, id, result) })
+}
+
+// Configure puts new services in force.
+func (l *Loop) Configure(services []scheduler.Service) {
+	l.do(func(now time.Time) { l.core.Configure(now, services) })
+}
+
+// Receive hands over a message of another daemon.
+func (l *Loop) Receive(from ident.Daemon, m scheduler.Message) {
+	l.do(func(now time.Time) { l.core.Receive(now, from, m) })
+}
+
+// Peers replaces the list of other live daemons.
+func (l *Loop) Peers(peers []scheduler.Peer) {
+	l.do(func(now time.Time) { l.core.Peers(now, peers) })
+}
+
+// Reset tells that messages to or from a peer may have been lost.
+func (l *Loop) Reset(id ident.Daemon) {
+	l.do(func(time.Time) { l.core.Reset(id) })
+}
+
+// TargetHealth reports what was learnt about a target.
+func (l *Loop) TargetHealth(service ident.Service, target ident.Target, health scheduler.Health) {
+	l.do(func(now time.Time) { l.core.TargetHealth(now, service, target, health) })
+}
+
+// Leave begins a planned stop.
+func (l *Loop) Leave() {
+	l.do(func(now time.Time) { l.core.Leave(now) })
+}
+
+// Inspect runs f on the control goroutine and waits for it; f must only read.
+func (l *Loop) Inspect(f func(*scheduler.Core)) bool {
+	return l.call(func(time.Time) { f(l.core) })
+}
--- /dev/null
+++ b/internal/scheduler/core.go
@@ -0,0 +1,315 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/fairshare"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/resultcode"
+)
+
+// Config holds what a Core needs to know of its daemon, and its intervals.
+type Config struct {
+	Self        ident.Daemon
+	Incarnation uint64
+	Zone        ident.Zone
+	// Spill is how long the oldest request of a workspace waits before owners
+	// in other zones are shown its demand. Default 20 ms: above one exchange
+	// within a zone, so that a free local slot is found first, and far below
+	// the time of a request.
+	Spill time.Duration
+	// Exchange is the interval of demand updates and of service parts.
+	// Default 250 ms.
+	Exchange time.Duration
+	// Held is the interval at which the grants in use are listed to their
+	// owners. Default 2 s: a slot whose release was lost idles for no longer.
+	Held time.Duration
+}
+
+const (
+	defaultSpill    = 20 * time.Millisecond
+	defaultExchange = 250 * time.Millisecond
+	defaultHeld     = 2 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.Spill == 0 {
+		c.Spill = defaultSpill
+	}
+	if c.Exchange == 0 {
+		c.Exchange = defaultExchange
+	}
+	if c.Held == 0 {
+		c.Held = defaultHeld
+	}
+	return c
+}
+
+// Core is the scheduler of one daemon. It is not safe for concurrent use: the
+// daemon's control goroutine owns it.
+type Core struct {
+	cfg      Config
+	rng      *rand.Rand
+	leaving  bool
+	services map[ident.Service]*service
+	peers    map[ident.Daemon]*peer
+	requests map[ident.Request]*request
+	// lastGrant is the id of the latest grant of this incarnation.
+	lastGrant    uint64
+	grants       map[uint64]*grantOut
+	effects      []Effect
+	outbox       map[ident.Daemon]*Message
+	nextExchange time.Time
+	nextHeld     time.Time
+}
+
+// service is the state of one service, as ingress and as owner.
+type service struct {
+	name       ident.Service
+	meanCost   float64
+	workspaces map[ident.Workspace]*workspace
+	// order lists the workspaces by name, so that no decision hangs on the
+	// order of a map.
+	order   []*workspace
+	targets map[ident.Target]*target
+	// owned lists the targets that this daemon grants, by name.
+	owned  []*target
+	ledger *fairshare.Ledger
+}
+
+// workspace is the state of one workspace of one service.
+type workspace struct {
+	Workspace
+	// queue holds the requests that wait here, one list a class.
+	queue [classCount][]*request
+	// shown is the demand that each owner was last told.
+	shown map[ident.Daemon]uint32
+	// demand is what each ingress was last known to have waiting, less the
+	// grants that were sent to it since.
+	demand map[ident.Daemon]int
+	// granted counts the grants of this owner that are in use.
+	granted int
+}
+
+// target is the state of one target.
+type target struct {
+	Target
+	service *service
+	health  Health
+	// grants are the slots in use that this daemon gave away.
+	grants map[uint64]*grantOut
+}
+
+// grantOut is a grant as its owner remembers it.
+type grantOut struct {
+	Grant
+	ingress ident.Daemon
+	target  *target
+}
+
+// request is a request that waits or runs at this ingress.
+type request struct {
+	Request
+	arrived time.Time
+	// running is set once the request was bound to a grant.
+	running bool
+	owner   ident.Daemon
+	grant   uint64
+	// charged is what the ledger was charged so far.
+	charged float64
+}
+
+// peer is the state kept about another daemon.
+type peer struct {
+	Peer
+	// seenGrant is the highest grant received from the peer's incarnation.
+	seenGrant uint64
+	// full asks for all demand and all parts at the next exchange.
+	full bool
+}
+
+// New returns a Core without services and peers.
+func New(cfg Config, rng *rand.Rand) *Core {
+	return &Core{
+		cfg:      cfg.withDefaults(),
+		rng:      rng,
+		services: map[ident.Service]*service{},
+		peers:    map[ident.Daemon]*peer{},
+		requests: map[ident.Request]*request{},
+		grants:   map[uint64]*grantOut{},
+		outbox:   map[ident.Daemon]*Message{},
+	}
+}
+
+// Configure puts a new set of services in force. Waiting requests of a service
+// or workspace that is gone are refused; running ones go on.
+func (c *Core) Configure(now time.Time, services []Service) {
+	kept := make(map[ident.Service]*service, len(services))
+	for _, spec := range services {
+		s := c.services[spec.Name]
+		if s == nil {
+			s = c.newService(spec.Name)
+		}
+		c.configureService(s, spec)
+		kept[spec.Name] = s
+	}
+	for name, s := range c.services {
+		if kept[name] == nil {
+			for _, w := range s.order {
+				c.refuseQueue(w, resultcode.Fail(resultcode.UnknownService, "service %s was removed", name))
+			}
+		}
+	}
+	c.services = kept
+	c.assignOwners()
+	c.assignAll(now)
+}
+
+func (c *Core) newService(name ident.Service) *service {
+	return &service{
+		name:       name,
+		workspaces: map[ident.Workspace]*workspace{},
+		targets:    map[ident.Target]*target{},
+		ledger:     fairshare.New(fairshare.Config{Self: c.cfg.Self, Incarnation: c.cfg.Incarnation}),
+	}
+}
+
+func (c *Core) configureService(s *service, spec Service) {
+	s.meanCost = spec.MeanCost
+	workspaces := make(map[ident.Workspace]*workspace, len(spec.Workspaces))
+	s.order = s.order[:0]
+	for _, ws := range spec.Workspaces {
+		w := s.workspaces[ws.Name]
+		if w == nil {
+			w = &workspace{shown: map[ident.Daemon]uint32{}, demand: map[ident.Daemon]int{}}
+		}
+		w.Workspace = ws
+		s.ledger.SetWeight(ws.Name, ws.Weight)
+		workspaces[ws.Name] = w
+		s.order = append(s.order, w)
+	}
+	sort.Slice(s.order, func(i, j int) bool { return s.order[i].Name < s.order[j].Name })
+	for name, w := range s.workspaces {
+		if workspaces[name] == nil {
+			c.refuseQueue(w, resultcode.Fail(resultcode.Forbidden, "workspace %s was removed", name))
+			s.ledger.Remove(name)
+		}
+	}
+	s.workspaces = workspaces
+	targets := make(map[ident.Target]*target, len(spec.Targets))
+	for _, spec := range spec.Targets {
+		t := s.targets[spec.Name]
+		if t == nil {
+			t = &target{service: s, grants: map[uint64]*grantOut{}}
+		}
+		t.Target = spec
+		targets[spec.Name] = t
+	}
+	s.targets = targets
+}
+
+func (c *Core) refuseQueue(w *workspace, failure *resultcode.Failure) {
+	for class := range w.queue {
+		for _, r := range w.queue[class] {
+			delete(c.requests, r.ID)
+			c.emit(Refuse{Request: r.ID, Failure: failure})
+		}
+		w.queue[class] = nil
+	}
+}
+
+// Peers replaces the list of the other live daemons.
+func (c *Core) Peers(now time.Time, peers []Peer) {
+	kept := make(map[ident.Daemon]*peer, len(peers))
+	for _, spec := range peers {
+		p := c.peers[spec.ID]
+		if p != nil && p.Incarnation != spec.Incarnation {
+			c.forgetPeer(p)
+			p = nil
+		}
+		if p == nil {
+			p = &peer{full: true}
+		}
+		p.Peer = spec
+		kept[spec.ID] = p
+	}
+	for id, p := range c.peers {
+		if kept[id] == nil {
+			c.forgetPeer(p)
+		}
+	}
+	c.peers = kept
+	c.assignOwners()
+	c.assignAll(now)
+}
+
+// forgetPeer frees the slots that a dead ingress held. Its streams may still
+// run for a moment, which over-admits a little; without it the slots of a
+// daemon that never comes back would idle for good.
+func (c *Core) forgetPeer(p *peer) {
+	for id, g := range c.grants {
+		if g.ingress == p.ID {
+			c.dropGrant(id)
+		}
+	}
+	for _, s := range c.services {
+		for _, w := range s.order {
+			delete(w.demand, p.ID)
+			delete(w.shown, p.ID)
+		}
+	}
+	delete(c.outbox, p.ID)
+}
+
+// Leave begins a planned stop: the daemon owns no target from now on unless no
+// other daemon is left to own it.
+func (c *Core) Leave(now time.Time) {
+	c.leaving = true
+	c.assignOwners()
+	c.assignAll(now)
+}
+
+// Take returns the effects since the last call and forgets them.
+func (c *Core) Take() []Effect {
+	peers := make([]ident.Daemon, 0, len(c.outbox))
+	for id := range c.outbox {
+		peers = append(peers, id)
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i] < peers[j] })
+	for _, id := range peers {
+		m := c.outbox[id]
+		m.Incarnation = c.cfg.Incarnation
+		c.emit(Send{To: id, Message: *m})
+	}
+	clear(c.outbox)
+	taken := c.effects
+	c.effects = nil
+	return taken
+}
+
+// Waiting returns how many requests wait here, Running how many run.
+func (c *Core) Waiting() int { return len(c.requests) - c.Running() }
+
+// Running returns how many requests of this ingress run on targets.
+func (c *Core) Running() int {
+	n := 0
+	for _, r := range c.requests {
+		if r.running {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) message(to ident.Daemon) *Message {
+	m := c.outbox[to]
+	if m == nil {
+		m = &Message{}
+		c.outbox[to] = m
+	}
+	return m
+}
--- /dev/null
+++ b/internal/scheduler/core_test.go
@@ -0,0 +1,101 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newCore(id ident.Daemon, zone ident.Zone) *scheduler.Core {
+	c := scheduler.New(scheduler.Config{Self: id, Incarnation: 1, Zone: zone}, rand.New(rand.NewPCG(1, 2)))
+	c.Configure(start, []scheduler.Service{{
+		Name: "pool",
+		Workspaces: []scheduler.Workspace{
+			{Name: "a", Weight: 1, Queue: 3},
+			{Name: "b", Weight: 1, Queue: 3},
+		},
+		Targets:  []scheduler.Target{{Name: "t1", Zone: "z1", Slots: 1}},
+		MeanCost: 100,
+	}})
+	return c
+}
+
+func request(id string, ws ident.Workspace) scheduler.Request {
+	return scheduler.Request{ID: ident.Request(id), Service: "pool", Workspace: ws, Cost: 100}
+}
+
+func dispatched(c *scheduler.Core) []ident.Request {
+	var ids []ident.Request
+	for _, e := range c.Take() {
+		if d, ok := e.(scheduler.Dispatch); ok {
+			ids = append(ids, d.Request)
+		}
+	}
+	return ids
+}
+
+func TestSlotGoesToTheWorkspaceThatWasServedLess(t *testing.T) {
+	is := is.New(t)
+	c := newCore("d1", "z1")
+	for i := range 3 {
+		is.True(c.Submit(start, request(fmt.Sprintf("a%d", i), "a")) == nil)
+	}
+	is.True(c.Submit(start, request("b0", "b")) == nil)
+	is.Equal(dispatched(c), []ident.Request{"a0"})
+	c.Finish(start.Add(time.Second), "a0", scheduler.Result{Served: 100})
+	is.Equal(dispatched(c), []ident.Request{"b0"})
+}
+
+func TestQueueBoundRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCore("d1", "z1")
+	for i := range 4 { // one runs, three wait
+		is.True(c.Submit(start, request(fmt.Sprintf("a%d", i), "a")) == nil)
+	}
+	failure := c.Submit(start, request("a4", "a"))
+	is.True(failure != nil)
+	is.Equal(failure.Code, resultcode.QueueFull)
+}
+
+// A caller's request arrives at a daemon of another zone, which owns no target.
+// The owner must learn of it, grant its slot, and get the slot back at the end.
+func TestRequestOfAnotherZoneIsGrantedOverMessages(t *testing.T) {
+	is := is.New(t)
+	owner, ingress := newCore("d1", "z1"), newCore("d2", "z2")
+	owner.Peers(start, []scheduler.Peer{{ID: "d2", Incarnation: 1, Zone: "z2"}})
+	ingress.Peers(start, []scheduler.Peer{{ID: "d1", Incarnation: 1, Zone: "z1"}})
+	is.True(ingress.Submit(start, request("r1", "a")) == nil)
+	is.True(ingress.Submit(start, request("r2", "a")) == nil)
+	now := start.Add(time.Second)
+	ingress.Tick(now)
+	deliver(now, ingress, "d2", owner)
+	is.Equal(deliver(now, owner, "d1", ingress), 0)
+	is.Equal(dispatched(ingress), []ident.Request{"r1"})
+	ingress.Finish(now, "r1", scheduler.Result{Served: 90})
+	deliver(now, ingress, "d2", owner)
+	deliver(now, owner, "d1", ingress)
+	is.Equal(dispatched(ingress), []ident.Request{"r2"})
+}
+
+// deliver passes the messages of one core to another and returns how many other
+// effects there were.
+func deliver(now time.Time, from *scheduler.Core, id ident.Daemon, to *scheduler.Core) int {
+	others := 0
+	for _, e := range from.Take() {
+		if s, ok := e.(scheduler.Send); ok {
+			to.Receive(now, id, s.Message)
+			continue
+		}
+		others++
+	}
+	return others
+}
--- /dev/null
+++ b/internal/scheduler/owner.go
@@ -0,0 +1,219 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/savorystall/savorystall/internal/fairshare"
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// assignOwners decides which targets this daemon grants. Ownership is soft: two
+// owners of one target only admit too much for a moment, and the target refuses
+// what it cannot take.
+func (c *Core) assignOwners() {
+	for _, s := range c.services {
+		s.owned = s.owned[:0]
+		for _, t := range s.targets {
+			if c.owner(t) == c.cfg.Self {
+				s.owned = append(s.owned, t)
+			}
+		}
+		sort.Slice(s.owned, func(i, j int) bool { return s.owned[i].Name < s.owned[j].Name })
+	}
+}
+
+// owner returns the daemon with the highest rendezvous hash among the live
+// daemons of the target's zone. Daemons of other zones stand in where the zone
+// has none, and leaving ones where nobody else is left.
+func (c *Core) owner(t *target) ident.Daemon {
+	var best ident.Daemon
+	var bestRank int
+	var bestHash uint64
+	consider := func(id ident.Daemon, zone ident.Zone, leaving bool) {
+		rank := 0
+		if zone == t.Zone {
+			rank++
+		}
+		if !leaving {
+			rank += 2
+		}
+		hash := xxhash.Sum64String(string(t.service.name) + "\x00" + string(t.Name) + "\x00" + string(id))
+		if best == "" || rank > bestRank || rank == bestRank && hash > bestHash {
+			best, bestRank, bestHash = id, rank, hash
+		}
+	}
+	consider(c.cfg.Self, c.cfg.Zone, c.leaving)
+	for _, p := range c.peers {
+		consider(p.ID, p.Zone, p.Leaving)
+	}
+	return best
+}
+
+func (c *Core) assignAll(now time.Time) {
+	names := make([]ident.Service, 0, len(c.services))
+	for name := range c.services {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	for _, name := range names {
+		c.assign(now, c.services[name])
+	}
+}
+
+// assign gives away free slots of the owned targets as long as work waits.
+func (c *Core) assign(now time.Time, s *service) {
+	for {
+		t := s.freeTarget()
+		if t == nil {
+			return
+		}
+		w := c.pick(s)
+		if w == nil {
+			return
+		}
+		c.grant(now, t, w, c.pickIngress(w))
+	}
+}
+
+// freeTarget returns the owned target with the largest share of free slots.
+func (s *service) freeTarget() *target {
+	var best *target
+	var bestShare float64
+	for _, t := range s.owned {
+		free := t.Slots - len(t.grants)
+		if free <= 0 || t.health == HealthFailed || t.health == HealthLeaving {
+			continue
+		}
+		if share := float64(free) / float64(t.Slots); best == nil || share > bestShare {
+			best, bestShare = t, share
+		}
+	}
+	return best
+}
+
+// pick returns the workspace that is owed most among those with demand.
+func (c *Core) pick(s *service) *workspace {
+	var candidates []fairshare.Candidate
+	for _, w := range s.order {
+		backlogged := w.waiting() > 0 || w.remoteDemand() > 0
+		s.ledger.SetBacklogged(w.Name, backlogged)
+		if backlogged {
+			candidates = append(candidates, fairshare.Candidate{Workspace: w.Name, Running: w.granted})
+		}
+	}
+	name, ok := s.ledger.Pick(candidates)
+	if !ok {
+		return nil
+	}
+	return s.workspaces[name]
+}
+
+func (w *workspace) remoteDemand() int {
+	n := 0
+	for _, waiting := range w.demand {
+		n += max(0, waiting)
+	}
+	return n
+}
+
+// pickIngress prefers this daemon, for a grant to itself needs no message, and
+// then the ingress with the most waiting requests.
+func (c *Core) pickIngress(w *workspace) ident.Daemon {
+	if w.waiting() > 0 {
+		return c.cfg.Self
+	}
+	var best ident.Daemon
+	for id, waiting := range w.demand {
+		if waiting <= 0 {
+			continue
+		}
+		if best == "" || waiting > w.demand[best] || waiting == w.demand[best] && id < best {
+			best = id
+		}
+	}
+	return best
+}
+
+func (c *Core) grant(now time.Time, t *target, w *workspace, ingress ident.Daemon) {
+	c.lastGrant++
+	g := &grantOut{
+		Grant:   Grant{ID: c.lastGrant, Service: t.service.name, Workspace: w.Name, Target: t.Name},
+		ingress: ingress,
+		target:  t,
+	}
+	c.grants[g.ID] = g
+	t.grants[g.ID] = g
+	w.granted++
+	if ingress == c.cfg.Self {
+		c.accept(now, c.cfg.Self, g.Grant)
+		return
+	}
+	w.demand[ingress]--
+	m := c.message(ingress)
+	m.Grants = append(m.Grants, g.Grant)
+}
+
+func (c *Core) dropGrant(id uint64) *grantOut {
+	g := c.grants[id]
+	if g == nil {
+		return nil
+	}
+	delete(c.grants, id)
+	delete(g.target.grants, id)
+	if w := g.target.service.workspaces[g.Workspace]; w != nil {
+		w.granted--
+	}
+	return g
+}
+
+// released takes a slot back and gives it away again.
+func (c *Core) released(now time.Time, rel Release) {
+	g := c.dropGrant(rel.Grant)
+	if g == nil {
+		return
+	}
+	if !rel.Unused && rel.Result.Failed {
+		c.setHealth(g.target, HealthFailed)
+	}
+	if !rel.Unused && !rel.Result.Failed {
+		c.setHealth(g.target, HealthAnswered)
+	}
+	c.assign(now, g.target.service)
+}
+
+// TargetHealth records what was learnt about a target and tells the peers.
+func (c *Core) TargetHealth(now time.Time, service ident.Service, name ident.Target, health Health) {
+	if !c.learn(now, service, name, health) {
+		return
+	}
+	for id := range c.peers {
+		m := c.message(id)
+		m.News = append(m.News, TargetNews{Service: service, Target: name, Health: health})
+	}
+}
+
+func (c *Core) learn(now time.Time, service ident.Service, name ident.Target, health Health) bool {
+	s := c.services[service]
+	if s == nil || s.targets[name] == nil {
+		return false
+	}
+	if !c.setHealth(s.targets[name], health) {
+		return false
+	}
+	c.assign(now, s)
+	return true
+}
+
+// setHealth keeps a leaving target leaving until it is said to have returned:
+// an answer to old work must not make it look usable again.
+func (c *Core) setHealth(t *target, health Health) bool {
+	if t.health == HealthLeaving && health != HealthReturned {
+		return false
+	}
+	changed := t.health != health
+	t.health = health
+	return changed
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,188 @@
+// Package settings reads the settings of one daemon: a YAML file, overridden by
+// environment variables, overridden by flags. Settings belong to one process
+// and need a restart to change; what a service does stands in its document.
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// Settings is the whole file.
+type Settings struct {
+	// Daemon is the name of this daemon, unique in the fleet. Required.
+	Daemon ident.Daemon `yaml:"daemon" validate:"required,max=64"`
+	// Zone is the availability zone of this VM. Required.
+	Zone ident.Zone `yaml:"zone" validate:"required,max=64"`
+	// Callers is the listener for callers.
+	Callers Callers `yaml:"callers"`
+	// Operators is the listener for health, metrics and the admin API.
+	Operators Listener `yaml:"operators"`
+	// Fleet is the listener and the links between daemons.
+	Fleet Fleet `yaml:"fleet"`
+	// Platform says where the platform's services are.
+	Platform Platform `yaml:"platform"`
+	// Stop bounds a planned stop.
+	Stop Stop `yaml:"stop"`
+	// Claims bounds the handling of unrepeatable requests.
+	Claims Claims `yaml:"claims"`
+	// Log says what is logged.
+	Log Log `yaml:"log"`
+	// Trace says where spans go.
+	Trace Trace `yaml:"trace"`
+}
+
+// Listener is a TCP listener.
+type Listener struct {
+	// Listen is host:port with an IP number; port 0 takes a free port.
+	Listen string `yaml:"listen" validate:"required,hostname_port|tcp_addr"`
+}
+
+// Callers is the listener for callers and the bounds on what they send.
+type Callers struct {
+	// Listen is host:port with an IP number. Default 127.0.0.1:8080.
+	Listen string `yaml:"listen" validate:"required,hostname_port|tcp_addr"`
+	// HeaderBytes bounds the headers of a request. Default 32768.
+	HeaderBytes int `yaml:"header_bytes" validate:"min=1024,max=1048576"`
+	// HeaderTimeout bounds the arrival of the headers. Default 10s.
+	HeaderTimeout time.Duration `yaml:"header_timeout" validate:"min=100000000"`
+	// BodyTimeout bounds the arrival of the body. Default 30s.
+	BodyTimeout time.Duration `yaml:"body_timeout" validate:"min=100000000"`
+}
+
+// Fleet is the listener for other daemons.
+type Fleet struct {
+	// Listen is host:port with an IP number. Default 127.0.0.1:8082.
+	Listen string `yaml:"listen" validate:"required,hostname_port|tcp_addr"`
+	// Advertise is the address that other daemons dial. Default: Listen.
+	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port|tcp_addr"`
+	// Seeds are addresses of daemons to try before the VM list is known, as
+	// name=host:port. Default none.
+	Seeds []string `yaml:"seeds"`
+	// Heartbeat is the interval of heartbeats on an idle link. Default 1s.
+	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=50000000"`
+	// TLS holds the files of mutual TLS. Without them links are in the clear
+	// and a warning is logged at start.
+	TLS *TLS `yaml:"tls"`
+}
+
+// TLS names the files of one certificate and the authority of its peers.
+type TLS struct {
+	// Certificate is a PEM file with this daemon's certificate.
+	Certificate string `yaml:"certificate" validate:"required"`
+	// Key is a PEM file with its private key.
+	Key string `yaml:"key" validate:"required"`
+	// Authority is a PEM file with the authority of all daemons.
+	Authority string `yaml:"authority" validate:"required"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	// URL is the base address of the platform's HTTP binding.
+	URL string `yaml:"url" validate:"required,url"`
+	// ConfigPoll is the interval at which the head row is read. Default 1s.
+	ConfigPoll time.Duration `yaml:"config_poll" validate:"min=50000000"`
+	// VMPoll is the interval at which the VM list is read. Default 1s.
+	VMPoll time.Duration `yaml:"vm_poll" validate:"min=50000000"`
+	// Timeout bounds one call. Default 2s.
+	Timeout time.Duration `yaml:"timeout" validate:"min=10000000"`
+}
+
+// Stop bounds a planned stop.
+type Stop struct {
+	// BalancerLag is how long the balancer needs to notice that readiness
+	// fails. Requests are still accepted meanwhile. Default 5s.
+	BalancerLag time.Duration `yaml:"balancer_lag" validate:"min=0"`
+	// WarnAfter is when a drain that still waits is logged. Default 60s.
+	WarnAfter time.Duration `yaml:"warn_after" validate:"min=0"`
+}
+
+// Claims bounds the handling of unrepeatable requests.
+type Claims struct {
+	// Wait is how long a request waits for the platform's table before it is
+	// refused as not run. Default 5s.
+	Wait time.Duration `yaml:"wait" validate:"min=0"`
+}
+
+// Log says what is logged.
+type Log struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `yaml:"level" validate:"oneof=debug info warn error"`
+}
+
+// Trace says where spans go.
+type Trace struct {
+	// OTLP is the URL of an OTLP/HTTP collector. Default none.
+	OTLP string `yaml:"otlp" validate:"omitempty,url"`
+	// File is a file that spans are appended to as JSON. Default none.
+	File string `yaml:"file"`
+	// Sample is the share of requests without a sampled parent that are
+	// traced, from 0 to 1. Default 0.01.
+	Sample float64 `yaml:"sample" validate:"min=0,max=1"`
+}
+
+// Defaults returns the settings that hold where the file is silent.
+func Defaults() Settings {
+	return Settings{
+		Callers: Callers{
+			Listen:        "127.0.0.1:8080",
+			HeaderBytes:   32 << 10,
+			HeaderTimeout: 10 * time.Second,
+			BodyTimeout:   30 * time.Second,
+		},
+		Operators: Listener{Listen: "127.0.0.1:8081"},
+		Fleet:     Fleet{Listen: "127.0.0.1:8082", Heartbeat: time.Second},
+		Platform:  Platform{ConfigPoll: time.Second, VMPoll: time.Second, Timeout: 2 * time.Second},
+		Stop:      Stop{BalancerLag: 5 * time.Second, WarnAfter: time.Minute},
+		Claims:    Claims{Wait: 5 * time.Second},
+		Log:       Log{Level: "info"},
+		Trace:     Trace{Sample: 0.01},
+	}
+}
+
+// Override changes one field after the file was read.
+type Override func(*Settings)
+
+// Load reads the file and applies the overrides in order. An empty path means
+// that there is no file.
+func Load(path string, overrides ...Override) (Settings, error) {
+	var text []byte
+	if path != "" {
+		var err error
+		if text, err = os.ReadFile(path); err != nil {
+			return Settings{}, merry.Prepend(err, "settings")
+		}
+	}
+	s, err := Parse(text, overrides...)
+	if err != nil {
+		return Settings{}, merry.Prependf(err, "settings %s", path)
+	}
+	return s, nil
+}
+
+// Parse reads settings from YAML. Unknown fields and values out of range are
+// errors that name the field.
+func Parse(text []byte, overrides ...Override) (Settings, error) {
+	s := Defaults()
+	if len(text) > 0 {
+		if err := yaml.UnmarshalWithOptions(text, &s, yaml.Strict()); err != nil {
+			return Settings{}, merry.Wrap(err)
+		}
+	}
+	for _, override := range overrides {
+		override(&s)
+	}
+	if s.Fleet.Advertise == "" {
+		s.Fleet.Advertise = s.Fleet.Listen
+	}
+	if err := validator.New(validator.WithRequiredStructEnabled()).Struct(s); err != nil {
+		return Settings{}, merry.Wrap(err)
+	}
+	return s, nil
+}
