--- /dev/null
+++ b/internal/claim/fake_test.go
@@ -0,0 +1,123 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/platform"
+)
+
+// fault is what a fakeTable does to one transaction.
+type fault int
+
+const (
+	faultNone    fault = iota
+	faultDown          // refused, without effect
+	faultLost          // takes effect, the answer is lost
+	faultDelayed       // takes effect when release is called
+	faultDropped       // no effect and no answer
+)
+
+// fakeTable is a table in memory. Faults are taken in order, one a transaction;
+// when none is left, always applies.
+type fakeTable struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	revision uint64
+	faults   []fault
+	always   fault
+	latency  time.Duration
+	delayed  []platform.Transaction
+	commits  int
+	written  int
+}
+
+func newFakeTable(faults ...fault) *fakeTable {
+	return &fakeTable{rows: map[string]platform.Row{}, faults: faults}
+}
+
+var errFake = errors.New("injected")
+
+func (t *fakeTable) Commit(ctx context.Context, tx platform.Transaction) (uint64, error) {
+	if !sleep(ctx, t.latency) {
+		return 0, &platform.Unknown{Cause: ctx.Err()}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	switch t.nextFault() {
+	case faultDown:
+		return 0, &platform.Unavailable{Cause: errFake}
+	case faultLost:
+		_, _ = t.apply(tx)
+		return 0, &platform.Unknown{Cause: errFake}
+	case faultDelayed:
+		t.delayed = append(t.delayed, tx)
+		return 0, &platform.Unknown{Cause: errFake}
+	case faultDropped:
+		return 0, &platform.Unknown{Cause: errFake}
+	}
+	return t.apply(tx)
+}
+
+func (t *fakeTable) nextFault() fault {
+	if len(t.faults) == 0 {
+		return t.always
+	}
+	f := t.faults[0]
+	t.faults = t.faults[1:]
+	return f
+}
+
+func (t *fakeTable) apply(tx platform.Transaction) (uint64, error) {
+	var conflict platform.Conflict
+	for _, c := range tx.Conditions {
+		if row := t.rows[c.Key]; row.Revision != c.Revision {
+			row.Key = c.Key
+			conflict.Rows = append(conflict.Rows, row)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		return 0, &conflict
+	}
+	t.revision++
+	for _, p := range tx.Puts {
+		t.written++
+		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: t.revision, Operation: tx.Operation}
+	}
+	return t.revision, nil
+}
+
+// release lets the delayed transactions take effect.
+func (t *fakeTable) release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tx := range t.delayed {
+		_, _ = t.apply(tx)
+	}
+	t.delayed = nil
+}
+
+func (t *fakeTable) set(always fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.always = always
+}
+
+func (t *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for _, k := range keys {
+		if row, ok := t.rows[k]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func (t *fakeTable) Scan(context.Context, string, string, int) ([]platform.Row, error) {
+	return nil, errFake
+}
