--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -93,11 +93,17 @@
 	// Address is host:port: of the fleet listener of a daemon, of the service
 	// port of a target.
 	Address string
-	// Role is "daemon" or "target".
+	// Role is RoleDaemon or RoleTarget.
 	Role  string
 	State VMState
 }
 
+// Roles of a VM in the list.
+const (
+	RoleDaemon = "daemon"
+	RoleTarget = "target"
+)
+
 // VMs is the platform's list of VMs.
 type VMs interface {
 	ListVMs(ctx context.Context) ([]VM, error)
