--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,109 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/resultcode"
+)
+
+var start = time.Unix(1000, 0)
+
+func push(t *testing.T, q *Queue[int], id string, class uint8, deadline time.Time) {
+	t.Helper()
+	err := q.Push(start, Item[int]{ID: ident.Request(id), Class: class, Arrived: start, Deadline: deadline})
+	is.New(t).NoErr(err)
+}
+
+func pop(t *testing.T, q *Queue[int], now time.Time) string {
+	t.Helper()
+	it, _, ok := q.Pop(now)
+	is.New(t).True(ok)
+	return string(it.ID)
+}
+
+// A workspace has queued two hundred drafts when a member asks a question. In
+// arrival order the question would wait for all of them.
+func TestQuestionPassesDrafts(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Config{})
+	for i := range 200 {
+		push(t, q, fmt.Sprintf("draft-%03d", i), 2, time.Time{})
+	}
+	is.Equal(pop(t, q, start), "draft-000")
+	push(t, q, "question", 0, time.Time{})
+	is.Equal(q.Ahead(0), 1)
+	is.Equal(pop(t, q, start), "question")
+}
+
+// Questions never cease. By strict priority the batch request would never run.
+func TestBatchIsNotStarved(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Config{})
+	for i := range 50 {
+		push(t, q, fmt.Sprintf("question-%03d", i), 0, time.Time{})
+	}
+	push(t, q, "batch", 2, time.Time{})
+	for range 21 {
+		if pop(t, q, start) == "batch" {
+			return
+		}
+	}
+	is.Fail()
+}
+
+// Under overload a request is left whose caller gives up in a second, though
+// an answer takes two. Served first, it would be in vain, and the next would be
+// late as well.
+func TestWhatCanBeInTimeGoesFirst(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Config{})
+	q.SetNeed(2 * time.Second)
+	push(t, q, "hopeless", 0, start.Add(time.Second))
+	push(t, q, "later", 0, start.Add(9*time.Second))
+	push(t, q, "soon", 0, start.Add(3*time.Second))
+	push(t, q, "standard", 1, start.Add(9*time.Second))
+	is.Equal(pop(t, q, start), "soon")
+	is.Equal(pop(t, q, start), "standard")
+	is.Equal(pop(t, q, start), "later")
+	is.Equal(pop(t, q, start), "hopeless")
+}
+
+func TestExpiredAreHandedBack(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Config{})
+	push(t, q, "a", 0, start.Add(time.Second))
+	push(t, q, "b", 1, start.Add(time.Second))
+	push(t, q, "c", 1, time.Time{})
+	it, expired, ok := q.Pop(start.Add(2 * time.Second))
+	is.True(ok)
+	is.Equal(string(it.ID), "c")
+	is.Equal(len(expired), 2)
+	push(t, q, "d", 2, start.Add(time.Second))
+	is.Equal(len(q.Expire(start.Add(time.Second))), 0)
+	is.Equal(len(q.Expire(start.Add(2*time.Second))), 1)
+	is.Equal(q.Len(), 0)
+}
+
+// Drafts have filled the queue. A question must still find a place.
+func TestDraftsLeaveRoomForQuestions(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Config{Limit: 10})
+	var err error
+	for i := 0; err == nil; i++ {
+		err = q.Push(start, Item[int]{ID: ident.Request(fmt.Sprint(i)), Class: 2})
+	}
+	is.Equal(q.Len(), 8)
+	failure, ok := err.(*resultcode.Failure)
+	is.True(ok)
+	is.Equal(failure.Code, resultcode.QueueFull)
+	push(t, q, "question", 0, time.Time{})
+	_, removed := q.Remove("question")
+	is.True(removed)
+	_, removed = q.Remove("question")
+	is.True(!removed)
+}
