--- a/charts/charts.go
+++ b/charts/charts.go
@@ -17,3 +17,8 @@
 //
 //go:embed attempt.yaml
 var Attempt []byte
+
+// Member is what a daemon holds of another daemon.
+//
+//go:embed member.yaml
+var Member []byte
--- a/internal/chart/chart_test.go
+++ b/internal/chart/chart_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestChartsOfTheDaemonAreValid(t *testing.T) {
-	for _, text := range [][]byte{charts.Daemon, charts.Target, charts.Attempt} {
+	for _, text := range [][]byte{charts.Daemon, charts.Target, charts.Attempt, charts.Member} {
 		_, err := chart.Parse(text)
 		is.New(t).NoErr(err)
 	}
--- /dev/null
+++ b/internal/event/fleet.go
@@ -0,0 +1,13 @@
+package event
+
+import "log/slog"
+
+// Events of the links between daemons.
+var (
+	FleetLinkUp      = define(601, slog.LevelInfo, "link to a daemon is up", "none")
+	FleetLinkDown    = define(602, slog.LevelInfo, "link to a daemon is down", "none, unless it stays down: see docs/OPERATIONS.md, a cut zone")
+	FleetLinkSilent  = define(603, slog.LevelWarn, "link to a daemon went silent and is replaced", "look for a middlebox that drops idle connections")
+	FleetLinkRefused = define(604, slog.LevelWarn, "link of a daemon was refused", "see the reason in the line; two daemons may share a name")
+	FleetBadFrame    = define(605, slog.LevelError, "frame of a daemon could not be read", "check that all daemons run versions that go together")
+	FleetSlowPeer    = define(606, slog.LevelWarn, "queue to a daemon overflowed and its link was reset", "look at the load of the daemon that the line names")
+)
--- /dev/null
+++ b/internal/fleet/dial.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+const (
+	protocolVersion = 1
+	// handshakeTimeout bounds a dial up to the peer's first frame.
+	handshakeTimeout = 3 * time.Second
+	// connBuffer bounds the read and write buffers of a connection: frames are
+	// small and a daemon of a large fleet has hundreds of connections, so that
+	// grpc's 32 KiB each way would take more memory than all other state.
+	connBuffer = 4 << 10
+	// streamWindow is a fixed flow-control window; a fixed one also spares the
+	// pings by which grpc measures the bandwidth.
+	streamWindow = 64 << 10
+	// pingAfter and pingTimeout find connections that went silent under calls;
+	// links have their own heartbeats, which come sooner.
+	pingAfter   = 10 * time.Second
+	pingTimeout = 3 * time.Second
+	// callIdle closes connections that were opened for calls.
+	callIdle = time.Minute
+	// maxMessage bounds a message in bytes; the documents of a whole fleet fit.
+	maxMessage = 32 << 20
+)
+
+// connect prepares a connection of its own. grpc-go's retries are off: a call is
+// repeated by whoever knows that it may be.
+func (n *Node) connect(address string) (*grpc.ClientConn, error) {
+	creds := insecure.NewCredentials()
+	if n.cfg.Identity != nil {
+		creds = credentials.NewTLS(n.cfg.Identity.Client())
+	}
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(creds),
+		grpc.WithContextDialer(n.counters.dial),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithReadBufferSize(connBuffer),
+		grpc.WithWriteBufferSize(connBuffer),
+		grpc.WithSharedWriteBuffer(true),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(streamWindow),
+		grpc.WithIdleTimeout(callIdle),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+	)
+}
+
+// dial opens a link on a new connection and serves it until it ends.
+func (n *Node) dial(peer ident.Daemon, address string, session uint64) {
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	conn, err := n.connect(address)
+	if err != nil {
+		n.post(ctx, dialFailed{peer, err})
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	l, err := n.handshake(ctx, cancel, conn, peer, session)
+	if err != nil {
+		n.post(ctx, dialFailed{peer, err})
+		return
+	}
+	l.address = address
+	if !n.open(ctx, l) {
+		n.post(ctx, dialFailed{peer, nil})
+		return
+	}
+	n.run(ctx, l, nil)
+}
+
+func (n *Node) handshake(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn, peer ident.Daemon, session uint64) (*link, error) {
+	timeout := time.AfterFunc(handshakeTimeout, cancel)
+	stream, err := fleetv1.NewFleetClient(conn).Link(ctx)
+	if err != nil {
+		return nil, merry.Prepend(err, "open link")
+	}
+	if err := stream.Send(&fleetv1.Frame{Hello: n.hello(peer, session)}); err != nil {
+		return nil, merry.Prepend(err, "send hello")
+	}
+	f, err := stream.Recv()
+	if err != nil {
+		return nil, merry.Prepend(err, "await hello")
+	}
+	if !timeout.Stop() {
+		return nil, merry.New("await hello: timeout")
+	}
+	l, err := n.newLink(f.GetHello(), stream, cancel)
+	if err != nil {
+		return nil, err
+	}
+	if l.peer != peer {
+		return nil, merry.Errorf("address belongs to daemon %q now", l.peer)
+	}
+	l.dialler, l.session = n.cfg.Self, session
+	return l, nil
+}
+
+func (n *Node) hello(to ident.Daemon, session uint64) *fleetv1.Hello {
+	return &fleetv1.Hello{
+		Version: protocolVersion, From: string(n.cfg.Self), To: string(to),
+		Incarnation: n.cfg.Incarnation, Zone: string(n.cfg.Zone),
+		Address: n.cfg.Advertise, Session: session,
+	}
+}
+
+// newLink checks the peer's hello.
+func (n *Node) newLink(h *fleetv1.Hello, stream frameStream, cancel context.CancelFunc) (*link, error) {
+	switch {
+	case h.GetVersion() != protocolVersion:
+		return nil, merry.Errorf("peer %q speaks version %d", h.GetFrom(), h.GetVersion())
+	case h.GetFrom() == "" || h.GetIncarnation() == 0 || h.GetZone() == "":
+		return nil, merry.New("hello is not complete")
+	case h.GetFrom() == string(n.cfg.Self):
+		return nil, merry.New("peer has the daemon's own name")
+	case h.GetTo() != string(n.cfg.Self):
+		return nil, merry.Errorf("peer looks for daemon %q", h.GetTo())
+	}
+	return &link{
+		peer: ident.Daemon(h.GetFrom()), incarnation: h.GetIncarnation(),
+		zone: ident.Zone(h.GetZone()), address: h.GetAddress(),
+		stream: stream, cancel: cancel, out: newOutbox(n.cfg.QueueLimit),
+	}, nil
+}
--- /dev/null
+++ b/internal/fleet/link.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
+// frameStream is the end of a stream, the same at the dialler and the listener.
+type frameStream interface {
+	Send(*fleetv1.Frame) error
+	Recv() (*fleetv1.Frame, error)
+}
+
+// link is one stream to one incarnation of a peer.
+type link struct {
+	peer        ident.Daemon
+	incarnation uint64
+	zone        ident.Zone
+	address     string
+	// dialler is the name of the daemon that dialled, session its count.
+	dialler ident.Daemon
+	session uint64
+
+	stream frameStream
+	// cancel ends the stream and, at the dialler, its connection.
+	cancel context.CancelFunc
+	out    *outbox
+	// lastHeard belongs to the control goroutine.
+	lastHeard time.Time
+}
+
+// newer tells whether a replaces b where both link the same two daemons. Both
+// ends come to the same answer: a higher incarnation wins; then the link that
+// the smaller name dialled; then the later dial of the same dialler. Without an
+// order that both share, two daemons that dial each other at once could each
+// close the link that the other one kept, over and over.
+func newer(a, b *link, self ident.Daemon) bool {
+	if a.incarnation != b.incarnation {
+		return a.incarnation > b.incarnation
+	}
+	if a.dialler != b.dialler {
+		return a.dialler == min(self, a.peer)
+	}
+	return a.session > b.session
+}
+
+// write sends what is queued, batched, and heartbeats when idle. The first
+// frame, if any, is sent at once.
+func (n *Node) write(ctx context.Context, l *link, first *fleetv1.Frame) {
+	defer l.cancel()
+	if first != nil && !n.sendFrame(l, first) {
+		return
+	}
+	enc := newEncoder()
+	idle := time.NewTimer(n.cfg.Heartbeat)
+	defer idle.Stop()
+	for {
+		if !n.awaitWork(ctx, l, idle) {
+			return
+		}
+		f := &fleetv1.Frame{}
+		if b, ok := l.out.take(); ok {
+			f.Head, f.Leaving = b.head, b.leaving
+			enc.message(f, &b.message)
+		}
+		if !n.sendFrame(l, f) || enc.full() {
+			return
+		}
+		idle.Reset(n.cfg.Heartbeat)
+	}
+}
+
+// awaitWork returns when a frame is due; false when the link ends.
+func (n *Node) awaitWork(ctx context.Context, l *link, idle *time.Timer) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-idle.C:
+		return true
+	case <-l.out.ready:
+	}
+	flush := time.NewTimer(n.cfg.FlushDelay)
+	defer flush.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-l.out.urgent:
+	case <-flush.C:
+	}
+	return true
+}
+
+func (n *Node) sendFrame(l *link, f *fleetv1.Frame) bool {
+	if err := l.stream.Send(f); err != nil {
+		return false
+	}
+	n.counters.framesSent.Add(1)
+	n.counters.payloadSent.Add(uint64(proto.Size(f)))
+	return true
+}
+
+// read passes the peer's frames to the control goroutine until the link ends.
+func (n *Node) read(ctx context.Context, l *link) {
+	defer l.cancel()
+	dec := &decoder{}
+	for {
+		f, err := l.stream.Recv()
+		if err != nil {
+			return
+		}
+		n.counters.framesReceived.Add(1)
+		n.counters.payloadReceived.Add(uint64(proto.Size(f)))
+		m, hasMessage, err := dec.message(f)
+		if err != nil {
+			event.FleetBadFrame.Log(n.cfg.Logger, "peer", l.peer, "error", err)
+			return
+		}
+		m.Incarnation = l.incarnation
+		if !n.post(ctx, received{l, m, hasMessage, f.GetHead(), f.GetLeaving()}) {
+			return
+		}
+	}
+}
+
+// received is a frame that the control goroutine has to take in.
+type received struct {
+	link       *link
+	message    scheduler.Message
+	hasMessage bool
+	head       uint64
+	leaving    bool
+}
+
+// opened asks the control goroutine whether to keep a link.
+type opened struct {
+	link   *link
+	accept chan bool
+}
+
+// closed tells that a link has ended.
+type closed struct{ link *link }
+
+// dialFailed tells that a dial brought no link.
+type dialFailed struct {
+	peer ident.Daemon
+	err  error
+}
+
+// post hands an event to the control goroutine; false when ctx or the node ends.
+func (n *Node) post(ctx context.Context, e any) bool {
+	select {
+	case n.events <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-n.done:
+		return false
+	}
+}
+
+// open asks the control goroutine to register the link.
+func (n *Node) open(ctx context.Context, l *link) bool {
+	o := opened{link: l, accept: make(chan bool, 1)}
+	if !n.post(ctx, o) {
+		return false
+	}
+	select {
+	case ok := <-o.accept:
+		return ok
+	case <-n.done:
+		return false
+	}
+}
+
+// run serves a registered link until it ends.
+func (n *Node) run(ctx context.Context, l *link, first *fleetv1.Frame) {
+	n.tasks.Go(func() { n.write(ctx, l, first) })
+	n.read(ctx, l)
+	n.post(context.Background(), closed{l})
+}
--- /dev/null
+++ b/internal/fleet/outbox.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"sync"
+
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
+// outbox holds what waits to be sent on one link. Of demand, parts and the held
+// list the newest stands for all; news are kept but for repeats; grants and
+// releases are all kept, in order, up to a bound.
+type outbox struct {
+	mu      sync.Mutex
+	limit   int
+	queued  scheduler.Message
+	demands map[pair]int
+	parts   map[pair]int
+	news    map[pair]int
+	head    uint64
+	leaving bool
+	dirty   bool
+	closed  bool
+
+	// ready is signalled when the first thing is queued, urgent when something
+	// must not wait for the batch.
+	ready, urgent chan struct{}
+}
+
+func newOutbox(limit int) *outbox {
+	return &outbox{
+		limit:   limit,
+		demands: map[pair]int{}, parts: map[pair]int{}, news: map[pair]int{},
+		ready: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+	}
+}
+
+// put queues a message without blocking. It returns false where the queue is
+// full: the link must then be reset, for a grant or release would be lost.
+func (o *outbox) put(m *scheduler.Message) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return true
+	}
+	if len(o.queued.Grants)+len(o.queued.Releases)+len(m.Grants)+len(m.Releases) > o.limit {
+		o.closed = true
+		return false
+	}
+	o.merge(m)
+	o.signal(len(m.Grants) > 0)
+	return true
+}
+
+func (o *outbox) merge(m *scheduler.Message) {
+	q := &o.queued
+	for _, d := range m.Demand {
+		q.Demand = newest(q.Demand, o.demands, pair{d.Service, string(d.Workspace)}, d)
+	}
+	for _, p := range m.Parts {
+		q.Parts = newest(q.Parts, o.parts, pair{p.Service, string(p.Workspace)}, p)
+	}
+	for _, n := range m.News {
+		o.addNews(n)
+	}
+	q.Grants = append(q.Grants, m.Grants...)
+	q.Releases = append(q.Releases, m.Releases...)
+	if m.HeldValid {
+		q.Held, q.HeldSeen, q.HeldValid = m.Held, m.HeldSeen, true
+	}
+}
+
+// addNews keeps the order of different news of a target: of "leaving" followed
+// by "failed" both have to arrive, or the target would get new work again.
+func (o *outbox) addNews(n scheduler.TargetNews) {
+	key := pair{n.Service, string(n.Target)}
+	if i, ok := o.news[key]; ok && o.queued.News[i] == n {
+		return
+	}
+	o.news[key] = len(o.queued.News)
+	o.queued.News = append(o.queued.News, n)
+}
+
+func newest[T any](rows []T, at map[pair]int, key pair, row T) []T {
+	if i, ok := at[key]; ok {
+		rows[i] = row
+		return rows
+	}
+	at[key] = len(rows)
+	return append(rows, row)
+}
+
+// setHead queues a change of the configuration head.
+func (o *outbox) setHead(head uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.head = head
+	o.signal(true)
+}
+
+// setLeaving queues the announcement of a planned stop.
+func (o *outbox) setLeaving() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaving = true
+	o.signal(true)
+}
+
+func (o *outbox) signal(urgent bool) {
+	o.dirty = true
+	poke(o.ready)
+	if urgent {
+		poke(o.urgent)
+	}
+}
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// batch is what one frame takes out of an outbox.
+type batch struct {
+	message scheduler.Message
+	head    uint64
+	leaving bool
+}
+
+// take empties the outbox; ok is false where nothing waits.
+func (o *outbox) take() (b batch, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.dirty {
+		return b, false
+	}
+	b = batch{message: o.queued, head: o.head, leaving: o.leaving}
+	o.queued, o.head, o.dirty = scheduler.Message{}, 0, false
+	clear(o.demands)
+	clear(o.parts)
+	clear(o.news)
+	return b, true
+}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// server is the listening end of a node.
+type server struct {
+	fleetv1.UnimplementedFleetServer
+	node *Node
+}
+
+func (n *Node) newServer() *grpc.Server {
+	options := []grpc.ServerOption{
+		grpc.ReadBufferSize(connBuffer),
+		grpc.WriteBufferSize(connBuffer),
+		grpc.SharedWriteBuffer(true),
+		grpc.StaticStreamWindowSize(streamWindow),
+		grpc.StaticConnWindowSize(streamWindow),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter / 2}),
+	}
+	if n.cfg.Identity != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(n.cfg.Identity.Server())))
+	}
+	s := grpc.NewServer(options...)
+	fleetv1.RegisterFleetServer(s, &server{node: n})
+	return s
+}
+
+func (n *Node) listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", n.cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	return &countedListener{Listener: l, counters: &n.counters}, nil
+}
+
+// Link serves a link that a peer dialled.
+func (s *server) Link(stream grpc.BidiStreamingServer[fleetv1.Frame, fleetv1.Frame]) error {
+	n := s.node
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	h, err := firstHello(ctx, stream)
+	if err != nil {
+		return err
+	}
+	l, err := n.newLink(h, stream, cancel)
+	if err != nil {
+		event.FleetLinkRefused.Log(n.cfg.Logger, "peer", h.GetFrom(), "error", err)
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	l.dialler, l.session = l.peer, h.GetSession()
+	if !n.open(ctx, l) {
+		return status.Error(codes.Aborted, "another link is kept")
+	}
+	// The handler must return for the stream to end, also while Recv waits.
+	served := make(chan struct{})
+	n.tasks.Go(func() {
+		defer close(served)
+		n.run(ctx, l, &fleetv1.Frame{Hello: n.hello(l.peer, l.session)})
+	})
+	select {
+	case <-ctx.Done():
+	case <-served:
+	}
+	return status.Error(codes.Aborted, "link ended")
+}
+
+// firstHello bounds the wait for the first frame: a dialler that never speaks
+// would else hold a stream for good.
+func firstHello(ctx context.Context, stream frameStream) (*fleetv1.Hello, error) {
+	type result struct {
+		frame *fleetv1.Frame
+		err   error
+	}
+	got := make(chan result, 1)
+	go func() {
+		f, err := stream.Recv()
+		got <- result{f, err}
+	}()
+	timeout := time.NewTimer(handshakeTimeout)
+	defer timeout.Stop()
+	select {
+	case r := <-got:
+		if r.err != nil {
+			return nil, r.err
+		}
+		return r.frame.GetHello(), nil
+	case <-timeout.C:
+		return nil, status.Error(codes.DeadlineExceeded, "no hello")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Entries returns the configuration in force.
+func (s *server) Entries(_ context.Context, r *fleetv1.EntriesRequest) (*fleetv1.EntriesReply, error) {
+	reply := &fleetv1.EntriesReply{}
+	for _, e := range s.node.handler.Entries(r.GetAfter()) {
+		reply.Entries = append(reply.Entries, &fleetv1.Entry{
+			Service: string(e.Service), Revision: e.Revision, Deleted: e.Deleted, Text: e.Text,
+		})
+	}
+	return reply, nil
+}
+
+var claimCodes = map[ClaimState]fleetv1.ClaimState{
+	ClaimUnknown:  fleetv1.ClaimState_CLAIM_STATE_UNKNOWN,
+	ClaimFinished: fleetv1.ClaimState_CLAIM_STATE_FINISHED,
+	ClaimRunning:  fleetv1.ClaimState_CLAIM_STATE_RUNNING,
+	ClaimNever:    fleetv1.ClaimState_CLAIM_STATE_NEVER,
+}
+
+// AskClaim answers a daemon that met a claim of this one.
+func (s *server) AskClaim(_ context.Context, r *fleetv1.AskClaimRequest) (*fleetv1.AskClaimReply, error) {
+	a := s.node.handler.Claim(ClaimQuery{
+		Service: ident.Service(r.GetService()), Workspace: ident.Workspace(r.GetWorkspace()),
+		Key: r.GetKey(), Attempt: ident.Attempt(r.GetAttempt()), Incarnation: r.GetIncarnation(),
+	})
+	return &fleetv1.AskClaimReply{State: claimCodes[a.State], Outcome: a.Outcome}, nil
+}
