--- a/internal/fleet/dial.go
+++ b/internal/fleet/dial.go
@@ -49,7 +49,6 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithReadBufferSize(connBuffer),
 		grpc.WithWriteBufferSize(connBuffer),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithStaticStreamWindowSize(streamWindow),
 		grpc.WithStaticConnWindowSize(streamWindow),
 		grpc.WithIdleTimeout(callIdle),
@@ -64,23 +63,23 @@
 	defer cancel()
 	conn, err := n.connect(address)
 	if err != nil {
-		n.post(ctx, dialFailed{peer, err})
+		n.post(n.ctx, dialed{peer, err})
 		return
 	}
 	defer func() { _ = conn.Close() }()
 	l, err := n.handshake(ctx, cancel, conn, peer, session)
-	if err != nil {
-		n.post(ctx, dialFailed{peer, err})
-		return
+	if err == nil && !n.open(ctx, l) {
+		err = errNotKept
 	}
-	l.address = address
-	if !n.open(ctx, l) {
-		n.post(ctx, dialFailed{peer, nil})
-		return
+	n.post(n.ctx, dialed{peer, err})
+	if err == nil {
+		n.run(ctx, l, nil)
 	}
-	n.run(ctx, l, nil)
 }
 
+// errNotKept ends a link to a peer to which a better one exists.
+var errNotKept = merry.New("another link is kept")
+
 func (n *Node) handshake(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn, peer ident.Daemon, session uint64) (*link, error) {
 	timeout := time.AfterFunc(handshakeTimeout, cancel)
 	stream, err := fleetv1.NewFleetClient(conn).Link(ctx)
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -32,8 +32,6 @@
 	// cancel ends the stream and, at the dialler, its connection.
 	cancel context.CancelFunc
 	out    *outbox
-	// lastHeard belongs to the control goroutine.
-	lastHeard time.Time
 }
 
 // newer tells whether a replaces b where both link the same two daemons. Both
@@ -147,10 +145,11 @@
 // closed tells that a link has ended.
 type closed struct{ link *link }
 
-// dialFailed tells that a dial brought no link.
-type dialFailed struct {
+// dialed tells how a dial ended, once for each.
+type dialed struct {
 	peer ident.Daemon
-	err  error
+	// err is nil where the link was kept.
+	err error
 }
 
 // post hands an event to the control goroutine; false when ctx or the node ends.
--- /dev/null
+++ b/internal/fleet/node_test.go
@@ -0,0 +1,220 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/savorystall/savorystall/internal/fleet"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	beat = 50 * time.Millisecond
+	// bound is far above what a step needs; only a fault reaches it.
+	bound = 30 * time.Second
+)
+
+// recorder keeps what a node tells its handler.
+type recorder struct {
+	mu       sync.Mutex
+	peers    map[ident.Daemon]scheduler.Peer
+	ups      map[ident.Daemon]int
+	losts    map[ident.Daemon]int
+	messages []scheduler.Message
+	heads    map[ident.Daemon]uint64
+	entries  []fleet.Entry
+	queries  []fleet.ClaimQuery
+	answer   fleet.ClaimAnswer
+}
+
+func newRecorder() *recorder {
+	return &recorder{ups: map[ident.Daemon]int{}, losts: map[ident.Daemon]int{}, heads: map[ident.Daemon]uint64{}}
+}
+
+func (r *recorder) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+func (r *recorder) Peers(peers []scheduler.Peer) {
+	r.locked(func() {
+		r.peers = map[ident.Daemon]scheduler.Peer{}
+		for _, p := range peers {
+			r.peers[p.ID] = p
+		}
+	})
+}
+func (r *recorder) LinkUp(id ident.Daemon)   { r.locked(func() { r.ups[id]++ }) }
+func (r *recorder) LinkLost(id ident.Daemon) { r.locked(func() { r.losts[id]++ }) }
+func (r *recorder) Receive(_ ident.Daemon, m scheduler.Message) {
+	r.locked(func() { r.messages = append(r.messages, m) })
+}
+func (r *recorder) Head(id ident.Daemon, head uint64) { r.locked(func() { r.heads[id] = head }) }
+func (r *recorder) Entries(uint64) []fleet.Entry      { return r.entries }
+func (r *recorder) Claim(q fleet.ClaimQuery) fleet.ClaimAnswer {
+	r.locked(func() { r.queries = append(r.queries, q) })
+	return r.answer
+}
+
+func (r *recorder) eventually(t *testing.T, what string, cond func(*recorder) bool) {
+	t.Helper()
+	deadline := time.Now().Add(bound)
+	for time.Now().Before(deadline) {
+		r.mu.Lock()
+		ok := cond(r)
+		r.mu.Unlock()
+		if ok {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatalf("never came: %s", what)
+}
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func start(t *testing.T, cfg fleet.Config) (*fleet.Node, *recorder) {
+	t.Helper()
+	if cfg.Heartbeat == 0 {
+		cfg.Heartbeat = beat
+	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = 1
+	}
+	cfg.Zone, cfg.Logger = "hall-a", quiet()
+	if cfg.Listen == "" {
+		cfg.Listen = "127.0.0.1:0"
+	}
+	r := newRecorder()
+	n, err := fleet.New(cfg, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { stop(t, n) })
+	return n, r
+}
+
+func stop(t *testing.T, n *fleet.Node) {
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	if err := n.Stop(ctx); err != nil {
+		t.Error("stop:", err)
+	}
+}
+
+func vm(id ident.Daemon, address string) platform.VM {
+	return platform.VM{Name: string(id), Zone: "hall-a", Address: address, Role: "daemon", State: platform.VMLive}
+}
+
+func linked(id ident.Daemon) func(*recorder) bool {
+	return func(r *recorder) bool { return r.ups[id] > r.losts[id] && r.peers[id].ID == id }
+}
+
+func TestMessagesArriveWholeAndInOrder(t *testing.T) {
+	is := is.New(t)
+	a, ra := start(t, fleet.Config{Self: "a"})
+	b, rb := start(t, fleet.Config{Self: "b", Incarnation: 7})
+	a.SetVMs([]platform.VM{vm("a", a.Address()), vm("b", b.Address())})
+	ra.eventually(t, "link to b", linked("b"))
+	rb.eventually(t, "link to a", linked("a"))
+
+	const count = 300
+	for i := range uint64(count) {
+		b.Send("a", scheduler.Message{
+			Grants:   []scheduler.Grant{{ID: i + 1, Service: "lm-pool", Workspace: "club-nord", Target: ident.Target(fmt.Sprint("e", i%12))}},
+			Releases: []scheduler.Release{{Grant: i, Result: scheduler.Result{Served: 12.5, Elapsed: time.Second, First: time.Millisecond}}},
+			Demand:   []scheduler.Demand{{Service: "lm-pool", Workspace: "club-nord", Waiting: uint32(i), Seen: i}},
+		})
+	}
+	var grants []scheduler.Grant
+	var releases []scheduler.Release
+	var demand scheduler.Demand
+	ra.eventually(t, "all grants", func(r *recorder) bool {
+		grants, releases = nil, nil
+		for _, m := range r.messages {
+			if m.Incarnation != 7 {
+				return false
+			}
+			grants, releases = append(grants, m.Grants...), append(releases, m.Releases...)
+			demand = m.Demand[len(m.Demand)-1]
+		}
+		return len(grants) == count
+	})
+	for i := range uint64(count) {
+		is.Equal(grants[i].ID, i+1)
+		is.Equal(grants[i].Target, ident.Target(fmt.Sprint("e", i%12)))
+		is.Equal(releases[i].Grant, i)
+	}
+	is.Equal(releases[0].Result, scheduler.Result{Served: 12.5, Elapsed: time.Second, First: time.Millisecond})
+	is.Equal(demand.Waiting, uint32(count-1)) // the newest demand stands
+	is.True(a.Traffic().StreamReceived > a.Traffic().PayloadReceived)
+}
+
+// A new daemon appears in the list of nobody yet, for the list lags. Its name
+// is greater than its peer's, who would be the one to dial. Without a dial of
+// its own it would stay alone until the list caught up.
+func TestDaemonThatPeersDoNotKnowYetFindsThem(t *testing.T) {
+	a, ra := start(t, fleet.Config{Self: "a"})
+	b, rb := start(t, fleet.Config{Self: "b"})
+	b.SetVMs([]platform.VM{vm("a", a.Address())})
+	ra.eventually(t, "link to b", linked("b"))
+	rb.eventually(t, "link to a", linked("a"))
+}
+
+func TestLeavingHeadEntriesAndClaims(t *testing.T) {
+	is := is.New(t)
+	a, ra := start(t, fleet.Config{Self: "a"})
+	b, rb := start(t, fleet.Config{Self: "b"})
+	b.SetHead(41)
+	a.SetVMs([]platform.VM{vm("b", b.Address())})
+	ra.eventually(t, "head", func(r *recorder) bool { return r.heads["b"] == 41 })
+	b.SetHead(42)
+	ra.eventually(t, "new head", func(r *recorder) bool { return r.heads["b"] == 42 })
+	b.Leaving()
+	ra.eventually(t, "leaving", func(r *recorder) bool { return r.peers["b"].Leaving })
+
+	rb.entries = []fleet.Entry{{Service: "lm-pool", Revision: 42, Text: []byte("x")}, {Service: "old", Revision: 40, Deleted: true}}
+	rb.answer = fleet.ClaimAnswer{State: fleet.ClaimFinished, Outcome: []byte("done")}
+	entries, err := a.Entries(t.Context(), "b", 0)
+	is.NoErr(err)
+	is.Equal(entries, rb.entries)
+	q := fleet.ClaimQuery{Service: "lm-pool", Workspace: "w", Key: "k", Attempt: "t", Incarnation: 1}
+	answer, err := a.AskClaim(t.Context(), "b", q)
+	is.NoErr(err)
+	is.Equal(answer, rb.answer)
+	is.Equal(rb.queries, []fleet.ClaimQuery{q})
+	answer, err = a.AskClaim(t.Context(), "nobody", q)
+	is.True(err != nil)
+	is.Equal(answer.State, fleet.ClaimUnknown)
+}
+
+// A daemon restarts without state under its old name and address. Its peer must
+// take the new incarnation for a new daemon; what belonged to the old one is
+// gone.
+func TestRestartedDaemonIsTakenForANewOne(t *testing.T) {
+	a, ra := start(t, fleet.Config{Self: "a"})
+	b, _ := start(t, fleet.Config{Self: "b"})
+	address := b.Address()
+	a.SetVMs([]platform.VM{vm("b", address)})
+	ra.eventually(t, "link to b", linked("b"))
+	stop(t, b)
+	_, rb := start(t, fleet.Config{Self: "b", Incarnation: 2, Listen: address})
+	ra.eventually(t, "new incarnation", func(r *recorder) bool { return r.peers["b"].Incarnation == 2 })
+	rb.eventually(t, "link to a", linked("a"))
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -26,10 +26,10 @@
 	options := []grpc.ServerOption{
 		grpc.ReadBufferSize(connBuffer),
 		grpc.WriteBufferSize(connBuffer),
-		grpc.SharedWriteBuffer(true),
 		grpc.StaticStreamWindowSize(streamWindow),
 		grpc.StaticConnWindowSize(streamWindow),
 		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.WaitForHandlers(true),
 		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter / 2}),
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -247,7 +247,7 @@
 		if e.incarnation == 0 {
 			e.zone = vm.Zone
 		}
-		if e.address != vm.Address && !e.linked {
+		if e.address != vm.Address {
 			e.address, e.failures = vm.Address, 0
 		}
 		e.listed, e.listLeaving = true, vm.Leaving
@@ -292,7 +292,7 @@
 	if s.Zone != e.zone {
 		t.version++
 	}
-	if s.Address != "" {
+	if s.Address != "" && !e.listed {
 		e.address = s.Address
 	}
 	e.zone, e.linked, e.dialling, e.failures = s.Zone, true, false, 0
