--- /dev/null
+++ b/internal/attempt/helpers_test.go
@@ -0,0 +1,120 @@
+package attempt_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/savorystall/savorystall/internal/attempt"
+	"github.com/savorystall/savorystall/internal/ident"
+	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
+	plainstandin "github.com/savorystall/savorystall/internal/standin/plain"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// quick are deadlines that let a test see each of them pass.
+func quick() attempt.Config {
+	return attempt.Config{
+		FirstByte:      300 * time.Millisecond,
+		Progress:       300 * time.Millisecond,
+		ResumeWindow:   2 * time.Second,
+		PlainFirstByte: 300 * time.Millisecond,
+		PlainProgress:  300 * time.Millisecond,
+	}
+}
+
+func newRunner(t *testing.T, cfg attempt.Config) *attempt.Runner {
+	r := attempt.NewRunner(cfg)
+	t.Cleanup(r.Close)
+	return r
+}
+
+func serve(t *testing.T, h http.Handler, stop func()) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(func() {
+		stop()
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func newEngine(t *testing.T, cfg enginestandin.Config) (*enginestandin.Engine, string) {
+	cfg.Heartbeat = 50 * time.Millisecond
+	e := enginestandin.New(cfg)
+	return e, serve(t, e, e.Close)
+}
+
+func newPlain(t *testing.T) (*plainstandin.Service, string) {
+	s := plainstandin.New(plainstandin.Config{})
+	return s, serve(t, s, s.Close)
+}
+
+// deadAddress is an address on which nothing listens.
+func deadAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// text collects an answer and fails where a chunk does not follow on.
+type text struct {
+	mu     sync.Mutex
+	b      strings.Builder
+	offset uint64
+	err    error
+	// onChunk is called after each chunk.
+	onChunk func(n uint64) error
+}
+
+func (s *text) Chunk(c attempt.Chunk) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Offset != s.offset+uint64(c.Tokens) {
+		s.err = fmt.Errorf("offset %d after %d", c.Offset, s.offset)
+	}
+	s.offset = c.Offset
+	var data struct{ Choices []struct{ Text string } }
+	if err := json.Unmarshal(c.Data, &data); err != nil {
+		s.err = err
+	}
+	for _, one := range data.Choices {
+		s.b.WriteString(one.Text)
+	}
+	if s.onChunk != nil {
+		return s.onChunk(c.Offset)
+	}
+	return nil
+}
+
+func modelRequest(address, prompt string, tokens int) attempt.ModelRequest {
+	body, _ := json.Marshal(map[string]any{"model": "m", "prompt": prompt, "max_tokens": tokens, "stream": true})
+	return attempt.ModelRequest{
+		Attempt: ident.NewAttempt(), Address: address, Path: "/v1/completions", Header: http.Header{}, Body: body,
+	}
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("not within 10 s: %s", what)
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/attempt/plain_test.go
@@ -0,0 +1,167 @@
+package attempt_test
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/attempt"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/resultcode"
+	plainstandin "github.com/savorystall/savorystall/internal/standin/plain"
+)
+
+func plainRequest(address, method, mark, fail string) attempt.PlainRequest {
+	h := http.Header{}
+	h.Set(plainstandin.HeaderMark, mark)
+	h.Set(plainstandin.HeaderFail, fail)
+	h.Set("Authorization", "Bearer secret")
+	h.Set("Connection", "X-Only-Here")
+	h.Set("X-Only-Here", "1")
+	return attempt.PlainRequest{
+		Attempt: ident.NewAttempt(), Address: address, Method: method, Path: "/a%2Fb/c", RawQuery: "q=1&q=2", Header: h,
+	}
+}
+
+func TestPlainPassesRequestAndResponse(t *testing.T) {
+	for _, method := range []string{"GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"} {
+		for _, body := range []string{"", "the body"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				is := is.New(t)
+				s, address := newPlain(t)
+				req := plainRequest(address, method, "m", "")
+				req.Body = []byte(body)
+				w := httptest.NewRecorder()
+				got := newRunner(t, quick()).Plain(t.Context(), req, w)
+				is.True(got.Failure == nil)
+				is.Equal(got.Outcome, resultcode.Ran)
+				var echo plainstandin.Echo
+				is.NoErr(json.Unmarshal(w.Body.Bytes(), &echo))
+				sum := sha256.Sum256([]byte(body))
+				is.Equal(echo, plainstandin.Echo{
+					Method: method, Path: "/a/b/c", Query: "q=1&q=2", Mark: "m", BodySHA256: hex.EncodeToString(sum[:]),
+				})
+				is.Equal(s.Ran("m"), 1)
+				is.Equal(s.Header("m").Get("Authorization"), "") // the key ends at the daemon
+				is.Equal(s.Header("m").Get("X-Only-Here"), "")
+				is.Equal(s.Header("m").Get("X-Savorystall-Attempt"), string(req.Attempt))
+			})
+		}
+	}
+}
+
+// A service's answer breaks in one of several ways. Passed on as it is, a cut
+// body would look like a short success; called "not run", it would be run anew.
+func TestPlainFailures(t *testing.T) {
+	cases := map[string]struct {
+		code    resultcode.Code
+		outcome resultcode.Outcome
+		runs    int
+		header  bool
+	}{
+		plainstandin.FailReset:    {resultcode.ConnectionLost, resultcode.MayHaveRun, 1, false},
+		plainstandin.FailMute:     {resultcode.TargetStalled, resultcode.MayHaveRun, 1, false},
+		plainstandin.FailCut:      {resultcode.AnswerCut, resultcode.MayHaveRun, 1, true},
+		plainstandin.FailSilent:   {resultcode.TargetStalled, resultcode.MayHaveRun, 1, true},
+		plainstandin.FailUnframed: {resultcode.TargetProtocol, resultcode.MayHaveRun, 1, false},
+		plainstandin.FailRefuse:   {resultcode.TargetRefused, resultcode.NotRun, 0, false},
+	}
+	for fail, c := range cases {
+		t.Run(fail, func(t *testing.T) {
+			is := is.New(t)
+			s, address := newPlain(t)
+			sink := &headerSink{ResponseRecorder: httptest.NewRecorder()}
+			got := newRunner(t, quick()).Plain(t.Context(), plainRequest(address, "POST", "m", fail), sink)
+			is.True(got.Failure != nil)
+			is.Equal(got.Failure.Code.Name, c.code.Name)
+			is.Equal(got.Outcome, c.outcome)
+			is.Equal(s.Ran("m"), c.runs)
+			is.Equal(sink.called, c.header)
+		})
+	}
+}
+
+type headerSink struct {
+	*httptest.ResponseRecorder
+	called bool
+}
+
+func (s *headerSink) WriteHeader(status int) {
+	s.called = true
+	s.ResponseRecorder.WriteHeader(status)
+}
+
+// A claim is filed with an idempotency key on a connection that served before.
+// The service runs it and the connection breaks before the answer. net/http's
+// transport takes such a key, or a GET, as leave to send the request again by
+// itself: the claim is filed twice and nobody is told.
+func TestPlainIsNeverReplayedByTheTransport(t *testing.T) {
+	for _, method := range []string{"POST", "DELETE", "GET", "HEAD", "OPTIONS", "TRACE"} {
+		for _, body := range []string{"", "claim"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				is := is.New(t)
+				s := newBreakingServer(t)
+				r := newRunner(t, quick())
+				first := plainRequest(s.address, "POST", "first", "")
+				is.True(r.Plain(t.Context(), first, httptest.NewRecorder()).Failure == nil)
+
+				req := plainRequest(s.address, method, "second", "")
+				req.Header.Set("Idempotency-Key", "k")
+				req.Header.Set("X-Idempotency-Key", "k")
+				req.Body = []byte(body)
+				got := r.Plain(t.Context(), req, httptest.NewRecorder())
+				is.True(got.Failure != nil)
+				is.Equal(got.Outcome, resultcode.MayHaveRun)
+				is.Equal(s.requests.Load(), int64(2)) // one each
+			})
+		}
+	}
+}
+
+// breakingServer answers the first request and breaks the connection of each
+// later one after it has read it.
+type breakingServer struct {
+	address  string
+	requests atomic.Int64
+}
+
+func newBreakingServer(t *testing.T) *breakingServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	s := &breakingServer{address: l.Addr().String()}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *breakingServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if s.requests.Add(1) > 1 {
+			return
+		}
+		_ = req.Body.Close()
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -101,21 +101,21 @@
 	stop   chan struct{}
 	done   chan struct{}
 
-	mu                    sync.Mutex
-	streams               map[string]*stream
-	running               []*stream
-	waiting               []*stream
-	ran                   map[string]int
-	traces                map[string]string
-	counts                Counts
-	faults                []*Fault
-	leaving               bool
-	step                  time.Duration
-	lastStep              time.Duration
-	status                Status
+	mu                             sync.Mutex
+	streams                        map[string]*stream
+	running                        []*stream
+	waiting                        []*stream
+	ran                            map[string]int
+	traces                         map[string]string
+	counts                         Counts
+	faults                         []*Fault
+	leaving                        bool
+	step                           time.Duration
+	lastStep                       time.Duration
+	status                         Status
 	steppedAt, statusSeen, sweptAt time.Time
-	orders                []Orders
-	cache                 cache
+	orders                         []Orders
+	cache                          cache
 }
 
 // New starts an engine. Close ends it.
