--- a/internal/platform/gate.go
+++ b/internal/platform/gate.go
@@ -121,35 +121,36 @@
 }
 
 const (
-	// budgetSize is how many retries may be made in a row; budgetRefill is what
-	// each success gives back. Under a lasting partial failure retries add at
-	// most a tenth to the load.
-	budgetSize   = 20.0
-	budgetRefill = 0.1
+	// budgetSize is how many retries may be made in a row; budgetRefill is how
+	// many successes give one back. Under a lasting partial failure retries add
+	// at most a tenth to the load.
+	budgetSize   = 20
+	budgetRefill = 10
 )
 
 // retryBudget bounds retries over all calls to one store. Without it a store
 // that fails half of its calls gets several times the load when it can bear
 // the least.
 type retryBudget struct {
-	mu     sync.Mutex
-	tokens float64
+	mu sync.Mutex
+	// credit counts successes; a retry costs budgetRefill of them.
+	credit int
 }
 
-func newRetryBudget() *retryBudget { return &retryBudget{tokens: budgetSize} }
+func newRetryBudget() *retryBudget { return &retryBudget{credit: budgetSize * budgetRefill} }
 
 func (b *retryBudget) succeeded() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+budgetRefill, budgetSize)
+	b.credit = min(b.credit+1, budgetSize*budgetRefill)
 }
 
 func (b *retryBudget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	if b.credit < budgetRefill {
 		return false
 	}
-	b.tokens--
+	b.credit -= budgetRefill
 	return true
 }
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -1,9 +1,11 @@
 package platformstandin
 
 import (
-	"context"
+	"io"
 	"net/http"
 	"time"
+
+	"github.com/savorystall/savorystall/internal/platform/wire"
 )
 
 // Store names one store of the platform.
@@ -23,7 +25,8 @@
 	Down bool
 	// Silent reads every call and never answers; it has no effect.
 	Silent bool
-	// Delay is added to every call before it takes effect.
+	// Delay is added to every call before it takes effect, which it does also
+	// when its caller has given up meanwhile.
 	Delay time.Duration
 	// LoseAnswers makes that many writes take effect without an answer: the
 	// connection breaks instead. A negative number loses all.
@@ -86,27 +89,33 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return false
 	case f.Silent:
+		// The server notices that the caller left only after the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
+		breakConnection()
 	case f.ThrottleEvery > 0 && s.Calls(store)%f.ThrottleEvery == 0:
 		http.Error(w, "throttled", http.StatusTooManyRequests)
 		return false
 	}
-	return wait(r.Context(), f.Delay)
+	if !s.withinRate(store, r) {
+		http.Error(w, "over the rate", http.StatusTooManyRequests)
+		return false
+	}
+	if f.Delay > 0 {
+		<-s.config.Clock.After(f.Delay)
+	}
+	return true
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
+// withinRate keeps the rates of Config. Only commits count as writes.
+func (s *Server) withinRate(store Store, r *http.Request) bool {
+	switch {
+	case store != Table:
 		return true
+	case r.URL.Path == wire.PathCommit:
+		return s.writes.Allow()
 	}
+	return s.reads.Allow()
 }
 
 // breakConnection ends the exchange without an answer.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -8,10 +8,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
 
 	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/platform/wire"
@@ -24,12 +26,25 @@
 	// WeightInterval is the least time between two fetches that the weight
 	// store's rate limit allows; default none.
 	WeightInterval time.Duration
+	// ReadsPerSecond and WritesPerSecond bound the table; calls above them are
+	// answered by 429. Zero means no bound.
+	ReadsPerSecond, WritesPerSecond float64
+}
+
+// limiter allows bursts of a tenth of a second.
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
 }
 
 // Server is the stand-in. It is an http.Handler and safe for concurrent use.
 type Server struct {
 	config Config
 	router *mux.Router
+	reads  *rate.Limiter
+	writes *rate.Limiter
 
 	mu      sync.Mutex
 	table   *table
@@ -49,6 +64,8 @@
 	}
 	s := &Server{
 		config:  c,
+		reads:   limiter(c.ReadsPerSecond),
+		writes:  limiter(c.WritesPerSecond),
 		table:   newTable(),
 		objects: map[string][]byte{},
 		fetches: map[string]int{},
@@ -94,13 +111,27 @@
 	return s.fetches[name]
 }
 
+// Overwrite writes a row as another client of the platform would.
+func (s *Server) Overwrite(key string, value []byte) {
+	s.apply(wire.Commit{Operation: "overwrite", Puts: []wire.Put{{Key: key, Value: value}}})
+}
+
+// name returns the last segment of the path, which may hold encoded slashes.
+func name(r *http.Request) string {
+	text, err := url.PathUnescape(mux.Vars(r)["name"])
+	if err != nil {
+		breakConnection()
+	}
+	return text
+}
+
 func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		breakConnection()
 	}
 	s.mu.Lock()
-	s.objects[mux.Vars(r)["name"]] = body
+	s.objects[name(r)] = body
 	s.mu.Unlock()
 	if s.loseAnswer(Objects) {
 		breakConnection()
@@ -110,7 +141,7 @@
 
 func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	body, ok := s.objects[mux.Vars(r)["name"]]
+	body, ok := s.objects[name(r)]
 	s.mu.Unlock()
 	if !ok {
 		http.NotFound(w, r)
@@ -132,7 +163,7 @@
 	now := s.config.Clock.Now()
 	wait := max(s.nextFor.Sub(now), 0)
 	s.nextFor = now.Add(wait + s.config.WeightInterval)
-	s.fetches[mux.Vars(r)["name"]]++
+	s.fetches[name(r)]++
 	reply(w, http.StatusOK, wire.Fetch{WaitMillis: wait.Milliseconds()})
 }
 
