--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -285,11 +285,11 @@
 func (t tableState) transaction(change edit, record Record) (platform.Transaction, uint64) {
 	next := t.head.next(change.service, t.present.Revision)
 	record.Revision, record.Previous = next.Revision, t.present.Revision
-	row := encode(record)
+	record.Chain = record.chain(t.present)
 	w := txBuilder{rows: t.rows, tx: platform.Transaction{Operation: platform.NewOperation()}}
 	w.put(headKey, encode(next), 0)
-	w.put(serviceKey(change.service), row, 0)
-	w.put(historyKey(change.service, next.Revision), row, historyTTL)
+	w.put(serviceKey(change.service), encode(record), 0)
+	w.put(historyKey(change.service, next.Revision), encode(record.compact(t.present)), historyTTL)
 	for _, model := range change.models {
 		if !bytes.Equal(t.rows[modelKey(model)].Value, []byte(change.service)) {
 			w.put(modelKey(model), []byte(change.service), 0)
--- a/internal/config/fixture_test.go
+++ b/internal/config/fixture_test.go
@@ -46,16 +46,19 @@
 type bench struct {
 	server *platformstandin.Server
 	client *platform.Client
+	url    string
 }
 
-func newBench(t testing.TB) *bench {
-	server := platformstandin.New(platformstandin.Config{})
+func newBench(t testing.TB) *bench { return newLimitedBench(t, platformstandin.Config{}) }
+
+func newLimitedBench(t testing.TB, c platformstandin.Config) *bench {
+	server := platformstandin.New(c)
 	listener := httptest.NewServer(server)
 	t.Cleanup(listener.Close)
 	t.Cleanup(server.Wait)
 	client := platform.NewClient(platform.ClientConfig{URL: listener.URL, Logger: quiet})
 	t.Cleanup(client.Close)
-	return &bench{server: server, client: client}
+	return &bench{server: server, client: client, url: listener.URL}
 }
 
 func (b *bench) editor(author string) *config.Editor {
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/platform"
 )
@@ -20,7 +22,32 @@
 // At returns a service's record at a revision. Revisions older than 30 days
 // are gone (ErrNoService).
 func (e *Editor) At(ctx context.Context, service ident.Service, revision uint64) (Record, error) {
-	return e.getRecord(ctx, historyKey(service, revision))
+	var deltas []Record // the newest first
+	for range deltaChain + 1 {
+		record, err := e.getRecord(ctx, historyKey(service, revision))
+		if err != nil {
+			return Record{}, err
+		}
+		if record.Delta == nil {
+			return unfold(record, deltas)
+		}
+		deltas = append(deltas, record)
+		revision = record.Previous
+	}
+	return Record{}, merry.Errorf("the history of service %s has too long a chain at revision %d", service, revision)
+}
+
+// unfold applies deltas to a record with its text, the last delta first.
+func unfold(base Record, deltas []Record) (Record, error) {
+	for i := len(deltas) - 1; i >= 0; i-- {
+		text, err := deltas[i].Delta.apply(base.Text)
+		if err != nil {
+			return Record{}, merry.Prependf(err, "service %s at revision %d", base.Service, deltas[i].Revision)
+		}
+		base = deltas[i]
+		base.Text, base.Delta = text, nil
+	}
+	return base, nil
 }
 
 func (e *Editor) getRecord(ctx context.Context, key string) (Record, error) {
@@ -40,7 +67,8 @@
 	return scanRecords(ctx, e.Table, servicePrefix)
 }
 
-// History returns the kept records of a service, the oldest first.
+// History returns the kept records of a service, the oldest first. Most hold a
+// Delta in place of their Text; At returns the text.
 func (e *Editor) History(ctx context.Context, service ident.Service) ([]Record, error) {
 	return scanRecords(ctx, e.Table, historyPrefix+string(service)+"/")
 }
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -118,6 +118,10 @@
 	Note   string    `json:"note,omitempty"`
 	At     time.Time `json:"at"`
 	Text   string    `json:"text,omitempty"`
+	// Delta stands in for Text in a history row.
+	Delta *Delta `json:"delta,omitempty"`
+	// Chain is how many deltas of the history lead to this revision.
+	Chain int `json:"chain,omitempty"`
 }
 
 // Entry returns what a Store takes of the record.
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -137,6 +137,13 @@
 	return list
 }
 
+func (s *Store) entry(service ident.Service) (Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[service]
+	return e, ok
+}
+
 // Revisions returns the revision in force for each service, deletions
 // included. Peers compare it with theirs and ask only for what is missing.
 func (s *Store) Revisions() map[ident.Service]uint64 {
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -173,31 +173,87 @@
 	return nil
 }
 
+// takeRecent takes the listed changes, as deltas where the document before
+// each is in force here, else as whole documents.
 func (w *Watcher) takeRecent(ctx context.Context, latest head) error {
+	missing := w.missing(latest)
+	if err := w.takeDeltas(ctx, missing); err != nil {
+		return err
+	}
+	return w.takeWhole(ctx, w.missing(latest))
+}
+
+func (w *Watcher) missing(latest head) []change {
 	seen := w.config.Store.seen()
-	var keys []string
+	var missing []change
 	for _, c := range latest.Recent {
 		if c.Revision > seen[c.Service] {
-			keys = append(keys, serviceKey(c.Service))
+			missing = append(missing, c)
 		}
 	}
+	return missing
+}
+
+func (w *Watcher) takeDeltas(ctx context.Context, missing []change) error {
+	var keys []string
+	for _, c := range missing {
+		keys = append(keys, historyKey(c.Service, c.Revision))
+	}
+	records, err := w.getRecords(ctx, keys)
+	if err != nil {
+		return err
+	}
+	var whole []Record
+	for _, r := range records {
+		if r.Delta == nil {
+			whole = append(whole, r)
+			continue
+		}
+		// A delta to another revision than the one in force is no use; then
+		// the whole document is read.
+		present, ok := w.config.Store.entry(r.Service)
+		if !ok || present.Revision != r.Previous {
+			continue
+		}
+		if text, err := r.Delta.apply(string(present.Text)); err == nil {
+			r.Text = text
+			whole = append(whole, r)
+		}
+	}
+	w.offer(whole)
+	return nil
+}
+
+func (w *Watcher) takeWhole(ctx context.Context, missing []change) error {
+	var keys []string
+	for _, c := range missing {
+		keys = append(keys, serviceKey(c.Service))
+	}
+	records, err := w.getRecords(ctx, keys)
+	if err != nil {
+		return err
+	}
+	w.offer(records)
+	return nil
+}
+
+func (w *Watcher) getRecords(ctx context.Context, keys []string) ([]Record, error) {
 	if len(keys) == 0 {
-		return nil
+		return nil, nil
 	}
 	rows, err := w.config.Table.Get(ctx, keys...)
 	if err != nil {
-		return merry.Prepend(err, "changed documents")
+		return nil, merry.Prepend(err, "changed documents")
 	}
 	records := make([]Record, 0, len(rows))
 	for _, row := range rows {
 		record, err := decode[Record](row)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		records = append(records, record)
 	}
-	w.offer(records)
-	return nil
+	return records, nil
 }
 
 func (w *Watcher) takeAll(ctx context.Context) error {
@@ -211,6 +267,9 @@
 }
 
 func (w *Watcher) offer(records []Record) {
+	if len(records) == 0 {
+		return
+	}
 	w.metrics.documents.Inc(int64(len(records)))
 	before := w.config.Store.Revisions()
 	entries := make([]Entry, len(records))
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
@@ -56,6 +57,9 @@
 	if len(text) > MaxBytes {
 		return nil, invalid(Problem{Line: 1, Column: 1, Text: fmt.Sprintf("the document has more than %d bytes", MaxBytes)})
 	}
+	if !utf8.Valid(text) {
+		return nil, invalid(Problem{Line: 1, Column: 1, Text: "the document is not valid UTF-8"})
+	}
 	file, err := parser.ParseBytes(text, 0)
 	if err != nil {
 		return nil, syntaxProblem(err)
