config: poll a head row of two numbers

Cause: the list of recent changes made up half of what each poll moved. Change: the list has a row of its own, read only after a change.

--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -190,6 +190,7 @@
 // tableState is what one change depends on.
 type tableState struct {
 	head    head
+	recent  recent
 	present Record
 	// rows are the table's rows by key; absent rows have revision zero.
 	rows map[string]platform.Row
@@ -209,7 +210,7 @@
 
 func (e *Editor) read(ctx context.Context, change edit) (tableState, error) {
 	state := tableState{rows: map[string]platform.Row{}}
-	keys := []string{headKey, serviceKey(change.service)}
+	keys := []string{headKey, recentKey, serviceKey(change.service)}
 	for _, model := range change.models {
 		keys = append(keys, modelKey(model))
 	}
@@ -220,6 +221,9 @@
 	if state.head, err = decodeIfPresent[head](state.rows[headKey]); err != nil {
 		return state, err
 	}
+	if state.recent, err = decodeIfPresent[recent](state.rows[recentKey]); err != nil {
+		return state, err
+	}
 	if state.present, err = decodeIfPresent[Record](state.rows[serviceKey(change.service)]); err != nil {
 		return state, err
 	}
@@ -288,6 +292,7 @@
 	record.Chain = record.chain(t.present)
 	w := txBuilder{rows: t.rows, tx: platform.Transaction{Operation: platform.NewOperation()}}
 	w.put(headKey, encode(next), 0)
+	w.put(recentKey, encode(t.recent.next(change.service, next.Revision)), 0)
 	w.put(serviceKey(change.service), encode(record), 0)
 	w.put(historyKey(change.service, next.Revision), encode(record.compact(t.present)), historyTTL)
 	for _, model := range change.models {
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -13,12 +13,13 @@
 	"github.com/savorystall/savorystall/internal/platform"
 )
 
-// Keys of the table. One small head row is written by every change, so that
-// daemons poll this row alone; each service has a row with its present
-// document, each model has a row that names its service, and each change
-// leaves a history row.
+// Keys of the table. Every change writes one small head row, so that daemons
+// poll this row alone, and a row that lists the last changes; each service has
+// a row with its present document, each model has a row that names its
+// service, and each change leaves a history row.
 const (
 	headKey       = "config/head"
+	recentKey     = "config/recent"
 	servicePrefix = "config/service/"
 	modelPrefix   = "config/model/"
 	historyPrefix = "config/history/"
@@ -33,11 +34,10 @@
 	return fmt.Sprintf("%s%s/%020d", historyPrefix, name, revision)
 }
 
-// recentChanges is how many changes the head row lists. A daemon that missed
-// no more than these fetches just their documents. At 13,000 changes a day and
-// a poll each second a daemon misses two only in a burst; 8 keep the row below
-// 600 bytes.
-const recentChanges = 8
+// recentChanges is how many changes the row of recent changes lists. A daemon
+// that missed no more than these reads just their documents. At 13,000 changes
+// a day 32 last for three minutes, and the row stays below 2 KB.
+const recentChanges = 32
 
 // head is the value of the head row.
 type head struct {
@@ -46,8 +46,27 @@
 	// Digest is the set digest of all services at this revision. It shows a
 	// daemon whether it holds every change up to here.
 	Digest digest `json:"digest"`
-	// Recent lists the last changes, the newest last, each service once.
-	Recent []change `json:"recent"`
+}
+
+// next returns the head after a change of a service from one revision.
+func (h head) next(service ident.Service, from uint64) head {
+	to := h.Revision + 1
+	return head{Revision: to, Digest: h.Digest.toggle(service, from).toggle(service, to)}
+}
+
+// recent lists the last changes, the newest last, each service once.
+type recent []change
+
+// next returns the list after a change.
+func (r recent) next(service ident.Service, revision uint64) recent {
+	var n recent
+	for _, c := range r {
+		if c.Service != service {
+			n = append(n, c)
+		}
+	}
+	n = append(n, change{Service: service, Revision: revision})
+	return n[max(len(n)-recentChanges, 0):]
 }
 
 type change struct {
@@ -90,22 +109,6 @@
 	return err
 }
 
-// next returns the head after a change of a service from one revision.
-func (h head) next(service ident.Service, from uint64) head {
-	to := h.Revision + 1
-	n := head{Revision: to, Digest: h.Digest.toggle(service, from).toggle(service, to)}
-	for _, c := range h.Recent {
-		if c.Service != service {
-			n.Recent = append(n.Recent, c)
-		}
-	}
-	n.Recent = append(n.Recent, change{Service: service, Revision: to})
-	if surplus := len(n.Recent) - recentChanges; surplus > 0 {
-		n.Recent = n.Recent[surplus:]
-	}
-	return n
-}
-
 // Record is one revision of a service as the table holds it.
 type Record struct {
 	Service  ident.Service `json:"service"`
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -157,7 +157,7 @@
 // digests unequal and Head where it was, so that the next poll tries again.
 func (w *Watcher) catchUp(ctx context.Context, latest head) error {
 	if w.config.Store.Head() > 0 {
-		if err := w.takeRecent(ctx, latest); err != nil {
+		if err := w.takeRecent(ctx); err != nil {
 			return err
 		}
 		if w.complete(latest) {
@@ -175,18 +175,25 @@
 
 // takeRecent takes the listed changes, as deltas where the document before
 // each is in force here, else as whole documents.
-func (w *Watcher) takeRecent(ctx context.Context, latest head) error {
-	missing := w.missing(latest)
-	if err := w.takeDeltas(ctx, missing); err != nil {
+func (w *Watcher) takeRecent(ctx context.Context) error {
+	rows, err := w.config.Table.Get(ctx, recentKey)
+	if err != nil || len(rows) == 0 {
 		return err
 	}
-	return w.takeWhole(ctx, w.missing(latest))
+	listed, err := decode[recent](rows[0])
+	if err != nil {
+		return err
+	}
+	if err := w.takeDeltas(ctx, w.missing(listed)); err != nil {
+		return err
+	}
+	return w.takeWhole(ctx, w.missing(listed))
 }
 
-func (w *Watcher) missing(latest head) []change {
+func (w *Watcher) missing(listed recent) []change {
 	seen := w.config.Store.seen()
 	var missing []change
-	for _, c := range latest.Recent {
+	for _, c := range listed {
 		if c.Revision > seen[c.Service] {
 			missing = append(missing, c)
 		}
