--- a/cmd/savorystalld/main.go
+++ b/cmd/savorystalld/main.go
@@ -91,7 +91,7 @@
 	}
 	return func(s *settings.Settings) {
 		s.Daemon, s.Zone = "dev", dev.Zone
-		s.Platform.URL = stall.Platform
+		s.Platform.URL = stall.URL
 		s.Stop.BalancerLag = 0
 	}, stall.Close, nil
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -14,19 +14,20 @@
 
 	"github.com/savorystall/savorystall/internal/daemon"
 	"github.com/savorystall/savorystall/internal/dev"
+	"github.com/savorystall/savorystall/internal/emulator"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/settings"
 )
 
 // startDev runs a daemon with the embedded stand-ins until the test ends.
-func startDev(t *testing.T) (*dev.Stall, daemon.Addresses) {
+func startDev(t *testing.T) (*emulator.Emulator, daemon.Addresses) {
 	t.Helper()
 	is := is.New(t)
 	stall, err := dev.Start(t.Context())
 	is.NoErr(err)
 	s, err := settings.Parse(nil, func(s *settings.Settings) {
 		s.Daemon, s.Zone = "dev", dev.Zone
-		s.Platform.URL = stall.Platform
+		s.Platform.URL = stall.URL
 		s.Callers.Listen, s.Operators.Listen, s.Fleet.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 		s.Callers.BodyTimeout = 500 * time.Millisecond
 		s.Stop.BalancerLag = 0
@@ -83,7 +84,7 @@
 		withKey(get("no key on models", "/v1/models", resultcode.Unauthenticated), ""),
 		withKey(get("unknown key on models", "/v1/models", resultcode.Unauthenticated), "nobody"),
 		withKey(get("no key on a plain service", "/services/portal/x", resultcode.Unauthenticated), ""),
-		withKey(get("key of another service", "/services/portal/x", resultcode.Forbidden), "dev-key-club-sud"),
+		withKey(get("key of another service", "/services/portal/x", resultcode.Forbidden), dev.OtherKey),
 		withHeader(withKey(post("basic authentication", completions, good, resultcode.Unauthenticated), ""), "Authorization", "Basic eDp5"),
 		withMedia(post("no content type", completions, good, resultcode.UnsupportedMedia), ""),
 		withMedia(post("form", completions, "model=recap-1", resultcode.UnsupportedMedia), "application/x-www-form-urlencoded"),
