--- a/internal/attempt/plain_test.go
+++ b/internal/attempt/plain_test.go
@@ -2,20 +2,25 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/savorystall/savorystall/internal/attempt"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
+	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
 	plainstandin "github.com/savorystall/savorystall/internal/standin/plain"
 )
 
@@ -165,3 +170,46 @@
 		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 	}
 }
+
+// Callers hang up at any moment while their claims are being dispatched. Those
+// who are told "not run" file again elsewhere; had the write just been about to
+// begin, the claim would run twice.
+func TestPlainNotRunIsTrueWhenCallersLeave(t *testing.T) {
+	const callers = 600
+	s, address := newPlain(t)
+	r := newRunner(t, quick())
+	var notRun atomic.Int64
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			mark := fmt.Sprint("claim ", i)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i)*5*time.Microsecond)
+			defer cancel()
+			req := plainRequest(address, "POST", mark, "")
+			req.Unrepeatable = i%2 == 0
+			req.Body = []byte(mark)
+			got := r.Plain(ctx, req, httptest.NewRecorder())
+			if got.Outcome == resultcode.NotRun {
+				notRun.Add(1)
+				is.NewRelaxed(t).Equal(s.Ran(mark), 0)
+			}
+		})
+	}
+	group.Wait()
+	is.New(t).True(notRun.Load() > 0) // the test met the case
+}
+
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t, quick())
+	e, engine := newEngine(t, enginestandin.Config{Models: []string{"m"}})
+	e.SetLeaving(true)
+	status, err := r.Probe(t.Context(), engine)
+	is.NoErr(err)
+	is.True(status.Leaving)
+	is.Equal(status.Models, []string{"m"})
+	_, err = r.Probe(t.Context(), serve(t, http.NotFoundHandler(), func() {}))
+	is.NoErr(err) // a service without a status page lives as well
+	_, err = r.Probe(t.Context(), deadAddress(t))
+	is.True(err != nil)
+}
