--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -250,6 +250,7 @@
 
 // tick replaces silent links, lets silences pass judgement and dials.
 func (n *Node) tick(now time.Time) {
+	n.table.Tick(now)
 	for _, peer := range n.table.Silent(now) {
 		l := n.links.byPeer[peer]
 		if l == nil {
@@ -259,7 +260,6 @@
 		n.unregister(now, l)
 		l.cancel()
 	}
-	n.table.Tick(now)
 	n.startDials(now)
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -156,6 +156,7 @@
 	random  *rand.Rand
 	entries map[ident.Daemon]*entry
 	version uint64
+	ticked  time.Time
 }
 
 // New returns an empty table. Random spreads the dials.
@@ -420,7 +421,9 @@
 }
 
 // Tick lets time pass: members that were not heard become suspect, then dead.
+// It is to be called several times a second.
 func (t *Table) Tick(now time.Time) {
+	t.forgivePause(now)
 	for _, e := range t.entries {
 		quiet := now.Sub(e.lastHeard)
 		if quiet >= t.cfg.SuspectAfter {
@@ -433,6 +436,25 @@
 	t.forget(now)
 }
 
+// forgivePause guards against the daemon's own pause (a stopped process, a busy
+// VM): when it wakes, every peer has been silent for as long as it slept, and it
+// would declare all of them dead at once and take over all their targets, while
+// their frames still wait in its buffers. A gap between two ticks says nothing
+// about the peers, so it is taken off their silence.
+func (t *Table) forgivePause(now time.Time) {
+	gap := now.Sub(t.ticked)
+	first := t.ticked.IsZero()
+	t.ticked = now
+	if first || gap < t.cfg.SuspectAfter/2 {
+		return
+	}
+	for _, e := range t.entries {
+		if !e.lastHeard.IsZero() {
+			e.lastHeard = e.lastHeard.Add(min(gap, now.Sub(e.lastHeard)))
+		}
+	}
+}
+
 func (t *Table) forget(now time.Time) {
 	for id, e := range t.entries {
 		if e.listed || e.linked || e.dialling {
