Add the operators' tool

Cause: operators had no way to edit documents or to see what is in force. Conclusion: a document can be edited, followed and rolled back.

--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,212 @@
+package cli
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/admin"
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// serviceFilter limits a list to one service.
+type serviceFilter struct {
+	Service ident.Service `long:"service" value-name:"SERVICE" description:"only this service"`
+}
+
+func (f serviceFilter) allows(name ident.Service) bool { return f.Service == "" || f.Service == name }
+
+type workspaceList struct {
+	leaf
+	serviceFilter
+}
+
+// workspaceRow sums one workspace of a service over the daemons.
+type workspaceRow struct {
+	Service   ident.Service   `json:"service"`
+	Workspace ident.Workspace `json:"workspace"`
+	Weight    float64         `json:"weight"`
+	// Waiting is by class: interactive, standard, batch.
+	Waiting [3]int  `json:"waiting"`
+	Running int     `json:"running"`
+	Served  float64 `json:"served"`
+	// Lead is the largest that a daemon reports.
+	Lead float64 `json:"lead"`
+}
+
+func (c *workspaceList) run(ctx context.Context, a *app) error {
+	ctx, cancel := a.within(ctx)
+	defer cancel()
+	statuses, err := a.statuses(ctx)
+	if err != nil {
+		return err
+	}
+	rows := sumWorkspaces(statuses, c.serviceFilter)
+	t := newTable("SERVICE", "WORKSPACE", "WEIGHT", "INTERACTIVE", "STANDARD", "BATCH", "RUNNING", "SERVED", "LEAD")
+	for _, r := range rows {
+		t.add(r.Service, r.Workspace, r.Weight, r.Waiting[0], r.Waiting[1], r.Waiting[2], r.Running, r.Served, r.Lead)
+	}
+	return a.print(rows, t)
+}
+
+func sumWorkspaces(statuses []admin.Status, filter serviceFilter) []workspaceRow {
+	type key struct {
+		service   ident.Service
+		workspace ident.Workspace
+	}
+	sums := map[key]workspaceRow{}
+	for _, status := range statuses {
+		for _, q := range status.Queues {
+			if !filter.allows(q.Service) {
+				continue
+			}
+			k := key{q.Service, q.Workspace}
+			sums[k] = sums[k].plus(q)
+		}
+	}
+	rows := make([]workspaceRow, 0, len(sums))
+	for _, row := range sums {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b workspaceRow) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return rows
+}
+
+func (r workspaceRow) plus(q admin.Queue) workspaceRow {
+	r.Service, r.Workspace, r.Weight = q.Service, q.Workspace, q.Weight
+	for class, waiting := range q.Waiting {
+		r.Waiting[class] += waiting
+	}
+	r.Running += q.Running
+	r.Served += q.Served
+	r.Lead = max(r.Lead, q.Lead)
+	return r
+}
+
+type targetList struct {
+	leaf
+	serviceFilter
+}
+
+func (c *targetList) run(ctx context.Context, a *app) error {
+	ctx, cancel := a.within(ctx)
+	defer cancel()
+	statuses, err := a.statuses(ctx)
+	if err != nil {
+		return err
+	}
+	rows := joinTargets(statuses, c.serviceFilter)
+	t := newTable("SERVICE", "TARGET", "ZONE", "STATE", "RUNNING", "SLOTS", "OWNER")
+	for _, r := range rows {
+		t.add(r.Service, r.Target, r.Zone, r.State, r.Running, r.Slots, r.Owner)
+	}
+	return a.print(rows, t)
+}
+
+// joinTargets takes each target's line from its owner where the owner answered,
+// else from any daemon.
+func joinTargets(statuses []admin.Status, filter serviceFilter) []admin.Target {
+	type key struct {
+		service ident.Service
+		target  ident.Target
+	}
+	lines := map[key]admin.Target{}
+	for _, status := range statuses {
+		for _, t := range status.Targets {
+			k := key{t.Service, t.Target}
+			if _, known := lines[k]; filter.allows(t.Service) && (!known || t.Owner == status.Daemon) {
+				lines[k] = t
+			}
+		}
+	}
+	rows := make([]admin.Target, 0, len(lines))
+	for _, row := range lines {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b admin.Target) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+	})
+	return rows
+}
+
+type statusCommand struct{ leaf }
+
+func (c *statusCommand) run(ctx context.Context, a *app) error {
+	ctx, cancel := a.within(ctx)
+	defer cancel()
+	statuses, err := a.statuses(ctx)
+	if err != nil {
+		return err
+	}
+	return a.print(statuses, statusTable(statuses))
+}
+
+func statusTable(statuses []admin.Status) *table {
+	t := newTable("DAEMON", "ZONE", "STATE", "REVISION", "MEMBERS", "WAITING", "RUNNING", "OWNED TARGETS")
+	for _, s := range statuses {
+		waiting, running := load(s)
+		t.add(s.Daemon, s.Zone, s.State, s.Head, len(s.Members), waiting, running, owned(s))
+	}
+	return t
+}
+
+func load(s admin.Status) (waiting, running int) {
+	for _, q := range s.Queues {
+		for _, n := range q.Waiting {
+			waiting += n
+		}
+		running += q.Running
+	}
+	return waiting, running
+}
+
+func owned(s admin.Status) int {
+	count := 0
+	for _, t := range s.Targets {
+		if t.Owner == s.Daemon {
+			count++
+		}
+	}
+	return count
+}
+
+type watchCommand struct {
+	leaf
+	Interval time.Duration `long:"interval" default:"2s" value-name:"DURATION" description:"time between two looks"`
+	Count    int           `long:"count" value-name:"N" description:"end after so many looks (default: go on)"`
+}
+
+// run prints a table a look, or one JSON line a look.
+func (c *watchCommand) run(ctx context.Context, a *app) error {
+	for looks := 1; ; looks++ {
+		if err := c.look(ctx, a); err != nil {
+			a.say("%v", err)
+		}
+		if looks == c.Count {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(c.Interval):
+		}
+	}
+}
+
+func (c *watchCommand) look(ctx context.Context, a *app) error {
+	ctx, cancel := a.within(ctx)
+	defer cancel()
+	statuses, err := a.statuses(ctx)
+	if err != nil {
+		return err
+	}
+	if a.options.Format == "json" {
+		return json.NewEncoder(a.system.Output).Encode(statuses)
+	}
+	a.say("%s", stamp(time.Now()))
+	return a.print(statuses, statusTable(statuses))
+}
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -44,10 +44,17 @@
 	if c.Present.Revision == 0 {
 		return fmt.Sprintf("conflict: the change is based on revision %d, but the service does not exist", c.Base)
 	}
+	if c.Present.Deleted {
+		return fmt.Sprintf("conflict: the change is based on revision %d, but %s deleted service %s at revision %d at %s",
+			c.Base, c.Present.Author, c.Present.Service, c.Present.Revision, c.Present.At.UTC().Format(time.RFC3339))
+	}
 	return fmt.Sprintf("conflict: the change of service %s is based on revision %d, but %s changed it to revision %d at %s",
 		c.Present.Service, c.Base, c.Present.Author, c.Present.Revision, c.Present.At.UTC().Format(time.RFC3339))
 }
 
+// PresentBase returns the base that a change must name now.
+func (c *EditConflict) PresentBase() uint64 { return c.Present.base() }
+
 // ErrNoService is the error of a service or revision that the table does not
 // hold.
 var ErrNoService = merry.Sentinel("the table holds no such service or revision")
@@ -137,7 +144,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if now.presentBase() != change.base {
+	if now.present.base() != change.base {
 		return 0, e.conflict(ctx, change, now.present)
 	}
 	if change.deleted && change.base == 0 {
@@ -199,13 +206,13 @@
 	dropped []string
 }
 
-// presentBase is the base that an edit must name: a deleted service may be
-// created anew with zero, as if it had never been.
-func (t tableState) presentBase() uint64 {
-	if t.present.Deleted {
+// base is the revision that an edit on top of the record must name: a deleted
+// service is created anew with zero, as if it had never been.
+func (r Record) base() uint64 {
+	if r.Deleted {
 		return 0
 	}
-	return t.present.Revision
+	return r.Revision
 }
 
 func (e *Editor) read(ctx context.Context, change edit) (tableState, error) {
--- a/internal/config/editor_test.go
+++ b/internal/config/editor_test.go
@@ -153,7 +153,7 @@
 	is.True(!ok)
 	_, err = e.Delete(t.Context(), "portal", 0, "")
 	is.True(errors.Is(err, config.ErrNoService))
-	third, err := e.Rollback(t.Context(), "portal", first, 0)
+	third, err := e.Rollback(t.Context(), "portal", first, 0, "")
 	is.NoErr(err)
 	is.True(third > second)
 	is.NoErr(watcher.Poll(t.Context()))
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -73,17 +73,21 @@
 	return scanRecords(ctx, e.Table, historyPrefix+string(service)+"/")
 }
 
-// Rollback writes the text of an earlier revision as a new revision.
-func (e *Editor) Rollback(ctx context.Context, service ident.Service, to, base uint64) (uint64, error) {
+// Rollback writes the text of an earlier revision as a new revision. The note
+// follows the fixed one.
+func (e *Editor) Rollback(ctx context.Context, service ident.Service, to, base uint64, note string) (uint64, error) {
 	old, err := e.At(ctx, service, to)
 	if err != nil {
 		return 0, err
 	}
-	note := fmt.Sprintf("rollback to revision %d", to)
+	fixed := fmt.Sprintf("rollback to revision %d", to)
+	if note != "" {
+		fixed += ": " + note
+	}
 	if old.Deleted {
-		return e.Delete(ctx, service, base, note)
+		return e.Delete(ctx, service, base, fixed)
 	}
-	return e.Apply(ctx, []byte(old.Text), base, note)
+	return e.Apply(ctx, []byte(old.Text), base, fixed)
 }
 
 func scanRecords(ctx context.Context, table platform.Table, prefix string) ([]Record, error) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -312,7 +312,9 @@
 // the context ended, or the budget is spent and the call is not exempt.
 func (s *store) pause(ctx context.Context, try int, exempt bool) bool {
 	if !s.budget.take() && !exempt {
-		event.PlatformRetriesSpent.Log(s.config.Logger, "store", s.name)
+		if s.budget.report() {
+			event.PlatformRetriesSpent.Log(s.config.Logger, "store", s.name)
+		}
 		return false
 	}
 	s.metrics.retries.Inc(1)
--- a/internal/platform/gate.go
+++ b/internal/platform/gate.go
@@ -135,6 +135,8 @@
 	mu sync.Mutex
 	// credit counts successes; a retry costs budgetRefill of them.
 	credit int
+	// reported tells that the present lack has been logged.
+	reported bool
 }
 
 func newRetryBudget() *retryBudget { return &retryBudget{credit: budgetSize * budgetRefill} }
@@ -143,6 +145,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.credit = min(b.credit+1, budgetSize*budgetRefill)
+	if b.credit >= budgetRefill {
+		b.reported = false
+	}
 }
 
 func (b *retryBudget) take() bool {
@@ -154,3 +159,13 @@
 	b.credit -= budgetRefill
 	return true
 }
+
+// report tells whether the lack is to be logged: once until a retry is allowed
+// again.
+func (b *retryBudget) report() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := !b.reported
+	b.reported = true
+	return first
+}
