Show each new request to its owner at once

Cause: an owner lowers its count of waiting requests with each grant, and the ingress did not follow; the next single request looked as if it had been shown and waited for the spill to other zones (20 ms and a tick) while a slot idled. Ruled out: slow links (p50 was 1 to 2 ms). Change: the ingress lowers what it has shown with each grant it receives.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -86,6 +86,32 @@
 	is.Equal(dispatched(ingress), []ident.Request{"r2"})
 }
 
+// A caller sends one request after the other through a daemon that owns no
+// target. Each must be shown to the owner at once; the second one looked as if
+// it had been shown already, and waited for the next exchange.
+func TestEachSingleRequestIsShownAtOnce(t *testing.T) {
+	is := is.New(t)
+	owner, ingress := newCore("d1", "z1"), newCore("d2", "z1")
+	owner.Peers(start, []scheduler.Peer{{ID: "d2", Incarnation: 1, Zone: "z1"}})
+	ingress.Peers(start, []scheduler.Peer{{ID: "d1", Incarnation: 1, Zone: "z1"}})
+	ownerID, ingressID := ident.Daemon("d1"), ident.Daemon("d2")
+	if _, targets := owner.Status(); targets[0].Owner == ingressID {
+		owner, ingress, ownerID, ingressID = ingress, owner, ingressID, ownerID
+	}
+	ingress.Tick(start) // the next exchange is not due within the test
+	ingress.Take()
+	for i := range 3 {
+		now := start.Add(time.Duration(i+1) * time.Millisecond)
+		id := ident.Request(fmt.Sprintf("r%d", i))
+		is.True(ingress.Submit(now, request(string(id), "a")) == nil)
+		deliver(now, ingress, ingressID, owner)
+		deliver(now, owner, ownerID, ingress)
+		is.Equal(dispatched(ingress), []ident.Request{id})
+		ingress.Finish(now, id, scheduler.Result{Served: 10})
+		deliver(now, ingress, ingressID, owner)
+	}
+}
+
 // deliver passes the messages of one core to another and returns how many other
 // effects there were.
 func deliver(now time.Time, from *scheduler.Core, id ident.Daemon, to *scheduler.Core) int {
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -108,6 +108,7 @@
 
 // accept binds a waiting request to a grant, or returns the grant at once.
 func (c *Core) accept(now time.Time, owner ident.Daemon, g Grant) {
+	c.noteGranted(owner, g)
 	r := c.bind(now, g)
 	if r == nil {
 		c.release(now, owner, Release{Grant: g.ID, Unused: true})
@@ -120,6 +121,19 @@
 	c.emit(Dispatch{Request: r.ID, Service: g.Service, Target: g.Target})
 }
 
+// noteGranted follows the owner's count of what waits here, which it lowers by
+// one with each grant. Without it the next request would look as if it had been
+// shown already, and would wait for the exchange while a slot idles.
+func (c *Core) noteGranted(owner ident.Daemon, g Grant) {
+	s := c.services[g.Service]
+	if s == nil || s.workspaces[g.Workspace] == nil {
+		return
+	}
+	if w := s.workspaces[g.Workspace]; w.shown[owner] > 0 {
+		w.shown[owner]--
+	}
+}
+
 // bind takes the first waiting request of the workspace that may use the target.
 func (c *Core) bind(now time.Time, g Grant) *request {
 	s := c.services[g.Service]
