--- /dev/null
+++ b/internal/placement/table.go
@@ -0,0 +1,301 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/savorystall/savorystall/charts"
+	"github.com/savorystall/savorystall/internal/chart"
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// Config holds the figures of a Table. The zero value is good.
+type Config struct {
+	// Zone is the daemon's own availability zone; its targets go first.
+	Zone ident.Zone
+	// Initial is the limit of a target without a number of slots in its
+	// document, before anything was measured. Default: 8.
+	Initial int
+	// Most bounds that limit. Default: 1024.
+	Most int
+	// MinWindow is the least number of completions that a change of the limit
+	// is based on. Default: 32.
+	MinWindow int
+	// Queue is the part of the limit that may wait in the target. Default: 0.05.
+	Queue float64
+	// SlowFactor is how many times the pace of its peers a target may take
+	// for a token before it is put on probation. Default: 4.
+	SlowFactor float64
+	// RecoverFactor ends the probation. Default: 2.
+	RecoverFactor float64
+	// ProbeWait is the longest wait before the first probe of a suspect target;
+	// it doubles up to MaxProbeWait. Defaults: 100 ms and 5 s.
+	ProbeWait, MaxProbeWait time.Duration
+	// PrefixEntries bounds the prefixes remembered per target. Default: 4096.
+	PrefixEntries int
+}
+
+func orDefault[T int | float64 | time.Duration](v, def T) T {
+	if v == 0 {
+		return def
+	}
+	return v
+}
+
+func (c Config) withDefaults() Config {
+	c.Initial = orDefault(c.Initial, 8)
+	c.Most = orDefault(c.Most, 1024)
+	c.MinWindow = orDefault(c.MinWindow, 32)
+	c.Queue = orDefault(c.Queue, 0.05)
+	c.SlowFactor = orDefault(c.SlowFactor, 4)
+	c.RecoverFactor = orDefault(c.RecoverFactor, 2)
+	c.ProbeWait = orDefault(c.ProbeWait, 100*time.Millisecond)
+	c.MaxProbeWait = orDefault(c.MaxProbeWait, 5*time.Second)
+	c.PrefixEntries = orDefault(c.PrefixEntries, 4096)
+	return c
+}
+
+// Target is one back end as its document describes it.
+type Target struct {
+	Name ident.Target
+	Zone ident.Zone
+	// Slots is the most that it may be given at once; zero means no bound.
+	Slots int
+}
+
+// Sample tells how an attempt on a target ended.
+type Sample struct {
+	// Tokens is the length of the answer; zero for a plain service.
+	Tokens int
+	// First runs from dispatch to the first byte, Elapsed to the end.
+	First, Elapsed time.Duration
+	// Failed tells that the target or the way to it failed.
+	Failed bool
+	// NotRun tells that the request did not run: the target was full, or could
+	// not be reached where Failed is set too.
+	NotRun bool
+	// InFlight counts the requests on the target with this one, as far as this
+	// daemon knows.
+	InFlight int
+}
+
+// Triggers of charts/target.yaml.
+const (
+	Answered  chart.Trigger = "answered"
+	Failed    chart.Trigger = "failed"
+	Slow      chart.Trigger = "slow"
+	Recovered chart.Trigger = "recovered"
+	Leaving   chart.Trigger = "leaving"
+	Returned  chart.Trigger = "returned"
+	Removed   chart.Trigger = "removed"
+)
+
+// States of charts/target.yaml.
+const (
+	Unknown   chart.State = "unknown"
+	Live      chart.State = "live"
+	Probation chart.State = "probation"
+	Suspect   chart.State = "suspect"
+	IsLeaving chart.State = "leaving"
+	Gone      chart.State = "gone"
+)
+
+var lifeChart = mustParse()
+
+func mustParse() *chart.Chart {
+	c, err := chart.Parse(charts.Target)
+	if err != nil {
+		panic(err)
+	}
+	err = c.Require(
+		[]chart.State{Unknown, Live, Probation, Suspect, IsLeaving, Gone},
+		[]chart.Trigger{Answered, Failed, Slow, Recovered, Leaving, Returned, Removed},
+	)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// Table is what one daemon knows of the targets of one service. It is not safe
+// for concurrent use.
+type Table struct {
+	cfg     Config
+	rng     *rand.Rand
+	targets map[ident.Target]*entry
+	// paces is scratch space.
+	paces []float64
+}
+
+// entry is the state of one target.
+type entry struct {
+	Target
+	life  *chart.Machine
+	limit *limiter
+	pace  pace
+	// failures counts the failed requests since the last good one.
+	failures int
+	probe    probe
+	prefixes prefixSet
+}
+
+// New returns a table without targets. The rng spreads probes.
+func New(cfg Config, rng *rand.Rand) *Table {
+	return &Table{cfg: cfg.withDefaults(), rng: rng, targets: map[ident.Target]*entry{}}
+}
+
+// SetTargets replaces the list of targets. What is known of those that stay is
+// kept.
+func (t *Table) SetTargets(targets []Target) {
+	kept := make(map[ident.Target]*entry, len(targets))
+	for _, spec := range targets {
+		e := t.targets[spec.Name]
+		if e == nil {
+			e = &entry{life: lifeChart.New(), limit: newLimiter(t.cfg), prefixes: newPrefixSet(t.cfg.PrefixEntries)}
+		}
+		e.Target = spec
+		e.limit.setCeiling(spec.Slots)
+		kept[spec.Name] = e
+	}
+	for name, e := range t.targets {
+		if kept[name] == nil {
+			e.fire(Removed)
+		}
+	}
+	t.targets = kept
+}
+
+// fire follows a trigger where the state accepts it. A trigger that it does not
+// accept is old news, such as an answer to old work from a leaving target.
+func (e *entry) fire(trigger chart.Trigger) bool {
+	if !e.life.Can(trigger) {
+		return false
+	}
+	before := e.life.State()
+	after, err := e.life.Fire(trigger)
+	return err == nil && after != before
+}
+
+// State returns the state of a target, Gone for one that is not in the table.
+func (t *Table) State(name ident.Target) chart.State {
+	e := t.targets[name]
+	if e == nil {
+		return Gone
+	}
+	return e.life.State()
+}
+
+// Usable tells whether a target may get new work.
+func (t *Table) Usable(name ident.Target) bool { return t.Limit(name) > 0 }
+
+// Limit returns how many requests a target may have at once: zero where it may
+// get no new work, one on probation.
+func (t *Table) Limit(name ident.Target) int {
+	e := t.targets[name]
+	if e == nil {
+		return 0
+	}
+	switch e.life.State() {
+	case Unknown, Live:
+		return e.limit.limit()
+	case Probation:
+		return 1
+	}
+	return 0
+}
+
+// Learn takes in news of a target that do not come from a request: the answer
+// to a probe (Answered, Failed), the VM list or the target's or a peer's word
+// (Leaving, Returned). It returns true where the state has changed.
+func (t *Table) Learn(now time.Time, name ident.Target, news chart.Trigger) bool {
+	e := t.targets[name]
+	if e == nil {
+		return false
+	}
+	changed := e.fire(news)
+	if e.life.State() == Suspect && news == Failed {
+		e.probe.plan(now, t.cfg, t.rng)
+	}
+	return changed
+}
+
+// failuresToSuspect is how many requests must fail in a row, with no good one
+// between them, for a target to be suspect: a request that by itself makes the
+// target fail must not take it from all others.
+const failuresToSuspect = 2
+
+// Observe takes in how an attempt ended. It returns true where the state of
+// the target has changed.
+func (t *Table) Observe(now time.Time, name ident.Target, s Sample) bool {
+	e := t.targets[name]
+	if e == nil {
+		return false
+	}
+	if s.Failed {
+		return t.observeFailure(now, e, s)
+	}
+	e.failures = 0
+	if s.NotRun {
+		e.limit.refused(s.InFlight)
+		return e.fire(Answered)
+	}
+	e.probe = probe{}
+	changed := e.life.State() == Unknown && e.fire(Answered)
+	e.limit.completed(s)
+	e.pace.add(s.Tokens, s.First, s.Elapsed)
+	return t.judgePace(e) || changed
+}
+
+func (t *Table) observeFailure(now time.Time, e *entry, s Sample) bool {
+	e.failures++
+	if !s.NotRun && e.failures < failuresToSuspect {
+		return false
+	}
+	if !e.fire(Failed) {
+		return false
+	}
+	e.failures = 0
+	e.probe.plan(now, t.cfg, t.rng)
+	return true
+}
+
+// Progress takes in that a running request has received tokens over a time. It
+// shows a target that became slow before its requests end.
+func (t *Table) Progress(name ident.Target, tokens int, over time.Duration) bool {
+	e := t.targets[name]
+	if e == nil || tokens <= 0 {
+		return false
+	}
+	e.pace.add(tokens+1, 0, over)
+	return t.judgePace(e)
+}
+
+// ProbesDue returns the suspect targets that are to be probed now, by name. Each
+// is due again only after a longer wait or once its probe has failed.
+func (t *Table) ProbesDue(now time.Time) []ident.Target {
+	var due []ident.Target
+	for name, e := range t.targets {
+		if e.life.State() == Suspect && !now.Before(e.probe.at) {
+			due = append(due, name)
+			e.probe.plan(now, t.cfg, t.rng)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
+// probe plans the probes of one suspect target.
+type probe struct {
+	at   time.Time
+	wait time.Duration
+}
+
+// plan sets the next probe, with full jitter so that the daemons do not probe a
+// returning target in one moment. The wait starts anew only after a request
+// was served: a target that answers probes and fails requests is asked ever
+// less often.
+func (p *probe) plan(now time.Time, cfg Config, rng *rand.Rand) {
+	p.wait = min(max(2*p.wait, cfg.ProbeWait), cfg.MaxProbeWait)
+	p.at = now.Add(time.Duration(rng.Float64() * float64(p.wait)))
+}
