Bound the waits of an attempt by the service's document

Cause: a document's first_byte_timeout and progress_timeout had no effect. Change: ModelRequest and PlainRequest carry the bounds, internal/ingress fills them in; retry.Worst joins the outcomes of a request's attempts. Conclusion: an engine that shows life and generates nothing is given up after the document's time.

--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -218,7 +218,7 @@
 			return x.explain(err)
 		}
 		if e.comment {
-			if time.Since(m.moved) > m.cfg.TokenDeadline {
+			if time.Since(m.moved) > m.tokenDeadline() {
 				return errNoToken
 			}
 			continue
@@ -235,6 +235,14 @@
 	}
 }
 
+// tokenDeadline bounds the wait for the token that comes next.
+func (m *modelAttempt) tokenDeadline() time.Duration {
+	if m.stream.offset == 0 {
+		return orDefault(m.req.FirstToken, m.cfg.TokenDeadline)
+	}
+	return orDefault(m.req.NextToken, m.cfg.TokenDeadline)
+}
+
 // noteProgress takes the time of a chunk that was handed over.
 func (m *modelAttempt) noteProgress(before uint64) {
 	if m.stream.offset == before {
--- a/internal/attempt/model_test.go
+++ b/internal/attempt/model_test.go
@@ -199,6 +199,20 @@
 	is.Equal(got.Failure.Code.Name, resultcode.ConnectionLost.Name)
 }
 
+// An engine shows life and generates nothing. Its heartbeats must not hold the
+// caller for ever.
+func TestModelWithoutTokensIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	e, address := newEngine(t, enginestandin.Config{Step: time.Hour})
+	req := modelRequest(address, "x", 1)
+	req.FirstToken = 100 * time.Millisecond
+	got := newRunner(t, quick()).Model(t.Context(), req, &text{})
+	is.Equal(got.Outcome, resultcode.MayHaveRun)
+	is.Equal(got.Failure.Code.Name, resultcode.TargetStalled.Name)
+	is.Equal(got.Resumed, 0)
+	eventually(t, "the slot is free", func() bool { return e.Counts().Canceled == 1 })
+}
+
 // A caller hangs up within an answer. The engine must not go on generating
 // what nobody reads, since others wait for its slots.
 func TestModelCallerGoneCancelsStream(t *testing.T) {
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -144,6 +144,9 @@
 	Header http.Header
 	// Body is the JSON body and asks for a stream.
 	Body []byte
+	// FirstToken bounds the wait for the first token, NextToken that for each
+	// later one, while heartbeats arrive. Zero: Config.TokenDeadline.
+	FirstToken, NextToken time.Duration
 }
 
 // PlainRequest is a request to a plain service.
@@ -159,6 +162,9 @@
 	// Unrepeatable asks for a connection of its own: a reused one may be
 	// closing already, and then nobody can tell whether the request was run.
 	Unrepeatable bool
+	// FirstByte bounds the wait for the response's header, Progress the silence
+	// within its body. Zero: Config.PlainFirstByte and Config.PlainProgress.
+	FirstByte, Progress time.Duration
 }
 
 // PlainSink receives the response of a plain service. An http.ResponseWriter
--- a/internal/ingress/model.go
+++ b/internal/ingress/model.go
@@ -149,6 +149,7 @@
 		header.Set("Content-Type", contentType)
 		return s.Runner.Model(ctx, attempt.ModelRequest{
 			Attempt: id, Address: address, Path: path, Header: header, Body: streamed,
+			FirstToken: j.service.Document.Limits.FirstByteTimeout, NextToken: j.service.Document.Limits.ProgressTimeout,
 		}, charged)
 	}
 	return nil
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -72,6 +72,7 @@
 		return s.Runner.Plain(ctx, attempt.PlainRequest{
 			Attempt: id, Address: address, Method: r.Method, Path: path, RawQuery: r.URL.RawQuery,
 			Header: forwarded(r.Header, header), Body: body, Unrepeatable: j.operation.Unrepeatable,
+			FirstByte: j.service.Document.Limits.FirstByteTimeout, Progress: j.service.Document.Limits.ProgressTimeout,
 		}, j.w)
 	}
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -189,6 +189,19 @@
 	return time.Duration(rng.Float64() * float64(min(limit, p.cfg.MaxWait)))
 }
 
+// Worst returns what is known of a request after two of its attempts: it was
+// not run only where neither was. The last attempt's outcome alone would call a
+// request "not run" whose first attempt may have been.
+func Worst(a, b resultcode.Outcome) resultcode.Outcome {
+	switch {
+	case a == resultcode.Ran || b == resultcode.Ran:
+		return resultcode.Ran
+	case a == resultcode.MayHaveRun || b == resultcode.MayHaveRun:
+		return resultcode.MayHaveRun
+	}
+	return resultcode.NotRun
+}
+
 // RepeatableMethod tells whether HTTP defines the method as idempotent (RFC
 // 9110, 9.2.2). A request with another method is not repeated once it may have
 // run, whether or not the service's document marks it.
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -107,6 +107,14 @@
 	is.True(early > 150 && late > 150)
 }
 
+func TestWorst(t *testing.T) {
+	is := is.New(t)
+	is.Equal(retry.Worst(resultcode.MayHaveRun, resultcode.NotRun), resultcode.MayHaveRun)
+	is.Equal(retry.Worst(resultcode.NotRun, resultcode.MayHaveRun), resultcode.MayHaveRun)
+	is.Equal(retry.Worst(resultcode.NotRun, resultcode.NotRun), resultcode.NotRun)
+	is.Equal(retry.Worst(resultcode.Ran, resultcode.NotRun), resultcode.Ran)
+}
+
 func TestRepeatableMethod(t *testing.T) {
 	is := is.New(t)
 	is.True(retry.RepeatableMethod("GET") && retry.RepeatableMethod("PUT"))
