--- /dev/null
+++ b/internal/fleet/codec_test.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
+func drawMessage(t *rapid.T) scheduler.Message {
+	service := rapid.SampledFrom([]ident.Service{"lm-pool", "sync-api"})
+	workspace := rapid.SampledFrom([]ident.Workspace{"w1", "w2", "lm-pool"})
+	target := rapid.SampledFrom([]ident.Target{"e1", "e2", "w1"})
+	grant := rapid.Uint64Range(1, 1<<62)
+	units := rapid.Custom(func(t *rapid.T) float64 {
+		return float64(rapid.IntRange(-1<<40, 1<<40).Draw(t, "sixteenths")) / servedUnit
+	})
+	wait := rapid.Custom(func(t *rapid.T) time.Duration {
+		return time.Duration(rapid.IntRange(0, 1<<30).Draw(t, "wait")) * timeUnit
+	})
+	health := rapid.SampledFrom([]scheduler.Health{
+		scheduler.HealthAnswered, scheduler.HealthFailed, scheduler.HealthLeaving, scheduler.HealthReturned,
+	})
+	var m scheduler.Message
+	for range rapid.IntRange(0, 3).Draw(t, "rows") {
+		m.Demand = append(m.Demand, scheduler.Demand{
+			Service: service.Draw(t, "s"), Workspace: workspace.Draw(t, "w"),
+			Waiting: rapid.Uint32().Draw(t, "waiting"), Seen: grant.Draw(t, "seen"),
+		})
+		m.Grants = append(m.Grants, scheduler.Grant{
+			ID: grant.Draw(t, "id"), Service: service.Draw(t, "s"),
+			Workspace: workspace.Draw(t, "w"), Target: target.Draw(t, "t"),
+		})
+		m.Releases = append(m.Releases, scheduler.Release{
+			Grant: grant.Draw(t, "grant"), Unused: rapid.Bool().Draw(t, "unused"),
+			Result: scheduler.Result{
+				Served: units.Draw(t, "served"), Elapsed: wait.Draw(t, "elapsed"), First: wait.Draw(t, "first"),
+				Failed: rapid.Bool().Draw(t, "failed"), NotRun: rapid.Bool().Draw(t, "not run"),
+			},
+		})
+		m.Parts = append(m.Parts, scheduler.Part{Service: service.Draw(t, "s"), Workspace: workspace.Draw(t, "w"), Served: units.Draw(t, "served")})
+		m.News = append(m.News, scheduler.TargetNews{Service: service.Draw(t, "s"), Target: target.Draw(t, "t"), Health: health.Draw(t, "health")})
+		m.Held = append(m.Held, grant.Draw(t, "held"))
+	}
+	m.HeldValid = len(m.Held) > 0
+	if m.HeldValid {
+		m.HeldSeen = grant.Draw(t, "seen")
+	}
+	return m
+}
+
+func TestEveryMessageSurvivesTheLink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		enc, dec := newEncoder(), &decoder{}
+		for range rapid.IntRange(1, 4).Draw(t, "frames") {
+			sent := drawMessage(t)
+			f := &fleetv1.Frame{}
+			enc.message(f, &sent)
+			wire, err := proto.Marshal(f)
+			is.NoErr(err)
+			var back fleetv1.Frame
+			is.NoErr(proto.Unmarshal(wire, &back))
+			got, _, err := dec.message(&back)
+			is.NoErr(err)
+			is.Equal(got, sent)
+		}
+	})
+}
+
+func TestFramesThatDoNotFitAreRefused(t *testing.T) {
+	long := string(make([]byte, maxNameLength+1))
+	cases := map[string]struct {
+		frame *fleetv1.Frame
+		want  error
+	}{
+		"unknown pair":      {&fleetv1.Frame{Parts: &fleetv1.Parts{Pair: []uint32{3}, Served: []int64{1}}}, errIndex},
+		"unknown name":      {&fleetv1.Frame{Pairs: &fleetv1.Pairs{Service: []uint32{0}, Name: []uint32{0}}}, errIndex},
+		"uneven demand":     {&fleetv1.Frame{Demands: &fleetv1.Demands{Pair: []uint32{0}}}, errColumns},
+		"uneven grants":     {&fleetv1.Frame{Grants: &fleetv1.Grants{IdStep: []int64{1}}}, errColumns},
+		"uneven releases":   {&fleetv1.Frame{Releases: &fleetv1.Releases{GrantStep: []int64{1}}}, errColumns},
+		"uneven news":       {&fleetv1.Frame{News: &fleetv1.News{Pair: []uint32{0}}}, errColumns},
+		"name of 257 bytes": {&fleetv1.Frame{Names: []string{long}}, errTable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := (&decoder{}).message(c.frame)
+			is.New(t).True(errors.Is(err, c.want))
+		})
+	}
+}
+
+// A target is said to be leaving and at once to have failed. Were only the
+// newest kept, the target would look usable again after its first answer.
+func TestOutboxKeepsWhatMustNotBeDropped(t *testing.T) {
+	is := is.New(t)
+	o := newOutbox(3)
+	news := func(h scheduler.Health) scheduler.Message {
+		return scheduler.Message{News: []scheduler.TargetNews{{Service: "s", Target: "t", Health: h}}}
+	}
+	for _, h := range []scheduler.Health{scheduler.HealthLeaving, scheduler.HealthFailed, scheduler.HealthFailed} {
+		m := news(h)
+		is.True(o.put(&m))
+	}
+	b, ok := o.take()
+	is.True(ok)
+	is.Equal(len(b.message.News), 2)
+	_, ok = o.take()
+	is.True(!ok)
+	full := scheduler.Message{Grants: make([]scheduler.Grant, 3)}
+	is.True(o.put(&full))
+	is.True(!o.put(&scheduler.Message{Releases: make([]scheduler.Release, 1)})) // the link is to be reset
+}
