fleet: tell a peer's configuration head again

Cause: a handler that failed to read a peer's configuration relied on the next heartbeat to try again, but heartbeats hold no head. Change: the node repeats the last head of each peer about once a heartbeat, without sending anything more. Conclusion: a restarted daemon gets another try in a store outage.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -92,7 +92,8 @@
 	LinkLost(peer ident.Daemon)
 	// Receive takes a message of a peer, between its LinkUp and LinkLost.
 	Receive(from ident.Daemon, m scheduler.Message)
-	// Head tells the highest configuration revision in force at a peer.
+	// Head tells the highest configuration revision in force at a peer, when it
+	// changes and again about once a heartbeat.
 	Head(from ident.Daemon, head uint64)
 	// Entries returns the configuration in force of a higher revision than
 	// after, deletions included.
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -32,6 +32,8 @@
 	// cancel ends the stream and, at the dialler, its connection.
 	cancel context.CancelFunc
 	out    *outbox
+	// head is the peer's configuration head; the control goroutine owns it.
+	head uint64
 }
 
 // newer tells whether a replaces b where both link the same two daemons. Both
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -66,6 +66,7 @@
 	told    uint64
 	session uint64
 	dialing int
+	ticks   int
 }
 
 // vmList is a new list of VMs for the control goroutine.
@@ -261,6 +262,19 @@
 		l.cancel()
 	}
 	n.startDials(now)
+	if n.ticks++; n.ticks%ticksPerBeat == 0 {
+		n.repeatHeads()
+	}
+}
+
+// repeatHeads tells the peers' heads again: a peer sends its head just when it
+// changes, and a handler that could not catch up then has to get another try.
+func (n *Node) repeatHeads() {
+	for peer, l := range n.links.byPeer {
+		if l.head != 0 {
+			n.handler.Head(peer, l.head)
+		}
+	}
 }
 
 func (n *Node) startDials(now time.Time) {
@@ -335,6 +349,7 @@
 		n.handler.Receive(l.peer, r.message)
 	}
 	if r.head != 0 {
+		l.head = r.head
 		n.handler.Head(l.peer, r.head)
 	}
 }
