--- /dev/null
+++ b/test/fairness/baseline.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/fairshare"
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// chooser is what the baselines differ in: who gets the next free slot.
+type chooser interface {
+	// choose returns the job to start on the target, or nil.
+	choose(b *baseline, target int) *job
+	// charge adds cost that a workspace received on a target by a daemon.
+	charge(b *baseline, j *job, cost float64)
+	// exchange is called once a lag.
+	exchange(b *baseline)
+}
+
+// baseline schedules with knowledge that a daemon does not have: all queues and
+// all slots are seen at once, and a message takes no time.
+type baseline struct {
+	run *run
+	// queues holds the waiting jobs by daemon and workspace, a list a class.
+	queues [][][classes][]*job
+	// running counts jobs by target and workspace.
+	running [][]int
+	charged map[*job]float64
+	chooser chooser
+	next    time.Duration
+}
+
+const classes = 3
+
+func newBaseline(make func(*run) chooser) func(*run) system {
+	return func(r *run) system {
+		b := &baseline{run: r, charged: map[*job]float64{}, chooser: make(r)}
+		for range r.size.daemons {
+			b.queues = append(b.queues, newQueues(r))
+		}
+		for range r.engines {
+			b.running = append(b.running, newCounts(r))
+		}
+		return b
+	}
+}
+
+func newQueues(r *run) [][classes][]*job { return make([][classes][]*job, len(r.pattern.sources)) }
+func newCounts(r *run) []int             { return make([]int, len(r.pattern.sources)) }
+
+func (b *baseline) submit(j *job) {
+	q := &b.queues[j.daemon][j.workspace][j.class]
+	*q = append(*q, j)
+}
+
+func (b *baseline) progress(j *job) {
+	if cost := j.served() - b.charged[j]; cost > 0 {
+		b.charged[j] += cost
+		b.chooser.charge(b, j, cost)
+	}
+}
+
+func (b *baseline) finish(j *job) {
+	b.progress(j)
+	delete(b.charged, j)
+	b.running[j.target][j.workspace]--
+}
+
+func (b *baseline) step() {
+	b.expire()
+	if b.run.now >= b.next {
+		b.next = b.run.now + b.run.lag
+		b.chooser.exchange(b)
+	}
+	for {
+		target := b.freeTarget()
+		if target < 0 {
+			return
+		}
+		j := b.chooser.choose(b, target)
+		if j == nil {
+			return
+		}
+		b.start(j, target)
+	}
+}
+
+func (b *baseline) start(j *job, target int) {
+	b.running[target][j.workspace]++
+	b.run.start(j, target)
+}
+
+// freeTarget returns the target with the most free slots, or -1.
+func (b *baseline) freeTarget() int {
+	best, free := -1, 0
+	for t, e := range b.run.engines {
+		if n := slots - len(e.jobs); n > free {
+			best, free = t, n
+		}
+	}
+	return best
+}
+
+func (b *baseline) expire() {
+	if b.run.now%samplePeriod != 0 {
+		return
+	}
+	for d := range b.queues {
+		for w := range b.queues[d] {
+			for c := range b.queues[d][w] {
+				q := &b.queues[d][w][c]
+				*q = slices.DeleteFunc(*q, func(j *job) bool {
+					j.refused = j.deadline > 0 && j.deadline < b.run.now
+					return j.refused
+				})
+			}
+		}
+	}
+}
+
+func (b *baseline) waiting(counts []int) {
+	clear(counts)
+	for d := range b.queues {
+		for w := range b.queues[d] {
+			counts[w] += queued(b.queues[d][w])
+		}
+	}
+	if h, ok := b.chooser.(holder); ok {
+		h.held(counts)
+	}
+}
+
+// holder is a chooser that keeps waiting jobs itself.
+type holder interface {
+	// held adds the jobs that wait there to the counts by workspace.
+	held(counts []int)
+}
+
+func queued(q [classes][]*job) int { return len(q[0]) + len(q[1]) + len(q[2]) }
+
+// take removes the first job of the workspace by class, at the daemon or, for
+// daemon -1, at the daemon whose first one has waited longest.
+func (b *baseline) take(daemon, workspace int) *job {
+	for class := range classes {
+		best := -1
+		for d := range b.queues {
+			q := b.queues[d][workspace][class]
+			if len(q) == 0 || daemon >= 0 && d != daemon {
+				continue
+			}
+			if best < 0 || q[0].arrival < b.queues[best][workspace][class][0].arrival {
+				best = d
+			}
+		}
+		if best >= 0 {
+			q := &b.queues[best][workspace][class]
+			j := (*q)[0]
+			*q = (*q)[1:]
+			return j
+		}
+	}
+	return nil
+}
+
+// ledgerOf returns a ledger with the workspaces of the run.
+func ledgerOf(r *run, self string) *fairshare.Ledger {
+	l := fairshare.New(fairshare.Config{Self: ident.Daemon(self)})
+	for w, src := range r.pattern.sources {
+		l.SetWeight(workspaceName(w), src.weight)
+	}
+	return l
+}
+
+// optimum is one all-knowing scheduler.
+type optimum struct{ ledger *fairshare.Ledger }
+
+func newOptimum(r *run) chooser {
+	return &optimum{ledger: ledgerOf(r, "optimum")}
+}
+
+func (o *optimum) choose(b *baseline, _ int) *job {
+	counts := newCounts(b.run)
+	b.waiting(counts)
+	w, ok := pickFrom(o.ledger, counts, sumColumns(b.running))
+	if !ok {
+		return nil
+	}
+	return b.take(-1, w)
+}
+
+func (o *optimum) charge(_ *baseline, j *job, cost float64) {
+	o.ledger.Charge(workspaceName(j.workspace), cost)
+}
+
+func (o *optimum) exchange(b *baseline) {
+	total := len(b.run.engines) * slots
+	o.ledger.Tune(fairshare.Conditions{SlotRate: decodeRate, OwnSlots: total, FleetSlots: total})
+}
+
+func sumColumns(rows [][]int) []int {
+	sum := make([]int, len(rows[0]))
+	for _, row := range rows {
+		for i, n := range row {
+			sum[i] += n
+		}
+	}
+	return sum
+}
+
+// pickFrom asks the ledger among the workspaces that wait.
+func pickFrom(l *fairshare.Ledger, waiting, running []int) (int, bool) {
+	var candidates []fairshare.Candidate
+	for w, n := range waiting {
+		l.SetBacklogged(workspaceName(w), n > 0)
+		if n > 0 {
+			candidates = append(candidates, fairshare.Candidate{Workspace: workspaceName(w), Running: running[w]})
+		}
+	}
+	name, ok := l.Pick(candidates)
+	if !ok {
+		return 0, false
+	}
+	return workspaceNumber(name), true
+}
+
+func workspaceNumber(name ident.Workspace) int {
+	var n int
+	_, _ = fmt.Sscanf(string(name), "workspace-%d", &n)
+	return n
+}
