scheduler: use the queue and admission modules, charge only what was delivered

Cause: strict classes starve batch work, deadlines were not looked at, and a charged estimate lets a caller's guess move its neighbours' shares. Change: requests wait in queue.Queue, admission.Controller decides at arrival, and the ledger is charged by progress instead of the estimate.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -60,6 +60,9 @@
 	Arrived time.Time
 	// Deadline is when the caller gives up; zero means never.
 	Deadline time.Time
+	// Front puts the request before all others of its class and past the bound:
+	// it waited before and its attempt did not run.
+	Front bool
 	// Value is the caller's own.
 	Value T
 }
@@ -74,14 +77,14 @@
 	items map[ident.Request]*entry[T]
 	// clock is the virtual time of the class that was popped last.
 	clock float64
-	// need is the time that a request takes once it is dispatched.
-	need time.Duration
 }
 
 // class is the sub-queue of one class.
 type class[T any] struct {
 	order[T]
 	weight float64
+	// need is the time that a request takes once it is dispatched.
+	need time.Duration
 	// pass is the class's virtual time: pops over weight.
 	pass float64
 }
@@ -110,13 +113,18 @@
 // SetLimit changes the bound. What already waits above it stays.
 func (q *Queue[T]) SetLimit(limit int) { q.config.Limit = limit }
 
-// SetNeed sets the measured time from dispatch to the end of a fast request. A
-// request whose deadline is nearer than that cannot be in time any more.
-func (q *Queue[T]) SetNeed(need time.Duration) { q.need = need }
+// SetNeed sets the measured time from dispatch to the end of a fast request of
+// the class. One whose deadline is nearer than that cannot be in time any more.
+func (q *Queue[T]) SetNeed(class uint8, need time.Duration) {
+	q.classes[q.index(class)].need = need
+}
 
 // Len returns how many requests wait.
 func (q *Queue[T]) Len() int { return len(q.items) }
 
+// LenClass returns how many requests of the class wait, late ones left out.
+func (q *Queue[T]) LenClass(class uint8) int { return q.classes[q.index(class)].Len() }
+
 // Ahead returns how many waiting requests a new one of the class would be
 // popped after, at the least: those of its class and of the classes before it.
 func (q *Queue[T]) Ahead(class uint8) int {
@@ -127,15 +135,18 @@
 	return n
 }
 
-// Push adds a request. The error is a *resultcode.Failure with code QueueFull.
-func (q *Queue[T]) Push(_ time.Time, it Item[T]) error {
+// Push adds a request. The failure has the code QueueFull.
+func (q *Queue[T]) Push(it Item[T]) *resultcode.Failure {
 	index := q.index(it.Class)
 	free := 1 - q.config.Reserve*float64(index)
-	if len(q.items) >= max(1, int(float64(q.config.Limit)*free)) {
+	if !it.Front && len(q.items) >= max(1, int(float64(q.config.Limit)*free)) {
 		return resultcode.Fail(resultcode.QueueFull, "%d requests wait", len(q.items))
 	}
 	e := &entry[T]{Item: it, due: it.Deadline}
-	if it.Deadline.IsZero() {
+	switch {
+	case it.Front:
+		e.due = time.Time{}
+	case it.Deadline.IsZero():
 		e.due = it.Arrived.Add(q.config.Patience)
 	}
 	c := &q.classes[index]
@@ -153,25 +164,54 @@
 // Pop removes the request that goes next. Expired are requests whose deadline
 // has passed; they are removed as well and were not run.
 func (q *Queue[T]) Pop(now time.Time) (it Item[T], expired []Item[T], ok bool) {
-	for {
-		e := q.next()
-		if e == nil {
-			return it, expired, false
+	return q.PopWhere(now, func(Item[T]) bool { return true })
+}
+
+// PopWhere removes the first request, in the order of Pop, that fits.
+func (q *Queue[T]) PopWhere(now time.Time, fits func(Item[T]) bool) (it Item[T], expired []Item[T], ok bool) {
+	var passedOver []*entry[T]
+	defer func() {
+		for _, e := range passedOver {
+			heap.Push(e.in, e)
 		}
+	}()
+	for e := q.next(); e != nil; e = q.next() {
 		switch {
 		case e.passed(now):
 			q.drop(e)
 			expired = append(expired, e.Item)
-		case e.in != &q.late && e.passed(now.Add(q.need)):
+		case e.in != &q.late && e.passed(now.Add(q.classes[q.index(e.Class)].need)):
 			heap.Remove(e.in, e.at)
 			e.in = &q.late
 			heap.Push(e.in, e)
+		case !fits(e.Item):
+			heap.Remove(e.in, e.at)
+			passedOver = append(passedOver, e)
 		default:
 			q.account(e)
 			q.drop(e)
 			return e.Item, expired, true
 		}
 	}
+	return it, expired, false
+}
+
+// Drain removes and returns all requests.
+func (q *Queue[T]) Drain() []Item[T] {
+	var all []Item[T]
+	for i := range q.classes {
+		all = q.drain(&q.classes[i].order, all)
+	}
+	return q.drain(&q.late, all)
+}
+
+func (q *Queue[T]) drain(o *order[T], all []Item[T]) []Item[T] {
+	for o.Len() > 0 {
+		e := (*o)[0]
+		q.drop(e)
+		all = append(all, e.Item)
+	}
+	return all
 }
 
 // next returns the head of the class with the least virtual time, the first
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -15,8 +15,8 @@
 
 func push(t *testing.T, q *Queue[int], id string, class uint8, deadline time.Time) {
 	t.Helper()
-	err := q.Push(start, Item[int]{ID: ident.Request(id), Class: class, Arrived: start, Deadline: deadline})
-	is.New(t).NoErr(err)
+	failure := q.Push(Item[int]{ID: ident.Request(id), Class: class, Arrived: start, Deadline: deadline})
+	is.New(t).Equal(failure, nil)
 }
 
 func pop(t *testing.T, q *Queue[int], now time.Time) string {
@@ -62,7 +62,7 @@
 func TestWhatCanBeInTimeGoesFirst(t *testing.T) {
 	is := is.New(t)
 	q := New[int](Config{})
-	q.SetNeed(2 * time.Second)
+	q.SetNeed(0, 2*time.Second)
 	push(t, q, "hopeless", 0, start.Add(time.Second))
 	push(t, q, "later", 0, start.Add(9*time.Second))
 	push(t, q, "soon", 0, start.Add(3*time.Second))
@@ -93,13 +93,11 @@
 func TestDraftsLeaveRoomForQuestions(t *testing.T) {
 	is := is.New(t)
 	q := New[int](Config{Limit: 10})
-	var err error
-	for i := 0; err == nil; i++ {
-		err = q.Push(start, Item[int]{ID: ident.Request(fmt.Sprint(i)), Class: 2})
+	var failure *resultcode.Failure
+	for i := 0; failure == nil; i++ {
+		failure = q.Push(Item[int]{ID: ident.Request(fmt.Sprint(i)), Class: 2})
 	}
 	is.Equal(q.Len(), 8)
-	failure, ok := err.(*resultcode.Failure)
-	is.True(ok)
 	is.Equal(failure.Code, resultcode.QueueFull)
 	push(t, q, "question", 0, time.Time{})
 	_, removed := q.Remove("question")
@@ -107,3 +105,21 @@
 	_, removed = q.Remove("question")
 	is.True(!removed)
 }
+
+// A request was refused by one target and must not go there again. It keeps its
+// place while another one takes the slot of that target.
+func TestPopWherePassesOver(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Config{Limit: 2})
+	push(t, q, "a", 0, time.Time{})
+	push(t, q, "b", 0, time.Time{})
+	is.Equal(q.Push(Item[int]{ID: "again", Class: 0, Arrived: start, Front: true}), nil)
+	it, _, ok := q.PopWhere(start, func(it Item[int]) bool { return it.ID != "again" })
+	is.True(ok)
+	is.Equal(string(it.ID), "a")
+	_, _, ok = q.PopWhere(start, func(Item[int]) bool { return false })
+	is.True(!ok)
+	is.Equal(pop(t, q, start), "again")
+	is.Equal(len(q.Drain()), 1)
+	is.Equal(q.Len(), 0)
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/admission"
 	"github.com/savorystall/savorystall/internal/fairshare"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
@@ -75,22 +76,21 @@
 	order   []*workspace
 	targets map[ident.Target]*target
 	// owned lists the targets that this daemon grants, by name.
-	owned  []*target
-	ledger *fairshare.Ledger
+	owned     []*target
+	ledger    *fairshare.Ledger
+	admission *admission.Controller
+	// cost and rate are the mean cost of a request and its mean cost a second,
+	// over the requests of this ingress.
+	cost, rate average
 }
 
-// workspace is the state of one workspace of one service.
-type workspace struct {
-	Workspace
-	// queue holds the requests that wait here, one list a class.
-	queue [classCount][]*request
-	// shown is the demand that each owner was last told.
-	shown map[ident.Daemon]uint32
-	// demand is what each ingress was last known to have waiting, less the
-	// grants that were sent to it since.
-	demand map[ident.Daemon]int
-	// granted counts the grants of this owner that are in use.
-	granted int
+// waiting counts the requests of all workspaces that wait here.
+func (s *service) waiting() int {
+	n := 0
+	for _, w := range s.order {
+		n += w.waiting()
+	}
+	return n
 }
 
 // target is the state of one target.
@@ -173,6 +173,7 @@
 		workspaces: map[ident.Workspace]*workspace{},
 		targets:    map[ident.Target]*target{},
 		ledger:     fairshare.New(fairshare.Config{Self: c.cfg.Self, Incarnation: c.cfg.Incarnation}),
+		admission:  admission.New(admission.Config{}),
 	}
 }
 
@@ -183,10 +184,11 @@
 	for _, ws := range spec.Workspaces {
 		w := s.workspaces[ws.Name]
 		if w == nil {
-			w = &workspace{shown: map[ident.Daemon]uint32{}, demand: map[ident.Daemon]int{}}
+			w = newWorkspace(ws)
 		}
-		w.Workspace = ws
+		w.configure(ws)
 		s.ledger.SetWeight(ws.Name, ws.Weight)
+		s.admission.SetLimits(ws.Name, admission.Limits{Weight: ws.Weight, Concurrent: ws.Concurrent, Rate: ws.Rate})
 		workspaces[ws.Name] = w
 		s.order = append(s.order, w)
 	}
@@ -195,6 +197,7 @@
 		if workspaces[name] == nil {
 			c.refuseQueue(w, resultcode.Fail(resultcode.Forbidden, "workspace %s was removed", name))
 			s.ledger.Remove(name)
+			s.admission.Remove(name)
 		}
 	}
 	s.workspaces = workspaces
@@ -211,12 +214,9 @@
 }
 
 func (c *Core) refuseQueue(w *workspace, failure *resultcode.Failure) {
-	for class := range w.queue {
-		for _, r := range w.queue[class] {
-			delete(c.requests, r.ID)
-			c.emit(Refuse{Request: r.ID, Failure: failure})
-		}
-		w.queue[class] = nil
+	for _, it := range w.queue.Drain() {
+		delete(c.requests, it.ID)
+		c.emit(Refuse{Request: it.ID, Failure: failure})
 	}
 }
 
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -46,13 +46,8 @@
 	if s == nil || s.workspaces[d.Workspace] == nil {
 		return
 	}
-	waiting := int(d.Waiting)
-	for id, g := range c.grants {
-		if id > d.Seen && g.ingress == from && g.Service == d.Service && g.Workspace == d.Workspace {
-			waiting--
-		}
-	}
-	s.workspaces[d.Workspace].demand[from] = waiting
+	w := s.workspaces[d.Workspace]
+	w.demand[from] = int(d.Waiting) - w.unseen(from, d.Seen)
 }
 
 // reconcile frees the slots whose release was lost: the ingress lists what it
@@ -73,7 +68,7 @@
 	}
 	for _, s := range c.services {
 		for _, w := range s.order {
-			c.expire(now, w)
+			c.expire(now, s, w)
 			c.showDemand(now, s, w, exchange)
 		}
 		if exchange {
@@ -95,8 +90,7 @@
 // other changes wait for the exchange.
 func (c *Core) showDemand(now time.Time, s *service, w *workspace, exchange bool) {
 	waiting := uint32(w.waiting())
-	oldest, some := w.oldest()
-	spill := some && now.Sub(oldest) >= c.cfg.Spill
+	spill := waiting > 0 && now.Sub(w.since) >= c.cfg.Spill
 	for id, p := range c.peers {
 		value := waiting
 		if p.Zone != c.cfg.Zone && !spill {
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/admission"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/queue"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -17,13 +19,19 @@
 	if len(s.targets) == 0 {
 		return resultcode.Fail(resultcode.NoTarget, "service %s lists no target", spec.Service)
 	}
-	if w.Queue > 0 && w.waiting() >= w.Queue {
-		return resultcode.Fail(resultcode.QueueFull, "%d requests of workspace %s wait here", w.waiting(), w.Name)
+	failure = s.admission.Admit(now, admission.Arrival{
+		Workspace: w.Name,
+		Class:     uint8(spec.Class),
+		Deadline:  spec.Deadline,
+		Ahead:     w.queue.Ahead(uint8(spec.Class)),
+		Waiting:   w.waiting(),
+		Running:   w.running,
+		Total:     s.waiting(),
+	})
+	if failure != nil {
+		return failure
 	}
-	c.enqueue(now, w, spec, false)
-	c.assign(now, s)
-	c.showDemand(now, s, w, false)
-	return nil
+	return c.enqueue(now, s, w, spec, false)
 }
 
 // Requeue puts a request that did not run back at the head of its queue, past
@@ -33,10 +41,7 @@
 	if failure != nil {
 		return failure
 	}
-	c.enqueue(now, w, spec, true)
-	c.assign(now, s)
-	c.showDemand(now, s, w, false)
-	return nil
+	return c.enqueue(now, s, w, spec, true)
 }
 
 func (c *Core) lookup(spec Request) (*service, *workspace, *resultcode.Failure) {
@@ -51,14 +56,32 @@
 	return s, w, nil
 }
 
-func (c *Core) enqueue(now time.Time, w *workspace, spec Request, first bool) {
+func (c *Core) enqueue(now time.Time, s *service, w *workspace, spec Request, front bool) *resultcode.Failure {
 	r := &request{Request: spec, arrived: now}
+	failure := w.queue.Push(queue.Item[*request]{
+		ID:       spec.ID,
+		Class:    uint8(spec.Class),
+		Arrived:  now,
+		Deadline: spec.Deadline,
+		Front:    front,
+		Value:    r,
+	})
+	if failure != nil {
+		return failure
+	}
 	c.requests[spec.ID] = r
-	if first {
-		w.queue[spec.Class] = slices.Insert(w.queue[spec.Class], 0, r)
-		return
+	if w.waiting() == 1 {
+		w.since = now
 	}
-	w.queue[spec.Class] = append(w.queue[spec.Class], r)
+	c.changed(now, s, w)
+	c.assign(now, s)
+	c.showDemand(now, s, w, false)
+	return nil
+}
+
+// changed tells admission how many requests wait.
+func (c *Core) changed(now time.Time, s *service, w *workspace) {
+	s.admission.Waiting(now, w.Name, w.waiting())
 }
 
 // Cancel withdraws a request whose caller left. A running one stays until
@@ -68,14 +91,15 @@
 	if r == nil || r.running {
 		return
 	}
+	delete(c.requests, id)
 	s := c.services[r.Service]
 	w := s.workspaces[r.Workspace]
-	w.remove(r)
-	delete(c.requests, id)
+	w.queue.Remove(id)
+	c.changed(now, s, w)
 	c.showDemand(now, s, w, false)
 }
 
-// Progress charges what a running request has received beyond its estimate.
+// Progress charges what a running request has received so far.
 func (c *Core) Progress(id ident.Request, served float64) {
 	r := c.requests[id]
 	if r == nil || !r.running || served <= r.charged {
@@ -84,8 +108,8 @@
 	c.charge(r, served)
 }
 
-// Finish ends the attempt of a running request: the estimate is corrected and
-// the slot goes back to its owner.
+// Finish ends the attempt of a running request: what it was charged is
+// corrected and the slot goes back to its owner.
 func (c *Core) Finish(now time.Time, id ident.Request, result Result) {
 	r := c.requests[id]
 	if r == nil || !r.running {
@@ -96,9 +120,30 @@
 		result.Served = 0
 	}
 	c.charge(r, result.Served)
+	if s := c.services[r.Service]; s != nil {
+		s.finished(r, result)
+	}
 	c.release(now, r.owner, Release{Grant: r.grant, Result: result})
 }
 
+// finished updates what is measured of the requests of this ingress.
+func (s *service) finished(r *request, result Result) {
+	if w := s.workspaces[r.Workspace]; w != nil {
+		w.running--
+	}
+	if result.Failed || result.NotRun || result.Elapsed <= 0 {
+		return
+	}
+	class := uint8(r.Class)
+	s.admission.Finished(class, result.Elapsed)
+	s.cost.add(result.Served)
+	s.rate.add(result.Served / result.Elapsed.Seconds())
+	need := s.admission.Need(class)
+	for _, w := range s.order {
+		w.queue.SetNeed(class, need)
+	}
+}
+
 func (c *Core) charge(r *request, served float64) {
 	if s := c.services[r.Service]; s != nil && s.workspaces[r.Workspace] != nil {
 		s.ledger.Charge(r.Workspace, served-r.charged)
@@ -116,7 +161,6 @@
 	r.running = true
 	r.owner = owner
 	r.grant = g.ID
-	c.charge(r, r.Cost)
 	c.emit(Dispatch{Request: r.ID, Service: g.Service, Target: g.Target})
 }
 
@@ -127,29 +171,34 @@
 		return nil
 	}
 	w := s.workspaces[g.Workspace]
-	c.expire(now, w)
-	for class := range w.queue {
-		for i, r := range w.queue[class] {
-			if !slices.Contains(r.Avoid, g.Target) {
-				w.queue[class] = slices.Delete(w.queue[class], i, i+1)
-				return r
-			}
-		}
+	it, expired, ok := w.queue.PopWhere(now, func(it queue.Item[*request]) bool {
+		return !slices.Contains(it.Value.Avoid, g.Target)
+	})
+	c.refuseExpired(now, expired)
+	c.changed(now, s, w)
+	if !ok {
+		return nil
 	}
-	return nil
+	w.running++
+	s.admission.Started(now, w.Name)
+	return it.Value
 }
 
 // expire refuses the waiting requests whose deadline has passed.
-func (c *Core) expire(now time.Time, w *workspace) {
-	for class := range w.queue {
-		w.queue[class] = slices.DeleteFunc(w.queue[class], func(r *request) bool {
-			if r.Deadline.IsZero() || now.Before(r.Deadline) {
-				return false
-			}
-			delete(c.requests, r.ID)
-			c.emit(Refuse{Request: r.ID, Failure: resultcode.Fail(resultcode.DeadlinePassed, "after %s", now.Sub(r.arrived).Round(time.Millisecond))})
-			return true
-		})
+func (c *Core) expire(now time.Time, s *service, w *workspace) {
+	expired := w.queue.Expire(now)
+	if len(expired) == 0 {
+		return
+	}
+	c.refuseExpired(now, expired)
+	c.changed(now, s, w)
+}
+
+func (c *Core) refuseExpired(now time.Time, expired []queue.Item[*request]) {
+	for _, it := range expired {
+		delete(c.requests, it.ID)
+		waited := now.Sub(it.Value.arrived).Round(time.Millisecond)
+		c.emit(Refuse{Request: it.ID, Failure: resultcode.Fail(resultcode.DeadlinePassed, "after %s", waited)})
 	}
 }
 
@@ -163,28 +212,3 @@
 		m.Releases = append(m.Releases, rel)
 	}
 }
-
-func (w *workspace) waiting() int {
-	n := 0
-	for class := range w.queue {
-		n += len(w.queue[class])
-	}
-	return n
-}
-
-func (w *workspace) remove(r *request) {
-	w.queue[r.Class] = slices.DeleteFunc(w.queue[r.Class], func(q *request) bool { return q == r })
-}
-
-// oldest returns the arrival of the request that has waited longest.
-func (w *workspace) oldest() (time.Time, bool) {
-	var first time.Time
-	for class := range w.queue {
-		for _, r := range w.queue[class][:min(1, len(w.queue[class]))] {
-			if first.IsZero() || r.arrived.Before(first) {
-				first = r.arrived
-			}
-		}
-	}
-	return first, !first.IsZero()
-}
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -111,14 +111,6 @@
 	return s.workspaces[name]
 }
 
-func (w *workspace) remoteDemand() int {
-	n := 0
-	for _, waiting := range w.demand {
-		n += max(0, waiting)
-	}
-	return n
-}
-
 // pickIngress prefers this daemon, for a grant to itself needs no message, and
 // then the ingress with the most waiting requests.
 func (c *Core) pickIngress(w *workspace) ident.Daemon {
@@ -146,7 +138,7 @@
 	}
 	c.grants[g.ID] = g
 	t.grants[g.ID] = g
-	w.granted++
+	w.give(ingress, g.ID)
 	if ingress == c.cfg.Self {
 		c.accept(now, c.cfg.Self, g.Grant)
 		return
@@ -164,7 +156,7 @@
 	delete(c.grants, id)
 	delete(g.target.grants, id)
 	if w := g.target.service.workspaces[g.Workspace]; w != nil {
-		w.granted--
+		w.take(g.ingress, id)
 	}
 	return g
 }
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -23,8 +23,8 @@
 				Service: s.name, Workspace: w.Name, Running: running[w],
 				Served: s.ledger.Own(w.Name), Weight: w.Weight, Lead: s.ledger.Lead(w.Name),
 			}
-			for class := range w.queue {
-				q.Waiting[class] = len(w.queue[class])
+			for class := range q.Waiting {
+				q.Waiting[class] = w.queue.LenClass(uint8(class))
 			}
 			if q.Running > 0 || q.Served > 0 || w.waiting() > 0 {
 				queues = append(queues, q)
