scheduler: share grants among ingresses by what waits, questions first

Cause: the ingress with the longest queue got every grant, and the counts that owner and ingress kept of shown demand drifted apart. Change: an ingress is drawn in proportion to its demand, seven in eight times among those with interactive requests (new count in Demand and on the wire); grants lower the shown demand at both ends; an unused grant clears it.

--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"time"
 	"unique"
 
@@ -119,6 +120,10 @@
 		f.Demands.Pair = append(f.Demands.Pair, e.pair(f, d.Service, string(d.Workspace)))
 		f.Demands.Waiting = append(f.Demands.Waiting, d.Waiting)
 		f.Demands.SeenStep = append(f.Demands.SeenStep, step.down(d.Seen))
+		f.Demands.Urgent = append(f.Demands.Urgent, d.Urgent)
+	}
+	if !slices.ContainsFunc(rows, func(d scheduler.Demand) bool { return d.Urgent > 0 }) {
+		f.Demands.Urgent = nil
 	}
 }
 
@@ -288,16 +293,23 @@
 	if len(in.GetWaiting()) != len(in.GetPair()) || len(in.GetSeenStep()) != len(in.GetPair()) {
 		return errColumns
 	}
+	if n := len(in.GetUrgent()); n != 0 && n != len(in.GetPair()) {
+		return errColumns
+	}
 	var step stepper
 	for i, index := range in.GetPair() {
 		p, err := d.pair(index)
 		if err != nil {
 			return err
 		}
-		m.Demand = append(m.Demand, scheduler.Demand{
+		row := scheduler.Demand{
 			Service: p.service, Workspace: ident.Workspace(p.name),
 			Waiting: in.Waiting[i], Seen: step.up(in.SeenStep[i]),
-		})
+		}
+		if len(in.GetUrgent()) > 0 {
+			row.Urgent = in.Urgent[i]
+		}
+		m.Demand = append(m.Demand, row)
 	}
 	return nil
 }
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -47,7 +47,8 @@
 		return
 	}
 	w := s.workspaces[d.Workspace]
-	w.demand[from] = int(d.Waiting) - w.unseen(from, d.Seen)
+	known := demand{waiting: int(d.Waiting), urgent: int(d.Urgent)}
+	w.demand[from] = known.less(w.unseen(from, d.Seen))
 }
 
 // reconcile frees the slots whose release was lost: the ingress lists what it
@@ -86,27 +87,47 @@
 }
 
 // showDemand tells the owners how many requests wait. A change from or to
-// nothing goes at once, since a target idles or a grant is wasted otherwise;
-// other changes wait for the exchange.
+// nothing goes at once, for a target idles or a grant is wasted otherwise; other
+// changes wait for the exchange, and small ones are not worth a row.
 func (c *Core) showDemand(now time.Time, s *service, w *workspace, exchange bool) {
-	waiting := uint32(w.waiting())
-	spill := waiting > 0 && now.Sub(w.since) >= c.cfg.Spill
+	own := w.own()
+	spill := own.waiting > 0 && now.Sub(w.since) >= c.cfg.Spill
 	for id, p := range c.peers {
-		value := waiting
+		value := own
 		if p.Zone != c.cfg.Zone && !spill {
-			value = 0
+			value = demand{}
 		}
-		shown := w.shown[id]
-		due := exchange || (shown == 0) != (value == 0)
-		if value == shown && !(p.full && exchange) || !due {
+		full := p.full && exchange
+		if !full && !value.worth(w.shown[id], exchange) {
 			continue
 		}
 		w.shown[id] = value
 		m := c.message(id)
-		m.Demand = append(m.Demand, Demand{Service: s.name, Workspace: w.Name, Waiting: value, Seen: p.seenGrant})
+		m.Demand = append(m.Demand, Demand{
+			Service:   s.name,
+			Workspace: w.Name,
+			Waiting:   uint32(value.waiting),
+			Urgent:    uint32(value.urgent),
+			Seen:      p.seenGrant,
+		})
 	}
 }
 
+// worth tells whether the demand differs enough from what is known of it.
+func (d demand) worth(known demand, exchange bool) bool {
+	if (d.waiting == 0) != (known.waiting == 0) || (d.urgent == 0) != (known.urgent == 0) {
+		return true
+	}
+	return exchange && (far(d.waiting, known.waiting) || far(d.urgent, known.urgent))
+}
+
+// far tells whether two counts differ by more than a quarter. Counts only share
+// grants out among ingresses, in proportion.
+func far(a, b int) bool {
+	const quarter = 4
+	return quarter*max(a-b, b-a) > max(a, b)
+}
+
 func (c *Core) sendParts(s *service) {
 	changed := s.ledger.Changed()
 	for id, p := range c.peers {
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -154,6 +154,7 @@
 // accept binds a waiting request to a grant, or returns the grant at once.
 func (c *Core) accept(now time.Time, owner ident.Daemon, g Grant) {
 	r := c.bind(now, g)
+	c.noteShown(owner, g, r != nil)
 	if r == nil {
 		c.release(now, owner, Release{Grant: g.ID, Unused: true})
 		return
@@ -164,6 +165,27 @@
 	c.emit(Dispatch{Request: r.ID, Service: g.Service, Target: g.Target})
 }
 
+// noteShown changes the demand that the owner knows of as the owner does itself:
+// it is one less by a grant, and none when the grant comes back unused. The two
+// would drift apart otherwise: an owner that has granted all that it was told of
+// gives nothing more, though as much waits again, and the ingress sees no change
+// to tell.
+func (c *Core) noteShown(owner ident.Daemon, g Grant, used bool) {
+	s := c.services[g.Service]
+	if s == nil || s.workspaces[g.Workspace] == nil {
+		return
+	}
+	w := s.workspaces[g.Workspace]
+	known, ok := w.shown[owner]
+	switch {
+	case !ok:
+	case used:
+		w.shown[owner] = known.less(1)
+	default:
+		w.shown[owner] = demand{}
+	}
+}
+
 // bind takes the first waiting request of the workspace that may use the target.
 func (c *Core) bind(now time.Time, g Grant) *request {
 	s := c.services[g.Service]
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -111,22 +112,49 @@
 	return s.workspaces[name]
 }
 
-// pickIngress prefers this daemon, for a grant to itself needs no message, and
-// then the ingress with the most waiting requests.
+// urgentTurns is how many grants in a row may go to ingresses with interactive
+// requests before one goes by all that wait, so that no ingress starves.
+const urgentTurns = 7
+
+// pickIngress draws the ingress that gets the grant, in proportion to what waits
+// at each, so that a request waits as long at any daemon. While interactive
+// requests wait, most grants go by those alone, because one that waits here
+// does not help one that waits elsewhere. A draw needs no memory of who was
+// served, and owners that draw do not all choose the same ingress.
 func (c *Core) pickIngress(w *workspace) ident.Daemon {
-	if w.waiting() > 0 {
-		return c.cfg.Self
+	w.turn = (w.turn + 1) % (urgentTurns + 1)
+	count := func(d demand) int { return d.waiting }
+	if w.turn != 0 && w.anyUrgent() {
+		count = func(d demand) int { return d.urgent }
+	}
+	ids := make([]ident.Daemon, 0, len(w.demand))
+	total := count(w.own())
+	for id, d := range w.demand {
+		if n := count(d); n > 0 {
+			ids = append(ids, id)
+			total += n
+		}
 	}
-	var best ident.Daemon
-	for id, waiting := range w.demand {
-		if waiting <= 0 {
-			continue
+	slices.Sort(ids)
+	left := c.rng.IntN(total)
+	for _, id := range ids {
+		if left -= count(w.demand[id]); left < 0 {
+			return id
 		}
-		if best == "" || waiting > w.demand[best] || waiting == w.demand[best] && id < best {
-			best = id
+	}
+	return c.cfg.Self
+}
+
+func (w *workspace) anyUrgent() bool {
+	if w.own().urgent > 0 {
+		return true
+	}
+	for _, d := range w.demand {
+		if d.urgent > 0 {
+			return true
 		}
 	}
-	return best
+	return false
 }
 
 func (c *Core) grant(now time.Time, t *target, w *workspace, ingress ident.Daemon) {
@@ -143,7 +171,7 @@
 		c.accept(now, c.cfg.Self, g.Grant)
 		return
 	}
-	w.demand[ingress]--
+	w.demand[ingress] = w.demand[ingress].less(1)
 	m := c.message(ingress)
 	m.Grants = append(m.Grants, g.Grant)
 }
@@ -167,6 +195,11 @@
 	if g == nil {
 		return
 	}
+	if w := g.target.service.workspaces[g.Workspace]; rel.Unused && w != nil {
+		// Nothing waits there any more. Going by the old count, every slot
+		// would travel there and back as often as that says.
+		delete(w.demand, g.ingress)
+	}
 	if !rel.Unused && rel.Result.Failed {
 		c.setHealth(g.target, HealthFailed)
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -112,6 +112,8 @@
 	Service   ident.Service
 	Workspace ident.Workspace
 	Waiting   uint32
+	// Urgent counts those of them that are interactive.
+	Urgent uint32
 	// Seen is the highest grant of the receiver that the sender has taken into
 	// account, so that grants on their way are not counted as demand again.
 	Seen uint64
--- a/internal/scheduler/workspace.go
+++ b/internal/scheduler/workspace.go
@@ -8,6 +8,14 @@
 	"github.com/savorystall/savorystall/internal/queue"
 )
 
+// demand counts the requests of a workspace that wait at one ingress.
+type demand struct{ waiting, urgent int }
+
+// less returns the demand after n grants, which take the urgent ones first.
+func (d demand) less(n int) demand {
+	return demand{waiting: max(0, d.waiting-n), urgent: max(0, d.urgent-n)}
+}
+
 // workspace is the state of one workspace of one service.
 type workspace struct {
 	Workspace
@@ -18,12 +26,14 @@
 	since time.Time
 	// shown is the demand that each owner knows: what it was last told, less
 	// the grants that came from it since.
-	shown map[ident.Daemon]uint32
+	shown map[ident.Daemon]demand
 	// demand is what each ingress was last known to have waiting, less the
 	// grants that were sent to it since.
-	demand map[ident.Daemon]int
+	demand map[ident.Daemon]demand
 	// wanted is when the workspace last had demand anywhere.
 	wanted time.Time
+	// turn counts the picks of an ingress, up to urgentTurns.
+	turn int
 	// granted counts the grants of this owner that are in use.
 	granted int
 	// given lists them by ingress, in order of their ids.
@@ -33,8 +43,8 @@
 func newWorkspace(spec Workspace) *workspace {
 	return &workspace{
 		queue:  queue.New[*request](queue.Config{Limit: spec.Queue}),
-		shown:  map[ident.Daemon]uint32{},
-		demand: map[ident.Daemon]int{},
+		shown:  map[ident.Daemon]demand{},
+		demand: map[ident.Daemon]demand{},
 		given:  map[ident.Daemon][]uint64{},
 	}
 }
@@ -51,12 +61,17 @@
 // remoteDemand is how many requests wait at other ingresses.
 func (w *workspace) remoteDemand() int {
 	n := 0
-	for _, waiting := range w.demand {
-		n += max(0, waiting)
+	for _, d := range w.demand {
+		n += d.waiting
 	}
 	return n
 }
 
+// own is the demand of this ingress.
+func (w *workspace) own() demand {
+	return demand{waiting: w.waiting(), urgent: w.queue.LenClass(uint8(Interactive))}
+}
+
 // give remembers a grant, take forgets it.
 func (w *workspace) give(to ident.Daemon, id uint64) {
 	w.granted++
