config: prove a head by the table's digest, and name a table that is behind

Cause: a peer that is restarted between telling its head and giving its entries raised a daemon's head without the documents; the daemon then served an old document until the next change. A table restored from a backup showed nowhere. Change: CatchUp needs the entry that made the head; heads from peers and archives count as unproven and the next poll checks the digest, without further reads where it agrees. Store.Since gives entries and head of one moment.

--- a/internal/config/revert_test.go
+++ b/internal/config/revert_test.go
@@ -40,11 +40,19 @@
 	// accepted holds the weight that each accepted revision carries; a deletion
 	// has none.
 	accepted map[uint64]int
+	// changed holds the service that each accepted revision changed.
+	changed map[uint64]ident.Service
 	// messages are entries on their way between daemons.
-	messages [][]config.Entry
+	messages []message
 	weight   int
 }
 
+// message is what a peer has in force.
+type message struct {
+	entries []config.Entry
+	head    uint64
+}
+
 func newMachine() *machine {
 	server := platformstandin.New(platformstandin.Config{})
 	m := &machine{
@@ -52,6 +60,7 @@
 		client:   directClient(server),
 		seen:     map[ident.Service]uint64{},
 		accepted: map[uint64]int{},
+		changed:  map[uint64]ident.Service{},
 	}
 	for range machineDaemons {
 		m.daemons = append(m.daemons, newDaemon())
@@ -121,6 +130,7 @@
 		t.Fatalf("revision %d was given twice", revision)
 	}
 	m.accepted[revision] = weight
+	m.changed[revision] = service
 	m.seen[service] = revision
 }
 
@@ -154,7 +164,8 @@
 }
 
 func (m *machine) send(t *rapid.T) {
-	m.messages = append(m.messages, m.drawDaemon(t).store.Entries())
+	entries, head := m.drawDaemon(t).store.Since(0)
+	m.messages = append(m.messages, message{entries: entries, head: head})
 }
 
 func (m *machine) receive(t *rapid.T) {
@@ -162,7 +173,7 @@
 		t.Skip("no message is on its way")
 	}
 	i := rapid.IntRange(0, len(m.messages)-1).Draw(t, "message")
-	_, err := m.drawDaemon(t).store.OfferAll(m.messages[i])
+	_, err := m.drawDaemon(t).store.CatchUp(m.messages[i].entries, m.messages[i].head)
 	m.check(t, err)
 	if rapid.Bool().Draw(t, "last copy") {
 		m.messages = append(m.messages[:i], m.messages[i+1:]...)
@@ -185,10 +196,15 @@
 	}
 }
 
-// hold checks every daemon: nothing has gone back, and what is in force is
-// what was accepted under its revision.
+// hold checks every daemon: nothing has gone back, nothing up to its head is
+// missing, and what is in force is what was accepted under its revision.
 func (m *machine) hold(t *rapid.T) {
 	for _, d := range m.daemons {
+		for revision, service := range m.changed {
+			if revision <= d.store.Head() && d.store.Revisions()[service] < revision {
+				t.Fatalf("head is %d, but %s lacks revision %d", d.store.Head(), service, revision)
+			}
+		}
 		for service, revision := range d.store.Revisions() {
 			if revision < d.highest[service] {
 				t.Fatalf("%s went back from %d to %d", service, d.highest[service], revision)
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -22,7 +22,10 @@
 	// for this release.
 	refused map[ident.Service]uint64
 	// head is the revision up to which every change is known to be included.
-	head     uint64
+	head uint64
+	// proven is the head up to which the table's digest has shown that nothing
+	// is missing. Peers and archives raise head, but only the table proves it.
+	proven   uint64
 	changed  chan struct{}
 	snapshot atomic.Pointer[Snapshot]
 }
@@ -198,6 +201,20 @@
 	}
 }
 
+// prove notes that the table's digest agrees at head.
+func (s *Store) prove(head uint64) {
+	s.raiseHead(head)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proven = max(s.proven, head)
+}
+
+func (s *Store) provenHead() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proven
+}
+
 // Changed returns a channel that is closed at the next change of the entries
 // or of Head. Take the channel first, then read.
 func (s *Store) Changed() <-chan struct{} {
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -22,6 +22,9 @@
 	// pollJitter spreads polls by this part of the interval to either side, so
 	// that daemons started together do not read together.
 	pollJitter = 0.2
+	// behindPolls is how many polls in a row may find the table behind what is
+	// in force before it is logged: more than any stale read lasts.
+	behindPolls = 30
 )
 
 // WatcherConfig configures a Watcher.
@@ -72,6 +75,9 @@
 	config  WatcherConfig
 	metrics watcherMetrics
 	failing bool
+	// behind counts the polls in a row that found an older head than what is in
+	// force.
+	behind int
 }
 
 type watcherMetrics struct {
@@ -146,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	if latest.Revision <= w.config.Store.Head() {
+	if latest.Revision <= w.config.Store.provenHead() || w.complete(latest) {
 		return nil
 	}
 	return w.catchUp(ctx, latest)
@@ -297,20 +303,22 @@
 	}
 }
 
-// complete tells whether the Store has seen every change up to the head, and
-// raises its Head if so. Where a peer or a later read has brought changes
-// beyond the head, the digests differ without a fault; the next poll brings a
-// later head.
+// complete tells whether nothing is to be read: the Store has seen every change
+// up to the head, which is then proven, or it has seen later ones. These come
+// from a peer or from a later state of the table, and the next head will tell.
 func (w *Watcher) complete(latest head) bool {
 	seen := w.config.Store.seen()
 	if digestOf(seen) == latest.Digest {
-		w.config.Store.raiseHead(latest.Revision)
+		w.config.Store.prove(latest.Revision)
+		w.behind = 0
 		return true
 	}
-	for _, revision := range seen {
-		if revision > latest.Revision {
-			return true
-		}
+	if w.config.Store.newest() <= latest.Revision {
+		return false
+	}
+	w.behind++
+	if w.behind == behindPolls {
+		event.ConfigBehind.Log(w.config.Logger, "table", latest.Revision, "in_force", w.config.Store.newest())
 	}
-	return false
+	return true
 }
--- a/internal/config/watcher_test.go
+++ b/internal/config/watcher_test.go
@@ -81,6 +81,20 @@
 	is.Equal(restarted.Head(), third)
 }
 
+// A peer tells its head, is restarted without state, and is then asked for its
+// entries: it has none. The asking daemon must not take itself for up to date,
+// or it would serve an old document until the next change.
+func TestRestartedPeerDoesNotRaiseTheHead(t *testing.T) {
+	is := is.New(t)
+	store := config.NewStore()
+	_, err := store.CatchUp(nil, 7)
+	is.NoErr(err)
+	is.Equal(store.Head(), uint64(0))
+	_, err = store.CatchUp([]config.Entry{{Service: "portal", Revision: 7, Text: text("portal", 1)}}, 7)
+	is.NoErr(err)
+	is.Equal(store.Head(), uint64(7))
+}
+
 // A daemon starts while the table is out but the object store works: it serves
 // what the last archive holds, and takes the rest when the table is back.
 func TestStartFromArchiveDuringAnOutage(t *testing.T) {
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -167,3 +167,17 @@
 		}
 	}
 }
+
+// A caller writes the slash of a path as %2F. The target takes it for another
+// operation than the router does, and an unrepeatable request runs as if it
+// could be repeated.
+func TestDecodePathRefusesHiddenSegments(t *testing.T) {
+	is := is.New(t)
+	for _, escaped := range []string{"/cases%2F7", "/cases%2f7", "/cases%5C7", `/cases\7`, "/a/%2e%2e/b", "/a//b", "/a/", "/%zz"} {
+		_, ok := document.DecodePath(escaped)
+		is.True(!ok)
+	}
+	path, ok := document.DecodePath("/cases/caf%C3%A9%20x")
+	is.True(ok)
+	is.Equal(path, "/cases/café x")
+}
--- a/internal/document/pattern.go
+++ b/internal/document/pattern.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"net/url"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -75,6 +76,23 @@
 	return parts, true
 }
 
+// DecodePath returns the decoded form of an escaped URL path, for Match. It
+// refuses a path with an encoded slash or backslash, or with a segment that
+// splitPath refuses: the target could cut it into other segments than Match
+// does, and an unrepeatable operation would pass for a repeatable one.
+func DecodePath(escaped string) (path string, ok bool) {
+	lower := strings.ToLower(escaped)
+	if strings.Contains(lower, "%2f") || strings.Contains(lower, "%5c") || strings.Contains(lower, `\`) {
+		return "", false
+	}
+	path, err := url.PathUnescape(escaped)
+	if err != nil {
+		return "", false
+	}
+	_, ok = splitPath(path)
+	return path, ok
+}
+
 // Match tells whether a decoded URL path matches. /files/** matches /files too.
 func (p Pattern) Match(path string) bool {
 	parts, ok := splitPath(path)
