Retry failed attempts by the retry policy, and tell the whole truth of them

Cause: only attempts that did not run were repeated; a repeat of a request in one piece would have put the pieces of both runs together; and an attempt that did not run could hide an earlier one that may have. Change: the ingress follows internal/retry, starts each attempt with an empty sink, answers with the worst outcome of all attempts, lets unrepeatable runs end without their caller, and gives a slot back when a handler panics.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,7 +54,6 @@
 		newNode,
 		newClaimer,
 		newRunner,
-		newBudget,
 		newIngress,
 		newServers,
 		newDaemon,
@@ -113,13 +112,11 @@
 
 func newRunner() *attempt.Runner { return attempt.NewRunner(attempt.Config{}) }
 
-func newBudget() ingress.Budget { return new(repeats) }
-
 func newIngress(s settings.Settings, store *config.Store, loop *control.Loop, runner *attempt.Runner, claimer *claim.Claimer,
-	budget ingress.Budget, metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *ingress.Server {
+	metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *ingress.Server {
 	return ingress.NewServer(ingress.Deps{
 		Config: ingress.Config{BodyTimeout: s.Callers.BodyTimeout},
-		Store:  store, Placer: loop, Runner: runner, Claims: claimer, Budget: budget,
+		Store:  store, Placer: loop, Runner: runner, Claims: claimer,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -44,14 +44,6 @@
 	Claim(ctx context.Context, key claim.Key, digest []byte, id ident.Attempt) (claim.Decision, error)
 }
 
-// Budget bounds the repeats of attempts that did not run.
-type Budget interface {
-	// Request counts a request, which earns a part of a repeat.
-	Request()
-	// Take tells whether one repeat is still within the budget, and spends it.
-	Take() bool
-}
-
 // Config bounds what callers may send.
 type Config struct {
 	// BodyTimeout bounds the arrival of a body.
@@ -65,7 +57,6 @@
 	Placer  Placer
 	Runner  *attempt.Runner
 	Claims  Claims
-	Budget  Budget
 	Metrics *telemetry.Metrics
 	Tracing *telemetry.Tracing
 	Log     *slog.Logger
@@ -75,12 +66,13 @@
 type Server struct {
 	Deps
 	estimates *estimates
+	retries   *retries
 	router    *mux.Router
 }
 
 // NewServer returns the handler.
 func NewServer(deps Deps) *Server {
-	s := &Server{Deps: deps, estimates: newEstimates(), router: mux.NewRouter()}
+	s := &Server{Deps: deps, estimates: newEstimates(), retries: newRetries(), router: mux.NewRouter()}
 	s.router.UseEncodedPath()
 	s.router.SkipClean(true)
 	s.router.HandleFunc("/v1/completions", s.model).Methods(http.MethodPost)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -28,6 +28,7 @@
 	operation *document.Operation
 	// cost is the estimate in units of the service.
 	cost     float64
+	method   string
 	prefix   uint64
 	arrived  time.Time
 	deadline time.Time
@@ -55,7 +56,7 @@
 	if deadline == 0 {
 		deadline = service.Document.Limits.Deadline
 	}
-	j := &job{w: w, service: service, workspace: ws, operation: op, arrived: now, key: r.Header.Get(HeaderIdempotencyKey)}
+	j := &job{w: w, service: service, workspace: ws, operation: op, arrived: now, method: r.Method, key: r.Header.Get(HeaderIdempotencyKey)}
 	if deadline > 0 {
 		j.deadline = now.Add(deadline)
 	}
--- a/internal/ingress/model.go
+++ b/internal/ingress/model.go
@@ -136,25 +136,32 @@
 		}
 		return promptTokens + float64(result.Tokens)
 	}
-	var sink modelSink = &collector{w: j.w, chat: r.URL.Path == "/v1/chat/completions"}
-	if parsed.Stream {
-		sink = &streamer{w: j.w}
-	}
-	charged := &progress{sink: sink, report: func(tokens int) {
-		s.Placer.Progress(j.w.request, promptTokens+float64(tokens))
-	}}
-	j.finish = sink.end
 	path, contentType := r.URL.Path, r.Header.Get("Content-Type")
+	limits := j.service.Document.Limits
+	var sink modelSink
+	j.finish = func() { sink.end() }
 	j.attempt = func(ctx context.Context, id ident.Attempt, address string, header http.Header) attempt.Result {
+		// What a failed attempt has left in the sink must not become a part of
+		// the next one's answer.
+		sink = newSink(j.w, path, parsed.Stream)
 		header.Set("Content-Type", contentType)
 		return s.Runner.Model(ctx, attempt.ModelRequest{
 			Attempt: id, Address: address, Path: path, Header: header, Body: streamed,
-			FirstToken: j.service.Document.Limits.FirstByteTimeout, NextToken: j.service.Document.Limits.ProgressTimeout,
-		}, charged)
+			FirstToken: limits.FirstByteTimeout, NextToken: limits.ProgressTimeout,
+		}, &progress{sink: sink, report: func(tokens int) {
+			s.Placer.Progress(j.w.request, promptTokens+float64(tokens))
+		}})
 	}
 	return nil
 }
 
+func newSink(w *response, path string, stream bool) modelSink {
+	if stream {
+		return &streamer{w: w}
+	}
+	return &collector{w: w, chat: path == "/v1/chat/completions"}
+}
+
 // withStream sets "stream": true and leaves every other field as it came.
 func withStream(body []byte) ([]byte, error) {
 	var fields map[string]json.RawMessage
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -14,15 +14,13 @@
 	"github.com/savorystall/savorystall/internal/config"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/internal/telemetry"
 )
 
-// maxAttempts bounds the targets that one request is offered to.
-const maxAttempts = 4
-
-// place queues a job until it has a target and runs it there. Only an attempt
-// that did not run is repeated, within the retry budget, on another target.
+// place queues a job until it has a target and runs it there. A failed attempt
+// is followed by another, on another target, where the retry policy allows it.
 func (s *Server) place(ctx context.Context, j *job, hold *claim.Hold) *resultcode.Failure {
 	if !j.deadline.IsZero() {
 		bounded, cancel := context.WithDeadline(ctx, j.deadline)
@@ -33,31 +31,59 @@
 		ID: j.w.request, Service: j.name(), Workspace: j.workspace,
 		Class: class(j.operation.Class), Cost: j.cost, Deadline: j.deadline, Prefix: j.prefix,
 	}
-	s.Budget.Request()
-	for n := 1; ; n++ {
-		target, failure := s.wait(ctx, j, request, n > 1)
+	s.retries.accepted(j.name())
+	var tried history
+	for {
+		target, failure := s.wait(ctx, j, request, tried.attempts > 0)
 		if failure != nil {
-			return failure
+			return tried.add(notRun(failure)).Failure
 		}
-		result := s.try(ctx, j, target, hold)
-		failure = result.Failure
-		if failure == nil || !s.again(j, hold, result, n) {
-			return failure
+		last := s.try(ctx, j, target, hold)
+		total := tried.add(last)
+		if last.Failure == nil || !s.again(ctx, j, hold, last, tried) {
+			return total.Failure
 		}
-		request.Avoid = append(request.Avoid, target)
+		request.Avoid = avoid(request.Avoid, target, len(j.service.Document.Targets))
 		s.Metrics.Retry(j.name())
 	}
 }
 
-// again tells whether the attempt may be repeated.
-func (s *Server) again(j *job, hold *claim.Hold, result attempt.Result, n int) bool {
-	if result.Outcome != resultcode.NotRun || j.w.began || n == maxAttempts {
+// avoid adds a target to those that the next attempt must not use. Once every
+// target has failed, all but the last are allowed again: a request that avoids
+// all of them would wait until its deadline beside idle slots.
+func avoid(tried []ident.Target, last ident.Target, targets int) []ident.Target {
+	switch {
+	case len(tried)+1 < targets:
+		return append(tried, last)
+	case targets > 1:
+		return []ident.Target{last}
+	}
+	return nil
+}
+
+// again tells whether another attempt follows, after the wait that goes before
+// it.
+func (s *Server) again(ctx context.Context, j *job, hold *claim.Hold, last attempt.Result, tried history) bool {
+	decision := s.retries.decide(j.name(), retry.Attempt{
+		Outcome: last.Outcome, Status: last.Status,
+		Attempts: tried.attempts, Runs: tried.runs,
+		Delivered: j.w.began, Repeatable: j.repeatable(),
+		CallerGone: ctx.Err() != nil, Left: j.left(time.Now()),
+	})
+	if !decision.Retry {
 		return false
 	}
 	if hold != nil && !hold.NotRun() {
 		return false
 	}
-	return s.Budget.Take()
+	timer := time.NewTimer(decision.Wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
 // wait holds the job in its queue until a target is granted.
@@ -106,7 +132,15 @@
 			return notRun(asFailure(err))
 		}
 	}
+	ended := false
+	defer func() {
+		// A panic on the way would keep the slot for good.
+		if !ended {
+			s.Placer.Finish(j.w.request, scheduler.Result{})
+		}
+	}()
 	result := j.attempt(ctx, ident.NewAttempt(), to, header)
+	ended = true
 	s.report(j, target, result)
 	return result
 }
--- a/internal/ingress/respond.go
+++ b/internal/ingress/respond.go
@@ -54,10 +54,14 @@
 // Write implements http.ResponseWriter.
 func (r *response) Write(b []byte) (int, error) {
 	r.WriteHeader(http.StatusOK)
-	if r.record != nil {
-		r.record.add(b)
+	if r.record == nil {
+		return r.ResponseWriter.Write(b)
 	}
-	return r.ResponseWriter.Write(b)
+	// An unrepeatable run goes on to its end without its caller, whose repeat
+	// gets the recorded answer: a failed write must not cancel it.
+	r.record.add(b)
+	_, _ = r.ResponseWriter.Write(b)
+	return len(b), nil
 }
 
 // Flush sends what was written so far.
