platform: replace all idle connections after a try without an answer

Cause: where all pooled connections go silent at once, each try took the next silent one; a read failed after 10 s though new connections worked. Change: the idle connections are dropped after such a try; a test mutes 16. Conclusion: silent connections cost one try.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -282,17 +282,29 @@
 	}
 	response, err := s.config.HTTP.Do(req)
 	if err != nil {
+		s.replaceConnections()
 		// Do has returned, so connected is no longer written to.
 		return answer{}, &fault{cause: err, sent: connected}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, DefaultMaxBody))
 	if err != nil {
+		s.replaceConnections()
 		return answer{}, &fault{cause: err, sent: true}
 	}
 	return judgeStatus(answer{status: response.StatusCode, body: body})
 }
 
+// replaceConnections drops the idle connections after a try without an answer.
+//
+// It guards against connections that something on the way has forgotten: all
+// of them go silent at once while new ones would work. Without it each try
+// takes the next silent one and waits out its time, the store counts as out,
+// and with 32 idle connections and one probe at a time it stays so for a
+// minute. The try's own connection is closed by its end; the others are closed
+// here, so that the next try makes a new one.
+func (s *store) replaceConnections() { s.config.HTTP.CloseIdleConnections() }
+
 // judgeStatus separates what the binding defines from what it leaves open. The
 // binding promises that a call answered by 429 or 503 had no effect.
 func judgeStatus(a answer) (answer, *fault) {
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -5,8 +5,11 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -237,3 +240,60 @@
 	is.Equal(wait, time.Duration(0))
 	is.Equal(b.server.Fetches("org/model:7"), 1)
 }
+
+// mutableConn goes silent when muted: nothing arrives any more, and nothing
+// tells so.
+type mutableConn struct {
+	net.Conn
+	muted  *atomic.Bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *mutableConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.muted.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *mutableConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// The daemon holds many idle connections to the store. Something between the
+// two loses track of all of them, while new ones work. A caller must lose at
+// most a try to it, not one try for each connection.
+func TestSilentConnectionsAreAllReplaced(t *testing.T) {
+	is := is.New(t)
+	const connections = 16
+	var generation atomic.Pointer[atomic.Bool]
+	generation.Store(&atomic.Bool{})
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: connections,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &mutableConn{Conn: conn, muted: generation.Load(), closed: make(chan struct{})}, nil
+		},
+	}
+	b := newBench(t, platform.ClientConfig{TryTimeout: 200 * time.Millisecond, HTTP: &http.Client{Transport: transport}})
+	b.fail(platformstandin.Faults{Delay: 20 * time.Millisecond})
+	var group sync.WaitGroup
+	for range connections {
+		group.Go(func() { _, _ = b.client.Get(t.Context(), "a") })
+	}
+	group.Wait()
+	b.fail(platformstandin.Faults{})
+	old := generation.Swap(&atomic.Bool{})
+	old.Store(true)
+	before := b.server.Calls(platformstandin.Table)
+	_, err := b.client.Get(t.Context(), "a")
+	is.NoErr(err)
+	is.Equal(b.server.Calls(platformstandin.Table)-before, 2) // one lost, one answered
+}
