--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,13 +53,13 @@
 
 // globalOptions apply to every command.
 type globalOptions struct {
-	Platform  string        `long:"platform" env:"SAVORYSTALL_PLATFORM" value-name:"URL" description:"base URL of the platform's services"`
-	Token     string        `long:"platform-token" env:"SAVORYSTALL_PLATFORM_TOKEN" value-name:"KEY" description:"bearer key for the platform"`
-	Daemons   []string      `long:"daemon" env:"SAVORYSTALL_DAEMONS" env-delim:"," value-name:"IP:PORT" description:"operators' port of a daemon; repeat for more (default: the daemons of the VM list)"`
-	Port      string        `long:"operators-port" env:"SAVORYSTALL_OPERATORS_PORT" default:"8081" value-name:"PORT" description:"operators' port of the daemons of the VM list"`
-	Author    string        `long:"author" env:"USER" value-name:"NAME" description:"whose change it is"`
-	Timeout   time.Duration `long:"timeout" default:"10s" value-name:"DURATION" description:"bound on the calls of one command"`
-	Format    string        `long:"output" choice:"table" choice:"json" default:"table" description:"form of the output"`
+	Platform string        `long:"platform" env:"SAVORYSTALL_PLATFORM" value-name:"URL" description:"base URL of the platform's services"`
+	Token    string        `long:"platform-token" env:"SAVORYSTALL_PLATFORM_TOKEN" value-name:"KEY" description:"bearer key for the platform"`
+	Daemons  []string      `long:"daemon" env:"SAVORYSTALL_DAEMONS" env-delim:"," value-name:"IP:PORT" description:"operators' port of a daemon; repeat for more (default: the daemons of the VM list)"`
+	Port     string        `long:"operators-port" env:"SAVORYSTALL_OPERATORS_PORT" default:"8081" value-name:"PORT" description:"operators' port of the daemons of the VM list"`
+	Author   string        `long:"author" env:"USER" value-name:"NAME" description:"whose change it is"`
+	Timeout  time.Duration `long:"timeout" default:"10s" value-name:"DURATION" description:"bound on the calls of one command"`
+	Format   string        `long:"output" choice:"table" choice:"json" default:"table" description:"form of the output"`
 }
 
 // command is one leaf of the command line.
@@ -99,6 +99,8 @@
 	} `command:"key" description:"bearer keys"`
 	Status     statusCommand     `command:"status" description:"show the daemons"`
 	Watch      watchCommand      `command:"watch" description:"show the daemons again and again"`
+	Emulate    emulateCommand    `command:"emulate" description:"run stand-ins of the platform and of targets on this machine"`
+	Load       loadCommand       `command:"load" description:"send checked requests to a fleet in front of emulated targets"`
 	Completion completionCommand `command:"completion" description:"print the shell's completion script"`
 }
 
