--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -99,6 +99,8 @@
 	} `command:"key" description:"bearer keys"`
 	Status     statusCommand     `command:"status" description:"show the daemons"`
 	Watch      watchCommand      `command:"watch" description:"show the daemons again and again"`
+	Emulate    emulateCommand    `command:"emulate" description:"run stand-ins of the platform and of targets on this machine"`
+	Load       loadCommand       `command:"load" description:"send checked requests to a fleet in front of emulated targets"`
 	Completion completionCommand `command:"completion" description:"print the shell's completion script"`
 }
 
