config, platform: stay useful while a store is slow; bound the history

Cause: a poll's bound covered all its reads, so that in a slow table a change was never read; a store slower than a try counted as out for good. A history delta outlived the whole text that it leads from, after which its revision could not be read or returned to; and whole texts each 32 changes made up most of the history. Change: the watcher bounds each read by itself (the daemon no longer passes its try timeout there); tries last twice as long while a store is slow; whole texts each 256 changes or 15 days, kept 45 days, found by one scan.

--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"time"
 	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
@@ -8,13 +9,32 @@
 )
 
 const (
-	// deltaChain bounds how many deltas lead from a full text to a revision, and
-	// so the reads that an operator's look at an old revision takes.
-	deltaChain = 32
+	// deltaChain and deltaAge bound the deltas that follow a whole text: their
+	// number, and so what an operator's look at an old revision reads, and their
+	// age, because a delta is worth nothing once its whole text has expired.
+	deltaChain = 256
+	deltaAge   = 15 * 24 * time.Hour
 	// deltaGain is how many times smaller than the text a delta must be.
 	deltaGain = 2
+
+	// historyTTL is how long each change can be looked at and returned to. At
+	// 13,000 changes a day of one line in 57 KB, with a whole text each 256
+	// changes, 30 days are about 175 MB of the table.
+	historyTTL = 30 * 24 * time.Hour
+	// wholeTTL lets a whole text outlive the deltas that lead from it.
+	wholeTTL = historyTTL + deltaAge
 )
 
+// Chain tells where a revision stands in the history.
+type Chain struct {
+	// Whole is the last revision whose history row holds the whole text, made
+	// at the time At.
+	Whole uint64    `json:"whole"`
+	At    time.Time `json:"at"`
+	// Deltas is how many deltas lead from it to this revision.
+	Deltas int `json:"deltas"`
+}
+
 // Delta describes a text by the text before it: its first Head and last Tail
 // bytes are kept, and Middle stands between them.
 //
@@ -61,24 +81,31 @@
 	return text, nil
 }
 
-// compact returns the form of the record that the history row holds: a delta
-// to the record before it where that is much smaller than the text.
-func (r Record) compact(before Record) Record {
-	if r.Deleted || before.Revision == 0 || before.Deleted || before.Chain >= deltaChain {
-		return r
-	}
-	delta := newDelta(before.Text, r.Text)
-	if delta == nil || len(delta.Middle)*deltaGain > len(r.Text) {
-		return r
+// historyRow returns the record as its history row holds it, and the record's
+// own place in the history: a delta to the record before it where that is much
+// smaller than the text.
+func (r Record) historyRow(before Record) (row Record, ttl time.Duration) {
+	delta := r.deltaTo(before)
+	if delta == nil {
+		r.Chain = Chain{Whole: r.Revision, At: r.At}
+		return r, wholeTTL
 	}
+	r.Chain = before.Chain
+	r.Chain.Deltas++
 	r.Text, r.Delta = "", delta
-	return r
+	return r, historyTTL
 }
 
-// chain returns the number of deltas that lead to a record after before.
-func (r Record) chain(before Record) int {
-	if r.compact(before).Delta == nil {
-		return 0
+func (r Record) deltaTo(before Record) *Delta {
+	if r.Deleted || before.Revision == 0 || before.Deleted {
+		return nil
+	}
+	if before.Chain.Deltas >= deltaChain || r.At.Sub(before.Chain.At) > deltaAge {
+		return nil
+	}
+	delta := newDelta(before.Text, r.Text)
+	if delta == nil || len(delta.Middle)*deltaGain > len(r.Text) {
+		return nil
 	}
-	return before.Chain + 1
+	return delta
 }
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -22,9 +22,6 @@
 	applyAttempts = 16
 	// applyPause is the longest wait before another try.
 	applyPause = 100 * time.Millisecond
-	// historyTTL is how long a history row is kept. At 13,000 changes a day and
-	// half a kilobyte each, 30 days are about 200 MB of the table.
-	historyTTL = 30 * 24 * time.Hour
 )
 
 // EditConflict is the error of a change that was based on another revision
@@ -296,12 +293,13 @@
 func (t tableState) transaction(change edit, record Record) (platform.Transaction, uint64) {
 	next := t.head.next(change.service, t.present.Revision)
 	record.Revision, record.Previous = next.Revision, t.present.Revision
-	record.Chain = record.chain(t.present)
+	history, ttl := record.historyRow(t.present)
+	record.Chain = history.Chain
 	w := txBuilder{rows: t.rows, tx: platform.Transaction{Operation: platform.NewOperation()}}
 	w.put(headKey, encode(next), 0)
 	w.put(recentKey, encode(t.recent.next(change.service, next.Revision)), 0)
 	w.put(serviceKey(change.service), encode(record), 0)
-	w.put(historyKey(change.service, next.Revision), encode(record.compact(t.present)), historyTTL)
+	w.put(historyKey(change.service, next.Revision), encode(history), ttl)
 	for _, model := range change.models {
 		if !bytes.Equal(t.rows[modelKey(model)].Value, []byte(change.service)) {
 			w.put(modelKey(model), []byte(change.service), 0)
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -123,8 +123,8 @@
 	Text   string    `json:"text,omitempty"`
 	// Delta stands in for Text in a history row.
 	Delta *Delta `json:"delta,omitempty"`
-	// Chain is how many deltas of the history lead to this revision.
-	Chain int `json:"chain,omitempty"`
+	// Chain is the revision's place in the history.
+	Chain Chain `json:"chain"`
 }
 
 // Entry returns what a Store takes of the record.
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -18,7 +18,7 @@
 // Defaults of WatcherConfig.
 const (
 	DefaultPollInterval = time.Second
-	DefaultPollTimeout  = 2 * time.Second
+	DefaultReadTimeout  = 10 * time.Second
 	// pollJitter spreads polls by this part of the interval to either side, so
 	// that daemons started together do not read together.
 	pollJitter = 0.2
@@ -36,7 +36,9 @@
 	// Interval is the mean time between two reads of the head row; default 1s.
 	// 360 daemons then do 360 reads a second of the table's 2,000.
 	Interval time.Duration
-	// Timeout bounds one poll with all its reads; default 2s.
+	// Timeout bounds one read with all its tries; default 10s. It bounds each
+	// read by itself, because a poll that was cut short in a slow table would
+	// begin anew each time and never get to the documents.
 	Timeout time.Duration
 	// Clock defaults to the real one.
 	Clock clock.Clock
@@ -53,7 +55,7 @@
 		c.Interval = DefaultPollInterval
 	}
 	if c.Timeout <= 0 {
-		c.Timeout = DefaultPollTimeout
+		c.Timeout = DefaultReadTimeout
 	}
 	if c.Clock == nil {
 		c.Clock = clock.Real
@@ -116,8 +118,6 @@
 }
 
 func (w *Watcher) pollOnce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, w.config.Timeout)
-	defer cancel()
 	w.metrics.polls.Inc(1)
 	err := w.Poll(ctx)
 	w.metrics.revision.Update(float64(w.config.Store.Head()))
@@ -141,7 +141,7 @@
 
 // Poll reads the head row once and takes what has changed.
 func (w *Watcher) Poll(ctx context.Context) error {
-	rows, err := w.config.Table.Get(ctx, headKey)
+	rows, err := w.get(ctx, headKey)
 	if err != nil {
 		return merry.Prepend(err, "head row")
 	}
@@ -182,7 +182,7 @@
 // takeRecent takes the listed changes, as deltas where the document before
 // each is in force here, else as whole documents.
 func (w *Watcher) takeRecent(ctx context.Context) error {
-	rows, err := w.config.Table.Get(ctx, recentKey)
+	rows, err := w.get(ctx, recentKey)
 	if err != nil || len(rows) == 0 {
 		return err
 	}
@@ -250,11 +250,35 @@
 	return nil
 }
 
+func (w *Watcher) get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	return boundedTable{w.config.Table, w.config.Timeout}.Get(ctx, keys...)
+}
+
+// boundedTable bounds each read of a table.
+type boundedTable struct {
+	platform.Table
+	timeout time.Duration
+}
+
+// Get implements platform.Table.
+func (b boundedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, b.timeout)
+	defer cancel()
+	return b.Table.Get(ctx, keys...)
+}
+
+// Scan implements platform.Table.
+func (b boundedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, b.timeout)
+	defer cancel()
+	return b.Table.Scan(ctx, prefix, after, limit)
+}
+
 func (w *Watcher) getRecords(ctx context.Context, keys []string) ([]Record, error) {
 	if len(keys) == 0 {
 		return nil, nil
 	}
-	rows, err := w.config.Table.Get(ctx, keys...)
+	rows, err := w.get(ctx, keys...)
 	if err != nil {
 		return nil, merry.Prepend(err, "changed documents")
 	}
@@ -271,7 +295,7 @@
 
 func (w *Watcher) takeAll(ctx context.Context) error {
 	w.metrics.scans.Inc(1)
-	records, err := scanRecords(ctx, w.config.Table, servicePrefix)
+	records, err := scanRecords(ctx, boundedTable{w.config.Table, w.config.Timeout}, servicePrefix)
 	if err != nil {
 		return merry.Prepend(err, "all documents")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,7 +70,7 @@
 
 func newWatcher(s settings.Settings, client *platform.Client, store *config.Store, log *slog.Logger) *config.Watcher {
 	return config.NewWatcher(config.WatcherConfig{
-		Table: client, Store: store, Interval: s.Platform.ConfigPoll, Timeout: s.Platform.Timeout, Logger: log,
+		Table: client, Store: store, Interval: s.Platform.ConfigPoll, Logger: log,
 	})
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -23,7 +24,7 @@
 // Defaults of ClientConfig.
 const (
 	DefaultTryTimeout  = 2 * time.Second
-	DefaultCallTimeout = 10 * time.Second
+	DefaultCallTimeout = 20 * time.Second
 	DefaultInFlight    = 32
 	DefaultMaxBody     = 64 << 20
 )
@@ -36,6 +37,8 @@
 	// judgedAfter is how long a try must have lasted for the end of its caller's
 	// patience to count as the store's failure.
 	judgedAfter = 250 * time.Millisecond
+	// patience is how many times longer a try may take while the store is slow.
+	patience = 2
 )
 
 // ClientConfig configures a Client.
@@ -45,10 +48,11 @@
 	URL string
 	// Token is sent as a bearer key; empty sends none.
 	Token string
-	// TryTimeout bounds one HTTP exchange; default 2s.
+	// TryTimeout bounds one HTTP exchange; default 2s. It is doubled while the
+	// store is slow.
 	TryTimeout time.Duration
 	// CallTimeout bounds a call with all its tries where its context has no
-	// earlier deadline; default 10s.
+	// earlier deadline; default 20s.
 	CallTimeout time.Duration
 	// InFlight bounds the exchanges with one store at a time; default 32.
 	InFlight int
@@ -147,9 +151,30 @@
 	gate    *gate
 	budget  *retryBudget
 	slots   chan struct{}
+	slow    atomic.Bool
 	metrics storeMetrics
 }
 
+// tryTimeout bounds the next try.
+func (s *store) tryTimeout() time.Duration {
+	if s.slow.Load() {
+		return patience * s.config.TryTimeout
+	}
+	return s.config.TryTimeout
+}
+
+// observe notes whether the store is slow. It answers a store that takes longer
+// than a try may for a long stretch: without it every try is given up, and the
+// store counts as out though it would answer.
+func (s *store) observe(took time.Duration, f *fault) {
+	switch {
+	case f == nil && took < s.config.TryTimeout/2:
+		s.slow.Store(false)
+	case f != nil && took >= s.config.TryTimeout:
+		s.slow.Store(true)
+	}
+}
+
 type storeMetrics struct {
 	tries, failures, retries tally.Counter
 	outage                   tally.Gauge
@@ -210,6 +235,7 @@
 	started := s.config.Clock.Now()
 	a, f := s.exchange(ctx, x)
 	now := s.config.Clock.Now()
+	s.observe(now.Sub(started), f)
 	s.metrics.tries.Inc(1)
 	s.metrics.latency.Record(now.Sub(started))
 	s.judge(now, probe, verdictOf(ctx, f, now.Sub(started)))
@@ -266,7 +292,7 @@
 }
 
 func (s *store) exchange(ctx context.Context, x exchange) (answer, *fault) {
-	ctx, cancel := context.WithTimeout(ctx, s.config.TryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.tryTimeout())
 	defer cancel()
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -297,3 +297,20 @@
 	is.NoErr(err)
 	is.Equal(b.server.Calls(platformstandin.Table)-before, 2) // one lost, one answered
 }
+
+// The store stays slow: it answers, but later than a try may last. Reads and
+// writes must get through after the first try, and one write must not be made
+// twice.
+func TestSlowStoreIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, platform.ClientConfig{TryTimeout: 200 * time.Millisecond})
+	b.fail(platformstandin.Faults{Delay: 250 * time.Millisecond})
+	revision, err := b.client.Commit(t.Context(), insert("a", "x"))
+	is.NoErr(err)
+	is.Equal(revision, uint64(1))
+	before := b.server.Calls(platformstandin.Table)
+	for range 3 {
+		is.Equal(b.value(t, "a"), "x")
+	}
+	is.Equal(b.server.Calls(platformstandin.Table)-before, 3)
+}
