platform, cli: refuse another server's answers; list idle workspaces

Change: an answer without its rows or revision is an error; the list takes the workspaces of the documents in.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -202,6 +202,8 @@
 	is.True(strings.Contains(s.run("status").output, "d22"))
 	workspaces := s.run("workspace", "list").output
 	is.True(strings.Contains(strings.Join(strings.Fields(workspaces), " "), "portal w 1 2 0 4 6 20 0"))
+	s.run("service", "apply", s.write(5, "")) // its workspace is listed by the daemons
+	is.Equal(strings.Count(s.run("workspace", "list").output, "portal"), 1)
 	targets := s.run("target", "list", "--service", "portal").output
 	is.True(strings.Contains(strings.Join(strings.Fields(targets), " "), "portal t z live 2 4 d1"))
 	is.True(!strings.Contains(s.run("target", "list", "--service", "other").output, "portal"))
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/admin"
+	"github.com/savorystall/savorystall/internal/document"
 	"github.com/savorystall/savorystall/internal/ident"
 )
 
@@ -43,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	rows := sumWorkspaces(statuses, c.serviceFilter)
+	rows := sumWorkspaces(append(statuses, a.configured(ctx)), c.serviceFilter)
 	t := newTable("SERVICE", "WORKSPACE", "WEIGHT", "INTERACTIVE", "STANDARD", "BATCH", "RUNNING", "SERVED", "LEAD")
 	for _, r := range rows {
 		t.add(r.Service, r.Workspace, r.Weight, r.Waiting[0], r.Waiting[1], r.Waiting[2], r.Running, r.Served, r.Lead)
@@ -51,6 +52,29 @@
 	return a.print(rows, t)
 }
 
+// configured returns the workspaces of all documents as queues without work, so
+// that the list names idle ones too. Without a platform it is empty.
+func (a *app) configured(ctx context.Context) admin.Status {
+	var status admin.Status
+	if a.options.Platform == "" {
+		return status
+	}
+	records, err := a.records(ctx)
+	if err != nil {
+		a.say("idle workspaces are not listed: %v", err)
+	}
+	for _, r := range records {
+		d, err := document.Parse([]byte(r.Text))
+		if r.Deleted || err != nil {
+			continue
+		}
+		for _, w := range d.Workspaces {
+			status.Queues = append(status.Queues, admin.Queue{Service: d.Service, Workspace: w.Name, Weight: w.Weight})
+		}
+	}
+	return status
+}
+
 func sumWorkspaces(statuses []admin.Status, filter serviceFilter) []workspaceRow {
 	type key struct {
 		service   ident.Service
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -314,3 +314,19 @@
 	}
 	is.Equal(b.server.Calls(platformstandin.Table)-before, 3)
 }
+
+// The address is that of another server, which answers everything by 200. It
+// must not pass for an empty table.
+func TestAnotherServerIsNoEmptyTable(t *testing.T) {
+	is := is.New(t)
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"status":"ok"}`))
+	}))
+	defer other.Close()
+	client := platform.NewClient(platform.ClientConfig{URL: other.URL})
+	defer client.Close()
+	_, err := client.Get(t.Context(), "a")
+	is.True(err != nil)
+	_, err = client.Commit(t.Context(), insert("a", "x"))
+	is.True(err != nil)
+}
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -68,6 +68,10 @@
 	if err := decodeAnswer(a, &body); err != nil {
 		return nil, err
 	}
+	if body.Rows == nil {
+		// A wrong address that answers with any JSON would pass for an empty table.
+		return nil, merry.New("the answer holds no rows field; is this the platform's address?")
+	}
 	return fromWire(body.Rows), nil
 }
 
@@ -185,6 +189,9 @@
 		}
 		return 0, err
 	}
+	if body.Revision == 0 {
+		return 0, &Unknown{Cause: merry.New("the answer holds no revision")}
+	}
 	return body.Revision, nil
 }
 
