document: bound the nesting, refuse aliases, fuzz the parser

Change: at most 32 levels, checked before the parser; no anchors and aliases; at most 100 faults are listed; a fuzz test.

--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -104,6 +104,9 @@
 		"order without target": {"model", map[string]string{"end": "orders:\n  fencing: ignored\n  targets: [{name: x}]\n"}, 8, 20, `no target has the name "x"`},
 		"order without model":  {"model", map[string]string{"end": "orders:\n  fencing: ignored\n  targets: [{name: t, models: [n]}]\n"}, 8, 32, `no model "n"`},
 		"no fencing":           {"model", map[string]string{"end": "orders:\n  targets: [{name: t}]\n"}, 7, 3, "fencing: is required"},
+		"alias":                {"model", map[string]string{"models": "models: &m [m]", "end": "orders: *m\n"}, 3, 9, "anchors and aliases"},
+		"deep brackets":        {"model", map[string]string{"models": "models: " + strings.Repeat("[", 1<<20)}, 3, 41, "levels of nesting"},
+		"deep marks":           {"model", map[string]string{"models": strings.Repeat("- ", 1<<19) + "m"}, 3, 1, "levels of nesting"},
 		"two documents":        {"model", map[string]string{"end": "---\nservice: t\n"}, 1, 1, "one document"},
 	}
 	for name, c := range cases {
@@ -112,7 +115,6 @@
 			_, err := document.Parse([]byte(fields(c.kind, c.change)))
 			var invalid *document.Invalid
 			is.True(errors.As(err, &invalid))
-			t.Log(err)
 			first := invalid.Problems[0]
 			is.Equal(fmt.Sprint(first.Line, ":", first.Column), fmt.Sprint(c.line, ":", c.column))
 			is.True(strings.Contains(first.String(), c.want))
@@ -181,3 +183,17 @@
 	is.True(ok)
 	is.Equal(path, "/cases/café x")
 }
+
+// A text that the parser cannot bear would stop every daemon that reads it.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(fields("model", nil)))
+	f.Add([]byte(fields("plain", map[string]string{"end": "limits: {deadline: 1s}\norders: {fencing: ignored, targets: [{name: t}]}\n"})))
+	f.Add([]byte("service: [\n- ? &a *a : |\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, err := document.Parse(text)
+		var invalid *document.Invalid
+		if (d == nil) != errors.As(err, &invalid) {
+			t.Fatalf("document %v, error %v", d, err)
+		}
+	})
+}
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -20,6 +20,14 @@
 // base64 form, within a few MB.
 const MaxBytes = 2 << 20
 
+const (
+	// maxNesting bounds how deep lists and maps stand in each other; a valid
+	// document needs six. The parser's time grows with the square of the depth.
+	maxNesting = 32
+	// maxProblems bounds the faults that are listed.
+	maxProblems = 100
+)
+
 // Problem is one fault of a document.
 type Problem struct {
 	// Line and Column count from 1; zero means that the place is not known.
@@ -60,6 +68,9 @@
 	if !utf8.Valid(text) {
 		return nil, invalid(Problem{Line: 1, Column: 1, Text: "the document is not valid UTF-8"})
 	}
+	if p := nestingProblem(string(text)); p != nil {
+		return nil, invalid(*p)
+	}
 	file, err := parser.ParseBytes(text, 0)
 	if err != nil {
 		return nil, syntaxProblem(err)
@@ -68,7 +79,7 @@
 		return nil, invalid(Problem{Line: 1, Column: 1, Text: "the file must hold one document"})
 	}
 	body := file.Docs[0].Body
-	if problems := durationProblems(body); len(problems) > 0 {
+	if problems := nodeProblems(body); len(problems) > 0 {
 		return nil, invalid(problems...)
 	}
 	var d Document
@@ -77,6 +88,7 @@
 	}
 	problems := append(fieldProblems(&d), crossCheck(&d)...)
 	if len(problems) > 0 {
+		problems = problems[:min(len(problems), maxProblems)]
 		locate(body, problems)
 		return nil, invalid(problems...)
 	}
@@ -84,6 +96,29 @@
 	return &d, nil
 }
 
+// nestingProblem finds brackets, or list marks at the start of a line, that
+// stand too deep in each other.
+func nestingProblem(text string) *Problem {
+	number := 0
+	depth := 0
+	for line := range strings.Lines(text) {
+		number++
+		marks := strings.Count(line[:len(line)-len(strings.TrimLeft(line, " -?"))], "- ")
+		for column, char := range line {
+			switch char {
+			case '[', '{':
+				depth++
+			case ']', '}':
+				depth = max(depth-1, 0)
+			}
+			if depth > maxNesting || marks > maxNesting {
+				return &Problem{Line: number, Column: column + 1, Text: fmt.Sprintf("more than %d levels of nesting", maxNesting)}
+			}
+		}
+	}
+	return nil
+}
+
 func invalid(problems ...Problem) *Invalid { return &Invalid{Problems: problems} }
 
 func syntaxProblem(err error) *Invalid {
@@ -107,31 +142,38 @@
 	"longest_order":      true,
 }
 
-// durationChecker visits the nodes of a document.
-type durationChecker struct{ problems []Problem }
+// nodeChecker visits the nodes of a document.
+type nodeChecker struct{ problems []Problem }
 
 // Visit implements ast.Visitor.
-func (c *durationChecker) Visit(node ast.Node) ast.Visitor {
-	field, ok := node.(*ast.MappingValueNode)
-	if !ok || !durationFields[field.Key.String()] {
-		return c
+func (c *nodeChecker) Visit(node ast.Node) ast.Visitor {
+	switch n := node.(type) {
+	case *ast.AnchorNode, *ast.AliasNode:
+		// A few lines of aliases can stand for gigabytes, at every daemon.
+		c.add(node, "", "anchors and aliases are not supported")
+	case *ast.MappingValueNode:
+		c.duration(n)
 	}
+	return c
+}
+
+func (c *nodeChecker) duration(field *ast.MappingValueNode) {
 	value, ok := field.Value.(*ast.StringNode)
-	if !ok {
-		return c
+	if !ok || !durationFields[field.Key.String()] {
+		return
 	}
 	if _, err := time.ParseDuration(value.Value); err != nil {
-		line, column := start(value)
-		c.problems = append(c.problems, Problem{
-			Line: line, Column: column, Path: field.Key.String(),
-			Text: "must be a duration such as 30s or 15m",
-		})
+		c.add(value, field.Key.String(), "must be a duration such as 30s or 15m")
 	}
-	return c
 }
 
-func durationProblems(body ast.Node) []Problem {
-	var c durationChecker
+func (c *nodeChecker) add(node ast.Node, path, text string) {
+	line, column := start(node)
+	c.problems = append(c.problems, Problem{Line: line, Column: column, Path: path, Text: text})
+}
+
+func nodeProblems(body ast.Node) []Problem {
+	var c nodeChecker
 	ast.Walk(&c, body)
 	return c.problems
 }
