document: report a panic of the YAML library as a fault of the text

Cause: a fuzz run found that the library panics on a tag without a value; one such text in the table would have ended every daemon. Change: Parse recovers; tags are refused; the input is a seed of the fuzz test.

--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -107,6 +107,7 @@
 		"alias":                {"model", map[string]string{"models": "models: &m [m]", "end": "orders: *m\n"}, 3, 9, "anchors and aliases"},
 		"deep brackets":        {"model", map[string]string{"models": "models: " + strings.Repeat("[", 1<<20)}, 3, 41, "levels of nesting"},
 		"deep marks":           {"model", map[string]string{"models": strings.Repeat("- ", 1<<19) + "m"}, 3, 1, "levels of nesting"},
+		"tag":                  {"model", map[string]string{"models": "models: !!seq [m]"}, 3, 9, "tags are not supported"},
 		"two documents":        {"model", map[string]string{"end": "---\nservice: t\n"}, 1, 1, "one document"},
 	}
 	for name, c := range cases {
@@ -188,6 +189,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(fields("model", nil)))
 	f.Add([]byte(fields("plain", map[string]string{"end": "limits: {deadline: 1s}\norders: {fencing: ignored, targets: [{name: t}]}\n"})))
+	f.Add([]byte("service: s\nkind: model\nmodels: !00\n0: #0")) // the library panics
 	f.Add([]byte("service: [\n- ? &a *a : |\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		d, err := document.Parse(text)
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -61,7 +61,20 @@
 // Parse reads a document strictly, checks it and applies the defaults. The
 // error is an *Invalid. Unknown fields are refused: a misspelt limit would
 // otherwise be without effect and without a sign of it.
-func Parse(text []byte) (*Document, error) {
+//
+// The YAML library panics on some malformed texts (a tag without a value is
+// one). That would end every daemon that reads the document, and the tool that
+// checks it; so a panic is reported as a fault of the text.
+func Parse(text []byte) (d *Document, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			d, err = nil, invalid(Problem{Line: 1, Column: 1, Text: fmt.Sprintf("the text is not valid YAML: %v", cause)})
+		}
+	}()
+	return parse(text)
+}
+
+func parse(text []byte) (*Document, error) {
 	if len(text) > MaxBytes {
 		return nil, invalid(Problem{Line: 1, Column: 1, Text: fmt.Sprintf("the document has more than %d bytes", MaxBytes)})
 	}
@@ -151,6 +164,8 @@
 	case *ast.AnchorNode, *ast.AliasNode:
 		// A few lines of aliases can stand for gigabytes, at every daemon.
 		c.add(node, "", "anchors and aliases are not supported")
+	case *ast.TagNode:
+		c.add(node, "", "tags are not supported")
 	case *ast.MappingValueNode:
 		c.duration(n)
 	}
