Let a request turn down a target it avoids once only

Cause: a request that avoided the only free target was granted and returned without end; where ingress and owner were one daemon, it died of a stack overflow. Change: a target that is avoided is declined once, then taken. Spans of the target hop now come from the hop itself; a test follows a caller's trace through all four hops to the engine.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,7 +110,9 @@
 	return b.claimer
 }
 
-func newRunner() *attempt.Runner { return attempt.NewRunner(attempt.Config{}) }
+func newRunner(tracing *telemetry.Tracing) *attempt.Runner {
+	return attempt.NewRunner(attempt.Config{Tracer: tracing.Tracer})
+}
 
 func newIngress(s settings.Settings, store *config.Store, loop *control.Loop, runner *attempt.Runner, claimer *claim.Claimer,
 	metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *ingress.Server {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -20,18 +20,18 @@
 )
 
 // startDev runs a daemon with the embedded stand-ins until the test ends.
-func startDev(t *testing.T) (*emulator.Emulator, daemon.Addresses) {
+func startDev(t *testing.T, overrides ...settings.Override) (*emulator.Emulator, daemon.Addresses) {
 	t.Helper()
 	is := is.New(t)
 	stall, err := dev.Start(t.Context())
 	is.NoErr(err)
-	s, err := settings.Parse(nil, func(s *settings.Settings) {
+	s, err := settings.Parse(nil, append(overrides, func(s *settings.Settings) {
 		s.Daemon, s.Zone = "dev", dev.Zone
 		s.Platform.URL = stall.URL
 		s.Callers.Listen, s.Operators.Listen, s.Fleet.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 		s.Callers.BodyTimeout = 500 * time.Millisecond
 		s.Stop.BalancerLag = 0
-	})
+	})...)
 	is.NoErr(err)
 	ctx, stop := context.WithCancel(context.Background())
 	ready, ended := make(chan daemon.Addresses, 1), make(chan error, 1)
--- /dev/null
+++ b/internal/daemon/trace_test.go
@@ -0,0 +1,53 @@
+package daemon_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/settings"
+)
+
+// spanLine is what the file exporter writes for a span, as far as it is read here.
+type spanLine struct {
+	Name        string
+	SpanContext struct{ TraceID string }
+	Parent      struct{ SpanID string }
+}
+
+// A caller sends its own trace context. Every hop must make a span of that
+// trace, and the engine must be handed the same trace.
+func TestSpanOfEachHopCarriesTheCallersTrace(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "spans.json")
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	t.Run("request", func(t *testing.T) {
+		is := is.New(t)
+		site, a := startDev(t, func(s *settings.Settings) { s.Trace.File = file })
+		status, _, _ := ask(t, a.Callers, "traced", map[string]string{"traceparent": "00-" + trace + "-b7ad6b7169203331-01"}, "")
+		is.Equal(status, http.StatusOK)
+		seen := ""
+		for _, engine := range site.Engines {
+			seen += engine.Trace("traced")
+		}
+		is.True(strings.Contains(seen, trace)) // the engine got the caller's trace
+	})
+	text, err := os.ReadFile(file) // the daemon has stopped and flushed
+	is.NoErr(err)
+	spans := map[string]int{}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	for decoder.More() {
+		var line spanLine
+		is.NoErr(decoder.Decode(&line))
+		if line.SpanContext.TraceID == trace && line.Parent.SpanID != "" {
+			spans[line.Name]++
+		}
+	}
+	is.Equal(spans, map[string]int{"ingress": 1, "queue": 1, "grant": 1, "target": 1})
+}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -35,8 +35,8 @@
 	// key is the caller's Idempotency-Key, digest covers what it stands for.
 	key    string
 	digest []byte
-	// attempt runs one attempt; header carries the trace context.
-	attempt func(ctx context.Context, id ident.Attempt, address string, header http.Header) attempt.Result
+	// attempt runs one attempt.
+	attempt func(ctx context.Context, id ident.Attempt, address string) attempt.Result
 	// finish writes what is left to write after a complete answer.
 	finish func()
 	// served returns the true cost of an attempt.
--- a/internal/ingress/model.go
+++ b/internal/ingress/model.go
@@ -136,15 +136,14 @@
 		}
 		return promptTokens + float64(result.Tokens)
 	}
-	path, contentType := r.URL.Path, r.Header.Get("Content-Type")
+	path, header := r.URL.Path, http.Header{"Content-Type": {r.Header.Get("Content-Type")}}
 	limits := j.service.Document.Limits
 	var sink modelSink
 	j.finish = func() { sink.end() }
-	j.attempt = func(ctx context.Context, id ident.Attempt, address string, header http.Header) attempt.Result {
+	j.attempt = func(ctx context.Context, id ident.Attempt, address string) attempt.Result {
 		// What a failed attempt has left in the sink must not become a part of
 		// the next one's answer.
 		sink = newSink(j.w, path, parsed.Stream)
-		header.Set("Content-Type", contentType)
 		return s.Runner.Model(ctx, attempt.ModelRequest{
 			Attempt: id, Address: address, Path: path, Header: header, Body: streamed,
 			FirstToken: limits.FirstByteTimeout, NextToken: limits.ProgressTimeout,
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/savorystall/savorystall/internal/attempt"
@@ -121,11 +119,6 @@
 		s.Placer.Finish(j.w.request, scheduler.Result{NotRun: true})
 		return notRun(resultcode.Fail(resultcode.NoTarget, "target %s has no address", target))
 	}
-	ctx, span := s.Tracing.Start(ctx, telemetry.SpanTarget, trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("target", string(target))))
-	defer span.End()
-	header := http.Header{}
-	s.Tracing.Propagator.Inject(ctx, propagation.HeaderCarrier(header))
 	if hold != nil {
 		if err := hold.Start(time.Now()); err != nil {
 			s.Placer.Finish(j.w.request, scheduler.Result{NotRun: true})
@@ -139,7 +132,7 @@
 			s.Placer.Finish(j.w.request, scheduler.Result{})
 		}
 	}()
-	result := j.attempt(ctx, ident.NewAttempt(), to, header)
+	result := j.attempt(ctx, ident.NewAttempt(), to)
 	ended = true
 	s.report(j, target, result)
 	return result
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -68,22 +68,11 @@
 	if path == "" {
 		path = "/"
 	}
-	j.attempt = func(ctx context.Context, id ident.Attempt, address string, header http.Header) attempt.Result {
+	j.attempt = func(ctx context.Context, id ident.Attempt, address string) attempt.Result {
 		return s.Runner.Plain(ctx, attempt.PlainRequest{
 			Attempt: id, Address: address, Method: r.Method, Path: path, RawQuery: r.URL.RawQuery,
-			Header: forwarded(r.Header, header), Body: body, Unrepeatable: j.operation.Unrepeatable,
+			Header: r.Header, Body: body, Unrepeatable: j.operation.Unrepeatable,
 			FirstByte: j.service.Document.Limits.FirstByteTimeout, Progress: j.service.Document.Limits.ProgressTimeout,
 		}, j.w)
 	}
 }
-
-// forwarded returns the caller's headers with the trace context of this hop.
-// The key stays here: a target has no use for a caller's secret.
-func forwarded(caller, trace http.Header) http.Header {
-	header := caller.Clone()
-	header.Del("Authorization")
-	for name, values := range trace {
-		header[name] = values
-	}
-	return header
-}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -115,8 +115,10 @@
 	arrived time.Time
 	// running is set once the request was bound to a grant.
 	running bool
-	owner   ident.Daemon
-	grant   uint64
+	// declined is set once the request has turned down a target it avoids.
+	declined bool
+	owner    ident.Daemon
+	grant    uint64
 	// charged is what the ledger was charged so far.
 	charged float64
 }
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -112,6 +112,18 @@
 	}
 }
 
+// A request has failed on the only target and is queued again, to avoid it. The
+// daemon that owns the target granted it, took it back and granted it again
+// without end: the process died of a stack overflow.
+func TestRequestThatAvoidsTheOnlyTargetStillRuns(t *testing.T) {
+	is := is.New(t)
+	c := newCore("d1", "z1")
+	r := request("r1", "a")
+	r.Avoid = []ident.Target{"t1"}
+	is.True(c.Requeue(start, r) == nil)
+	is.Equal(dispatched(c), []ident.Request{"r1"})
+}
+
 // deliver passes the messages of one core to another and returns how many other
 // effects there were.
 func deliver(now time.Time, from *scheduler.Core, id ident.Daemon, to *scheduler.Core) int {
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -194,7 +194,7 @@
 	}
 	w := s.workspaces[g.Workspace]
 	it, expired, ok := w.queue.PopWhere(now, func(it queue.Item[*request]) bool {
-		return !slices.Contains(it.Value.Avoid, g.Target)
+		return it.Value.takes(g.Target)
 	})
 	c.refuseExpired(now, expired)
 	c.changed(now, s, w)
@@ -206,6 +206,18 @@
 	return it.Value
 }
 
+// takes tells whether a request may be bound to a target. One that it avoids is
+// declined once. Declining it each time would turn a single such request beside
+// an idle target into an endless exchange of grants and returns, which showed as
+// a stack overflow where the ingress owned the target itself.
+func (r *request) takes(name ident.Target) bool {
+	if r.declined || !slices.Contains(r.Avoid, name) {
+		return true
+	}
+	r.declined = true
+	return false
+}
+
 // expire refuses the waiting requests whose deadline has passed.
 func (c *Core) expire(now time.Time, s *service, w *workspace) {
 	expired := w.queue.Expire(now)
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -16,12 +16,12 @@
 	"github.com/savorystall/savorystall/internal/settings"
 )
 
-// Names of the spans, one a hop.
+// Names of the spans, one a hop. The span of the target hop is made by package
+// attempt.
 const (
 	SpanIngress = "ingress"
 	SpanQueue   = "queue"
 	SpanGrant   = "grant"
-	SpanTarget  = "target"
 )
 
 // Tracing makes spans and carries their context in W3C headers.
