scheduler: show a first request to few owners, and empty queues later

Cause: each arrival and each emptied queue sent a message to every owner: two thirds of all control messages. Change: demand goes to two owners at first, those of the zone before others, and to twice as many each 100 ms; empty queues are told every 250 ms; messages ahead of the tick have an allowance; peers without targets are told nothing.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -62,6 +62,8 @@
 	grants       map[uint64]*grantOut
 	effects      []Effect
 	outbox       map[ident.Daemon]*Message
+	early        allowance
+	nextSettle   time.Time
 	nextExchange time.Time
 	nextHeld     time.Time
 }
@@ -76,7 +78,9 @@
 	order   []*workspace
 	targets map[ident.Target]*target
 	// owned lists the targets that this daemon grants, by name.
-	owned     []*target
+	owned []*target
+	// owners is the set of daemons that own targets.
+	owners    map[ident.Daemon]bool
 	ledger    *fairshare.Ledger
 	admission *admission.Controller
 	// cost and rate are the mean cost of a request and its mean cost a second,
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -64,22 +64,20 @@
 
 // Tick does what is due: deadlines, demand, service parts and held grants.
 func (c *Core) Tick(now time.Time) {
-	exchange := !now.Before(c.nextExchange)
-	if exchange {
-		c.nextExchange = now.Add(c.cfg.Exchange)
-	}
+	c.early.refill()
+	at := c.due(now)
 	for _, s := range c.services {
 		for _, w := range s.order {
 			c.expire(now, s, w)
-			c.showDemand(now, s, w, exchange)
+			c.showDemand(now, s, w, at)
 		}
-		if exchange {
+		if at == onExchange {
 			c.sendParts(s)
 			c.tune(s)
 		}
 	}
 	for _, p := range c.peers {
-		p.full = p.full && !exchange
+		p.full = p.full && at != onExchange
 	}
 	if !now.Before(c.nextHeld) {
 		c.nextHeld = now.Add(c.cfg.Held)
@@ -88,46 +86,18 @@
 	c.assignAll(now)
 }
 
-// showDemand tells the owners how many requests wait. A change from or to
-// nothing goes at once, for a target idles or a grant is wasted otherwise; other
-// changes wait for the exchange, and small ones are not worth a row.
-func (c *Core) showDemand(now time.Time, s *service, w *workspace, exchange bool) {
-	own := w.own()
-	spill := own.waiting > 0 && now.Sub(w.since) >= c.cfg.Spill
-	for id, p := range c.peers {
-		value := own
-		if p.Zone != c.cfg.Zone && !spill {
-			value = demand{}
-		}
-		full := p.full && exchange
-		if !full && !value.worth(w.shown[id], exchange) {
-			continue
-		}
-		w.shown[id] = value
-		m := c.message(id)
-		m.Demand = append(m.Demand, Demand{
-			Service:   s.name,
-			Workspace: w.Name,
-			Waiting:   uint32(value.waiting),
-			Urgent:    uint32(value.urgent),
-			Seen:      p.seenGrant,
-		})
-	}
-}
-
-// worth tells whether the demand differs enough from what is known of it.
-func (d demand) worth(known demand, exchange bool) bool {
-	if (d.waiting == 0) != (known.waiting == 0) || (d.urgent == 0) != (known.urgent == 0) {
-		return true
+// due tells what the tick has to send.
+func (c *Core) due(now time.Time) cadence {
+	at := onTick
+	if !now.Before(c.nextSettle) {
+		c.nextSettle = now.Add(settle)
+		at = onSettle
+	}
+	if !now.Before(c.nextExchange) {
+		c.nextExchange = now.Add(c.cfg.Exchange)
+		at = onExchange
 	}
-	return exchange && (far(d.waiting, known.waiting) || far(d.urgent, known.urgent))
-}
-
-// far tells whether two counts differ by more than a quarter. Counts only share
-// grants out among ingresses, in proportion.
-func far(a, b int) bool {
-	const quarter = 4
-	return quarter*max(a-b, b-a) > max(a, b)
+	return at
 }
 
 // tune fits the ledger to what was measured since.
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -70,12 +70,9 @@
 		return failure
 	}
 	c.requests[spec.ID] = r
-	if w.waiting() == 1 {
-		w.since = now
-	}
 	c.changed(now, s, w)
 	c.assign(now, s)
-	c.showDemand(now, s, w, false)
+	c.showDemand(now, s, w, onArrival)
 	return nil
 }
 
@@ -96,7 +93,6 @@
 	w := s.workspaces[r.Workspace]
 	w.queue.Remove(id)
 	c.changed(now, s, w)
-	c.showDemand(now, s, w, false)
 }
 
 // Progress charges what a running request has received so far.
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -22,6 +22,7 @@
 				s.owned = append(s.owned, t)
 			}
 		}
+		c.setOwners(s)
 		sort.Slice(s.owned, func(i, j int) bool { return s.owned[i].Name < s.owned[j].Name })
 	}
 }
--- a/internal/scheduler/workspace.go
+++ b/internal/scheduler/workspace.go
@@ -8,22 +8,17 @@
 	"github.com/savorystall/savorystall/internal/queue"
 )
 
-// demand counts the requests of a workspace that wait at one ingress.
-type demand struct{ waiting, urgent int }
-
-// less returns the demand after n grants, which take the urgent ones first.
-func (d demand) less(n int) demand {
-	return demand{waiting: max(0, d.waiting-n), urgent: max(0, d.urgent-n)}
-}
-
 // workspace is the state of one workspace of one service.
 type workspace struct {
 	Workspace
 	// queue holds the requests that wait here, running counts those that run.
 	queue   *queue.Queue[*request]
 	running int
-	// since is when the queue last became non-empty.
-	since time.Time
+	// since is when the queue was last empty, urgentSince when it last held no
+	// interactive request.
+	since, urgentSince time.Time
+	// owners caches the peers to show demand to, in order.
+	owners []*peer
 	// shown is the demand that each owner knows: what it was last told, less
 	// the grants that came from it since.
 	shown map[ident.Daemon]demand
