scheduler: show a first request to one owner, tell of empty queues each second

Cause: control of the busiest daemon was 5.3 KB/s at a lag of 1 s. Change: first reach 1 instead of 2, doubled each 200 ms instead of 100 ms, empty queues told each second instead of each 250 ms.

--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -12,19 +12,19 @@
 
 // Owners have to know who waits, or their slots idle; told of every arrival,
 // hundreds of owners would get hundreds of messages for one request. So a first
-// request is shown to few owners, those of the own zone before others, and to
+// request is shown to one owner, of the own zone where there is one, and to
 // twice as many after each reachStep that it still waits. A large queue is shown
 // to as many owners at once as it can use.
 const (
-	firstReach = 2
-	reachStep  = 100 * time.Millisecond
+	firstReach = 1
+	reachStep  = 200 * time.Millisecond
 	// requestsPerOwner is how many waiting requests make it worth to show them
 	// to one more owner at once.
 	requestsPerOwner = 8
 	// settle is how long an owner may believe in demand that is gone. Acting on
 	// it costs a grant that comes back unused, which is less than a message for
 	// each short queue that comes and goes.
-	settle = 250 * time.Millisecond
+	settle = time.Second
 )
 
 // cadence is how much a call of showDemand may say.
