--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -49,6 +49,13 @@
 	e.faults = append(e.faults, &f)
 }
 
+// ClearFaults disarms all faults.
+func (e *Engine) ClearFaults() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = nil
+}
+
 // takeFault returns the armed fault that hits a connection for the mark, and
 // counts the hit. It returns nil where there is none. The caller holds e.mu.
 func (e *Engine) takeFault(mark string) *Fault {
--- /dev/null
+++ b/test/integration/main_test.go
@@ -0,0 +1,34 @@
+// Package integration_test runs real daemon processes between callers and
+// stand-ins, with a fault-injecting proxy on every link behind the daemons.
+package integration_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// binary is the daemon's program, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(runAll(m)) }
+
+func runAll(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "savorystall-integration")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "savorystalld")
+	args := append([]string{"build", "-o", binary}, raceFlag...)
+	build := exec.Command("go", append(args, "github.com/savorystall/savorystall/cmd/savorystalld")...)
+	build.Stdout, build.Stderr = os.Stderr, os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "building the daemon:", err)
+		return 1
+	}
+	return m.Run()
+}
--- /dev/null
+++ b/test/integration/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package integration_test
+
+var raceFlag []string
