--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -157,7 +157,7 @@
 // digests unequal and Head where it was, so that the next poll tries again.
 func (w *Watcher) catchUp(ctx context.Context, latest head) error {
 	if w.config.Store.Head() > 0 {
-		if err := w.takeRecent(ctx, latest); err != nil {
+		if err := w.takeRecent(ctx); err != nil {
 			return err
 		}
 		if w.complete(latest) {
@@ -173,31 +173,94 @@
 	return nil
 }
 
-func (w *Watcher) takeRecent(ctx context.Context, latest head) error {
+// takeRecent takes the listed changes, as deltas where the document before
+// each is in force here, else as whole documents.
+func (w *Watcher) takeRecent(ctx context.Context) error {
+	rows, err := w.config.Table.Get(ctx, recentKey)
+	if err != nil || len(rows) == 0 {
+		return err
+	}
+	listed, err := decode[recent](rows[0])
+	if err != nil {
+		return err
+	}
+	if err := w.takeDeltas(ctx, w.missing(listed)); err != nil {
+		return err
+	}
+	return w.takeWhole(ctx, w.missing(listed))
+}
+
+func (w *Watcher) missing(listed recent) []change {
 	seen := w.config.Store.seen()
-	var keys []string
-	for _, c := range latest.Recent {
+	var missing []change
+	for _, c := range listed {
 		if c.Revision > seen[c.Service] {
-			keys = append(keys, serviceKey(c.Service))
+			missing = append(missing, c)
+		}
+	}
+	return missing
+}
+
+func (w *Watcher) takeDeltas(ctx context.Context, missing []change) error {
+	var keys []string
+	for _, c := range missing {
+		keys = append(keys, historyKey(c.Service, c.Revision))
+	}
+	records, err := w.getRecords(ctx, keys)
+	if err != nil {
+		return err
+	}
+	var whole []Record
+	for _, r := range records {
+		if r.Delta == nil {
+			whole = append(whole, r)
+			continue
 		}
+		// A delta to another revision than the one in force is no use; then
+		// the whole document is read.
+		present, ok := w.config.Store.entry(r.Service)
+		if !ok || present.Revision != r.Previous {
+			continue
+		}
+		if text, err := r.Delta.apply(string(present.Text)); err == nil {
+			r.Text = text
+			whole = append(whole, r)
+		}
+	}
+	w.offer(whole)
+	return nil
+}
+
+func (w *Watcher) takeWhole(ctx context.Context, missing []change) error {
+	var keys []string
+	for _, c := range missing {
+		keys = append(keys, serviceKey(c.Service))
+	}
+	records, err := w.getRecords(ctx, keys)
+	if err != nil {
+		return err
 	}
+	w.offer(records)
+	return nil
+}
+
+func (w *Watcher) getRecords(ctx context.Context, keys []string) ([]Record, error) {
 	if len(keys) == 0 {
-		return nil
+		return nil, nil
 	}
 	rows, err := w.config.Table.Get(ctx, keys...)
 	if err != nil {
-		return merry.Prepend(err, "changed documents")
+		return nil, merry.Prepend(err, "changed documents")
 	}
 	records := make([]Record, 0, len(rows))
 	for _, row := range rows {
 		record, err := decode[Record](row)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		records = append(records, record)
 	}
-	w.offer(records)
-	return nil
+	return records, nil
 }
 
 func (w *Watcher) takeAll(ctx context.Context) error {
@@ -211,6 +274,9 @@
 }
 
 func (w *Watcher) offer(records []Record) {
+	if len(records) == 0 {
+		return
+	}
 	w.metrics.documents.Inc(int64(len(records)))
 	before := w.config.Store.Revisions()
 	entries := make([]Entry, len(records))
