scheduler: do not grant a slot to a workspace that avoids its target

Cause: a daemon that owns a target, and whose waiting requests all avoid it after a failed attempt, granted the slot to itself, got it back unused and granted it again, until its stack overflowed and all its callers lost their connections. Found by the integration test. Change: assign leaves out targets that all waiting work avoids; a grant of the daemon's own that comes back unused does not start another round; queue.Any. Conclusion: a retry no longer takes its daemon down.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -196,6 +196,16 @@
 	return it, expired, false
 }
 
+// Any tells whether a waiting request fits.
+func (q *Queue[T]) Any(fits func(Item[T]) bool) bool {
+	for _, e := range q.items {
+		if fits(e.Item) {
+			return true
+		}
+	}
+	return false
+}
+
 // Drain removes and returns all requests.
 func (q *Queue[T]) Drain() []Item[T] {
 	var all []Item[T]
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -121,6 +122,9 @@
 	charged float64
 }
 
+// fits tells whether the request may run on the target.
+func (r *request) fits(name ident.Target) bool { return !slices.Contains(r.Avoid, name) }
+
 // peer is the state kept about another daemon.
 type peer struct {
 	Peer
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -125,3 +125,20 @@
 	}
 	return others
 }
+
+// An engine fails a request, and its retry avoids that engine. It waits at the
+// daemon that owns the engine and the only other one is busy. Granted the slot
+// that it will not use, the daemon gave the slot back to itself and granted it
+// again, until its stack overflowed and all its callers lost their connections.
+func TestSlotThatAllAvoidIsNotGrantedAgainAndAgain(t *testing.T) {
+	is := is.New(t)
+	c := newCore("d1", "z1")
+	retried := request("a0", "a")
+	retried.Avoid = []ident.Target{"t1"}
+	is.True(c.Submit(start, retried) == nil)
+	is.Equal(len(dispatched(c)), 0)
+	is.True(c.Submit(start, request("b0", "b")) == nil)
+	is.Equal(dispatched(c), []ident.Request{"b0"}) // others use the slot
+	c.Finish(start.Add(time.Second), "b0", scheduler.Result{Served: 100})
+	is.Equal(len(dispatched(c)), 0)
+}
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/admission"
@@ -194,7 +193,7 @@
 	}
 	w := s.workspaces[g.Workspace]
 	it, expired, ok := w.queue.PopWhere(now, func(it queue.Item[*request]) bool {
-		return !slices.Contains(it.Value.Avoid, g.Target)
+		return it.Value.fits(g.Target)
 	})
 	c.refuseExpired(now, expired)
 	c.changed(now, s, w)
@@ -225,6 +224,11 @@
 }
 
 func (c *Core) release(now time.Time, owner ident.Daemon, rel Release) {
+	if owner == c.cfg.Self && rel.Unused {
+		// The grant comes from a running assign, which goes on with the slot.
+		c.dropGrant(rel.Grant)
+		return
+	}
 	if owner == c.cfg.Self {
 		c.released(now, rel)
 		return
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -65,27 +65,37 @@
 }
 
 // assign gives away free slots of the owned targets as long as work waits.
+//
+// Where all that waits avoids a target (a retry does not go to the one that
+// failed it), the target is left out. Granted all the same, the slot would come
+// back at once and be granted again without an end.
 func (c *Core) assign(now time.Time, s *service) {
+	var left []*target
 	for {
-		t := s.freeTarget()
+		t := s.freeTarget(left)
 		if t == nil {
 			return
 		}
-		w := c.pick(s)
-		if w == nil {
+		w, any := c.pick(s, t)
+		if !any {
 			return
 		}
-		c.grant(now, t, w, c.pickIngress(w))
+		if w == nil {
+			left = append(left, t)
+			continue
+		}
+		c.grant(now, t, w, c.pickIngress(w, t))
 	}
 }
 
-// freeTarget returns the owned target with the largest share of free slots.
-func (s *service) freeTarget() *target {
+// freeTarget returns the owned target with the largest share of free slots
+// but for those left out.
+func (s *service) freeTarget(left []*target) *target {
 	var best *target
 	var bestShare float64
 	for _, t := range s.owned {
 		free := t.Slots - len(t.grants)
-		if free <= 0 || t.health == HealthFailed || t.health == HealthLeaving {
+		if free <= 0 || t.health == HealthFailed || t.health == HealthLeaving || slices.Contains(left, t) {
 			continue
 		}
 		if share := float64(free) / float64(t.Slots); best == nil || share > bestShare {
@@ -95,21 +105,24 @@
 	return best
 }
 
-// pick returns the workspace that is owed most among those with demand.
-func (c *Core) pick(s *service) *workspace {
+// pick returns the workspace that is owed most among those with demand for the
+// target, or nil; any tells whether there is demand at all.
+func (c *Core) pick(s *service, t *target) (ws *workspace, any bool) {
 	var candidates []fairshare.Candidate
 	for _, w := range s.order {
-		backlogged := w.waiting() > 0 || w.remoteDemand() > 0
+		remote := w.remoteDemand()
+		backlogged := w.waiting() > 0 || remote > 0
 		s.ledger.SetBacklogged(w.Name, backlogged)
-		if backlogged {
+		any = any || backlogged
+		if backlogged && (remote > 0 || w.ownFor(t).waiting > 0) {
 			candidates = append(candidates, fairshare.Candidate{Workspace: w.Name, Running: w.granted})
 		}
 	}
 	name, ok := s.ledger.Pick(candidates)
 	if !ok {
-		return nil
+		return nil, any
 	}
-	return s.workspaces[name]
+	return s.workspaces[name], any
 }
 
 // urgentTurns is how many grants in a row may go to ingresses with interactive
@@ -121,14 +134,15 @@
 // requests wait, most grants go by those alone, because one that waits here
 // does not help one that waits elsewhere. A draw needs no memory of who was
 // served, and owners that draw do not all choose the same ingress.
-func (c *Core) pickIngress(w *workspace) ident.Daemon {
+func (c *Core) pickIngress(w *workspace, t *target) ident.Daemon {
+	own := w.ownFor(t)
 	w.turn = (w.turn + 1) % (urgentTurns + 1)
 	count := func(d demand) int { return d.waiting }
-	if w.turn != 0 && w.anyUrgent() {
+	if w.turn != 0 && w.anyUrgent(own) {
 		count = func(d demand) int { return d.urgent }
 	}
 	ids := make([]ident.Daemon, 0, len(w.demand))
-	total := count(w.own())
+	total := count(own)
 	for id, d := range w.demand {
 		if n := count(d); n > 0 {
 			ids = append(ids, id)
@@ -145,8 +159,8 @@
 	return c.cfg.Self
 }
 
-func (w *workspace) anyUrgent() bool {
-	if w.own().urgent > 0 {
+func (w *workspace) anyUrgent(own demand) bool {
+	if own.urgent > 0 {
 		return true
 	}
 	for _, d := range w.demand {
--- a/internal/scheduler/workspace.go
+++ b/internal/scheduler/workspace.go
@@ -72,6 +72,15 @@
 	return demand{waiting: w.waiting(), urgent: w.queue.LenClass(uint8(Interactive))}
 }
 
+// ownFor is the demand of this ingress for a target: none where every request
+// that waits here avoids it.
+func (w *workspace) ownFor(t *target) demand {
+	if !w.queue.Any(func(it queue.Item[*request]) bool { return it.Value.fits(t.Name) }) {
+		return demand{}
+	}
+	return w.own()
+}
+
 // give remembers a grant, take forgets it.
 func (w *workspace) give(to ident.Daemon, id uint64) {
 	w.granted++
