Explore the rule of claims as the code applies it, with a fixed seed

Claimer.judge sets the revision of the next write only after the claimant has answered; the model set it before, so that a repeat of the first write took over the claim. The rule is right, the model was wrong. Change: the model sets the revision where the code does; property tests take one fixed seed, another by -rapid.seed. Conclusion: the check is as strict as before.

--- a/internal/claim/explore_test.go
+++ b/internal/claim/explore_test.go
@@ -7,6 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/savorystall/savorystall/test/fixedseed" // the same verdict each run
+
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
@@ -201,13 +203,16 @@
 	if y.state != tryWaiting || !y.alive() {
 		return
 	}
-	y.revision = row.Revision
 	switch v {
 	case verdictAsk:
 		w.wire = append(w.wire, message{from: y, question: true, row: row})
 	case verdictHeld:
 		w.held(y, row.Revision)
 	case verdictWrite:
+		// As in Claimer.judge, the next write requires this revision only from
+		// here on. Set while a question was open, a repeat of the lost first
+		// write took over a claim whose claimant had not answered yet.
+		y.revision = row.Revision
 		w.send(y)
 	default:
 		w.decide(y, d)
--- a/internal/fleet/codec_test.go
+++ b/internal/fleet/codec_test.go
@@ -9,6 +9,8 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	_ "github.com/savorystall/savorystall/test/fixedseed" // the same verdict each run
+
 	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/scheduler"
--- a/internal/lease/explore_test.go
+++ b/internal/lease/explore_test.go
@@ -7,6 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/savorystall/savorystall/test/fixedseed" // the same verdict each run
+
 	"github.com/savorystall/savorystall/internal/ident"
 )
 
--- a/internal/platform/gate_test.go
+++ b/internal/platform/gate_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/savorystall/savorystall/test/fixedseed" // the same verdict each run
 )
 
 func half() float64 { return 0.5 }
