--- a/internal/order/worker.go
+++ b/internal/order/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"reflect"
 	"sync"
 	"time"
 
@@ -37,8 +38,12 @@
 
 func (k *worker) want(w Wanted) {
 	k.mu.Lock()
+	same := reflect.DeepEqual(k.latest, w)
 	k.latest = w
 	k.mu.Unlock()
+	if same {
+		return
+	}
 	select {
 	case k.changed <- struct{}{}:
 	default:
