--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -22,9 +22,6 @@
 	applyAttempts = 16
 	// applyPause is the longest wait before another try.
 	applyPause = 100 * time.Millisecond
-	// historyTTL is how long a history row is kept. At 13,000 changes a day and
-	// half a kilobyte each, 30 days are about 200 MB of the table.
-	historyTTL = 30 * 24 * time.Hour
 )
 
 // EditConflict is the error of a change that was based on another revision
@@ -44,10 +41,17 @@
 	if c.Present.Revision == 0 {
 		return fmt.Sprintf("conflict: the change is based on revision %d, but the service does not exist", c.Base)
 	}
+	if c.Present.Deleted {
+		return fmt.Sprintf("conflict: the change is based on revision %d, but %s deleted service %s at revision %d at %s",
+			c.Base, c.Present.Author, c.Present.Service, c.Present.Revision, c.Present.At.UTC().Format(time.RFC3339))
+	}
 	return fmt.Sprintf("conflict: the change of service %s is based on revision %d, but %s changed it to revision %d at %s",
 		c.Present.Service, c.Base, c.Present.Author, c.Present.Revision, c.Present.At.UTC().Format(time.RFC3339))
 }
 
+// PresentBase returns the base that a change must name now.
+func (c *EditConflict) PresentBase() uint64 { return c.Present.base() }
+
 // ErrNoService is the error of a service or revision that the table does not
 // hold.
 var ErrNoService = merry.Sentinel("the table holds no such service or revision")
@@ -137,7 +141,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if now.presentBase() != change.base {
+	if now.present.base() != change.base {
 		return 0, e.conflict(ctx, change, now.present)
 	}
 	if change.deleted && change.base == 0 {
@@ -190,6 +194,7 @@
 // tableState is what one change depends on.
 type tableState struct {
 	head    head
+	recent  recent
 	present Record
 	// rows are the table's rows by key; absent rows have revision zero.
 	rows map[string]platform.Row
@@ -198,18 +203,18 @@
 	dropped []string
 }
 
-// presentBase is the base that an edit must name: a deleted service may be
-// created anew with zero, as if it had never been.
-func (t tableState) presentBase() uint64 {
-	if t.present.Deleted {
+// base is the revision that an edit on top of the record must name: a deleted
+// service is created anew with zero, as if it had never been.
+func (r Record) base() uint64 {
+	if r.Deleted {
 		return 0
 	}
-	return t.present.Revision
+	return r.Revision
 }
 
 func (e *Editor) read(ctx context.Context, change edit) (tableState, error) {
 	state := tableState{rows: map[string]platform.Row{}}
-	keys := []string{headKey, serviceKey(change.service)}
+	keys := []string{headKey, recentKey, serviceKey(change.service)}
 	for _, model := range change.models {
 		keys = append(keys, modelKey(model))
 	}
@@ -220,6 +225,9 @@
 	if state.head, err = decodeIfPresent[head](state.rows[headKey]); err != nil {
 		return state, err
 	}
+	if state.recent, err = decodeIfPresent[recent](state.rows[recentKey]); err != nil {
+		return state, err
+	}
 	if state.present, err = decodeIfPresent[Record](state.rows[serviceKey(change.service)]); err != nil {
 		return state, err
 	}
@@ -285,11 +293,13 @@
 func (t tableState) transaction(change edit, record Record) (platform.Transaction, uint64) {
 	next := t.head.next(change.service, t.present.Revision)
 	record.Revision, record.Previous = next.Revision, t.present.Revision
-	row := encode(record)
+	history, ttl := record.historyRow(t.present)
+	record.Chain = history.Chain
 	w := txBuilder{rows: t.rows, tx: platform.Transaction{Operation: platform.NewOperation()}}
 	w.put(headKey, encode(next), 0)
-	w.put(serviceKey(change.service), row, 0)
-	w.put(historyKey(change.service, next.Revision), row, historyTTL)
+	w.put(recentKey, encode(t.recent.next(change.service, next.Revision)), 0)
+	w.put(serviceKey(change.service), encode(record), 0)
+	w.put(historyKey(change.service, next.Revision), encode(history), ttl)
 	for _, model := range change.models {
 		if !bytes.Equal(t.rows[modelKey(model)].Value, []byte(change.service)) {
 			w.put(modelKey(model), []byte(change.service), 0)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,7 +54,6 @@
 		newNode,
 		newClaimer,
 		newRunner,
-		newBudget,
 		newIngress,
 		newServers,
 		newDaemon,
@@ -71,7 +70,7 @@
 
 func newWatcher(s settings.Settings, client *platform.Client, store *config.Store, log *slog.Logger) *config.Watcher {
 	return config.NewWatcher(config.WatcherConfig{
-		Table: client, Store: store, Interval: s.Platform.ConfigPoll, Timeout: s.Platform.Timeout, Logger: log,
+		Table: client, Store: store, Interval: s.Platform.ConfigPoll, Logger: log,
 	})
 }
 
@@ -111,15 +110,15 @@
 	return b.claimer
 }
 
-func newRunner() *attempt.Runner { return attempt.NewRunner(attempt.Config{}) }
-
-func newBudget() ingress.Budget { return new(repeats) }
+func newRunner(tracing *telemetry.Tracing) *attempt.Runner {
+	return attempt.NewRunner(attempt.Config{Tracer: tracing.Tracer})
+}
 
 func newIngress(s settings.Settings, store *config.Store, loop *control.Loop, runner *attempt.Runner, claimer *claim.Claimer,
-	budget ingress.Budget, metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *ingress.Server {
+	metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *ingress.Server {
 	return ingress.NewServer(ingress.Deps{
 		Config: ingress.Config{BodyTimeout: s.Callers.BodyTimeout},
-		Store:  store, Placer: loop, Runner: runner, Claims: claimer, Budget: budget,
+		Store:  store, Placer: loop, Runner: runner, Claims: claimer,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 }
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -28,14 +28,15 @@
 	operation *document.Operation
 	// cost is the estimate in units of the service.
 	cost     float64
+	method   string
 	prefix   uint64
 	arrived  time.Time
 	deadline time.Time
 	// key is the caller's Idempotency-Key, digest covers what it stands for.
 	key    string
 	digest []byte
-	// attempt runs one attempt; header carries the trace context.
-	attempt func(ctx context.Context, id ident.Attempt, address string, header http.Header) attempt.Result
+	// attempt runs one attempt.
+	attempt func(ctx context.Context, id ident.Attempt, address string) attempt.Result
 	// finish writes what is left to write after a complete answer.
 	finish func()
 	// served returns the true cost of an attempt.
@@ -55,7 +56,7 @@
 	if deadline == 0 {
 		deadline = service.Document.Limits.Deadline
 	}
-	j := &job{w: w, service: service, workspace: ws, operation: op, arrived: now, key: r.Header.Get(HeaderIdempotencyKey)}
+	j := &job{w: w, service: service, workspace: ws, operation: op, arrived: now, method: r.Method, key: r.Header.Get(HeaderIdempotencyKey)}
 	if deadline > 0 {
 		j.deadline = now.Add(deadline)
 	}
