capacity: measure the slopes of control cost

Cause: the capacity page has to stand on measured slopes. Change: test/capacity, one command that measures links, exchange, requests, targets, changes and the scheduler alone, and fits lines.

--- /dev/null
+++ b/test/capacity/main.go
@@ -0,0 +1,81 @@
+// Command capacity measures what control costs a daemon, as slopes against the
+// number of daemons, targets, backlogged workspaces, requests and changes, and
+// prints the tables of docs/CAPACITY.md.
+//
+//	go run ./test/capacity           # all, some six minutes
+//	go run ./test/capacity -only links
+//
+// Each point of the experiments with links runs in a process of its own (the
+// subject) with its peers in one other process, so that processor time and
+// memory are the subject's alone. Everything stays on 127.0.0.1.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// options are the flags of the command.
+type options struct {
+	Only   string        `long:"only" description:"run one experiment: links, exchange, peers, requests, targets, changes, core"`
+	Window time.Duration `long:"window" default:"5s" description:"time over which each point is measured"`
+	Warm   time.Duration `long:"warm" default:"2s" description:"time between the last link and the window"`
+	Repeat int           `long:"repeat" default:"1" description:"runs of each point; all of them enter the fit"`
+	Role   string        `long:"role" hidden:"true"`
+	Point  string        `long:"point" hidden:"true"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	switch o.Role {
+	case roleSubject:
+		return runSubject([]byte(o.Point))
+	case rolePeers:
+		return runPeers([]byte(o.Point))
+	}
+	for _, e := range experiments() {
+		if o.Only != "" && o.Only != e.name {
+			continue
+		}
+		if err := e.run(o); err != nil {
+			return fmt.Errorf("%s: %w", e.name, err)
+		}
+	}
+	if o.Only == "" || o.Only == coreExperiment {
+		return measureCore()
+	}
+	return nil
+}
+
+// measure runs one point in a fresh process.
+func measure(p Point) (Sample, error) {
+	text, err := json.Marshal(p)
+	if err != nil {
+		return Sample{}, err
+	}
+	cmd := exec.Command(os.Args[0], "--role", roleSubject, "--point", string(text))
+	cmd.Stderr = os.Stderr
+	out, err := cmd.Output()
+	if err != nil {
+		return Sample{}, fmt.Errorf("point %s: %w", text, err)
+	}
+	var s Sample
+	return s, json.Unmarshal(out, &s)
+}
