--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -18,10 +18,13 @@
 // Defaults of WatcherConfig.
 const (
 	DefaultPollInterval = time.Second
-	DefaultPollTimeout  = 2 * time.Second
+	DefaultReadTimeout  = 10 * time.Second
 	// pollJitter spreads polls by this part of the interval to either side, so
 	// that daemons started together do not read together.
 	pollJitter = 0.2
+	// behindPolls is how many polls in a row may find the table behind what is
+	// in force before it is logged: more than any stale read lasts.
+	behindPolls = 30
 )
 
 // WatcherConfig configures a Watcher.
@@ -33,7 +36,9 @@
 	// Interval is the mean time between two reads of the head row; default 1s.
 	// 360 daemons then do 360 reads a second of the table's 2,000.
 	Interval time.Duration
-	// Timeout bounds one poll with all its reads; default 2s.
+	// Timeout bounds one read with all its tries; default 10s. It bounds each
+	// read by itself, because a poll that was cut short in a slow table would
+	// begin anew each time and never get to the documents.
 	Timeout time.Duration
 	// Clock defaults to the real one.
 	Clock clock.Clock
@@ -50,7 +55,7 @@
 		c.Interval = DefaultPollInterval
 	}
 	if c.Timeout <= 0 {
-		c.Timeout = DefaultPollTimeout
+		c.Timeout = DefaultReadTimeout
 	}
 	if c.Clock == nil {
 		c.Clock = clock.Real
@@ -72,6 +77,9 @@
 	config  WatcherConfig
 	metrics watcherMetrics
 	failing bool
+	// behind counts the polls in a row that found an older head than what is in
+	// force.
+	behind int
 }
 
 type watcherMetrics struct {
@@ -110,8 +118,6 @@
 }
 
 func (w *Watcher) pollOnce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, w.config.Timeout)
-	defer cancel()
 	w.metrics.polls.Inc(1)
 	err := w.Poll(ctx)
 	w.metrics.revision.Update(float64(w.config.Store.Head()))
@@ -135,7 +141,7 @@
 
 // Poll reads the head row once and takes what has changed.
 func (w *Watcher) Poll(ctx context.Context) error {
-	rows, err := w.config.Table.Get(ctx, headKey)
+	rows, err := w.get(ctx, headKey)
 	if err != nil {
 		return merry.Prepend(err, "head row")
 	}
@@ -146,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	if latest.Revision <= w.config.Store.Head() {
+	if latest.Revision <= w.config.Store.provenHead() || w.complete(latest) {
 		return nil
 	}
 	return w.catchUp(ctx, latest)
@@ -157,7 +163,7 @@
 // digests unequal and Head where it was, so that the next poll tries again.
 func (w *Watcher) catchUp(ctx context.Context, latest head) error {
 	if w.config.Store.Head() > 0 {
-		if err := w.takeRecent(ctx, latest); err != nil {
+		if err := w.takeRecent(ctx); err != nil {
 			return err
 		}
 		if w.complete(latest) {
@@ -173,36 +179,123 @@
 	return nil
 }
 
-func (w *Watcher) takeRecent(ctx context.Context, latest head) error {
+// takeRecent takes the listed changes, as deltas where the document before
+// each is in force here, else as whole documents.
+func (w *Watcher) takeRecent(ctx context.Context) error {
+	rows, err := w.get(ctx, recentKey)
+	if err != nil || len(rows) == 0 {
+		return err
+	}
+	listed, err := decode[recent](rows[0])
+	if err != nil {
+		return err
+	}
+	if err := w.takeDeltas(ctx, w.missing(listed)); err != nil {
+		return err
+	}
+	return w.takeWhole(ctx, w.missing(listed))
+}
+
+func (w *Watcher) missing(listed recent) []change {
 	seen := w.config.Store.seen()
-	var keys []string
-	for _, c := range latest.Recent {
+	var missing []change
+	for _, c := range listed {
 		if c.Revision > seen[c.Service] {
-			keys = append(keys, serviceKey(c.Service))
+			missing = append(missing, c)
+		}
+	}
+	return missing
+}
+
+func (w *Watcher) takeDeltas(ctx context.Context, missing []change) error {
+	var keys []string
+	for _, c := range missing {
+		keys = append(keys, historyKey(c.Service, c.Revision))
+	}
+	records, err := w.getRecords(ctx, keys)
+	if err != nil {
+		return err
+	}
+	var whole []Record
+	for _, r := range records {
+		if r.Delta == nil {
+			whole = append(whole, r)
+			continue
+		}
+		// A delta to another revision than the one in force is no use; then
+		// the whole document is read.
+		present, ok := w.config.Store.entry(r.Service)
+		if !ok || present.Revision != r.Previous {
+			continue
+		}
+		if text, err := r.Delta.apply(string(present.Text)); err == nil {
+			r.Text = text
+			whole = append(whole, r)
 		}
 	}
+	w.offer(whole)
+	return nil
+}
+
+func (w *Watcher) takeWhole(ctx context.Context, missing []change) error {
+	var keys []string
+	for _, c := range missing {
+		keys = append(keys, serviceKey(c.Service))
+	}
+	records, err := w.getRecords(ctx, keys)
+	if err != nil {
+		return err
+	}
+	w.offer(records)
+	return nil
+}
+
+func (w *Watcher) get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	return boundedTable{w.config.Table, w.config.Timeout}.Get(ctx, keys...)
+}
+
+// boundedTable bounds each read of a table.
+type boundedTable struct {
+	platform.Table
+	timeout time.Duration
+}
+
+// Get implements platform.Table.
+func (b boundedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, b.timeout)
+	defer cancel()
+	return b.Table.Get(ctx, keys...)
+}
+
+// Scan implements platform.Table.
+func (b boundedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, b.timeout)
+	defer cancel()
+	return b.Table.Scan(ctx, prefix, after, limit)
+}
+
+func (w *Watcher) getRecords(ctx context.Context, keys []string) ([]Record, error) {
 	if len(keys) == 0 {
-		return nil
+		return nil, nil
 	}
-	rows, err := w.config.Table.Get(ctx, keys...)
+	rows, err := w.get(ctx, keys...)
 	if err != nil {
-		return merry.Prepend(err, "changed documents")
+		return nil, merry.Prepend(err, "changed documents")
 	}
 	records := make([]Record, 0, len(rows))
 	for _, row := range rows {
 		record, err := decode[Record](row)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		records = append(records, record)
 	}
-	w.offer(records)
-	return nil
+	return records, nil
 }
 
 func (w *Watcher) takeAll(ctx context.Context) error {
 	w.metrics.scans.Inc(1)
-	records, err := scanRecords(ctx, w.config.Table, servicePrefix)
+	records, err := scanRecords(ctx, boundedTable{w.config.Table, w.config.Timeout}, servicePrefix)
 	if err != nil {
 		return merry.Prepend(err, "all documents")
 	}
@@ -211,6 +304,9 @@
 }
 
 func (w *Watcher) offer(records []Record) {
+	if len(records) == 0 {
+		return
+	}
 	w.metrics.documents.Inc(int64(len(records)))
 	before := w.config.Store.Revisions()
 	entries := make([]Entry, len(records))
@@ -231,20 +327,22 @@
 	}
 }
 
-// complete tells whether the Store has seen every change up to the head, and
-// raises its Head if so. Where a peer or a later read has brought changes
-// beyond the head, the digests differ without a fault; the next poll brings a
-// later head.
+// complete tells whether nothing is to be read: the Store has seen every change
+// up to the head, which is then proven, or it has seen later ones. These come
+// from a peer or from a later state of the table, and the next head will tell.
 func (w *Watcher) complete(latest head) bool {
 	seen := w.config.Store.seen()
 	if digestOf(seen) == latest.Digest {
-		w.config.Store.raiseHead(latest.Revision)
+		w.config.Store.prove(latest.Revision)
+		w.behind = 0
 		return true
 	}
-	for _, revision := range seen {
-		if revision > latest.Revision {
-			return true
-		}
+	if w.config.Store.newest() <= latest.Revision {
+		return false
+	}
+	w.behind++
+	if w.behind == behindPolls {
+		event.ConfigBehind.Log(w.config.Logger, "table", latest.Revision, "in_force", w.config.Store.newest())
 	}
-	return false
+	return true
 }
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/fairshare"
 	"github.com/savorystall/savorystall/internal/ident"
 )
 
@@ -46,13 +47,9 @@
 	if s == nil || s.workspaces[d.Workspace] == nil {
 		return
 	}
-	waiting := int(d.Waiting)
-	for id, g := range c.grants {
-		if id > d.Seen && g.ingress == from && g.Service == d.Service && g.Workspace == d.Workspace {
-			waiting--
-		}
-	}
-	s.workspaces[d.Workspace].demand[from] = waiting
+	w := s.workspaces[d.Workspace]
+	known := demand{waiting: int(d.Waiting), urgent: int(d.Urgent)}
+	w.demand[from] = known.less(w.unseen(from, d.Seen))
 }
 
 // reconcile frees the slots whose release was lost: the ingress lists what it
@@ -67,21 +64,20 @@
 
 // Tick does what is due: deadlines, demand, service parts and held grants.
 func (c *Core) Tick(now time.Time) {
-	exchange := !now.Before(c.nextExchange)
-	if exchange {
-		c.nextExchange = now.Add(c.cfg.Exchange)
-	}
+	c.early.refill()
+	at := c.due(now)
 	for _, s := range c.services {
 		for _, w := range s.order {
-			c.expire(now, w)
-			c.showDemand(now, s, w, exchange)
+			c.expire(now, s, w)
+			c.showDemand(now, s, w, at)
 		}
-		if exchange {
+		if at == onExchange {
 			c.sendParts(s)
+			c.tune(s)
 		}
 	}
 	for _, p := range c.peers {
-		p.full = p.full && !exchange
+		p.full = p.full && at != onExchange
 	}
 	if !now.Before(c.nextHeld) {
 		c.nextHeld = now.Add(c.cfg.Held)
@@ -90,27 +86,38 @@
 	c.assignAll(now)
 }
 
-// showDemand tells the owners how many requests wait. A change from or to
-// nothing goes at once, since a target idles or a grant is wasted otherwise;
-// other changes wait for the exchange.
-func (c *Core) showDemand(now time.Time, s *service, w *workspace, exchange bool) {
-	waiting := uint32(w.waiting())
-	oldest, some := w.oldest()
-	spill := some && now.Sub(oldest) >= c.cfg.Spill
-	for id, p := range c.peers {
-		value := waiting
-		if p.Zone != c.cfg.Zone && !spill {
-			value = 0
+// due tells what the tick has to send.
+func (c *Core) due(now time.Time) cadence {
+	at := onTick
+	if !now.Before(c.nextSettle) {
+		c.nextSettle = now.Add(settle)
+		at = onSettle
+	}
+	if !now.Before(c.nextExchange) {
+		c.nextExchange = now.Add(c.cfg.Exchange)
+		at = onExchange
+	}
+	return at
+}
+
+// tune fits the ledger to what was measured since.
+func (c *Core) tune(s *service) {
+	conditions := fairshare.Conditions{
+		Lag:      c.cfg.Exchange,
+		SlotRate: s.rate.value,
+		MeanCost: s.cost.value,
+	}
+	for _, t := range s.targets {
+		if t.usable() {
+			conditions.FleetSlots += t.Slots
 		}
-		shown := w.shown[id]
-		due := exchange || (shown == 0) != (value == 0)
-		if value == shown && !(p.full && exchange) || !due {
-			continue
+	}
+	for _, t := range s.owned {
+		if t.usable() {
+			conditions.OwnSlots += t.Slots
 		}
-		w.shown[id] = value
-		m := c.message(id)
-		m.Demand = append(m.Demand, Demand{Service: s.name, Workspace: w.Name, Waiting: value, Seen: p.seenGrant})
 	}
+	s.ledger.Tune(conditions)
 }
 
 func (c *Core) sendParts(s *service) {
