--- /dev/null
+++ b/internal/fleet/codec_bench_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
+// exchangeOf is one exchange of demand and parts of so many workspaces, whose
+// names are as long as real ones.
+func exchangeOf(workspaces int) scheduler.Message {
+	var m scheduler.Message
+	for i := range workspaces {
+		name := ident.Workspace(fmt.Sprintf("workspace-%04d", i))
+		m.Demand = append(m.Demand, scheduler.Demand{Service: "lm-pool", Workspace: name, Waiting: uint32(i % 50), Seen: 1 << 20})
+		m.Parts = append(m.Parts, scheduler.Part{Service: "lm-pool", Workspace: name, Served: float64(1<<24 + i*1000)})
+	}
+	return m
+}
+
+// BenchmarkExchange gives the bytes of a row of an exchange, with the tables of
+// names kept for the link and with tables that are new in each frame.
+func BenchmarkExchange(b *testing.B) {
+	for _, workspaces := range []int{1, 10, 62, 620} {
+		for _, kept := range []bool{true, false} {
+			b.Run(fmt.Sprintf("workspaces=%d/tables kept=%v", workspaces, kept), func(b *testing.B) {
+				m := exchangeOf(workspaces)
+				enc := newEncoder()
+				enc.message(&fleetv1.Frame{}, &m)
+				size := 0
+				for b.Loop() {
+					if !kept {
+						enc = newEncoder()
+					}
+					f := &fleetv1.Frame{}
+					enc.message(f, &m)
+					wire, err := proto.Marshal(f)
+					if err != nil {
+						b.Fatal(err)
+					}
+					size = len(wire)
+				}
+				b.ReportMetric(float64(size)/float64(workspaces), "B/workspace")
+				b.ReportMetric(float64(size), "B/frame")
+			})
+		}
+	}
+}
