capacity: start all load at once and time reports of progress

Cause: the subject's load began after its peers', which then held the slots. Change: peers wait for a word; the fit of requests stands on measured rates; one more column and today's size for the scheduler alone.

--- a/test/capacity/core.go
+++ b/test/capacity/core.go
@@ -37,6 +37,8 @@
 	core   *scheduler.Core
 	now    time.Time
 	grants []sentGrant
+	// running is a request that runs here.
+	running ident.Request
 }
 
 type sentGrant struct {
@@ -108,10 +110,13 @@
 // take empties the effects and keeps the grants that were sent.
 func (w *coreWorld) take() {
 	for _, e := range w.core.Take() {
-		if send, ok := e.(scheduler.Send); ok {
-			for _, g := range send.Message.Grants {
-				w.grants = append(w.grants, sentGrant{send.To, g})
+		switch e := e.(type) {
+		case scheduler.Send:
+			for _, g := range e.Message.Grants {
+				w.grants = append(w.grants, sentGrant{e.To, g})
 			}
+		case scheduler.Dispatch:
+			w.running = e.Request
 		}
 	}
 }
@@ -149,6 +154,23 @@
 	})
 }
 
+// progress is the mean time to take in one report of a running request.
+func (w *coreWorld) progress() time.Duration {
+	if w.running == "" {
+		return 0
+	}
+	served := float64(meanCost)
+	return repeat(func() {
+		for range progressBatch {
+			served++
+			w.core.Progress(w.running, served)
+		}
+	}, w.take) / progressBatch
+}
+
+// progressBatch keeps the clock's own cost out of a very short operation.
+const progressBatch = 1000
+
 // repeat returns the mean time of op; after is not counted.
 func repeat(op, after func()) time.Duration {
 	var spent time.Duration
@@ -173,6 +195,7 @@
 func coreAxes() []coreAxis {
 	plan := coreSize{planDaemons, planWorkspaces, planBacklogged, planTargets}
 	return []coreAxis{
+		{"daemons at the size of today", []int{4, 5, 6, 7}, func(v int) coreSize { return coreSize{v, 32, 16, 16} }},
 		{"daemons", []int{45, 90, 180, 270, 360}, func(v int) coreSize { s := plan; s.daemons = v; return s }},
 		{"workspaces", []int{775, 1550, 3100, 4650, 6200}, func(v int) coreSize { s := plan; s.workspaces = v; return s }},
 		{"backlogged workspaces", []int{77, 155, 310, 465, 620}, func(v int) coreSize { s := plan; s.backlogged = v; return s }},
@@ -180,8 +203,8 @@
 	}
 }
 
-// measureCore times the scheduler's operations, all other dimensions at the
-// planned size.
+// measureCore times the scheduler's operations; but for the first axis all other
+// dimensions have the planned size.
 func measureCore() error {
 	columns := []struct {
 		name string
@@ -190,14 +213,15 @@
 		{"tick, ms", (*coreWorld).tick},
 		{"receive an exchange, ms", (*coreWorld).receive},
 		{"release to next grant, ms", (*coreWorld).regrant},
+		{"progress report, ms", (*coreWorld).progress},
 	}
 	for _, axis := range coreAxes() {
-		fmt.Printf("\n### Scheduler alone against %s, all else at the planned size\n\n", axis.name)
+		fmt.Printf("\n### Scheduler alone against %s\n\n", axis.name)
 		fmt.Printf("| %s | grants out | live heap, MB |", axis.name)
 		for _, c := range columns {
 			fmt.Printf(" %s |", c.name)
 		}
-		fmt.Print("\n|---|---|---|---|---|---|\n")
+		fmt.Print("\n|---|---|---|---|---|---|---|\n")
 		var xs []float64
 		ys := make([][]float64, len(columns)+1)
 		for _, v := range axis.values {
@@ -209,12 +233,16 @@
 			for i, c := range columns {
 				ms := float64(c.of(w)) / float64(time.Millisecond)
 				ys[i+1] = append(ys[i+1], ms)
-				fmt.Printf(" %.3f |", ms)
+				fmt.Printf(" %.4f |", ms)
 			}
 			fmt.Println()
 		}
 		fmt.Printf("\n| cost | fixed | per %s | residual (rms) | R² |\n|---|---|---|---|---|\n", axis.name)
-		for i, name := range []string{"live heap, MB", columns[0].name, columns[1].name, columns[2].name} {
+		for i := range ys {
+			name := "live heap, MB"
+			if i > 0 {
+				name = columns[i-1].name
+			}
 			l := fit(xs, ys[i])
 			fmt.Printf("| %s | %.3g | %.4g ± %.2g | %.2g | %.3f |\n", name, l.fixed, l.slope, l.slopeError, l.rms, l.r2)
 		}
--- a/test/capacity/experiment.go
+++ b/test/capacity/experiment.go
@@ -7,6 +7,8 @@
 	name, title, axis string
 	values            []float64
 	point             func(value float64) Point
+	// measured, where set, is the x of the fit in place of the setting.
+	measured func(Sample) float64
 }
 
 const coreExperiment = "core"
@@ -44,6 +46,7 @@
 			point: func(v float64) Point {
 				return Point{Daemons: 8, Backlogged: 20, Targets: 16, Rate: v}
 			},
+			measured: func(s Sample) float64 { return s.Requests },
 		},
 		{
 			name: "targets", axis: "targets",
@@ -79,6 +82,14 @@
 	{"live heap and stacks", "MB", func(s Sample) float64 { return s.Heap }},
 }
 
+// x is where a sample stands in the fit.
+func (e experiment) x(setting float64, s Sample) float64 {
+	if e.measured != nil {
+		return e.measured(s)
+	}
+	return setting
+}
+
 func (e experiment) run(o options) error {
 	fmt.Printf("\n### %s\n\n", e.title)
 	fmt.Printf("| %s | requests/s | links |", e.axis)
@@ -96,7 +107,7 @@
 			if err != nil {
 				return err
 			}
-			xs, samples = append(xs, v), append(samples, s)
+			xs, samples = append(xs, e.x(v, s)), append(samples, s)
 			fmt.Printf("| %g | %.1f | %d |", v, s.Requests, s.Links)
 			for _, c := range costs {
 				fmt.Printf(" %.2f |", c.of(s))
--- a/test/capacity/peers.go
+++ b/test/capacity/peers.go
@@ -37,11 +37,17 @@
 		} else {
 			d.node.SetVMs(vms)
 		}
-		d.load(ctx, spec.Point)
 	}
 	if err := json.NewEncoder(os.Stdout).Encode(vms); err != nil {
 		return err
 	}
+	// The first byte starts the load, the end of the input ends the process.
+	if _, err := io.ReadFull(os.Stdin, make([]byte, 1)); err != nil {
+		return err
+	}
+	for _, d := range daemons {
+		d.load(ctx, spec.Point)
+	}
 	go announce(ctx, daemons, spec.Point.Changes)
 	_, err = io.Copy(io.Discard, os.Stdin)
 	return err
--- a/test/capacity/subject.go
+++ b/test/capacity/subject.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"runtime"
@@ -55,15 +56,18 @@
 		return err
 	}
 	spec.Subject = d.vm()
-	stop, vms, err := startPeers(spec)
+	peers, vms, err := startPeers(spec)
 	if err != nil {
 		return err
 	}
-	defer stop()
+	defer peers.stop()
 	d.node.SetVMs(vms)
 	if err := awaitLinks(d, p.Daemons-1); err != nil {
 		return err
 	}
+	if err := peers.load(); err != nil {
+		return err
+	}
 	d.load(ctx, p)
 	return json.NewEncoder(os.Stdout).Encode(d.sample(p))
 }
@@ -75,8 +79,26 @@
 	return certs.Load(s.Certs)
 }
 
+// peerProcess hosts the other daemons.
+type peerProcess struct {
+	cmd   *exec.Cmd
+	stdin io.WriteCloser
+}
+
+// load starts the load of all peers at once.
+func (p *peerProcess) load() error {
+	_, err := p.stdin.Write([]byte{1})
+	return err
+}
+
+// stop ends the process by the end of its input.
+func (p *peerProcess) stop() {
+	_ = p.stdin.Close()
+	_ = p.cmd.Wait()
+}
+
 // startPeers starts the other daemons in one process and returns their list.
-func startPeers(spec peerSpec) (stop func(), vms []platform.VM, err error) {
+func startPeers(spec peerSpec) (p *peerProcess, vms []platform.VM, err error) {
 	text, err := json.Marshal(spec)
 	if err != nil {
 		return nil, nil, err
@@ -94,15 +116,12 @@
 	if err := cmd.Start(); err != nil {
 		return nil, nil, err
 	}
-	stop = func() {
-		_ = stdin.Close() // the peers end with their input
-		_ = cmd.Wait()
-	}
+	p = &peerProcess{cmd: cmd, stdin: stdin}
 	if err := json.NewDecoder(bufio.NewReader(stdout)).Decode(&vms); err != nil {
-		stop()
+		p.stop()
 		return nil, nil, err
 	}
-	return stop, vms, nil
+	return p, vms, nil
 }
 
 func awaitLinks(d *daemon, want int) error {
