fleet: give each control event its own type

Cause: the control goroutine switched over untyped events. Change: an interface with one method, a file of its own; no change of behaviour.

--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -9,7 +9,6 @@
 	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
-	"github.com/savorystall/savorystall/internal/scheduler"
 )
 
 // frameStream is the end of a stream, the same at the dialler and the listener.
@@ -129,57 +128,6 @@
 	}
 }
 
-// received is a frame that the control goroutine has to take in.
-type received struct {
-	link       *link
-	message    scheduler.Message
-	hasMessage bool
-	head       uint64
-	leaving    bool
-}
-
-// opened asks the control goroutine whether to keep a link.
-type opened struct {
-	link   *link
-	accept chan bool
-}
-
-// closed tells that a link has ended.
-type closed struct{ link *link }
-
-// dialed tells how a dial ended, once for each.
-type dialed struct {
-	peer ident.Daemon
-	// err is nil where the link was kept.
-	err error
-}
-
-// post hands an event to the control goroutine; false when ctx or the node ends.
-func (n *Node) post(ctx context.Context, e any) bool {
-	select {
-	case n.events <- e:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-n.done:
-		return false
-	}
-}
-
-// open asks the control goroutine to register the link.
-func (n *Node) open(ctx context.Context, l *link) bool {
-	o := opened{link: l, accept: make(chan bool, 1)}
-	if !n.post(ctx, o) {
-		return false
-	}
-	select {
-	case ok := <-o.accept:
-		return ok
-	case <-n.done:
-		return false
-	}
-}
-
 // run serves a registered link until it ends.
 func (n *Node) run(ctx context.Context, l *link, first *fleetv1.Frame) {
 	n.tasks.Go(func() { n.write(ctx, l, first) })
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -47,7 +47,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
-	events   chan any
+	events   chan controlEvent
 	// done is closed when the control goroutine takes no more events.
 	done     chan struct{}
 	stopOnce sync.Once
@@ -69,9 +69,6 @@
 	ticks   int
 }
 
-// vmList is a new list of VMs for the control goroutine.
-type vmList []membership.ListedVM
-
 // New opens the listener and returns a node that is not yet started. Address
 // tells where it listens.
 func New(cfg Config, handler Handler) (*Node, error) {
@@ -90,7 +87,7 @@
 	}
 	n := &Node{
 		cfg: cfg, handler: handler, table: table,
-		events: make(chan any, eventQueue), done: make(chan struct{}),
+		events: make(chan controlEvent, eventQueue), done: make(chan struct{}),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.calls.conns = map[ident.Daemon]callConn{}
@@ -222,33 +219,12 @@
 		case now := <-tick.C:
 			n.tick(now)
 		case e := <-n.events:
-			n.handle(time.Now(), e)
+			e.apply(n, time.Now())
 		}
 		n.tellPeers()
 	}
 }
 
-func (n *Node) handle(now time.Time, e any) {
-	switch e := e.(type) {
-	case received:
-		n.receive(now, e)
-	case opened:
-		e.accept <- n.register(now, e.link)
-	case closed:
-		n.unregister(now, e.link)
-	case dialed:
-		n.dialing--
-		if e.err != nil {
-			n.table.DialFailed(now, e.peer)
-		}
-		n.startDials(now)
-	case vmList:
-		n.table.SetList(now, e)
-		n.keepAddresses(e)
-		n.startDials(now)
-	}
-}
-
 // tick replaces silent links, lets silences pass judgement and dials.
 func (n *Node) tick(now time.Time) {
 	n.table.Tick(now)
@@ -334,26 +310,6 @@
 	n.handler.LinkLost(l.peer)
 }
 
-// receive takes a frame in. Frames of a link that was replaced are dropped:
-// what they say may be older than what the new link has already brought.
-func (n *Node) receive(now time.Time, r received) {
-	l := r.link
-	if n.links.byPeer[l.peer] != l || !n.table.Heard(now, l.peer, l.incarnation) {
-		return
-	}
-	if r.leaving {
-		n.table.Announced(l.peer, l.incarnation)
-		n.tellPeers()
-	}
-	if r.hasMessage {
-		n.handler.Receive(l.peer, r.message)
-	}
-	if r.head != 0 {
-		l.head = r.head
-		n.handler.Head(l.peer, r.head)
-	}
-}
-
 // tellPeers passes the members on when they have changed.
 func (n *Node) tellPeers() {
 	if n.table.Version() == n.told {
