Give orders to targets under their leases

Cause: the reconciler stood apart from the daemon. Change: the daemon hands the wanted state of the targets that it owns to the reconciler each second; leases decide who may order.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/ingress"
+	"github.com/savorystall/savorystall/internal/order"
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/internal/settings"
@@ -54,6 +55,7 @@
 		newNode,
 		newClaimer,
 		newRunner,
+		newReconciler,
 		newIngress,
 		newServers,
 		newDaemon,
@@ -110,6 +112,11 @@
 	return b.claimer
 }
 
+func newReconciler(id identity, client *platform.Client, log *slog.Logger) *order.Reconciler {
+	cfg := order.Config{Daemon: id.Daemon, Incarnation: id.Incarnation}
+	return order.New(cfg, client, client, order.NewHTTP(), log)
+}
+
 func newRunner(tracing *telemetry.Tracing) *attempt.Runner {
 	return attempt.NewRunner(attempt.Config{Tracer: tracing.Tracer})
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -17,6 +17,7 @@
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/fleet"
+	"github.com/savorystall/savorystall/internal/order"
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/settings"
 	"github.com/savorystall/savorystall/internal/telemetry"
@@ -48,6 +49,7 @@
 	Client   *platform.Client
 	Claimer  *claim.Claimer
 	Runner   *attempt.Runner
+	Orders   *order.Reconciler
 	Servers  *servers
 	Metrics  *telemetry.Metrics
 	Tracing  *telemetry.Tracing
@@ -96,8 +98,9 @@
 		client: &http.Client{Transport: &http.Transport{IdleConnTimeout: 2 * probeInterval}},
 	}
 	gauges := &gaugeReporter{parts: p}
+	orders := &orderFollower{store: p.Store, loop: p.Loop, reconciler: p.Orders}
 	watch := func(ctx context.Context) { _ = p.Watcher.Run(ctx) } // ends with nil
-	return []func(context.Context){watch, configuration.run, vms.run, probes.run, gauges.run}
+	return []func(context.Context){watch, configuration.run, vms.run, probes.run, gauges.run, orders.run}
 }
 
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -56,6 +56,11 @@
 targets:
   - {name: engine-1, zone: dev-a, address: "` + engine1 + `", slots: 8}
   - {name: engine-2, zone: dev-a, address: "` + engine2 + `", slots: 8}
+orders:
+  fencing: enforced
+  targets:
+    - {name: engine-1, models: [recap-1], version: "1"}
+    - {name: engine-2, models: [recap-1], version: "1"}
 `
 }
 
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -48,3 +48,15 @@
 	}
 	return loads
 }
+
+// Owned returns the targets that this daemon grants.
+func (c *Core) Owned() map[ident.Service]map[ident.Target]bool {
+	owned := make(map[ident.Service]map[ident.Target]bool, len(c.services))
+	for _, s := range c.services {
+		owned[s.name] = make(map[ident.Target]bool, len(s.owned))
+		for _, t := range s.owned {
+			owned[s.name][t.Name] = true
+		}
+	}
+	return owned
+}
