config: start from the archive without serving old documents

Cause: the archive was not used by the daemon; put in force at once it would let a restarted daemon serve documents of minutes ago while peers have newer ones. Change: the watcher holds the archive back until the table's head is read, and for 3 s of peers' time while the table is out; the daemon passes its object store and runs the archiver (two small changes in internal/daemon); events 415 and 416 (docs/EVENTS.md has to be generated again). watcher.go is split. Conclusion: tests with the table out, with a peer, and with the table at hand.

--- a/internal/config/archive.go
+++ b/internal/config/archive.go
@@ -64,24 +64,27 @@
 	return a, merry.Prepend(err, "archive")
 }
 
-// LoadArchive offers the entries of the last archive to a store. It spares the
-// table when many daemons start at once, and serves a daemon that starts while
-// the table is out; what the archive lacks comes from the table or from peers.
-// No archive is no error.
-func LoadArchive(ctx context.Context, objects platform.Objects, store *Store) error {
+// readArchive returns the last archive; an empty one where there is none.
+func readArchive(ctx context.Context, objects platform.Objects) (archive, error) {
 	body, err := objects.GetObject(ctx, archiveObject)
 	if errors.Is(err, platform.ErrAbsent) {
-		return nil
+		return archive{}, nil
 	}
 	if err != nil {
-		return merry.Prepend(err, "archive")
+		return archive{}, merry.Prepend(err, "archive")
 	}
-	a, err := decodeArchive(body)
+	return decodeArchive(body)
+}
+
+// LoadArchive puts the last archive in force, as far as it is newer than what
+// is in force. What it lacks comes from the table or from peers. No archive is
+// no error.
+func LoadArchive(ctx context.Context, objects platform.Objects, store *Store) error {
+	a, err := readArchive(ctx, objects)
 	if err != nil {
 		return err
 	}
-	_, err = store.OfferAll(a.Entries)
-	store.raiseHead(a.Revision)
+	_, err = store.CatchUp(a.Entries, a.Revision)
 	return err
 }
 
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -11,7 +11,6 @@
 
 	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/event"
-	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/platform"
 )
 
@@ -19,6 +18,9 @@
 const (
 	DefaultPollInterval = time.Second
 	DefaultReadTimeout  = 10 * time.Second
+	DefaultArchiveGrace = 3 * time.Second
+	// archiveReadTimeout bounds the read of the archive at the start.
+	archiveReadTimeout = 2 * time.Second
 	// pollJitter spreads polls by this part of the interval to either side, so
 	// that daemons started together do not read together.
 	pollJitter = 0.2
@@ -40,6 +42,11 @@
 	// read by itself, because a poll that was cut short in a slow table would
 	// begin anew each time and never get to the documents.
 	Timeout time.Duration
+	// Objects holds the archive to start from; nil starts from the table alone.
+	Objects platform.Objects
+	// ArchiveGrace is how long a daemon that cannot read the table waits for
+	// its peers before it puts the archive in force; default 3s.
+	ArchiveGrace time.Duration
 	// Clock defaults to the real one.
 	Clock clock.Clock
 	// Random returns a number in [0,1); default math/rand/v2.
@@ -57,6 +64,9 @@
 	if c.Timeout <= 0 {
 		c.Timeout = DefaultReadTimeout
 	}
+	if c.ArchiveGrace <= 0 {
+		c.ArchiveGrace = DefaultArchiveGrace
+	}
 	if c.Clock == nil {
 		c.Clock = clock.Real
 	}
@@ -77,6 +87,9 @@
 	config  WatcherConfig
 	metrics watcherMetrics
 	failing bool
+	// archive is held until the table's head was read or the grace is over.
+	archive *archive
+	started time.Time
 	// behind counts the polls in a row that found an older head than what is in
 	// force.
 	behind int
@@ -102,6 +115,8 @@
 
 // Run polls until ctx ends and then returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
+	w.started = w.config.Clock.Now()
+	w.readArchive(ctx)
 	for {
 		w.pollOnce(ctx)
 		select {
@@ -120,6 +135,9 @@
 func (w *Watcher) pollOnce(ctx context.Context) {
 	w.metrics.polls.Inc(1)
 	err := w.Poll(ctx)
+	if err != nil {
+		w.fallBack()
+	}
 	w.metrics.revision.Update(float64(w.config.Store.Head()))
 	w.note(err)
 }
@@ -152,6 +170,8 @@
 	if err != nil {
 		return err
 	}
+	w.useArchive()
+	w.archive = nil
 	if latest.Revision <= w.config.Store.provenHead() || w.complete(latest) {
 		return nil
 	}
@@ -162,7 +182,7 @@
 // suffice. The head's digest decides: a read that was stale or lost leaves the
 // digests unequal and Head where it was, so that the next poll tries again.
 func (w *Watcher) catchUp(ctx context.Context, latest head) error {
-	if w.config.Store.Head() > 0 {
+	if w.config.Store.newest() > 0 {
 		if err := w.takeRecent(ctx); err != nil {
 			return err
 		}
@@ -179,154 +199,6 @@
 	return nil
 }
 
-// takeRecent takes the listed changes, as deltas where the document before
-// each is in force here, else as whole documents.
-func (w *Watcher) takeRecent(ctx context.Context) error {
-	rows, err := w.get(ctx, recentKey)
-	if err != nil || len(rows) == 0 {
-		return err
-	}
-	listed, err := decode[recent](rows[0])
-	if err != nil {
-		return err
-	}
-	if err := w.takeDeltas(ctx, w.missing(listed)); err != nil {
-		return err
-	}
-	return w.takeWhole(ctx, w.missing(listed))
-}
-
-func (w *Watcher) missing(listed recent) []change {
-	seen := w.config.Store.seen()
-	var missing []change
-	for _, c := range listed {
-		if c.Revision > seen[c.Service] {
-			missing = append(missing, c)
-		}
-	}
-	return missing
-}
-
-func (w *Watcher) takeDeltas(ctx context.Context, missing []change) error {
-	var keys []string
-	for _, c := range missing {
-		keys = append(keys, historyKey(c.Service, c.Revision))
-	}
-	records, err := w.getRecords(ctx, keys)
-	if err != nil {
-		return err
-	}
-	var whole []Record
-	for _, r := range records {
-		if r.Delta == nil {
-			whole = append(whole, r)
-			continue
-		}
-		// A delta to another revision than the one in force is no use; then
-		// the whole document is read.
-		present, ok := w.config.Store.entry(r.Service)
-		if !ok || present.Revision != r.Previous {
-			continue
-		}
-		if text, err := r.Delta.apply(string(present.Text)); err == nil {
-			r.Text = text
-			whole = append(whole, r)
-		}
-	}
-	w.offer(whole)
-	return nil
-}
-
-func (w *Watcher) takeWhole(ctx context.Context, missing []change) error {
-	var keys []string
-	for _, c := range missing {
-		keys = append(keys, serviceKey(c.Service))
-	}
-	records, err := w.getRecords(ctx, keys)
-	if err != nil {
-		return err
-	}
-	w.offer(records)
-	return nil
-}
-
-func (w *Watcher) get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	return boundedTable{w.config.Table, w.config.Timeout}.Get(ctx, keys...)
-}
-
-// boundedTable bounds each read of a table.
-type boundedTable struct {
-	platform.Table
-	timeout time.Duration
-}
-
-// Get implements platform.Table.
-func (b boundedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, b.timeout)
-	defer cancel()
-	return b.Table.Get(ctx, keys...)
-}
-
-// Scan implements platform.Table.
-func (b boundedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, b.timeout)
-	defer cancel()
-	return b.Table.Scan(ctx, prefix, after, limit)
-}
-
-func (w *Watcher) getRecords(ctx context.Context, keys []string) ([]Record, error) {
-	if len(keys) == 0 {
-		return nil, nil
-	}
-	rows, err := w.get(ctx, keys...)
-	if err != nil {
-		return nil, merry.Prepend(err, "changed documents")
-	}
-	records := make([]Record, 0, len(rows))
-	for _, row := range rows {
-		record, err := decode[Record](row)
-		if err != nil {
-			return nil, err
-		}
-		records = append(records, record)
-	}
-	return records, nil
-}
-
-func (w *Watcher) takeAll(ctx context.Context) error {
-	w.metrics.scans.Inc(1)
-	records, err := scanRecords(ctx, boundedTable{w.config.Table, w.config.Timeout}, servicePrefix)
-	if err != nil {
-		return merry.Prepend(err, "all documents")
-	}
-	w.offer(records)
-	return nil
-}
-
-func (w *Watcher) offer(records []Record) {
-	if len(records) == 0 {
-		return
-	}
-	w.metrics.documents.Inc(int64(len(records)))
-	before := w.config.Store.Revisions()
-	entries := make([]Entry, len(records))
-	for i, r := range records {
-		entries[i] = r.Entry()
-	}
-	if _, err := w.config.Store.OfferAll(entries); err != nil {
-		event.ConfigInvalid.Log(w.config.Logger, "error", err)
-	}
-	w.logChanges(before, w.config.Store.Revisions())
-}
-
-func (w *Watcher) logChanges(before, after map[ident.Service]uint64) {
-	for service, revision := range after {
-		if revision != before[service] {
-			event.ConfigInForce.Log(w.config.Logger, "service", service, "revision", revision)
-		}
-	}
-}
-
 // complete tells whether nothing is to be read: the Store has seen every change
 // up to the head, which is then proven, or it has seen later ones. These come
 // from a peer or from a later state of the table, and the next head will tell.
--- a/internal/config/watcher_test.go
+++ b/internal/config/watcher_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
 	"github.com/savorystall/savorystall/internal/config"
@@ -111,17 +112,34 @@
 	is.Equal(store.Head(), uint64(7))
 }
 
-// A daemon starts while the table is out but the object store works: it serves
-// what the last archive holds, and takes the rest when the table is back.
-func TestStartFromArchiveDuringAnOutage(t *testing.T) {
+// startWithArchive starts a watcher that has the archive, and stops it with the
+// test. It returns the watcher's metrics.
+func (b *bench) startWithArchive(t *testing.T, store *config.Store, grace time.Duration) tally.TestScope {
+	scope := tally.NewTestScope("", nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	watcher := config.NewWatcher(config.WatcherConfig{
+		Table: b.client, Objects: b.client, Store: store,
+		Interval: 5 * time.Millisecond, Timeout: 100 * time.Millisecond, ArchiveGrace: grace, Logger: quiet, Scope: scope,
+	})
+	go func() { ended <- watcher.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(<-ended)
+	})
+	return scope
+}
+
+// archived makes three changes, archives them, makes one more and returns the
+// revision of the archive and the last one.
+func (b *bench) archived(t *testing.T) (archive, last uint64) {
 	is := is.New(t)
-	b := newBench(t)
 	e := b.editor("ana")
 	first, err := e.Apply(t.Context(), text("portal", 1), 0, "")
 	is.NoErr(err)
 	gone, err := e.Apply(t.Context(), text("old", 1), 0, "")
 	is.NoErr(err)
-	deleted, err := e.Delete(t.Context(), "old", gone, "")
+	archive, err = e.Delete(t.Context(), "old", gone, "")
 	is.NoErr(err)
 	writer := config.NewStore()
 	is.NoErr(b.watcher(writer).Poll(t.Context()))
@@ -132,21 +150,68 @@
 	wrote, err = archiver.Archive(t.Context())
 	is.NoErr(err)
 	is.True(!wrote) // not due again
-	last, err := e.Apply(t.Context(), text("portal", 2), first, "")
+	last, err = e.Apply(t.Context(), text("portal", 2), first, "")
 	is.NoErr(err)
+	return archive, last
+}
 
+// A daemon starts while the table is out but the object store works, and no
+// peer answers: after the grace it serves what the last archive holds, and
+// takes the rest when the table is back.
+func TestStartFromArchiveDuringAnOutage(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	archive, last := b.archived(t)
 	b.server.SetFaults(platformstandin.Table, platformstandin.Faults{Down: true})
 	store := config.NewStore()
-	is.NoErr(config.LoadArchive(t.Context(), b.client, store))
-	is.Equal(store.Head(), deleted)
-	is.Equal(store.Revisions()["old"], deleted) // the deletion is in the archive
+	b.startWithArchive(t, store, time.Millisecond)
+	await(t, store, archive)
+	is.Equal(store.Revisions()["old"], archive) // the deletion is in the archive
 	_, ok := store.Snapshot().Service("portal")
 	is.True(ok)
 	b.server.SetFaults(platformstandin.Table, platformstandin.Faults{})
-	b.run(t, store)
 	await(t, store, last)
 }
 
+// A daemon is restarted while the table is out. Its archive is minutes old, but
+// a peer has the present documents. It must not serve the old ones meanwhile.
+func TestPeerGoesBeforeTheArchive(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	_, last := b.archived(t)
+	peer := config.NewStore()
+	is.NoErr(b.watcher(peer).Poll(t.Context()))
+	b.server.SetFaults(platformstandin.Table, platformstandin.Faults{Down: true})
+	store := config.NewStore()
+	b.startWithArchive(t, store, time.Hour)
+	before := b.server.Calls(platformstandin.Table)
+	for b.server.Calls(platformstandin.Table) < before+3 {
+		time.Sleep(time.Millisecond) // the watcher has tried the table
+	}
+	is.Equal(len(store.Snapshot().Services()), 0)
+	_, err := store.CatchUp(peer.Since(store.Head()))
+	is.NoErr(err)
+	is.Equal(store.Head(), last)
+	service, ok := store.Snapshot().Service("portal")
+	is.True(ok)
+	is.Equal(service.Revision, last)
+}
+
+// With the table at hand, a daemon with an archive reads just what the archive
+// lacks.
+func TestArchiveSparesTheTable(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	_, last := b.archived(t)
+	store := config.NewStore()
+	scope := b.startWithArchive(t, store, time.Hour)
+	await(t, store, last)
+	is.Equal(store.Revisions()["old"], last-1)
+	counters := scope.Snapshot().Counters()
+	is.Equal(counters["config.scans+"].Value(), int64(0))
+	is.Equal(counters["config.documents_read+"].Value(), int64(1))
+}
+
 // newerRelease writes documents that this release cannot read.
 type newerRelease struct{ platform.Table }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,7 @@
 		newPlatform,
 		config.NewStore,
 		newWatcher,
+		newArchiver,
 		newBridge,
 		newLoop,
 		newNode,
@@ -72,10 +73,14 @@
 
 func newWatcher(s settings.Settings, client *platform.Client, store *config.Store, log *slog.Logger) *config.Watcher {
 	return config.NewWatcher(config.WatcherConfig{
-		Table: client, Store: store, Interval: s.Platform.ConfigPoll, Logger: log,
+		Table: client, Objects: client, Store: store, Interval: s.Platform.ConfigPoll, Logger: log,
 	})
 }
 
+func newArchiver(client *platform.Client, store *config.Store, log *slog.Logger) *config.Archiver {
+	return config.NewArchiver(config.ArchiverConfig{Table: client, Objects: client, Store: store, Logger: log})
+}
+
 func newBridge(id identity, store *config.Store) *bridge {
 	return &bridge{store: store, self: id.Daemon}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -46,6 +46,7 @@
 	Bridge   *bridge
 	Store    *config.Store
 	Watcher  *config.Watcher
+	Archiver *config.Archiver
 	Client   *platform.Client
 	Claimer  *claim.Claimer
 	Runner   *attempt.Runner
@@ -99,8 +100,9 @@
 	}
 	gauges := &gaugeReporter{parts: p}
 	orders := &orderFollower{store: p.Store, loop: p.Loop, reconciler: p.Orders}
-	watch := func(ctx context.Context) { _ = p.Watcher.Run(ctx) } // ends with nil
-	return []func(context.Context){watch, configuration.run, vms.run, probes.run, gauges.run, orders.run}
+	watch := func(ctx context.Context) { _ = p.Watcher.Run(ctx) }    // ends with nil
+	archive := func(ctx context.Context) { _ = p.Archiver.Run(ctx) } // ends with nil
+	return []func(context.Context){watch, archive, configuration.run, vms.run, probes.run, gauges.run, orders.run}
 }
 
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -12,6 +12,8 @@
 	SnapshotWritten      = define(406, slog.LevelInfo, "a snapshot of the configuration was written", "none")
 	SnapshotFailed       = define(407, slog.LevelWarn, "no snapshot of the configuration could be written", "none if a later one succeeds; else look at the object store")
 	ConfigBehind         = define(408, slog.LevelError, "the table's configuration is older than what is in force", "if the table was restored from a backup, apply every service again until its revision passes the one in force")
+	ArchiveUnreadable    = define(415, slog.LevelWarn, "the archive of the configuration cannot be read; the daemon starts from the table", "none if a later start succeeds; else look at the object store")
+	ArchiveInForce       = define(416, slog.LevelWarn, "neither the table nor a peer gave the configuration; the archive is in force, which may be minutes old", "see docs/OPERATIONS.md, a store outage")
 	PlatformOutage       = define(410, slog.LevelWarn, "a store of the platform is out of reach; it is probed by one call at a time", "see docs/OPERATIONS.md, a store outage")
 	PlatformRecovered    = define(411, slog.LevelInfo, "a store of the platform answers again", "none")
 	PlatformAnswerLost   = define(412, slog.LevelWarn, "the answer to a write was lost; the write is settled by its operation id", "none")
