--- /dev/null
+++ b/internal/claim/platform_test.go
@@ -0,0 +1,113 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/claim"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/resultcode"
+	platformstandin "github.com/savorystall/savorystall/internal/standin/platform"
+)
+
+// direct asks the other claimers without a network.
+type direct struct {
+	mu       sync.Mutex
+	claimers map[string]*claim.Claimer
+}
+
+func (d *direct) Ask(_ context.Context, daemon ident.Daemon, incarnation uint64, k claim.Key, a ident.Attempt) (claim.Answer, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.claimers[string(daemon)].Answer(daemon, incarnation, k, a), nil
+}
+
+// newDaemon returns a claimer on the platform's HTTP binding.
+func (d *direct) newDaemon(t *testing.T, url, name string, wait time.Duration) *claim.Claimer {
+	client := platform.NewClient(platform.ClientConfig{URL: url, TryTimeout: 200 * time.Millisecond, Logger: slog.New(slog.DiscardHandler)})
+	c := claim.New(claim.Config{Daemon: ident.Daemon(name), Incarnation: 1, Wait: wait, WritesPerSecond: 1000}, client, d, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-ended; client.Close() })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.claimers[name] = c
+	return c
+}
+
+func start(t *testing.T) (*platformstandin.Server, string) {
+	server := platformstandin.New(platformstandin.Config{})
+	listener := httptest.NewServer(server)
+	t.Cleanup(func() { listener.Close(); server.Wait() })
+	return server, listener.URL
+}
+
+func TestClaimsOverLossyPlatform(t *testing.T) {
+	// Forty callers claim at once while the table takes their writes without
+	// answering, and then again through another daemon. Each key is granted
+	// once, and no caller is refused for the table's sake.
+	is := is.New(t)
+	server, url := start(t)
+	d := &direct{claimers: map[string]*claim.Claimer{}}
+	a, b := d.newDaemon(t, url, "a", 20*time.Second), d.newDaemon(t, url, "b", 20*time.Second)
+	const keys = 40
+	var granted [keys]int
+	for _, c := range []*claim.Claimer{a, b} {
+		server.SetFaults(platformstandin.Table, platformstandin.Faults{LoseAnswers: 3})
+		var callers sync.WaitGroup
+		for i := range keys {
+			callers.Go(func() {
+				k := claim.Key{Service: "s", Workspace: "w", Idempotency: fmt.Sprint(i)}
+				decision, err := c.Claim(context.Background(), k, []byte("digest"), "x")
+				if _, ok := decision.(claim.Proceed); ok && err == nil {
+					granted[i]++
+				} else if r, ok := decision.(claim.Refuse); !ok || r.Failure.Code != resultcode.InProgress {
+					t.Errorf("key %d: %v %v", i, decision, err)
+				}
+			})
+		}
+		callers.Wait()
+	}
+	for i := range keys {
+		is.Equal(granted[i], 1)
+	}
+}
+
+func TestClaimsWhilePlatformIsDown(t *testing.T) {
+	// The table answers nothing for longer than the caller waits; then what it
+	// was sent takes effect late, and the caller repeats through another daemon.
+	for name, faults := range map[string]platformstandin.Faults{
+		"down":   {Down: true},
+		"silent": {Silent: true},
+		"late":   {LoseAnswers: -1, LateEffect: 400 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, url := start(t)
+			d := &direct{claimers: map[string]*claim.Claimer{}}
+			a, b := d.newDaemon(t, url, "a", 300*time.Millisecond), d.newDaemon(t, url, "b", 20*time.Second)
+			server.SetFaults(platformstandin.Table, faults)
+			k := claim.Key{Service: "s", Workspace: "w", Idempotency: "k"}
+			decision, err := a.Claim(t.Context(), k, []byte("digest"), "x")
+			is.NoErr(err)
+			is.Equal(decision.(claim.Refuse).Failure.Code, resultcode.StoreUnavailable)
+			server.SetFaults(platformstandin.Table, platformstandin.Faults{})
+			server.Wait()
+			decision, err = b.Claim(t.Context(), k, []byte("digest"), "x")
+			is.NoErr(err)
+			is.NoErr(decision.(claim.Proceed).Hold.Start(time.Now()))
+		})
+	}
+}
--- a/internal/claim/types.go
+++ b/internal/claim/types.go
@@ -104,7 +104,8 @@
 	// AskTimeout bounds one question to a claimant. Default 1 s.
 	AskTimeout time.Duration
 	// Term is the longest time between Claim and the first byte, by this
-	// process's monotonic clock. It must be far below RecordTTL. Default 5 min.
+	// process's monotonic clock. It must be above the longest wait in a queue
+	// and far below RecordTTL. Default 1 h.
 	Term time.Duration
 	// RecordTTL is how long a record is kept after its last write. A repeat
 	// after it runs again. Default 24 h.
@@ -117,7 +118,8 @@
 	BatchBytes int
 	// Linger is how long a transaction waits for more rows. Default 2 ms.
 	Linger time.Duration
-	// CommitTimeout bounds one try at a transaction. Default 2 s.
+	// CommitTimeout bounds one transaction, with the tries by which the table's
+	// client settles a lost answer. Default 10 s.
 	CommitTimeout time.Duration
 	// WritesPerSecond bounds this daemon's transactions. Default 40, which is
 	// the share of 7 daemons in a budget of 300 writes a second.
