--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -146,6 +146,7 @@
 		requests: map[ident.Request]*request{},
 		grants:   map[uint64]*grantOut{},
 		outbox:   map[ident.Daemon]*Message{},
+		early:    allowance{left: earlyMessages},
 	}
 }
 
