--- a/test/integration/integration_test.go
+++ b/test/integration/integration_test.go
@@ -1,8 +1,10 @@
 package integration_test
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -64,11 +66,23 @@
 			t.Errorf("%s (kind %d): no answer from the daemon: %s", r.mark, r.kind, r.message)
 		}
 	}
+	logSlowest(t, requests)
 	t.Logf("%d requests: %d complete, %d visibly cut, %d refused %v; slowest %v",
 		len(requests), counts[complete], counts[cut], counts[refused], refusals, slowest)
 	return counts
 }
 
+// logSlowest shows where callers waited longest.
+func logSlowest(t *testing.T, requests []*request) {
+	bySlowness := slices.Clone(requests)
+	slices.SortFunc(bySlowness, func(a, b *request) int { return cmp.Compare(b.elapsed, a.elapsed) })
+	for _, r := range bySlowness[:min(shownSlowest, len(bySlowness))] {
+		t.Logf("%v: %s kind %d verdict %d code %d %s", r.elapsed.Round(time.Millisecond), r.mark, r.kind, r.verdict, r.code, r.message)
+	}
+}
+
+const shownSlowest = 8
+
 // A night of the larger fleet in a few seconds: two thousand callers at once, of
 // all kinds, while links to targets and between daemons are cut, slowed and go
 // silent, engines lose streams and targets leave. A caller may get an error. It
