ingress: judge the path that the target gets

Cause: the operation was found by the decoded path, but the target got the escaped one: /a%2Fb passed for /a/b, so that an unrepeatable operation could pass for a repeatable one at the target.

--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -42,7 +42,13 @@
 	if failure != nil {
 		return nil, failure
 	}
-	decoded := strings.TrimPrefix(r.URL.Path, "/services/"+name)
+	// The target gets the escaped path, so that is what is judged: an encoded
+	// slash could make an unrepeatable operation pass for another.
+	escaped, prefixed := strings.CutPrefix(r.URL.EscapedPath(), "/services/"+name)
+	decoded, clear := document.DecodePath(escaped)
+	if !prefixed || !clear {
+		return nil, resultcode.Fail(resultcode.UnknownOperation, "%s %s", r.Method, r.URL.EscapedPath())
+	}
 	op, ok := service.Operation(r.Method, decoded)
 	if !ok {
 		if len(service.Methods(decoded)) > 0 {
