--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -111,7 +111,7 @@
 		{name: "wrong method of a plain service", method: http.MethodDelete, path: "/services/portal/x", key: dev.Key, want: resultcode.MethodNotAllowed},
 		get("encoded slash", "/services/portal/a%2Fb", resultcode.UnknownOperation),
 		get("encoded dots", "/services/portal/a/%2e%2e%5cb", resultcode.UnknownOperation),
-		get("encoded name of a service", "/services/p%6Frtal/x", resultcode.UnknownOperation),
+		get("encoded name of a service", "/services/p%6Frtal/x", resultcode.UnknownService),
 		post("wrong path of a plain service", "/services/portal/other", "x", resultcode.MethodNotAllowed),
 	}
 }
