--- /dev/null
+++ b/test/configuration/main_test.go
@@ -0,0 +1,34 @@
+// Package configuration_test runs real daemon processes, each behind its own
+// fault-injecting proxy to the platform's stand-in, and checks that an accepted
+// document gets in force everywhere and never reverts.
+package configuration_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// binary is the daemon's program, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(runAll(m)) }
+
+func runAll(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "savorystall-configuration")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "savorystalld")
+	build := exec.Command("go", "build", "-o", binary, "github.com/savorystall/savorystall/cmd/savorystalld")
+	build.Stdout, build.Stderr = os.Stderr, os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "building the daemon:", err)
+		return 1
+	}
+	return m.Run()
+}
