Show that the promises hold under failures of every kind

Cause: the promises were tested part by part only. Change: seven real daemons, each with a platform front and links of its own to every peer, go through a seeded schedule: a zone cut off from zones and platform, restart without state, store down, store slow, answers lost after effect, a pause beyond the lease, racing operators and silent connections, singly, in drawn pairs and twice in a row, under 32 callers that repeat.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -112,8 +112,11 @@
 	return b.claimer
 }
 
-func newReconciler(id identity, client *platform.Client, log *slog.Logger) *order.Reconciler {
-	cfg := order.Config{Daemon: id.Daemon, Incarnation: id.Incarnation}
+func newReconciler(id identity, s settings.Settings, client *platform.Client, log *slog.Logger) *order.Reconciler {
+	cfg := order.Config{
+		Daemon: id.Daemon, Incarnation: id.Incarnation,
+		Term: s.Orders.LeaseTerm, ReadBack: s.Orders.ReadBack,
+	}
 	return order.New(cfg, client, client, order.NewHTTP(), log)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,8 @@
 	Stop Stop `yaml:"stop"`
 	// Claims bounds the handling of unrepeatable requests.
 	Claims Claims `yaml:"claims"`
+	// Orders bounds the leases under which targets get orders.
+	Orders Orders `yaml:"orders"`
 	// Log says what is logged.
 	Log Log `yaml:"log"`
 	// Trace says where spans go.
@@ -110,6 +112,16 @@
 	Wait time.Duration `yaml:"wait" validate:"min=0"`
 }
 
+// Orders bounds the leases under which targets get orders.
+type Orders struct {
+	// LeaseTerm is how long a lease lasts without renewal, and how long a new
+	// holder waits for an old one at least. Default 20s.
+	LeaseTerm time.Duration `yaml:"lease_term" validate:"min=1000000000"`
+	// ReadBack is the mean time between two readings of a target's state.
+	// Default 10s.
+	ReadBack time.Duration `yaml:"read_back" validate:"min=100000000"`
+}
+
 // Log says what is logged.
 type Log struct {
 	// Level is debug, info, warn or error. Default info.
@@ -141,6 +153,7 @@
 		Platform:  Platform{ConfigPoll: time.Second, VMPoll: time.Second, Timeout: 2 * time.Second},
 		Stop:      Stop{BalancerLag: 5 * time.Second, WarnAfter: time.Minute},
 		Claims:    Claims{Wait: 5 * time.Second},
+		Orders:    Orders{LeaseTerm: 20 * time.Second, ReadBack: 10 * time.Second},
 		Log:       Log{Level: "info"},
 		Trace:     Trace{Sample: 0.01},
 	}
--- a/test/faultlink/faultlink.go
+++ b/test/faultlink/faultlink.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"io"
+	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,12 +47,42 @@
 
 var states sync.Map
 
+// Ports below those that the system hands out to connections (32768 and up).
+const (
+	firstPort = 10000
+	portCount = 20000
+)
+
+// nextPort starts at a place of the process's own, since test processes of
+// several packages run side by side.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 499 % portCount) }
+
+// FreeAddress returns a loopback address that nothing listens on. Its port is
+// not one that the system hands out, so that a listener which is closed for a
+// while, such as that of a cut link, can be opened again at the same address.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
+	for range portCount {
+		port := firstPort + nextPort.Add(1)%portCount
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return l.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
 // New starts a link to the upstream address; the test's end closes it.
 func New(t testing.TB, upstream string) *Link {
 	t.Helper()
 	proxy := toxiproxy.NewProxy()
 	proxy.Name = fmt.Sprintf("%s-%p", t.Name(), proxy)
-	proxy.Listen = "127.0.0.1:0"
+	proxy.Listen = FreeAddress(t)
 	proxy.Upstream = upstream
 	if err := proxy.Start(); err != nil {
 		t.Fatal(err)
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -63,28 +62,49 @@
 	peers   []*faultlink.Link
 	daemons []*process
 	vms     []wire.VM
+	// fronts, where set, stand between each daemon and the platform.
+	fronts []*front
+	// adjust changes the settings of every daemon.
+	adjust func(*settings.Settings)
+	// orders is the wanted state of the engines; nil leaves them alone.
+	orders *document.Orders
+
+	mu sync.Mutex // guards daemons while they are replaced
+}
+
+func (f *fleet) daemon(i int) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.daemons[i]
 }
 
 // process is one running daemon.
 type process struct {
 	name    ident.Daemon
 	address string
-	cmd     *exec.Cmd
-	log     bytes.Buffer
+	// listen is the fleet listener, operators the operators' port.
+	listen, operators string
+	cmd               *exec.Cmd
+	log               bytes.Buffer
 	// ended holds the error of Wait once the process has ended.
 	ended chan error
 	once  sync.Once
+	// killed tells that the test ended the process by force.
+	killed bool
 }
 
 // startFleet starts the stand-ins and the daemons, and stops them with the test.
-func startFleet(t *testing.T) *fleet {
+func startFleet(t *testing.T, options ...func(*fleet)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, platform: platformstandin.New(platformstandin.Config{})}
+	f := &fleet{t: t, platform: platformstandin.New(platformstandin.Config{}), adjust: func(*settings.Settings) {}}
+	for _, option := range options {
+		option(f)
+	}
 	f.url = "http://" + f.serve(f.platform, func() {})
 	f.startTargets()
 	fleetListeners := make([]string, daemonCount)
 	for i := range daemonCount {
-		fleetListeners[i] = freeAddress(t)
+		fleetListeners[i] = faultlink.FreeAddress(t)
 		link := faultlink.New(t, fleetListeners[i])
 		f.peers = append(f.peers, link)
 		f.vms = append(f.vms, wire.VM{
@@ -93,6 +113,9 @@
 	}
 	f.platform.SetVMs(f.vms...)
 	f.applyDocuments()
+	if f.fronts != nil {
+		f.startFronts(fleetListeners)
+	}
 	for i, listen := range fleetListeners {
 		f.daemons = append(f.daemons, f.startDaemon(i, listen))
 	}
@@ -103,13 +126,6 @@
 
 func zoneOf(i int) ident.Zone { return zones[i%len(zones)] }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func (f *fleet) serve(h http.Handler, stop func()) string {
 	s := httptest.NewServer(h)
 	f.t.Cleanup(func() {
@@ -173,6 +189,7 @@
 		},
 		Limits:  document.Limits{Deadline: time.Minute, MeanCost: 50},
 		Targets: f.targets(0, engineCount, engineSlots),
+		Orders:  f.orders,
 	}, {
 		Service: plainService, Kind: document.Plain, Workspaces: ws,
 		Operations: []document.Operation{
@@ -199,16 +216,20 @@
 	is := is.New(f.t)
 	s := settings.Defaults()
 	s.Daemon, s.Zone = ident.Daemon(daemonName(i)), zoneOf(i)
-	s.Callers.Listen, s.Operators.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	s.Callers.Listen, s.Operators.Listen = "127.0.0.1:0", faultlink.FreeAddress(f.t)
 	s.Fleet.Listen, s.Fleet.Advertise = fleetListen, f.peers[i].Address
 	s.Platform.URL = f.url
+	if f.fronts != nil {
+		s.Platform.URL = f.fronts[i].url
+	}
 	s.Stop.BalancerLag = 200 * time.Millisecond
+	f.adjust(&s)
 	text, err := yaml.Marshal(s)
 	is.NoErr(err)
 	file := filepath.Join(f.t.TempDir(), daemonName(i)+".yaml")
 	is.NoErr(os.WriteFile(file, text, 0o600))
 
-	p := &process{name: s.Daemon, cmd: exec.Command(binary, "--settings", file), ended: make(chan error, 1)}
+	p := &process{name: s.Daemon, listen: fleetListen, operators: s.Operators.Listen, cmd: exec.Command(binary, "--settings", file), ended: make(chan error, 1)}
 	p.cmd.Stderr = &p.log
 	out, err := p.cmd.StdoutPipe()
 	is.NoErr(err)
@@ -256,8 +277,26 @@
 	}
 }
 
+// kill ends a process without notice.
+func (p *process) kill() {
+	p.killed = true
+	_ = p.cmd.Process.Kill()
+	p.ended <- <-p.ended
+}
+
+// replace starts a daemon anew, without any state, at the place of a killed one.
+func (f *fleet) replace(i int) {
+	fresh := f.startDaemon(i, f.daemon(i).listen)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.daemons[i] = fresh
+}
+
 // checkEnd requires a planned stop with exit code 0 and no data race.
 func (f *fleet) checkEnd(p *process) {
+	if p.killed {
+		return
+	}
 	if err := p.stop(); err != nil {
 		f.t.Errorf("%s ended with %v\n%s", p.name, err, tail(p.log.String()))
 	}
