--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/platform"
@@ -20,6 +22,9 @@
 	asker     Asker
 	log       *slog.Logger
 	committer *committer
+	// refusals and silences keep the log from a line for each request while the
+	// table or a claimant is out of reach.
+	refusals, silences rate.Sometimes
 
 	mu     sync.Mutex
 	ledger *ledger
@@ -29,11 +34,20 @@
 	idle       chan struct{}
 }
 
+// logInterval is the least time between two lines of the same event.
+const logInterval = time.Second
+
 // New returns a Claimer. Asker may be nil: then every open claim of another
 // daemon is of unknown outcome.
 func New(cfg Config, table platform.Table, asker Asker, log *slog.Logger) *Claimer {
 	cfg = cfg.withDefaults()
-	c := &Claimer{cfg: cfg, asker: asker, log: log, ledger: newLedger(cfg.Term), idle: make(chan struct{})}
+	c := &Claimer{
+		cfg: cfg, asker: asker, log: log,
+		refusals: rate.Sometimes{Interval: logInterval},
+		silences: rate.Sometimes{Interval: logInterval},
+		ledger:   newLedger(cfg.Term),
+		idle:     make(chan struct{}),
+	}
 	c.committer = newCommitter(cfg, table, func(err error) { event.ClaimStoreFailed.Log(log, "error", err) })
 	return c
 }
@@ -118,7 +132,9 @@
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
 			}
-			event.ClaimRefused.Log(c.log, "service", hold.key.Service, "workspace", hold.key.Workspace)
+			c.refusals.Do(func() {
+				event.ClaimRefused.Log(c.log, "service", hold.key.Service, "workspace", hold.key.Workspace)
+			})
 			return Refuse{resultcode.Fail(resultcode.StoreUnavailable, "").Because(err)}, nil
 		}
 		if result.conflict == nil {
@@ -179,7 +195,7 @@
 	defer cancel()
 	a, err := c.asker.Ask(ctx, o.Daemon, o.Incarnation, key, o.Token)
 	if err != nil {
-		event.ClaimantSilent.Log(c.log, "claimant", o.Daemon, "error", err)
+		c.silences.Do(func() { event.ClaimantSilent.Log(c.log, "claimant", o.Daemon, "error", err) })
 	}
 	return a, err
 }
