scheduler: repair lost grants and releases, forget daemons that stay away

Cause: a grant lost with its link, and none after it to the same ingress, kept its slot for good; parts of dead daemons were kept for ever. Change: grants that four seconds of lists leave out are dropped and their demand restored; lists follow a lost link also when nothing is held; parts of a daemon are forgotten ten minutes after it left.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -66,6 +66,8 @@
 	nextSettle   time.Time
 	nextExchange time.Time
 	nextHeld     time.Time
+	// gone is when each daemon was last seen among the peers.
+	gone map[ident.Daemon]time.Time
 }
 
 // service is the state of one service, as ingress and as owner.
@@ -111,6 +113,7 @@
 	Grant
 	ingress ident.Daemon
 	target  *target
+	sent    time.Time
 }
 
 // request is a request that waits or runs at this ingress.
@@ -134,6 +137,9 @@
 	seenGrant uint64
 	// full asks for all demand and all parts at the next exchange.
 	full bool
+	// lists is how many lists of the held grants are still to be sent although
+	// there may be none to list.
+	lists int
 }
 
 // New returns a Core without services and peers.
@@ -146,6 +152,7 @@
 		requests: map[ident.Request]*request{},
 		grants:   map[uint64]*grantOut{},
 		outbox:   map[ident.Daemon]*Message{},
+		gone:     map[ident.Daemon]time.Time{},
 		early:    allowance{left: earlyMessages},
 	}
 }
@@ -237,7 +244,7 @@
 			p = nil
 		}
 		if p == nil {
-			p = &peer{full: true}
+			p = &peer{full: true, lists: listsAfterLoss}
 		}
 		p.Peer = spec
 		kept[spec.ID] = p
@@ -245,8 +252,12 @@
 	for id, p := range c.peers {
 		if kept[id] == nil {
 			c.forgetPeer(p)
+			c.gone[id] = now
 		}
 	}
+	for id := range kept {
+		delete(c.gone, id)
+	}
 	c.peers = kept
 	c.assignOwners()
 	c.assignAll(now)
@@ -299,6 +310,15 @@
 // Waiting returns how many requests wait here, Running how many run.
 func (c *Core) Waiting() int { return len(c.requests) - c.Running() }
 
+// Queued returns how many requests of the workspace wait here.
+func (c *Core) Queued(service ident.Service, ws ident.Workspace) int {
+	s := c.services[service]
+	if s == nil || s.workspaces[ws] == nil {
+		return 0
+	}
+	return s.workspaces[ws].waiting()
+}
+
 // Running returns how many requests of this ingress run on targets.
 func (c *Core) Running() int {
 	n := 0
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -47,6 +47,9 @@
 	return demand{waiting: max(0, d.waiting-n), urgent: max(0, d.urgent-n)}
 }
 
+// more returns the demand with n more requests that are not urgent.
+func (d demand) more(n int) demand { return demand{waiting: d.waiting + n, urgent: d.urgent} }
+
 // worth tells whether the demand differs enough from what is known of it.
 func (d demand) worth(known demand, at cadence) bool {
 	switch {
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -34,6 +34,7 @@
 		c.released(now, rel)
 	}
 	for _, g := range m.Grants {
+		p.lists = max(p.lists, 1)
 		p.seenGrant = max(p.seenGrant, g.ID)
 		c.accept(now, from, g)
 	}
@@ -52,12 +53,47 @@
 	w.demand[from] = known.less(w.unseen(from, d.Seen))
 }
 
+// unseenGrant is how long an ingress may leave a grant out of its lists before
+// the grant counts as lost with the link. It is two lists at the default
+// interval; a grant that arrives later all the same admits one request too much
+// for a while.
+const unseenGrant = 4 * time.Second
+
 // reconcile frees the slots whose release was lost: the ingress lists what it
-// still holds among the grants that it has seen.
+// still holds among the grants that it has seen. A grant above those was lost
+// itself when it is old; without that, the slot would idle until the next grant
+// to the same ingress, which may be never.
 func (c *Core) reconcile(now time.Time, from ident.Daemon, m Message) {
 	for id, g := range c.grants {
-		if g.ingress == from && id <= m.HeldSeen && !slices.Contains(m.Held, id) {
+		if g.ingress != from || slices.Contains(m.Held, id) {
+			continue
+		}
+		switch {
+		case id <= m.HeldSeen:
+			c.dropGrant(id)
+		case now.Sub(g.sent) >= unseenGrant:
 			c.dropGrant(id)
+			// The request that it was for still waits there.
+			if w := g.target.service.workspaces[g.Workspace]; w != nil {
+				w.demand[from] = w.demand[from].more(1)
+			}
+		}
+	}
+}
+
+// forgetAfter is how long the service parts of a daemon that is gone are kept.
+// One that returns before has the service of the meantime counted; keeping the
+// parts of each of hundreds of restarts a day would take all memory in the end.
+const forgetAfter = 10 * time.Minute
+
+func (c *Core) forgetGone(now time.Time) {
+	for id, since := range c.gone {
+		if now.Sub(since) < forgetAfter {
+			continue
+		}
+		delete(c.gone, id)
+		for _, s := range c.services {
+			s.ledger.Forget(id)
 		}
 	}
 }
@@ -76,8 +112,11 @@
 			c.tune(s)
 		}
 	}
-	for _, p := range c.peers {
-		p.full = p.full && at != onExchange
+	if at == onExchange {
+		c.forgetGone(now)
+		for _, p := range c.peers {
+			p.full = false
+		}
 	}
 	if !now.Before(c.nextHeld) {
 		c.nextHeld = now.Add(c.cfg.Held)
@@ -137,6 +176,10 @@
 	}
 }
 
+// listsAfterLoss is how many lists follow a lost link: enough to outlast
+// unseenGrant at the owner.
+const listsAfterLoss = 4
+
 // sendHeld lists to each owner which of its grants are in use here.
 func (c *Core) sendHeld() {
 	held := map[ident.Daemon][]uint64{}
@@ -146,9 +189,13 @@
 		}
 	}
 	for id, p := range c.peers {
-		if p.seenGrant == 0 {
+		if len(held[id]) > 0 {
+			p.lists = max(p.lists, 1)
+		}
+		if p.lists == 0 {
 			continue
 		}
+		p.lists--
 		m := c.message(id)
 		m.Held = held[id]
 		slices.Sort(m.Held)
@@ -158,9 +205,10 @@
 }
 
 // Reset tells that messages to or from a peer may have been lost: all demand
-// and all parts are sent again at the next exchange.
+// and all parts are sent again at the next exchange, and the held grants listed.
 func (c *Core) Reset(id ident.Daemon) {
 	if p := c.peers[id]; p != nil {
 		p.full = true
+		p.lists = listsAfterLoss
 	}
 }
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -103,11 +103,11 @@
 func (c *Core) pick(s *service) *workspace {
 	var candidates []fairshare.Candidate
 	for _, w := range s.order {
-		backlogged := w.waiting() > 0 || w.remoteDemand() > 0
-		s.ledger.SetBacklogged(w.Name, backlogged)
-		if backlogged {
+		wants := w.waiting() > 0 || w.remoteDemand() > 0
+		if wants {
 			candidates = append(candidates, fairshare.Candidate{Workspace: w.Name, Running: w.granted})
 		}
+		s.ledger.SetBacklogged(w.Name, wants)
 	}
 	name, ok := s.ledger.Pick(candidates)
 	if !ok {
@@ -164,6 +164,7 @@
 func (c *Core) grant(now time.Time, t *target, w *workspace, ingress ident.Daemon) {
 	c.lastGrant++
 	g := &grantOut{
+		sent:    now,
 		Grant:   Grant{ID: c.lastGrant, Service: t.service.name, Workspace: w.Name, Target: t.Name},
 		ingress: ingress,
 		target:  t,
--- a/internal/scheduler/workspace.go
+++ b/internal/scheduler/workspace.go
@@ -25,8 +25,6 @@
 	// demand is what each ingress was last known to have waiting, less the
 	// grants that were sent to it since.
 	demand map[ident.Daemon]demand
-	// wanted is when the workspace last had demand anywhere.
-	wanted time.Time
 	// turn counts the picks of an ingress, up to urgentTurns.
 	turn int
 	// granted counts the grants of this owner that are in use.
