--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -38,7 +38,8 @@
 	DefaultHorizon       = time.Second
 	DefaultLagFactor     = 1
 	DefaultKeep          = 0.25
-	DefaultMaxDebt       = 30 * time.Second
+	DefaultMaxLead       = 2 * time.Second
+	DefaultMaxDebt       = 10 * time.Second
 )
 
 // Config sets up a Ledger. Zero fields take their defaults.
@@ -67,10 +68,14 @@
 	// over-served workspace goes on getting (default 0.25), so that repaying
 	// never starves it.
 	Keep float64
-	// MaxDebt bounds the remembered difference, as the time in which a
-	// workspace would receive it at its fair share (default 30 s). Without it
-	// a workspace that had a cut-off zone to itself would be held down for as
-	// long as the cut lasted.
+	// MaxLead is the most by which a workspace may lead the least served one
+	// and still get a slot that both could use, as the time in which it receives
+	// that at its fair share (default 2 s, and never below the exchange lag,
+	// which is the time that an owner's view is behind).
+	MaxLead time.Duration
+	// MaxDebt bounds the remembered difference to the median, in the same way
+	// (default 10 s, and never below twice the greatest lead). Without it a workspace that had a cut-off zone to itself
+	// would be held down for as long as the cut lasted.
 	MaxDebt time.Duration
 }
 
@@ -80,6 +85,7 @@
 	setDefault(&c.Horizon, DefaultHorizon)
 	setDefault(&c.LagFactor, DefaultLagFactor)
 	setDefault(&c.Keep, DefaultKeep)
+	setDefault(&c.MaxLead, DefaultMaxLead)
 	setDefault(&c.MaxDebt, DefaultMaxDebt)
 	return c
 }
--- a/internal/fairshare/pick.go
+++ b/internal/fairshare/pick.go
@@ -26,7 +26,9 @@
 // Pick returns the candidate that gets the next slot; ok is false when there is
 // none. The score of a workspace is its running requests here over its weight,
 // plus its lead in virtual time over the median in the same unit. The least
-// score wins, then the least virtual time, then an order of this owner's own.
+// score wins, then the least virtual time, then an order of this owner's own. A
+// candidate that leads the least served one by more than MaxLead is passed over:
+// this makes the bound on the gap hold, whatever the requests cost.
 func (l *Ledger) Pick(candidates []Candidate) (ws ident.Workspace, ok bool) {
 	if len(candidates) == 0 {
 		return "", false
@@ -34,14 +36,21 @@
 	list := l.list(candidates)
 	fair := fairSlots(list)
 	middle := median(list)
-	clamp(list, middle, l.maxDebt(list))
+	second := l.fairSecond(list)
+	lead := max(l.config.MaxLead, l.conditions.Lag)
+	debt := max(l.config.MaxDebt, 2*lead)
+	clamp(list, middle, debt.Seconds()*second)
+	top := least(list) + lead.Seconds()*second
 	limit := authority * (1 - l.config.Keep) * fair
-	best := 0
+	best := -1
 	for i := range list {
 		s := &list[i]
+		if s.virtual > top {
+			continue
+		}
 		lead := (s.virtual - middle) / l.charge
 		s.score = float64(s.running)/s.weight + max(-limit, min(lead, limit))
-		if s.before(&list[best]) {
+		if best < 0 || s.before(&list[best]) {
 			best = i
 		}
 	}
@@ -112,11 +121,18 @@
 	}
 }
 
-// maxDebt is the largest remembered lead in units of the service over weight:
-// MaxDebt at the fair rate, or, until the conditions are measured, four
-// horizons of it. It counts all own slots, not those in use, because a debt is
-// not to be forgotten while the slots fill up.
-func (l *Ledger) maxDebt(list []scored) float64 {
+func least(list []scored) float64 {
+	v := list[0].virtual
+	for i := range list {
+		v = min(v, list[i].virtual)
+	}
+	return v
+}
+
+// fairSecond is what a workspace receives in a second at its fair rate, in units
+// of the service over weight. It counts all slots, not those in use, because a
+// debt is not to be forgotten while the slots fill up.
+func (l *Ledger) fairSecond(list []scored) float64 {
 	running, weight := 1, 0.0
 	for i := range list {
 		running += list[i].running
@@ -125,9 +141,11 @@
 	l.slots = max(l.slots, running)
 	c := l.conditions
 	if c.SlotRate <= 0 || c.OwnSlots <= 0 {
-		return unmeasuredDebt * l.charge * float64(l.slots) / weight
+		return unmeasuredRate * l.charge * float64(l.slots) / weight
 	}
-	return l.config.MaxDebt.Seconds() * c.SlotRate * float64(max(c.FleetSlots, c.OwnSlots)) / weight
+	return c.SlotRate * float64(max(c.FleetSlots, c.OwnSlots)) / weight
 }
 
-const unmeasuredDebt = 4
+// unmeasuredRate is the part of a running request's charge that it is taken to
+// be worth a second until that is measured.
+const unmeasuredRate = 0.1
