--- a/internal/attempt/link_test.go
+++ b/internal/attempt/link_test.go
@@ -67,6 +67,24 @@
 	checkWhole(t, e, "after", sink, got)
 }
 
+// The same with a claim, which cannot be tried again. It must not go out on a
+// connection that may be silent, or its caller would be told "may have run".
+func TestUnrepeatableRequestsUseNoIdleConnection(t *testing.T) {
+	e, upstream := newEngine(t, enginestandin.Config{})
+	link := faultlink.New(t, upstream)
+	r := newRunner(t, quick())
+	run := func(prompt string, unrepeatable bool) {
+		req := modelRequest(link.Address, prompt, answerTokens)
+		req.Unrepeatable = unrepeatable
+		sink := &text{}
+		got := r.Model(t.Context(), req, sink)
+		checkWhole(t, e, prompt, sink, got)
+	}
+	run("question", false) // leaves an idle connection
+	link.SilenceOpen()
+	run("claim", true)
+}
+
 // The link to an engine is cut in the middle of answers, refuses connections
 // for a while and then works again, slowly. Each answer must still be whole.
 func TestCutLinkIsResumedWhenItIsBack(t *testing.T) {
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -147,6 +147,8 @@
 	// FirstToken bounds the wait for the first token, NextToken that for each
 	// later one, while heartbeats arrive. Zero: Config.TokenDeadline.
 	FirstToken, NextToken time.Duration
+	// Unrepeatable asks for a connection of its own, as in PlainRequest.
+	Unrepeatable bool
 }
 
 // PlainRequest is a request to a plain service.
@@ -160,7 +162,8 @@
 	Header         http.Header
 	Body           []byte
 	// Unrepeatable asks for a connection of its own: a reused one may be
-	// closing already, and then nobody can tell whether the request was run.
+	// closing already or have gone silent, and then nobody can tell whether the
+	// request was run, and it cannot be tried again.
 	Unrepeatable bool
 	// FirstByte bounds the wait for the response's header, Progress the silence
 	// within its body. Zero: Config.PlainFirstByte and Config.PlainProgress.
--- a/internal/ingress/model.go
+++ b/internal/ingress/model.go
@@ -145,7 +145,7 @@
 		// the next one's answer.
 		sink = newSink(j.w, path, parsed.Stream)
 		return s.Runner.Model(ctx, attempt.ModelRequest{
-			Attempt: id, Address: address, Path: path, Header: header, Body: streamed,
+			Attempt: id, Address: address, Path: path, Header: header, Body: streamed, Unrepeatable: !j.repeatable(),
 			FirstToken: limits.FirstByteTimeout, NextToken: limits.ProgressTimeout,
 		}, &progress{sink: sink, report: func(tokens int) {
 			s.Placer.Progress(j.w.request, promptTokens+float64(tokens))
