--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -24,10 +24,10 @@
 
 // job is one request: it waits for a dispatch, then perhaps in the target.
 type job struct {
-	tokens, prefill             int
-	arrived, dispatched, begins time.Time
-	ends                        time.Time
-	on                          *backend
+	tokens, prefill    int
+	dispatched, begins time.Time
+	ends               time.Time
+	on                 *backend
 }
 
 type byEnd []*job
