--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -42,7 +42,13 @@
 	if failure != nil {
 		return nil, failure
 	}
-	decoded := strings.TrimPrefix(r.URL.Path, "/services/"+name)
+	// The target gets the escaped path, so that is what is judged: an encoded
+	// slash could make an unrepeatable operation pass for another.
+	escaped, prefixed := strings.CutPrefix(r.URL.EscapedPath(), "/services/"+name)
+	decoded, clear := document.DecodePath(escaped)
+	if !prefixed || !clear {
+		return nil, resultcode.Fail(resultcode.UnknownOperation, "%s %s", r.Method, r.URL.EscapedPath())
+	}
 	op, ok := service.Operation(r.Method, decoded)
 	if !ok {
 		if len(service.Methods(decoded)) > 0 {
@@ -71,7 +77,7 @@
 	j.attempt = func(ctx context.Context, id ident.Attempt, address string) attempt.Result {
 		return s.Runner.Plain(ctx, attempt.PlainRequest{
 			Attempt: id, Address: address, Method: r.Method, Path: path, RawQuery: r.URL.RawQuery,
-			Header: r.Header, Body: body, Unrepeatable: j.operation.Unrepeatable,
+			Header: r.Header, Body: body, Unrepeatable: !j.repeatable(),
 			FirstByte: j.service.Document.Limits.FirstByteTimeout, Progress: j.service.Document.Limits.ProgressTimeout,
 		}, j.w)
 	}
