Stop real processes between claim, lease and first byte

Cause: the pauses that claims and leases answer were shown in one process only. Change: tests start a part of themselves as a process and stop it (SIGSTOP) after the claim, after the lease, and between the lease's check and the order; package test/process is the small common part.

--- a/internal/claim/claimer_test.go
+++ b/internal/claim/claimer_test.go
@@ -14,9 +14,13 @@
 
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/test/process"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	process.Main(map[string]process.Part{"claimant": partClaimant})
+	goleak.VerifyTestMain(m)
+}
 
 // fleet is several claimers on one table that ask each other.
 type fleet struct {
--- a/internal/order/reconciler_test.go
+++ b/internal/order/reconciler_test.go
@@ -19,9 +19,13 @@
 	"github.com/savorystall/savorystall/internal/platform"
 	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
 	platformstandin "github.com/savorystall/savorystall/internal/standin/platform"
+	"github.com/savorystall/savorystall/test/process"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	process.Main(map[string]process.Part{"old-daemon": partOldDaemon})
+	goleak.VerifyTestMain(m)
+}
 
 // fakeTarget is an Orderer with one target. Each call of Give uses up one of
 // the errors; a late order takes effect when the test says so.
@@ -94,12 +98,14 @@
 type bench struct {
 	platform *platformstandin.Server
 	client   *platform.Client
+	url      string
 	log      logBuffer
 }
 
 func newBench(t *testing.T, c platformstandin.Config) *bench {
 	b := &bench{platform: platformstandin.New(c)}
 	server := httptest.NewServer(b.platform)
+	b.url = server.URL
 	b.client = platform.NewClient(platform.ClientConfig{URL: server.URL, Logger: slog.New(slog.DiscardHandler)})
 	t.Cleanup(func() {
 		b.client.Close()
