--- a/test/integration/integration_test.go
+++ b/test/integration/integration_test.go
@@ -1,8 +1,10 @@
 package integration_test
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -64,11 +66,23 @@
 			t.Errorf("%s (kind %d): no answer from the daemon: %s", r.mark, r.kind, r.message)
 		}
 	}
+	logSlowest(t, requests)
 	t.Logf("%d requests: %d complete, %d visibly cut, %d refused %v; slowest %v",
 		len(requests), counts[complete], counts[cut], counts[refused], refusals, slowest)
 	return counts
 }
 
+// logSlowest shows where callers waited longest.
+func logSlowest(t *testing.T, requests []*request) {
+	bySlowness := slices.Clone(requests)
+	slices.SortFunc(bySlowness, func(a, b *request) int { return cmp.Compare(b.elapsed, a.elapsed) })
+	for _, r := range bySlowness[:min(shownSlowest, len(bySlowness))] {
+		t.Logf("%v: %s kind %d verdict %d code %d %s", r.elapsed.Round(time.Millisecond), r.mark, r.kind, r.verdict, r.code, r.message)
+	}
+}
+
+const shownSlowest = 3
+
 // A night of the larger fleet in a few seconds: two thousand callers at once, of
 // all kinds, while links to targets and between daemons are cut, slowed and go
 // silent, engines lose streams and targets leave. A caller may get an error. It
@@ -80,11 +94,16 @@
 	endChaos := startChaos(t, f, 1)
 	counts := check(t, f, sendAll(t, f, "fault", concurrent))
 	faults := endChaos()
-	for name, n := range faults {
+	for _, n := range faults {
 		is.True(n >= 3) // each kind of fault took place
-		_ = name
 	}
-	is.True(counts[complete] >= concurrent*8/10) // most are served all the same
+	is.True(counts[complete] >= concurrent*9/10) // most are served all the same
+	resumed := 0
+	for _, e := range f.engines {
+		resumed += e.Counts().Resumed
+	}
+	t.Logf("%d streams were resumed", resumed)
+	is.True(resumed > 0) // the faults hit streams
 
 	for _, e := range f.engines {
 		e.ClearFaults()
