End every hold, and never give up one that has ended

Cause: found on reading. Abandon after Finish would have dropped a run whose outcome was not yet in the table and recorded it as not run, which lets a repeat run it again; no caller did so. And a panic between claim and outcome left the claim in progress for as long as the process lives. Change: the ledger gives up only what has not started; Hold.Close ends a hold by what is known, deferred in ingress. ingress keeps 16 KiB of an answer, as the claims do (it was 64 KiB, of which more than 16 were dropped later). A test of the lease's row being replaced by another daemon's; event 525 is repeated.

--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -57,7 +57,7 @@
 	setDefault(&cfg.AskTimeout, time.Second)
 	setDefault(&cfg.Term, time.Hour)
 	setDefault(&cfg.RecordTTL, 24*time.Hour)
-	setDefault(&cfg.KeepBytes, 16<<10)
+	setDefault(&cfg.KeepBytes, DefaultKeepBytes)
 	setDefault(&cfg.BatchRows, 200)
 	setDefault(&cfg.BatchBytes, 512<<10)
 	setDefault(&cfg.Linger, 2*time.Millisecond)
@@ -246,6 +246,12 @@
 	return c.ledger.drop(hold.key, hold.token)
 }
 
+func (c *Claimer) forget(hold *Hold) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.forget(hold.key, hold.token)
+}
+
 func (c *Claimer) proceed(hold *Hold, revision uint64) Decision {
 	hold.revision = revision
 	if !c.held(hold.key, hold.token) {
--- a/internal/claim/claimer_test.go
+++ b/internal/claim/claimer_test.go
@@ -206,6 +206,37 @@
 	is.NoErr(second.Start(time.Now())) // the target did not process it
 }
 
+func TestHoldIsClosed(t *testing.T) {
+	// A defect makes the handler panic. Before the first byte the repeat is let
+	// through; after it the repeat is told "may have run", and not for ever that
+	// the request is in progress. A hold that was finished stays so.
+	is := is.New(t)
+	f, table := newFleet(), newFakeTable()
+	a, b := f.add(t, table, quick("a")), f.add(t, table, quick("b"))
+	hold(t, a).Close()
+	h := hold(t, b)
+	is.NoErr(h.Start(time.Now()))
+	h.Close()
+	is.Equal(refusal(t, a), resultcode.OutcomeUnknown)
+	key2 := key
+	key2.Idempotency = "filing-2"
+	d, err := a.Claim(t.Context(), key2, digest, "x")
+	is.NoErr(err)
+	ran := d.(Proceed).Hold
+	is.NoErr(ran.Start(time.Now()))
+	table.set(faultDown)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(ran.Finish(ctx, Outcome{Result: resultcode.Ran}) != nil) // not yet recorded
+	is.True(!ran.Abandon())
+	ran.Close()
+	table.set(faultNone)
+	flush(t, a)
+	d, err = b.Claim(t.Context(), key2, digest, "x")
+	is.NoErr(err)
+	is.Equal(d.(Refuse).Failure.Code, resultcode.AlreadyRan)
+}
+
 func TestStoreOut(t *testing.T) {
 	// The table is out of reach for longer than the wait. The caller is told
 	// that its request was not run. That stays true when the write takes effect
--- a/internal/claim/explore_test.go
+++ b/internal/claim/explore_test.go
@@ -235,9 +235,7 @@
 			return message{from: m.from, final: true, record: m.record, revision: revision}, true
 		}
 	}
-	if m.record.Outcome.Result != resultcode.NotRun || m.from.state == tryRan {
-		m.from.daemon.ledger.drop(key, m.from.record.Token)
-	}
+	m.from.daemon.ledger.forget(key, m.from.record.Token)
 	return m, false
 }
 
--- a/internal/claim/hold.go
+++ b/internal/claim/hold.go
@@ -59,12 +59,12 @@
 		return nil
 	}
 	if h.local {
-		c.drop(h)
+		c.forget(h)
 		return nil
 	}
 	recorded := make(chan struct{})
 	c.recordLater(h, o, func() {
-		c.drop(h)
+		c.forget(h)
 		close(recorded)
 	})
 	select {
@@ -76,7 +76,7 @@
 }
 
 // Abandon promises never to dispatch. It returns false, and promises nothing,
-// where the hold has started. It does not wait for the table.
+// where the hold has started or ended. It does not wait for the table.
 func (h *Hold) Abandon() bool {
 	if !h.claimer.drop(h) {
 		return false
@@ -87,6 +87,21 @@
 	return true
 }
 
+// Close ends a hold that was neither finished nor abandoned, and else does
+// nothing. Defer it where the hold is obtained.
+//
+// It guards against a panic on the way of the request: the claim would stay in
+// progress for as long as the process lives, and every repeat be told to wait.
+func (h *Hold) Close() {
+	if h.Abandon() {
+		return
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	// The write goes on without the wait.
+	_ = h.Finish(ended, Outcome{Result: resultcode.MayHaveRun})
+}
+
 // recordLater writes the final record, for as long as it takes. Then is called
 // once it is settled; it must not block.
 func (c *Claimer) recordLater(h *Hold, o Outcome, then func()) {
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -143,16 +143,24 @@
 	return true
 }
 
-// drop forgets a claim that has not started or whose outcome is in the table.
+// drop gives up a claim that has not started. It is false, and changes nothing,
+// for one that has started or ended: that one may have run.
 func (l *ledger) drop(k Key, token ident.Attempt) bool {
 	e := l.find(k, token)
-	if e == nil || e.phase == phaseStarted {
+	if e == nil || e.phase >= phaseStarted {
 		return false
 	}
 	delete(l.entries, k)
 	return true
 }
 
+// forget removes a claim whose outcome is in the table.
+func (l *ledger) forget(k Key, token ident.Attempt) {
+	if e := l.find(k, token); e != nil && e.phase == phaseDone {
+		delete(l.entries, k)
+	}
+}
+
 // answer tells an asker about a claim of this process. AnswerNever binds: the
 // entry is gone, and start needs it.
 func (l *ledger) answer(k Key, token ident.Attempt, now time.Time) Answer {
--- a/internal/claim/types.go
+++ b/internal/claim/types.go
@@ -93,6 +93,9 @@
 	Ask(ctx context.Context, daemon ident.Daemon, incarnation uint64, key Key, attempt ident.Attempt) (Answer, error)
 }
 
+// DefaultKeepBytes is the default bound of a kept answer.
+const DefaultKeepBytes = 16 << 10
+
 // Config holds the settings of a Claimer. A zero field gets its default.
 type Config struct {
 	// Daemon and Incarnation identify this process. No other process may ever
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -136,6 +136,7 @@
 // caller's repeat then gets the outcome, where a canceled run would leave one
 // that nobody knows.
 func (s *Server) runHeld(ctx context.Context, j *job, hold *claim.Hold) *resultcode.Failure {
+	defer hold.Close()
 	j.w.record = &record{}
 	held := context.WithoutCancel(ctx)
 	failure := s.place(held, j, hold)
--- a/internal/ingress/respond.go
+++ b/internal/ingress/respond.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"strconv"
 
+	"github.com/savorystall/savorystall/internal/claim"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
@@ -122,7 +123,7 @@
 
 // recordLimit bounds the answer that is kept for repeats of an unrepeatable
 // request; a larger one is answered as already run.
-const recordLimit = 64 << 10
+const recordLimit = claim.DefaultKeepBytes
 
 // record is a bounded copy of an answer's body.
 type record struct {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -117,14 +117,6 @@
 // Valid tells whether an order may be given now. Ask right before each order.
 func (l *Lease) Valid() bool { return l.state.Valid(l.clock.Now()) }
 
-// Remaining returns how long the lease is valid without renewal, at most.
-func (l *Lease) Remaining() time.Duration {
-	if !l.Valid() {
-		return 0
-	}
-	return l.state.until.Sub(l.clock.Now())
-}
-
 // Fencing returns the fencing number for an order.
 func (l *Lease) Fencing() uint64 { return l.state.Fencing() }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -135,3 +135,16 @@
 	is.NoErr(a.Release(t.Context()))
 	is.Equal(b.Acquire(t.Context(), claimOf("b")), ErrBehind)
 }
+
+func TestRowOfAnotherEndsTheLease(t *testing.T) {
+	// An operator deletes the row by hand and another daemon takes the lease
+	// before the first one's term is over. The first must stop when it sees it.
+	is := is.New(t)
+	table, clock := &fakeTable{}, newFakeClock()
+	a, b := New(table, clock, "s", "t", 0), New(table, clock, "s", "t", 0)
+	is.NoErr(a.Acquire(t.Context(), claimOf("a")))
+	table.row = platform.Row{}
+	is.NoErr(b.Acquire(t.Context(), claimOf("b")))
+	is.True(a.Acquire(t.Context(), claimOf("a")) != nil) // its renewal finds b's row
+	is.True(!a.Valid())
+}
--- a/internal/order/worker.go
+++ b/internal/order/worker.go
@@ -11,9 +11,14 @@
 	"github.com/savorystall/savorystall/internal/lease"
 )
 
-// stuckAfter is how many orders in a row must have been without success until
-// the target is reported: one or two are lost with a connection.
-const stuckAfter = 3
+const (
+	// stuckAfter is how many tries in a row must have failed until the target is
+	// reported: one or two are lost with a connection.
+	stuckAfter = 3
+	// stuckAgain is how many further tries lie between two reports. With the
+	// longest backoff that is some five minutes.
+	stuckAgain = 20
+)
 
 // worker keeps one target in its wanted state.
 type worker struct {
@@ -194,7 +199,7 @@
 
 func (k *worker) failed(w Wanted, what string, err error) time.Duration {
 	k.fails++
-	if k.fails == stuckAfter {
+	if k.fails%stuckAgain == stuckAfter {
 		event.TargetTakesNoOrders.Log(k.log, "service", w.Service, "target", w.Target, "cause", what, "error", err)
 	}
 	return k.jitter(min(2*k.cfg.Backoff<<min(k.fails-1, 16), k.cfg.BackoffMax))
