scheduler: let an ingress use a grant for two seconds of short requests

Change: an ingress binds its next request of the workspace to a grant of another daemon whose request ended within 2 s (Config.Slice). The test of a grant over messages now ends its request after the slice, since within it the grant is meant to stay.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -24,6 +24,11 @@
 	// Exchange is the interval of demand updates and of service parts.
 	// Default 250 ms.
 	Exchange time.Duration
+	// Slice is how long an ingress may go on using a grant of another daemon for
+	// further requests of the same workspace. Default 2 s: short requests then
+	// cost one grant and one release together, and a slot that was given for a
+	// short one is decided about again before long.
+	Slice time.Duration
 	// Held is the interval at which the grants in use are listed to their
 	// owners. Default 2 s: a slot whose release was lost idles for no longer.
 	Held time.Duration
@@ -32,6 +37,7 @@
 const (
 	defaultSpill    = 20 * time.Millisecond
 	defaultExchange = 250 * time.Millisecond
+	defaultSlice    = 2 * time.Second
 	defaultHeld     = 2 * time.Second
 )
 
@@ -42,6 +48,9 @@
 	if c.Exchange == 0 {
 		c.Exchange = defaultExchange
 	}
+	if c.Slice == 0 {
+		c.Slice = defaultSlice
+	}
 	if c.Held == 0 {
 		c.Held = defaultHeld
 	}
@@ -125,7 +134,9 @@
 	// declined is set once the request has turned down a target it avoids.
 	declined bool
 	owner    ident.Daemon
-	grant    uint64
+	grant    Grant
+	// granted is when the grant was first used.
+	granted time.Time
 	// charged is what the ledger was charged so far.
 	charged float64
 }
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -80,6 +80,7 @@
 	deliver(now, ingress, "d2", owner)
 	is.Equal(deliver(now, owner, "d1", ingress), 0)
 	is.Equal(dispatched(ingress), []ident.Request{"r1"})
+	now = now.Add(3 * time.Second) // past the time in which the grant may be used again
 	ingress.Finish(now, "r1", scheduler.Result{Served: 90})
 	deliver(now, ingress, "d2", owner)
 	deliver(now, owner, "d1", ingress)
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -185,7 +185,7 @@
 	held := map[ident.Daemon][]uint64{}
 	for _, r := range c.requests {
 		if r.running && r.owner != c.cfg.Self {
-			held[r.owner] = append(held[r.owner], r.grant)
+			held[r.owner] = append(held[r.owner], r.grant.ID)
 		}
 	}
 	for id, p := range c.peers {
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -119,7 +119,38 @@
 	if s := c.services[r.Service]; s != nil {
 		s.finished(r, result)
 	}
-	c.release(now, r.owner, Release{Grant: r.grant, Result: result})
+	if c.reuse(now, r, result) {
+		return
+	}
+	c.release(now, r.owner, Release{Grant: r.grant.ID, Result: result})
+}
+
+// reuse binds the next request of the workspace to a grant whose request has
+// ended early in its slice, so that many short requests do not cost a grant and
+// a release each. Slots of the own targets need no messages and are decided
+// about anew, and so is one whose target or owner is not known to be well.
+func (c *Core) reuse(now time.Time, r *request, result Result) bool {
+	s := c.services[r.Service]
+	if s == nil || r.owner == c.cfg.Self || c.peers[r.owner] == nil || now.Sub(r.granted) >= c.cfg.Slice {
+		return false
+	}
+	if t := s.targets[r.grant.Target]; result.Failed || result.NotRun || t == nil || !t.usable() {
+		return false
+	}
+	next := c.bind(now, r.grant)
+	if next == nil {
+		return false
+	}
+	c.start(next, r.owner, r.grant, r.granted)
+	return true
+}
+
+func (c *Core) start(r *request, owner ident.Daemon, g Grant, granted time.Time) {
+	r.running = true
+	r.owner = owner
+	r.grant = g
+	r.granted = granted
+	c.emit(Dispatch{Request: r.ID, Service: g.Service, Target: g.Target})
 }
 
 // finished updates what is measured of the requests of this ingress.
@@ -155,10 +186,7 @@
 		c.release(now, owner, Release{Grant: g.ID, Unused: true})
 		return
 	}
-	r.running = true
-	r.owner = owner
-	r.grant = g.ID
-	c.emit(Dispatch{Request: r.ID, Service: g.Service, Target: g.Target})
+	c.start(r, owner, g, now)
 }
 
 // noteShown changes the demand that the owner knows of as the owner does itself:
--- a/internal/scheduler/repair_test.go
+++ b/internal/scheduler/repair_test.go
@@ -231,3 +231,42 @@
 	}
 	return served
 }
+
+// A daemon without targets has many short requests. A grant and a release for
+// each would take more than all control may; one grant serves them for a slice.
+// A request that ends after the slice gives the slot back, for another
+// workspace may be owed it.
+func TestShortRequestsShareOneGrant(t *testing.T) {
+	is := is.New(t)
+	owner, ingress := linked(1)
+	for i := range 10 {
+		is.Equal(ingress.Submit(start, request(fmt.Sprintf("r%d", i), "a")), nil)
+	}
+	now, started := settleDown(start, owner, ingress, nothingLost)
+	is.Equal(started, []ident.Request{"r0"})
+	ingress.Finish(now, "r0", scheduler.Result{Served: 10, Elapsed: time.Second}) // long after the slice
+	now, started = settleDown(now, owner, ingress, func(_ ident.Daemon, m scheduler.Message) bool {
+		return false
+	})
+	is.Equal(started, []ident.Request{"r1"})
+
+	grants := 0
+	is.Equal(owner.Submit(now, request("other", "b")), nil)
+	ingress.Finish(now, "r1", scheduler.Result{Served: 10, Elapsed: time.Second})
+	now, started = settleDown(now, owner, ingress, func(_ ident.Daemon, m scheduler.Message) bool {
+		grants += len(m.Grants)
+		return false
+	})
+	is.Equal(len(started), 1) // the owner's own request of the other workspace
+	owner.Finish(now, "other", scheduler.Result{Served: 10, Elapsed: time.Second})
+	var effects []ident.Request
+	deliver(now, owner, "d1", ingress)
+	for next := now; next.Before(now.Add(900 * time.Millisecond)); next = next.Add(300 * time.Millisecond) {
+		for _, id := range dispatched(ingress) {
+			effects = append(effects, id)
+			ingress.Finish(next, id, scheduler.Result{Served: 10, Elapsed: 300 * time.Millisecond})
+		}
+	}
+	is.True(len(effects) >= 3)
+	is.True(grants <= 1)
+}
