--- a/internal/fleet/codec_test.go
+++ b/internal/fleet/codec_test.go
@@ -14,6 +14,7 @@
 	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/scheduler"
+	_ "github.com/savorystall/savorystall/test/fixedseed" // the same verdict each run
 )
 
 func drawMessage(t *rapid.T) scheduler.Message {
--- a/internal/membership/interleaving_test.go
+++ b/internal/membership/interleaving_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/membership"
+	_ "github.com/savorystall/savorystall/test/fixedseed" // the same verdict each run
 )
 
 // model is three daemons and what is on its way between them. Everything that a
