--- a/internal/fleet/codec_bench_test.go
+++ b/internal/fleet/codec_bench_test.go
@@ -26,7 +26,7 @@
 // BenchmarkExchange gives the bytes of a row of an exchange, with the tables of
 // names kept for the link and with tables that are new in each frame.
 func BenchmarkExchange(b *testing.B) {
-	for _, workspaces := range []int{1, 10, 62, 620} {
+	for _, workspaces := range []int{1, 10, 24, 62, 620} {
 		for _, kept := range []bool{true, false} {
 			b.Run(fmt.Sprintf("workspaces=%d/tables kept=%v", workspaces, kept), func(b *testing.B) {
 				m := exchangeOf(workspaces)
