--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/savorystall/savorystall/internal/ident"
 )
 
 const (
@@ -41,7 +42,7 @@
 func newStream(r *http.Request, g *generation) *stream {
 	attempt := r.Header.Get(HeaderAttempt)
 	if attempt == "" {
-		attempt = fmt.Sprintf("anonymous-%p", g)
+		attempt = "anonymous-" + string(ident.NewAttempt())
 	}
 	s := &stream{
 		attempt: attempt,
