scheduler: place work by what was learnt of the targets

Cause: owners went by the document's slots and by one health word; a target that queues, refuses, fails some requests or is much slower than its peers got the same share of work. Change: each service has a placement.Table that sees every result, of owned targets by their releases and of others by this daemon's own requests; free targets, limits and states come from it; Target.health is gone. Service.Plain tells that cost is time. Placement takes one refusal for all that were in flight, starts anew on a returned target, and puts on probation at 8 times the pace.

--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/savorystall/savorystall/internal/config"
+	"github.com/savorystall/savorystall/internal/document"
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
 
@@ -16,7 +17,7 @@
 
 func schedulerService(s *config.Service) scheduler.Service {
 	doc := s.Document
-	service := scheduler.Service{Name: doc.Service, MeanCost: doc.Limits.MeanCost}
+	service := scheduler.Service{Name: doc.Service, MeanCost: doc.Limits.MeanCost, Plain: doc.Kind == document.Plain}
 	for _, ws := range doc.Workspaces {
 		queue := ws.Limits.Queue
 		if queue == 0 {
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -30,8 +30,8 @@
 	held int
 	// windows counts them, for the dips.
 	windows int
-	// skip is the number of completions that were dispatched under a former,
-	// higher limit and say nothing about the present one.
+	// skip is the number of requests that were dispatched under a former, higher
+	// limit; how they end says nothing about the present one.
 	skip int
 	// before is the state when the limit began to shrink, or when shrinking it
 	// had last helped.
@@ -73,9 +73,15 @@
 
 // refused takes in that the target was full with this many in flight.
 func (l *limiter) refused(inFlight int) {
+	if l.skip > 0 {
+		l.skip--
+		return
+	}
 	if inFlight < 1 {
 		return
 	}
+	// What else is in flight may be refused as well; one stands for all.
+	l.skip = inFlight - 1
 	l.value = math.Max(1, math.Min(l.value, float64(inFlight)*refusedShare))
 	l.ramping = false
 	l.held = heldWindows
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -187,6 +187,21 @@
 	is.True(table.Usable("a"))
 }
 
+// A leaving engine refuses the ten requests that were on their way to it. Taken
+// for ten signs of a full batch, they would leave it a limit of one when it has
+// returned, and it would idle for minutes.
+func TestRefusalsOfALeavingTargetAreForgotten(t *testing.T) {
+	is := is.New(t)
+	table := newTable(placement.Target{Name: "a", Slots: 10})
+	for inFlight := 10; inFlight > 0; inFlight-- {
+		table.Observe(start, "a", placement.Sample{NotRun: true, Elapsed: time.Millisecond, InFlight: inFlight})
+	}
+	is.Equal(table.Limit("a"), 9) // they stand for one
+	table.Learn(start, "a", placement.Leaving)
+	table.Learn(start, "a", placement.Returned)
+	is.Equal(table.Limit("a"), 10)
+}
+
 // A target says that it is full. The limit goes below what it had.
 func TestRefusalLowersTheLimit(t *testing.T) {
 	is := is.New(t)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -25,7 +25,7 @@
 	// Queue is the part of the limit that may wait in the target. Default: 0.05.
 	Queue float64
 	// SlowFactor is how many times the pace of its peers a target may take
-	// for a token before it is put on probation. Default: 4.
+	// for a token before it is put on probation. Default: 8.
 	SlowFactor float64
 	// RecoverFactor ends the probation. Default: 2.
 	RecoverFactor float64
@@ -48,7 +48,7 @@
 	c.Most = orDefault(c.Most, 1024)
 	c.MinWindow = orDefault(c.MinWindow, 32)
 	c.Queue = orDefault(c.Queue, 0.05)
-	c.SlowFactor = orDefault(c.SlowFactor, 4)
+	c.SlowFactor = orDefault(c.SlowFactor, 8)
 	c.RecoverFactor = orDefault(c.RecoverFactor, 2)
 	c.ProbeWait = orDefault(c.ProbeWait, 100*time.Millisecond)
 	c.MaxProbeWait = orDefault(c.MaxProbeWait, 5*time.Second)
@@ -75,8 +75,8 @@
 	// NotRun tells that the request did not run: the target was full, or could
 	// not be reached where Failed is set too.
 	NotRun bool
-	// InFlight counts the requests on the target with this one, as far as this
-	// daemon knows.
+	// InFlight counts the requests on the target with this one; zero where
+	// this daemon does not know.
 	InFlight int
 }
 
@@ -214,6 +214,11 @@
 		return false
 	}
 	changed := e.fire(news)
+	if changed && news == Returned {
+		// What refusals said of it while it was leaving holds no longer.
+		e.limit = newLimiter(t.cfg)
+		e.limit.setCeiling(e.Slots)
+	}
 	if e.life.State() == Suspect && news == Failed {
 		e.probe.plan(now, t.cfg, t.rng)
 	}
@@ -236,12 +241,15 @@
 		return t.observeFailure(now, e, s)
 	}
 	e.failures = 0
+	changed := e.fire(Answered)
 	if s.NotRun {
 		e.limit.refused(s.InFlight)
-		return e.fire(Answered)
+		return changed
 	}
 	e.probe = probe{}
-	changed := e.life.State() == Unknown && e.fire(Answered)
+	if s.First <= 0 {
+		return changed // it was canceled or refused, and tells no time
+	}
 	e.limit.completed(s)
 	e.pace.add(s.Tokens, s.First, s.Elapsed)
 	return t.judgePace(e) || changed
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -85,6 +85,7 @@
 	owners    map[ident.Daemon]bool
 	ledger    *fairshare.Ledger
 	admission *admission.Controller
+	places    *places
 	// cost and rate are the mean cost of a request and its mean cost a second,
 	// over the requests of this ingress.
 	cost, rate average
@@ -103,7 +104,6 @@
 type target struct {
 	Target
 	service *service
-	health  Health
 	// grants are the slots in use that this daemon gave away.
 	grants map[uint64]*grantOut
 }
@@ -125,6 +125,7 @@
 	// declined is set once the request has turned down a target it avoids.
 	declined bool
 	owner    ident.Daemon
+	target   ident.Target
 	grant    uint64
 	// charged is what the ledger was charged so far.
 	charged float64
@@ -188,6 +189,7 @@
 		targets:    map[ident.Target]*target{},
 		ledger:     fairshare.New(fairshare.Config{Self: c.cfg.Self, Incarnation: c.cfg.Incarnation}),
 		admission:  admission.New(admission.Config{}),
+		places:     newPlaces(c.cfg.Zone, c.rng),
 	}
 }
 
@@ -225,6 +227,7 @@
 		targets[spec.Name] = t
 	}
 	s.targets = targets
+	s.places.configure(spec)
 }
 
 func (c *Core) refuseQueue(w *workspace, failure *resultcode.Failure) {
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -148,12 +148,12 @@
 	}
 	for _, t := range s.targets {
 		if t.usable() {
-			conditions.FleetSlots += t.Slots
+			conditions.FleetSlots += t.limit()
 		}
 	}
 	for _, t := range s.owned {
 		if t.usable() {
-			conditions.OwnSlots += t.Slots
+			conditions.OwnSlots += t.limit()
 		}
 	}
 	s.ledger.Tune(conditions)
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -118,6 +118,9 @@
 	c.charge(r, result.Served)
 	if s := c.services[r.Service]; s != nil {
 		s.finished(r, result)
+		if r.owner != c.cfg.Self {
+			s.places.observe(now, r.target, result, 0)
+		}
 	}
 	c.release(now, r.owner, Release{Grant: r.grant, Result: result})
 }
@@ -157,6 +160,7 @@
 	}
 	r.running = true
 	r.owner = owner
+	r.target = g.Target
 	r.grant = g.ID
 	c.emit(Dispatch{Request: r.ID, Service: g.Service, Target: g.Target})
 }
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -41,7 +41,7 @@
 		}
 		load.Gap = high - low
 		for _, t := range s.owned {
-			load.Slots += t.Slots
+			load.Slots += t.limit()
 			load.InUse += len(t.grants)
 		}
 		loads = append(loads, load)
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -68,7 +68,7 @@
 // assign gives away free slots of the owned targets as long as work waits.
 func (c *Core) assign(now time.Time, s *service) {
 	for {
-		t := s.freeTarget()
+		t := c.freeTarget(now, s)
 		if t == nil {
 			return
 		}
@@ -80,25 +80,6 @@
 	}
 }
 
-// usable tells whether the target may get new work.
-func (t *target) usable() bool { return t.health != HealthFailed && t.health != HealthLeaving }
-
-// freeTarget returns the owned target with the largest share of free slots.
-func (s *service) freeTarget() *target {
-	var best *target
-	var bestShare float64
-	for _, t := range s.owned {
-		free := t.Slots - len(t.grants)
-		if free <= 0 || !t.usable() {
-			continue
-		}
-		if share := float64(free) / float64(t.Slots); best == nil || share > bestShare {
-			best, bestShare = t, share
-		}
-	}
-	return best
-}
-
 // pick returns the workspace that is owed most among those with demand.
 func (c *Core) pick(s *service) *workspace {
 	var candidates []fairshare.Candidate
@@ -205,11 +186,8 @@
 		// would travel there and back as often as that says.
 		delete(w.demand, g.ingress)
 	}
-	if !rel.Unused && rel.Result.Failed {
-		c.setHealth(g.target, HealthFailed)
-	}
-	if !rel.Unused && !rel.Result.Failed {
-		c.setHealth(g.target, HealthAnswered)
+	if !rel.Unused {
+		g.target.service.places.observe(now, g.Target, rel.Result, len(g.target.grants)+1)
 	}
 	c.assign(now, g.target.service)
 }
@@ -230,20 +208,9 @@
 	if s == nil || s.targets[name] == nil {
 		return false
 	}
-	if !c.setHealth(s.targets[name], health) {
+	if !s.places.learn(now, name, health) {
 		return false
 	}
 	c.assign(now, s)
 	return true
 }
-
-// setHealth keeps a leaving target leaving until it is said to have returned:
-// an answer to old work must not make it look usable again.
-func (c *Core) setHealth(t *target, health Health) bool {
-	if t.health == HealthLeaving && health != HealthReturned {
-		return false
-	}
-	changed := t.health != health
-	t.health = health
-	return changed
-}
--- /dev/null
+++ b/internal/scheduler/places.go
@@ -0,0 +1,72 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/chart"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/placement"
+)
+
+// places is what a daemon has learnt of the targets of one service. All of
+// them are in it, owned or not: what this daemon's own requests saw of the
+// others is what the owned ones are compared with.
+type places struct {
+	*placement.Table
+	// plain marks a service whose cost is time: it has no pace for a token.
+	plain bool
+	// free is scratch space.
+	free []placement.Free
+}
+
+func newPlaces(zone ident.Zone, rng *rand.Rand) *places {
+	return &places{Table: placement.New(placement.Config{Zone: zone}, rng)}
+}
+
+func (p *places) configure(spec Service) {
+	p.plain = spec.Plain
+	targets := make([]placement.Target, len(spec.Targets))
+	for i, t := range spec.Targets {
+		targets[i] = placement.Target{Name: t.Name, Zone: t.Zone, Slots: t.Slots}
+	}
+	p.SetTargets(targets)
+}
+
+// learn takes in news; they are the triggers of charts/target.yaml.
+func (p *places) learn(now time.Time, name ident.Target, health Health) bool {
+	return p.Learn(now, name, chart.Trigger(health))
+}
+
+// observe takes in how an attempt ended on a target that then has inFlight
+// requests, as far as this daemon knows (zero: it does not).
+func (p *places) observe(now time.Time, name ident.Target, r Result, inFlight int) {
+	if r.Elapsed <= 0 && !r.Failed {
+		return // nothing was dispatched
+	}
+	sample := placement.Sample{
+		First: r.First, Elapsed: r.Elapsed, Failed: r.Failed, NotRun: r.NotRun, InFlight: inFlight,
+	}
+	if !p.plain {
+		sample.Tokens = int(r.Served)
+	}
+	p.Observe(now, name, sample)
+}
+
+// usable tells whether the target may get new work, limit how much at once.
+func (t *target) usable() bool { return t.service.places.Usable(t.Name) }
+
+func (t *target) limit() int { return t.service.places.Limit(t.Name) }
+
+// freeTarget returns the owned target that takes the next request, or nil.
+func (c *Core) freeTarget(now time.Time, s *service) *target {
+	s.places.free = s.places.free[:0]
+	for _, t := range s.owned {
+		s.places.free = append(s.places.free, placement.Free{Target: t.Name, InFlight: len(t.grants)})
+	}
+	name, ok := s.places.Choose(now, s.places.free, 0)
+	if !ok {
+		return nil
+	}
+	return s.targets[name]
+}
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -48,9 +48,4 @@
 	return queues, targets
 }
 
-func (t *target) state() string {
-	if t.health == "" {
-		return "unknown"
-	}
-	return string(t.health)
-}
+func (t *target) state() string { return string(t.service.places.State(t.Name)) }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -71,6 +71,8 @@
 	Targets    []Target
 	// MeanCost is the assumed cost of a request before any was measured.
 	MeanCost float64
+	// Plain marks a plain service, whose cost is time.
+	Plain bool
 }
 
 // Peer is another live daemon.
