--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -118,6 +118,9 @@
 	c.charge(r, result.Served)
 	if s := c.services[r.Service]; s != nil {
 		s.finished(r, result)
+		if r.owner != c.cfg.Self {
+			s.places.observe(now, r.grant.Target, result, 0)
+		}
 	}
 	if c.reuse(now, r, result) {
 		return
