fairshare: estimate what a dead daemon did not report; test the measured aims

Cause: service between a daemon's last message and its death was taken for nothing, so that a restart widened the gap for good. Change: half of its last increment is counted when a new incarnation appears; a part that stopped changing is reported once more.

--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -114,11 +114,13 @@
 type account struct {
 	weight float64
 	// virtual is the service received over the weight, with lifts and clamps.
-	virtual    float64
-	own        float64
-	changed    bool
-	backlogged bool
-	tie        uint64
+	virtual float64
+	own     float64
+	// changed tells that the own part changed since Changed was called last,
+	// recent that it had changed then.
+	changed, recent bool
+	backlogged      bool
+	tie             uint64
 }
 
 // Ledger keeps the weighted virtual time of the workspaces of one service.
@@ -228,14 +230,15 @@
 }
 
 // Changed returns, sorted, the workspaces whose own part changed since the last
-// call.
+// call, and those for which it no longer does: a part that is reported unchanged
+// once tells that service has stopped.
 func (l *Ledger) Changed() []ident.Workspace {
 	var out []ident.Workspace
 	for ws, a := range l.accounts {
-		if a.changed {
-			a.changed = false
+		if a.changed || a.recent {
 			out = append(out, ws)
 		}
+		a.recent, a.changed = a.changed, false
 	}
 	slices.Sort(out)
 	return out
--- a/internal/fairshare/ledger_test.go
+++ b/internal/fairshare/ledger_test.go
@@ -129,6 +129,21 @@
 	l.Charge("a", 7)
 	l.Charge("a", -2)
 	is.Equal(l.Changed(), []ident.Workspace{"a", "b"})
+	is.Equal(l.Changed(), []ident.Workspace{"a", "b"}) // unchanged since
 	is.Equal(len(l.Changed()), 0)
 	is.Equal(l.Own("a"), 5.0)
 }
+
+// A daemon dies between two messages and what it delivered since the first is
+// never reported. Were it taken for nothing, whoever it had served most would be
+// ahead by that for good, and by as much again after each restart.
+func TestUnreportedServiceIsEstimated(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d", Incarnation: 1})
+	l.SetBacklogged("a", true)
+	l.SetBacklogged("b", true)
+	l.Merge("e", 1, "b", 100)
+	l.Merge("e", 1, "b", 180)
+	l.Merge("e", 2, "b", 0)
+	is.Equal(l.Lead("b"), 180.0+40.0)
+}
--- a/internal/fairshare/peer.go
+++ b/internal/fairshare/peer.go
@@ -5,12 +5,16 @@
 // peer is what the ledger has heard from one incarnation of another owner.
 type peer struct {
 	incarnation uint64
-	parts       map[ident.Workspace]float64
+	parts       map[ident.Workspace]part
 	// fromZero tells that the incarnation has served nothing before this
 	// ledger listened, so that a part not seen before counts in full.
 	fromZero bool
 }
 
+// part is what an incarnation has delivered to one workspace: in total, and
+// between its last two messages.
+type part struct{ served, last float64 }
+
 // Merge takes in what an owner's incarnation has delivered to the workspace in
 // total. Repeated, reordered within an incarnation to the newest, and lost
 // messages do no harm, because the total replaces the one known before. What an
@@ -26,12 +30,13 @@
 		return
 	}
 	before, seen := p.parts[ws]
-	p.parts[ws] = served
+	added := served - before.served
+	p.parts[ws] = part{served: served, last: added}
 	if !seen && !p.fromZero {
 		return
 	}
 	a := l.account(ws)
-	a.virtual += (served - before) / a.weight
+	a.virtual += added / a.weight
 }
 
 // peer returns the state of the incarnation, or nil for one that is over.
@@ -41,9 +46,10 @@
 		return nil
 	}
 	if p == nil || incarnation > p.incarnation {
+		l.bury(p)
 		p = &peer{
 			incarnation: incarnation,
-			parts:       make(map[ident.Workspace]float64),
+			parts:       make(map[ident.Workspace]part),
 			fromZero:    incarnation >= l.config.Incarnation,
 		}
 		l.peers[daemon] = p
@@ -51,6 +57,18 @@
 	return p
 }
 
+// bury counts what a dead incarnation delivered after its last message, which
+// nobody will ever report: half an exchange of it on the average.
+func (l *Ledger) bury(p *peer) {
+	if p == nil {
+		return
+	}
+	for ws, old := range p.parts {
+		a := l.account(ws)
+		a.virtual += old.last / 2 / a.weight
+	}
+}
+
 // Forget frees the state of a dead owner. Its service stays counted. Should the
 // same incarnation come back, its totals are taken as a new baseline.
 func (l *Ledger) Forget(daemon ident.Daemon) {
--- a/test/fairness/fairness_test.go
+++ b/test/fairness/fairness_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -52,18 +51,17 @@
 }
 
 // A club's weekend of footage arrives at once and takes half of all capacity.
-// Callers of the others, who ask for less than their share, must not notice
-// more than a freed slot's wait: their drafts start within seconds while the
-// flood's own wait for minutes.
+// Callers of the others, who ask for less than their share, wait about as under a
+// scheduler that knows all, while the flood's own wait for minutes.
 func TestHotWorkspaceWaitsForItself(t *testing.T) {
 	is := is.New(t)
-	fleet, _ := fleetOf(t, "hot")
+	fleet, best := fleetOf(t, "hot")
 	is.True(fleet.Waits[0].P50 > 10*time.Second)
-	for _, w := range fleet.Waits[1:] {
+	for i, w := range fleet.Waits[1:] {
 		is.True(w.P50 < 500*time.Millisecond)
-		is.True(w.P99 < 5*time.Second)
+		is.True(w.P99 <= 2*best.Waits[i+1].P99+500*time.Millisecond)
 	}
-	is.True(fleet.AskFirst < 3*time.Second)
+	is.True(fleet.AskFirst <= 2*best.AskFirst)
 }
 
 // A burst of one workspace, as much as five seconds of all slots, meets others
@@ -83,11 +81,10 @@
 func TestOverloadServesInTime(t *testing.T) {
 	is := is.New(t)
 	fleet, best := fleetOf(t, "overload")
-	is.True(fleet.InTime > 0.5*best.InTime)
+	is.True(fleet.InTime >= 0.85*best.InTime)
 	for _, w := range fleet.Waits {
 		is.True(w.Count > 0)
 	}
-	fmt.Println(fleet.InTime, best.InTime, fleet.Refused, best.Refused)
 }
 
 // A zone is cut off for half a minute, with three of the twelve engines. What
@@ -98,6 +95,14 @@
 	fleet, _ := fleetOf(t, "cut")
 	is.True(fleet.Utilisation >= aimUtilisation)
 	last := fleet.gaps[len(fleet.gaps)-1]
-	is.True(last.y < fleet.GapSeconds)
-	fmt.Println(last.y, fleet.GapSeconds)
+	is.True(last.y < 0.9*fleet.GapSeconds)
+}
+
+// Requests of three thousand tokens share the slots with such of sixty. The
+// short ones' callers get as much for their weight, and do not wait for them.
+func TestShortRequestsPassLongOnes(t *testing.T) {
+	is := is.New(t)
+	fleet, best := fleetOf(t, "long-short")
+	is.True(fleet.GapSeconds <= aimGap1)
+	is.True(fleet.AskFirst <= 2*best.AskFirst)
 }
