--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -148,12 +148,12 @@
 	}
 	for _, t := range s.targets {
 		if t.usable() {
-			conditions.FleetSlots += t.Slots
+			conditions.FleetSlots += t.limit()
 		}
 	}
 	for _, t := range s.owned {
 		if t.usable() {
-			conditions.OwnSlots += t.Slots
+			conditions.OwnSlots += t.limit()
 		}
 	}
 	s.ledger.Tune(conditions)
@@ -185,7 +185,7 @@
 	held := map[ident.Daemon][]uint64{}
 	for _, r := range c.requests {
 		if r.running && r.owner != c.cfg.Self {
-			held[r.owner] = append(held[r.owner], r.grant)
+			held[r.owner] = append(held[r.owner], r.grant.ID)
 		}
 	}
 	for id, p := range c.peers {
