--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -163,3 +163,15 @@
 	slices.Sort(waits)
 	return float64(waits[int(p*float64(len(waits)-1))]) / float64(time.Millisecond)
 }
+
+// BenchmarkSlowTable offers 100 requests a second to seven daemons while the
+// table takes long for each transaction.
+func BenchmarkSlowTable(b *testing.B) {
+	for _, latency := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		b.Run(latency.String(), func(b *testing.B) {
+			table := newBudgetTable()
+			table.latency = latency
+			offer(b, 100, grouped(b, table, 7, 40))
+		})
+	}
+}
