scheduler: look only at workspaces with work

Cause: each tick and each decision went through all workspaces of a service, and each tick through all owners for each of them. Change: a list of active workspaces, running sums of remote demand, demand told once is not compared again before the next settle; the ledger lifts by the backlogged alone; one list of parts serves all peers; deadlines are scanned only when one may have passed.

--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -119,7 +119,6 @@
 	// changed tells that the own part changed since Changed was called last,
 	// recent that it had changed then.
 	changed, recent bool
-	backlogged      bool
 	tie             uint64
 }
 
@@ -127,7 +126,9 @@
 type Ledger struct {
 	config   Config
 	accounts map[ident.Workspace]*account
-	peers    map[ident.Daemon]*peer
+	// backlogged is the set of those that are backlogged.
+	backlogged map[*account]struct{}
+	peers      map[ident.Daemon]*peer
 	// floor is the highest value that the median of the backlogged has had. It
 	// is where a workspace starts when no other is backlogged.
 	floor float64
@@ -143,9 +144,10 @@
 func New(c Config) *Ledger {
 	c = c.withDefaults()
 	l := &Ledger{
-		config:   c,
-		accounts: make(map[ident.Workspace]*account),
-		peers:    make(map[ident.Daemon]*peer),
+		config:     c,
+		accounts:   make(map[ident.Workspace]*account),
+		backlogged: make(map[*account]struct{}),
+		peers:      make(map[ident.Daemon]*peer),
 	}
 	l.charge = c.RunningCharge * c.MeanCost
 	return l
@@ -183,6 +185,9 @@
 
 // Remove drops a workspace that the document no longer names.
 func (l *Ledger) Remove(ws ident.Workspace) {
+	if a := l.accounts[ws]; a != nil {
+		delete(l.backlogged, a)
+	}
 	delete(l.accounts, ws)
 	for _, p := range l.peers {
 		delete(p.parts, ws)
@@ -249,25 +254,25 @@
 // earns no credit, else it could take all slots on its return.
 func (l *Ledger) SetBacklogged(ws ident.Workspace, backlogged bool) {
 	a := l.account(ws)
-	if a.backlogged == backlogged {
+	if _, was := l.backlogged[a]; was == backlogged {
+		return
+	}
+	if !backlogged {
+		delete(l.backlogged, a)
 		return
 	}
 	if middle, ok := l.middle(); ok {
 		l.floor = max(l.floor, middle)
 	}
-	a.backlogged = backlogged
-	if backlogged {
-		a.virtual = max(a.virtual, l.floor)
-	}
+	l.backlogged[a] = struct{}{}
+	a.virtual = max(a.virtual, l.floor)
 }
 
 // middle is the median of the backlogged workspaces.
 func (l *Ledger) middle() (float64, bool) {
 	var list []scored
-	for _, a := range l.accounts {
-		if a.backlogged {
-			list = append(list, scored{account: a})
-		}
+	for a := range l.backlogged {
+		list = append(list, scored{account: a})
 	}
 	if len(list) == 0 {
 		return 0, false
--- a/internal/fairshare/pick.go
+++ b/internal/fairshare/pick.go
@@ -36,6 +36,7 @@
 	list := l.list(candidates)
 	fair := fairSlots(list)
 	middle := median(list)
+	l.floor = max(l.floor, middle)
 	second := l.fairSecond(list)
 	lead := max(l.config.MaxLead, l.conditions.Lag)
 	debt := max(l.config.MaxDebt, 2*lead)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -76,6 +76,8 @@
 	// late holds what cannot be in time any more.
 	late  order[T]
 	items map[ident.Request]*entry[T]
+	// earliest is at or before the earliest deadline; zero: there is none.
+	earliest time.Time
 	// clock is the virtual time of the class that was popped last.
 	clock float64
 }
@@ -155,6 +157,7 @@
 		c.pass = max(c.pass, q.clock)
 	}
 	q.items[it.ID] = e
+	q.noteDeadline(it.Deadline)
 	e.in = &c.order
 	heap.Push(e.in, e)
 	return nil
@@ -257,11 +260,25 @@
 // Expire removes and returns the requests whose deadline has passed, so that
 // their callers hear of it although no slot becomes free.
 func (q *Queue[T]) Expire(now time.Time) []Item[T] {
+	if q.earliest.IsZero() || !now.After(q.earliest) {
+		return nil
+	}
 	var expired []Item[T]
 	for i := range q.classes {
 		expired = q.expire(&q.classes[i].order, now, expired)
 	}
-	return q.expire(&q.late, now, expired)
+	expired = q.expire(&q.late, now, expired)
+	q.earliest = time.Time{}
+	for _, e := range q.items {
+		q.noteDeadline(e.Deadline)
+	}
+	return expired
+}
+
+func (q *Queue[T]) noteDeadline(deadline time.Time) {
+	if !deadline.IsZero() && (q.earliest.IsZero() || deadline.Before(q.earliest)) {
+		q.earliest = deadline
+	}
 }
 
 func (q *Queue[T]) expire(o *order[T], now time.Time, expired []Item[T]) []Item[T] {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -87,7 +88,9 @@
 	workspaces map[ident.Workspace]*workspace
 	// order lists the workspaces by name, so that no decision hangs on the
 	// order of a map.
-	order   []*workspace
+	order []*workspace
+	// active lists those with work anywhere, or with owners who believe so.
+	active  []*workspace
 	targets map[ident.Target]*target
 	// owned lists the targets that this daemon grants, by name.
 	owned []*target
@@ -104,12 +107,35 @@
 // waiting counts the requests of all workspaces that wait here.
 func (s *service) waiting() int {
 	n := 0
-	for _, w := range s.order {
+	for _, w := range s.active {
 		n += w.waiting()
 	}
 	return n
 }
 
+// activate puts the workspace on the list of active ones. Thousands have no
+// work at a time, and no decision or tick looks at those.
+func (s *service) activate(w *workspace) {
+	if !w.active {
+		w.active = true
+		s.active = append(s.active, w)
+	}
+}
+
+// prune takes the quiet workspaces off the list of active ones.
+func (s *service) prune() {
+	s.active = slices.DeleteFunc(s.active, func(w *workspace) bool {
+		if s.workspaces[w.Name] == w && !w.quiet() {
+			return false
+		}
+		w.active = false
+		if s.workspaces[w.Name] == w {
+			s.ledger.SetBacklogged(w.Name, false)
+		}
+		return true
+	})
+}
+
 // target is the state of one target.
 type target struct {
 	Target
@@ -228,6 +254,7 @@
 		}
 	}
 	s.workspaces = workspaces
+	s.prune()
 	targets := make(map[ident.Target]*target, len(spec.Targets))
 	for _, spec := range spec.Targets {
 		t := s.targets[spec.Name]
@@ -288,8 +315,8 @@
 	}
 	for _, s := range c.services {
 		for _, w := range s.order {
-			delete(w.demand, p.ID)
-			delete(w.shown, p.ID)
+			w.setDemand(p.ID, demand{})
+			w.setShown(p.ID, demand{})
 		}
 	}
 	delete(c.outbox, p.ID)
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -77,8 +77,10 @@
 
 // showDemand tells the owners of targets how many requests wait.
 func (c *Core) showDemand(now time.Time, s *service, w *workspace, at cadence) {
+	if w.told && at == onTick {
+		return
+	}
 	own := w.own()
-	w.mark(now, own)
 	near := reach(own.waiting, now.Sub(w.since))
 	nearUrgent := reach(own.urgent, now.Sub(w.urgentSince))
 	for i, p := range c.ownersFor(s, w) {
@@ -96,7 +98,7 @@
 		if at == onArrival && !c.early.take() {
 			return
 		}
-		w.shown[p.ID] = value
+		w.setShown(p.ID, value)
 		m := c.message(p.ID)
 		m.Demand = append(m.Demand, Demand{
 			Service:   s.name,
@@ -106,14 +108,20 @@
 			Seen:      p.seenGrant,
 		})
 	}
+	all := len(c.ownersFor(s, w))
+	w.told = own.waiting == 0 ||
+		near >= all && (own.urgent == 0 || nearUrgent >= all) && now.Sub(w.since) >= c.cfg.Spill
 }
 
-// mark keeps the times at which the queue last became non-empty.
-func (w *workspace) mark(now time.Time, own demand) {
-	if own.waiting == 0 || w.since.IsZero() {
+// arrives keeps the times since when the queue is not empty. It is called before
+// a request is put into it.
+func (w *workspace) arrives(now time.Time) {
+	w.told = false
+	own := w.own()
+	if own.waiting == 0 {
 		w.since = now
 	}
-	if own.urgent == 0 || w.urgentSince.IsZero() {
+	if own.urgent == 0 {
 		w.urgentSince = now
 	}
 }
@@ -161,7 +169,7 @@
 		s.owners[c.owner(t)] = true
 	}
 	for _, w := range s.order {
-		w.owners = nil
+		w.owners, w.told = nil, false
 	}
 }
 
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -50,7 +50,10 @@
 	}
 	w := s.workspaces[d.Workspace]
 	known := demand{waiting: int(d.Waiting), urgent: int(d.Urgent)}
-	w.demand[from] = known.less(w.unseen(from, d.Seen))
+	w.setDemand(from, known.less(w.unseen(from, d.Seen)))
+	if w.remoteDemand() > 0 {
+		s.activate(w)
+	}
 }
 
 // unseenGrant is how long an ingress may leave a grant out of its lists before
@@ -75,7 +78,8 @@
 			c.dropGrant(id)
 			// The request that it was for still waits there.
 			if w := g.target.service.workspaces[g.Workspace]; w != nil {
-				w.demand[from] = w.demand[from].more(1)
+				w.setDemand(from, w.demand[from].more(1))
+				g.target.service.activate(w)
 			}
 		}
 	}
@@ -103,7 +107,7 @@
 	c.early.refill()
 	at := c.due(now)
 	for _, s := range c.services {
-		for _, w := range s.order {
+		for _, w := range c.listed(s, at) {
 			c.expire(now, s, w)
 			c.showDemand(now, s, w, at)
 		}
@@ -111,6 +115,7 @@
 			c.sendParts(s)
 			c.tune(s)
 		}
+		s.prune()
 	}
 	if at == onExchange {
 		c.forgetGone(now)
@@ -125,6 +130,20 @@
 	c.assignAll(now)
 }
 
+// listed lists the workspaces that a tick has to look at: the active ones, or all
+// where a peer that lost messages may believe in the demand of any.
+func (c *Core) listed(s *service, at cadence) []*workspace {
+	if at != onExchange {
+		return s.active
+	}
+	for _, p := range c.peers {
+		if p.full {
+			return s.order
+		}
+	}
+	return s.active
+}
+
 // due tells what the tick has to send.
 func (c *Core) due(now time.Time) cadence {
 	at := onTick
@@ -160,20 +179,45 @@
 }
 
 func (c *Core) sendParts(s *service) {
-	changed := s.ledger.Changed()
+	var all []Part
+	changed := s.parts(s.ledger.Changed())
 	for id, p := range c.peers {
-		names := changed
+		list := changed
 		if p.full {
-			names = names[:0:0]
-			for _, w := range s.order {
-				names = append(names, w.Name)
+			if all == nil {
+				all = s.allParts()
 			}
+			list = all
+		}
+		if len(list) == 0 {
+			continue
 		}
-		for _, name := range names {
-			m := c.message(id)
-			m.Parts = append(m.Parts, Part{Service: s.name, Workspace: name, Served: s.ledger.Own(name)})
+		m := c.message(id)
+		if len(m.Parts) == 0 {
+			m.Parts = slices.Clip(list) // one list serves all peers
+			continue
+		}
+		m.Parts = append(m.Parts, list...)
+	}
+}
+
+func (s *service) parts(names []ident.Workspace) []Part {
+	list := make([]Part, 0, len(names))
+	for _, name := range names {
+		list = append(list, Part{Service: s.name, Workspace: name, Served: s.ledger.Own(name)})
+	}
+	return list
+}
+
+// allParts leaves out workspaces that were served nothing.
+func (s *service) allParts() []Part {
+	var names []ident.Workspace
+	for _, w := range s.order {
+		if s.ledger.Own(w.Name) != 0 {
+			names = append(names, w.Name)
 		}
 	}
+	return s.parts(names)
 }
 
 // listsAfterLoss is how many lists follow a lost link: enough to outlast
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -58,6 +58,7 @@
 
 func (c *Core) enqueue(now time.Time, s *service, w *workspace, spec Request, front bool) *resultcode.Failure {
 	r := &request{Request: spec, arrived: now}
+	w.arrives(now)
 	failure := w.queue.Push(queue.Item[*request]{
 		ID:       spec.ID,
 		Class:    uint8(spec.Class),
@@ -70,6 +71,7 @@
 		return failure
 	}
 	c.requests[spec.ID] = r
+	s.activate(w)
 	c.changed(now, s, w)
 	c.assign(now, s)
 	c.showDemand(now, s, w, onArrival)
@@ -78,6 +80,7 @@
 
 // changed tells admission how many requests wait.
 func (c *Core) changed(now time.Time, s *service, w *workspace) {
+	w.told = false
 	s.admission.Waiting(now, w.Name, w.waiting())
 }
 
@@ -168,10 +171,6 @@
 	s.admission.Finished(class, result.Elapsed)
 	s.cost.add(result.Served)
 	s.rate.add(result.Served / result.Elapsed.Seconds())
-	typical := s.admission.Typical(class)
-	for _, w := range s.order {
-		w.queue.SetTypical(class, typical)
-	}
 }
 
 func (c *Core) charge(r *request, served float64) {
@@ -207,9 +206,9 @@
 	switch {
 	case !ok:
 	case used:
-		w.shown[owner] = known.less(1)
+		w.setShown(owner, known.less(1))
 	default:
-		w.shown[owner] = demand{}
+		w.setShown(owner, demand{})
 	}
 }
 
@@ -220,6 +219,9 @@
 		return nil
 	}
 	w := s.workspaces[g.Workspace]
+	for class := range uint8(classCount) {
+		w.queue.SetTypical(class, s.admission.Typical(class))
+	}
 	it, expired, ok := w.queue.PopWhere(now, func(it queue.Item[*request]) bool {
 		return it.Value.takes(g.Target)
 	})
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -83,7 +83,7 @@
 // pick returns the workspace that is owed most among those with demand.
 func (c *Core) pick(s *service) *workspace {
 	var candidates []fairshare.Candidate
-	for _, w := range s.order {
+	for _, w := range s.active {
 		wants := w.waiting() > 0 || w.remoteDemand() > 0
 		if wants {
 			candidates = append(candidates, fairshare.Candidate{Workspace: w.Name, Running: w.granted})
@@ -130,17 +130,7 @@
 	return c.cfg.Self
 }
 
-func (w *workspace) anyUrgent() bool {
-	if w.own().urgent > 0 {
-		return true
-	}
-	for _, d := range w.demand {
-		if d.urgent > 0 {
-			return true
-		}
-	}
-	return false
-}
+func (w *workspace) anyUrgent() bool { return w.own().urgent > 0 || w.remote.urgent > 0 }
 
 func (c *Core) grant(now time.Time, t *target, w *workspace, ingress ident.Daemon) {
 	c.lastGrant++
@@ -157,7 +147,7 @@
 		c.accept(now, c.cfg.Self, g.Grant)
 		return
 	}
-	w.demand[ingress] = w.demand[ingress].less(1)
+	w.setDemand(ingress, w.demand[ingress].less(1))
 	m := c.message(ingress)
 	m.Grants = append(m.Grants, g.Grant)
 }
@@ -184,7 +174,7 @@
 	if w := g.target.service.workspaces[g.Workspace]; rel.Unused && w != nil {
 		// Nothing waits there any more. Going by the old count, every slot
 		// would travel there and back as often as that says.
-		delete(w.demand, g.ingress)
+		w.setDemand(g.ingress, demand{})
 	}
 	if !rel.Unused {
 		g.target.service.places.observe(now, g.Target, rel.Result, len(g.target.grants)+1)
--- a/internal/scheduler/workspace.go
+++ b/internal/scheduler/workspace.go
@@ -20,11 +20,16 @@
 	// owners caches the peers to show demand to, in order.
 	owners []*peer
 	// shown is the demand that each owner knows: what it was last told, less
-	// the grants that came from it since.
+	// the grants that came from it since, where that is not nothing.
 	shown map[ident.Daemon]demand
 	// demand is what each ingress was last known to have waiting, less the
-	// grants that were sent to it since.
+	// grants that were sent to it since, where that is not nothing; remote is
+	// its sum.
 	demand map[ident.Daemon]demand
+	remote demand
+	// active tells that the workspace is in the service's list of active ones,
+	// told that there is nothing to tell owners before the next settle.
+	active, told bool
 	// turn counts the picks of an ingress, up to urgentTurns.
 	turn int
 	// granted counts the grants of this owner that are in use.
@@ -52,12 +57,33 @@
 func (w *workspace) waiting() int { return w.queue.Len() }
 
 // remoteDemand is how many requests wait at other ingresses.
-func (w *workspace) remoteDemand() int {
-	n := 0
-	for _, d := range w.demand {
-		n += d.waiting
+func (w *workspace) remoteDemand() int { return w.remote.waiting }
+
+// setDemand changes what is known to wait at an ingress.
+func (w *workspace) setDemand(ingress ident.Daemon, d demand) {
+	old := w.demand[ingress]
+	w.remote.waiting += d.waiting - old.waiting
+	w.remote.urgent += d.urgent - old.urgent
+	setOrDelete(w.demand, ingress, d)
+}
+
+// setShown changes what an owner is known to have been told.
+func (w *workspace) setShown(owner ident.Daemon, d demand) {
+	setOrDelete(w.shown, owner, d)
+	w.told = false
+}
+
+func setOrDelete(m map[ident.Daemon]demand, id ident.Daemon, d demand) {
+	if d == (demand{}) {
+		delete(m, id)
+		return
 	}
-	return n
+	m[id] = d
+}
+
+// quiet tells that nothing waits anywhere and that every owner knows it.
+func (w *workspace) quiet() bool {
+	return w.waiting() == 0 && len(w.demand) == 0 && len(w.shown) == 0
 }
 
 // own is the demand of this ingress.
