Make the schedule of failures able to show doubles and reverted revisions

Cause: with the rule of claims broken on purpose (an unreachable claimant's claim is taken over), the schedule still passed: one killed daemon held hardly any unrepeatable request. Change: two daemons are killed at once, half of the 64 callers' requests must not run twice, and stale reads right after a change are a failure of their own.

--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -33,7 +33,7 @@
 }
 
 const (
-	steadyCallers = 32
+	steadyCallers = 64
 	mostTries     = 6
 	callTimeout   = 30 * time.Second
 )
@@ -50,7 +50,7 @@
 
 func (s *steady) caller(ctx context.Context, rng *rand.Rand, name string) {
 	for i := 0; ctx.Err() == nil; i++ {
-		r := &repeated{kind: kind(rng.IntN(int(kinds))), mark: fmt.Sprintf("%s-%d", name, i)}
+		r := &repeated{kind: drawKind(rng), mark: fmt.Sprintf("%s-%d", name, i)}
 		s.ask(ctx, rng, r)
 		s.mu.Lock()
 		s.requests = append(s.requests, r)
@@ -58,9 +58,18 @@
 	}
 }
 
+// drawKind draws every second request among those that must not run twice: they
+// are what a schedule of failures can go wrong with.
+func drawKind(rng *rand.Rand) kind {
+	if rng.IntN(2) == 0 {
+		return []kind{taggedCompletion, plainClaim}[rng.IntN(2)]
+	}
+	return kind(rng.IntN(int(kinds)))
+}
+
 // ask tries until there is an answer or a word that forbids another try.
 func (s *steady) ask(ctx context.Context, rng *rand.Rand, r *repeated) {
-	tokens, bearer := 5+rng.IntN(20), key(rng.IntN(workspaces))
+	tokens, bearer := 10+rng.IntN(40), key(rng.IntN(workspaces))
 	for len(r.tries) < mostTries {
 		try := &request{kind: r.kind, mark: r.mark, tokens: tokens}
 		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
--- a/test/integration/failures_test.go
+++ b/test/integration/failures_test.go
@@ -68,6 +68,10 @@
 		{"answers lost", func(r *run) func() {
 			return r.store(platformstandin.Faults{LoseAnswers: -1, LateEffect: 100 * time.Millisecond})
 		}},
+		{"stale reads", func(r *run) func() {
+			r.race()
+			return r.store(platformstandin.Faults{StaleBy: 3})
+		}},
 		{"pause beyond the lease", (*run).pause},
 		{"racing operators", (*run).race},
 		{"silent connections", (*run).silence},
@@ -92,10 +96,16 @@
 	}
 }
 
+// restart kills two daemons; what they held for callers is gone.
 func (r *run) restart() func() {
 	i := r.rng.IntN(daemonCount)
+	j := (i + 1 + r.rng.IntN(daemonCount-1)) % daemonCount
 	r.f.daemon(i).kill()
-	return func() { r.f.replace(i) }
+	r.f.daemon(j).kill()
+	return func() {
+		r.f.replace(i)
+		r.f.replace(j)
+	}
 }
 
 func (r *run) store(faults platformstandin.Faults) func() {
