test/fairness: measure a fleet with fewer slots than workspaces, and answers in time

Cause: with fewer slots than workspaces slots cannot be divided, and no figure said what is left of the fair share then. Change: a third size of 12 engines with one slot; a column of the work of the answers that were in time.

--- a/test/fairness/baseline.go
+++ b/test/fairness/baseline.go
@@ -100,7 +100,7 @@
 func (b *baseline) freeTarget() int {
 	best, free := -1, 0
 	for t, e := range b.run.engines {
-		if n := slots - len(e.jobs); n > free {
+		if n := e.slots - len(e.jobs); n > free {
 			best, free = t, n
 		}
 	}
@@ -199,7 +199,7 @@
 }
 
 func (o *optimum) exchange(b *baseline) {
-	total := len(b.run.engines) * slots
+	total := b.run.size.allSlots()
 	o.ledger.Tune(fairshare.Conditions{SlotRate: decodeRate, OwnSlots: total, FleetSlots: total})
 }
 
--- a/test/fairness/choosers.go
+++ b/test/fairness/choosers.go
@@ -77,7 +77,7 @@
 	for _, src := range b.run.pattern.sources {
 		weights += src.weight
 	}
-	total := float64(len(b.run.engines) * slots)
+	total := float64(b.run.size.allSlots())
 	running := sumColumns(b.running)
 	for w, src := range b.run.pattern.sources {
 		if float64(running[w]+1) <= math.Ceil(total*src.weight/weights) {
@@ -266,7 +266,7 @@
 func (e *early) choose(b *baseline, _ int) *job {
 	e.bind(b)
 	for target := range b.run.engines {
-		for len(b.run.engines[target].jobs) < slots {
+		for len(b.run.engines[target].jobs) < b.run.size.slots {
 			j := e.chooseBound(b, target)
 			if j == nil {
 				break
--- a/test/fairness/engine.go
+++ b/test/fairness/engine.go
@@ -6,7 +6,6 @@
 // decisions measure it, so only the ratio of the figures matters here.
 const (
 	tick        = 5 * time.Millisecond
-	slots       = 24
 	decodeRate  = 30.0   // tokens a second of one stream
 	prefillRate = 4000.0 // prompt tokens a second of one stream
 	// promptUnits is the cost of a prompt token in units of an output token.
@@ -49,6 +48,7 @@
 // streams down when that is more than its slots.
 type engine struct {
 	zone  int
+	slots int
 	speed float64
 	jobs  []*job
 	cache []uint64
@@ -90,7 +90,7 @@
 
 // advance works for one tick and returns the jobs that ended.
 func (e *engine) advance(now time.Duration) []*job {
-	speed := e.speed * min(1, slots/float64(max(1, len(e.jobs))))
+	speed := e.speed * min(1, float64(e.slots)/float64(max(1, len(e.jobs))))
 	var ended []*job
 	kept := e.jobs[:0]
 	for _, j := range e.jobs {
--- a/test/fairness/fleet.go
+++ b/test/fairness/fleet.go
@@ -90,7 +90,7 @@
 		s.Workspaces = append(s.Workspaces, scheduler.Workspace{Name: workspaceName(w), Weight: src.weight, Queue: queueBound})
 	}
 	for t, e := range f.run.engines {
-		s.Targets = append(s.Targets, scheduler.Target{Name: targetName(t), Zone: zoneName(e.zone), Slots: slots})
+		s.Targets = append(s.Targets, scheduler.Target{Name: targetName(t), Zone: zoneName(e.zone), Slots: e.slots})
 	}
 	return s
 }
--- a/test/fairness/load.go
+++ b/test/fairness/load.go
@@ -12,14 +12,23 @@
 type size struct {
 	name                                string
 	zones, daemons, engines, workspaces int
+	// slots is how many requests an engine works on at once.
+	slots int
+	// only names the patterns that it is measured with; empty means all.
+	only []string
 }
 
 var sizes = []size{
-	{name: "kettleford", zones: 4, daemons: 7, engines: 12, workspaces: 16},
-	{name: "tierra-firme", zones: 3, daemons: 6, engines: 12, workspaces: 16},
+	{name: "kettleford", zones: 4, daemons: 7, engines: 12, workspaces: 16, slots: 24},
+	{name: "tierra-firme", zones: 3, daemons: 6, engines: 12, workspaces: 16, slots: 24},
+	// Fewer slots than workspaces, so that slots cannot be divided at all.
+	{name: "one-slot", zones: 4, daemons: 7, engines: 12, workspaces: 16, slots: 1, only: []string{"steady", "long-short"}},
 }
 
-func (s size) capacity() float64 { return float64(s.engines) * slots * decodeRate }
+// allSlots is how many requests the engines can work on at once.
+func (s size) allSlots() int { return s.engines * s.slots }
+
+func (s size) capacity() float64 { return float64(s.allSlots()) * decodeRate }
 
 // kind is a sort of request. Output lengths are exponential.
 type kind struct {
@@ -179,7 +188,7 @@
 	for i, src := range p.sources {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		g := generator{size: s, source: src, workspace: i, rng: rng, spread: spread(s, i, rng)}
-		fair := float64(s.engines*slots) * src.weight / weights
+		fair := float64(s.allSlots()) * src.weight / weights
 		jobs = append(jobs, g.all(p.duration, fair)...)
 	}
 	sort.SliceStable(jobs, func(i, j int) bool { return jobs[i].arrival < jobs[j].arrival })
@@ -214,7 +223,7 @@
 func (g *generator) all(duration time.Duration, fair float64) []*job {
 	var jobs []*job
 	for _, part := range g.source.mix {
-		left := g.source.burst * float64(g.size.engines*slots) * part.part
+		left := g.source.burst * float64(g.size.allSlots()) * part.part
 		for left > 0 {
 			j := g.job(part.kind, g.source.from)
 			left -= j.prompt/prefillRate + j.output/decodeRate
--- a/test/fairness/main.go
+++ b/test/fairness/main.go
@@ -85,7 +85,7 @@
 	var work []func() result
 	for _, s := range sizes {
 		for _, p := range patterns(s) {
-			if !wanted(o.Sizes, s.name) || !wanted(o.Patterns, p.name) {
+			if !wanted(s.only, p.name) || !wanted(o.Sizes, s.name) || !wanted(o.Patterns, p.name) {
 				continue
 			}
 			for _, c := range candidates {
--- a/test/fairness/measure.go
+++ b/test/fairness/measure.go
@@ -30,8 +30,8 @@
 	// hot one, of the time from a question's arrival to its first token.
 	AskFirst time.Duration
 	Refused  int
-	// InTime is the time on slots of the answers that were complete before
-	// their deadline, in seconds of one slot.
+	// InTime is the work of the answers that were complete before their
+	// deadline, in seconds of one slot at full speed.
 	InTime float64
 	// gaps is the largest difference at each sample, in seconds.
 	gaps []point
@@ -111,8 +111,8 @@
 	all := make([][]time.Duration, len(r.pattern.sources))
 	var firsts []time.Duration
 	for _, j := range r.jobs[:r.next] {
-		if j.ended && (j.deadline == 0 || j.end <= j.deadline) {
-			res.InTime += (j.end - j.began).Seconds()
+		if j.ended && j.decoded >= j.output && (j.deadline == 0 || j.end <= j.deadline) {
+			res.InTime += j.prompt/prefillRate + j.output/decodeRate
 		}
 		switch {
 		case j.refused:
--- a/test/fairness/preempt.go
+++ b/test/fairness/preempt.go
@@ -47,7 +47,7 @@
 	for _, src := range b.run.pattern.sources {
 		weights += src.weight
 	}
-	fair := float64(len(b.run.engines)*slots) * b.run.pattern.sources[w].weight / weights
+	fair := float64(b.run.size.allSlots()) * b.run.pattern.sources[w].weight / weights
 	return float64(sumColumns(b.running)[w]) - fair
 }
 
--- a/test/fairness/run.go
+++ b/test/fairness/run.go
@@ -67,7 +67,7 @@
 	r := &run{size: s, pattern: p, lag: lag, jobs: arrivals(s, p, seed)}
 	r.done = make([]float64, len(p.sources))
 	for i := range s.engines {
-		r.engines = append(r.engines, &engine{zone: i % s.zones, speed: 1})
+		r.engines = append(r.engines, &engine{zone: i % s.zones, slots: s.slots, speed: 1})
 	}
 	r.system = build(r)
 	return r
@@ -83,7 +83,7 @@
 		r.faults()
 		r.arrive()
 		for _, e := range r.engines {
-			r.busy += float64(min(slots, len(e.jobs))) * tick.Seconds()
+			r.busy += float64(min(e.slots, len(e.jobs))) * tick.Seconds()
 			for _, j := range e.advance(r.now) {
 				j.ended = true
 				j.end = r.now
