test/configuration: ports that no outgoing connection takes

Cause: one run of the package failed while its output was not kept; a killed daemon's port could be taken by any outgoing connection of the machine. Change: the ports lie below the range for outgoing connections. Conclusion: open until more runs are made.

--- a/test/configuration/site_test.go
+++ b/test/configuration/site_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -92,11 +93,22 @@
 	return s
 }
 
+// The ports of daemons lie below those that the system gives to outgoing
+// connections (from 32768 on): one of these could take a killed daemon's port
+// before the daemon is started again.
+const firstPort, portCount = 20000, 12000
+
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range portCount {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err != nil {
+			continue
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 // configure writes the settings. The other daemons are seeds, because a daemon
