--- a/test/fairness/run.go
+++ b/test/fairness/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"time"
 )
 
@@ -40,6 +41,8 @@
 	// workspace.
 	done    []float64
 	samples []sample
+	// paused holds the preempted jobs that have not been resumed.
+	paused []*job
 	// busy is the time that slots were in use, in seconds of one slot.
 	busy float64
 }
@@ -83,10 +86,12 @@
 			r.busy += float64(min(slots, len(e.jobs))) * tick.Seconds()
 			for _, j := range e.advance(r.now) {
 				j.ended = true
+				j.end = r.now
 				r.done[j.workspace] += j.served()
 				r.system.finish(j)
 			}
 		}
+		r.giveUp()
 		if r.now%samplePeriod == 0 {
 			r.report()
 			r.sample()
@@ -95,6 +100,21 @@
 	}
 }
 
+// giveUp ends the streams of callers whose deadline has passed.
+func (r *run) giveUp() {
+	for _, e := range r.engines {
+		for _, j := range append([]*job(nil), e.jobs...) {
+			if j.deadline == 0 || j.deadline > r.now {
+				continue
+			}
+			e.abort(j)
+			j.ended, j.end = true, r.now+tick
+			r.done[j.workspace] += j.served()
+			r.system.finish(j)
+		}
+	}
+}
+
 func (r *run) arrive() {
 	for ; r.next < len(r.jobs) && r.jobs[r.next].arrival <= r.now; r.next++ {
 		r.system.submit(r.jobs[r.next])
@@ -126,6 +146,9 @@
 			s.served[j.workspace] += j.served()
 		}
 	}
+	for _, j := range r.paused {
+		s.served[j.workspace] += j.served()
+	}
 	r.system.waiting(s.waiting)
 	r.samples = append(r.samples, s)
 }
@@ -134,7 +157,9 @@
 func (r *run) start(j *job, target int) {
 	j.target = target
 	j.attempts++
-	j.began = r.now
+	if j.preempted == 0 {
+		j.began = r.now
+	}
 	j.started = true
 	r.engines[target].start(j)
 }
@@ -154,6 +179,11 @@
 	r.again = append(r.again, j)
 }
 
+// resumed takes a job off the list of the preempted.
+func (r *run) resumed(j *job) {
+	r.paused = slices.DeleteFunc(r.paused, func(p *job) bool { return p == j })
+}
+
 func (r *run) faults() {
 	p := r.pattern
 	if p.slowAt > 0 && r.now == p.slowAt {
