test/configuration: take ports of the fault link's range

Cause: two runs failed because a port of a killed daemon or a cut link had been taken (bind: address already in use, seen in the kept output); on this machine outgoing connections take ports from 16000 on.

--- a/test/configuration/site_test.go
+++ b/test/configuration/site_test.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -76,7 +74,7 @@
 	for i := range daemonCount {
 		s.daemons = append(s.daemons, &process{
 			name:      ident.Daemon(fmt.Sprintf("entry-%d", i+1)),
-			operators: freeAddress(t), fleet: freeAddress(t),
+			operators: faultlink.FreeAddress(t), fleet: faultlink.FreeAddress(t),
 			link: faultlink.New(t, s.address),
 		})
 	}
@@ -93,24 +91,6 @@
 	return s
 }
 
-// The ports of daemons lie below those that the system gives to outgoing
-// connections (from 32768 on): one of these could take a killed daemon's port
-// before the daemon is started again.
-const firstPort, portCount = 20000, 12000
-
-func freeAddress(t *testing.T) string {
-	for range portCount {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
-	}
-	t.Fatal("no port is free")
-	return ""
-}
-
 // configure writes the settings. The other daemons are seeds, because a daemon
 // that starts while the platform is out has no list of VMs.
 func (s *site) configure(p *process) {
