fleet: let the silence test run more than once in a process

Cause: -count=2 closed a channel twice. Change: each test has a middlebox of its own; the checks are the same.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -76,6 +76,7 @@
 	for _, id := range ids {
 		nodes[id], recorders[id] = start(t, fleet.Config{Self: id})
 	}
+	newMiddlebox(t)
 	var between []*toxiproxy.Proxy
 	for _, from := range ids {
 		var list []platform.VM
--- a/internal/fleet/silence_test.go
+++ b/internal/fleet/silence_test.go
@@ -17,28 +17,41 @@
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
 
-// lossGeneration counts the times that the middlebox lost track: connections
-// that were opened under an earlier count carry nothing more, not even an end.
-var (
-	lossGeneration atomic.Int64
-	testOver       = make(chan struct{})
-)
+// middlebox is what the toxics of one test share. Toxiproxy makes its toxics
+// from a registered type, so that they can find it in a variable only.
+type middlebox struct {
+	// losses counts the times that it lost track: connections that were opened
+	// under an earlier count carry nothing more, not even an end.
+	losses atomic.Int64
+	// over is closed at the end of the test.
+	over chan struct{}
+}
+
+var presentBox atomic.Pointer[middlebox]
+
+func newMiddlebox(t *testing.T) *middlebox {
+	box := &middlebox{over: make(chan struct{})}
+	presentBox.Store(box)
+	t.Cleanup(func() { close(box.over) })
+	return box
+}
 
 // forgetfulToxic is a middlebox that loses track of old connections.
 type forgetfulToxic struct{}
 
 func (forgetfulToxic) Pipe(stub *toxics.ToxicStub) {
-	born := lossGeneration.Load()
+	box := presentBox.Load()
+	born := box.losses.Load()
 	for {
 		select {
 		case <-stub.Interrupt:
 			return
 		case chunk := <-stub.Input:
-			if lossGeneration.Load() != born {
+			if box.losses.Load() != born {
 				if chunk != nil {
 					continue
 				}
-				<-testOver
+				<-box.over
 			}
 			if chunk == nil {
 				stub.Close()
@@ -76,8 +89,8 @@
 	is := is.New(t)
 	a, ra := start(t, fleet.Config{Self: "a"})
 	b, rb := start(t, fleet.Config{Self: "b"})
+	box := newMiddlebox(t)
 	toA, toB := forgetfulProxy(t, a.Address()), forgetfulProxy(t, b.Address())
-	t.Cleanup(func() { close(testOver) })
 	b.SetVMs([]platform.VM{vm("a", toA.Listen)}) // either end may dial the new link
 	a.SetVMs([]platform.VM{vm("b", toB.Listen)})
 	ra.eventually(t, "link to b", linked("b"))
@@ -86,7 +99,7 @@
 	for range 2 { // twice in a row
 		before := ra.count("b")
 		other := rb.count("a")
-		lossGeneration.Add(1)
+		box.losses.Add(1)
 		ra.eventually(t, "new link at a", func(r *recorder) bool { return r.ups["b"] > before && linked("b")(r) })
 		rb.eventually(t, "new link at b", func(r *recorder) bool { return r.ups["a"] > other && linked("a")(r) })
 		ra.locked(func() { ra.messages = nil })
