--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -22,8 +22,14 @@
 	// the time of a request.
 	Spill time.Duration
 	// Exchange is the interval of demand updates and of service parts.
-	// Default 250 ms.
+	// Default 1 s, the shortest that stays within 4 KB/s of control at the
+	// sizes measured (docs/design/fair-share.md).
 	Exchange time.Duration
+	// Slice is how long an ingress may go on using a grant of another daemon for
+	// further requests of the same workspace. Default 2 s: short requests then
+	// cost one grant and one release together, and a slot that was given for a
+	// short one is decided about again before long.
+	Slice time.Duration
 	// Held is the interval at which the grants in use are listed to their
 	// owners. Default 2 s: a slot whose release was lost idles for no longer.
 	Held time.Duration
@@ -31,7 +37,8 @@
 
 const (
 	defaultSpill    = 20 * time.Millisecond
-	defaultExchange = 250 * time.Millisecond
+	defaultExchange = time.Second
+	defaultSlice    = 2 * time.Second
 	defaultHeld     = 2 * time.Second
 )
 
@@ -42,6 +49,9 @@
 	if c.Exchange == 0 {
 		c.Exchange = defaultExchange
 	}
+	if c.Slice == 0 {
+		c.Slice = defaultSlice
+	}
 	if c.Held == 0 {
 		c.Held = defaultHeld
 	}
@@ -85,6 +95,7 @@
 	owners    map[ident.Daemon]bool
 	ledger    *fairshare.Ledger
 	admission *admission.Controller
+	places    *places
 	// cost and rate are the mean cost of a request and its mean cost a second,
 	// over the requests of this ingress.
 	cost, rate average
@@ -103,7 +114,6 @@
 type target struct {
 	Target
 	service *service
-	health  Health
 	// grants are the slots in use that this daemon gave away.
 	grants map[uint64]*grantOut
 }
@@ -125,7 +135,9 @@
 	// declined is set once the request has turned down a target it avoids.
 	declined bool
 	owner    ident.Daemon
-	grant    uint64
+	grant    Grant
+	// granted is when the grant was first used.
+	granted time.Time
 	// charged is what the ledger was charged so far.
 	charged float64
 }
@@ -188,6 +200,7 @@
 		targets:    map[ident.Target]*target{},
 		ledger:     fairshare.New(fairshare.Config{Self: c.cfg.Self, Incarnation: c.cfg.Incarnation}),
 		admission:  admission.New(admission.Config{}),
+		places:     newPlaces(c.cfg.Zone, c.rng),
 	}
 }
 
@@ -225,6 +238,7 @@
 		targets[spec.Name] = t
 	}
 	s.targets = targets
+	s.places.configure(spec)
 }
 
 func (c *Core) refuseQueue(w *workspace, failure *resultcode.Failure) {
