scheduler: look at no owner for a workspace that waits for nothing

Cause: each tick of 20 ms looked at every workspace and every owner of its service; at the planned size (6,200 workspaces, 360 daemons) that is the largest part of the processor. Change: owners that know of no demand are not kept in a workspace's list, and a workspace without demand and without such owners is passed over, unless some peer is to get everything. The capacity measurement lets requests wait here too.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -66,6 +66,8 @@
 	leaving  bool
 	services map[ident.Service]*service
 	peers    map[ident.Daemon]*peer
+	// anyFull tells that some peer is to get all demand and parts.
+	anyFull  bool
 	requests map[ident.Request]*request
 	// lastGrant is the id of the latest grant of this incarnation.
 	lastGrant    uint64
@@ -259,6 +261,7 @@
 		}
 		if p == nil {
 			p = &peer{full: true, lists: listsAfterLoss}
+			c.anyFull = true
 		}
 		p.Peer = spec
 		kept[spec.ID] = p
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -79,6 +79,9 @@
 func (c *Core) showDemand(now time.Time, s *service, w *workspace, at cadence) {
 	own := w.own()
 	w.mark(now, own)
+	if own == (demand{}) && len(w.shown) == 0 && !(c.anyFull && at == onExchange) {
+		return // most workspaces at most times: nothing waits and nobody was told of any
+	}
 	near := reach(own.waiting, now.Sub(w.since))
 	nearUrgent := reach(own.urgent, now.Sub(w.urgentSince))
 	for i, p := range c.ownersFor(s, w) {
@@ -96,7 +99,7 @@
 		if at == onArrival && !c.early.take() {
 			return
 		}
-		w.shown[p.ID] = value
+		w.know(p.ID, value)
 		m := c.message(p.ID)
 		m.Demand = append(m.Demand, Demand{
 			Service:   s.name,
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -117,6 +117,7 @@
 		for _, p := range c.peers {
 			p.full = false
 		}
+		c.anyFull = false
 	}
 	if !now.Before(c.nextHeld) {
 		c.nextHeld = now.Add(c.cfg.Held)
@@ -209,6 +210,7 @@
 func (c *Core) Reset(id ident.Daemon) {
 	if p := c.peers[id]; p != nil {
 		p.full = true
+		c.anyFull = true
 		p.lists = listsAfterLoss
 	}
 }
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -207,9 +207,9 @@
 	switch {
 	case !ok:
 	case used:
-		w.shown[owner] = known.less(1)
+		w.know(owner, known.less(1))
 	default:
-		w.shown[owner] = demand{}
+		w.know(owner, demand{})
 	}
 }
 
--- a/internal/scheduler/workspace.go
+++ b/internal/scheduler/workspace.go
@@ -20,7 +20,7 @@
 	// owners caches the peers to show demand to, in order.
 	owners []*peer
 	// shown is the demand that each owner knows: what it was last told, less
-	// the grants that came from it since.
+	// the grants that came from it since. Owners that know of none are left out.
 	shown map[ident.Daemon]demand
 	// demand is what each ingress was last known to have waiting, less the
 	// grants that were sent to it since.
@@ -33,6 +33,15 @@
 	given map[ident.Daemon][]uint64
 }
 
+// know notes the demand that an owner knows.
+func (w *workspace) know(owner ident.Daemon, d demand) {
+	if d == (demand{}) {
+		delete(w.shown, owner)
+		return
+	}
+	w.shown[owner] = d
+}
+
 func newWorkspace(spec Workspace) *workspace {
 	return &workspace{
 		queue:  queue.New[*request](queue.Config{Limit: spec.Queue}),
--- a/test/capacity/core.go
+++ b/test/capacity/core.go
@@ -55,18 +55,27 @@
 	w.core = scheduler.New(scheduler.Config{Self: "m", Incarnation: 1, Zone: "zone-00"}, rand.New(rand.NewPCG(1, 1)))
 	w.core.Configure(w.now, size.services())
 	w.core.Peers(w.now, size.peers())
-	for i := range size.backlogged {
-		w.core.Submit(w.now, scheduler.Request{
-			ID: ident.Request(fmt.Sprint("r", i)), Service: planService(i), Workspace: workspaceName(i), Cost: meanCost,
-		})
-	}
+	w.submit("first", 0) // it runs here
 	for _, p := range size.peers() {
 		w.core.Receive(w.now, p.ID, size.exchange())
 		w.take()
 	}
+	for i := range size.backlogged {
+		w.submit("a", i)
+		w.submit("b", i)
+	}
+	w.take()
 	return w
 }
 
+// submit queues a request of a caller of this daemon.
+func (w *coreWorld) submit(id string, workspace int) {
+	w.core.Submit(w.now, scheduler.Request{
+		ID: ident.Request(fmt.Sprint(id, workspace)), Service: planService(workspace),
+		Workspace: workspaceName(workspace), Cost: meanCost,
+	})
+}
+
 func (s coreSize) services() []scheduler.Service {
 	services := make([]scheduler.Service, planServices)
 	for i := range services {
