fleet: tell the operator of a daemon that its peers take for an old one

Cause: incarnations come from the clock; a daemon restarted under its name with a clock that is behind was refused by all peers and said nothing. Change: peers say why they refuse a link; the daemon logs event 607 once. Conclusion: the fault shows; the rule itself stays as strict.

--- a/internal/event/fleet.go
+++ b/internal/event/fleet.go
@@ -9,5 +9,6 @@
 	FleetLinkSilent  = define(603, slog.LevelWarn, "link to a daemon went silent and is replaced", "look for a middlebox that drops idle connections")
 	FleetLinkRefused = define(604, slog.LevelWarn, "link of a daemon was refused", "see the reason in the line; two daemons may share a name")
 	FleetBadFrame    = define(605, slog.LevelError, "frame of a daemon could not be read", "check that all daemons run versions that go together")
+	FleetOutdated    = define(607, slog.LevelError, "peers hold a later incarnation of this daemon and refuse its links", "check that no other daemon has its name and that the VM's clock is right, then restart it")
 	FleetSlowPeer    = define(606, slog.LevelWarn, "queue to a daemon overflowed and its link was reset", "look at the load of the daemon that the line names")
 )
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -41,13 +41,13 @@
 	}
 }
 
-// opened asks whether to keep a link.
+// opened asks whether to keep a link; nil is yes.
 type opened struct {
 	link   *link
-	accept chan bool
+	answer chan error
 }
 
-func (o opened) apply(n *Node, now time.Time) { o.accept <- n.register(now, o.link) }
+func (o opened) apply(n *Node, now time.Time) { o.answer <- n.register(now, o.link) }
 
 // closed tells that a link has ended.
 type closed struct{ link *link }
@@ -91,15 +91,15 @@
 }
 
 // open asks the control goroutine to register the link.
-func (n *Node) open(ctx context.Context, l *link) bool {
-	o := opened{link: l, accept: make(chan bool, 1)}
+func (n *Node) open(ctx context.Context, l *link) error {
+	o := opened{link: l, answer: make(chan error, 1)}
 	if !n.post(ctx, o) {
-		return false
+		return errNotKept
 	}
 	select {
-	case ok := <-o.accept:
-		return ok
+	case err := <-o.answer:
+		return err
 	case <-n.done:
-		return false
+		return errNotKept
 	}
 }
--- a/internal/fleet/dial.go
+++ b/internal/fleet/dial.go
@@ -6,11 +6,14 @@
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
+	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
 )
 
@@ -68,17 +71,32 @@
 	}
 	defer func() { _ = conn.Close() }()
 	l, err := n.handshake(ctx, cancel, conn, peer, session)
-	if err == nil && !n.open(ctx, l) {
-		err = errNotKept
+	if err == nil {
+		err = n.open(ctx, l)
 	}
+	n.noteOutdated(peer, err)
 	n.post(n.ctx, dialed{peer, err})
 	if err == nil {
 		n.run(ctx, l, nil)
 	}
 }
 
-// errNotKept ends a link to a peer to which a better one exists.
-var errNotKept = merry.New("another link is kept")
+var (
+	// errNotKept ends a link to a peer to which a better one exists.
+	errNotKept = merry.New("another link is kept")
+	// errOutdated ends a link of an older incarnation than one already known.
+	errOutdated = merry.New("a later incarnation of the daemon is known")
+)
+
+// noteOutdated tells the operator, once, that peers refuse this daemon for good:
+// its incarnation comes from the VM's clock, and a daemon that was restarted
+// under its name while the clock was behind would else stay alone in silence.
+func (n *Node) noteOutdated(peer ident.Daemon, err error) {
+	if status.Code(err) != codes.AlreadyExists || n.outdated.Swap(true) {
+		return
+	}
+	event.FleetOutdated.Log(n.cfg.Logger, "peer", peer, "incarnation", n.cfg.Incarnation)
+}
 
 func (n *Node) handshake(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn, peer ident.Daemon, session uint64) (*link, error) {
 	timeout := time.AfterFunc(handshakeTimeout, cancel)
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
@@ -145,3 +146,48 @@
 	a.SetVMs([]platform.VM{vm("b", c.Address()), vm("c", c.Address())})
 	ra.eventually(t, "link to c", linked("c"))
 }
+
+// A daemon is restarted under its name on a VM whose clock is behind, so that
+// its incarnation is lower than the one its peers know. They refuse it for
+// good; it must not stay alone in silence.
+func TestOutdatedDaemonTellsItsOperator(t *testing.T) {
+	is := is.New(t)
+	a, ra := start(t, fleet.Config{Self: "a"})
+	b, _ := start(t, fleet.Config{Self: "b", Incarnation: 5})
+	address := b.Address()
+	b.SetVMs([]platform.VM{vm("a", a.Address())})
+	ra.eventually(t, "link to b", linked("b"))
+	stop(t, b)
+	ra.eventually(t, "loss of b", func(r *recorder) bool { return r.losts["b"] == 1 })
+
+	log := &lockedBuffer{}
+	late := newRecorder()
+	n, err := fleet.New(fleet.Config{
+		Self: "b", Incarnation: 4, Zone: "hall-a", Listen: address, Heartbeat: beat,
+		Logger: slog.New(slog.NewTextHandler(log, nil)),
+	}, late)
+	is.NoErr(err)
+	is.NoErr(n.Start(t.Context()))
+	t.Cleanup(func() { stop(t, n) })
+	n.SetVMs([]platform.VM{vm("a", a.Address())})
+	late.eventually(t, "event 607", func(*recorder) bool { return strings.Contains(log.String(), "event=607") })
+	ra.locked(func() { is.Equal(ra.ups["b"], 1) })
+}
+
+// lockedBuffer takes log lines from many goroutines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -60,6 +60,8 @@
 	}
 	head    atomic.Uint64
 	leaving atomic.Bool
+	// outdated is set once peers refused the node's incarnation.
+	outdated atomic.Bool
 
 	// The rest belongs to the control goroutine.
 	table   *membership.Table
@@ -262,18 +264,19 @@
 	}
 }
 
-// register decides whether to keep a new link.
-func (n *Node) register(now time.Time, l *link) bool {
+// register decides whether to keep a new link. The error is errNotKept or
+// errOutdated.
+func (n *Node) register(now time.Time, l *link) error {
 	old := n.links.byPeer[l.peer]
-	if old != nil && !newer(l, old, n.cfg.Self) {
-		return false
+	if old != nil && l.incarnation >= old.incarnation && !newer(l, old, n.cfg.Self) {
+		return errNotKept
 	}
 	sighting := membership.Sighting{
 		ID: l.peer, Incarnation: l.incarnation, Zone: l.zone, Address: l.address,
 	}
 	if !n.table.LinkUp(now, sighting) {
-		event.FleetLinkRefused.Log(n.cfg.Logger, "peer", l.peer, "error", "an older incarnation")
-		return false
+		event.FleetLinkRefused.Log(n.cfg.Logger, "peer", l.peer, "error", errOutdated)
+		return errOutdated
 	}
 	if old != nil {
 		n.handler.LinkLost(l.peer)
@@ -289,7 +292,7 @@
 	event.FleetLinkUp.Log(n.cfg.Logger, "peer", l.peer, "incarnation", l.incarnation, "zone", l.zone)
 	n.tellPeers()
 	n.handler.LinkUp(l.peer)
-	return true
+	return nil
 }
 
 // unregister forgets a link unless another one has taken its place.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -65,8 +66,8 @@
 		return status.Error(codes.FailedPrecondition, err.Error())
 	}
 	l.dialler, l.session = l.peer, h.GetSession()
-	if !n.open(ctx, l) {
-		return status.Error(codes.Aborted, "another link is kept")
+	if err := n.open(ctx, l); err != nil {
+		return status.Error(refusalCode(err), err.Error())
 	}
 	// The handler must return for the stream to end, also while Recv waits.
 	served := make(chan struct{})
@@ -81,6 +82,14 @@
 	return status.Error(codes.Aborted, "link ended")
 }
 
+// refusalCode lets the dialler tell the refusals apart.
+func refusalCode(err error) codes.Code {
+	if errors.Is(err, errOutdated) {
+		return codes.AlreadyExists
+	}
+	return codes.Aborted
+}
+
 // firstHello bounds the wait for the first frame: a dialler that never speaks
 // would else hold a stream for good.
 func firstHello(ctx context.Context, stream frameStream) (*fleetv1.Hello, error) {
