Let a grant prefer a request whose prompt's start its target has cached

Cause: the prefix of a request was known to the scheduler and used for nothing. Change: queue.PopPreferred lets a request near the head of its class go first, each other one passed over four times at most; the ingress remembers the last 32 prefixes that it sent to each target.

--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -32,7 +32,8 @@
 	// ProbeWait is the longest wait before the first probe of a suspect target;
 	// it doubles up to MaxProbeWait. Defaults: 100 ms and 5 s.
 	ProbeWait, MaxProbeWait time.Duration
-	// PrefixEntries bounds the prefixes remembered per target. Default: 4096.
+	// PrefixEntries bounds the prefixes remembered per target. Default: 32; a
+	// longer memory believes in what the target's cache has lost.
 	PrefixEntries int
 }
 
@@ -52,7 +53,7 @@
 	c.RecoverFactor = orDefault(c.RecoverFactor, 2)
 	c.ProbeWait = orDefault(c.ProbeWait, 100*time.Millisecond)
 	c.MaxProbeWait = orDefault(c.MaxProbeWait, 5*time.Second)
-	c.PrefixEntries = orDefault(c.PrefixEntries, 4096)
+	c.PrefixEntries = orDefault(c.PrefixEntries, 32)
 	return c
 }
 
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -11,6 +11,8 @@
 	late bool
 	in   *order[T]
 	at   int
+	// passedOver counts the preferred requests that went first.
+	passedOver int
 }
 
 // passed tells whether the caller has given up by the time.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -170,6 +170,13 @@
 
 // PopWhere removes the first request, in the order of Pop, that fits.
 func (q *Queue[T]) PopWhere(now time.Time, fits func(Item[T]) bool) (it Item[T], expired []Item[T], ok bool) {
+	return q.PopPreferred(now, fits, nil)
+}
+
+// PopPreferred is PopWhere, but for a request near the head of the same class
+// that is preferred: it may go first. A request is passed over for that
+// maxPassedOver times at most. Nil prefers none.
+func (q *Queue[T]) PopPreferred(now time.Time, fits, prefers func(Item[T]) bool) (it Item[T], expired []Item[T], ok bool) {
 	var passedOver []*entry[T]
 	defer func() {
 		for _, e := range passedOver {
@@ -189,6 +196,7 @@
 			heap.Remove(e.in, e.at)
 			passedOver = append(passedOver, e)
 		default:
+			e = q.preferred(e, now, fits, prefers)
 			q.account(e)
 			q.drop(e)
 			return e.Item, expired, true
@@ -197,6 +205,35 @@
 	return it, expired, false
 }
 
+const (
+	// near is how many requests at the top of the heap are looked at for a
+	// preferred one: three levels, which hold those that go next.
+	near = 7
+	// maxPassedOver bounds what a preference costs the others: a few places.
+	maxPassedOver = 4
+)
+
+// preferred returns the request that goes in place of the head of its class, or
+// the head. Late requests have no time to lose for a preference.
+func (q *Queue[T]) preferred(head *entry[T], now time.Time, fits, prefers func(Item[T]) bool) *entry[T] {
+	if prefers == nil || head.in == &q.late || head.passedOver == maxPassedOver || prefers(head.Item) {
+		return head
+	}
+	best := head
+	for _, e := range (*head.in)[:min(near, head.in.Len())] {
+		if e.passed(now) || !prefers(e.Item) || !fits(e.Item) {
+			continue
+		}
+		if best == head || e.due.Before(best.due) {
+			best = e
+		}
+	}
+	if best != head {
+		head.passedOver++
+	}
+	return best
+}
+
 // Drain removes and returns all requests.
 func (q *Queue[T]) Drain() []Item[T] {
 	var all []Item[T]
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -125,3 +125,27 @@
 	is.Equal(len(q.Drain()), 1)
 	is.Equal(q.Len(), 0)
 }
+
+// A target holds the start of a prompt that the whole team uses. Requests with it
+// may go first, as it is cheap to run them there. Without a bound, one request
+// with a prompt of its own would wait for as long as the others come.
+func TestPreferredRequestsGoFirstWithinABound(t *testing.T) {
+	is := is.New(t)
+	q := New[int](Config{})
+	add := func(id string, value int) {
+		is.True(q.Push(Item[int]{ID: ident.Request(id), Class: 1, Arrived: start, Value: value}) == nil)
+	}
+	add("0-own", 0)
+	all := func(Item[int]) bool { return true }
+	shared := func(it Item[int]) bool { return it.Value == 1 }
+	for i := range 20 {
+		add(fmt.Sprintf("1-shared-%02d", i), 1)
+		it, _, ok := q.PopPreferred(start, all, shared)
+		is.True(ok)
+		if it.ID == "0-own" {
+			is.Equal(i, 4) // passed over four times
+			return
+		}
+	}
+	t.Fatal("the request is passed over for ever")
+}
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -220,9 +220,8 @@
 		return nil
 	}
 	w := s.workspaces[g.Workspace]
-	it, expired, ok := w.queue.PopWhere(now, func(it queue.Item[*request]) bool {
-		return it.Value.takes(g.Target)
-	})
+	takes := func(it queue.Item[*request]) bool { return it.Value.takes(g.Target) }
+	it, expired, ok := w.queue.PopPreferred(now, takes, s.places.prefers(g.Target))
 	c.refuseExpired(now, expired)
 	c.changed(now, s, w)
 	if !ok {
@@ -230,6 +229,7 @@
 	}
 	w.running++
 	s.admission.Started(now, w.Name)
+	s.places.dispatched(now, g.Target, it.Value)
 	return it.Value
 }
 
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -7,6 +7,7 @@
 	"github.com/savorystall/savorystall/internal/chart"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/placement"
+	"github.com/savorystall/savorystall/internal/queue"
 )
 
 // places is what a daemon has learnt of the targets of one service. All of
@@ -53,6 +54,23 @@
 	p.Observe(now, name, sample)
 }
 
+// prefers tells for a target which waiting request finds the start of its prompt
+// in the target's cache. It chooses among the requests of the workspace that has
+// the grant, so that it takes nothing from any other.
+func (p *places) prefers(target ident.Target) func(queue.Item[*request]) bool {
+	return func(it queue.Item[*request]) bool {
+		r := it.Value
+		return r.Prefix != 0 && len(r.Avoid) == 0 && p.Holds(target, r.Prefix)
+	}
+}
+
+// dispatched remembers that the target now has the start of the prompt.
+func (p *places) dispatched(now time.Time, target ident.Target, r *request) {
+	if r.Prefix != 0 {
+		p.CacheStored(now, target, r.Prefix)
+	}
+}
+
 // usable tells whether the target may get new work, limit how much at once.
 func (t *target) usable() bool { return t.service.places.Usable(t.Name) }
 
