Let the owner of a target alone probe it, on a connection of its own

Cause: every daemon of a zone asked every target of it each second, which at 26 daemons and 220 targets is 220 probes a second and daemon; zones without a daemon were not probed at all; a connection that went silent spoke for the target; a target that took its leaving back under a new owner stayed unused. Change: the prober asks owned targets by Runner.Probe; a new owner lets a target return that neither says that it leaves nor is listed so; docs of Probe.

--- a/internal/attempt/probe.go
+++ b/internal/attempt/probe.go
@@ -20,12 +20,14 @@
 	Waiting int      `json:"waiting"`
 	StepMS  float64  `json:"step_ms"`
 	Models  []string `json:"models"`
+	// HTTP is the status of the answer.
+	HTTP int `json:"-"`
 }
 
 // Probe asks a target on a new connection whether it lives and whether it is
-// leaving. Any answer below 500 shows that it lives; a plain service without a
-// status page just says nothing more. It takes at most ConnectTimeout and
-// FirstByte.
+// leaving. The error is that of a target that gave no answer. A plain service
+// without a status page just says nothing more. It takes at most ConnectTimeout
+// and FirstByte.
 func (r *Runner) Probe(ctx context.Context, address string) (TargetStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.ConnectTimeout+r.cfg.FirstByte)
 	defer cancel()
@@ -35,13 +37,11 @@
 		return TargetStatus{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusInternalServerError {
-		return TargetStatus{Leaving: resp.Header.Get(headerLeaving) == "true"}, protocolError("status " + resp.Status)
-	}
 	var status TargetStatus
 	if resp.StatusCode == http.StatusOK {
 		// A page that is not of this protocol says nothing.
 		_ = json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status)
 	}
+	status.HTTP = resp.StatusCode
 	return status, nil
 }
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/attempt"
 	"github.com/savorystall/savorystall/internal/config"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/document"
@@ -54,7 +55,13 @@
 	store    *config.Store
 	loop     *control.Loop
 	node     *fleet.Node
-	leaving  map[string]bool
+	leaving  atomic.Pointer[map[string]bool]
+}
+
+// isLeaving tells whether the list last read says that a target leaves.
+func (f *vmFollower) isLeaving(name ident.Target) bool {
+	leaving := f.leaving.Load()
+	return leaving != nil && (*leaving)[string(name)]
 }
 
 func (f *vmFollower) run(ctx context.Context) {
@@ -92,17 +99,20 @@
 			leaving[vm.Name] = true
 		}
 	}
+	before := map[string]bool{}
+	if last := f.leaving.Swap(&leaving); last != nil {
+		before = *last
+	}
 	for name := range leaving {
-		if !f.leaving[name] {
+		if !before[name] {
 			f.tell(name, scheduler.HealthLeaving)
 		}
 	}
-	for name := range f.leaving {
+	for name := range before {
 		if !leaving[name] {
 			f.tell(name, scheduler.HealthReturned)
 		}
 	}
-	f.leaving = leaving
 }
 
 func (f *vmFollower) tell(name string, health scheduler.Health) {
@@ -115,21 +125,24 @@
 	}
 }
 
-// prober asks the engines of this daemon's zone for their status: whether they
-// are leaving, and whether one that failed answers again. Plain services have
-// no status; a new connection tells whether they are there.
+// prober asks the targets that this daemon owns for their status: whether they
+// are leaving, and whether one that failed answers again. Its peers learn from it
+// what has changed. Each probe takes a connection of its own, so that one that
+// went silent does not speak for the target.
 type prober struct {
 	store    *config.Store
 	loop     *control.Loop
-	zone     ident.Zone
+	vms      *vmFollower
+	runner   *attempt.Runner
 	interval time.Duration
-	client   *http.Client
-	leaving  sync.Map // "service/target" to bool
+	// leaving holds the last word of each owned target.
+	leaving sync.Map // from probed to bool
 }
 
-// engineStatus is the part of an engine's status that is used here.
-type engineStatus struct {
-	Leaving bool `json:"leaving"`
+// probed names a target.
+type probed struct {
+	service ident.Service
+	target  ident.Target
 }
 
 func (p *prober) run(ctx context.Context) {
@@ -145,15 +158,18 @@
 	}
 }
 
-// round probes all targets of the zone at once, so that a silent one does not
-// delay the others.
+// round probes all owned targets at once, so that a silent one does not delay
+// the others.
 func (p *prober) round(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, p.interval)
 	defer cancel()
+	owned := map[ident.Service]map[ident.Target]bool{}
+	p.loop.Inspect(func(c *scheduler.Core) { owned = c.Owned() })
 	var probes sync.WaitGroup
 	for _, s := range p.store.Snapshot().Services() {
 		for _, t := range s.Document.Targets {
-			if t.Zone != p.zone {
+			if !owned[s.Document.Service][t.Name] {
+				p.leaving.Delete(probed{s.Document.Service, t.Name})
 				continue
 			}
 			probes.Go(func() { p.probe(ctx, s.Document, t) })
@@ -163,38 +179,29 @@
 }
 
 func (p *prober) probe(ctx context.Context, doc *document.Document, t document.Target) {
-	status, err := p.status(ctx, doc.Kind, t.Address)
-	if err != nil {
+	status, err := p.runner.Probe(ctx, t.Address)
+	if err != nil || doc.Kind == document.Model && status.HTTP != http.StatusOK {
 		if ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded {
 			p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthFailed)
 		}
 		return
 	}
-	key := string(doc.Service) + "/" + string(t.Name)
-	before, _ := p.leaving.Swap(key, status.Leaving)
-	switch {
-	case status.Leaving:
+	if status.Leaving {
 		p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthLeaving)
-	case before == true:
+	} else if p.returned(doc.Service, t.Name) {
 		p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthReturned)
-	default:
-		p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthAnswered)
 	}
+	p.leaving.Store(probed{doc.Service, t.Name}, status.Leaving)
+	p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthAnswered)
 }
 
-func (p *prober) status(ctx context.Context, kind document.Kind, address string) (engineStatus, error) {
-	var status engineStatus
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
-	if err != nil {
-		return status, err
-	}
-	response, err := p.client.Do(request)
-	if err != nil {
-		return status, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if kind == document.Plain {
-		return status, nil
+// returned tells whether a target that does not say that it leaves has taken
+// its word back. A new owner does not know that word: unless the VM list says
+// that the target leaves, it lets it return, or nobody would.
+func (p *prober) returned(service ident.Service, name ident.Target) bool {
+	before, known := p.leaving.Load(probed{service, name})
+	if known {
+		return before == true
 	}
-	return status, json.NewDecoder(response.Body).Decode(&status)
+	return !p.vms.isLeaving(name)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -63,7 +63,7 @@
 	return d
 }
 
-// probeInterval is how often targets of the own zone are asked for their
+// probeInterval is how often the owned targets are asked for their
 // status: with one lost probe a leaving target is known well within 3 s.
 const probeInterval = time.Second
 
@@ -95,8 +95,7 @@
 		store: p.Store, loop: p.Loop, node: p.Node,
 	}
 	probes := &prober{
-		store: p.Store, loop: p.Loop, zone: p.Identity.Zone, interval: probeInterval,
-		client: &http.Client{Transport: &http.Transport{IdleConnTimeout: 2 * probeInterval}},
+		store: p.Store, loop: p.Loop, vms: vms, runner: p.Runner, interval: probeInterval,
 	}
 	gauges := &gaugeReporter{parts: p}
 	orders := &orderFollower{store: p.Store, loop: p.Loop, reconciler: p.Orders}
--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -150,3 +151,41 @@
 	is.Equal(counts[cut], 0)
 	is.Equal(counts[refused], 0)
 }
+
+// An engine says that it leaves, and its daemon is replaced meanwhile. Then the
+// repair is called off. The new owner never heard the engine's word, only that it
+// is leaving; waiting for a word that was given before, it would idle for good.
+func TestLeavingTargetReturnsUnderANewOwner(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	engine := f.engines[0]
+	owner := f.ownerOf(targetName(0))
+	others := slices.DeleteFunc(slices.Clone(f.daemons), func(p *process) bool { return p == owner })
+	load := startLoad(t, f, "owner", 200, others)
+	await(t, 20*time.Second, "the engine is busy", func() bool { return engine.Running() > 2 })
+	engine.SetLeaving(true)
+	await(t, 20*time.Second, "the engine has ended its work", func() bool { return engine.Running() == 0 })
+	is.NoErr(owner.stop())
+	engine.SetLeaving(false)
+	started := engine.Counts().Started
+	back := await(t, 20*time.Second, "the engine is used again", func() bool { return engine.Counts().Started > started })
+	t.Logf("used again after %v", back.Round(time.Millisecond))
+	counts := check(t, f, load.end())
+	is.Equal(counts[cut], 0)
+	is.Equal(counts[refused], 0)
+}
+
+// ownerOf asks the daemons which of them owns a target.
+func (f *fleet) ownerOf(target string) *process {
+	is := is.New(f.t)
+	status, err := readStatus(f.t.Context(), http.DefaultClient, f.daemon(0).operators)
+	is.NoErr(err)
+	for _, listed := range status.Targets {
+		i := slices.IndexFunc(f.daemons, func(p *process) bool { return p.name == listed.Owner })
+		if string(listed.Target) == target && i >= 0 {
+			return f.daemons[i]
+		}
+	}
+	f.t.Fatalf("nobody owns %s", target)
+	return nil
+}
