Log what the probes of targets find

Cause: no line said that a target leaves, is silent or is back. Conclusion: an operator sees the four changes once each.

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -135,10 +135,15 @@
 	vms      *vmFollower
 	runner   *attempt.Runner
 	interval time.Duration
-	// leaving holds the last word of each owned target.
-	leaving sync.Map // from probed to bool
+	log      *slog.Logger
+	// words holds the last word of each owned target.
+	words sync.Map // from probed to word
 }
 
+// word is what the probes of a target found: that the last one got no answer,
+// that some got one, and whether the last answer was that it leaves.
+type word struct{ silent, heard, leaving bool }
+
 // probed names a target.
 type probed struct {
 	service ident.Service
@@ -169,7 +174,7 @@
 	for _, s := range p.store.Snapshot().Services() {
 		for _, t := range s.Document.Targets {
 			if !owned[s.Document.Service][t.Name] {
-				p.leaving.Delete(probed{s.Document.Service, t.Name})
+				p.words.Delete(probed{s.Document.Service, t.Name})
 				continue
 			}
 			probes.Go(func() { p.probe(ctx, s.Document, t) })
@@ -180,28 +185,44 @@
 
 func (p *prober) probe(ctx context.Context, doc *document.Document, t document.Target) {
 	status, err := p.runner.Probe(ctx, t.Address)
+	if ctx.Err() == context.Canceled {
+		return // the daemon stops
+	}
+	key := probed{doc.Service, t.Name}
+	before, _ := p.words.Load(key)
+	last, _ := before.(word)
+	now := word{heard: true, leaving: status.Leaving}
 	if err != nil || doc.Kind == document.Model && status.HTTP != http.StatusOK {
-		if ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded {
-			p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthFailed)
-		}
-		return
+		now = word{silent: true, heard: last.heard, leaving: last.leaving}
 	}
-	if status.Leaving {
-		p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthLeaving)
-	} else if p.returned(doc.Service, t.Name) {
-		p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthReturned)
+	p.words.Store(key, now)
+	p.logChange(key, last, now)
+	switch {
+	case now.silent:
+		p.loop.TargetHealth(key.service, key.target, scheduler.HealthFailed)
+		return
+	case now.leaving:
+		p.loop.TargetHealth(key.service, key.target, scheduler.HealthLeaving)
+	case last.leaving, !last.heard && !p.vms.isLeaving(t.Name):
+		// A new owner does not know the target's former word: unless the VM
+		// list says that it leaves, it lets it return, or nobody would.
+		p.loop.TargetHealth(key.service, key.target, scheduler.HealthReturned)
 	}
-	p.leaving.Store(probed{doc.Service, t.Name}, status.Leaving)
-	p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthAnswered)
+	p.loop.TargetHealth(key.service, key.target, scheduler.HealthAnswered)
 }
 
-// returned tells whether a target that does not say that it leaves has taken
-// its word back. A new owner does not know that word: unless the VM list says
-// that the target leaves, it lets it return, or nobody would.
-func (p *prober) returned(service ident.Service, name ident.Target) bool {
-	before, known := p.leaving.Load(probed{service, name})
-	if known {
-		return before == true
+func (p *prober) logChange(key probed, last, now word) {
+	log := func(e event.Event) { e.Log(p.log, "service", key.service, "target", key.target) }
+	switch {
+	case now.silent && !last.silent:
+		log(event.TargetSilent)
+	case !now.silent && last.silent:
+		log(event.TargetAnswers)
+	}
+	switch {
+	case now.leaving && !last.leaving:
+		log(event.TargetLeaving)
+	case !now.leaving && last.leaving:
+		log(event.TargetReturned)
 	}
-	return !p.vms.isLeaving(name)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -95,7 +95,7 @@
 		store: p.Store, loop: p.Loop, node: p.Node,
 	}
 	probes := &prober{
-		store: p.Store, loop: p.Loop, vms: vms, runner: p.Runner, interval: probeInterval,
+		store: p.Store, loop: p.Loop, vms: vms, runner: p.Runner, interval: probeInterval, log: p.Log,
 	}
 	gauges := &gaugeReporter{parts: p}
 	orders := &orderFollower{store: p.Store, loop: p.Loop, reconciler: p.Orders}
--- /dev/null
+++ b/internal/event/target.go
@@ -0,0 +1,11 @@
+package event
+
+import "log/slog"
+
+// Events of targets, as their owners' probes see them.
+var (
+	TargetLeaving  = define(301, slog.LevelInfo, "target says that it leaves", "none")
+	TargetReturned = define(302, slog.LevelInfo, "target does not leave any more", "none")
+	TargetSilent   = define(303, slog.LevelWarn, "target does not answer its probe", "look at the target and at the way from this VM to it")
+	TargetAnswers  = define(304, slog.LevelInfo, "target answers its probe again", "none")
+)
