faultlink: give each test process ports of its own

Cause: a daemon of an integration test did not start, 'address already in use': a free port is closed until the daemon opens it, and tests of other processes looked for free ports in the same places. Change: a process takes blocks of a hundred ports, each held by a listener on its first one. Conclusion: processes that use FreeAddress cannot meet any more.

--- a/test/faultlink/faultlink.go
+++ b/test/faultlink/faultlink.go
@@ -47,36 +47,77 @@
 
 var states sync.Map
 
-// Ports below those that the system hands out to connections (32768 and up).
+// Ports below those that the system hands out to connections (32768 and up), in
+// blocks.
 const (
-	firstPort = 10000
-	portCount = 20000
+	firstPort  = 10000
+	blockSize  = 100
+	blockCount = 200
 )
 
-// nextPort starts at a place of the process's own, since test processes of
-// several packages run side by side.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * 499 % portCount) }
+// ports hands out the ports of blocks that this process alone uses.
+//
+// Tests of several packages, and of several people, run side by side. A port that
+// was just found free is closed until the daemon that is to have it has started;
+// another process would find it free as well, and one of the two daemons would
+// not start. The first port of a block is a listener that stays open as long as
+// the process: who holds it has the block.
+var ports struct {
+	sync.Mutex
+	// locks keeps the listeners from being collected, which closes them.
+	locks []net.Listener
+	block int
+	next  int
+}
 
 // FreeAddress returns a loopback address that nothing listens on. Its port is
 // not one that the system hands out, so that a listener which is closed for a
 // while, such as that of a cut link, can be opened again at the same address.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	for range portCount {
-		port := firstPort + nextPort.Add(1)%portCount
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	ports.Lock()
+	defer ports.Unlock()
+	for range blockSize * blockCount {
+		if len(ports.locks) == 0 || ports.next == blockSize {
+			takeBlock(t)
+		}
+		address := loopback(ports.block, ports.next)
+		ports.next++
+		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
 		_ = l.Close()
-		return l.Addr().String()
+		return address
 	}
 	t.Fatal("no free port")
 	return ""
 }
 
+func loopback(block, port int) string {
+	return fmt.Sprintf("127.0.0.1:%d", firstPort+block*blockSize+port)
+}
+
+// takeBlock takes a block that no process has. The one before is kept: its
+// ports are in use.
+func takeBlock(t testing.TB) {
+	t.Helper()
+	start := ports.block + 1
+	if len(ports.locks) == 0 {
+		start = os.Getpid()
+	}
+	for i := range blockCount {
+		block := (start + i) % blockCount
+		l, err := net.Listen("tcp", loopback(block, 0))
+		if err == nil {
+			ports.locks = append(ports.locks, l)
+			ports.block, ports.next = block, 1
+			return
+		}
+	}
+	t.Fatal("no free block of ports")
+}
+
 // New starts a link to the upstream address; the test's end closes it.
 func New(t testing.TB, upstream string) *Link {
 	t.Helper()
