--- a/cmd/savorystalld/main.go
+++ b/cmd/savorystalld/main.go
@@ -72,7 +72,7 @@
 		return exitOK
 	}
 	log := newLogger(s.Log.Level)
-	if err := daemon.Run(ctx, s, log, func(a daemon.Addresses) { o.announce(a) }); err != nil {
+	if err := daemon.Run(ctx, s, log, func(a daemon.Addresses) { o.announce(a, s.Platform.URL) }); err != nil {
 		fmt.Fprintln(os.Stderr, "savorystalld:", err)
 		return exitFailed
 	}
@@ -111,12 +111,14 @@
 	set(o.LogLevel, func(v string) { s.Log.Level = v })
 }
 
-// announce tells people and scripts on stdout that callers are served.
-func (o *options) announce(a daemon.Addresses) {
+// announce tells people and scripts on stdout that callers are served, and in
+// dev mode how the operators' tool and a caller reach the site.
+func (o *options) announce(a daemon.Addresses, platform string) {
 	fmt.Printf("ready http://%s\n", a.Callers)
 	if !o.Dev {
 		return
 	}
+	fmt.Printf("export SAVORYSTALL_PLATFORM=%s SAVORYSTALL_DAEMONS=%s\n", platform, a.Operators)
 	fmt.Printf("curl -sS http://%s/v1/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":\"recap-1\",\"prompt\":\"Where did I crash?\",\"max_tokens\":8}'\n", a.Callers, dev.Key)
 }
 
