--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/attempt"
 	"github.com/savorystall/savorystall/internal/config"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/document"
@@ -54,7 +55,13 @@
 	store    *config.Store
 	loop     *control.Loop
 	node     *fleet.Node
-	leaving  map[string]bool
+	leaving  atomic.Pointer[map[string]bool]
+}
+
+// isLeaving tells whether the list last read says that a target leaves.
+func (f *vmFollower) isLeaving(name ident.Target) bool {
+	leaving := f.leaving.Load()
+	return leaving != nil && (*leaving)[string(name)]
 }
 
 func (f *vmFollower) run(ctx context.Context) {
@@ -92,17 +99,20 @@
 			leaving[vm.Name] = true
 		}
 	}
+	before := map[string]bool{}
+	if last := f.leaving.Swap(&leaving); last != nil {
+		before = *last
+	}
 	for name := range leaving {
-		if !f.leaving[name] {
+		if !before[name] {
 			f.tell(name, scheduler.HealthLeaving)
 		}
 	}
-	for name := range f.leaving {
+	for name := range before {
 		if !leaving[name] {
 			f.tell(name, scheduler.HealthReturned)
 		}
 	}
-	f.leaving = leaving
 }
 
 func (f *vmFollower) tell(name string, health scheduler.Health) {
@@ -115,21 +125,29 @@
 	}
 }
 
-// prober asks the engines of this daemon's zone for their status: whether they
-// are leaving, and whether one that failed answers again. Plain services have
-// no status; a new connection tells whether they are there.
+// prober asks the targets that this daemon owns for their status: whether they
+// are leaving, and whether one that failed answers again. Its peers learn from it
+// what has changed. Each probe takes a connection of its own, so that one that
+// went silent does not speak for the target.
 type prober struct {
 	store    *config.Store
 	loop     *control.Loop
-	zone     ident.Zone
+	vms      *vmFollower
+	runner   *attempt.Runner
 	interval time.Duration
-	client   *http.Client
-	leaving  sync.Map // "service/target" to bool
+	log      *slog.Logger
+	// words holds the last word of each owned target.
+	words sync.Map // from probed to word
 }
 
-// engineStatus is the part of an engine's status that is used here.
-type engineStatus struct {
-	Leaving bool `json:"leaving"`
+// word is what the probes of a target found: that the last one got no answer,
+// that some got one, and whether the last answer was that it leaves.
+type word struct{ silent, heard, leaving bool }
+
+// probed names a target.
+type probed struct {
+	service ident.Service
+	target  ident.Target
 }
 
 func (p *prober) run(ctx context.Context) {
@@ -145,15 +163,18 @@
 	}
 }
 
-// round probes all targets of the zone at once, so that a silent one does not
-// delay the others.
+// round probes all owned targets at once, so that a silent one does not delay
+// the others.
 func (p *prober) round(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, p.interval)
 	defer cancel()
+	owned := map[ident.Service]map[ident.Target]bool{}
+	p.loop.Inspect(func(c *scheduler.Core) { owned = c.Owned() })
 	var probes sync.WaitGroup
 	for _, s := range p.store.Snapshot().Services() {
 		for _, t := range s.Document.Targets {
-			if t.Zone != p.zone {
+			if !owned[s.Document.Service][t.Name] {
+				p.words.Delete(probed{s.Document.Service, t.Name})
 				continue
 			}
 			probes.Go(func() { p.probe(ctx, s.Document, t) })
@@ -163,38 +184,45 @@
 }
 
 func (p *prober) probe(ctx context.Context, doc *document.Document, t document.Target) {
-	status, err := p.status(ctx, doc.Kind, t.Address)
-	if err != nil {
-		if ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded {
-			p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthFailed)
-		}
-		return
+	status, err := p.runner.Probe(ctx, t.Address)
+	if ctx.Err() == context.Canceled {
+		return // the daemon stops
 	}
-	key := string(doc.Service) + "/" + string(t.Name)
-	before, _ := p.leaving.Swap(key, status.Leaving)
+	key := probed{doc.Service, t.Name}
+	before, _ := p.words.Load(key)
+	last, _ := before.(word)
+	now := word{heard: true, leaving: status.Leaving}
+	if err != nil || doc.Kind == document.Model && status.HTTP != http.StatusOK {
+		now = word{silent: true, heard: last.heard, leaving: last.leaving}
+	}
+	p.words.Store(key, now)
+	p.logChange(key, last, now)
 	switch {
-	case status.Leaving:
-		p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthLeaving)
-	case before == true:
-		p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthReturned)
-	default:
-		p.loop.TargetHealth(doc.Service, t.Name, scheduler.HealthAnswered)
+	case now.silent:
+		p.loop.TargetHealth(key.service, key.target, scheduler.HealthFailed)
+		return
+	case now.leaving:
+		p.loop.TargetHealth(key.service, key.target, scheduler.HealthLeaving)
+	case last.leaving, !last.heard && !p.vms.isLeaving(t.Name):
+		// A new owner does not know the target's former word: unless the VM
+		// list says that it leaves, it lets it return, or nobody would.
+		p.loop.TargetHealth(key.service, key.target, scheduler.HealthReturned)
 	}
+	p.loop.TargetHealth(key.service, key.target, scheduler.HealthAnswered)
 }
 
-func (p *prober) status(ctx context.Context, kind document.Kind, address string) (engineStatus, error) {
-	var status engineStatus
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
-	if err != nil {
-		return status, err
-	}
-	response, err := p.client.Do(request)
-	if err != nil {
-		return status, err
+func (p *prober) logChange(key probed, last, now word) {
+	log := func(e event.Event) { e.Log(p.log, "service", key.service, "target", key.target) }
+	switch {
+	case now.silent && !last.silent:
+		log(event.TargetSilent)
+	case !now.silent && last.silent:
+		log(event.TargetAnswers)
 	}
-	defer func() { _ = response.Body.Close() }()
-	if kind == document.Plain {
-		return status, nil
+	switch {
+	case now.leaving && !last.leaving:
+		log(event.TargetLeaving)
+	case !now.leaving && last.leaving:
+		log(event.TargetReturned)
 	}
-	return status, json.NewDecoder(response.Body).Decode(&status)
 }
