--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -27,7 +27,7 @@
 	Window   time.Duration `long:"window" default:"5s" description:"time over which each point is measured"`
 	Warm     time.Duration `long:"warm" default:"2s" description:"time between the last link and the window"`
 	Repeat   int           `long:"repeat" default:"1" description:"runs of each point; all of them enter the fit"`
-	Exchange time.Duration `long:"exchange" default:"250ms" description:"interval of the scheduler's exchange"`
+	Exchange time.Duration `long:"exchange" description:"interval of the exchange (default: the scheduler's own)"`
 	Role     string        `long:"role" hidden:"true"`
 	Point    string        `long:"point" hidden:"true"`
 }
