--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -20,6 +20,11 @@
 	// poolUnused is how long the pool of an address is kept without use;
 	// addresses change as VMs are replaced.
 	poolUnused = 10 * time.Minute
+	// writeBuffer and readBuffer are small, since a daemon holds thousands of
+	// open streams with events of some hundred bytes; larger bodies are read and
+	// written past them.
+	writeBuffer = 1 << 10
+	readBuffer  = 2 << 10
 )
 
 // errSealed is the error of a write after the attempt has given its verdict.
@@ -129,6 +134,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: r.cfg.IdlePerTarget,
 		IdleConnTimeout:     r.cfg.IdleTimeout,
+		WriteBufferSize:     writeBuffer,
+		ReadBufferSize:      readBuffer,
 	}
 }
 
--- a/internal/attempt/sse.go
+++ b/internal/attempt/sse.go
@@ -18,7 +18,8 @@
 
 var errEventTooLong = merry.New("an event is longer than allowed")
 
-const eventBuffer = 4096
+// eventBuffer holds an ordinary event; longer lines are put together.
+const eventBuffer = 1 << 10
 
 // eventReader reads a stream of server-sent events.
 type eventReader struct {
