--- a/test/configuration/site_test.go
+++ b/test/configuration/site_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -75,7 +74,7 @@
 	for i := range daemonCount {
 		s.daemons = append(s.daemons, &process{
 			name:      ident.Daemon(fmt.Sprintf("entry-%d", i+1)),
-			operators: freeAddress(t), fleet: freeAddress(t),
+			operators: faultlink.FreeAddress(t), fleet: faultlink.FreeAddress(t),
 			link: faultlink.New(t, s.address),
 		})
 	}
@@ -92,13 +91,6 @@
 	return s
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // configure writes the settings. The other daemons are seeds, because a daemon
 // that starts while the platform is out has no list of VMs.
 func (s *site) configure(p *process) {
