savorystall: name a file and a silent daemon plainly

Change: internal/config titles a record without revision '(not applied)'; internal/cli prints the cause alone. Conclusion: go test ./internal/cli ./internal/config passes.

--- a/internal/cli/daemons.go
+++ b/internal/cli/daemons.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -81,13 +83,25 @@
 			slots <- struct{}{}
 			defer func() { <-slots }()
 			status, err := fetchStatus(ctx, client, address)
-			answers[i] = answer{address: address, status: status, err: err}
+			answers[i] = answer{address: address, status: status, err: reason(err)}
 		})
 	}
 	group.Wait()
 	return answers, nil
 }
 
+// reason returns an error without the URL, which the operator knows.
+func reason(err error) error {
+	var failed *url.Error
+	switch {
+	case !errors.As(err, &failed):
+		return err
+	case failed.Timeout():
+		return merry.Errorf("no answer within %s", statusTimeout)
+	}
+	return failed.Err
+}
+
 func fetchStatus(ctx context.Context, client *http.Client, address string) (admin.Status, error) {
 	var status admin.Status
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+admin.StatusPath, nil)
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -30,6 +30,12 @@
 }
 
 func (r Record) title() string {
+	if r.Service == "" {
+		return "(none)"
+	}
+	if r.Revision == 0 {
+		return fmt.Sprintf("%s (not applied)", r.Service)
+	}
 	if r.Deleted {
 		return fmt.Sprintf("%s revision %d (deleted)", r.Service, r.Revision)
 	}
