scheduler: keep a slot to spare for the workspace's next short call

Cause: with 7 real daemons, control was 7.4 KB/s a daemon, most of it for calls of 2 ms that come one by one: a demand, a grant and a release each, and a round trip before the call. Change: an owner half of whose slots are free marks its grants; an ingress keeps such a grant idle for up to 100 ms and within the slice of 2 s, and binds the next request of the workspace to it without a message.

--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -137,6 +137,7 @@
 		f.Grants.IdStep = append(f.Grants.IdStep, step.down(g.ID))
 		f.Grants.Pair = append(f.Grants.Pair, e.pair(f, g.Service, string(g.Workspace)))
 		f.Grants.Target = append(f.Grants.Target, e.name(f, string(g.Target)))
+		f.Grants.Spare = append(f.Grants.Spare, g.Spare)
 	}
 }
 
@@ -316,7 +317,8 @@
 
 func (d *decoder) grants(f *fleetv1.Frame, m *scheduler.Message) error {
 	in := f.GetGrants()
-	if len(in.GetPair()) != len(in.GetIdStep()) || len(in.GetTarget()) != len(in.GetIdStep()) {
+	n := len(in.GetIdStep())
+	if len(in.GetPair()) != n || len(in.GetTarget()) != n || len(in.GetSpare()) != n {
 		return errColumns
 	}
 	var step stepper
@@ -330,7 +332,7 @@
 		}
 		m.Grants = append(m.Grants, scheduler.Grant{
 			ID: step.up(s), Service: p.service, Workspace: ident.Workspace(p.name),
-			Target: ident.Target(d.names[in.Target[i]]),
+			Target: ident.Target(d.names[in.Target[i]]), Spare: in.Spare[i],
 		})
 	}
 	return nil
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -31,6 +31,11 @@
 	// cost one grant and one release together, and a slot that was given for a
 	// short one is decided about again before long.
 	Slice time.Duration
+	// Linger is how long an ingress may keep a grant idle for the next request,
+	// where its owner has slots to spare. Default 100 ms: calls that come ten a
+	// second or more then mostly find one, and no slot idles for longer than a
+	// tenth of the exchange.
+	Linger time.Duration
 	// Held is the interval at which the grants in use are listed to their
 	// owners. Default 2 s: a slot whose release was lost idles for no longer.
 	Held time.Duration
@@ -40,6 +45,7 @@
 	defaultSpill    = 20 * time.Millisecond
 	defaultExchange = time.Second
 	defaultSlice    = 2 * time.Second
+	defaultLinger   = 100 * time.Millisecond
 	defaultHeld     = 2 * time.Second
 )
 
@@ -53,6 +59,9 @@
 	if c.Slice == 0 {
 		c.Slice = defaultSlice
 	}
+	if c.Linger == 0 {
+		c.Linger = defaultLinger
+	}
 	if c.Held == 0 {
 		c.Held = defaultHeld
 	}
@@ -69,7 +78,9 @@
 	peers    map[ident.Daemon]*peer
 	requests map[ident.Request]*request
 	// lastGrant is the id of the latest grant of this incarnation.
-	lastGrant    uint64
+	lastGrant uint64
+	// kept are the grants of other daemons that are kept idle for a moment.
+	kept         []keptGrant
 	grants       map[uint64]*grantOut
 	effects      []Effect
 	outbox       map[ident.Daemon]*Message
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -138,3 +138,51 @@
 	}
 	return others
 }
+
+// Short calls come one by one through a daemon that owns no target. The first
+// costs a round trip to the owner; the next ones find the slot kept, and it goes
+// back by itself once no call has come for a while.
+func TestSlotToSpareIsKeptForTheNextCall(t *testing.T) {
+	is := is.New(t)
+	owner, ingress := newCore("d1", "z1"), newCore("d2", "z1")
+	for _, c := range []*scheduler.Core{owner, ingress} {
+		c.Configure(start, []scheduler.Service{{
+			Name:       "pool",
+			Workspaces: []scheduler.Workspace{{Name: "a", Weight: 1, Queue: 9}, {Name: "b", Weight: 1, Queue: 9}},
+			Targets:    []scheduler.Target{{Name: "t1", Zone: "z1", Slots: 4}},
+			MeanCost:   100,
+		}})
+	}
+	owner.Peers(start, []scheduler.Peer{{ID: "d2", Incarnation: 1, Zone: "z1"}})
+	ingress.Peers(start, []scheduler.Peer{{ID: "d1", Incarnation: 1, Zone: "z1"}})
+	ownerID, ingressID := ident.Daemon("d1"), ident.Daemon("d2")
+	if _, targets := owner.Status(); targets[0].Owner == ingressID {
+		owner, ingress, ownerID, ingressID = ingress, owner, ingressID, ownerID
+	}
+	ingress.Tick(start)
+	owner.Tick(start)
+	owner.Take()
+	ingress.Take()
+	now := start.Add(time.Millisecond)
+	is.True(ingress.Submit(now, request("r0", "a")) == nil)
+	deliver(now, ingress, ingressID, owner)
+	deliver(now, owner, ownerID, ingress)
+	is.Equal(dispatched(ingress), []ident.Request{"r0"})
+	for i := range 5 {
+		ingress.Finish(now, ident.Request(fmt.Sprintf("r%d", i)), scheduler.Result{Served: 10, Elapsed: time.Millisecond})
+		now = now.Add(10 * time.Millisecond)
+		next := fmt.Sprintf("r%d", i+1)
+		is.True(ingress.Submit(now, request(next, "a")) == nil)
+		effects := ingress.Take()
+		is.Equal(len(effects), 1) // no message
+		is.Equal(effects[0].(scheduler.Dispatch).Request, ident.Request(next))
+	}
+	ingress.Finish(now, "r5", scheduler.Result{Served: 10, Elapsed: time.Millisecond})
+	_, targets := owner.Status()
+	is.Equal(targets[0].Running, 1) // kept
+	now = now.Add(200 * time.Millisecond)
+	ingress.Tick(now)
+	deliver(now, ingress, ingressID, owner)
+	_, targets = owner.Status()
+	is.Equal(targets[0].Running, 0) // and given back
+}
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -105,6 +105,7 @@
 // Tick does what is due: deadlines, demand, service parts and held grants.
 func (c *Core) Tick(now time.Time) {
 	c.early.refill()
+	c.returnKept(now)
 	at := c.due(now)
 	for _, s := range c.services {
 		for _, w := range c.listed(s, at) {
@@ -232,6 +233,9 @@
 			held[r.owner] = append(held[r.owner], r.grant.ID)
 		}
 	}
+	for _, k := range c.kept {
+		held[k.owner] = append(held[k.owner], k.ID)
+	}
 	for id, p := range c.peers {
 		if len(held[id]) > 0 {
 			p.lists = max(p.lists, 1)
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -74,6 +74,7 @@
 	s.activate(w)
 	c.changed(now, s, w)
 	c.assign(now, s)
+	c.useKept(now, s, w)
 	c.showDemand(now, s, w, onArrival)
 	return nil
 }
@@ -125,7 +126,7 @@
 			s.places.observe(now, r.grant.Target, result, 0)
 		}
 	}
-	if c.reuse(now, r, result) {
+	if c.reuse(now, r, result) || c.keep(now, r, result) {
 		return
 	}
 	c.release(now, r.owner, Release{Grant: r.grant.ID, Result: result})
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -142,6 +142,7 @@
 	}
 	c.grants[g.ID] = g
 	t.grants[g.ID] = g
+	g.Spare = t.service.spare()
 	w.give(ingress, g.ID)
 	if ingress == c.cfg.Self {
 		c.accept(now, c.cfg.Self, g.Grant)
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -128,6 +128,9 @@
 	Service   ident.Service
 	Workspace ident.Workspace
 	Target    ident.Target
+	// Spare tells that the owner has slots to spare: the ingress may keep this
+	// one idle for a moment, for the workspace's next request.
+	Spare bool
 }
 
 // Release gives a slot back to its owner.
--- a/test/fairness/wire.go
+++ b/test/fairness/wire.go
@@ -25,7 +25,7 @@
 	for _, d := range m.Demand {
 		n += index + varint(uint64(d.Waiting)) + varint(uint64(d.Urgent)) + idStep
 	}
-	n += rows(3, len(m.Grants)) + len(m.Grants)*(idStep+2*index)
+	n += rows(4, len(m.Grants)) + len(m.Grants)*(idStep+2*index+1)
 	n += rows(5, len(m.Releases))
 	for _, r := range m.Releases {
 		n += idStep + 1 + servedBytes(r.Result.Served) +
