--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/savorystall/savorystall/internal/document"
+	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/load"
 	"github.com/savorystall/savorystall/internal/settings"
 )
@@ -37,6 +38,59 @@
 	is.New(t).True(len(files) > 10) // the pattern finds the files
 }
 
+// A fleet of the examples must be whole: the load file names its daemons, each
+// on ports and under a name of its own, and every target has a daemon in its
+// availability zone. Else a new user's first run idles targets or collides.
+func TestFleetsAreWhole(t *testing.T) {
+	fleets := map[string][]string{"kettleford": {"lm-pool", "sync-api"}, "tierra-firme": {"redactor", "portal-socios"}}
+	for fleet, services := range fleets {
+		t.Run(fleet, func(t *testing.T) {
+			is := is.New(t)
+			zones, ports := daemonsOf(t, fleet)
+			for _, service := range services {
+				text, err := os.ReadFile(filepath.Join(fleet, service+".yaml"))
+				is.NoErr(err)
+				d, err := document.Parse(text)
+				is.NoErr(err)
+				is.Equal(string(d.Service), service)
+				is.Equal(len(d.Workspaces), 16)
+				for _, target := range d.Targets {
+					is.True(zones[target.Zone])     // a daemon of its zone
+					is.True(!ports[target.Address]) // a port of its own
+					ports[target.Address] = true
+				}
+			}
+		})
+	}
+}
+
+// daemonsOf returns the availability zones and listeners of a fleet's daemons.
+func daemonsOf(t *testing.T, fleet string) (zones map[ident.Zone]bool, ports map[string]bool) {
+	t.Helper()
+	is := is.New(t)
+	zones, ports = map[ident.Zone]bool{}, map[string]bool{}
+	names := map[ident.Daemon]bool{}
+	files, err := filepath.Glob(fleet + "/daemon-*.yaml")
+	is.NoErr(err)
+	text, err := os.ReadFile(filepath.Join(fleet, "load.yaml"))
+	is.NoErr(err)
+	spec, err := load.Parse(text)
+	is.NoErr(err)
+	is.Equal(len(spec.Daemons), len(files))
+	for i, path := range files {
+		s, err := settings.Load(path)
+		is.NoErr(err)
+		is.Equal(spec.Daemons[i], "http://"+s.Callers.Listen)
+		is.True(!names[s.Daemon]) // a name of its own
+		names[s.Daemon], zones[s.Zone] = true, true
+		for _, address := range []string{s.Callers.Listen, s.Operators.Listen, s.Fleet.Listen} {
+			is.True(!ports[address]) // a port of its own
+			ports[address] = true
+		}
+	}
+	return zones, ports
+}
+
 // The unit must start the daemon with flags that it has, and must not cut off a
 // planned stop.
 func TestSystemdUnit(t *testing.T) {
