placement: end a probation below 6 times the median in place of twice

Cause: a target at a quarter of its speed is sometimes put on probation by chance, and never came below twice the others' time again. Change: RecoverFactor defaults to 6 (in internal/placement, another's package; the one number and its comment).

--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -27,7 +27,8 @@
 	// SlowFactor is how many times the pace of its peers a target may take
 	// for a token before it is put on probation. Default: 8.
 	SlowFactor float64
-	// RecoverFactor ends the probation. Default: 2.
+	// RecoverFactor ends the probation. Default: 6; a target that is put on
+	// probation by chance would never leave it at a factor below its true one.
 	RecoverFactor float64
 	// ProbeWait is the longest wait before the first probe of a suspect target;
 	// it doubles up to MaxProbeWait. Defaults: 100 ms and 5 s.
@@ -50,7 +51,7 @@
 	c.MinWindow = orDefault(c.MinWindow, 32)
 	c.Queue = orDefault(c.Queue, 0.05)
 	c.SlowFactor = orDefault(c.SlowFactor, 8)
-	c.RecoverFactor = orDefault(c.RecoverFactor, 2)
+	c.RecoverFactor = orDefault(c.RecoverFactor, 6)
 	c.ProbeWait = orDefault(c.ProbeWait, 100*time.Millisecond)
 	c.MaxProbeWait = orDefault(c.MaxProbeWait, 5*time.Second)
 	c.PrefixEntries = orDefault(c.PrefixEntries, 32)
