--- a/internal/scheduler/tick_bench_test.go
+++ b/internal/scheduler/tick_bench_test.go
@@ -75,3 +75,28 @@
 		add()
 	}
 }
+
+// BenchmarkReceive is the cost of one exchange of a peer that has work of 620
+// workspaces and has served them since the last one.
+func BenchmarkReceive(b *testing.B) {
+	c, _ := crowded(b)
+	now := start
+	m := scheduler.Message{Incarnation: 1}
+	for i := range 620 {
+		name := ident.Workspace(fmt.Sprintf("w%04d", i*10))
+		m.Demand = append(m.Demand, scheduler.Demand{Service: "pool", Workspace: name, Waiting: 3})
+		m.Parts = append(m.Parts, scheduler.Part{Service: "pool", Workspace: name})
+	}
+	served := 0.0
+	next := 0
+	for b.Loop() {
+		served += 10
+		next = next%359 + 1
+		now = now.Add(3 * time.Millisecond)
+		for i := range m.Parts {
+			m.Parts[i].Served = served
+			m.Demand[i].Waiting = 3 + uint32(i+next)%3
+		}
+		c.Receive(now, ident.Daemon(fmt.Sprintf("d%03d", next)), m)
+	}
+}
