Build the daemon for process tests in one place

Cause: three tests built the daemon each for itself, and two of them let the go command answer from an old result after a change of the daemon. Change: test/program builds it and opens its sources. Conclusion: a change of the daemon runs its process tests anew.

--- a/test/configuration/site_test.go
+++ b/test/configuration/site_test.go
@@ -28,6 +28,7 @@
 	"github.com/savorystall/savorystall/internal/settings"
 	platformstandin "github.com/savorystall/savorystall/internal/standin/platform"
 	"github.com/savorystall/savorystall/test/faultlink"
+	"github.com/savorystall/savorystall/test/program"
 )
 
 const (
@@ -61,7 +62,7 @@
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	is.New(t).NoErr(openSources())
+	program.OpenSources(t)
 	server := platformstandin.New(platformstandin.Config{})
 	listener := httptest.NewServer(server)
 	s := &site{t: t, server: server, address: strings.TrimPrefix(listener.URL, "http://")}
--- a/test/cost/cost_test.go
+++ b/test/cost/cost_test.go
@@ -33,6 +33,7 @@
 	"github.com/savorystall/savorystall/internal/emulator"
 	"github.com/savorystall/savorystall/internal/settings"
 	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
+	"github.com/savorystall/savorystall/test/program"
 )
 
 const (
@@ -104,10 +105,10 @@
 
 func (s *stage) startDaemon(platform string) {
 	dir := s.b.TempDir()
-	binary, file := filepath.Join(dir, "savorystalld"), filepath.Join(dir, "settings.yaml")
-	build := exec.Command("go", "build", "-o", binary, "github.com/savorystall/savorystall/cmd/savorystalld")
-	if out, err := build.CombinedOutput(); err != nil {
-		s.b.Fatalf("%v\n%s", err, out)
+	file := filepath.Join(dir, "settings.yaml")
+	binary, err := program.Build(dir)
+	if err != nil {
+		s.b.Fatal(err)
 	}
 	cfg := settings.Defaults()
 	cfg.Daemon, cfg.Zone = "one", "z"
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -29,6 +29,7 @@
 	plainstandin "github.com/savorystall/savorystall/internal/standin/plain"
 	platformstandin "github.com/savorystall/savorystall/internal/standin/platform"
 	"github.com/savorystall/savorystall/test/faultlink"
+	"github.com/savorystall/savorystall/test/program"
 )
 
 // The fleet of the tests has the size of the larger of the first two users.
@@ -96,6 +97,7 @@
 // startFleet starts the stand-ins and the daemons, and stops them with the test.
 func startFleet(t *testing.T, options ...func(*fleet)) *fleet {
 	t.Helper()
+	program.OpenSources(t)
 	f := &fleet{t: t, platform: platformstandin.New(platformstandin.Config{}), adjust: func(*settings.Settings) {}}
 	for _, option := range options {
 		option(f)
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -5,9 +5,9 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
+
+	"github.com/savorystall/savorystall/test/program"
 )
 
 // binary is the daemon's program, built once for all tests.
@@ -22,12 +22,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	binary = filepath.Join(dir, "savorystalld")
-	args := append([]string{"build", "-o", binary}, raceFlag...)
-	build := exec.Command("go", append(args, "github.com/savorystall/savorystall/cmd/savorystalld")...)
-	build.Stdout, build.Stderr = os.Stderr, os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "building the daemon:", err)
+	if binary, err = program.Build(dir, raceFlag...); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
