--- a/internal/attempt/life.go
+++ b/internal/attempt/life.go
@@ -26,22 +26,10 @@
 	stateUnknown  chart.State = "unknown"
 )
 
-var lifeChart = mustParse()
-
-func mustParse() *chart.Chart {
-	c, err := chart.Parse(charts.Attempt)
-	if err != nil {
-		panic(err)
-	}
-	err = c.Require(
-		[]chart.State{stateNotRun, stateComplete, stateUnknown},
-		[]chart.Trigger{onConnected, onRefused, onCanceled, onAnswered, onNotProcessed, onLost, onBroken, onEnded, onCut},
-	)
-	if err != nil {
-		panic(err)
-	}
-	return c
-}
+var lifeChart = chart.MustParse(charts.Attempt,
+	[]chart.State{stateNotRun, stateComplete, stateUnknown},
+	[]chart.Trigger{onConnected, onRefused, onCanceled, onAnswered, onNotProcessed, onLost, onBroken, onEnded, onCut},
+)
 
 // life follows one attempt through its state chart.
 type life struct {
--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -54,6 +54,19 @@
 	return &c, nil
 }
 
+// MustParse is Parse and Require for a chart that is a part of the program. It
+// panics where the chart and the code do not agree, which shows at start.
+func MustParse(text []byte, states []State, triggers []Trigger) *Chart {
+	c, err := Parse(text)
+	if err == nil {
+		err = c.Require(states, triggers)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
 func (c *Chart) check() error {
 	c.next = make(map[State]map[Trigger]State, len(c.States))
 	for _, s := range c.States {
--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -28,22 +28,13 @@
 	ready   chan struct{}
 }
 
-// NewLife returns a Life in its initial state, or an error where the chart and
-// the code do not agree.
-func NewLife() (*Life, error) {
-	c, err := chart.Parse(charts.Daemon)
-	if err != nil {
-		return nil, err
-	}
-	err = c.Require(
-		[]chart.State{StateStarting, StateReady, StateAnnounced, StateDraining, StateStopped},
-		[]chart.Trigger{triggerConfigured, triggerStop, triggerBalancerNoticed, triggerDrained},
-	)
-	if err != nil {
-		return nil, err
-	}
-	return &Life{machine: c.New(), ready: make(chan struct{})}, nil
-}
+var lifeChart = chart.MustParse(charts.Daemon,
+	[]chart.State{StateStarting, StateReady, StateAnnounced, StateDraining, StateStopped},
+	[]chart.Trigger{triggerConfigured, triggerStop, triggerBalancerNoticed, triggerDrained},
+)
+
+// NewLife returns a Life in its initial state.
+func NewLife() *Life { return &Life{machine: lifeChart.New(), ready: make(chan struct{})} }
 
 // State returns the present state.
 func (l *Life) State() chart.State {
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -103,22 +103,10 @@
 	Gone      chart.State = "gone"
 )
 
-var lifeChart = mustParse()
-
-func mustParse() *chart.Chart {
-	c, err := chart.Parse(charts.Target)
-	if err != nil {
-		panic(err)
-	}
-	err = c.Require(
-		[]chart.State{Unknown, Live, Probation, Suspect, IsLeaving, Gone},
-		[]chart.Trigger{Answered, Failed, Slow, Recovered, Leaving, Returned, Removed},
-	)
-	if err != nil {
-		panic(err)
-	}
-	return c
-}
+var lifeChart = chart.MustParse(charts.Target,
+	[]chart.State{Unknown, Live, Probation, Suspect, IsLeaving, Gone},
+	[]chart.Trigger{Answered, Failed, Slow, Recovered, Leaving, Returned, Removed},
+)
 
 // Table is what one daemon knows of the targets of one service. It is not safe
 // for concurrent use.
