membership: a table cannot fail to be made

Cause: the chart was parsed for each table, and its error was handed on. Change: the chart is loaded with the program, as the others are.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -78,15 +78,12 @@
 	if err != nil {
 		return nil, err
 	}
-	table, err := membership.New(membership.Config{
+	table := membership.New(membership.Config{
 		Self:         cfg.Self,
 		SuspectAfter: suspectBeats * cfg.Heartbeat,
 		DeadAfter:    deadBeats * cfg.Heartbeat,
 		Grace:        2 * cfg.Heartbeat,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if err != nil {
-		return nil, err
-	}
 	n := &Node{
 		cfg: cfg, handler: handler, table: table,
 		events: make(chan controlEvent, eventQueue), done: make(chan struct{}),
--- a/internal/membership/interleaving_test.go
+++ b/internal/membership/interleaving_test.go
@@ -51,7 +51,7 @@
 
 func (m *model) boot(id ident.Daemon) {
 	m.incarnation[id]++
-	m.tables[id] = newTable(m.t, id)
+	m.tables[id] = newTable(id)
 	m.tables[id].SetList(m.now, listed(m.ids...))
 	for _, other := range m.ids {
 		delete(m.believed, [2]ident.Daemon{id, other})
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -159,18 +159,14 @@
 	ticked  time.Time
 }
 
+var lifeChart = chart.MustParse(charts.Member,
+	[]chart.State{Listed, Live, Suspect, Leaving, Dead, Forgotten},
+	[]chart.Trigger{heard, silent, leaves, stays, restarted, expired, forgotten},
+)
+
 // New returns an empty table. Random spreads the dials.
-func New(cfg Config, random *rand.Rand) (*Table, error) {
-	c, err := chart.Parse(charts.Member)
-	if err != nil {
-		return nil, err
-	}
-	err = c.Require([]chart.State{Listed, Live, Suspect, Leaving, Dead, Forgotten},
-		[]chart.Trigger{heard, silent, leaves, stays, restarted, expired, forgotten})
-	if err != nil {
-		return nil, err
-	}
-	return &Table{cfg: cfg.complete(), chart: c, random: random, entries: map[ident.Daemon]*entry{}}, nil
+func New(cfg Config, random *rand.Rand) *Table {
+	return &Table{cfg: cfg.complete(), chart: lifeChart, random: random, entries: map[ident.Daemon]*entry{}}
 }
 
 // Version changes whenever Members may have changed.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -14,12 +14,8 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func newTable(t interface{ Fatal(...any) }, self ident.Daemon) *membership.Table {
-	table, err := membership.New(membership.Config{Self: self}, rand.New(rand.NewPCG(1, 2)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return table
+func newTable(self ident.Daemon) *membership.Table {
+	return membership.New(membership.Config{Self: self}, rand.New(rand.NewPCG(1, 2)))
 }
 
 func listed(ids ...ident.Daemon) []membership.ListedVM {
@@ -43,7 +39,7 @@
 
 func TestSilenceMakesSuspectThenDead(t *testing.T) {
 	is := is.New(t)
-	table := newTable(t, "a")
+	table := newTable("a")
 	table.SetList(start, listed("a", "b"))
 	is.Equal(table.State("b"), membership.Listed)
 	is.Equal(len(table.Members()), 0) // nothing was heard yet
@@ -65,7 +61,7 @@
 // list were believed more than the heartbeats.
 func TestDaemonThatIsHeardOutlivesTheList(t *testing.T) {
 	is := is.New(t)
-	table := newTable(t, "a")
+	table := newTable("a")
 	table.SetList(start, listed("b"))
 	table.LinkUp(start, sighting("b", 1))
 	table.SetList(start.Add(time.Second), nil)
@@ -76,7 +72,7 @@
 
 func TestLeavingIsJoinedFromListAndDaemon(t *testing.T) {
 	is := is.New(t)
-	table := newTable(t, "a")
+	table := newTable("a")
 	leaving := listed("b")
 	leaving[0].Leaving = true
 	table.LinkUp(start, sighting("b", 1))
@@ -99,7 +95,7 @@
 // grants of its successor would be taken for stale ones.
 func TestOldIncarnationIsRefused(t *testing.T) {
 	is := is.New(t)
-	table := newTable(t, "a")
+	table := newTable("a")
 	is.True(table.LinkUp(start, sighting("b", 5)))
 	is.True(!table.LinkUp(start, sighting("b", 4)))
 	is.True(!table.Heard(start, "b", 4))
@@ -115,7 +111,7 @@
 // Without a guard it would take over the targets of the whole zone.
 func TestOwnPauseIsNoEvidence(t *testing.T) {
 	is := is.New(t)
-	table := newTable(t, "a")
+	table := newTable("a")
 	table.LinkUp(start, sighting("b", 1))
 	tickTo(table, 0, time.Second)
 	table.Tick(start.Add(time.Minute))
@@ -130,7 +126,7 @@
 func TestRejoinAfterPartitionIsSpread(t *testing.T) {
 	is := is.New(t)
 	const peers = 180
-	table := newTable(t, "a")
+	table := newTable("a")
 	var ids []ident.Daemon
 	for i := range peers {
 		ids = append(ids, ident.Daemon(fmt.Sprintf("b%03d", i)))
