membership: one rule of ownership, computed for the zone alone

Cause: the rule stood twice, in membership and in the scheduler, and each change of members went through all 360 daemons twice for each of 3,100 targets; a daemon that starts sees some 359 such changes. Change: membership.Owners, prepared once for a set of members, replaces both; the hash is the scheduler's, so that no target changes its owner.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -178,7 +178,7 @@
 		all := map[ident.Target]ident.Daemon{}
 		for i := range 600 {
 			name := ident.Target(fmt.Sprint("e", i))
-			all[name] = membership.Owner("lm-pool", name, "hall-a", members)
+			all[name] = membership.NewOwners(members).Of("lm-pool", name, "hall-a")
 		}
 		return all
 	}
@@ -199,12 +199,12 @@
 	for i := range members {
 		members[i].Leaving = members[i].Zone == "hall-a"
 	}
-	is.Equal(membership.Owner("lm-pool", "e1", "hall-a", members)[0], byte('d'))
+	is.Equal(membership.NewOwners(members).Of("lm-pool", "e1", "hall-a")[0], byte('d'))
 	for _, d := range owners(members) {
 		n := 0
 		_, err := fmt.Sscanf(string(d), "d%d", &n)
 		is.NoErr(err)
 		is.Equal(n%2, 1) // the other zone stands in
 	}
-	is.Equal(membership.Owner("lm-pool", "e1", "hall-a", nil), ident.Daemon(""))
+	is.Equal(membership.NewOwners(nil).Of("lm-pool", "e1", "hall-a"), ident.Daemon(""))
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -9,6 +9,7 @@
 	"github.com/savorystall/savorystall/internal/admission"
 	"github.com/savorystall/savorystall/internal/fairshare"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -76,6 +77,8 @@
 	leaving  bool
 	services map[ident.Service]*service
 	peers    map[ident.Daemon]*peer
+	// members are this daemon and its peers, as owners of targets.
+	members  *membership.Owners
 	requests map[ident.Request]*request
 	// lastGrant is the id of the latest grant of this incarnation.
 	lastGrant uint64
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/savorystall/savorystall/internal/ident"
 )
 
 // Owners have to know who waits, or their slots idle; told of every arrival,
@@ -161,13 +159,9 @@
 	return w.owners
 }
 
-// setOwners computes who owns targets of the service, after a change of targets
+// resetOwners lets each workspace find the owners again, after a change of targets
 // or peers. A peer that owns none any more forgets what it was shown.
-func (c *Core) setOwners(s *service) {
-	s.owners = map[ident.Daemon]bool{}
-	for _, t := range s.targets {
-		s.owners[c.owner(t)] = true
-	}
+func (c *Core) resetOwners(s *service) {
 	for _, w := range s.order {
 		w.owners, w.told = nil, false
 	}
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -5,53 +5,43 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/savorystall/savorystall/internal/fairshare"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
 )
 
 // assignOwners decides which targets this daemon grants. Ownership is soft: two
 // owners of one target only admit too much for a moment, and the target refuses
 // what it cannot take.
 func (c *Core) assignOwners() {
+	c.members = membership.NewOwners(c.knownMembers())
 	for _, s := range c.services {
 		s.owned = s.owned[:0]
+		s.owners = map[ident.Daemon]bool{}
 		for _, t := range s.targets {
-			if c.owner(t) == c.cfg.Self {
+			owner := c.owner(t)
+			s.owners[owner] = true
+			if owner == c.cfg.Self {
 				s.owned = append(s.owned, t)
 			}
 		}
-		c.setOwners(s)
+		c.resetOwners(s)
 		sort.Slice(s.owned, func(i, j int) bool { return s.owned[i].Name < s.owned[j].Name })
 	}
 }
 
-// owner returns the daemon with the highest rendezvous hash among the live
-// daemons of the target's zone. Daemons of other zones stand in where the zone
-// has none, and leaving ones where nobody else is left.
+// owner returns the daemon that grants a target, by what is known of the members.
 func (c *Core) owner(t *target) ident.Daemon {
-	var best ident.Daemon
-	var bestRank int
-	var bestHash uint64
-	consider := func(id ident.Daemon, zone ident.Zone, leaving bool) {
-		rank := 0
-		if zone == t.Zone {
-			rank++
-		}
-		if !leaving {
-			rank += 2
-		}
-		hash := xxhash.Sum64String(string(t.service.name) + "\x00" + string(t.Name) + "\x00" + string(id))
-		if best == "" || rank > bestRank || rank == bestRank && hash > bestHash {
-			best, bestRank, bestHash = id, rank, hash
-		}
-	}
-	consider(c.cfg.Self, c.cfg.Zone, c.leaving)
+	return c.members.Of(t.service.name, t.Name, t.Zone)
+}
+
+// knownMembers are this daemon and its peers.
+func (c *Core) knownMembers() []membership.Member {
+	members := []membership.Member{{ID: c.cfg.Self, Zone: c.cfg.Zone, Leaving: c.leaving}}
 	for _, p := range c.peers {
-		consider(p.ID, p.Zone, p.Leaving)
+		members = append(members, membership.Member{ID: p.ID, Zone: p.Zone, Incarnation: p.Incarnation, Leaving: p.Leaving})
 	}
-	return best
+	return members
 }
 
 func (c *Core) assignAll(now time.Time) {
