--- a/cmd/savorystalld/main.go
+++ b/cmd/savorystalld/main.go
@@ -67,6 +67,10 @@
 		event.SettingsBad.Log(newLogger("info"), "error", err)
 		return exitSettings
 	}
+	if err := daemon.CheckFiles(s); err != nil {
+		event.SettingsBad.Log(newLogger("info"), "error", err)
+		return exitSettings
+	}
 	if o.Check {
 		fmt.Println("the settings are valid")
 		return exitOK
--- a/internal/daemon/bridge.go
+++ b/internal/daemon/bridge.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/claim"
 	"github.com/savorystall/savorystall/internal/config"
 	"github.com/savorystall/savorystall/internal/control"
+	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/scheduler"
@@ -23,6 +25,7 @@
 	loop    *control.Loop
 	claimer *claim.Claimer
 	self    ident.Daemon
+	log     *slog.Logger
 	fetches fetches
 
 	mu    sync.Mutex
@@ -96,9 +99,15 @@
 	for i, e := range received {
 		entries[i] = config.Entry(e)
 	}
-	// An entry that is not valid is kept out and the others are in force; the
-	// table's watcher logs it.
-	_, _ = b.store.CatchUp(entries, head)
+	before := b.store.Revisions()
+	if _, err := b.store.CatchUp(entries, head); err != nil {
+		event.ConfigInvalid.Log(b.log, "peer", from, "error", err)
+	}
+	for service, revision := range b.store.Revisions() {
+		if revision != before[service] {
+			event.ConfigInForce.Log(b.log, "service", service, "revision", revision, "peer", from)
+		}
+	}
 }
 
 func (f *fetches) begin() bool {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,8 +81,8 @@
 	return config.NewArchiver(config.ArchiverConfig{Table: client, Objects: client, Store: store, Logger: log})
 }
 
-func newBridge(id identity, store *config.Store) *bridge {
-	return &bridge{store: store, self: id.Daemon}
+func newBridge(id identity, store *config.Store, log *slog.Logger) *bridge {
+	return &bridge{store: store, self: id.Daemon, log: log}
 }
 
 func newLoop(id identity, b *bridge) *control.Loop {
@@ -97,13 +97,11 @@
 		Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone,
 		Listen: s.Fleet.Listen, Advertise: s.Fleet.Advertise, Heartbeat: s.Fleet.Heartbeat, Logger: log,
 	}
-	if s.Fleet.TLS != nil {
-		loaded, err := certs.Load(certs.Files{Cert: s.Fleet.TLS.Certificate, Key: s.Fleet.TLS.Key, CA: s.Fleet.TLS.Authority})
-		if err != nil {
-			return nil, err
-		}
-		cfg.Identity = loaded
+	loaded, err := loadIdentity(s)
+	if err != nil {
+		return nil, err
 	}
+	cfg.Identity = loaded
 	node, err := fleet.New(cfg, b)
 	if err != nil {
 		return nil, err
@@ -112,6 +110,21 @@
 	return node, nil
 }
 
+// loadIdentity returns the certificates of the fleet, nil where none are set.
+func loadIdentity(s settings.Settings) (*certs.Identity, error) {
+	if s.Fleet.TLS == nil {
+		return nil, nil
+	}
+	return certs.Load(certs.Files{Cert: s.Fleet.TLS.Certificate, Key: s.Fleet.TLS.Key, CA: s.Fleet.TLS.Authority})
+}
+
+// CheckFiles reads the files that the settings name, as the daemon does at its
+// start, and returns the first error.
+func CheckFiles(s settings.Settings) error {
+	_, err := loadIdentity(s)
+	return err
+}
+
 func newClaimer(id identity, s settings.Settings, b *bridge, client *platform.Client, log *slog.Logger) *claim.Claimer {
 	b.claimer = claim.New(claim.Config{Daemon: id.Daemon, Incarnation: id.Incarnation, Wait: s.Claims.Wait}, client, b, log)
 	return b.claimer
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -21,17 +21,24 @@
 
 // startDev runs a daemon with the embedded stand-ins until the test ends.
 func startDev(t *testing.T, overrides ...settings.Override) (*emulator.Emulator, daemon.Addresses) {
+	t.Helper()
+	site, err := dev.Start(t.Context())
+	is.New(t).NoErr(err)
+	t.Cleanup(site.Close)
+	return site, startDaemon(t, append(overrides, func(s *settings.Settings) { s.Platform.URL = site.URL })...)
+}
+
+// startDaemon runs a daemon until the test ends, and returns once it is ready.
+func startDaemon(t *testing.T, overrides ...settings.Override) daemon.Addresses {
 	t.Helper()
 	is := is.New(t)
-	stall, err := dev.Start(t.Context())
-	is.NoErr(err)
-	s, err := settings.Parse(nil, append(overrides, func(s *settings.Settings) {
+	defaults := func(s *settings.Settings) {
 		s.Daemon, s.Zone = "dev", dev.Zone
-		s.Platform.URL = stall.URL
 		s.Callers.Listen, s.Operators.Listen, s.Fleet.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 		s.Callers.BodyTimeout = 500 * time.Millisecond
 		s.Stop.BalancerLag = 0
-	})...)
+	}
+	s, err := settings.Parse(nil, append([]settings.Override{defaults}, overrides...)...)
 	is.NoErr(err)
 	ctx, stop := context.WithCancel(context.Background())
 	ready, ended := make(chan daemon.Addresses, 1), make(chan error, 1)
@@ -41,14 +48,14 @@
 	t.Cleanup(func() {
 		stop()
 		is.NoErr(<-ended)
-		stall.Close()
 	})
 	select {
 	case a := <-ready:
-		return stall, a
+		return a
 	case err := <-ended:
+		ended <- err
 		t.Fatal("the daemon ended early: ", err)
-		return nil, daemon.Addresses{}
+		return daemon.Addresses{}
 	}
 }
 
@@ -112,6 +119,7 @@
 		get("encoded slash", "/services/portal/a%2Fb", resultcode.UnknownOperation),
 		get("encoded dots", "/services/portal/a/%2e%2e%5cb", resultcode.UnknownOperation),
 		get("encoded name of a service", "/services/p%6Frtal/x", resultcode.UnknownService),
+		post("no idempotency key", "/services/portal/claims", "x", resultcode.KeyRequired),
 		post("wrong path of a plain service", "/services/portal/other", "x", resultcode.MethodNotAllowed),
 	}
 }
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -56,6 +56,8 @@
 	loop     *control.Loop
 	node     *fleet.Node
 	leaving  atomic.Pointer[map[string]bool]
+	// seeds stand in for the list until it was read once.
+	seeds []platform.VM
 }
 
 // isLeaving tells whether the list last read says that a target leaves.
@@ -65,6 +67,7 @@
 }
 
 func (f *vmFollower) run(ctx context.Context) {
+	f.node.SetVMs(f.seeds)
 	ticker := time.NewTicker(f.interval)
 	defer ticker.Stop()
 	for {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -19,6 +20,7 @@
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/order"
 	"github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/internal/settings"
 	"github.com/savorystall/savorystall/internal/telemetry"
 )
@@ -91,7 +93,7 @@
 	p := d.p
 	configuration := &configFollower{store: p.Store, loop: p.Loop, node: p.Node, life: p.Life, log: p.Log}
 	vms := &vmFollower{
-		vms: p.Client, interval: p.Settings.Platform.VMPoll, timeout: p.Settings.Platform.Timeout,
+		vms: p.Client, seeds: seedVMs(p.Settings), interval: p.Settings.Platform.VMPoll, timeout: p.Settings.Platform.Timeout,
 		store: p.Store, loop: p.Loop, node: p.Node,
 	}
 	probes := &prober{
@@ -104,6 +106,14 @@
 	return []func(context.Context){watch, archive, configuration.run, vms.run, probes.run, gauges.run, orders.run}
 }
 
+func seedVMs(s settings.Settings) []platform.VM {
+	seeds := make([]platform.VM, len(s.Fleet.Seeds))
+	for i, seed := range s.Fleet.Seeds {
+		seeds[i] = platform.VM{Name: string(seed.Daemon), Address: seed.Address, Role: platform.RoleDaemon, State: platform.VMLive}
+	}
+	return seeds
+}
+
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
 	d.tasks.Go(func() { _ = server.Serve(listener) }) // ends with ErrServerClosed
 }
@@ -163,11 +173,17 @@
 		case <-drained:
 			return
 		case <-warn.C:
-			event.DrainStuck.Log(d.p.Log, "daemon", d.p.Identity.Daemon)
+			waiting, running := d.load()
+			event.DrainStuck.Log(d.p.Log, "daemon", d.p.Identity.Daemon, "waiting", waiting, "running", running)
 		}
 	}
 }
 
+func (d *Daemon) load() (waiting, running int) {
+	d.p.Loop.Inspect(func(c *scheduler.Core) { waiting, running = c.Waiting(), c.Running() })
+	return waiting, running
+}
+
 // stopLimit bounds a planned stop. It is above the longest deadline of any
 // request, since none may be cut off.
 const stopLimit = 24 * time.Hour
@@ -187,7 +203,8 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 	if err := app.Err(); err != nil {
-		return err
+		// What fx adds names the constructors on the way, not the cause.
+		return dig.RootCause(err)
 	}
 	starting, cancel := context.WithTimeout(context.Background(), startLimit)
 	defer cancel()
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -71,7 +71,7 @@
   - {name: club-nord, weight: 1, keys: ["` + document.HashKey(Key) + `"]}
 operations:
   - {name: read, method: GET, path: "/**", class: interactive}
-  - {name: file, method: POST, path: "/claims", unrepeatable: true}
+  - {name: file, method: POST, path: "/claims", unrepeatable: true, key_required: true}
 targets:
   - {name: portal-1, zone: dev-a, address: "` + address + `", slots: 16}
 `
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -94,9 +94,11 @@
 type WorkspaceLimits struct {
 	// Queue bounds the requests that wait at one daemon; default limits.queue.
 	Queue int `yaml:"queue" validate:"gte=0"`
-	// Concurrent bounds the requests that run; zero means no bound.
+	// Concurrent bounds the requests that run through one daemon; zero means no
+	// bound.
 	Concurrent int `yaml:"concurrent" validate:"gte=0"`
-	// RequestsPerSecond bounds the accepted requests; zero means no bound.
+	// RequestsPerSecond bounds the requests that one daemon accepts; zero means
+	// no bound.
 	RequestsPerSecond float64 `yaml:"requests_per_second" validate:"gte=0"`
 }
 
@@ -111,6 +113,8 @@
 	Path   string `yaml:"path" validate:"omitempty,startswith=/"`
 	// Unrepeatable operations run at most once for each Idempotency-Key.
 	Unrepeatable bool `yaml:"unrepeatable"`
+	// KeyRequired refuses a request without an Idempotency-Key.
+	KeyRequired bool `yaml:"key_required"`
 	// Deadline defaults to limits.deadline.
 	Deadline time.Duration `yaml:"deadline" validate:"gte=0"`
 	// Default marks the operation of a model service that applies where the
--- a/internal/event/fleet.go
+++ b/internal/event/fleet.go
@@ -10,5 +10,6 @@
 	FleetLinkRefused = define(604, slog.LevelWarn, "link of a daemon was refused", "see the reason in the line; two daemons may share a name")
 	FleetBadFrame    = define(605, slog.LevelError, "frame of a daemon could not be read", "check that all daemons run versions that go together")
 	FleetOutdated    = define(607, slog.LevelError, "peers hold a later incarnation of this daemon and refuse its links", "check that no other daemon has its name and that the VM's clock is right, then restart it")
+	FleetHandshake   = define(608, slog.LevelWarn, "a TLS handshake with another daemon failed (at most one line in 10 s)", "see docs/operations/tls.md")
 	FleetSlowPeer    = define(606, slog.LevelWarn, "queue to a daemon overflowed and its link was reset", "look at the load of the daemon that the line names")
 )
--- a/internal/fleet/dial.go
+++ b/internal/fleet/dial.go
@@ -43,7 +43,7 @@
 func (n *Node) connect(address string) (*grpc.ClientConn, error) {
 	creds := insecure.NewCredentials()
 	if n.cfg.Identity != nil {
-		creds = credentials.NewTLS(n.cfg.Identity.Client())
+		creds = n.logged(credentials.NewTLS(n.cfg.Identity.Client()))
 	}
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(creds),
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -36,7 +36,7 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter / 2}),
 	}
 	if n.cfg.Identity != nil {
-		options = append(options, grpc.Creds(credentials.NewTLS(n.cfg.Identity.Server())))
+		options = append(options, grpc.Creds(n.logged(credentials.NewTLS(n.cfg.Identity.Server()))))
 	}
 	s := grpc.NewServer(options...)
 	fleetv1.RegisterFleetServer(s, &server{node: n})
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -96,6 +96,9 @@
 
 // runOnce claims unrepeatable requests before they are placed.
 func (s *Server) runOnce(ctx context.Context, j *job) *resultcode.Failure {
+	if j.operation.KeyRequired && j.key == "" {
+		return resultcode.Fail(resultcode.KeyRequired, "operation %s", j.operation.Name)
+	}
 	if !j.operation.Unrepeatable {
 		return s.place(ctx, j, nil)
 	}
--- a/internal/ingress/model.go
+++ b/internal/ingress/model.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/savorystall/savorystall/internal/attempt"
+	"github.com/savorystall/savorystall/internal/config"
 	"github.com/savorystall/savorystall/internal/document"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
@@ -51,13 +52,13 @@
 	if failure != nil {
 		return nil, failure
 	}
+	snapshot, failure := s.admitted(key)
+	if failure != nil {
+		return nil, failure
+	}
 	if media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || media != "application/json" {
 		return nil, resultcode.Fail(resultcode.UnsupportedMedia, "send application/json")
 	}
-	snapshot := s.Store.Snapshot()
-	if !snapshot.KnownKey(key) {
-		return nil, s.unknownKey()
-	}
 	body, failure := s.readBody(w, r, maxModelBody)
 	if failure != nil {
 		return nil, failure
@@ -89,13 +90,20 @@
 	return j, nil
 }
 
-// unknownKey refuses a key that no document holds. Before any document is in
-// force that says nothing about the key.
-func (s *Server) unknownKey() *resultcode.Failure {
-	if s.Store.Head() == 0 {
-		return resultcode.Fail(resultcode.ConfigurationAbsent, "")
+// admitted returns the configuration in force if it knows the key. Before any
+// configuration is in force, not knowing a key says nothing about it. The head
+// is read first: read after the snapshot, it could already belong to the first
+// configuration, and a right key was called unknown.
+func (s *Server) admitted(key string) (*config.Snapshot, *resultcode.Failure) {
+	head := s.Store.Head()
+	snapshot := s.Store.Snapshot()
+	switch {
+	case snapshot.KnownKey(key):
+		return snapshot, nil
+	case head == 0:
+		return nil, resultcode.Fail(resultcode.ConfigurationAbsent, "")
 	}
-	return resultcode.Fail(resultcode.Unauthenticated, "")
+	return nil, resultcode.Fail(resultcode.Unauthenticated, "")
 }
 
 func parseModel(body []byte, parsed *modelRequest) *resultcode.Failure {
@@ -197,9 +205,9 @@
 func (s *Server) models(w http.ResponseWriter, r *http.Request) {
 	answer := newResponse(w, ident.NewRequest())
 	key, failure := bearer(r)
-	snapshot := s.Store.Snapshot()
-	if failure == nil && !snapshot.KnownKey(key) {
-		failure = s.unknownKey()
+	var snapshot *config.Snapshot
+	if failure == nil {
+		snapshot, failure = s.admitted(key)
 	}
 	if failure != nil {
 		s.answerFailure(answer, "", failure)
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -29,9 +29,9 @@
 	if failure != nil {
 		return nil, failure
 	}
-	snapshot := s.Store.Snapshot()
-	if !snapshot.KnownKey(key) {
-		return nil, s.unknownKey()
+	snapshot, failure := s.admitted(key)
+	if failure != nil {
+		return nil, failure
 	}
 	name := mux.Vars(r)["service"]
 	service, ok := snapshot.Service(ident.Service(name))
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -39,6 +39,6 @@
 
 const settingsIntro = "# Settings of a daemon\n\nThis page is generated from the code: `go test ./internal/reference -update`.\n\n" +
 	"`savorystalld --settings FILE` reads YAML; unknown fields and values out of range are errors. " +
-	"Environment variables override the file, flags override both: SAVORYSTALL_DAEMON, SAVORYSTALL_ZONE, SAVORYSTALL_CALLERS, " +
-	"SAVORYSTALL_OPERATORS, SAVORYSTALL_FLEET, SAVORYSTALL_PLATFORM and SAVORYSTALL_LOG_LEVEL, and the flags of the same names. " +
+	"Environment variables override the file, flags override both: SAVORYSTALLD_DAEMON, SAVORYSTALLD_ZONE, SAVORYSTALLD_CALLERS, " +
+	"SAVORYSTALLD_OPERATORS, SAVORYSTALLD_FLEET, SAVORYSTALLD_PLATFORM and SAVORYSTALLD_LOG_LEVEL, and the flags of the same names. " +
 	"`--check` validates and exits. Durations are written like `500ms` or `5s`. What a service does stands in its document, see SERVICE-DOCUMENT.md.\n\n"
--- a/internal/settings/environment.go
+++ b/internal/settings/environment.go
@@ -2,15 +2,16 @@
 
 import "github.com/savorystall/savorystall/internal/ident"
 
-// Environment variables that override the file.
+// Environment variables that override the file. Their prefix is not that of the
+// operators' tool, so that a variable exported for the tool changes no daemon.
 const (
-	EnvDaemon    = "SAVORYSTALL_DAEMON"
-	EnvZone      = "SAVORYSTALL_ZONE"
-	EnvCallers   = "SAVORYSTALL_CALLERS"
-	EnvOperators = "SAVORYSTALL_OPERATORS"
-	EnvFleet     = "SAVORYSTALL_FLEET"
-	EnvPlatform  = "SAVORYSTALL_PLATFORM"
-	EnvLogLevel  = "SAVORYSTALL_LOG_LEVEL"
+	EnvDaemon    = "SAVORYSTALLD_DAEMON"
+	EnvZone      = "SAVORYSTALLD_ZONE"
+	EnvCallers   = "SAVORYSTALLD_CALLERS"
+	EnvOperators = "SAVORYSTALLD_OPERATORS"
+	EnvFleet     = "SAVORYSTALLD_FLEET"
+	EnvPlatform  = "SAVORYSTALLD_PLATFORM"
+	EnvLogLevel  = "SAVORYSTALLD_LOG_LEVEL"
 )
 
 // FromEnvironment returns the override for the variables that are set.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"os"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -64,9 +65,10 @@
 	Listen string `yaml:"listen" validate:"required,hostname_port|tcp_addr"`
 	// Advertise is the address that other daemons dial. Default: Listen.
 	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port|tcp_addr"`
-	// Seeds are addresses of daemons to try before the VM list is known, as
-	// name=host:port. Default none.
-	Seeds []string `yaml:"seeds"`
+	// Seeds are daemons to link to before the VM list was read for the first
+	// time; a daemon that starts while the platform is out learns the
+	// configuration from them. Default none.
+	Seeds []Seed `yaml:"seeds" validate:"dive"`
 	// Heartbeat is the interval of heartbeats on an idle link. Default 1s.
 	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=50000000"`
 	// TLS holds the files of mutual TLS. Without them links are in the clear
@@ -74,6 +76,14 @@
 	TLS *TLS `yaml:"tls"`
 }
 
+// Seed is a daemon that is known without the VM list.
+type Seed struct {
+	// Daemon is its name.
+	Daemon ident.Daemon `yaml:"daemon" validate:"required,max=64"`
+	// Address is its fleet listener, host:port with an IP number.
+	Address string `yaml:"address" validate:"required,hostname_port|tcp_addr"`
+}
+
 // TLS names the files of one certificate and the authority of its peers.
 type TLS struct {
 	// Certificate is a PEM file with this daemon's certificate.
@@ -159,6 +169,10 @@
 	}
 }
 
+// anyPort ends a listener's address whose port the system chooses; it is known
+// only once the listener is open.
+const anyPort = ":0"
+
 // Override changes one field after the file was read.
 type Override func(*Settings)
 
@@ -191,7 +205,7 @@
 	for _, override := range overrides {
 		override(&s)
 	}
-	if s.Fleet.Advertise == "" {
+	if s.Fleet.Advertise == "" && !strings.HasSuffix(s.Fleet.Listen, anyPort) {
 		s.Fleet.Advertise = s.Fleet.Listen
 	}
 	if err := validator.New(validator.WithRequiredStructEnabled()).Struct(s); err != nil {
