--- a/internal/fleet/handshake.go
+++ b/internal/fleet/handshake.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"golang.org/x/time/rate"
 	"google.golang.org/grpc/credentials"
 
 	"github.com/savorystall/savorystall/internal/event"
@@ -20,18 +19,17 @@
 type loggedCredentials struct {
 	credentials.TransportCredentials
 	node *Node
-	some *rate.Sometimes
 }
 
 func (n *Node) logged(c credentials.TransportCredentials) credentials.TransportCredentials {
-	return &loggedCredentials{TransportCredentials: c, node: n, some: &rate.Sometimes{Interval: handshakeLog}}
+	return &loggedCredentials{TransportCredentials: c, node: n}
 }
 
 func (c *loggedCredentials) log(conn net.Conn, err error) {
 	if err == nil || c.node.ctx.Err() != nil {
 		return
 	}
-	c.some.Do(func() {
+	c.node.handshakes.Do(func() {
 		event.FleetHandshake.Log(c.node.cfg.Logger, "remote", conn.RemoteAddr().String(), "error", err)
 	})
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	"github.com/savorystall/savorystall/internal/event"
@@ -69,6 +70,9 @@
 	session uint64
 	dialing int
 	ticks   int
+
+	// handshakes spaces the lines about failed handshakes.
+	handshakes rate.Sometimes
 }
 
 // New opens the listener and returns a node that is not yet started. Address
@@ -86,7 +90,8 @@
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n := &Node{
 		cfg: cfg, handler: handler, table: table,
-		events: make(chan controlEvent, eventQueue), done: make(chan struct{}),
+		handshakes: rate.Sometimes{Interval: handshakeLog},
+		events:     make(chan controlEvent, eventQueue), done: make(chan struct{}),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.calls.conns = map[ident.Daemon]callConn{}
