--- a/test/configuration/site_test.go
+++ b/test/configuration/site_test.go
@@ -103,7 +103,7 @@
 	c.Stop.BalancerLag = 0
 	for _, peer := range s.daemons {
 		if peer != p {
-			c.Fleet.Seeds = append(c.Fleet.Seeds, string(peer.name)+"="+peer.fleet)
+			c.Fleet.Seeds = append(c.Fleet.Seeds, settings.Seed{Daemon: peer.name, Address: peer.fleet})
 		}
 	}
 	text, err := yaml.Marshal(c)
--- a/test/integration/chaos_test.go
+++ b/test/integration/chaos_test.go
@@ -24,12 +24,12 @@
 	do func()
 }
 
-// A fault every 150 ms means that each daemon and each target is hit about once
-// in 4 s. Silent links between daemons are found after some heartbeats of 1 s;
-// at a much higher rate no daemon would ever have its peers.
+// A fault every 60 ms hits each daemon and each target about once in 2 s. Silent
+// links between daemons are found after some heartbeats of 1 s, so that a part of
+// the links is down at any time.
 const (
-	faultEvery = 150 * time.Millisecond
-	faultLasts = 400 * time.Millisecond
+	faultEvery = 60 * time.Millisecond
+	faultLasts = 300 * time.Millisecond
 )
 
 func (c *chaos) run(ctx context.Context) {
