--- a/internal/daemon/trace_test.go
+++ b/internal/daemon/trace_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -51,3 +54,24 @@
 	}
 	is.Equal(spans, map[string]int{"ingress": 1, "queue": 1, "grant": 1, "target": 1})
 }
+
+// An operator sets the address of a collector. The spans of a request must reach
+// it by the time that the daemon has stopped.
+func TestSpansReachTheCollector(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int64
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if body, err := io.ReadAll(r.Body); err == nil && r.URL.Path == "/v1/traces" && len(body) > 0 {
+			received.Add(1)
+		}
+	}))
+	defer collector.Close()
+	t.Run("request", func(t *testing.T) {
+		_, a := startDev(t, func(s *settings.Settings) {
+			s.Trace.OTLP, s.Trace.Sample = collector.URL+"/v1/traces", 1
+		})
+		status, _, _ := ask(t, a.Callers, "collected", nil, "")
+		is.Equal(status, http.StatusOK)
+	})
+	is.True(received.Load() > 0)
+}
