Take out two things that nobody uses

Cause: scheduler.Preempt was never emitted and placement.Table.Progress never called; a reader would take both for working parts. Change: both are gone. Preemption is measured on a model and not built (docs/design/preemption.md).

--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -258,17 +258,6 @@
 	return true
 }
 
-// Progress takes in that a running request has received tokens over a time. It
-// shows a target that became slow before its requests end.
-func (t *Table) Progress(name ident.Target, tokens int, over time.Duration) bool {
-	e := t.targets[name]
-	if e == nil || tokens <= 0 {
-		return false
-	}
-	e.pace.add(tokens+1, 0, over)
-	return t.judgePace(e)
-}
-
 // ProbesDue returns the suspect targets that are to be probed now, by name. Each
 // is due again only after a longer wait or once its probe has failed.
 func (t *Table) ProbesDue(now time.Time) []ident.Target {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -198,12 +198,6 @@
 	Message Message
 }
 
-// Preempt asks to cancel a running stream so that it can be resumed later.
-type Preempt struct {
-	Request ident.Request
-}
-
 func (Dispatch) effect() {}
 func (Refuse) effect()   {}
 func (Send) effect()     {}
-func (Preempt) effect()  {}
