--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -135,6 +135,7 @@
 	is.True(strings.Contains(history.output, "rollback to revision 1"))
 	is.Equal(s.run("service", "delete", "portal", "--base", "3").code, cli.ExitOK)
 	is.Equal(s.run("service", "get", "portal").code, cli.ExitNotFound)
+	is.Equal(s.run("service", "delete", "nothing", "--base", "2").code, cli.ExitNotFound)
 	var rows []map[string]any
 	is.NoErr(json.Unmarshal([]byte(s.run("service", "list", "--all", "--output", "json").output), &rows))
 	is.Equal(rows[0]["deleted"], true)
--- a/internal/cli/service.go
+++ b/internal/cli/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -354,6 +355,10 @@
 		return err
 	}
 	revision, err := editor.Delete(ctx, c.Positional.Name, c.Base, c.Note)
+	var conflict *config.EditConflict
+	if errors.As(err, &conflict) && conflict.Present.Revision == 0 {
+		return config.ErrNoService // nobody went first: there never was one
+	}
 	if err != nil {
 		return err
 	}
