Use cmp.Or for defaults, and start process tests in one way

Change: cmp.Or; program.Main; a test's comment says what it checks. LoadArchive and ProbesDue are used by tests alone and stay: their tests show rules of the archive and of probing.

--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -242,9 +243,9 @@
 // tokenDeadline bounds the wait for the token that comes next.
 func (m *modelAttempt) tokenDeadline() time.Duration {
 	if m.stream.offset == 0 {
-		return orDefault(m.req.FirstToken, m.cfg.TokenDeadline)
+		return cmp.Or(m.req.FirstToken, m.cfg.TokenDeadline)
 	}
-	return orDefault(m.req.NextToken, m.cfg.TokenDeadline)
+	return cmp.Or(m.req.NextToken, m.cfg.TokenDeadline)
 }
 
 // noteProgress takes the time of a chunk that was handed over.
--- a/internal/attempt/plain.go
+++ b/internal/attempt/plain.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -44,7 +45,7 @@
 		p.life.fire(onRefused)
 		return fail(resultcode.BadRequest, err)
 	}
-	x := p.newExchange(ctx, orDefault(p.req.FirstByte, p.cfg.PlainFirstByte))
+	x := p.newExchange(ctx, cmp.Or(p.req.FirstByte, p.cfg.PlainFirstByte))
 	if err := x.send(p.transport(), req); err != nil {
 		defer x.abort()
 		return p.unanswered(ctx, x, err)
@@ -158,7 +159,7 @@
 	}
 	buf := make([]byte, copyBuffer)
 	for {
-		x.alive(orDefault(p.req.Progress, p.cfg.PlainProgress))
+		x.alive(cmp.Or(p.req.Progress, p.cfg.PlainProgress))
 		n, err := x.resp.Body.Read(buf)
 		if failed := p.write(buf[:n], flusher); failed != nil {
 			return failed
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -13,6 +13,7 @@
 package attempt
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -66,25 +67,18 @@
 	Scope tally.Scope
 }
 
-func orDefault[T int | time.Duration](v, def T) T {
-	if v == 0 {
-		return def
-	}
-	return v
-}
-
 func (c Config) withDefaults() Config {
-	c.ConnectTimeout = orDefault(c.ConnectTimeout, time.Second)
-	c.FirstByte = orDefault(c.FirstByte, 5*time.Second)
-	c.Progress = orDefault(c.Progress, 4*time.Second)
-	c.TokenDeadline = orDefault(c.TokenDeadline, 2*time.Minute)
-	c.ResumeWindow = orDefault(c.ResumeWindow, 10*time.Second)
-	c.PlainFirstByte = orDefault(c.PlainFirstByte, time.Minute)
-	c.PlainProgress = orDefault(c.PlainProgress, 20*time.Second)
-	c.UserTimeout = orDefault(c.UserTimeout, 5*time.Second)
-	c.IdleTimeout = orDefault(c.IdleTimeout, 4*time.Second)
-	c.IdlePerTarget = orDefault(c.IdlePerTarget, 64)
-	c.MaxEvent = orDefault(c.MaxEvent, 1<<20)
+	c.ConnectTimeout = cmp.Or(c.ConnectTimeout, time.Second)
+	c.FirstByte = cmp.Or(c.FirstByte, 5*time.Second)
+	c.Progress = cmp.Or(c.Progress, 4*time.Second)
+	c.TokenDeadline = cmp.Or(c.TokenDeadline, 2*time.Minute)
+	c.ResumeWindow = cmp.Or(c.ResumeWindow, 10*time.Second)
+	c.PlainFirstByte = cmp.Or(c.PlainFirstByte, time.Minute)
+	c.PlainProgress = cmp.Or(c.PlainProgress, 20*time.Second)
+	c.UserTimeout = cmp.Or(c.UserTimeout, 5*time.Second)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, 4*time.Second)
+	c.IdlePerTarget = cmp.Or(c.IdlePerTarget, 64)
+	c.MaxEvent = cmp.Or(c.MaxEvent, 1<<20)
 	if c.Tracer == nil {
 		c.Tracer = otel.Tracer("github.com/savorystall/savorystall/internal/attempt")
 	}
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -53,18 +54,18 @@
 }
 
 func (cfg Config) withDefaults() Config {
-	setDefault(&cfg.Wait, 5*time.Second)
-	setDefault(&cfg.AskTimeout, time.Second)
-	setDefault(&cfg.Term, time.Hour)
-	setDefault(&cfg.RecordTTL, 24*time.Hour)
-	setDefault(&cfg.KeepBytes, DefaultKeepBytes)
-	setDefault(&cfg.BatchRows, 200)
-	setDefault(&cfg.BatchBytes, 512<<10)
-	setDefault(&cfg.Linger, 2*time.Millisecond)
-	setDefault(&cfg.CommitTimeout, 10*time.Second)
-	setDefault(&cfg.WritesPerSecond, 40)
-	setDefault(&cfg.Backoff, 50*time.Millisecond)
-	setDefault(&cfg.BackoffMax, 2*time.Second)
+	cfg.Wait = cmp.Or(cfg.Wait, 5*time.Second)
+	cfg.AskTimeout = cmp.Or(cfg.AskTimeout, time.Second)
+	cfg.Term = cmp.Or(cfg.Term, time.Hour)
+	cfg.RecordTTL = cmp.Or(cfg.RecordTTL, 24*time.Hour)
+	cfg.KeepBytes = cmp.Or(cfg.KeepBytes, DefaultKeepBytes)
+	cfg.BatchRows = cmp.Or(cfg.BatchRows, 200)
+	cfg.BatchBytes = cmp.Or(cfg.BatchBytes, 512<<10)
+	cfg.Linger = cmp.Or(cfg.Linger, 2*time.Millisecond)
+	cfg.CommitTimeout = cmp.Or(cfg.CommitTimeout, 10*time.Second)
+	cfg.WritesPerSecond = cmp.Or(cfg.WritesPerSecond, 40)
+	cfg.Backoff = cmp.Or(cfg.Backoff, 50*time.Millisecond)
+	cfg.BackoffMax = cmp.Or(cfg.BackoffMax, 2*time.Second)
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -74,13 +75,6 @@
 	return cfg
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Run writes to the table until ctx ends. Call Flush before ending it.
 func (c *Claimer) Run(ctx context.Context) { c.committer.run(ctx) }
 
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -20,7 +20,7 @@
 		is.Equal(len(orders), 1) // one absolute order suffices
 		is.Equal(orders[0].Version, "1")
 		is.Equal(orders[0].Models, []string{"recap-1"})
-		is.True(orders[0].Fencing > 0) // name.Target has a lease
+		is.True(orders[0].Fencing > 0) // it was given under a lease
 		is.Equal(string(name.Service), "lm-pool")
 	}
 }
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -7,6 +7,7 @@
 package document
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
@@ -177,36 +178,29 @@
 func (d *Document) applyDefaults() {
 	d.Limits.applyDefaults(d.Kind)
 	for i := range d.Workspaces {
-		orDefault(&d.Workspaces[i].Limits.Queue, d.Limits.Queue)
+		d.Workspaces[i].Limits.Queue = cmp.Or(d.Workspaces[i].Limits.Queue, d.Limits.Queue)
 	}
 	if d.Kind == Model && len(d.Operations) == 0 {
 		d.Operations = []Operation{{Name: DefaultOperation, Default: true}}
 	}
 	for i := range d.Operations {
-		orDefault(&d.Operations[i].Class, Standard)
-		orDefault(&d.Operations[i].Deadline, d.Limits.Deadline)
+		d.Operations[i].Class = cmp.Or(d.Operations[i].Class, Standard)
+		d.Operations[i].Deadline = cmp.Or(d.Operations[i].Deadline, d.Limits.Deadline)
 	}
 	if d.Orders != nil {
-		orDefault(&d.Orders.LongestOrder, DefaultLongestOrder)
+		d.Orders.LongestOrder = cmp.Or(d.Orders.LongestOrder, DefaultLongestOrder)
 	}
 }
 
 func (l *Limits) applyDefaults(kind Kind) {
-	orDefault(&l.BodyBytes, DefaultBodyBytes)
-	orDefault(&l.Queue, DefaultQueue)
-	orDefault(&l.FirstByteTimeout, DefaultFirstByteTimeout)
-	orDefault(&l.ProgressTimeout, DefaultProgressTimeout)
-	orDefault(&l.Deadline, DefaultDeadline)
+	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
+	l.Queue = cmp.Or(l.Queue, DefaultQueue)
+	l.FirstByteTimeout = cmp.Or(l.FirstByteTimeout, DefaultFirstByteTimeout)
+	l.ProgressTimeout = cmp.Or(l.ProgressTimeout, DefaultProgressTimeout)
+	l.Deadline = cmp.Or(l.Deadline, DefaultDeadline)
 	if kind == Model {
-		orDefault(&l.MeanCost, DefaultModelCost)
+		l.MeanCost = cmp.Or(l.MeanCost, DefaultModelCost)
 	} else {
-		orDefault(&l.MeanCost, DefaultPlainCost)
-	}
-}
-
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+		l.MeanCost = cmp.Or(l.MeanCost, DefaultPlainCost)
 	}
 }
--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -24,6 +24,7 @@
 package fairshare
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -80,23 +81,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MeanCost, DefaultMeanCost)
-	setDefault(&c.RunningCharge, DefaultRunningCharge)
-	setDefault(&c.Horizon, DefaultHorizon)
-	setDefault(&c.LagFactor, DefaultLagFactor)
-	setDefault(&c.Keep, DefaultKeep)
-	setDefault(&c.MaxLead, DefaultMaxLead)
-	setDefault(&c.MaxDebt, DefaultMaxDebt)
+	c.MeanCost = cmp.Or(c.MeanCost, DefaultMeanCost)
+	c.RunningCharge = cmp.Or(c.RunningCharge, DefaultRunningCharge)
+	c.Horizon = cmp.Or(c.Horizon, DefaultHorizon)
+	c.LagFactor = cmp.Or(c.LagFactor, DefaultLagFactor)
+	c.Keep = cmp.Or(c.Keep, DefaultKeep)
+	c.MaxLead = cmp.Or(c.MaxLead, DefaultMaxLead)
+	c.MaxDebt = cmp.Or(c.MaxDebt, DefaultMaxDebt)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Conditions are the measured figures that the slow loop is tuned to.
 type Conditions struct {
 	// Lag is the age at which an owner learns of service elsewhere.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -11,6 +11,7 @@
 package fleet
 
 import (
+	"cmp"
 	"log/slog"
 	"time"
 
@@ -61,22 +62,15 @@
 	if c.Self == "" || c.Zone == "" || c.Listen == "" || c.Incarnation == 0 {
 		return c, merry.New("fleet: Self, Zone, Listen and Incarnation are required")
 	}
-	setDefault(&c.Heartbeat, DefaultHeartbeat)
-	setDefault(&c.FlushDelay, DefaultFlushDelay)
-	setDefault(&c.QueueLimit, DefaultQueueLimit)
+	c.Heartbeat = cmp.Or(c.Heartbeat, DefaultHeartbeat)
+	c.FlushDelay = cmp.Or(c.FlushDelay, DefaultFlushDelay)
+	c.QueueLimit = cmp.Or(c.QueueLimit, DefaultQueueLimit)
 	if c.Logger == nil {
 		c.Logger = slog.Default()
 	}
 	return c, nil
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Handler takes what a node learns. Receive, Peers, LinkUp, LinkLost and Head
 // are called one at a time from the node's control goroutine, in the order in
 // which things happened, and must not block. Entries and Claim are called from
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -38,23 +39,16 @@
 	PrefixEntries int
 }
 
-func orDefault[T int | float64 | time.Duration](v, def T) T {
-	if v == 0 {
-		return def
-	}
-	return v
-}
-
 func (c Config) withDefaults() Config {
-	c.Initial = orDefault(c.Initial, 8)
-	c.Most = orDefault(c.Most, 1024)
-	c.MinWindow = orDefault(c.MinWindow, 32)
-	c.Queue = orDefault(c.Queue, 0.05)
-	c.SlowFactor = orDefault(c.SlowFactor, 8)
-	c.RecoverFactor = orDefault(c.RecoverFactor, 6)
-	c.ProbeWait = orDefault(c.ProbeWait, 100*time.Millisecond)
-	c.MaxProbeWait = orDefault(c.MaxProbeWait, 5*time.Second)
-	c.PrefixEntries = orDefault(c.PrefixEntries, 32)
+	c.Initial = cmp.Or(c.Initial, 8)
+	c.Most = cmp.Or(c.Most, 1024)
+	c.MinWindow = cmp.Or(c.MinWindow, 32)
+	c.Queue = cmp.Or(c.Queue, 0.05)
+	c.SlowFactor = cmp.Or(c.SlowFactor, 8)
+	c.RecoverFactor = cmp.Or(c.RecoverFactor, 6)
+	c.ProbeWait = cmp.Or(c.ProbeWait, 100*time.Millisecond)
+	c.MaxProbeWait = cmp.Or(c.MaxProbeWait, 5*time.Second)
+	c.PrefixEntries = cmp.Or(c.PrefixEntries, 32)
 	return c
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -6,6 +6,7 @@
 package enginestandin
 
 import (
+	"cmp"
 	"net/http"
 	"sync"
 	"time"
@@ -56,23 +57,16 @@
 	defaultCacheGap     = 7
 )
 
-func orDefault[T int | time.Duration](v, def T) T {
-	if v == 0 {
-		return def
-	}
-	return v
-}
-
 func (c Config) withDefaults() Config {
-	c.Step = orDefault(c.Step, defaultStep)
-	c.Slots = orDefault(c.Slots, defaultSlots)
-	c.Queue = orDefault(c.Queue, defaultQueue)
-	c.KeepDetached = orDefault(c.KeepDetached, defaultKeepDetached)
-	c.Heartbeat = orDefault(c.Heartbeat, defaultHeartbeat)
-	c.StatusLag = orDefault(c.StatusLag, defaultStatusLag)
-	c.CacheEntries = orDefault(c.CacheEntries, defaultCacheEntries)
-	c.CacheLag = orDefault(c.CacheLag, defaultCacheLag)
-	c.CacheGap = orDefault(c.CacheGap, defaultCacheGap)
+	c.Step = cmp.Or(c.Step, defaultStep)
+	c.Slots = cmp.Or(c.Slots, defaultSlots)
+	c.Queue = cmp.Or(c.Queue, defaultQueue)
+	c.KeepDetached = cmp.Or(c.KeepDetached, defaultKeepDetached)
+	c.Heartbeat = cmp.Or(c.Heartbeat, defaultHeartbeat)
+	c.StatusLag = cmp.Or(c.StatusLag, defaultStatusLag)
+	c.CacheEntries = cmp.Or(c.CacheEntries, defaultCacheEntries)
+	c.CacheLag = cmp.Or(c.CacheLag, defaultCacheLag)
+	c.CacheGap = cmp.Or(c.CacheGap, defaultCacheGap)
 	return c
 }
 
--- a/test/program/program.go
+++ b/test/program/program.go
@@ -2,6 +2,7 @@
 package program
 
 import (
+	"fmt"
 	"io/fs"
 	"os"
 	"os/exec"
@@ -26,6 +27,26 @@
 	return binary, nil
 }
 
+// Main builds the daemon for all tests of a package, runs them and exits; call it
+// from TestMain. The path of the program is in *binary while they run.
+func Main(m *testing.M, binary *string, flags ...string) {
+	os.Exit(runAll(m, binary, flags))
+}
+
+func runAll(m *testing.M, binary *string, flags []string) int {
+	dir, err := os.MkdirTemp("", "savorystalld-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if *binary, err = Build(dir, flags...); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
 // OpenSources opens the sources of the daemon; call it from a test two folders
 // below the root. The go command reuses a test's result while the test's own
 // program and the files that its tests opened stay the same: without this, a
