Tie workspaces to some targets, and measure it

There was none, and the product could not express a tie: the scheduler knew no eligibility at all, the orders' models of a target reach it no more than the model of a request, and Avoid of a retry is declined once only.

Change: workspaces[].targets of the service document, the minimal form of eligibility: all daemons have it, so that it needs no message and no change on the wire. An owner picks among the workspaces that may use one of its free targets, demand is shown to the owners of those targets alone, and an ingress returns a grant that another document gave. test/fairness has three patterns: "tied" (seven of sixteen may use a third of the engines, half come and go), "tied-heavy" (eight, all backlogged: the third is too little for them) and "tied-light" (two). The gap is that among workspaces with the same ties; "least share" the least part of the weighted max-min share that one received; "starved" the longest time in which a backlogged one received nothing.

--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -29,6 +29,7 @@
 			Queue:      queue,
 			Concurrent: ws.Limits.Concurrent,
 			Rate:       ws.Limits.RequestsPerSecond,
+			Targets:    ws.Targets,
 		})
 	}
 	for _, t := range doc.Targets {
--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+
+	"github.com/savorystall/savorystall/internal/ident"
 )
 
 // checker collects the problems that concern more than one field.
@@ -32,6 +34,7 @@
 	c.workspaces(d)
 	c.operations(d)
 	c.targets(d)
+	c.ties(d)
 	if d.Orders != nil {
 		c.orders(d)
 	}
@@ -137,11 +140,31 @@
 	}
 }
 
-func (c *checker) orders(d *Document) {
-	known := make(map[string]bool, len(d.Targets))
+func (d *Document) targetNames() map[ident.Target]bool {
+	known := make(map[ident.Target]bool, len(d.Targets))
 	for _, t := range d.Targets {
-		known[string(t.Name)] = true
+		known[t.Name] = true
 	}
+	return known
+}
+
+// ties checks the targets that workspaces may use.
+func (c *checker) ties(d *Document) {
+	known := d.targetNames()
+	for i, w := range d.Workspaces {
+		names := unique{}
+		for j, name := range w.Targets {
+			path := fmt.Sprintf("workspaces[%d].targets[%d]", i, j)
+			c.once(names, string(name), path)
+			if !known[name] {
+				c.add(path, "no target has the name %q", name)
+			}
+		}
+	}
+}
+
+func (c *checker) orders(d *Document) {
+	known := d.targetNames()
 	models := make(map[string]bool, len(d.Models))
 	for _, m := range d.Models {
 		models[m] = true
@@ -150,7 +173,7 @@
 	for i, t := range d.Orders.Targets {
 		path := fmt.Sprintf("orders.targets[%d]", i)
 		c.once(names, string(t.Name), path+".name")
-		if t.Name != "" && !known[string(t.Name)] {
+		if t.Name != "" && !known[t.Name] {
 			c.add(path+".name", "no target has the name %q", t.Name)
 		}
 		for j, m := range t.Models {
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -89,6 +89,9 @@
 	// key without a gap.
 	Keys   []string        `yaml:"keys" validate:"required,min=1,max=16,dive,key"`
 	Limits WorkspaceLimits `yaml:"limits"`
+	// Targets are the only ones that the workspace's requests may use; none
+	// means all.
+	Targets []ident.Target `yaml:"targets" validate:"max=1000"`
 }
 
 // WorkspaceLimits bound one workspace of the service.
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -102,6 +102,8 @@
 		"no slots":             {"model", map[string]string{"targets": "targets:\n  - {name: t, zone: z, address: '127.0.0.1:1', slots: 0}"}, 6, 55, "slots: must be greater than 0"},
 		"address twice":        {"model", map[string]string{"targets": "targets:\n  - {name: t, zone: z, address: '127.0.0.1:1', slots: 1}\n  - {name: u, zone: z, address: '127.0.0.1:1', slots: 1}"}, 7, 33, "repeats"},
 		"order without target": {"model", map[string]string{"end": "orders:\n  fencing: ignored\n  targets: [{name: x}]\n"}, 8, 20, `no target has the name "x"`},
+		"tied to no target":    {"model", map[string]string{"workspaces": fmt.Sprintf("workspaces: [{name: w, weight: 1, keys: [%q], targets: [t, x]}]", key)}, 4, 131, `no target has the name "x"`},
+		"tied twice":           {"model", map[string]string{"workspaces": fmt.Sprintf("workspaces: [{name: w, weight: 1, keys: [%q], targets: [t, t]}]", key)}, 4, 131, `repeats "t"`},
 		"order without model":  {"model", map[string]string{"end": "orders:\n  fencing: ignored\n  targets: [{name: t, models: [n]}]\n"}, 8, 32, `no model "n"`},
 		"no fencing":           {"model", map[string]string{"end": "orders:\n  targets: [{name: t}]\n"}, 7, 3, "fencing: is required"},
 		"alias":                {"model", map[string]string{"models": "models: &m [m]", "end": "orders: *m\n"}, 3, 9, "anchors and aliases"},
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -137,7 +137,7 @@
 		hash  uint64
 	}
 	var list []ranked
-	for id := range s.owners {
+	for id := range c.ownersOf(s, w) {
 		if p := c.peers[id]; p != nil {
 			hash := xxhash.Sum64String(string(c.cfg.Self) + "\x00" + string(w.Name) + "\x00" + string(id))
 			list = append(list, ranked{peer: p, local: p.Zone == c.cfg.Zone, hash: hash})
@@ -164,6 +164,7 @@
 func (c *Core) resetOwners(s *service) {
 	for _, w := range s.order {
 		w.owners, w.told = nil, false
+		s.findHere(w)
 	}
 }
 
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -223,6 +223,9 @@
 	for class := range uint8(classCount) {
 		w.queue.SetTypical(class, s.admission.Typical(class))
 	}
+	if !w.mayUse(g.Target) {
+		return nil // The owner has another document in force.
+	}
 	takes := func(it queue.Item[*request]) bool { return it.Value.takes(g.Target) }
 	it, expired, ok := w.queue.PopPreferred(now, takes, s.places.prefers(g.Target))
 	c.refuseExpired(now, expired)
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -57,25 +57,26 @@
 
 // assign gives away free slots of the owned targets as long as work waits.
 func (c *Core) assign(now time.Time, s *service) {
-	for {
-		t := c.freeTarget(now, s)
-		if t == nil {
-			return
-		}
+	for len(s.findFree()) > 0 {
 		w := c.pick(s)
 		if w == nil {
 			return
 		}
+		t := c.freeTarget(now, s, w)
+		if t == nil {
+			return
+		}
 		c.grant(now, t, w, c.pickIngress(w))
 	}
 }
 
-// pick returns the workspace that is owed most among those with demand.
+// pick returns the workspace that is owed most among those with demand that may
+// use one of the free targets.
 func (c *Core) pick(s *service) *workspace {
 	var candidates []fairshare.Candidate
 	for _, w := range s.active {
-		wants := w.waiting() > 0 || w.remoteDemand() > 0
-		if wants {
+		wants := w.here && (w.waiting() > 0 || w.remoteDemand() > 0)
+		if wants && w.fits(s.places.free) {
 			candidates = append(candidates, fairshare.Candidate{Workspace: w.Name, Running: w.granted})
 		}
 		s.ledger.SetBacklogged(w.Name, wants)
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/chart"
@@ -76,13 +77,25 @@
 
 func (t *target) limit() int { return t.service.places.Limit(t.Name) }
 
-// freeTarget returns the owned target that takes the next request, or nil.
-func (c *Core) freeTarget(now time.Time, s *service) *target {
+// findFree lists the owned targets with a free slot.
+func (s *service) findFree() []placement.Free {
 	s.places.free = s.places.free[:0]
 	for _, t := range s.owned {
-		s.places.free = append(s.places.free, placement.Free{Target: t.Name, InFlight: len(t.grants)})
+		if n := len(t.grants); n < t.limit() {
+			s.places.free = append(s.places.free, placement.Free{Target: t.Name, InFlight: n})
+		}
 	}
-	name, ok := s.places.Choose(now, s.places.free, 0)
+	return s.places.free
+}
+
+// freeTarget returns the one of the free targets that takes the next request of
+// the workspace, or nil.
+func (c *Core) freeTarget(now time.Time, s *service, w *workspace) *target {
+	free := s.places.free
+	if w.targets != nil {
+		free = slices.DeleteFunc(free, func(f placement.Free) bool { return !w.targets[f.Target] })
+	}
+	name, ok := s.places.Choose(now, free, 0)
 	if !ok {
 		return nil
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -55,6 +55,8 @@
 	Concurrent int
 	// Rate bounds the accepted requests a second; zero means no bound.
 	Rate float64
+	// Targets are those that the workspace may use; empty means all.
+	Targets []ident.Target
 }
 
 // Target is one back end of a service.
--- a/internal/scheduler/workspace.go
+++ b/internal/scheduler/workspace.go
@@ -32,6 +32,10 @@
 	active, told bool
 	// turn counts the picks of an ingress, up to urgentTurns.
 	turn int
+	// targets are those that a tied workspace may use; nil means all. here tells
+	// that this daemon owns one of them.
+	targets map[ident.Target]bool
+	here    bool
 	// granted counts the grants of this owner that are in use.
 	granted int
 	// given lists them by ingress, in order of their ids.
@@ -49,6 +53,7 @@
 
 func (w *workspace) configure(spec Workspace) {
 	w.Workspace = spec
+	w.tie(spec.Targets)
 	if spec.Queue > 0 {
 		w.queue.SetLimit(spec.Queue)
 	}
--- a/test/fairness/baseline.go
+++ b/test/fairness/baseline.go
@@ -75,19 +75,23 @@
 		b.chooser.exchange(b)
 	}
 	for {
-		target := b.freeTarget()
-		if target < 0 {
-			if p, ok := b.chooser.(*preempting); ok {
-				p.full(b)
-			}
-			return
+		free := b.freeTargets()
+		if p, ok := b.chooser.(*preempting); ok && len(free) == 0 {
+			p.full(b)
 		}
-		j := b.chooser.choose(b, target)
-		if j == nil {
+		if !slices.ContainsFunc(free, b.fill) {
 			return
 		}
+	}
+}
+
+// fill starts the next job on a target and reports whether there was one.
+func (b *baseline) fill(target int) bool {
+	j := b.chooser.choose(b, target)
+	if j != nil {
 		b.start(j, target)
 	}
+	return j != nil
 }
 
 func (b *baseline) start(j *job, target int) {
@@ -96,15 +100,21 @@
 	b.run.start(j, target)
 }
 
-// freeTarget returns the target with the most free slots, or -1.
-func (b *baseline) freeTarget() int {
-	best, free := -1, 0
-	for t, e := range b.run.engines {
-		if n := e.slots - len(e.jobs); n > free {
-			best, free = t, n
+// freeTargets lists the targets with free slots, the one with the most first.
+// Without ties one is enough: whoever waits can use it.
+func (b *baseline) freeTargets() []int {
+	free := func(t int) int { return b.run.engines[t].slots - len(b.run.engines[t].jobs) }
+	var list []int
+	for t := range b.run.engines {
+		if free(t) > 0 {
+			list = append(list, t)
 		}
 	}
-	return best
+	slices.SortStableFunc(list, func(t, u int) int { return free(u) - free(t) })
+	if !b.run.pattern.ties && len(list) > 0 {
+		return list[:1]
+	}
+	return list
 }
 
 func (b *baseline) expire() {
@@ -184,9 +194,14 @@
 	return &optimum{ledger: ledgerOf(r, "optimum")}
 }
 
-func (o *optimum) choose(b *baseline, _ int) *job {
+func (o *optimum) choose(b *baseline, target int) *job {
 	counts := newCounts(b.run)
 	b.waiting(counts)
+	for w := range counts {
+		if !b.run.mayUse(w, target) {
+			counts[w] = 0
+		}
+	}
 	w, ok := pickFrom(o.ledger, counts, sumColumns(b.running))
 	if !ok {
 		return nil
--- a/test/fairness/choosers.go
+++ b/test/fairness/choosers.go
@@ -36,13 +36,13 @@
 	rounds
 }
 
-func (f *fifo) choose(b *baseline, _ int) *job {
+func (f *fifo) choose(b *baseline, target int) *job {
 	return f.each(b, func(d int) *job {
 		best := -1
 		var first time.Duration
 		for w := range b.queues[d] {
 			for _, q := range b.queues[d][w] {
-				if len(q) > 0 && (best < 0 || q[0].arrival < first) {
+				if len(q) > 0 && b.run.mayUse(w, target) && (best < 0 || q[0].arrival < first) {
 					best, first = w, q[0].arrival
 				}
 			}
@@ -72,7 +72,7 @@
 // static gives each workspace a fixed part of the slots and lends none.
 type static struct{ silent }
 
-func (static) choose(b *baseline, _ int) *job {
+func (static) choose(b *baseline, target int) *job {
 	weights := 0.0
 	for _, src := range b.run.pattern.sources {
 		weights += src.weight
@@ -80,7 +80,7 @@
 	total := float64(b.run.size.allSlots())
 	running := sumColumns(b.running)
 	for w, src := range b.run.pattern.sources {
-		if float64(running[w]+1) <= math.Ceil(total*src.weight/weights) {
+		if b.run.mayUse(w, target) && float64(running[w]+1) <= math.Ceil(total*src.weight/weights) {
 			if j := b.take(-1, w); j != nil {
 				return j
 			}
@@ -106,11 +106,13 @@
 	return l
 }
 
-func (l *local) choose(b *baseline, _ int) *job {
+func (l *local) choose(b *baseline, target int) *job {
 	return l.each(b, func(d int) *job {
 		counts := newCounts(b.run)
 		for w := range counts {
-			counts[w] = queued(b.queues[d][w])
+			if b.run.mayUse(w, target) {
+				counts[w] = queued(b.queues[d][w])
+			}
 		}
 		w, ok := pickFrom(l.ledgers[d], counts, l.count(b, d))
 		if !ok {
--- a/test/fairness/fleet.go
+++ b/test/fairness/fleet.go
@@ -87,7 +87,9 @@
 func (f *fleet) service() scheduler.Service {
 	s := scheduler.Service{Name: serviceName, MeanCost: 300}
 	for w, src := range f.run.pattern.sources {
-		s.Workspaces = append(s.Workspaces, scheduler.Workspace{Name: workspaceName(w), Weight: src.weight, Queue: queueBound})
+		s.Workspaces = append(s.Workspaces, scheduler.Workspace{
+			Name: workspaceName(w), Weight: src.weight, Queue: queueBound, Targets: f.run.tiedTargets(w),
+		})
 	}
 	for t, e := range f.run.engines {
 		s.Targets = append(s.Targets, scheduler.Target{Name: targetName(t), Zone: zoneName(e.zone), Slots: e.slots})
--- a/test/fairness/load.go
+++ b/test/fairness/load.go
@@ -70,6 +70,8 @@
 	onOff    time.Duration
 	prefix   uint64
 	deadline time.Duration
+	// tied sources may use only the first third of the engines.
+	tied bool
 }
 
 // pattern is one load pattern with its faults.
@@ -84,6 +86,8 @@
 	// lossFrom and lossTo bound a time in which one message in lossEvery is
 	// lost with the link, as a broken connection loses it.
 	lossFrom, lossTo time.Duration
+	// ties tells that some sources are tied.
+	ties bool
 }
 
 const runTime = 180 * time.Second
@@ -157,6 +161,14 @@
 		named("cut", steady(s, func(p *pattern) {
 			p.cutFrom, p.cutTo = 60*time.Second, 90*time.Second
 		})),
+		named("tied", steady(s, func(p *pattern) {
+			p.tie(0, 2, 4, 6, half, half+2, half+4)
+			for i := range half {
+				p.sources[i].load = 4 // Those that are not tied have more than their part.
+			}
+		})),
+		named("tied-heavy", allSteady(s, 0, 2, 4, 6, 8, 10, 12, 14)),
+		named("tied-light", allSteady(s, 2, 5)),
 	}
 }
 
--- a/test/fairness/main.go
+++ b/test/fairness/main.go
@@ -42,17 +42,19 @@
 	name  string
 	lag   bool
 	build func(*run) system
+	// ignoresTies tells that it does not know which engines a workspace may use.
+	ignoresTies bool
 }
 
 var candidates = []candidate{
-	{optimumName, false, newBaseline(newOptimum)},
-	{fleetName, true, newFleet},
-	{"preempting", false, newBaseline(newPreempting)},
-	{"plain", true, newBaseline(newPlain)},
-	{"early", true, newBaseline(newEarly)},
-	{localName, false, newBaseline(newLocal)},
-	{"fifo", false, newBaseline(func(*run) chooser { return &fifo{} })},
-	{"static", false, newBaseline(func(*run) chooser { return static{} })},
+	{name: optimumName, build: newBaseline(newOptimum)},
+	{name: fleetName, lag: true, build: newFleet},
+	{name: "preempting", build: newBaseline(newPreempting), ignoresTies: true},
+	{name: "plain", lag: true, build: newBaseline(newPlain), ignoresTies: true},
+	{name: "early", lag: true, build: newBaseline(newEarly), ignoresTies: true},
+	{name: localName, build: newBaseline(newLocal)},
+	{name: "fifo", build: newBaseline(func(*run) chooser { return &fifo{} })},
+	{name: "static", build: newBaseline(func(*run) chooser { return static{} })},
 }
 
 func main() {
@@ -89,7 +91,7 @@
 				continue
 			}
 			for _, c := range candidates {
-				if !wanted(o.Systems, c.name) {
+				if !wanted(o.Systems, c.name) || p.ties && c.ignoresTies {
 					continue
 				}
 				work = append(work, runsOf(o, s, p, c)...)
--- a/test/fairness/measure.go
+++ b/test/fairness/measure.go
@@ -13,7 +13,7 @@
 	// Steady counts the workspaces that were backlogged from warmUp on.
 	Steady int
 	// Gap is the largest difference, over time and pairs of steadily
-	// backlogged workspaces, of cost received since warmUp over weight; in
+	// backlogged workspaces that may use the same engines, of cost received since warmUp over weight; in
 	// tokens for a weight of one, and in seconds of the fleet's service.
 	GapTokens, GapSeconds float64
 	// Served is the whole cost worked off, in tokens, and Busy the time that
@@ -33,6 +33,11 @@
 	// InTime is the work of the answers that were complete before their
 	// deadline, in seconds of one slot at full speed.
 	InTime float64
+	// LeastShare is the least part of its max-min share that a workspace
+	// received; zero where not all are backlogged. Starved is the longest time
+	// in which one that was backlogged received nothing.
+	LeastShare float64
+	Starved    time.Duration
 	// gaps is the largest difference at each sample, in seconds.
 	gaps []point
 }
@@ -90,23 +95,31 @@
 	if res.Steady < 2 {
 		return
 	}
+	res.ties(r, steady)
 	for _, s := range r.samples {
 		if s.at < warmUp {
 			continue
 		}
-		least, most := math.Inf(1), math.Inf(-1)
-		for w := range steady {
-			if steady[w] {
-				got := (s.served[w] - base.served[w]) / r.pattern.sources[w].weight
-				least, most = min(least, got), max(most, got)
-			}
-		}
-		res.GapTokens = max(res.GapTokens, most-least)
-		res.gaps = append(res.gaps, point{s.at.Seconds(), (most - least) / r.size.capacity()})
+		gap := max(r.spread(base, s, steady, true), r.spread(base, s, steady, false))
+		res.GapTokens = max(res.GapTokens, gap)
+		res.gaps = append(res.gaps, point{s.at.Seconds(), gap / r.size.capacity()})
 	}
 	res.GapSeconds = res.GapTokens / r.size.capacity()
 }
 
+// spread is the greatest difference of service over weight among the steady
+// workspaces that are tied, or that are not.
+func (r *run) spread(base, s sample, steady []bool, tied bool) float64 {
+	least, most := math.Inf(1), math.Inf(-1)
+	for w, src := range r.pattern.sources {
+		if steady[w] && src.tied == tied {
+			got := (s.served[w] - base.served[w]) / src.weight
+			least, most = min(least, got), max(most, got)
+		}
+	}
+	return max(0, most-least)
+}
+
 func (res *result) wait(r *run) {
 	all := make([][]time.Duration, len(r.pattern.sources))
 	var firsts []time.Duration
--- a/test/fairness/report.go
+++ b/test/fairness/report.go
@@ -10,10 +10,10 @@
 func printTable(w io.Writer, results []result) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	defer t.Flush()
-	fmt.Fprintln(t, "site\tpattern\tsystem\tlag s\tsteady\tgap tokens\tgap s\tutilisation\tbytes/s\tquestion p99\tin time\trefused")
+	fmt.Fprintln(t, "site\tpattern\tsystem\tlag s\tsteady\tgap tokens\tgap s\tleast share\tstarved\tutilisation\tbytes/s\tquestion p99\tin time\trefused")
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%.0f\t%.3f\t%.4f\t%.0f\t%s\t%.0f\t%d\n",
-			r.Size, r.Pattern, r.System, lagText(r.Lag), r.Steady, r.GapTokens, r.GapSeconds,
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%.0f\t%.3f\t%s\t%.4f\t%.0f\t%s\t%.0f\t%d\n",
+			r.Size, r.Pattern, r.System, lagText(r.Lag), r.Steady, r.GapTokens, r.GapSeconds, r.tiesText(),
 			r.Utilisation, r.Bytes, r.AskFirst.Round(time.Millisecond), r.InTime, r.Refused)
 	}
 }
