fairshare: compare workspaces that may use the same targets

Cause: the ledger measured the lead of each workspace from the median of all, and clamped it around that. Where the targets of tied workspaces are too few for what these are owed, they fall behind without end: their debts, or the leads of all others, all stood at the clamp, and who was owed what among them was forgotten.

Change: workspaces that may use the same targets are a group. A group moves as a whole, leads are measured from its median, and the first to come back of a group starts at the median of all. The rule of the greatest lead, on which the proof rests, is the same.

--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -107,6 +107,7 @@
 // account is what the ledger keeps of one workspace.
 type account struct {
 	weight float64
+	group  *group
 	// virtual is the service received over the weight, with lifts and clamps.
 	virtual float64
 	own     float64
@@ -123,9 +124,10 @@
 	// backlogged is the set of those that are backlogged.
 	backlogged map[*account]struct{}
 	peers      map[ident.Daemon]*peer
-	// floor is the highest value that the median of the backlogged has had. It
-	// is where a workspace starts when no other is backlogged.
-	floor float64
+	// groups are those by name, of which all is for workspaces that may use
+	// every target.
+	groups map[string]*group
+	all    *group
 	// charge is what one running request adds to the score, in units of the
 	// service.
 	charge     float64
@@ -137,11 +139,14 @@
 // New returns an empty ledger.
 func New(c Config) *Ledger {
 	c = c.withDefaults()
+	all := &group{}
 	l := &Ledger{
 		config:     c,
 		accounts:   make(map[ident.Workspace]*account),
 		backlogged: make(map[*account]struct{}),
 		peers:      make(map[ident.Daemon]*peer),
+		groups:     map[string]*group{"": all},
+		all:        all,
 	}
 	l.charge = c.RunningCharge * c.MeanCost
 	return l
@@ -191,7 +196,7 @@
 func (l *Ledger) account(ws ident.Workspace) *account {
 	a := l.accounts[ws]
 	if a == nil {
-		a = &account{weight: 1, virtual: l.floor, tie: l.tie(ws)}
+		a = &account{weight: 1, group: l.all, virtual: l.all.floor, tie: l.tie(ws)}
 		l.accounts[ws] = a
 	}
 	return a
@@ -244,8 +249,9 @@
 }
 
 // SetBacklogged tells whether requests of the workspace wait anywhere. One that
-// becomes backlogged is lifted to the median of the backlogged: time spent idle
-// earns no credit, else it could take all slots on its return.
+// becomes backlogged is lifted to the median of the backlogged of its group, or
+// of all where it is the first of its group: time spent idle earns no credit,
+// else it could take all slots on its return.
 func (l *Ledger) SetBacklogged(ws ident.Workspace, backlogged bool) {
 	a := l.account(ws)
 	if _, was := l.backlogged[a]; was == backlogged {
@@ -255,18 +261,22 @@
 		delete(l.backlogged, a)
 		return
 	}
-	if middle, ok := l.middle(); ok {
-		l.floor = max(l.floor, middle)
+	if middle, ok := l.middle(a.group); ok {
+		a.group.floor = max(a.group.floor, middle)
+	} else if middle, ok := l.middle(nil); ok {
+		a.group.floor = max(a.group.floor, middle)
 	}
 	l.backlogged[a] = struct{}{}
-	a.virtual = max(a.virtual, l.floor)
+	a.virtual = max(a.virtual, a.group.floor)
 }
 
-// middle is the median of the backlogged workspaces.
-func (l *Ledger) middle() (float64, bool) {
+// middle is the median of the backlogged workspaces of a group, or of all.
+func (l *Ledger) middle(of *group) (float64, bool) {
 	var list []scored
 	for a := range l.backlogged {
-		list = append(list, scored{account: a})
+		if of == nil || a.group == of {
+			list = append(list, scored{account: a})
+		}
 	}
 	if len(list) == 0 {
 		return 0, false
@@ -274,12 +284,16 @@
 	return median(list), true
 }
 
-// Lead returns the workspace's virtual time over the median of the backlogged,
-// in units of the service over weight; zero where nothing is backlogged.
+// Lead returns the workspace's virtual time over the median of the backlogged
+// that may use the same targets, in units of the service over weight; zero where
+// none of them is backlogged.
 func (l *Ledger) Lead(ws ident.Workspace) float64 {
 	a := l.accounts[ws]
-	middle, ok := l.middle()
-	if a == nil || !ok {
+	if a == nil {
+		return 0
+	}
+	middle, ok := l.middle(a.group)
+	if !ok {
 		return 0
 	}
 	return a.virtual - middle
--- a/internal/fairshare/ledger_test.go
+++ b/internal/fairshare/ledger_test.go
@@ -1,6 +1,7 @@
 package fairshare
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -147,3 +148,48 @@
 	l.Merge("e", 2, "b", 0)
 	is.Equal(l.Lead("b"), 180.0+40.0)
 }
+
+// Two workspaces may use one target only, which is too little for them, so that
+// they fall behind those that may use all. However far that is, the one of the
+// two that was served more has to wait for the other, and so have those of the
+// rest: once all of them stood at the clamp, which forgot who was owed what.
+func TestGroupFarBehindKeepsItsDifferences(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d1"})
+	l.Tune(Conditions{SlotRate: 30, OwnSlots: 4, FleetSlots: 4})
+	var all, free []Candidate
+	for _, ws := range []ident.Workspace{"tied-1", "tied-2", "free-1", "free-2", "free-3"} {
+		if strings.HasPrefix(string(ws), "tied") {
+			l.SetGroup(ws, "t1")
+		} else {
+			free = append(free, Candidate{Workspace: ws})
+		}
+		l.SetBacklogged(ws, true)
+		all = append(all, Candidate{Workspace: ws})
+	}
+	l.Charge("tied-1", 20)
+	for _, ws := range []ident.Workspace{"free-1", "free-2", "free-3"} {
+		l.Charge(ws, 100000)
+	}
+	l.Charge("free-1", 20)
+	l.Charge("free-2", 30)
+	ws, _ := l.Pick(all)
+	is.Equal(ws, ident.Workspace("tied-2"))
+	ws, _ = l.Pick(free)
+	is.Equal(ws, ident.Workspace("free-3"))
+	is.True(l.Lead("tied-1") == 20 && l.Lead("free-2") == 10)
+}
+
+// A tied workspace was idle while all others were served. As the first of its
+// group to come back it starts where the others are, with no credit.
+func TestFirstOfAGroupHasNoBankedCredit(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d1"})
+	l.SetGroup("tied", "t1")
+	l.SetBacklogged("free", true)
+	l.Charge("free", 5000)
+	l.SetBacklogged("tied", true)
+	l.Charge("tied", 1)
+	ws, _ := l.Pick([]Candidate{{Workspace: "tied"}, {Workspace: "free"}})
+	is.Equal(ws, ident.Workspace("free"))
+}
--- a/internal/fairshare/pick.go
+++ b/internal/fairshare/pick.go
@@ -36,11 +36,10 @@
 	list := l.list(candidates)
 	fair := fairSlots(list)
 	middle := median(list)
-	l.floor = max(l.floor, middle)
 	second := l.fairSecond(list)
 	lead := max(l.config.MaxLead, l.conditions.Lag)
 	debt := max(l.config.MaxDebt, 2*lead)
-	clamp(list, middle, debt.Seconds()*second)
+	settleGroups(list, middle, debt.Seconds()*second)
 	top := least(list) + lead.Seconds()*second
 	limit := authority * (1 - l.config.Keep) * fair
 	best := -1
@@ -49,8 +48,9 @@
 		if s.virtual > top {
 			continue
 		}
-		lead := (s.virtual - middle) / l.charge
-		s.score = float64(s.running)/s.weight + max(-limit, min(lead, limit))
+		lead := (s.virtual - s.group.middle) / l.charge
+		ahead := (s.group.middle - middle) / l.charge
+		s.score = float64(s.running)/s.weight + within(lead, 0, limit) + within(ahead, 0, limit)
 		if best < 0 || s.before(&list[best]) {
 			best = i
 		}
@@ -114,14 +114,6 @@
 	return sorted[len(sorted)-1].virtual
 }
 
-// clamp forgets the part of each lead or arrear that is above the bound.
-func clamp(list []scored, middle, bound float64) {
-	for i := range list {
-		a := list[i].account
-		a.virtual = max(middle-bound, min(a.virtual, middle+bound))
-	}
-}
-
 func least(list []scored) float64 {
 	v := list[0].virtual
 	for i := range list {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -255,6 +255,7 @@
 		}
 		w.configure(ws)
 		s.ledger.SetWeight(ws.Name, ws.Weight)
+		s.ledger.SetGroup(ws.Name, groupName(ws.Targets))
 		s.admission.SetLimits(ws.Name, admission.Limits{Weight: ws.Weight, Concurrent: ws.Concurrent, Rate: ws.Rate})
 		workspaces[ws.Name] = w
 		s.order = append(s.order, w)
--- a/internal/scheduler/tied.go
+++ b/internal/scheduler/tied.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/placement"
 )
@@ -21,6 +24,15 @@
 	}
 }
 
+// groupName is the same for workspaces that are tied to the same targets.
+func groupName(names []ident.Target) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(slices.Values(names)) {
+		b.WriteString(string(name) + " ")
+	}
+	return b.String()
+}
+
 // mayUse tells whether requests of the workspace may run on the target.
 func (w *workspace) mayUse(name ident.Target) bool { return w.targets == nil || w.targets[name] }
 
--- a/test/fairness/tied.go
+++ b/test/fairness/tied.go
@@ -34,6 +34,11 @@
 	return !r.pattern.sources[workspace].tied || engine < len(r.engines)/3
 }
 
+// mayUseOn returns mayUse for one engine.
+func (r *run) mayUseOn(engine int) func(workspace int) bool {
+	return func(workspace int) bool { return r.mayUse(workspace, engine) }
+}
+
 // tiedTargets lists the engines that a source is tied to; none means all.
 func (r *run) tiedTargets(workspace int) []ident.Target {
 	var names []ident.Target
