test/fairness: let the faults happen to the all-knowing scheduler too

Cause: at a restart and at a cut the fleet was compared with an optimum without the fault, so that nothing said which part of the gap any scheduler has. The cause of the gap at a restart was taken to be the last second of the daemon that dies.

Change: a restart and a cut happen to the optimum as well. While zone 0 is cut off there are two all-knowing schedulers, each with the queues and engines of its side; at the end each learns at once what the other did. And a fault of the measurement: the restart of one daemon dropped the messages between all others too, for one tick.

--- a/test/fairness/baseline.go
+++ b/test/fairness/baseline.go
@@ -101,7 +101,7 @@
 }
 
 // freeTargets lists the targets with free slots, the one with the most first.
-// Without ties one is enough: whoever waits can use it.
+// Without ties and cuts one is enough: whoever waits can use it.
 func (b *baseline) freeTargets() []int {
 	free := func(t int) int { return b.run.engines[t].slots - len(b.run.engines[t].jobs) }
 	var list []int
@@ -111,7 +111,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(t, u int) int { return free(u) - free(t) })
-	if !b.run.pattern.ties && len(list) > 0 {
+	if !b.run.pattern.ties && !b.run.cutOff && len(list) > 0 {
 		return list[:1]
 	}
 	return list
@@ -157,11 +157,16 @@
 // take removes the first job of the workspace by class, at the daemon or, for
 // daemon -1, at the daemon whose first one has waited longest.
 func (b *baseline) take(daemon, workspace int) *job {
+	return b.takeFrom(func(d int) bool { return daemon < 0 || d == daemon }, workspace)
+}
+
+// takeFrom is take at those of the daemons that are allowed.
+func (b *baseline) takeFrom(allowed func(daemon int) bool, workspace int) *job {
 	for class := range classes {
 		best := -1
 		for d := range b.queues {
 			q := b.queues[d][workspace][class]
-			if len(q) == 0 || daemon >= 0 && d != daemon {
+			if len(q) == 0 || !allowed(d) {
 				continue
 			}
 			if best < 0 || q[0].arrival < b.queues[best][workspace][class][0].arrival {
@@ -190,32 +195,6 @@
 	return l
 }
 
-// optimum is one all-knowing scheduler.
-type optimum struct{ ledger *fairshare.Ledger }
-
-func newOptimum(r *run) chooser {
-	return &optimum{ledger: ledgerOf(r, "optimum")}
-}
-
-func (o *optimum) choose(b *baseline, target int) *job {
-	counts := newCounts(b.run)
-	b.waiting(counts)
-	w, ok := pickFrom(o.ledger, counts, sumColumns(b.running), b.run.mayUseOn(target))
-	if !ok {
-		return nil
-	}
-	return b.take(-1, w)
-}
-
-func (o *optimum) charge(_ *baseline, j *job, cost float64) {
-	o.ledger.Charge(workspaceName(j.workspace), cost)
-}
-
-func (o *optimum) exchange(b *baseline) {
-	total := b.run.size.allSlots()
-	o.ledger.Tune(fairshare.Conditions{SlotRate: decodeRate, OwnSlots: total, FleetSlots: total})
-}
-
 func sumColumns(rows [][]int) []int {
 	sum := make([]int, len(rows[0]))
 	for _, row := range rows {
--- a/test/fairness/fleet.go
+++ b/test/fairness/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
@@ -102,7 +103,7 @@
 	for _, n := range f.nodes {
 		var list []scheduler.Peer
 		for _, p := range f.nodes {
-			if p != n && f.linked(n.zone, p.zone) {
+			if p != n && f.run.linked(n.zone, p.zone) {
 				list = append(list, scheduler.Peer{ID: p.id, Incarnation: p.incarnation, Zone: zoneName(p.zone)})
 			}
 		}
@@ -110,10 +111,6 @@
 	}
 }
 
-func (f *fleet) linked(a, b int) bool {
-	return !f.run.cutOff || a == b || a != 0 && b != 0
-}
-
 func (f *fleet) submit(j *job) {
 	n := f.nodes[j.daemon]
 	spec := f.spec(j)
@@ -202,7 +199,7 @@
 func (f *fleet) dispatch(n *node, e scheduler.Dispatch) {
 	j := f.jobs[e.Request]
 	target := targetNumber(e.Target)
-	if f.linked(n.zone, f.run.engines[target].zone) {
+	if f.run.linked(n.zone, f.run.engines[target].zone) {
 		f.run.start(j, target)
 		return
 	}
@@ -230,7 +227,7 @@
 	n := f.nodes[from]
 	n.sent += messageBytes(e.Message)
 	for to, p := range f.nodes {
-		if p.id != e.To || !f.linked(n.zone, p.zone) {
+		if p.id != e.To || !f.run.linked(n.zone, p.zone) {
 			continue
 		}
 		if f.loss && f.rng.IntN(lossEvery) == 0 {
@@ -278,7 +275,7 @@
 			delete(f.jobs, running(j))
 		}
 	}
-	f.inbox = nil
+	f.inbox = slices.DeleteFunc(f.inbox, func(l letter) bool { return l.from == d || l.to == d })
 	f.boot(d)
 	f.peers()
 	return lost
@@ -294,7 +291,7 @@
 	for _, e := range f.run.engines {
 		for _, j := range append([]*job(nil), e.jobs...) {
 			n := f.nodes[j.daemon]
-			if f.linked(n.zone, e.zone) {
+			if f.run.linked(n.zone, e.zone) {
 				continue
 			}
 			n.core.Finish(f.run.time(), running(j), scheduler.Result{Served: j.served(), Failed: true})
--- a/test/fairness/main.go
+++ b/test/fairness/main.go
@@ -47,7 +47,7 @@
 }
 
 var candidates = []candidate{
-	{name: optimumName, build: newBaseline(newOptimum)},
+	{name: optimumName, build: newFaultyOptimum},
 	{name: fleetName, lag: true, build: newFleet},
 	{name: "preempting", build: newBaseline(newPreempting), ignoresTies: true},
 	{name: "plain", lag: true, build: newBaseline(newPlain), ignoresTies: true},
--- a/test/fairness/run.go
+++ b/test/fairness/run.go
@@ -184,6 +184,11 @@
 	r.paused = slices.DeleteFunc(r.paused, func(p *job) bool { return p == j })
 }
 
+// linked tells whether two zones reach each other.
+func (r *run) linked(a, b int) bool {
+	return !r.cutOff || a == b || a != 0 && b != 0
+}
+
 func (r *run) faults() {
 	p := r.pattern
 	if p.slowAt > 0 && r.now == p.slowAt {
