Estimate what a dead daemon did not report by when it was last heard

Cause: half of the last increment was counted for the service that a daemon delivers between its last exchange and its death, wherever in between it died. test/fairness lets it die a moment before an exchange, where that is half a second of it too little. Besides, an incarnation whose totals had been taken as a baseline was given half of these when it ended before its second exchange.

Change: the peers know when they heard anything of the daemon last (a release, a demand), so that it worked until then; of the time from there to when it was missed, at most to its next exchange, half counts. The estimate is put into the total that is known, so that the true totals replace it where the daemon was only cut off. It is made when the daemon leaves the list, and no longer only when it is replaced. Other ways weighed: parts of the running requests with each release (bytes on each message; what runs at the end is still missing), and the owners' knowledge of the dead ingress's grants and their age (each owner knows only its own, and the time of death is as unknown).

--- a/internal/fairshare/ledger_test.go
+++ b/internal/fairshare/ledger_test.go
@@ -72,6 +72,10 @@
 	is.Equal(l.Lead("b"), 10.0)
 	l.Merge("new", 12, "b", 10)
 	is.Equal(l.Lead("b"), 20.0)
+	// A total that was taken as a baseline is no rate to estimate from.
+	l.Merge("other", 3, "b", 1e9)
+	l.Lost("other", 1)
+	is.Equal(l.Lead("b"), 20.0)
 }
 
 // One workspace was served more than others for a while. It must go on getting
@@ -193,3 +197,22 @@
 	ws, _ := l.Pick([]Candidate{{Workspace: "tied"}, {Workspace: "free"}})
 	is.Equal(ws, ident.Workspace("free"))
 }
+
+// A daemon dies a moment before its exchange, and its callers, who come again by
+// other daemons, would get the second that nobody reported once more. What is
+// known of it is counted; and when it was only cut off, its own totals count.
+func TestLostServiceIsEstimatedUntilTheOwnerReturns(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Self: "d1"})
+	l.Merge("d2", 1, "a", 100)
+	l.Merge("d2", 1, "a", 180)
+	l.Lost("d2", 0.75)
+	is.Equal(l.accounts["a"].virtual, 240.0)
+	l.Lost("d2", 0.75) // nothing new was heard
+	is.Equal(l.accounts["a"].virtual, 240.0)
+	l.Merge("d2", 1, "a", 200)
+	is.Equal(l.accounts["a"].virtual, 200.0)
+	l.Lost("d2", 0.5)
+	l.Merge("d2", 2, "a", 0)
+	is.Equal(l.accounts["a"].virtual, 180.0)
+}
--- a/internal/fairshare/peer.go
+++ b/internal/fairshare/peer.go
@@ -31,10 +31,11 @@
 	}
 	before, seen := p.parts[ws]
 	added := served - before.served
-	p.parts[ws] = part{served: served, last: added}
 	if !seen && !p.fromZero {
+		p.parts[ws] = part{served: served}
 		return
 	}
+	p.parts[ws] = part{served: served, last: added}
 	a := l.account(ws)
 	a.virtual += added / a.weight
 }
@@ -46,7 +47,7 @@
 		return nil
 	}
 	if p == nil || incarnation > p.incarnation {
-		l.bury(p)
+		l.estimate(p, unknownShare)
 		p = &peer{
 			incarnation: incarnation,
 			parts:       make(map[ident.Workspace]part),
@@ -57,15 +58,26 @@
 	return p
 }
 
-// bury counts what a dead incarnation delivered after its last message, which
-// nobody will ever report: half an exchange of it on the average.
-func (l *Ledger) bury(p *peer) {
+// unknownShare is the part of an exchange that a dead owner worked on after its
+// last message, where nothing is known of it: half on the average.
+const unknownShare = 0.5
+
+// Lost estimates what an owner that can no longer be reached has delivered since
+// its last message, as a part (0 to 1) of what it delivered between its last two.
+// Should the same incarnation come back, its totals replace the estimate.
+func (l *Ledger) Lost(daemon ident.Daemon, share float64) {
+	l.estimate(l.peers[daemon], share)
+}
+
+func (l *Ledger) estimate(p *peer, share float64) {
 	if p == nil {
 		return
 	}
 	for ws, old := range p.parts {
 		a := l.account(ws)
-		a.virtual += old.last / 2 / a.weight
+		added := old.last * share
+		a.virtual += added / a.weight
+		p.parts[ws] = part{served: old.served + added}
 	}
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -185,6 +185,10 @@
 // peer is the state kept about another daemon.
 type peer struct {
 	Peer
+	// heard is when its last message came, parts when the last with service
+	// parts, and interval how long after the one before (zero: it was the first).
+	heard, parts time.Time
+	interval     time.Duration
 	// seenGrant is the highest grant received from the peer's incarnation.
 	seenGrant uint64
 	// full asks for all demand and all parts at the next exchange.
@@ -296,7 +300,7 @@
 	for _, spec := range peers {
 		p := c.peers[spec.ID]
 		if p != nil && p.Incarnation != spec.Incarnation {
-			c.forgetPeer(p)
+			c.forgetPeer(now, p)
 			p = nil
 		}
 		if p == nil {
@@ -307,7 +311,7 @@
 	}
 	for id, p := range c.peers {
 		if kept[id] == nil {
-			c.forgetPeer(p)
+			c.forgetPeer(now, p)
 			c.gone[id] = now
 		}
 	}
@@ -322,13 +326,15 @@
 // forgetPeer frees the slots that a dead ingress held. Its streams may still
 // run for a moment, which over-admits a little; without it the slots of a
 // daemon that never comes back would idle for good.
-func (c *Core) forgetPeer(p *peer) {
+func (c *Core) forgetPeer(now time.Time, p *peer) {
 	for id, g := range c.grants {
 		if g.ingress == p.ID {
 			c.dropGrant(id)
 		}
 	}
+	share := c.unreported(now, p)
 	for _, s := range c.services {
+		s.ledger.Lost(p.ID, share)
 		for _, w := range s.order {
 			w.setDemand(p.ID, demand{})
 			w.setShown(p.ID, demand{})
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -16,6 +16,7 @@
 	if p == nil || p.Incarnation != m.Incarnation {
 		return
 	}
+	p.hears(now, m)
 	for _, part := range m.Parts {
 		if s := c.services[part.Service]; s != nil {
 			s.ledger.Merge(from, m.Incarnation, part.Workspace, part.Served)
@@ -41,6 +42,34 @@
 	c.assignAll(now)
 }
 
+// unreported is the part of an exchange that a peer which can no longer be reached
+// worked on after it told last what it had delivered. It was alive at its last
+// message of any kind, and of the time from then until it was missed, which is at
+// most until its next exchange, half counts. Without this half an exchange was
+// counted always, and the callers of a daemon that had died a moment before its
+// exchange got a second of service more than all others.
+func (c *Core) unreported(now time.Time, p *peer) float64 {
+	if p.interval <= 0 {
+		return 0
+	}
+	alive := p.heard.Sub(p.parts)
+	left := max(0, min(now.Sub(p.heard), c.cfg.Exchange-alive))
+	return min(1, (alive+left/2).Seconds()/p.interval.Seconds())
+}
+
+// hears notes when a message came.
+func (p *peer) hears(now time.Time, m Message) {
+	p.heard = now
+	if len(m.Parts) == 0 {
+		return
+	}
+	p.interval = 0
+	if !p.parts.IsZero() {
+		p.interval = now.Sub(p.parts)
+	}
+	p.parts = now
+}
+
 // takeDemand sets what an ingress has waiting, less the grants that it had not
 // seen when it counted.
 func (c *Core) takeDemand(from ident.Daemon, d Demand) {
--- a/test/fairness/fairness_test.go
+++ b/test/fairness/fairness_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,11 +11,15 @@
 // outcome plays a pattern at Kettleford's size.
 func outcome(t *testing.T, name string, system string, lag time.Duration) result {
 	t.Helper()
-	s := sizes[0]
+	return outcomeAt(t, sizes[0], 1, name, system, lag)
+}
+
+func outcomeAt(t *testing.T, s size, seed uint64, name, system string, lag time.Duration) result {
+	t.Helper()
 	for _, p := range patterns(s) {
 		for _, c := range candidates {
 			if p.name == name && c.name == system {
-				r := newRun(s, p, lag, 1, c.build)
+				r := newRun(s, p, lag, seed, c.build)
 				r.play()
 				return measure(r, system)
 			}
@@ -51,6 +56,23 @@
 	}
 }
 
+// A daemon of Tierra Firme dies with all that it has not reported, and one
+// workspace, most of whose callers were there, starts all its requests again. With
+// these seeds it got 0.28 to 0.32 s of service too much when half a second of
+// what the daemon had done was taken for lost, wherever in the exchange it died.
+// An all-knowing scheduler has 0.25 and 0.29 s with two of them.
+func TestRestartCostsAboutWhatItCostsAnAllKnowingScheduler(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			fleet := outcomeAt(t, sizes[1], seed+1, "restart", fleetName, time.Second)
+			best := outcomeAt(t, sizes[1], seed+1, "restart", optimumName, time.Second)
+			is.True(fleet.GapSeconds <= max(aimGap1, 1.1*best.GapSeconds))
+		})
+	}
+}
+
 // A club's weekend of footage arrives at once and takes half of all capacity.
 // Callers of the others, who ask for less than their share, wait about as under a
 // scheduler that knows all, while the flood's own wait for minutes.
