A new owner hears its peers before it gives its slots away

Cause: after a restart a daemon's own slots are all free, and it knows no demand.

Change: a daemon most of whose peers are new to it gives no slot away until each was heard, for 100 ms at most. A peer that restarts is not new. So only a daemon that starts waits, or one that was alone.

What is left at a restart is that the new owner does not know which of its slots the streams of others still hold, so that it admits up to twice its slots until they end; telling it needs a field on the wire.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -91,6 +91,8 @@
 	nextSettle   time.Time
 	nextExchange time.Time
 	nextHeld     time.Time
+	// hearUntil is when the own slots may be given away.
+	hearUntil time.Time
 	// gone is when each daemon was last seen among the peers.
 	gone map[ident.Daemon]time.Time
 }
@@ -297,8 +299,12 @@
 // Peers replaces the list of the other live daemons.
 func (c *Core) Peers(now time.Time, peers []Peer) {
 	kept := make(map[ident.Daemon]*peer, len(peers))
+	added := 0
 	for _, spec := range peers {
 		p := c.peers[spec.ID]
+		if p == nil {
+			added++
+		}
 		if p != nil && p.Incarnation != spec.Incarnation {
 			c.forgetPeer(now, p)
 			p = nil
@@ -319,6 +325,7 @@
 		delete(c.gone, id)
 	}
 	c.peers = kept
+	c.hear(now, added)
 	c.assignOwners()
 	c.assignAll(now)
 }
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -55,9 +55,37 @@
 	}
 }
 
+// hearFirst is how long a daemon that has just met most of its peers waits before
+// it gives slots away. After a restart its slots are all free and it knows no
+// demand: it gave them all to the workspaces of the first message that came, which
+// got 0.3 s of the fleet's service too much. Each ingress shows its demand at its
+// next tick (20 ms), after the spill (20 ms) to other zones, and the way there is
+// some ms. Once each peer was heard there is no more to wait for.
+const hearFirst = 100 * time.Millisecond
+
+// hear keeps the slots back for a moment if most peers are new.
+func (c *Core) hear(now time.Time, added int) {
+	if 2*added > len(c.peers) {
+		c.hearUntil = now.Add(hearFirst)
+	}
+}
+
+// heardAll tells whether the own slots may be given away.
+func (c *Core) heardAll(now time.Time) bool {
+	if !now.Before(c.hearUntil) {
+		return true
+	}
+	for _, p := range c.peers {
+		if p.heard.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // assign gives away free slots of the owned targets as long as work waits.
 func (c *Core) assign(now time.Time, s *service) {
-	for len(s.findFree()) > 0 {
+	for c.heardAll(now) && len(s.findFree()) > 0 {
 		w := c.pick(s)
 		if w == nil {
 			return
--- a/internal/scheduler/repair_test.go
+++ b/internal/scheduler/repair_test.go
@@ -270,3 +270,42 @@
 	is.True(len(effects) >= 3)
 	is.True(grants <= 1)
 }
+
+// A daemon starts beside two others where much waits. Its slots are all free, and
+// the first message that comes names one workspace: it must not get them all
+// before the other daemon has told of its own callers. A daemon that is silent
+// keeps the slots back for a moment only.
+func TestNewOwnerHearsAllBeforeItGrants(t *testing.T) {
+	is := is.New(t)
+	c := newCore("d1", "z1")
+	c.Configure(start, []scheduler.Service{{
+		Name:       "pool",
+		Workspaces: []scheduler.Workspace{{Name: "a", Weight: 1, Queue: 3}, {Name: "b", Weight: 1, Queue: 3}},
+		Targets:    []scheduler.Target{{Name: "t1", Zone: "z1", Slots: 8}},
+		MeanCost:   100,
+	}})
+	c.Peers(start, []scheduler.Peer{
+		{ID: "d2", Incarnation: 1, Zone: "z2"}, {ID: "d3", Incarnation: 1, Zone: "z2"}, {ID: "d4", Incarnation: 1, Zone: "z3"},
+	})
+	granted := func() map[ident.Workspace]int {
+		counts := map[ident.Workspace]int{}
+		for _, e := range c.Take() {
+			if s, ok := e.(scheduler.Send); ok {
+				for _, g := range s.Message.Grants {
+					counts[g.Workspace]++
+				}
+			}
+		}
+		return counts
+	}
+	tell := func(from ident.Daemon, ws ident.Workspace) {
+		c.Receive(start, from, scheduler.Message{
+			Incarnation: 1, Demand: []scheduler.Demand{{Service: "pool", Workspace: ws, Waiting: 20}},
+		})
+	}
+	tell("d2", "a")
+	tell("d3", "b")
+	is.Equal(len(granted()), 0) // d4 may have callers too
+	c.Tick(start.Add(100 * time.Millisecond))
+	is.Equal(granted(), map[ident.Workspace]int{"a": 4, "b": 4})
+}
