Tests listen only on ports that the system does not hand out

The package's own proxy listened on a port of the system's range (32768 to 60999); while it was cut, a connection or a listener of another test got that port. Ruled out: a listener that lingered (the proxy closes it before Stop returns), two runs on one machine.

Change: internal/fleet uses test/faultlink, which takes ports below that range in blocks that one process holds, in place of a proxy of its own (duplicate code goes).

Conclusion: no test closes and reopens a port of the system's range any more.

--- a/internal/attempt/helpers_test.go
+++ b/internal/attempt/helpers_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
 	"github.com/savorystall/savorystall/internal/attempt"
@@ -61,14 +59,6 @@
 	return s, serve(t, s, s.Close)
 }
 
-// deadAddress is an address on which nothing listens.
-func deadAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // text collects an answer and fails where a chunk does not follow on.
 type text struct {
 	mu     sync.Mutex
--- a/internal/attempt/model_test.go
+++ b/internal/attempt/model_test.go
@@ -13,6 +13,7 @@
 	"github.com/savorystall/savorystall/internal/attempt"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
+	"github.com/savorystall/savorystall/test/faultlink"
 )
 
 const answerTokens = 40
@@ -137,7 +138,7 @@
 func TestModelNotRun(t *testing.T) {
 	t.Run("dial refused", func(t *testing.T) {
 		is := is.New(t)
-		got := newRunner(t, quick()).Model(t.Context(), modelRequest(deadAddress(t), "x", 1), &text{})
+		got := newRunner(t, quick()).Model(t.Context(), modelRequest(faultlink.FreeAddress(t), "x", 1), &text{})
 		is.Equal(got.Outcome, resultcode.NotRun)
 		is.Equal(got.Failure.Code.Name, resultcode.TargetRefused.Name)
 		is.True(got.TargetFailed)
@@ -177,7 +178,7 @@
 // stream cannot be asked for either.
 func TestModelResetAfterWriteMayHaveRun(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", faultlink.FreeAddress(t)) // it must stay dead once it is closed
 	is.NoErr(err)
 	done := make(chan struct{})
 	go func() {
--- a/internal/attempt/plain_test.go
+++ b/internal/attempt/plain_test.go
@@ -22,6 +22,7 @@
 	"github.com/savorystall/savorystall/internal/resultcode"
 	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
 	plainstandin "github.com/savorystall/savorystall/internal/standin/plain"
+	"github.com/savorystall/savorystall/test/faultlink"
 )
 
 func plainRequest(address, method, mark, fail string) attempt.PlainRequest {
@@ -210,6 +211,6 @@
 	is.Equal(status.Models, []string{"m"})
 	_, err = r.Probe(t.Context(), serve(t, http.NotFoundHandler(), func() {}))
 	is.NoErr(err) // a service without a status page lives as well
-	_, err = r.Probe(t.Context(), deadAddress(t))
+	_, err = r.Probe(t.Context(), faultlink.FreeAddress(t))
 	is.True(err != nil)
 }
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -8,13 +8,13 @@
 	"testing"
 	"time"
 
-	"github.com/Shopify/toxiproxy"
 	"github.com/matryer/is"
 
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
+	"github.com/savorystall/savorystall/test/faultlink"
 )
 
 // One daemon hangs: it keeps its connections but reads nothing more. The others
@@ -77,16 +77,15 @@
 	for _, id := range ids {
 		nodes[id], recorders[id] = start(t, fleet.Config{Self: id})
 	}
-	newMiddlebox(t)
-	var between []*toxiproxy.Proxy
+	var between []*faultlink.Link
 	for _, from := range ids {
 		var list []platform.VM
 		for _, to := range ids {
 			address := nodes[to].Address()
 			if from[0] != to[0] {
-				p := forgetfulProxy(t, address)
-				between = append(between, p)
-				address = p.Listen
+				link := faultlink.New(t, address)
+				between = append(between, link)
+				address = link.Address
 			}
 			list = append(list, vm(to, address))
 		}
@@ -105,12 +104,12 @@
 		for _, id := range ids {
 			before[id] = recorders[id].totalUps()
 		}
-		for _, p := range between {
-			p.Stop()
+		for _, link := range between {
+			link.Cut()
 		}
 		awaitPeers("own side only", 1)
-		for _, p := range between {
-			is.NoErr(p.Start())
+		for _, link := range between {
+			is.NoErr(link.Restore())
 		}
 		awaitPeers("all members again", 3)
 		for _, id := range ids {
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
+	"github.com/savorystall/savorystall/test/faultlink"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -96,7 +97,7 @@
 	}
 	cfg.Zone, cfg.Logger = "hall-a", quiet()
 	if cfg.Listen == "" {
-		cfg.Listen = "127.0.0.1:0"
+		cfg.Listen = faultlink.FreeAddress(t) // some tests start a successor there
 	}
 	r := newRecorder()
 	n, err := fleet.New(cfg, r)
--- a/test/cost/cost_test.go
+++ b/test/cost/cost_test.go
@@ -14,7 +14,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -33,6 +32,7 @@
 	"github.com/savorystall/savorystall/internal/emulator"
 	"github.com/savorystall/savorystall/internal/settings"
 	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
+	"github.com/savorystall/savorystall/test/faultlink"
 	"github.com/savorystall/savorystall/test/program"
 )
 
@@ -58,17 +58,8 @@
 	engineStandin           *enginestandin.Engine
 }
 
-func freeAddress(b *testing.B) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func newStage(b *testing.B) *stage {
-	s := &stage{b: b, engine: freeAddress(b), service: freeAddress(b)}
+	s := &stage{b: b, engine: faultlink.FreeAddress(b), service: faultlink.FreeAddress(b)}
 	ws := []document.Workspace{{Name: "one", Weight: 1, Keys: []string{document.HashKey(bearer)}}}
 	model := document.Document{
 		Service: "pool", Kind: document.Model, Models: []string{"m"}, Workspaces: ws,
@@ -112,7 +103,7 @@
 	}
 	cfg := settings.Defaults()
 	cfg.Daemon, cfg.Zone = "one", "z"
-	cfg.Callers.Listen, cfg.Operators.Listen, cfg.Fleet.Listen = "127.0.0.1:0", "127.0.0.1:0", freeAddress(s.b)
+	cfg.Callers.Listen, cfg.Operators.Listen, cfg.Fleet.Listen = "127.0.0.1:0", "127.0.0.1:0", faultlink.FreeAddress(s.b)
 	cfg.Platform.URL = platform
 	cfg.Stop.BalancerLag = 0
 	if err := os.WriteFile(file, []byte(toYAML(s.b, cfg)), 0o600); err != nil {
