Add up what was served within zones in large fleets

Cause: each daemon tells all others its parts. Ruled out: telling some at random (counts twice what comes twice, unless each part travels by itself) and a tree (one daemon carries all rows).

Change: above 24 daemons a workspace's shard names one daemon a zone, which adds up; zones tell each other their totals, and each daemon is told what all others have delivered. Up to 24 nothing changes.

--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -123,6 +123,8 @@
 	// backlogged is the set of those that are backlogged.
 	backlogged map[*account]struct{}
 	peers      map[ident.Daemon]*peer
+	// sums are what daemons that add up for others have told.
+	sums map[ident.Workspace]map[ident.Zone]told
 	// floor is the highest value that the median of the backlogged has had. It
 	// is where a workspace starts when no other is backlogged.
 	floor float64
@@ -142,6 +144,7 @@
 		accounts:   make(map[ident.Workspace]*account),
 		backlogged: make(map[*account]struct{}),
 		peers:      make(map[ident.Daemon]*peer),
+		sums:       make(map[ident.Workspace]map[ident.Zone]told),
 	}
 	l.charge = c.RunningCharge * c.MeanCost
 	return l
@@ -183,6 +186,7 @@
 		delete(l.backlogged, a)
 	}
 	delete(l.accounts, ws)
+	delete(l.sums, ws)
 	for _, p := range l.peers {
 		delete(p.parts, ws)
 	}
--- a/internal/fairshare/peer.go
+++ b/internal/fairshare/peer.go
@@ -25,18 +25,27 @@
 // besides, which this ledger never learns: after a restart without state it
 // would favour whomever they had served.
 func (l *Ledger) Merge(daemon ident.Daemon, incarnation uint64, ws ident.Workspace, served float64) {
+	if p := l.peer(daemon, incarnation); p != nil {
+		l.merge(daemon, incarnation, ws, served, !p.fromZero)
+	}
+}
+
+// merge counts what is new in a part and returns it. A part that is seen first
+// is only remembered where it is a baseline.
+func (l *Ledger) merge(daemon ident.Daemon, incarnation uint64, ws ident.Workspace, served float64, baseline bool) (added float64) {
 	p := l.peer(daemon, incarnation)
 	if p == nil {
-		return
+		return 0
 	}
 	before, seen := p.parts[ws]
-	added := served - before.served
+	added = served - before.served
 	p.parts[ws] = part{served: served, last: added}
-	if !seen && !p.fromZero {
-		return
+	if !seen && baseline {
+		return 0
 	}
 	a := l.account(ws)
 	a.virtual += added / a.weight
+	return added
 }
 
 // peer returns the state of the incarnation, or nil for one that is over.
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -103,7 +103,8 @@
 	e.demand(f, m.Demand)
 	e.grants(f, m.Grants)
 	e.releases(f, m.Releases)
-	e.parts(f, m.Parts)
+	f.Parts = e.parts(f, m.Parts)
+	f.Sums = e.parts(f, m.Sums)
 	e.news(f, m.News)
 	if m.HeldValid {
 		f.Held = &fleetv1.Held{GrantStep: steps(m.Held), Seen: m.HeldSeen}
@@ -157,15 +158,16 @@
 	f.Releases = out
 }
 
-func (e *encoder) parts(f *fleetv1.Frame, rows []scheduler.Part) {
+func (e *encoder) parts(f *fleetv1.Frame, rows []scheduler.Part) *fleetv1.Parts {
 	if len(rows) == 0 {
-		return
+		return nil
 	}
-	f.Parts = &fleetv1.Parts{}
+	out := &fleetv1.Parts{}
 	for _, p := range rows {
-		f.Parts.Pair = append(f.Parts.Pair, e.pair(f, p.Service, string(p.Workspace)))
-		f.Parts.Served = append(f.Parts.Served, toServed(p.Served))
+		out.Pair = append(out.Pair, e.pair(f, p.Service, string(p.Workspace)))
+		out.Served = append(out.Served, toServed(p.Served))
 	}
+	return out
 }
 
 func (e *encoder) news(f *fleetv1.Frame, rows []scheduler.TargetNews) {
@@ -253,7 +255,7 @@
 			m.Held = append(m.Held, step.up(s))
 		}
 	}
-	ok = m.HeldValid || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.News) > 0
+	ok = m.HeldValid || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.Sums)+len(m.News) > 0
 	return m, ok, nil
 }
 
@@ -360,22 +362,29 @@
 	return nil
 }
 
-func (d *decoder) parts(f *fleetv1.Frame, m *scheduler.Message) error {
-	in := f.GetParts()
+func (d *decoder) parts(f *fleetv1.Frame, m *scheduler.Message) (err error) {
+	if m.Parts, err = d.readParts(f.GetParts()); err != nil {
+		return err
+	}
+	m.Sums, err = d.readParts(f.GetSums())
+	return err
+}
+
+func (d *decoder) readParts(in *fleetv1.Parts) (rows []scheduler.Part, err error) {
 	if len(in.GetServed()) != len(in.GetPair()) {
-		return errColumns
+		return nil, errColumns
 	}
 	for i, index := range in.GetPair() {
 		p, err := d.pair(index)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		m.Parts = append(m.Parts, scheduler.Part{
+		rows = append(rows, scheduler.Part{
 			Service: p.service, Workspace: ident.Workspace(p.name),
 			Served: float64(in.Served[i]) / servedUnit,
 		})
 	}
-	return nil
+	return rows, nil
 }
 
 func (d *decoder) news(f *fleetv1.Frame, m *scheduler.Message) error {
--- a/internal/fleet/codec_test.go
+++ b/internal/fleet/codec_test.go
@@ -49,6 +49,7 @@
 			},
 		})
 		m.Parts = append(m.Parts, scheduler.Part{Service: service.Draw(t, "s"), Workspace: workspace.Draw(t, "w"), Served: units.Draw(t, "served")})
+		m.Sums = append(m.Sums, scheduler.Part{Service: service.Draw(t, "s"), Workspace: workspace.Draw(t, "w"), Served: units.Draw(t, "sum")})
 		m.News = append(m.News, scheduler.TargetNews{Service: service.Draw(t, "s"), Target: target.Draw(t, "t"), Health: health.Draw(t, "health")})
 		m.Held = append(m.Held, grant.Draw(t, "held"))
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -40,6 +40,9 @@
 	// Held is the interval at which the grants in use are listed to their
 	// owners. Default 2 s: a slot whose release was lost idles for no longer.
 	Held time.Duration
+	// ReduceAbove is the number of daemons above which service parts are added
+	// up within zones before they travel on (see reduce.go). Default 24.
+	ReduceAbove int
 }
 
 const (
@@ -66,6 +69,9 @@
 	if c.Held == 0 {
 		c.Held = defaultHeld
 	}
+	if c.ReduceAbove == 0 {
+		c.ReduceAbove = defaultReduceAbove
+	}
 	return c
 }
 
@@ -91,6 +97,13 @@
 	nextSettle   time.Time
 	nextExchange time.Time
 	nextHeld     time.Time
+	// reduction is set while the fleet is large enough for the reduced
+	// exchange, whose next round is due at nextRound.
+	reduction *reduction
+	nextRound time.Time
+	// fullSettled is when totals that are seen first count again after a change
+	// back to the full exchange.
+	fullSettled time.Time
 	// gone is when each daemon was last seen among the peers.
 	gone map[ident.Daemon]time.Time
 }
@@ -109,8 +122,10 @@
 	// owned lists the targets that this daemon grants, by name.
 	owned []*target
 	// owners is the set of daemons that own targets.
-	owners    map[ident.Daemon]bool
-	ledger    *fairshare.Ledger
+	owners map[ident.Daemon]bool
+	ledger *fairshare.Ledger
+	// sums are what this daemon adds up for its zone.
+	sums      map[ident.Workspace]*sum
 	admission *admission.Controller
 	places    *places
 	// cost and rate are the mean cost of a request and its mean cost a second,
@@ -189,6 +204,9 @@
 	seenGrant uint64
 	// full asks for all demand and all parts at the next exchange.
 	full bool
+	// retell asks for all parts and sums that concern the peer at the next
+	// exchange: it has come to add up for others.
+	retell bool
 	// lists is how many lists of the held grants are still to be sent although
 	// there may be none to list.
 	lists int
@@ -252,6 +270,7 @@
 		w := s.workspaces[ws.Name]
 		if w == nil {
 			w = newWorkspace(ws)
+			w.shard = shardOf(s.name, ws.Name)
 		}
 		w.configure(ws)
 		s.ledger.SetWeight(ws.Name, ws.Weight)
@@ -264,6 +283,7 @@
 		if workspaces[name] == nil {
 			c.refuseQueue(w, resultcode.Fail(resultcode.Forbidden, "workspace %s was removed", name))
 			s.ledger.Remove(name)
+			delete(s.sums, name)
 			s.admission.Remove(name)
 		}
 	}
@@ -315,6 +335,7 @@
 	}
 	c.peers = kept
 	c.assignOwners()
+	c.chooseExchange(now)
 	c.assignAll(now)
 }
 
@@ -341,6 +362,7 @@
 func (c *Core) Leave(now time.Time) {
 	c.leaving = true
 	c.assignOwners()
+	c.chooseExchange(now)
 	c.assignAll(now)
 }
 
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -17,9 +17,10 @@
 		return
 	}
 	for _, part := range m.Parts {
-		if s := c.services[part.Service]; s != nil {
-			s.ledger.Merge(from, m.Incarnation, part.Workspace, part.Served)
-		}
+		c.takePart(now, p, part)
+	}
+	for _, part := range m.Sums {
+		c.takeSum(now, p, part)
 	}
 	for _, news := range m.News {
 		c.learn(now, news.Service, news.Target, news.Health)
@@ -98,6 +99,9 @@
 		delete(c.gone, id)
 		for _, s := range c.services {
 			s.ledger.Forget(id)
+			for _, u := range s.sums {
+				u.ForgetMate(id)
+			}
 		}
 	}
 }
@@ -113,15 +117,15 @@
 			c.showDemand(now, s, w, at)
 		}
 		if at == onExchange {
-			c.sendParts(s)
 			c.tune(s)
 		}
 		s.prune()
 	}
+	c.exchangeParts(now, at)
 	if at == onExchange {
 		c.forgetGone(now)
 		for _, p := range c.peers {
-			p.full = false
+			p.full, p.retell = false, false
 		}
 	}
 	if !now.Before(c.nextHeld) {
@@ -162,7 +166,7 @@
 // tune fits the ledger to what was measured since.
 func (c *Core) tune(s *service) {
 	conditions := fairshare.Conditions{
-		Lag:      c.cfg.Exchange,
+		Lag:      c.lag(),
 		SlotRate: s.rate.value,
 		MeanCost: s.cost.value,
 	}
@@ -184,7 +188,7 @@
 	changed := s.parts(s.ledger.Changed())
 	for id, p := range c.peers {
 		list := changed
-		if p.full {
+		if p.full || p.retell {
 			if all == nil {
 				all = s.allParts()
 			}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -166,7 +166,11 @@
 	Grants      []Grant
 	Releases    []Release
 	Parts       []Part
-	News        []TargetNews
+	// Sums are what the sender has added up for its zone (see reduce.go): to a
+	// daemon of the zone what all others have delivered, to one of another zone
+	// what the sender's has. They count as differences to the last one.
+	Sums []Part
+	News []TargetNews
 	// Held lists the grants of the receiver that the sender still holds. It is
 	// sent from time to time (HeldValid) so that a lost release frees its slot.
 	Held      []uint64
--- a/internal/scheduler/workspace.go
+++ b/internal/scheduler/workspace.go
@@ -11,6 +11,8 @@
 // workspace is the state of one workspace of one service.
 type workspace struct {
 	Workspace
+	// shard is the one that the workspace belongs to in the reduced exchange.
+	shard int
 	// queue holds the requests that wait here, running counts those that run.
 	queue   *queue.Queue[*request]
 	running int
--- a/test/capacity/experiment.go
+++ b/test/capacity/experiment.go
@@ -46,6 +46,14 @@
 				return Point{Daemons: int(v), TLS: true, Backlogged: 20, Targets: 2 * int(v), Rate: 2}
 			},
 		},
+		{
+			name: "wide", axis: "backlogged workspaces",
+			title:  "Exchange: 32 daemons, all of them hold waiting requests of all backlogged workspaces, about 2 requests/s a daemon",
+			values: []float64{10, 20, 40, 80, 160},
+			point: func(v float64) Point {
+				return Point{Daemons: 32, TLS: true, Backlogged: int(v), Targets: 64, Rate: 2}
+			},
+		},
 		{
 			name: "requests", axis: "requests/s a daemon",
 			title:  "Grants and releases: 8 daemons, 20 backlogged workspaces",
@@ -109,7 +117,7 @@
 	for _, v := range e.values {
 		for range o.Repeat {
 			p := e.point(v)
-			p.Window, p.Warm, p.Exchange = o.Window, o.Warm, o.Exchange
+			p.Window, p.Warm, p.Exchange, p.ReduceAbove = o.Window, o.Warm, o.Exchange, o.ReduceAbove
 			if p.Star {
 				p.Warm = max(p.Warm, afterLinks)
 			}
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -23,13 +23,14 @@
 
 // options are the flags of the command.
 type options struct {
-	Only     string        `long:"only" description:"run one experiment: links, exchange, peers, requests, targets, changes, core"`
-	Window   time.Duration `long:"window" default:"5s" description:"time over which each point is measured"`
-	Warm     time.Duration `long:"warm" default:"2s" description:"time between the last link and the window"`
-	Repeat   int           `long:"repeat" default:"1" description:"runs of each point; all of them enter the fit"`
-	Exchange time.Duration `long:"exchange" description:"interval of the exchange (default: the scheduler's own)"`
-	Role     string        `long:"role" hidden:"true"`
-	Point    string        `long:"point" hidden:"true"`
+	Only        string        `long:"only" description:"run one experiment: links, exchange, peers, wide, requests, targets, changes, core"`
+	Window      time.Duration `long:"window" default:"5s" description:"time over which each point is measured"`
+	Warm        time.Duration `long:"warm" default:"2s" description:"time between the last link and the window"`
+	Repeat      int           `long:"repeat" default:"1" description:"runs of each point; all of them enter the fit"`
+	Exchange    time.Duration `long:"exchange" description:"interval of the exchange (default: the scheduler's own)"`
+	ReduceAbove int           `long:"reduce-above" description:"daemons above which service parts are added up within zones (default: the scheduler's own)"`
+	Role        string        `long:"role" hidden:"true"`
+	Point       string        `long:"point" hidden:"true"`
 }
 
 func main() {
--- a/test/capacity/point.go
+++ b/test/capacity/point.go
@@ -32,6 +32,9 @@
 	Window, Warm time.Duration
 	// Exchange is the interval of the scheduler's exchange.
 	Exchange time.Duration
+	// ReduceAbove is the number of daemons above which service parts are added
+	// up within zones.
+	ReduceAbove int
 }
 
 // Sample is what one point cost the subject.
--- a/test/fairness/fleet.go
+++ b/test/fairness/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -30,6 +31,9 @@
 	loss  bool
 	// down holds targets that a node has found unreachable.
 	down map[ident.Target]bool
+	// reduceAbove is the number of daemons above which they use the reduced
+	// exchange.
+	reduceAbove int
 	// changed asks for new lists of peers at a time.
 	peersAt time.Duration
 }
@@ -49,12 +53,19 @@
 	message  scheduler.Message
 }
 
-func newFleet(r *run) system {
+// newFleet is a fleet in which each daemon tells all others what it served.
+func newFleet(r *run) system { return newFleetOf(r, math.MaxInt) }
+
+// newReduced is a fleet that adds service up within zones, whatever its size.
+func newReduced(r *run) system { return newFleetOf(r, 1) }
+
+func newFleetOf(r *run, reduceAbove int) system {
 	f := &fleet{
-		run:  r,
-		jobs: make(map[ident.Request]*job),
-		rng:  rand.New(rand.NewPCG(7, 7)),
-		down: make(map[ident.Target]bool),
+		reduceAbove: reduceAbove,
+		run:         r,
+		jobs:        make(map[ident.Request]*job),
+		rng:         rand.New(rand.NewPCG(7, 7)),
+		down:        make(map[ident.Target]bool),
 	}
 	for d := range r.size.daemons {
 		n := &node{id: ident.Daemon(fmt.Sprintf("d%d", d)), zone: d % r.size.zones}
@@ -76,6 +87,7 @@
 		Incarnation: n.incarnation,
 		Zone:        zoneName(n.zone),
 		Exchange:    f.run.lag,
+		ReduceAbove: f.reduceAbove,
 	}, rand.New(rand.NewPCG(uint64(d), n.incarnation)))
 	n.core.Configure(f.run.time(), []scheduler.Service{f.service()})
 }
--- a/test/fairness/load.go
+++ b/test/fairness/load.go
@@ -23,6 +23,8 @@
 	{name: "tierra-firme", zones: 3, daemons: 6, engines: 12, workspaces: 16, slots: 24},
 	// Fewer slots than workspaces, so that slots cannot be divided at all.
 	{name: "one-slot", zones: 4, daemons: 7, engines: 12, workspaces: 16, slots: 1, only: []string{"steady", "long-short"}},
+	// Enough daemons in a zone for the reduced exchange to pay.
+	{name: "region", zones: 4, daemons: 32, engines: 48, workspaces: 40, slots: 24, only: []string{"steady", "burst", "overload", "restart", "lost-links", "cut"}},
 }
 
 // allSlots is how many requests the engines can work on at once.
--- a/test/fairness/wire.go
+++ b/test/fairness/wire.go
@@ -35,6 +35,10 @@
 	for _, p := range m.Parts {
 		n += index + servedBytes(p.Served)
 	}
+	n += rows(2, len(m.Sums))
+	for _, p := range m.Sums {
+		n += index + servedBytes(p.Served)
+	}
 	n += rows(2, len(m.News)) + len(m.News)*2*index
 	if m.HeldValid {
 		n += rows(1, 1) + len(m.Held)*idStep
