A workspace's own limits hold for the whole fleet

Cause: admission kept a token bucket and a count of its own at each daemon. The limit of the service document held n times over at n daemons.

Change: admission asks package limit. A refusal for too many in flight says when to come again by the measured time of the running ones, and not always 1 s.

Conclusion: the unit of a limit is the fleet now.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,7 +6,8 @@
 // could have gone elsewhere at once learns it last.
 //
 // A caller over its workspace's own limits (rate, concurrency) is told so with
-// 429, and nothing that others do changes that. A request that cannot be in
+// 429, and nothing that other workspaces do changes that; the limits are those of
+// the whole fleet, of which package limit gives each daemon its part. A request that cannot be in
 // time at the measured rate is refused with 503, and so is one that comes when
 // the daemon's queues are full, except that a workspace below its part of the
 // queues is let in: else one flooding workspace would have all others refused.
@@ -24,6 +25,7 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/limit"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -31,7 +33,6 @@
 const (
 	DefaultTotal  = 20000
 	DefaultMemory = 10 * time.Second
-	DefaultBurst  = 2 * time.Second
 )
 
 // Config sets up a Controller. Zero fields take their defaults.
@@ -43,16 +44,15 @@
 	// Memory is the time over which the service rate is averaged, and after
 	// which a rate not renewed is unknown (default 10 s).
 	Memory time.Duration
-	// Burst is the size of a rate limit's bucket as a time at the limited rate
-	// (default 2 s).
-	Burst time.Duration
+	// Limit divides the workspaces' own limits among the daemons.
+	Limit limit.Config
 }
 
-// Limits are a workspace's own, from the document.
+// Limits are a workspace's own, from the document. They hold for the fleet.
 type Limits struct {
 	// Weight is its share of the service.
 	Weight float64
-	// Concurrent bounds the requests that run; zero means no bound.
+	// Concurrent bounds the requests that wait or run; zero means no bound.
 	Concurrent int
 	// Rate bounds the accepted requests a second; zero means no bound.
 	Rate float64
@@ -77,13 +77,15 @@
 type Controller struct {
 	config     Config
 	workspaces map[ident.Workspace]*workspace
-	weight     float64
-	times      map[uint8]*times
+	// daemons lists the live ones by name; empty where this one is alone.
+	daemons []ident.Daemon
+	weight  float64
+	times   map[uint8]*times
 }
 
 type workspace struct {
 	limits Limits
-	bucket bucket
+	share  *limit.Share
 	rate   meter
 }
 
@@ -95,9 +97,6 @@
 	if c.Memory <= 0 {
 		c.Memory = DefaultMemory
 	}
-	if c.Burst <= 0 {
-		c.Burst = DefaultBurst
-	}
 	return &Controller{
 		config:     c,
 		workspaces: make(map[ident.Workspace]*workspace),
@@ -109,13 +108,15 @@
 func (c *Controller) SetLimits(ws ident.Workspace, l Limits) {
 	w := c.workspaces[ws]
 	if w == nil {
-		w = &workspace{rate: meter{memory: c.config.Memory}}
+		w = &workspace{share: limit.New(c.config.Limit), rate: meter{memory: c.config.Memory}}
+		if len(c.daemons) > 0 {
+			w.share.SetDaemons(time.Time{}, c.daemons)
+		}
 		c.workspaces[ws] = w
 	}
 	c.weight += l.Weight - w.limits.Weight
 	w.limits = l
-	w.bucket.rate = l.Rate
-	w.bucket.size = max(1, l.Rate*c.config.Burst.Seconds())
+	w.share.SetLimits(l.Rate, l.Concurrent)
 }
 
 // Remove drops a workspace that the document no longer names.
@@ -130,12 +131,7 @@
 // must have limits.
 func (c *Controller) Admit(now time.Time, a Arrival) *resultcode.Failure {
 	w := c.workspaces[a.Workspace]
-	if l := w.limits.Concurrent; l > 0 && a.Running+a.Waiting >= l {
-		return resultcode.Fail(resultcode.ConcurrencyFull, "the limit is %d", l)
-	}
-	if wait := w.bucket.wait(now); wait > 0 {
-		f := resultcode.Fail(resultcode.RateLimited, "the limit is %g a second", w.limits.Rate)
-		f.RetryAfter = wholeSeconds(wait)
+	if f := c.overLimit(now, w, a); f != nil {
 		return f
 	}
 	if f := c.late(now, w, a); f != nil {
@@ -144,10 +140,36 @@
 	if a.Total >= c.config.Total && a.Waiting >= c.part(w) {
 		return resultcode.Fail(resultcode.FleetFull, "%d requests wait at this daemon", a.Total)
 	}
-	w.bucket.take()
+	w.share.Rate.Take()
+	return nil
+}
+
+// overLimit refuses a request that is above the workspace's own limits.
+func (c *Controller) overLimit(now time.Time, w *workspace, a Arrival) *resultcode.Failure {
+	if !w.share.Concurrent.Admit(a.Running + a.Waiting) {
+		f := resultcode.Fail(resultcode.ConcurrencyFull, "the limit is %d", w.limits.Concurrent)
+		f.RetryAfter = wholeSeconds(c.nextEnd(a))
+		return f
+	}
+	w.share.Rate.Arrived()
+	if wait := w.share.Rate.Wait(now); wait > 0 {
+		f := resultcode.Fail(resultcode.RateLimited, "the limit is %g a second", w.limits.Rate)
+		f.RetryAfter = wholeSeconds(wait)
+		return f
+	}
 	return nil
 }
 
+// nextEnd is how long it takes by the measured times until one of the workspace's
+// requests here ends, or until it is known how many run elsewhere; zero where
+// nothing was measured.
+func (c *Controller) nextEnd(a Arrival) time.Duration {
+	if a.Running == 0 {
+		return c.config.Limit.Exchange
+	}
+	return c.Typical(a.Class) / time.Duration(a.Running)
+}
+
 // part is the workspace's part of all places to wait.
 func (c *Controller) part(w *workspace) int {
 	return int(float64(c.config.Total) * w.limits.Weight / c.weight)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorystall/savorystall/internal/limit"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -21,7 +22,7 @@
 
 func TestRateLimitIsTheWorkspacesOwn(t *testing.T) {
 	is := is.New(t)
-	c := New(Config{Burst: time.Second})
+	c := New(Config{Limit: limit.Config{Burst: time.Second}})
 	c.SetLimits("a", Limits{Weight: 1, Rate: 10})
 	c.SetLimits("b", Limits{Weight: 1})
 	for range 10 {
--- a/internal/admission/meter.go
+++ b/internal/admission/meter.go
@@ -5,40 +5,6 @@
 	"time"
 )
 
-// bucket is a token bucket: one token an accepted request.
-type bucket struct {
-	// rate is in tokens a second; zero means no limit.
-	rate, size float64
-	// spent is how many tokens are missing from a full bucket at the time of.
-	spent float64
-	of    time.Time
-}
-
-// wait returns how long there is no token; zero means that there is one.
-func (b *bucket) wait(now time.Time) time.Duration {
-	if b.rate <= 0 {
-		return 0
-	}
-	if now.After(b.of) {
-		b.spent = max(0, b.spent-now.Sub(b.of).Seconds()*b.rate)
-		b.of = now
-	}
-	missing := b.spent + 1 - b.size
-	if missing <= roundingError {
-		return 0
-	}
-	return time.Duration(missing / b.rate * float64(time.Second))
-}
-
-// roundingError is what sums of many small floating-point steps may be off by.
-const roundingError = 1e-9
-
-func (b *bucket) take() {
-	if b.rate > 0 {
-		b.spent++
-	}
-}
-
 // meter measures how many requests are dispatched a second while some wait.
 type meter struct {
 	memory time.Duration
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -104,6 +104,7 @@
 	e.grants(f, m.Grants)
 	e.releases(f, m.Releases)
 	e.parts(f, m.Parts)
+	e.limits(f, m.Limits)
 	e.news(f, m.News)
 	if m.HeldValid {
 		f.Held = &fleetv1.Held{GrantStep: steps(m.Held), Seen: m.HeldSeen}
@@ -240,7 +241,7 @@
 		return m, false, err
 	}
 	for _, read := range []func(*fleetv1.Frame, *scheduler.Message) error{
-		d.demand, d.grants, d.releases, d.parts, d.news,
+		d.demand, d.grants, d.releases, d.parts, d.limits, d.news,
 	} {
 		if err := read(f, &m); err != nil {
 			return m, false, err
@@ -253,7 +254,7 @@
 			m.Held = append(m.Held, step.up(s))
 		}
 	}
-	ok = m.HeldValid || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.News) > 0
+	ok = m.HeldValid || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.Limits)+len(m.News) > 0
 	return m, ok, nil
 }
 
--- a/internal/fleet/codec_test.go
+++ b/internal/fleet/codec_test.go
@@ -13,6 +13,7 @@
 
 	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/limit"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	_ "github.com/savorystall/savorystall/test/fixedseed" // the same verdict each run
 )
@@ -49,6 +50,13 @@
 			},
 		})
 		m.Parts = append(m.Parts, scheduler.Part{Service: service.Draw(t, "s"), Workspace: workspace.Draw(t, "w"), Served: units.Draw(t, "served")})
+		m.Limits = append(m.Limits, scheduler.Limit{
+			Service: service.Draw(t, "s"), Workspace: workspace.Draw(t, "w"),
+			News: limit.News{
+				Arrivals: rapid.Uint32().Draw(t, "arrivals"), Accepted: rapid.Uint64().Draw(t, "accepted"),
+				Wanted: rapid.Uint32Range(0, 1).Draw(t, "wanted"), InFlight: rapid.Uint32Range(0, 1).Draw(t, "in flight"),
+			},
+		})
 		m.News = append(m.News, scheduler.TargetNews{Service: service.Draw(t, "s"), Target: target.Draw(t, "t"), Health: health.Draw(t, "health")})
 		m.Held = append(m.Held, grant.Draw(t, "held"))
 	}
@@ -89,6 +97,7 @@
 		"uneven demand":     {&fleetv1.Frame{Demands: &fleetv1.Demands{Pair: []uint32{0}}}, errColumns},
 		"uneven grants":     {&fleetv1.Frame{Grants: &fleetv1.Grants{IdStep: []int64{1}}}, errColumns},
 		"uneven releases":   {&fleetv1.Frame{Releases: &fleetv1.Releases{GrantStep: []int64{1}}}, errColumns},
+		"uneven limits":     {&fleetv1.Frame{Limits: &fleetv1.Limits{Accepted: []uint64{1}}}, errColumns},
 		"uneven news":       {&fleetv1.Frame{News: &fleetv1.News{Pair: []uint32{0}}}, errColumns},
 		"name of 257 bytes": {&fleetv1.Frame{Names: []string{long}}, errTable},
 	}
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -6,8 +6,8 @@
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
 
-// outbox holds what waits to be sent on one link. Of demand, parts and the held
-// list the newest stands for all; news are kept but for repeats; grants and
+// outbox holds what waits to be sent on one link. Of demand, parts, limits and the
+// held list the newest stands for all; news are kept but for repeats; grants and
 // releases are all kept, in order, up to a bound.
 type outbox struct {
 	mu      sync.Mutex
@@ -15,6 +15,7 @@
 	queued  scheduler.Message
 	demands map[pair]int
 	parts   map[pair]int
+	limits  map[pair]int
 	news    map[pair]int
 	head    uint64
 	leaving bool
@@ -29,7 +30,7 @@
 func newOutbox(limit int) *outbox {
 	return &outbox{
 		limit:   limit,
-		demands: map[pair]int{}, parts: map[pair]int{}, news: map[pair]int{},
+		demands: map[pair]int{}, parts: map[pair]int{}, limits: map[pair]int{}, news: map[pair]int{},
 		ready: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 	}
 }
@@ -59,6 +60,9 @@
 	for _, p := range m.Parts {
 		q.Parts = newest(q.Parts, o.parts, pair{p.Service, string(p.Workspace)}, p)
 	}
+	for _, l := range m.Limits {
+		q.Limits = newest(q.Limits, o.limits, pair{l.Service, string(l.Workspace)}, l)
+	}
 	for _, n := range m.News {
 		o.addNews(n)
 	}
@@ -149,6 +153,7 @@
 	o.queued, o.head, o.dirty = scheduler.Message{}, 0, false
 	clear(o.demands)
 	clear(o.parts)
+	clear(o.limits)
 	clear(o.news)
 	return b, true
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -239,7 +239,7 @@
 		workspaces: map[ident.Workspace]*workspace{},
 		targets:    map[ident.Target]*target{},
 		ledger:     fairshare.New(fairshare.Config{Self: c.cfg.Self, Incarnation: c.cfg.Incarnation}),
-		admission:  admission.New(admission.Config{}),
+		admission:  c.newAdmission(),
 		places:     newPlaces(c.cfg.Zone, c.rng),
 	}
 }
@@ -296,6 +296,7 @@
 		p := c.peers[spec.ID]
 		if p != nil && p.Incarnation != spec.Incarnation {
 			c.forgetPeer(p)
+			c.forgetLimits(now, p.ID)
 			p = nil
 		}
 		if p == nil {
@@ -314,6 +315,7 @@
 		delete(c.gone, id)
 	}
 	c.peers = kept
+	c.divideLimits(now)
 	c.assignOwners()
 	c.assignAll(now)
 }
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -21,6 +21,11 @@
 			s.ledger.Merge(from, m.Incarnation, part.Workspace, part.Served)
 		}
 	}
+	for _, l := range m.Limits {
+		if s := c.services[l.Service]; s != nil {
+			s.admission.Hear(now, from, l.Workspace, l.News)
+		}
+	}
 	for _, news := range m.News {
 		c.learn(now, news.Service, news.Target, news.Health)
 	}
@@ -114,6 +119,7 @@
 		}
 		if at == onExchange {
 			c.sendParts(s)
+			c.sendLimits(now, s)
 			c.tune(s)
 		}
 		s.prune()
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/limit"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -51,9 +52,11 @@
 	Weight float64
 	// Queue bounds the requests that wait at one daemon.
 	Queue int
-	// Concurrent bounds the requests that run; zero means no bound.
+	// Concurrent bounds the requests that wait or run in the fleet; zero means no
+	// bound.
 	Concurrent int
-	// Rate bounds the accepted requests a second; zero means no bound.
+	// Rate bounds the requests that the fleet accepts a second; zero means no
+	// bound.
 	Rate float64
 }
 
@@ -151,6 +154,14 @@
 	Served    float64
 }
 
+// Limit tells what the sender's callers ask of a workspace's own limits. A later
+// message replaces an earlier one.
+type Limit struct {
+	Service   ident.Service
+	Workspace ident.Workspace
+	limit.News
+}
+
 // TargetNews spreads what one daemon learnt about a target.
 type TargetNews struct {
 	Service ident.Service
@@ -166,6 +177,7 @@
 	Grants      []Grant
 	Releases    []Release
 	Parts       []Part
+	Limits      []Limit
 	News        []TargetNews
 	// Held lists the grants of the receiver that the sender still holds. It is
 	// sent from time to time (HeldValid) so that a lost release frees its slot.
