scheduler: a fleet's cores hold a workspace's limits under moves and faults

Cause: nothing showed what the fleet accepts, only what one daemon does.

The growth of what is in flight goes by the part while more is wanted than the limit: daemons that exchange at the same moment all grew by the same free places.

--- a/internal/limit/concurrent.go
+++ b/internal/limit/concurrent.go
@@ -87,10 +87,15 @@
 // because they are in flight nowhere by what the others told: at least one, so
 // that the first caller at a quiet daemon is served, and of all that is free a
 // share between the whole, which as many daemons could take at once as there are,
-// and an n-th, which callers that come to one daemon have used up at once.
+// and an n-th, which callers that come to one daemon have used up at once. While
+// more is wanted than the limit, the share is that of the part.
 func (c *Concurrent) growth() int {
 	free := max(0, float64(c.limit-c.first-c.elsewhere))
-	return max(1, int(math.Ceil(free/math.Sqrt(float64(len(c.daemons))))))
+	share := 1 / math.Sqrt(float64(len(c.daemons)))
+	if asked := float64(c.wanted.told[0]) + float64(c.wanted.others); asked > float64(c.limit) {
+		share = float64(c.part) / float64(c.limit)
+	}
+	return max(1, int(math.Ceil(free*share)))
 }
 
 // tell ends an interval and returns how many requests are wanted.
