Prove a workspace's limit end to end, and measure its news on a link

Cause: the scheduler's tests do not go through documents, links and callers.

A benchmark of the frame.

--- a/internal/fleet/codec_bench_test.go
+++ b/internal/fleet/codec_bench_test.go
@@ -8,6 +8,7 @@
 
 	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/limit"
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
 
@@ -51,3 +52,32 @@
 		}
 	}
 }
+
+// BenchmarkLimits gives the bytes of the news of workspaces' own limits, with the
+// tables of names kept for the link.
+func BenchmarkLimits(b *testing.B) {
+	for _, workspaces := range []int{1, 16, 62, 620} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			var m scheduler.Message
+			for i := range workspaces {
+				m.Limits = append(m.Limits, scheduler.Limit{
+					Service: "lm-pool", Workspace: ident.Workspace(fmt.Sprintf("workspace-%04d", i)),
+					News: limit.News{Arrivals: 16 * 30, Accepted: 1<<20 + uint64(i), Wanted: 40, InFlight: 30},
+				})
+			}
+			enc := newEncoder()
+			enc.message(&fleetv1.Frame{}, &m)
+			size := 0
+			for b.Loop() {
+				f := &fleetv1.Frame{}
+				enc.message(f, &m)
+				wire, err := proto.Marshal(f)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(wire)
+			}
+			b.ReportMetric(float64(size), "B/frame")
+		})
+	}
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -48,6 +48,24 @@
 	Burst time.Duration
 }
 
+func (c Config) withDefaults() Config {
+	if c.Exchange <= 0 {
+		c.Exchange = DefaultExchange
+	}
+	if c.Burst <= 0 {
+		c.Burst = DefaultBurst
+	}
+	return c
+}
+
+// Most returns the most requests that so many daemons accept in a span of time
+// under a limit of requests a second, while exchanges arrive and no daemon starts.
+func (c Config) Most(rate float64, span time.Duration, daemons int) float64 {
+	c = c.withDefaults()
+	bucket := (1 + creditShare) * max(1, rate*c.Burst.Seconds())
+	return (1+floorShare)*rate*span.Seconds() + bucket + unheard(rate, c.Burst, c.Exchange, daemons)
+}
+
 // News is what a daemon tells the others of one workspace. The newest stands for
 // all before it.
 type News struct {
@@ -74,12 +92,7 @@
 
 // New returns a share without limits at a daemon that is alone.
 func New(c Config) *Share {
-	if c.Exchange <= 0 {
-		c.Exchange = DefaultExchange
-	}
-	if c.Burst <= 0 {
-		c.Burst = DefaultBurst
-	}
+	c = c.withDefaults()
 	daemons := []ident.Daemon{c.Self}
 	return &Share{
 		Rate:       Rate{exchange: c.Exchange, burst: c.Burst, daemons: 1, elsewhere: elsewhere{}},
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -67,6 +67,8 @@
 	fronts []*front
 	// adjust changes the settings of every daemon.
 	adjust func(*settings.Settings)
+	// limits are those of the first workspace.
+	limits document.WorkspaceLimits
 	// orders is the wanted state of the engines; nil leaves them alone.
 	orders *document.Orders
 
@@ -182,6 +184,7 @@
 	for i := range workspaces {
 		ws = append(ws, document.Workspace{Name: ident.Workspace(workspaceName(i)), Weight: 1, Keys: []string{document.HashKey(key(i))}})
 	}
+	ws[0].Limits = f.limits
 	documents := []document.Document{{
 		Service: modelService, Kind: document.Model, Models: []string{modelName}, Workspaces: ws,
 		Operations: []document.Operation{
