limit: take out the credit of the fleet's bucket

Cause: own tokens could be used while the fleet's bucket lacked up to half of its size. It was there for a swing that a rule since dropped had made.

Change: taken out, in the code and in the bound.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -62,7 +62,7 @@
 // under a limit of requests a second, while exchanges arrive and no daemon starts.
 func (c Config) Most(rate float64, span time.Duration, daemons int) float64 {
 	c = c.withDefaults()
-	bucket := (1 + creditShare) * max(1, rate*c.Burst.Seconds())
+	bucket := max(1, rate*c.Burst.Seconds())
 	return (1+floorShare)*rate*span.Seconds() + bucket + unheard(rate, c.Burst, c.Exchange, daemons)
 }
 
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -43,7 +43,7 @@
 func TestAcceptedRateStaysWithinTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := drawModel(t, false)
-		most := creditShare*m.bucket() + unheard(m.rate, DefaultBurst, DefaultExchange, len(m.nodes))
+		most := unheard(m.rate, DefaultBurst, DefaultExchange, len(m.nodes))
 		for m.step = 1; m.step < modelSteps; m.step++ {
 			if m.rng.IntN(100) == 0 {
 				m.spread(m.rate * 20 * math.Pow(m.rng.Float64(), 3))
--- a/internal/limit/model_test.go
+++ b/internal/limit/model_test.go
@@ -204,7 +204,7 @@
 			if n.share.Rate.Wait(m.now()) > 0 {
 				continue
 			}
-			if m.tokens < 1-n.missing-creditShare*m.bucket()-1e-6 {
+			if m.tokens < 1-n.missing-1e-6 {
 				fail("step %d: %s accepts with %.2f tokens left and %.2f not heard of", m.step, n.id, m.tokens, n.missing)
 			}
 			n.share.Rate.Take()
--- a/internal/limit/rate.go
+++ b/internal/limit/rate.go
@@ -18,11 +18,6 @@
 	// else fall behind for as long as this is used, and two daemons whose counts
 	// once differed would never agree again, because it is full buckets that agree.
 	floorShare = 0.1
-	// creditShare is how much the fleet's bucket may lack, as a part of its size,
-	// before own tokens are refused: what others accept before they tell makes it
-	// swing, and a caller should be refused by its daemon's part, not because
-	// others came just before.
-	creditShare = 0.5
 	// roundingError is what sums of many small floating-point steps may be off by.
 	roundingError = 1e-9
 )
@@ -98,14 +93,11 @@
 		return 0
 	}
 	r.advance(now)
-	if holds(r.extra) && holds(r.fleet) {
-		return 0
-	}
-	return max(lacking(1-r.fleet-r.credit(), r.fleetRate()), r.ownWait())
+	return max(lacking(1-r.fleet, r.fleetRate()), r.ownWait())
 }
 
 func (r *Rate) ownWait() time.Duration {
-	if holds(r.own) {
+	if holds(max(r.own, r.extra)) {
 		return 0
 	}
 	return min(lacking(1-r.own, r.part()), r.grown(1-r.own))
@@ -179,9 +171,6 @@
 
 func (r *Rate) others() float64 { return float64(r.demand.others) / arrivalUnit }
 
-// credit is how many tokens the fleet's bucket may lack for own ones to be used.
-func (r *Rate) credit() float64 { return creditShare * r.fleetSize() * r.othersShare() }
-
 // fleetRate is at which the fleet's bucket fills, in tokens a second.
 func (r *Rate) fleetRate() float64 { return r.limit * (1 + floorShare*r.othersShare()) }
 
