--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -95,11 +95,11 @@
 type WorkspaceLimits struct {
 	// Queue bounds the requests that wait at one daemon; default limits.queue.
 	Queue int `yaml:"queue" validate:"gte=0"`
-	// Concurrent bounds the requests that run through one daemon; zero means no
+	// Concurrent bounds the requests that wait or run in the fleet; zero means no
 	// bound.
 	Concurrent int `yaml:"concurrent" validate:"gte=0"`
-	// RequestsPerSecond bounds the requests that one daemon accepts; zero means
-	// no bound.
+	// RequestsPerSecond bounds the requests that the fleet accepts; zero means no
+	// bound.
 	RequestsPerSecond float64 `yaml:"requests_per_second" validate:"gte=0"`
 }
 
