scheduler: test limits beside an older daemon and after lost news

Cause: neither a rolling upgrade nor the loss of the last news of a workspace was tested.

Conclusion: an upgrade holds what it held before, and a lost link heals.

--- a/internal/scheduler/limits_test.go
+++ b/internal/scheduler/limits_test.go
@@ -31,8 +31,9 @@
 	rng    *rand.Rand
 	nodes  []*limitedNode
 	next   int
-	// cut keeps the last node from the others.
-	cut bool
+	// cut keeps the last node from the others; old lets it be of a release that
+	// knows no news of limits; lost loses all messages.
+	cut, old, lost bool
 	// accepted counts what was accepted, refused what was answered with 429, by
 	// its code; most is the most that was in flight.
 	accepted, most int
@@ -158,13 +159,20 @@
 			n.running[e.Request] = f.now.Add(limitRuns*2/3 + time.Duration(f.rng.Int64N(int64(limitRuns*2/3))))
 		case scheduler.Send:
 			i := slices.IndexFunc(f.nodes, func(p *limitedNode) bool { return p.id == e.To })
-			if to := f.nodes[i]; f.linked(n, to) {
-				to.inbox = append(to.inbox, limitedMessage{n.id, e.Message})
-			}
+			f.send(n, f.nodes[i], e.Message)
 		}
 	}
 }
 
+func (f *limitedFleet) send(from, to *limitedNode, m scheduler.Message) {
+	if last := f.nodes[len(f.nodes)-1]; f.old && (from == last || to == last) {
+		m.Limits = nil
+	}
+	if f.linked(from, to) && !f.lost {
+		to.inbox = append(to.inbox, limitedMessage{from.id, m})
+	}
+}
+
 // A team may send 20 requests a second to a service and sends 60, most of them
 // through one of three daemons. With a limit that each daemon held by itself, 44
 // were let in.
@@ -236,3 +244,48 @@
 	is.True(f.most <= 18)
 	is.True(accepted >= 190)
 }
+
+// One of three daemons is of the release before. It holds the whole limit by
+// itself, and the others, which hear nothing of it, share the limit without it.
+func TestRateLimitBesideAnOlderDaemon(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedFleet(scheduler.Workspace{Name: "a", Weight: 1, Queue: 1000, Rate: 20})
+	f.old = true
+	f.demand(30, 30, 0)
+	f.run(10 * time.Second)
+	accepted := f.run(20 * time.Second)
+	t.Logf("at the newer ones: %d of 400", accepted)
+	is.True(accepted >= 380 && accepted <= 440)
+	f.demand(30, 30, 60)
+	f.run(10 * time.Second)
+	accepted = f.run(20 * time.Second)
+	t.Logf("at all: %d of 800", accepted)
+	is.True(accepted >= 760 && accepted <= 880)
+}
+
+// All callers of a team go, and the message that tells so is lost with the link.
+// Who comes to another daemon then would be refused for ever, because the places
+// still look taken.
+func TestLostNewsOfALimitIsRepaired(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedFleet(scheduler.Workspace{Name: "a", Weight: 1, Queue: 1000, Concurrent: 12})
+	f.demand(60, 0, 0)
+	f.run(5 * time.Second)
+	f.lost = true
+	f.demand(0, 0, 0)
+	f.run(2 * time.Second)
+	f.lost = false
+	for _, n := range f.nodes {
+		for _, p := range f.nodes {
+			if p != n {
+				n.core.Reset(p.id)
+			}
+		}
+	}
+	f.run(2 * time.Second)
+	f.demand(0, 12, 0) // six in flight
+	f.run(2 * time.Second)
+	clear(f.refused)
+	f.run(5 * time.Second)
+	is.Equal(len(f.refused), 0)
+}
