limit: say the model's steps once

Cause: the measurement repeated the steps of the property tests, and the scheduler's tests the same three lines seven times.

Change: the model counts what one daemon would accept; limitedFleet.expect.

--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -90,21 +90,6 @@
 	})
 }
 
-// flights lets requests come and end and returns how many are in flight.
-func (m *model) flights() int {
-	total := 0
-	for _, n := range m.nodes {
-		n.ends = m.running(n.ends)
-		for range n.arrive(m.rng) {
-			if n.share.Concurrent.Admit(len(n.ends)) {
-				n.ends = append(n.ends, m.step+1+m.rng.IntN(200))
-			}
-		}
-		total += len(n.ends)
-	}
-	return total
-}
-
 // Three daemons get 60, 25 and 15 of a hundred callers, who ask for three times
 // the limit. Each is to be refused as often, wherever it connects, and all of the
 // limit is to be used.
--- a/internal/limit/measure_test.go
+++ b/internal/limit/measure_test.go
@@ -7,7 +7,7 @@
 
 // figures compares a fleet with one daemon that gets the same requests.
 type figures struct {
-	steps, accepted, best int
+	accepted, best int
 	// above is the most that was accepted above the limit and its bucket over any
 	// span of time, or in flight above the limit, in seconds of a rate or as part
 	// of the limit. over is its mean of what is in flight.
@@ -56,33 +56,21 @@
 	}
 }
 
-func (p pattern) measureRate(daemons int, rate float64) (f figures) {
+func (p pattern) measureRate(t *testing.T, daemons int, rate float64) (f figures) {
 	for seed := range uint64(seeds) {
 		m := p.fleet(seed, daemons, rate, 0)
-		best := New(Config{Self: "alone"})
-		best.SetLimits(rate, 0)
 		level, least := 0.0, 0.0
 		for m.step = 1; m.step < modelSteps; m.step++ {
 			p.disturb(m)
-			for _, n := range m.nodes {
-				for range n.arrive(m.rng) {
-					n.share.Rate.Arrived()
-					if n.share.Rate.Wait(m.now()) == 0 {
-						n.share.Rate.Take()
-						f.accepted++
-						level++
-					}
-					if best.Rate.Wait(m.now()) == 0 {
-						best.Rate.Take()
-						f.best++
-					}
-				}
+			for _, accepted := range m.arrivals(t.Fatalf) {
+				level += float64(accepted)
 			}
 			m.exchange()
 			level -= rate * modelStep.Seconds()
 			f.above = max(f.above, (level-least-m.bucket())/rate)
 			least = min(least, level)
 		}
+		f.add(m)
 	}
 	return f
 }
@@ -90,47 +78,25 @@
 func (p pattern) measureInFlight(daemons, slots int) (f figures) {
 	for seed := range uint64(seeds) {
 		m := p.fleet(seed, daemons, 0, slots)
-		var best []int
 		for m.step = 1; m.step < modelSteps; m.step++ {
 			p.disturb(m)
-			best = m.running(best)
-			total := 0
-			for _, n := range m.nodes {
-				n.ends = m.running(n.ends)
-				for range n.arrive(m.rng) {
-					end := m.step + 1 + m.rng.IntN(200)
-					if n.share.Concurrent.Admit(len(n.ends)) {
-						n.ends = append(n.ends, end)
-						f.accepted++
-					}
-					if len(best) < slots {
-						best = append(best, end)
-						f.best++
-					}
-				}
-				total += len(n.ends)
-			}
+			above := max(0, float64(m.flights()-slots)/float64(slots))
 			m.exchange()
-			above := max(0, float64(total-slots)/float64(slots))
 			f.above = max(f.above, above)
-			f.over += above
-			f.steps++
+			f.over += above / (seeds * (modelSteps - 1))
 		}
+		f.add(m)
 	}
 	return f
 }
 
-// running returns those of the ends that are still to come.
-func (m *model) running(ends []int) []int {
-	left := ends[:0]
-	for _, end := range ends {
-		if end > m.step {
-			left = append(left, end)
-		}
-	}
-	return left
+func (f *figures) add(m *model) {
+	f.accepted += m.accepted
+	f.best += m.best
 }
 
+func (f *figures) used() float64 { return float64(f.accepted) / float64(f.best) }
+
 // TestMeasured prints the figures of docs/design/admission.md (go test -v). It
 // fails where a fleet that nobody moves in leaves more than a twentieth of what
 // one daemon would accept, or exceeds what the bound allows.
@@ -138,11 +104,10 @@
 	for _, p := range patterns {
 		for _, daemons := range []int{3, 7} {
 			for _, rate := range []float64{2, 20, 100} {
-				f := p.measureRate(daemons, rate)
-				used := float64(f.accepted) / float64(f.best)
+				f := p.measureRate(t, daemons, rate)
 				t.Logf("%s, load %.1f, %d daemons, %3.0f/s: %.3f of the best, %.2f s above",
-					p.name, p.load, daemons, rate, used, f.above)
-				if p.move == 0 && !p.restart && used < 0.95 {
+					p.name, p.load, daemons, rate, f.used(), f.above)
+				if p.move == 0 && !p.restart && f.used() < 0.95 {
 					t.Error("too little is used")
 				}
 				most := unheard(rate, DefaultBurst, DefaultExchange, daemons)/rate + DefaultBurst.Seconds()
@@ -152,10 +117,9 @@
 			}
 			for _, slots := range []int{4, 16, 60} {
 				f := p.measureInFlight(daemons, slots)
-				used := float64(f.accepted) / float64(f.best)
 				t.Logf("%s, load %.1f, %d daemons, %2d in flight: %.3f of the best, %.2f above at most, %.4f on average",
-					p.name, p.load, daemons, slots, used, f.above, f.over/float64(f.steps))
-				if p.move == 0 && !p.restart && used < 0.95 {
+					p.name, p.load, daemons, slots, f.used(), f.above, f.over)
+				if p.move == 0 && !p.restart && f.used() < 0.95 {
 					t.Error("too little is used")
 				}
 				if f.above > math.Sqrt(float64(daemons))+float64(daemons)/float64(slots) && !p.restart {
--- a/internal/limit/model_test.go
+++ b/internal/limit/model_test.go
@@ -34,6 +34,11 @@
 	// tokens are those of the limit's bucket where all is known at once.
 	tokens  float64
 	pending []sent
+	// accepted counts what the nodes accept, best what one daemon accepts that gets
+	// all requests: alone by the rate, and alongside those in flight there.
+	accepted, best int
+	alone          *Share
+	alongside      []int
 }
 
 // node is one daemon and its callers.
@@ -71,6 +76,8 @@
 			id: ident.Daemon(fmt.Sprintf("d%03d", i)), phase: m.rng.IntN(modelExchange), side: m.rng.IntN(2) == 0,
 		})
 	}
+	m.alone = New(Config{Self: "alone"})
+	m.alone.SetLimits(rate, slots)
 	m.tokens = m.bucket()
 	for _, n := range m.nodes {
 		m.boot(n)
@@ -200,6 +207,7 @@
 	accepted := make([]int, len(m.nodes))
 	for i, n := range m.nodes {
 		for range n.arrive(m.rng) {
+			m.tryAlone()
 			n.share.Rate.Arrived()
 			if n.share.Rate.Wait(m.now()) > 0 {
 				continue
@@ -209,6 +217,7 @@
 			}
 			n.share.Rate.Take()
 			accepted[i]++
+			m.accepted++
 			m.tokens--
 			for _, p := range m.nodes {
 				if p != n {
@@ -220,6 +229,13 @@
 	return accepted
 }
 
+func (m *model) tryAlone() {
+	if m.alone.Rate.Wait(m.now()) == 0 {
+		m.alone.Rate.Take()
+		m.best++
+	}
+}
+
 // fill adds the tokens of one step. Nobody's count can be above a full bucket.
 func (m *model) fill() {
 	m.tokens = min(m.bucket(), m.tokens+(1+floorShare)*m.rate*modelStep.Seconds())
@@ -231,6 +247,33 @@
 	}
 }
 
+// flights lets requests come and end and returns how many are in flight.
+func (m *model) flights() int {
+	total := 0
+	m.alongside = m.running(m.alongside)
+	for _, n := range m.nodes {
+		n.ends = m.running(n.ends)
+		for range n.arrive(m.rng) {
+			end := m.step + 1 + m.rng.IntN(200)
+			if n.share.Concurrent.Admit(len(n.ends)) {
+				n.ends = append(n.ends, end)
+				m.accepted++
+			}
+			if len(m.alongside) < m.slots {
+				m.alongside = append(m.alongside, end)
+				m.best++
+			}
+		}
+		total += len(n.ends)
+	}
+	return total
+}
+
+// running returns those of the ends that are still to come.
+func (m *model) running(ends []int) []int {
+	return slices.DeleteFunc(ends, func(end int) bool { return end <= m.step })
+}
+
 // drawModel draws a fleet and its limits.
 func drawModel(t *rapid.T, faults bool) *model {
 	m := newModel(
--- a/internal/scheduler/limits_test.go
+++ b/internal/scheduler/limits_test.go
@@ -121,6 +121,14 @@
 	return f.accepted - before
 }
 
+// expect lets time pass and tells whether so many requests were accepted.
+func (f *limitedFleet) expect(t *testing.T, what string, d time.Duration, least, most int) bool {
+	t.Helper()
+	accepted := f.run(d)
+	t.Logf("%s: %d, from %d to %d; at most %d in flight", what, accepted, least, most, f.most)
+	return accepted >= least && accepted <= most
+}
+
 func (f *limitedFleet) step(n *limitedNode) {
 	for _, m := range n.inbox {
 		n.core.Receive(f.now, m.from, m.message)
@@ -181,25 +189,19 @@
 	f := newLimitedFleet(scheduler.Workspace{Name: "a", Weight: 1, Queue: 1000, Rate: 20})
 	f.demand(36, 15, 9)
 	f.run(10 * time.Second)
-	accepted := f.run(30 * time.Second)
-	t.Logf("uneven: %d of 600", accepted)
-	is.True(accepted >= 580 && accepted <= 660)
+	is.True(f.expect(t, "uneven", 30*time.Second, 580, 660))
 	is.Equal(len(f.refused), 1)
 	is.True(f.refused[resultcode.RateLimited.Number] > 0)
 	is.True(f.longest <= 3*time.Second)
 
 	f.demand(0, 0, 60) // all callers move to another daemon
-	accepted = f.run(10 * time.Second)
-	t.Logf("moved: %d of 200", accepted)
-	is.True(accepted >= 160 && accepted <= 240)
+	is.True(f.expect(t, "moved", 10*time.Second, 160, 240))
 
 	f.nodes[0].demand = 30
 	f.run(5 * time.Second)
 	f.boot(f.nodes[2]) // restarts without state
 	f.peers()
-	accepted = f.run(10 * time.Second)
-	t.Logf("restart: %d of 200", accepted)
-	is.True(accepted >= 180 && accepted <= 280)
+	is.True(f.expect(t, "restart", 10*time.Second, 180, 280))
 }
 
 // The zone of one of three daemons is cut off. Neither side knows what the other
@@ -212,14 +214,10 @@
 	f.run(10 * time.Second)
 	f.cut = true
 	f.peers()
-	accepted := f.run(30 * time.Second)
-	t.Logf("cut: %d of 1200", accepted)
-	is.True(accepted >= 1100 && accepted <= 1320)
+	is.True(f.expect(t, "cut", 30*time.Second, 1100, 1320))
 	f.cut = false
 	f.peers()
-	accepted = f.run(10 * time.Second)
-	t.Logf("rejoined: %d of 200", accepted)
-	is.True(accepted >= 190 && accepted <= 280)
+	is.True(f.expect(t, "rejoined", 10*time.Second, 190, 280))
 }
 
 // A team may have 12 requests in flight and sends what would be 30. With a limit
@@ -230,19 +228,15 @@
 	f.demand(36, 15, 9)
 	f.run(5 * time.Second)
 	f.most = 0
-	accepted := f.run(20 * time.Second)
-	t.Logf("uneven: %d of 480, at most %d in flight", accepted, f.most)
+	is.True(f.expect(t, "uneven", 20*time.Second, 430, 520))
 	is.True(f.most <= 18)
-	is.True(accepted >= 430)
 	is.Equal(len(f.refused), 1)
 	is.True(f.refused[resultcode.ConcurrencyFull.Number] > 0)
 
 	f.most = 0
 	f.demand(0, 0, 60)
-	accepted = f.run(10 * time.Second)
-	t.Logf("moved: %d of 240, at most %d in flight", accepted, f.most)
+	is.True(f.expect(t, "moved", 10*time.Second, 190, 260))
 	is.True(f.most <= 18)
-	is.True(accepted >= 190)
 }
 
 // One of three daemons is of the release before. It holds the whole limit by
@@ -253,14 +247,10 @@
 	f.old = true
 	f.demand(30, 30, 0)
 	f.run(10 * time.Second)
-	accepted := f.run(20 * time.Second)
-	t.Logf("at the newer ones: %d of 400", accepted)
-	is.True(accepted >= 380 && accepted <= 440)
+	is.True(f.expect(t, "at the newer ones", 20*time.Second, 380, 440))
 	f.demand(30, 30, 60)
 	f.run(10 * time.Second)
-	accepted = f.run(20 * time.Second)
-	t.Logf("at all: %d of 800", accepted)
-	is.True(accepted >= 760 && accepted <= 880)
+	is.True(f.expect(t, "at all", 20*time.Second, 760, 880))
 }
 
 // All callers of a team go, and the message that tells so is lost with the link.
