--- a/internal/fleet/codec_bench_test.go
+++ b/internal/fleet/codec_bench_test.go
@@ -24,6 +24,16 @@
 	return m
 }
 
+func frameSize(b *testing.B, enc *encoder, m *scheduler.Message) int {
+	f := &fleetv1.Frame{}
+	enc.message(f, m)
+	wire, err := proto.Marshal(f)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(wire)
+}
+
 // BenchmarkExchange gives the bytes of a row of an exchange, with the tables of
 // names kept for the link and with tables that are new in each frame.
 func BenchmarkExchange(b *testing.B) {
@@ -38,13 +48,7 @@
 					if !kept {
 						enc = newEncoder()
 					}
-					f := &fleetv1.Frame{}
-					enc.message(f, &m)
-					wire, err := proto.Marshal(f)
-					if err != nil {
-						b.Fatal(err)
-					}
-					size = len(wire)
+					size = frameSize(b, enc, &m)
 				}
 				b.ReportMetric(float64(size)/float64(workspaces), "B/workspace")
 				b.ReportMetric(float64(size), "B/frame")
@@ -69,13 +73,7 @@
 			enc.message(&fleetv1.Frame{}, &m)
 			size := 0
 			for b.Loop() {
-				f := &fleetv1.Frame{}
-				enc.message(f, &m)
-				wire, err := proto.Marshal(f)
-				if err != nil {
-					b.Fatal(err)
-				}
-				size = len(wire)
+				size = frameSize(b, enc, &m)
 			}
 			b.ReportMetric(float64(size), "B/frame")
 		})
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -25,6 +25,7 @@
 package limit
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
@@ -49,12 +50,8 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Exchange <= 0 {
-		c.Exchange = DefaultExchange
-	}
-	if c.Burst <= 0 {
-		c.Burst = DefaultBurst
-	}
+	c.Exchange = cmp.Or(c.Exchange, DefaultExchange)
+	c.Burst = cmp.Or(c.Burst, DefaultBurst)
 	return c
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -51,21 +52,11 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.Spill == 0 {
-		c.Spill = defaultSpill
-	}
-	if c.Exchange == 0 {
-		c.Exchange = defaultExchange
-	}
-	if c.Slice == 0 {
-		c.Slice = defaultSlice
-	}
-	if c.Linger == 0 {
-		c.Linger = defaultLinger
-	}
-	if c.Held == 0 {
-		c.Held = defaultHeld
-	}
+	c.Spill = cmp.Or(c.Spill, defaultSpill)
+	c.Exchange = cmp.Or(c.Exchange, defaultExchange)
+	c.Slice = cmp.Or(c.Slice, defaultSlice)
+	c.Linger = cmp.Or(c.Linger, defaultLinger)
+	c.Held = cmp.Or(c.Held, defaultHeld)
 	return c
 }
 
