--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -54,24 +55,12 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.Spill == 0 {
-		c.Spill = defaultSpill
-	}
-	if c.Exchange == 0 {
-		c.Exchange = defaultExchange
-	}
-	if c.Slice == 0 {
-		c.Slice = defaultSlice
-	}
-	if c.Linger == 0 {
-		c.Linger = defaultLinger
-	}
-	if c.Held == 0 {
-		c.Held = defaultHeld
-	}
-	if c.ReduceAbove == 0 {
-		c.ReduceAbove = defaultReduceAbove
-	}
+	c.Spill = cmp.Or(c.Spill, defaultSpill)
+	c.Exchange = cmp.Or(c.Exchange, defaultExchange)
+	c.Slice = cmp.Or(c.Slice, defaultSlice)
+	c.Linger = cmp.Or(c.Linger, defaultLinger)
+	c.Held = cmp.Or(c.Held, defaultHeld)
+	c.ReduceAbove = cmp.Or(c.ReduceAbove, defaultReduceAbove)
 	return c
 }
 
@@ -257,7 +246,7 @@
 		workspaces: map[ident.Workspace]*workspace{},
 		targets:    map[ident.Target]*target{},
 		ledger:     fairshare.New(fairshare.Config{Self: c.cfg.Self, Incarnation: c.cfg.Incarnation}),
-		admission:  admission.New(admission.Config{}),
+		admission:  c.newAdmission(),
 		places:     newPlaces(c.cfg.Zone, c.rng),
 	}
 }
@@ -316,6 +305,7 @@
 		p := c.peers[spec.ID]
 		if p != nil && p.Incarnation != spec.Incarnation {
 			c.forgetPeer(p)
+			c.forgetLimits(now, p.ID)
 			p = nil
 		}
 		if p == nil {
@@ -334,6 +324,7 @@
 		delete(c.gone, id)
 	}
 	c.peers = kept
+	c.divideLimits(now)
 	c.assignOwners()
 	c.chooseExchange(now)
 	c.assignAll(now)
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -22,6 +22,11 @@
 	for _, part := range m.Sums {
 		c.takeSum(now, p, part)
 	}
+	for _, l := range m.Limits {
+		if s := c.services[l.Service]; s != nil {
+			s.admission.Hear(now, from, l.Workspace, l.News)
+		}
+	}
 	for _, news := range m.News {
 		c.learn(now, news.Service, news.Target, news.Health)
 	}
@@ -117,6 +122,7 @@
 			c.showDemand(now, s, w, at)
 		}
 		if at == onExchange {
+			c.sendLimits(now, s)
 			c.tune(s)
 		}
 		s.prune()
