fleet: carry slots that an owner asks back

Cause: an owner's wish to have a slot back (scheduler.Message.Preempts) and the mark on the release that answers it did not travel between daemons.

--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -24,9 +24,10 @@
 	// maxNameLength bounds one name in bytes.
 	maxNameLength = 256
 
-	releaseUnused = 1
-	releaseFailed = 2
-	releaseNotRun = 4
+	releaseUnused    = 1
+	releaseFailed    = 2
+	releaseNotRun    = 4
+	releasePreempted = 8
 )
 
 var (
@@ -108,6 +109,9 @@
 	if m.HeldValid {
 		f.Held = &fleetv1.Held{GrantStep: steps(m.Held), Seen: m.HeldSeen}
 	}
+	if len(m.Preempts) > 0 {
+		f.PreemptStep = steps(m.Preempts)
+	}
 }
 
 func (e *encoder) demand(f *fleetv1.Frame, rows []scheduler.Demand) {
@@ -190,6 +194,9 @@
 	if r.Result.NotRun {
 		flags |= releaseNotRun
 	}
+	if r.Result.Preempted {
+		flags |= releasePreempted
+	}
 	return flags
 }
 
@@ -203,29 +210,6 @@
 	return uint64((d + timeUnit - 1) / timeUnit)
 }
 
-// stepper turns a column into differences and back.
-type stepper struct{ last uint64 }
-
-func (s *stepper) down(v uint64) int64 {
-	d := int64(v - s.last)
-	s.last = v
-	return d
-}
-
-func (s *stepper) up(d int64) uint64 {
-	s.last += uint64(d)
-	return s.last
-}
-
-func steps(values []uint64) []int64 {
-	out := make([]int64, 0, len(values))
-	var step stepper
-	for _, v := range values {
-		out = append(out, step.down(v))
-	}
-	return out
-}
-
 // decoder turns frames into messages. It holds the receiver's end of the
 // tables of one direction of one link.
 type decoder struct {
@@ -248,12 +232,10 @@
 	}
 	if h := f.GetHeld(); h != nil {
 		m.HeldValid, m.HeldSeen = true, h.GetSeen()
-		var step stepper
-		for _, s := range h.GetGrantStep() {
-			m.Held = append(m.Held, step.up(s))
-		}
+		m.Held = values(h.GetGrantStep())
 	}
-	ok = m.HeldValid || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.News) > 0
+	m.Preempts = values(f.GetPreemptStep())
+	ok = m.HeldValid || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.News)+len(m.Preempts) > 0
 	return m, ok, nil
 }
 
@@ -349,11 +331,12 @@
 		m.Releases = append(m.Releases, scheduler.Release{
 			Grant: step.up(s), Unused: in.Flags[i]&releaseUnused != 0,
 			Result: scheduler.Result{
-				Served:  float64(in.Served[i]) / servedUnit,
-				Elapsed: time.Duration(in.Elapsed[i]) * timeUnit,
-				First:   time.Duration(in.First[i]) * timeUnit,
-				Failed:  in.Flags[i]&releaseFailed != 0,
-				NotRun:  in.Flags[i]&releaseNotRun != 0,
+				Served:    float64(in.Served[i]) / servedUnit,
+				Elapsed:   time.Duration(in.Elapsed[i]) * timeUnit,
+				First:     time.Duration(in.First[i]) * timeUnit,
+				Failed:    in.Flags[i]&releaseFailed != 0,
+				NotRun:    in.Flags[i]&releaseNotRun != 0,
+				Preempted: in.Flags[i]&releasePreempted != 0,
 			},
 		})
 	}
--- a/internal/fleet/codec_test.go
+++ b/internal/fleet/codec_test.go
@@ -46,11 +46,13 @@
 			Result: scheduler.Result{
 				Served: units.Draw(t, "served"), Elapsed: wait.Draw(t, "elapsed"), First: wait.Draw(t, "first"),
 				Failed: rapid.Bool().Draw(t, "failed"), NotRun: rapid.Bool().Draw(t, "not run"),
+				Preempted: rapid.Bool().Draw(t, "preempted"),
 			},
 		})
 		m.Parts = append(m.Parts, scheduler.Part{Service: service.Draw(t, "s"), Workspace: workspace.Draw(t, "w"), Served: units.Draw(t, "served")})
 		m.News = append(m.News, scheduler.TargetNews{Service: service.Draw(t, "s"), Target: target.Draw(t, "t"), Health: health.Draw(t, "health")})
 		m.Held = append(m.Held, grant.Draw(t, "held"))
+		m.Preempts = append(m.Preempts, grant.Draw(t, "preempt"))
 	}
 	m.HeldValid = len(m.Held) > 0
 	if m.HeldValid {
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -140,18 +140,21 @@
 			Grants:   []scheduler.Grant{{ID: i + 1, Service: "lm-pool", Workspace: "club-nord", Target: ident.Target(fmt.Sprint("e", i%12))}},
 			Releases: []scheduler.Release{{Grant: i, Result: scheduler.Result{Served: 12.5, Elapsed: time.Second, First: time.Millisecond}}},
 			Demand:   []scheduler.Demand{{Service: "lm-pool", Workspace: "club-nord", Waiting: uint32(i), Seen: i}},
+			Preempts: []uint64{i},
 		})
 	}
 	var grants []scheduler.Grant
 	var releases []scheduler.Release
+	var preempts []uint64
 	var demand scheduler.Demand
 	ra.eventually(t, "all grants", func(r *recorder) bool {
-		grants, releases = nil, nil
+		grants, releases, preempts = nil, nil, nil
 		for _, m := range r.messages {
 			if m.Incarnation != 7 {
 				return false
 			}
 			grants, releases = append(grants, m.Grants...), append(releases, m.Releases...)
+			preempts = append(preempts, m.Preempts...)
 			demand = m.Demand[len(m.Demand)-1]
 		}
 		return len(grants) == count
@@ -160,6 +163,7 @@
 		is.Equal(grants[i].ID, i+1)
 		is.Equal(grants[i].Target, ident.Target(fmt.Sprint("e", i%12)))
 		is.Equal(releases[i].Grant, i)
+		is.Equal(preempts[i], i)
 	}
 	is.Equal(releases[0].Result, scheduler.Result{Served: 12.5, Elapsed: time.Second, First: time.Millisecond})
 	is.Equal(demand.Waiting, uint32(count-1)) // the newest demand stands
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -7,8 +7,8 @@
 )
 
 // outbox holds what waits to be sent on one link. Of demand, parts and the held
-// list the newest stands for all; news are kept but for repeats; grants and
-// releases are all kept, in order, up to a bound.
+// list the newest stands for all; news are kept but for repeats; grants,
+// releases and slots asked back are all kept, in order, up to a bound.
 type outbox struct {
 	mu      sync.Mutex
 	limit   int
@@ -47,7 +47,7 @@
 		return false
 	}
 	o.merge(m)
-	o.signal(len(m.Grants) > 0)
+	o.signal(len(m.Grants)+len(m.Preempts) > 0)
 	return true
 }
 
@@ -64,6 +64,7 @@
 	}
 	q.Grants = append(q.Grants, m.Grants...)
 	q.Releases = append(q.Releases, m.Releases...)
+	q.Preempts = append(q.Preempts, m.Preempts...)
 	if m.HeldValid {
 		q.Held, q.HeldSeen, q.HeldValid = m.Held, m.HeldSeen, true
 	}
