Stop a draft for a question and go on with it at the same token

Change: `preemption: true` of a model service (off by default) allows it. The control loop closes the request's signal; the attempt ends with ErrPreempted, deletes the stream at the engine, waits for that, and gives the slot back. The request is queued again in front, and the next attempt sends the offset and the text so far; an engine that does not confirm the offset is refused, for the caller would get a text put together from two answers. The prompt and each token are charged once. A paused stream gets comments every 5 s. Requests with several choices, tools or functions, unrepeatable and interactive ones are never stopped.

--- a/internal/attempt/answer.go
+++ b/internal/attempt/answer.go
@@ -51,7 +51,7 @@
 	finished     bool
 }
 
-func newAnswer(sink Sink) *answer { return &answer{sink: sink} }
+func newAnswer(sink Sink, after uint64) *answer { return &answer{sink: sink, offset: after} }
 
 // eventFields are the parts of an event's data that matter here.
 type eventFields struct {
--- a/internal/attempt/header.go
+++ b/internal/attempt/header.go
@@ -18,6 +18,7 @@
 	headerNotProcessed = "X-Savorystall-Not-Processed"
 	headerLeaving      = "X-Savorystall-Leaving"
 	headerLastEventID  = "Last-Event-ID"
+	headerContinued    = "X-Savorystall-Continued"
 )
 
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
@@ -31,7 +32,7 @@
 // no use; the protocol's own headers are set here alone.
 var withheld = []string{
 	"Authorization", "Expect", "Content-Length", "Host",
-	headerAttempt, headerNotProcessed, headerLeaving, headerLastEventID,
+	headerAttempt, headerNotProcessed, headerLeaving, headerLastEventID, headerContinued,
 }
 
 // endToEnd returns a copy of h without the headers of one connection.
--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -49,11 +49,11 @@
 	ctx, span := r.startSpan(ctx, req.Address, string(req.Attempt))
 	defer span.End()
 	now := time.Now()
-	m := &modelAttempt{Runner: r, req: req, stream: newAnswer(sink), life: newLife(), start: now, moved: now}
+	m := &modelAttempt{Runner: r, req: req, stream: newAnswer(sink, req.After), life: newLife(), start: now, moved: now}
 	m.result.Failure = m.run(ctx)
 	m.result.Elapsed = time.Since(m.start)
 	m.result.Outcome = m.life.outcome()
-	m.result.Tokens = int(m.stream.offset)
+	m.result.Tokens = int(m.stream.offset - req.After)
 	m.result.PromptTokens = m.stream.promptTokens
 	r.record(span, m.result)
 	return m.result
@@ -132,6 +132,10 @@
 	}
 	m.result.Status = x.resp.StatusCode
 	m.life.fire(onAnswered)
+	if err := m.checkContinued(x.resp); err != nil {
+		x.abort()
+		return nil, m.cut(resultcode.TargetProtocol, err)
+	}
 	return x, nil
 }
 
@@ -140,6 +144,9 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Accept", "text/event-stream")
 	h.Set(headerAttempt, string(m.req.Attempt))
+	if m.req.After > 0 {
+		h.Set(headerLastEventID, strconv.FormatUint(m.req.After, 10))
+	}
 	if !validHeader(h) {
 		return nil, errBadHeader
 	}
@@ -158,9 +165,7 @@
 	}
 	m.life.fire(onConnected)
 	if ctx.Err() != nil {
-		m.life.fire(onCanceled)
-		m.cancelStream()
-		return fail(resultcode.ConnectionLost, context.Cause(ctx))
+		return m.stopped(resultcode.ConnectionLost, context.Cause(ctx))
 	}
 	m.noteSilence(err)
 	m.life.fire(onLost)
@@ -171,6 +176,7 @@
 func (m *modelAttempt) notSent(ctx context.Context, err error) *resultcode.Failure {
 	if ctx.Err() != nil {
 		m.life.fire(onCanceled)
+		m.result.Preempted = errors.Is(context.Cause(ctx), ErrPreempted)
 		return fail(resultcode.CallerGone, context.Cause(ctx))
 	}
 	m.life.fire(onRefused)
@@ -242,7 +248,7 @@
 
 // tokenDeadline bounds the wait for the token that comes next.
 func (m *modelAttempt) tokenDeadline() time.Duration {
-	if m.stream.offset == 0 {
+	if m.stream.offset == m.req.After {
 		return cmp.Or(m.req.FirstToken, m.cfg.TokenDeadline)
 	}
 	return cmp.Or(m.req.NextToken, m.cfg.TokenDeadline)
@@ -283,12 +289,6 @@
 	return nil
 }
 
-func (m *modelAttempt) canceled(cause error) *resultcode.Failure {
-	m.life.fire(onCanceled)
-	m.cancelStream()
-	return fail(resultcode.AnswerCut, cause)
-}
-
 // cut ends an attempt whose answer cannot be completed.
 func (m *modelAttempt) cut(code resultcode.Code, cause error) *resultcode.Failure {
 	m.life.fire(onCut)
@@ -341,7 +341,7 @@
 // lostCode is the code for a stream that is gone: before its first chunk or
 // within the answer.
 func (m *modelAttempt) lostCode() resultcode.Code {
-	if m.stream.offset == 0 {
+	if m.stream.offset == m.req.After {
 		return resultcode.ConnectionLost
 	}
 	return resultcode.AnswerCut
@@ -389,22 +389,6 @@
 	return &url.URL{Scheme: "http", Host: m.req.Address, Path: streamsPath + string(m.req.Attempt)}
 }
 
-// cancelStream tells the engine, beside the caller's path, that nobody wants
-// the stream any more. An engine that does not hear it drops the stream by
-// itself some seconds after its last connection.
-func (m *modelAttempt) cancelStream() {
-	m.canceling.Go(func() {
-		ctx, cancel := context.WithTimeout(m.background, cancelTimeout)
-		defer cancel()
-		req := newRequest(ctx, http.MethodDelete, m.streamURL(), requestHeader(ctx, nil), nil)
-		resp, err := m.fresh.RoundTrip(req)
-		if err != nil {
-			return
-		}
-		_ = resp.Body.Close()
-	})
-}
-
 func fail(code resultcode.Code, cause error) *resultcode.Failure {
 	return resultcode.Failure{Code: code}.Because(cause)
 }
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
@@ -96,7 +97,7 @@
 	Failure *resultcode.Failure
 	// Status is the HTTP status of the target; zero where none arrived.
 	Status int
-	// Tokens were handed to the sink; PromptTokens is the engine's count, zero
+	// Tokens were handed to the sink by this attempt; PromptTokens is the engine's count, zero
 	// where it did not tell.
 	Tokens, PromptTokens int
 	// First runs from the start to the first chunk or byte (zero: there was
@@ -109,6 +110,8 @@
 	TargetFailed bool
 	// Leaving tells that the target refused because it is leaving.
 	Leaving bool
+	// Preempted tells that the attempt was stopped by ErrPreempted.
+	Preempted bool
 }
 
 // Chunk is a piece of an engine's answer.
@@ -143,8 +146,15 @@
 	FirstToken, NextToken time.Duration
 	// Unrepeatable asks for a connection of its own, as in PlainRequest.
 	Unrepeatable bool
+	// After is how many tokens of the answer earlier attempts have handed over;
+	// the engine goes on after them, and Body holds what it needs for that.
+	After uint64
 }
 
+// ErrPreempted as the cause of the end of an attempt's context stops the attempt
+// for another request: Result.Preempted is set, and the engine has been told.
+var ErrPreempted = merry.New("stopped for another request")
+
 // PlainRequest is a request to a plain service.
 type PlainRequest struct {
 	Attempt ident.Attempt
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,9 @@
 type Placed struct {
 	Target  ident.Target
 	Failure *resultcode.Failure
+	// Stopped is closed when the attempt is to be stopped for another request; the
+	// request is then placed again. It is nil where the request does not allow it.
+	Stopped <-chan struct{}
 }
 
 // Config holds the intervals of the loop.
@@ -50,6 +53,8 @@
 	events  chan event
 	done    chan struct{}
 	waiters map[ident.Request]chan Placed
+	// stops holds the signals of the running requests that may be stopped.
+	stops map[ident.Request]chan struct{}
 }
 
 // New returns a Loop around core. Run must be called for anything to happen.
@@ -67,6 +72,7 @@
 		events:  make(chan event, cfg.Events),
 		done:    make(chan struct{}),
 		waiters: map[ident.Request]chan Placed{},
+		stops:   map[ident.Request]chan struct{}{},
 	}
 }
 
@@ -105,8 +111,11 @@
 	for _, effect := range l.core.Take() {
 		switch e := effect.(type) {
 		case scheduler.Dispatch:
-			l.place(e.Request, Placed{Target: e.Target})
+			l.place(e.Request, Placed{Target: e.Target, Stopped: l.stops[e.Request]})
+		case scheduler.Preempt:
+			l.stop(e.Request)
 		case scheduler.Refuse:
+			delete(l.stops, e.Request)
 			l.place(e.Request, Placed{Failure: e.Failure})
 		case scheduler.Send:
 			l.actions.Send(e.To, e.Message)
@@ -121,6 +130,14 @@
 	}
 }
 
+// stop signals that the attempt of a request is to be stopped.
+func (l *Loop) stop(id ident.Request) {
+	if s, ok := l.stops[id]; ok {
+		delete(l.stops, id)
+		close(s)
+	}
+}
+
 func (l *Loop) refuseAll() {
 	for id := range l.waiters {
 		l.place(id, Placed{Failure: resultcode.Fail(resultcode.Stopping, "")})
@@ -162,7 +179,11 @@
 	}
 	ok := l.do(func(now time.Time) {
 		l.waiters[r.ID] = placed
+		if r.Preemptible {
+			l.stops[r.ID] = make(chan struct{})
+		}
 		if failure := submit(now, r); failure != nil {
+			delete(l.stops, r.ID)
 			l.place(r.ID, Placed{Failure: failure})
 		}
 	})
@@ -185,6 +206,7 @@
 	l.call(func(now time.Time) {
 		l.core.Cancel(now, id)
 		delete(l.waiters, id)
+		delete(l.stops, id)
 		l.core.Finish(now, id, scheduler.Result{NotRun: true})
 	})
 	return Placed{Failure: resultcode.Fail(resultcode.CallerGone, "")}
@@ -206,7 +228,10 @@
 
 // Finish reports how the attempt of a placed request ended.
 func (l *Loop) Finish(id ident.Request, result scheduler.Result) {
-	l.do(func(now time.Time) { l.core.Finish(now, id, result) })
+	l.do(func(now time.Time) {
+		delete(l.stops, id)
+		l.core.Finish(now, id, result)
+	})
 }
 
 // Configure puts new services in force.
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -17,7 +17,9 @@
 
 func schedulerService(s *config.Service) scheduler.Service {
 	doc := s.Document
-	service := scheduler.Service{Name: doc.Service, MeanCost: doc.Limits.MeanCost, Plain: doc.Kind == document.Plain}
+	service := scheduler.Service{
+		Name: doc.Service, MeanCost: doc.Limits.MeanCost, Plain: doc.Kind == document.Plain, Preemption: doc.Preemption,
+	}
 	for _, ws := range doc.Workspaces {
 		queue := ws.Limits.Queue
 		if queue == 0 {
--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -45,6 +45,9 @@
 	if d.Kind == Plain && len(d.Models) > 0 {
 		c.add("models", "a plain service has none")
 	}
+	if d.Kind == Plain && d.Preemption {
+		c.add("preemption", "belongs to model services only")
+	}
 	seen := unique{}
 	for i, m := range d.Models {
 		c.once(seen, m, fmt.Sprintf("models[%d]", i))
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -74,8 +74,12 @@
 	Models     []string    `yaml:"models" validate:"max=1000,dive,model"`
 	Workspaces []Workspace `yaml:"workspaces" validate:"required,min=1,dive"`
 	Operations []Operation `yaml:"operations" validate:"max=1000,dive"`
-	Limits     Limits      `yaml:"limits"`
-	Targets    []Target    `yaml:"targets" validate:"required,min=1,dive"`
+	// Preemption allows to stop a running request that is not interactive for a
+	// waiting interactive one of another workspace, and to go on with it later.
+	// The engines must be able to go on at an offset (docs/ENGINE-API.md).
+	Preemption bool     `yaml:"preemption"`
+	Limits     Limits   `yaml:"limits"`
+	Targets    []Target `yaml:"targets" validate:"required,min=1,dive"`
 	// Orders is the wanted state of the targets; nil leaves them alone.
 	Orders *Orders `yaml:"orders"`
 }
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -41,6 +41,14 @@
 	finish func()
 	// served returns the true cost of an attempt.
 	served func(attempt.Result) float64
+	// stoppable tells that the request can be stopped and go on later, streams
+	// that its caller reads a stream.
+	stoppable, streams bool
+	// stops counts how often it was stopped, earlier is the cost of the attempts
+	// that were, and reread returns the tokens that the next one reads again.
+	stops   int
+	earlier float64
+	reread  func() int64
 }
 
 func (j *job) name() ident.Service { return j.service.Document.Service }
--- a/internal/ingress/model.go
+++ b/internal/ingress/model.go
@@ -33,6 +33,9 @@
 	MaxTokens int             `json:"max_tokens"`
 	Prompt    json.RawMessage `json:"prompt"`
 	Messages  json.RawMessage `json:"messages"`
+	Choices   int             `json:"n"`
+	Tools     json.RawMessage `json:"tools"`
+	Functions json.RawMessage `json:"functions"`
 }
 
 // model serves completions and chat completions.
@@ -136,27 +139,30 @@
 	if parsed.MaxTokens > 0 {
 		output = min(output, float64(parsed.MaxTokens))
 	}
-	promptTokens := float64(len(prompt)) / bytesPerToken
-	j.cost = promptTokens + output
-	j.served = func(result attempt.Result) float64 {
-		if result.PromptTokens > 0 {
-			promptTokens = float64(result.PromptTokens)
-		}
-		return promptTokens + float64(result.Tokens)
-	}
+	so := &soFar{prompt: float64(len(prompt)) / bytesPerToken, keep: j.preemptible(parsed)}
+	j.cost = so.prompt + output
+	j.stoppable, j.streams = so.keep, parsed.Stream
+	j.served = so.end
+	j.reread = so.reread
 	path, header := r.URL.Path, http.Header{"Content-Type": {r.Header.Get("Content-Type")}}
 	limits := j.service.Document.Limits
 	var sink modelSink
 	j.finish = func() { sink.end() }
 	j.attempt = func(ctx context.Context, id ident.Attempt, address string) attempt.Result {
-		// What a failed attempt has left in the sink must not become a part of
-		// the next one's answer.
-		sink = newSink(j.w, path, parsed.Stream)
+		if !so.begin() {
+			// What a failed attempt has left in the sink must not become a part of
+			// the next one's answer.
+			sink = newSink(j.w, path, parsed.Stream)
+		}
+		body, err := so.body(streamed)
+		if err != nil {
+			return notRun(resultcode.Fail(resultcode.BadRequest, "").Because(err))
+		}
 		return s.Runner.Model(ctx, attempt.ModelRequest{
-			Attempt: id, Address: address, Path: path, Header: header, Body: streamed, Unrepeatable: !j.repeatable(),
-			FirstToken: limits.FirstByteTimeout, NextToken: limits.ProgressTimeout,
-		}, &progress{sink: sink, report: func(tokens int) {
-			s.Placer.Progress(j.w.request, promptTokens+float64(tokens))
+			Attempt: id, Address: address, Path: path, Header: header, Body: body, Unrepeatable: !j.repeatable(),
+			FirstToken: limits.FirstByteTimeout, NextToken: limits.ProgressTimeout, After: so.tokens,
+		}, &progress{sink: sink, so: so, report: func(tokens int) {
+			s.Placer.Progress(j.w.request, so.cost(tokens))
 		}})
 	}
 	return nil
@@ -171,12 +177,7 @@
 
 // withStream sets "stream": true and leaves every other field as it came.
 func withStream(body []byte) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, err
-	}
-	fields["stream"] = json.RawMessage("true")
-	return json.Marshal(fields)
+	return withField(body, "stream", json.RawMessage("true"))
 }
 
 // reportEvery is how many tokens pass between two reports of progress to the
@@ -186,6 +187,7 @@
 // progress passes chunks on and reports the tokens from time to time.
 type progress struct {
 	sink     modelSink
+	so       *soFar
 	report   func(tokens int)
 	tokens   int
 	reported int
@@ -198,6 +200,9 @@
 		p.reported = p.tokens
 		p.report(p.tokens)
 	}
+	if err := p.so.take(c); err != nil {
+		return err
+	}
 	return p.sink.Chunk(c)
 }
 
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -10,6 +10,7 @@
 	"github.com/savorystall/savorystall/internal/attempt"
 	"github.com/savorystall/savorystall/internal/claim"
 	"github.com/savorystall/savorystall/internal/config"
+	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/retry"
@@ -28,15 +29,22 @@
 	request := scheduler.Request{
 		ID: j.w.request, Service: j.name(), Workspace: j.workspace,
 		Class: class(j.operation.Class), Cost: j.cost, Deadline: j.deadline, Prefix: j.prefix,
+		Preemptible: j.stoppable,
 	}
 	s.retries.accepted(j.name())
 	var tried history
 	for {
-		target, failure := s.wait(ctx, j, request, tried.attempts > 0)
-		if failure != nil {
-			return tried.add(notRun(failure)).Failure
+		placed := s.wait(ctx, j, request, tried.attempts+j.stops > 0)
+		if placed.Failure != nil {
+			return tried.add(notRun(placed.Failure)).Failure
+		}
+		target := placed.Target
+		last := s.try(ctx, j, placed, hold)
+		if last.Preempted {
+			tried.stopped(last)
+			request.Stops, request.Earlier = j.stops, j.earlier
+			continue
 		}
-		last := s.try(ctx, j, target, hold)
 		total := tried.add(last)
 		if last.Failure == nil || !s.again(ctx, j, hold, last, tried) {
 			return total.Failure
@@ -65,7 +73,7 @@
 	decision := s.retries.decide(j.name(), retry.Attempt{
 		Outcome: last.Outcome, Status: last.Status,
 		Attempts: tried.attempts, Runs: tried.runs,
-		Delivered: j.w.began, Repeatable: j.repeatable(),
+		Delivered: j.delivered(last), Repeatable: j.repeatable(),
 		CallerGone: ctx.Err() != nil, Left: j.left(time.Now()),
 	})
 	if !decision.Retry {
@@ -85,20 +93,22 @@
 }
 
 // wait holds the job in its queue until a target is granted.
-func (s *Server) wait(ctx context.Context, j *job, request scheduler.Request, again bool) (ident.Target, *resultcode.Failure) {
+func (s *Server) wait(ctx context.Context, j *job, request scheduler.Request, again bool) control.Placed {
 	queued, span := s.Tracing.Start(ctx, telemetry.SpanQueue)
 	defer span.End()
 	began := time.Now()
+	alive := j.keepAlive(pauseHeartbeat)
 	placed := s.Placer.Place(ctx, request, again)
+	alive()
 	if placed.Failure != nil {
-		return "", s.waitFailure(ctx, placed.Failure)
+		return control.Placed{Failure: s.waitFailure(ctx, placed.Failure)}
 	}
 	_, grant := s.Tracing.Start(queued, telemetry.SpanGrant, trace.WithAttributes(
 		attribute.String("target", string(placed.Target)),
 	))
 	grant.End()
 	s.Metrics.Wait(j.name(), string(j.operation.Class), time.Since(began))
-	return placed.Target, nil
+	return placed
 }
 
 // waitFailure tells a passed deadline from a caller that left.
@@ -110,7 +120,8 @@
 }
 
 // try runs one attempt on a granted target and gives the slot back.
-func (s *Server) try(ctx context.Context, j *job, target ident.Target, hold *claim.Hold) attempt.Result {
+func (s *Server) try(ctx context.Context, j *job, placed control.Placed, hold *claim.Hold) attempt.Result {
+	target := placed.Target
 	to, known := address(j.service, target)
 	if current, ok := s.Store.Snapshot().Service(j.name()); ok && !known {
 		to, known = address(current, target)
@@ -132,6 +143,8 @@
 			s.Placer.Finish(j.w.request, scheduler.Result{})
 		}
 	}()
+	ctx, end := stoppable(ctx, placed.Stopped)
+	defer end()
 	result := j.attempt(ctx, ident.NewAttempt(), to)
 	ended = true
 	s.report(j, target, result)
@@ -163,23 +176,29 @@
 func (s *Server) report(j *job, target ident.Target, result attempt.Result) {
 	served := j.served(result)
 	s.Placer.Finish(j.w.request, scheduler.Result{
-		Served:  served,
-		Elapsed: result.Elapsed,
-		First:   result.First,
-		Failed:  result.TargetFailed,
-		NotRun:  result.Outcome == resultcode.NotRun,
+		Served:    served,
+		Elapsed:   result.Elapsed,
+		First:     result.First,
+		Failed:    result.TargetFailed,
+		NotRun:    result.Outcome == resultcode.NotRun,
+		Preempted: result.Preempted,
 	})
 	if result.Leaving {
 		s.Placer.TargetHealth(j.name(), target, scheduler.HealthLeaving)
 	}
+	if result.Preempted {
+		j.stops++
+		j.earlier += served
+		s.Metrics.Preempted(j.name(), j.reread())
+	}
 	if result.Outcome == resultcode.NotRun {
 		return
 	}
-	if result.First > 0 {
+	if result.First > 0 && j.stops == 0 {
 		s.Metrics.First(j.name(), result.First)
 	}
 	s.Metrics.Served(j.name(), j.workspace, int64(served))
 	if result.Failure == nil {
-		s.estimates.observe(j.grain(), served)
+		s.estimates.observe(j.grain(), j.earlier+served)
 	}
 }
--- a/internal/ingress/retries.go
+++ b/internal/ingress/retries.go
@@ -71,6 +71,24 @@
 	return result
 }
 
+// stopped notes an attempt that was stopped for another request. It is no
+// failure and uses up no retry, but a part of it ran.
+func (h *history) stopped(result attempt.Result) {
+	if result.Outcome != resultcode.NotRun {
+		h.worst = &result
+	}
+}
+
+// delivered tells whether a part of the answer was handed over that the next
+// attempt would repeat. One that goes on after earlier attempts repeats nothing
+// of theirs.
+func (j *job) delivered(last attempt.Result) bool {
+	if j.earlier > 0 {
+		return last.Tokens > 0
+	}
+	return j.w.began
+}
+
 // repeatable tells whether running the job twice does no harm.
 func (j *job) repeatable() bool {
 	if j.operation.Unrepeatable {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -36,17 +36,14 @@
 		return
 	}
 	s.freeing = slices.DeleteFunc(s.freeing, func(f freeing) bool { return now.Sub(f.since) >= preemptAnswer })
-	slots := 0
-	for _, t := range s.owned {
-		slots += len(t.grants)
-	}
-	for s.allowance.Open(now, slots) {
-		involved, list := s.standings()
+	running, slots := s.occupied()
+	for slots > 0 && s.allowance.Open(now, slots) {
+		involved, list := s.standings(running)
 		to, from, ok := preemption.Choose(slots, list)
 		if !ok {
 			return
 		}
-		g := c.youngest(involved[from])
+		g := s.youngest(involved[from])
 		if g == nil {
 			return
 		}
@@ -62,15 +59,29 @@
 	}
 }
 
+// occupied counts the slots in use of the owned targets, by workspace and in all.
+// Grants of targets that have another owner by now are left out: their slots
+// would be given away there.
+func (s *service) occupied() (running map[ident.Workspace]int, slots int) {
+	running = map[ident.Workspace]int{}
+	for _, t := range s.owned {
+		for _, g := range t.grants {
+			running[g.Workspace]++
+			slots++
+		}
+	}
+	return running, slots
+}
+
 // standings lists the workspaces that have slots here or wait.
-func (s *service) standings() (involved []*workspace, list []preemption.Standing) {
+func (s *service) standings(running map[ident.Workspace]int) (involved []*workspace, list []preemption.Standing) {
 	lead := s.ledger.Leads()
 	for _, w := range s.order {
-		if w.granted == 0 && w.waiting() == 0 && w.remoteDemand() == 0 {
+		if running[w.Name] == 0 && w.waiting() == 0 && w.remoteDemand() == 0 {
 			continue
 		}
 		one := preemption.Standing{
-			Weight: w.Weight, Running: w.granted,
+			Weight: w.Weight, Running: running[w.Name],
 			Questions: w.own().urgent + w.remote.urgent, Lead: lead(w.Name),
 		}
 		for _, f := range s.freeing {
@@ -90,15 +101,12 @@
 // youngest returns the workspace's latest grant that was not asked back yet, or
 // nil. Each is asked back once: an ingress that has nothing to stop for it will
 // hardly have later.
-func (c *Core) youngest(w *workspace) *grantOut {
+func (s *service) youngest(w *workspace) *grantOut {
 	var best *grantOut
-	for _, ids := range w.given {
-		for _, id := range slices.Backward(ids) {
-			if g := c.grants[id]; g != nil && !g.asked {
-				if best == nil || g.ID > best.ID {
-					best = g
-				}
-				break
+	for _, t := range s.owned {
+		for _, g := range t.grants {
+			if g.Workspace == w.Name && !g.asked && (best == nil || g.ID > best.ID) {
+				best = g
 			}
 		}
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -42,6 +42,9 @@
 	CacheLag time.Duration
 	// CacheGap drops each n-th cache event. Default: 7; below zero: none.
 	CacheGap int
+	// NoContinue ignores the offset of a request and begins its answer anew, as
+	// an engine does that does not know of it.
+	NoContinue bool
 }
 
 // Defaults of Config.
@@ -77,6 +80,9 @@
 	Started, Finished, Canceled int
 	// Resumed counts connections that resumed a stream.
 	Resumed int
+	// Continued counts streams that went on after an earlier one was canceled,
+	// and Reread the tokens of prompts and answers that were read again for them.
+	Continued, Reread int
 	// Refused counts requests that were not processed.
 	Refused int
 	// Repeated counts requests with an attempt that was known already.
--- a/internal/standin/engine/protocol.go
+++ b/internal/standin/engine/protocol.go
@@ -14,6 +14,8 @@
 	HeaderNotProcessed = "X-Savorystall-Not-Processed"
 	// HeaderLeaving is "true" on a refusal of an engine that is leaving.
 	HeaderLeaving = "X-Savorystall-Leaving"
+	// HeaderContinued repeats the offset at which a stream goes on.
+	HeaderContinued = "X-Savorystall-Continued"
 )
 
 // message is one message of a chat request.
@@ -29,6 +31,8 @@
 	Messages  []message `json:"messages"`
 	MaxTokens int       `json:"max_tokens"`
 	Stream    bool      `json:"stream"`
+	// Answer is what was generated before, where the request goes on after it.
+	Answer string `json:"answer"`
 }
 
 // text returns the prompt: of a chat, the contents joined by line feeds.
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -25,6 +25,12 @@
 		return
 	}
 	s := newStream(r, &g)
+	offset, ok := e.offset(r, s, &g)
+	if !ok {
+		writeError(w, http.StatusBadRequest, "the answer so far does not fit the offset")
+		return
+	}
+	s.produced = offset
 	verdict := e.accept(s, r.Header.Get("Traceparent"))
 	if verdict.status != 0 {
 		verdict.write(w)
@@ -33,12 +39,29 @@
 	defer e.detach(s, verdict.reader)
 	c := connection{engine: e, stream: s, reader: verdict.reader, fault: verdict.fault, w: w, r: r}
 	if g.Stream {
-		c.follow(0)
+		if offset > 0 {
+			w.Header().Set(HeaderContinued, strconv.Itoa(offset))
+		}
+		c.follow(offset)
 		return
 	}
 	c.whole()
 }
 
+// offset returns how many tokens of the answer were generated before; ok is false
+// where the text does not hold just these.
+func (e *Engine) offset(r *http.Request, s *stream, g *generation) (offset int, ok bool) {
+	text := r.Header.Get("Last-Event-ID")
+	if text == "" || e.cfg.NoContinue {
+		return 0, true
+	}
+	offset, err := strconv.Atoi(text)
+	if err != nil || offset <= 0 || offset >= s.total || g.Answer != Text(s.prompt, offset) {
+		return 0, false
+	}
+	return offset, true
+}
+
 func newStream(r *http.Request, g *generation) *stream {
 	attempt := r.Header.Get(HeaderAttempt)
 	if attempt == "" {
@@ -98,6 +121,10 @@
 	e.ran[s.prompt]++
 	e.traces[s.prompt] = trace
 	e.counts.Started++
+	if s.produced > 0 {
+		e.counts.Continued++
+		e.counts.Reread += PromptTokens(s.prompt) + s.produced
+	}
 	if fault != nil && fault.Kind == FaultFail {
 		return verdict{status: http.StatusInternalServerError, text: "the engine failed"}
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -50,6 +50,8 @@
 	metricFirst     = define("first_byte", Histogram, "seconds", "service", "Time from dispatch to the first byte of the answer.")
 	metricServed    = define("served_units", Counter, "tokens or slot milliseconds", "service, workspace", "Service delivered through this daemon.")
 	metricRetries   = define("retries", Counter, "attempts", "service", "Attempts after the first one.")
+	metricPreempted = define("preemptions", Counter, "streams", "service", "Streams of this daemon that were stopped for a question of another workspace, to go on later.")
+	metricReread    = define("preempted_tokens", Counter, "tokens", "service", "Tokens that engines read again to go on with stopped streams.")
 	metricWaiting   = define("waiting", Gauge, "requests", "service", "Requests that wait at this daemon.")
 	metricRunning   = define("running", Gauge, "requests", "service", "Requests of this daemon that run on targets.")
 	metricSlots     = define("owned_slots", Gauge, "slots", "service", "Slots of the targets that this daemon owns.")
@@ -119,6 +121,13 @@
 	m.tagged(map[string]string{"service": string(service)}).Counter(metricRetries).Inc(1)
 }
 
+// Preempted counts a stopped stream and the tokens that are read again for it.
+func (m *Metrics) Preempted(service ident.Service, reread int64) {
+	scope := m.tagged(map[string]string{"service": string(service)})
+	scope.Counter(metricPreempted).Inc(1)
+	scope.Counter(metricReread).Inc(reread)
+}
+
 // ServiceGauges is the state of one service at one daemon.
 type ServiceGauges struct {
 	Service                        ident.Service
--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -66,6 +66,8 @@
 	code    int
 	message string
 	elapsed time.Duration
+	// operation is named to a model service where it is set.
+	operation string
 }
 
 func (r *request) send(ctx context.Context, client *http.Client, daemon, bearer string) {
@@ -116,6 +118,9 @@
 	if r.kind == taggedCompletion {
 		req.Header.Set(document.OperationHeader, "tag")
 	}
+	if r.operation != "" {
+		req.Header.Set(document.OperationHeader, r.operation)
+	}
 	return req
 }
 
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -69,6 +69,10 @@
 	adjust func(*settings.Settings)
 	// orders is the wanted state of the engines; nil leaves them alone.
 	orders *document.Orders
+	// preemption allows it on the engines; meanCost is what requests are taken to
+	// cost at first.
+	preemption bool
+	meanCost   float64
 
 	mu sync.Mutex // guards daemons while they are replaced
 }
@@ -98,7 +102,7 @@
 func startFleet(t *testing.T, options ...func(*fleet)) *fleet {
 	t.Helper()
 	program.OpenSources(t)
-	f := &fleet{t: t, platform: platformstandin.New(platformstandin.Config{}), adjust: func(*settings.Settings) {}}
+	f := &fleet{t: t, platform: platformstandin.New(platformstandin.Config{}), meanCost: 50, adjust: func(*settings.Settings) {}}
 	for _, option := range options {
 		option(f)
 	}
@@ -189,9 +193,11 @@
 			{Name: "tag", Class: document.Standard, Unrepeatable: true},
 			{Name: "recap", Class: document.Batch},
 		},
-		Limits:  document.Limits{Deadline: time.Minute, MeanCost: 50},
+		Limits:  document.Limits{Deadline: time.Minute, MeanCost: f.meanCost},
 		Targets: f.targets(0, engineCount, engineSlots),
 		Orders:  f.orders,
+
+		Preemption: f.preemption,
 	}, {
 		Service: plainService, Kind: document.Plain, Workspaces: ws,
 		Operations: []document.Operation{
