preemption: measure it on real daemons, and parse less of kept chunks

Cause: what a question gains was measured on the fake clock only; each chunk of a request that can be stopped was parsed as a whole.

--- a/internal/ingress/continue.go
+++ b/internal/ingress/continue.go
@@ -55,21 +55,28 @@
 	return s.tokens > 0
 }
 
+// textChunk is the text of a chunk. Only it is parsed, since each chunk of a
+// request that can be stopped is.
+type textChunk struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
 func (s *soFar) take(chunk attempt.Chunk) error {
 	if !s.keep {
 		return nil
 	}
-	var parsed chunkJSON
+	var parsed textChunk
 	if err := json.Unmarshal(chunk.Data, &parsed); err != nil {
 		return err
 	}
 	for _, c := range parsed.Choices {
-		if c.Text != nil {
-			s.latest.WriteString(*c.Text)
-		}
-		if c.Delta != nil {
-			s.latest.WriteString(c.Delta.Content)
-		}
+		s.latest.WriteString(c.Text)
+		s.latest.WriteString(c.Delta.Content)
 	}
 	return nil
 }
--- a/internal/ingress/continue_test.go
+++ b/internal/ingress/continue_test.go
@@ -65,3 +65,16 @@
 	end()
 	is.True(strings.HasPrefix(caller.Body.String(), "id: 1\ndata: {}\n\n: paused\n\n"))
 }
+
+// What it costs to keep the text of a request that can be stopped.
+func BenchmarkKeepChunk(b *testing.B) {
+	so := &soFar{keep: true}
+	chunk := attempt.Chunk{Tokens: 1, Data: []byte(`{"id":"cmpl-0123456789abcdef","object":"text_completion","created":1767225600,"model":"recap-1","choices":[{"index":0,"text":"0123abcd ","finish_reason":null}]}`)}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := so.take(chunk); err != nil {
+			b.Fatal(err)
+		}
+		so.latest.Reset()
+	}
+}
--- a/test/integration/preempt_test.go
+++ b/test/integration/preempt_test.go
@@ -1,8 +1,10 @@
 package integration_test
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -12,7 +14,10 @@
 	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
 )
 
-const draftTokens = 500
+const (
+	draftTokens   = 500
+	questionCount = 40
+)
 
 // A club's weekend of footage fills every slot with drafts of many seconds. Then
 // people of the other clubs ask, while connections to the engines break. Drafts
@@ -49,7 +54,7 @@
 	for i, e := range f.engines {
 		e.Inject(enginestandin.Fault{Kind: enginestandin.FaultCut, AfterTokens: draftTokens/5 + 10*i, Times: 5})
 	}
-	for i := range 40 {
+	for i := range questionCount {
 		r := &request{kind: kind(i % int(taggedCompletion)), mark: fmt.Sprintf("question-%d", i), tokens: 10, operation: "ask"}
 		start(r, i%daemonCount, 1+i%(workspaces-1))
 		time.Sleep(50 * time.Millisecond) // people, not a burst
@@ -59,6 +64,8 @@
 	continued := count(func(c enginestandin.Counts) int { return c.Continued })
 	reread := count(func(c enginestandin.Counts) int { return c.Reread })
 	t.Logf("%d drafts went on after a stop, %d tokens were read again", continued, reread)
+	questions := slices.SortedFunc(slices.Values(all[len(all)-questionCount:]), func(a, b *request) int { return cmp.Compare(a.elapsed, b.elapsed) })
+	t.Logf("questions took %v in the middle and %v at most", questions[questionCount/2].elapsed, questions[questionCount-1].elapsed)
 	is.True(continued > 0)
 	is.True(reread > continued)
 	is.Equal(counts[complete], len(all))
