--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -74,8 +74,12 @@
 	Models     []string    `yaml:"models" validate:"max=1000,dive,model"`
 	Workspaces []Workspace `yaml:"workspaces" validate:"required,min=1,dive"`
 	Operations []Operation `yaml:"operations" validate:"max=1000,dive"`
-	Limits     Limits      `yaml:"limits"`
-	Targets    []Target    `yaml:"targets" validate:"required,min=1,dive"`
+	// Preemption allows to stop a running request that is not interactive for a
+	// waiting interactive one of another workspace, and to go on with it later.
+	// The engines must be able to go on at an offset (docs/ENGINE-API.md).
+	Preemption bool     `yaml:"preemption"`
+	Limits     Limits   `yaml:"limits"`
+	Targets    []Target `yaml:"targets" validate:"required,min=1,dive"`
 	// Orders is the wanted state of the targets; nil leaves them alone.
 	Orders *Orders `yaml:"orders"`
 }
@@ -98,11 +102,11 @@
 type WorkspaceLimits struct {
 	// Queue bounds the requests that wait at one daemon; default limits.queue.
 	Queue int `yaml:"queue" validate:"gte=0"`
-	// Concurrent bounds the requests that run through one daemon; zero means no
+	// Concurrent bounds the requests that wait or run in the fleet; zero means no
 	// bound.
 	Concurrent int `yaml:"concurrent" validate:"gte=0"`
-	// RequestsPerSecond bounds the requests that one daemon accepts; zero means
-	// no bound.
+	// RequestsPerSecond bounds the requests that the fleet accepts; zero means no
+	// bound.
 	RequestsPerSecond float64 `yaml:"requests_per_second" validate:"gte=0"`
 }
 
--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -128,6 +128,8 @@
 	// every target.
 	groups map[string]*group
 	all    *group
+	// sums are what daemons that add up for others have told.
+	sums map[ident.Workspace]map[ident.Zone]told
 	// charge is what one running request adds to the score, in units of the
 	// service.
 	charge     float64
@@ -147,6 +149,7 @@
 		peers:      make(map[ident.Daemon]*peer),
 		groups:     map[string]*group{"": all},
 		all:        all,
+		sums:       make(map[ident.Workspace]map[ident.Zone]told),
 	}
 	l.charge = c.RunningCharge * c.MeanCost
 	return l
@@ -188,6 +191,7 @@
 		delete(l.backlogged, a)
 	}
 	delete(l.accounts, ws)
+	delete(l.sums, ws)
 	for _, p := range l.peers {
 		delete(p.parts, ws)
 	}
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -24,9 +24,10 @@
 	// maxNameLength bounds one name in bytes.
 	maxNameLength = 256
 
-	releaseUnused = 1
-	releaseFailed = 2
-	releaseNotRun = 4
+	releaseUnused    = 1
+	releaseFailed    = 2
+	releaseNotRun    = 4
+	releasePreempted = 8
 )
 
 var (
@@ -103,11 +104,16 @@
 	e.demand(f, m.Demand)
 	e.grants(f, m.Grants)
 	e.releases(f, m.Releases)
-	e.parts(f, m.Parts)
+	f.Parts = e.parts(f, m.Parts)
+	f.Sums = e.parts(f, m.Sums)
+	e.limits(f, m.Limits)
 	e.news(f, m.News)
 	if m.HeldValid {
 		f.Held = &fleetv1.Held{GrantStep: steps(m.Held), Seen: m.HeldSeen}
 	}
+	if len(m.Preempts) > 0 {
+		f.PreemptStep = steps(m.Preempts)
+	}
 }
 
 func (e *encoder) demand(f *fleetv1.Frame, rows []scheduler.Demand) {
@@ -157,15 +163,16 @@
 	f.Releases = out
 }
 
-func (e *encoder) parts(f *fleetv1.Frame, rows []scheduler.Part) {
+func (e *encoder) parts(f *fleetv1.Frame, rows []scheduler.Part) *fleetv1.Parts {
 	if len(rows) == 0 {
-		return
+		return nil
 	}
-	f.Parts = &fleetv1.Parts{}
+	out := &fleetv1.Parts{}
 	for _, p := range rows {
-		f.Parts.Pair = append(f.Parts.Pair, e.pair(f, p.Service, string(p.Workspace)))
-		f.Parts.Served = append(f.Parts.Served, toServed(p.Served))
+		out.Pair = append(out.Pair, e.pair(f, p.Service, string(p.Workspace)))
+		out.Served = append(out.Served, toServed(p.Served))
 	}
+	return out
 }
 
 func (e *encoder) news(f *fleetv1.Frame, rows []scheduler.TargetNews) {
@@ -190,6 +197,9 @@
 	if r.Result.NotRun {
 		flags |= releaseNotRun
 	}
+	if r.Result.Preempted {
+		flags |= releasePreempted
+	}
 	return flags
 }
 
@@ -203,29 +213,6 @@
 	return uint64((d + timeUnit - 1) / timeUnit)
 }
 
-// stepper turns a column into differences and back.
-type stepper struct{ last uint64 }
-
-func (s *stepper) down(v uint64) int64 {
-	d := int64(v - s.last)
-	s.last = v
-	return d
-}
-
-func (s *stepper) up(d int64) uint64 {
-	s.last += uint64(d)
-	return s.last
-}
-
-func steps(values []uint64) []int64 {
-	out := make([]int64, 0, len(values))
-	var step stepper
-	for _, v := range values {
-		out = append(out, step.down(v))
-	}
-	return out
-}
-
 // decoder turns frames into messages. It holds the receiver's end of the
 // tables of one direction of one link.
 type decoder struct {
@@ -240,7 +227,7 @@
 		return m, false, err
 	}
 	for _, read := range []func(*fleetv1.Frame, *scheduler.Message) error{
-		d.demand, d.grants, d.releases, d.parts, d.news,
+		d.demand, d.grants, d.releases, d.parts, d.limits, d.news,
 	} {
 		if err := read(f, &m); err != nil {
 			return m, false, err
@@ -248,12 +235,10 @@
 	}
 	if h := f.GetHeld(); h != nil {
 		m.HeldValid, m.HeldSeen = true, h.GetSeen()
-		var step stepper
-		for _, s := range h.GetGrantStep() {
-			m.Held = append(m.Held, step.up(s))
-		}
+		m.Held = values(h.GetGrantStep())
 	}
-	ok = m.HeldValid || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.News) > 0
+	m.Preempts = values(f.GetPreemptStep())
+	ok = m.HeldValid || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.Sums)+len(m.Limits)+len(m.News)+len(m.Preempts) > 0
 	return m, ok, nil
 }
 
@@ -349,33 +334,41 @@
 		m.Releases = append(m.Releases, scheduler.Release{
 			Grant: step.up(s), Unused: in.Flags[i]&releaseUnused != 0,
 			Result: scheduler.Result{
-				Served:  float64(in.Served[i]) / servedUnit,
-				Elapsed: time.Duration(in.Elapsed[i]) * timeUnit,
-				First:   time.Duration(in.First[i]) * timeUnit,
-				Failed:  in.Flags[i]&releaseFailed != 0,
-				NotRun:  in.Flags[i]&releaseNotRun != 0,
+				Served:    float64(in.Served[i]) / servedUnit,
+				Elapsed:   time.Duration(in.Elapsed[i]) * timeUnit,
+				First:     time.Duration(in.First[i]) * timeUnit,
+				Failed:    in.Flags[i]&releaseFailed != 0,
+				NotRun:    in.Flags[i]&releaseNotRun != 0,
+				Preempted: in.Flags[i]&releasePreempted != 0,
 			},
 		})
 	}
 	return nil
 }
 
-func (d *decoder) parts(f *fleetv1.Frame, m *scheduler.Message) error {
-	in := f.GetParts()
+func (d *decoder) parts(f *fleetv1.Frame, m *scheduler.Message) (err error) {
+	if m.Parts, err = d.readParts(f.GetParts()); err != nil {
+		return err
+	}
+	m.Sums, err = d.readParts(f.GetSums())
+	return err
+}
+
+func (d *decoder) readParts(in *fleetv1.Parts) (rows []scheduler.Part, err error) {
 	if len(in.GetServed()) != len(in.GetPair()) {
-		return errColumns
+		return nil, errColumns
 	}
 	for i, index := range in.GetPair() {
 		p, err := d.pair(index)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		m.Parts = append(m.Parts, scheduler.Part{
+		rows = append(rows, scheduler.Part{
 			Service: p.service, Workspace: ident.Workspace(p.name),
 			Served: float64(in.Served[i]) / servedUnit,
 		})
 	}
-	return nil
+	return rows, nil
 }
 
 func (d *decoder) news(f *fleetv1.Frame, m *scheduler.Message) error {
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -18,8 +18,14 @@
 	}
 	p.hears(now, m)
 	for _, part := range m.Parts {
-		if s := c.services[part.Service]; s != nil {
-			s.ledger.Merge(from, m.Incarnation, part.Workspace, part.Served)
+		c.takePart(now, p, part)
+	}
+	for _, part := range m.Sums {
+		c.takeSum(now, p, part)
+	}
+	for _, l := range m.Limits {
+		if s := c.services[l.Service]; s != nil {
+			s.admission.Hear(now, from, l.Workspace, l.News)
 		}
 	}
 	for _, news := range m.News {
@@ -39,35 +45,10 @@
 		p.seenGrant = max(p.seenGrant, g.ID)
 		c.accept(now, from, g)
 	}
-	c.assignAll(now)
-}
-
-// unreported is the part of an exchange that a peer which can no longer be reached
-// worked on after it told last what it had delivered. It was alive at its last
-// message of any kind, and of the time from then until it was missed, which is at
-// most until its next exchange, half counts. Without this half an exchange was
-// counted always, and the callers of a daemon that had died a moment before its
-// exchange got a second of service more than all others.
-func (c *Core) unreported(now time.Time, p *peer) float64 {
-	if p.interval <= 0 {
-		return 0
+	for _, id := range m.Preempts {
+		c.stop(now, from, id)
 	}
-	alive := p.heard.Sub(p.parts)
-	left := max(0, min(now.Sub(p.heard), c.cfg.Exchange-alive))
-	return min(1, (alive+left/2).Seconds()/p.interval.Seconds())
-}
-
-// hears notes when a message came.
-func (p *peer) hears(now time.Time, m Message) {
-	p.heard = now
-	if len(m.Parts) == 0 {
-		return
-	}
-	p.interval = 0
-	if !p.parts.IsZero() {
-		p.interval = now.Sub(p.parts)
-	}
-	p.parts = now
+	c.assignAll(now)
 }
 
 // takeDemand sets what an ingress has waiting, less the grants that it had not
@@ -127,6 +108,9 @@
 		delete(c.gone, id)
 		for _, s := range c.services {
 			s.ledger.Forget(id)
+			for _, u := range s.sums {
+				u.ForgetMate(id)
+			}
 		}
 	}
 }
@@ -142,15 +126,16 @@
 			c.showDemand(now, s, w, at)
 		}
 		if at == onExchange {
-			c.sendParts(s)
+			c.sendLimits(now, s)
 			c.tune(s)
 		}
 		s.prune()
 	}
+	c.exchangeParts(now, at)
 	if at == onExchange {
 		c.forgetGone(now)
 		for _, p := range c.peers {
-			p.full = false
+			p.full, p.retell = false, false
 		}
 	}
 	if !now.Before(c.nextHeld) {
@@ -191,7 +176,7 @@
 // tune fits the ledger to what was measured since.
 func (c *Core) tune(s *service) {
 	conditions := fairshare.Conditions{
-		Lag:      c.cfg.Exchange,
+		Lag:      c.lag(),
 		SlotRate: s.rate.value,
 		MeanCost: s.cost.value,
 	}
@@ -213,7 +198,7 @@
 	changed := s.parts(s.ledger.Changed())
 	for id, p := range c.peers {
 		list := changed
-		if p.full {
+		if p.full || p.retell {
 			if all == nil {
 				all = s.allParts()
 			}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/limit"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -43,6 +44,12 @@
 	Prefix uint64
 	// Avoid lists targets that a retry must not use.
 	Avoid []ident.Target
+	// Preemptible tells that the request can be stopped and go on later.
+	Preemptible bool
+	// Stops counts how often that was done, and Earlier is the cost that the
+	// stopped attempts have received. Cost is that of the whole request.
+	Stops   int
+	Earlier float64
 }
 
 // Workspace is a workspace's share of one service.
@@ -51,9 +58,11 @@
 	Weight float64
 	// Queue bounds the requests that wait at one daemon.
 	Queue int
-	// Concurrent bounds the requests that run; zero means no bound.
+	// Concurrent bounds the requests that wait or run in the fleet; zero means no
+	// bound.
 	Concurrent int
-	// Rate bounds the accepted requests a second; zero means no bound.
+	// Rate bounds the requests that the fleet accepts a second; zero means no
+	// bound.
 	Rate float64
 	// Targets are those that the workspace may use; empty means all.
 	Targets []ident.Target
@@ -75,6 +84,8 @@
 	MeanCost float64
 	// Plain marks a plain service, whose cost is time.
 	Plain bool
+	// Preemption allows to stop streams for questions of others.
+	Preemption bool
 }
 
 // Peer is another live daemon.
@@ -98,6 +109,8 @@
 	Failed bool
 	// NotRun tells that the request did not run and may be queued again.
 	NotRun bool
+	// Preempted tells that the attempt was stopped because of a Preempt.
+	Preempted bool
 }
 
 // Health is what has been learnt about a target.
@@ -153,6 +166,14 @@
 	Served    float64
 }
 
+// Limit tells what the sender's callers ask of a workspace's own limits. A later
+// message replaces an earlier one.
+type Limit struct {
+	Service   ident.Service
+	Workspace ident.Workspace
+	limit.News
+}
+
 // TargetNews spreads what one daemon learnt about a target.
 type TargetNews struct {
 	Service ident.Service
@@ -168,13 +189,20 @@
 	Grants      []Grant
 	Releases    []Release
 	Parts       []Part
-	News        []TargetNews
+	// Sums are what the sender has added up for its zone (see reduce.go): to a
+	// daemon of the zone what all others have delivered, to one of another zone
+	// what the sender's has. They count as differences to the last one.
+	Sums   []Part
+	Limits []Limit
+	News   []TargetNews
 	// Held lists the grants of the receiver that the sender still holds. It is
 	// sent from time to time (HeldValid) so that a lost release frees its slot.
 	Held      []uint64
 	HeldValid bool
 	// HeldSeen is the highest grant that the list takes into account.
 	HeldSeen uint64
+	// Preempts lists grants of the sender whose slots it asks back.
+	Preempts []uint64
 }
 
 // Effect is something that the caller of the Core has to do.
--- a/test/fairness/main.go
+++ b/test/fairness/main.go
@@ -49,6 +49,8 @@
 var candidates = []candidate{
 	{name: optimumName, build: newFaultyOptimum},
 	{name: fleetName, lag: true, build: newFleet},
+	{name: "reduced", lag: true, build: newReduced},
+	{name: preemptingFleetName, lag: true, build: newPreemptingFleet},
 	{name: "preempting", build: newBaseline(newPreempting), ignoresTies: true},
 	{name: "plain", lag: true, build: newBaseline(newPlain), ignoresTies: true},
 	{name: "early", lag: true, build: newBaseline(newEarly), ignoresTies: true},
