--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -21,13 +21,14 @@
 	Listen   string        `long:"listen" default:"127.0.0.1:18080" value-name:"IP:PORT" description:"listener of the emulated platform"`
 	Settings []string      `long:"settings" value-name:"FILE" description:"settings file of a daemon to enter in the VM list; repeat for more"`
 	Step     time.Duration `long:"step" default:"20ms" value-name:"DURATION" description:"time in which an emulated engine adds a token to every stream"`
+	Batch    int           `long:"batch" value-name:"STREAMS" description:"streams that an emulated engine runs at once; default: the slots in its document"`
 	Args     struct {
 		Documents []string `positional-arg-name:"DOCUMENT" required:"1"`
 	} `positional-args:"true"`
 }
 
 func (c *emulateCommand) run(ctx context.Context, a *app) error {
-	cfg := emulator.Config{Platform: c.Listen, Step: c.Step}
+	cfg := emulator.Config{Platform: c.Listen, Step: c.Step, Batch: c.Batch}
 	for _, path := range c.Settings {
 		s, err := settings.Load(path)
 		if err != nil {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -4,6 +4,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -33,6 +34,9 @@
 	// Step is the time in which an engine adds one token to every stream.
 	// Default 20 ms; the true step time of engines is not known.
 	Step time.Duration
+	// Batch is how many streams an engine runs at once. Default: the slots that
+	// its document says. Set it to try out documents that are wrong.
+	Batch int
 	// Delay is how long a plain service takes. Default none.
 	Delay time.Duration
 	// Listeners are used for the addresses that they are mapped from, in place
@@ -117,7 +121,7 @@
 	var handler http.Handler
 	if doc.Kind == document.Model {
 		engine := enginestandin.New(enginestandin.Config{
-			Step: e.cfg.Step, Slots: t.Slots,
+			Step: e.cfg.Step, Slots: cmp.Or(e.cfg.Batch, t.Slots),
 			EnforceFencing: doc.Orders != nil && doc.Orders.Fencing == document.Enforced,
 		})
 		e.Engines[name], handler = engine, engine
