Believe a target that fails requests and answers probes ever less often

cause: placement.ProbesDue planned probes with growing waits and was called by tests only. The daemon probes each owned target once a second and believed each answer, so that a target that answers probes and fails each request got all the work that fits on it after each probe. change: ProbesDue is out. ProbeDue tells whether an answer may end a suspicion; scheduler.Core asks it for the daemon's own probes. The wait has none the first time, then full jitter up to 100 ms, doubled up to 5 s, and starts anew with a served request.

--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/savorystall/savorystall/charts"
@@ -31,8 +30,10 @@
 	// RecoverFactor ends the probation. Default: 6; a target that is put on
 	// probation by chance would never leave it at a factor below its true one.
 	RecoverFactor float64
-	// ProbeWait is the longest wait before the first probe of a suspect target;
-	// it doubles up to MaxProbeWait. Defaults: 100 ms and 5 s.
+	// ProbeWait is the longest time for which a target that became suspect again,
+	// without a served request between, is not believed when it answers a probe.
+	// It doubles up to MaxProbeWait with each further time. Defaults: 100 ms and
+	// 5 s.
 	ProbeWait, MaxProbeWait time.Duration
 	// PrefixEntries bounds the prefixes remembered per target. Default: 32; a
 	// longer memory believes in what the target's cache has lost.
@@ -203,7 +204,7 @@
 		e.limit = newLimiter(t.cfg)
 		e.limit.setCeiling(e.Slots)
 	}
-	if e.life.State() == Suspect && news == Failed {
+	if changed && e.life.State() == Suspect {
 		e.probe.plan(now, t.cfg, t.rng)
 	}
 	return changed
@@ -252,31 +253,27 @@
 	return true
 }
 
-// ProbesDue returns the suspect targets that are to be probed now, by name. Each
-// is due again only after a longer wait or once its probe has failed.
-func (t *Table) ProbesDue(now time.Time) []ident.Target {
-	var due []ident.Target
-	for name, e := range t.targets {
-		if e.life.State() == Suspect && !now.Before(e.probe.at) {
-			due = append(due, name)
-			e.probe.plan(now, t.cfg, t.rng)
-		}
-	}
-	slices.Sort(due)
-	return due
+// ProbeDue tells whether an answered probe may end the suspicion of a target by
+// now; it is true of a target that is not suspect. A target that answers probes
+// and fails each request would otherwise get all the work that fits on it after
+// each probe.
+func (t *Table) ProbeDue(now time.Time, name ident.Target) bool {
+	e := t.targets[name]
+	return e == nil || e.life.State() != Suspect || !now.Before(e.probe.at)
 }
 
-// probe plans the probes of one suspect target.
+// probe tells from when on a suspect target is believed when it answers.
 type probe struct {
-	at   time.Time
+	at time.Time
+	// wait bounds the next wait.
 	wait time.Duration
 }
 
-// plan sets the next probe, with full jitter so that the daemons do not probe a
-// returning target in one moment. The wait starts anew only after a request
-// was served: a target that answers probes and fails requests is asked ever
-// less often.
+// plan sets the wait of a target that has become suspect, none the first time. It
+// starts anew only after a request was served: a target that answers probes and fails requests
+// gets work ever less often, up to once in MaxProbeWait. The full jitter keeps
+// several such targets from getting it in one moment.
 func (p *probe) plan(now time.Time, cfg Config, rng *rand.Rand) {
-	p.wait = min(max(2*p.wait, cfg.ProbeWait), cfg.MaxProbeWait)
 	p.at = now.Add(time.Duration(rng.Float64() * float64(p.wait)))
+	p.wait = min(max(2*p.wait, cfg.ProbeWait), cfg.MaxProbeWait)
 }
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -173,8 +173,12 @@
 	c.assign(now, g.target.service)
 }
 
-// TargetHealth records what was learnt about a target and tells the peers.
+// TargetHealth records what was learnt about a target and tells the peers. The
+// answer of a suspect target counts only when its probe is due.
 func (c *Core) TargetHealth(now time.Time, service ident.Service, name ident.Target, health Health) {
+	if s := c.services[service]; s != nil && health == HealthAnswered && !s.places.ProbeDue(now, name) {
+		return
+	}
 	if !c.learn(now, service, name, health) {
 		return
 	}
