Find the concurrency limit under a queue that stands from the first request on

cause: the first window of completions was taken for the base of the time to the first byte. Where work waits from the first moment on and the document gives a target more than it runs at once, only the requests of the first moment have not waited in the target, and the owner does not see how those end: their grants go on to further requests for 2 s. The base holds the wait, no later window is longer, the limit stays. Where the base is long beside the rest of the answer, the limit is lowered by a quarter for 12 completions. Where that surely shortens the time, it was a queue: it is drained, and what the drained window shows is the base.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -24,6 +24,8 @@
 	peak int
 	// base is the early quantile of the time to the first byte without a queue.
 	base float64
+	// proof tells whether that is so.
+	proof proof
 	// quick is the same of the last window.
 	quick float64
 	// held is the number of windows in which the limit must not grow.
@@ -134,7 +136,7 @@
 	l.first = append(l.first, s.First)
 	l.slotTime += s.Elapsed
 	l.peak = max(l.peak, s.InFlight)
-	if len(l.first) < max(l.cfg.MinWindow, l.limit()) {
+	if len(l.first) < l.wanted() && !l.obvious() {
 		return
 	}
 	l.closeWindow()
@@ -142,9 +144,25 @@
 	l.first, l.slotTime, l.peak = l.first[:0], 0, 0
 }
 
+// wanted is the number of completions in the present window.
+func (l *limiter) wanted() int {
+	return max(l.proof.wanted(l.cfg.MinWindow), l.limit())
+}
+
+// full tells whether the target had as many as it may have in the present window.
+func (l *limiter) full() bool { return float64(l.peak) >= saturated*float64(l.limit()) }
+
 func (l *limiter) closeWindow() {
-	full := float64(l.peak) >= saturated*float64(l.limit())
-	waiting := l.waiting()
+	full := l.full()
+	w := l.measure()
+	l.quick = w.quick
+	if l.base == 0 {
+		l.base = w.quick
+	}
+	if l.prove(w, full) {
+		return
+	}
+	waiting := l.waiting(w)
 	allowed := l.allowed()
 	switch {
 	case waiting > 2*allowed:
@@ -158,21 +176,23 @@
 	}
 }
 
+// measure sums the present window up.
+func (l *limiter) measure() window {
+	slices.Sort(l.first)
+	w := quantileBounds(l.first)
+	w.mean = l.slotTime.Seconds() / float64(len(l.first))
+	return w
+}
+
 // waiting estimates the requests that wait in the target, as a part of those
 // that run in it, and moves the base. It returns zero where the window does not
 // surely show any.
-func (l *limiter) waiting() float64 {
-	slices.Sort(l.first)
-	low, quick, high := quantileBounds(l.first)
-	l.quick = quick
-	if l.base == 0 {
-		l.base = quick
-	}
-	wait := quick - l.base
-	run := l.slotTime.Seconds()/float64(len(l.first)) - max(0, wait)
-	sure := low > l.base
+func (l *limiter) waiting(w window) float64 {
+	wait := w.quick - l.base
+	run := w.mean - max(0, wait)
+	sure := w.low > l.base
 	switch {
-	case high < l.base:
+	case w.high < l.base:
 		l.base += falling * wait
 	case wait < 0:
 		l.base += sinking * wait
@@ -199,15 +219,15 @@
 	return l.cfg.Queue
 }
 
-// quantileBounds returns the early quantile of sorted times, in seconds, and
-// the bounds between which the quantile of all requests surely lies.
-func quantileBounds(sorted []time.Duration) (low, quick, high float64) {
+// quantileBounds returns the early quantile of sorted times and the bounds
+// between which the quantile of all requests surely lies.
+func quantileBounds(sorted []time.Duration) window {
 	n := float64(len(sorted))
 	spread := confidence * math.Sqrt(n*early*(1-early))
 	at := func(rank float64) float64 {
 		return sorted[max(0, min(len(sorted)-1, int(rank)))].Seconds()
 	}
-	return at(n*early - spread), at(n * early), at(n*early + spread)
+	return window{low: at(n*early - spread), quick: at(n * early), high: at(n*early + spread)}
 }
 
 // shrink takes away what waits in the target beyond the queue that it is
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -27,7 +27,9 @@
 	tokens, prefill    int
 	dispatched, begins time.Time
 	ends               time.Time
-	on                 *backend
+	// granted is when its slot was given to it or to one before it.
+	granted time.Time
+	on      *backend
 }
 
 type byEnd []*job
@@ -63,6 +65,11 @@
 	kind string
 	// prefill is the least number of steps before the first token.
 	prefill int
+	// slice is how long a request's slot goes on to further ones, whose results
+	// the table does not see but for the last one's.
+	slice time.Duration
+	// second, where set, sees all results as a daemon that is not the owner.
+	second *placement.Table
 	// onDone is called after each completion.
 	onDone func(done int)
 }
@@ -93,6 +100,15 @@
 	}
 }
 
+// until ends after a time since the start and returns the limit of the first
+// target.
+func (p *pool) until(since time.Duration) int {
+	for p.now.Before(time.Unix(1, 0).Add(since)) {
+		p.run(len(p.done) + 1)
+	}
+	return p.table.Limit(p.backends[0].name)
+}
+
 func (p *pool) fill() {
 	for {
 		free := make([]placement.Free, len(p.backends))
@@ -104,17 +120,17 @@
 			return
 		}
 		i := slices.IndexFunc(p.backends, func(b *backend) bool { return b.name == name })
-		p.dispatch(p.backends[i])
+		p.backends[i].held++
+		p.dispatch(p.backends[i], p.now)
 	}
 }
 
-func (p *pool) dispatch(b *backend) {
-	j := &job{tokens: 1 + int(p.rng.ExpFloat64()*meanTokens), dispatched: p.now, on: b}
+func (p *pool) dispatch(b *backend, granted time.Time) {
+	j := &job{tokens: 1 + int(p.rng.ExpFloat64()*meanTokens), dispatched: p.now, granted: granted, on: b}
 	j.prefill = p.prefill
 	if p.kind == "mixed" {
 		j.prefill += int(p.rng.ExpFloat64() * meanTokens)
 	}
-	b.held++
 	b.queue = append(b.queue, j)
 	p.admit(b)
 }
@@ -145,8 +161,16 @@
 	if p.kind == "plain" {
 		sample.Tokens, sample.First = 0, sample.Elapsed
 	}
-	p.table.Observe(p.now, b.name, sample)
-	b.held--
+	if p.now.Sub(j.granted) < p.slice {
+		p.dispatch(b, j.granted)
+	} else {
+		p.table.Observe(p.now, b.name, sample)
+		b.held--
+	}
+	if p.second != nil {
+		sample.InFlight = 0
+		p.second.Observe(p.now, b.name, sample)
+	}
 	if p.onDone != nil {
 		p.onDone(len(p.done))
 	}
