placement: merge the cache events of targets into the prefix hints

cause: cache events had a way in, CacheStored and CacheEvicted, that knew neither gaps nor restarts, and nothing called it but tests. change: placement.CachePage. A restart (another run, or a lower number) forgets all; each lost event makes the oldest prefix doubtful and forgets it; an eviction does not overrule an own placement of the last 2 s. CacheSummary and CacheSaid carry what an owner knows to an ingress, as marks of two bytes. tests: cache_test.go.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -32,7 +32,7 @@
 		if holder := t.holder(free, best, prefix); holder != nil {
 			best = holder
 		}
-		best.entry.prefixes.add(prefix, now)
+		best.entry.placed(prefix, now)
 	}
 	return best.entry.Name, true
 }
@@ -73,7 +73,7 @@
 	var found *candidate
 	for _, f := range free {
 		c := t.candidate(f)
-		if c == nil || c.local != best.local || c.load > best.load+prefixSlack || !c.entry.prefixes.has(prefix) {
+		if c == nil || c.local != best.local || c.load > best.load+prefixSlack || !c.entry.holds(prefix) {
 			continue
 		}
 		if found == nil || c.load < found.load {
@@ -83,72 +83,15 @@
 	return found
 }
 
-// CacheStored takes in that a target says it holds a prefix, CacheEvicted that
-// it does so no longer. The events are late and have gaps: they only shift a
-// hint.
+// CacheStored takes in that a prefix was placed on a target from here.
 func (t *Table) CacheStored(now time.Time, name ident.Target, prefix uint64) {
 	if e := t.targets[name]; e != nil {
-		e.prefixes.add(prefix, now)
-	}
-}
-
-// CacheEvicted is the counterpart of CacheStored.
-func (t *Table) CacheEvicted(name ident.Target, prefix uint64) {
-	if e := t.targets[name]; e != nil {
-		e.prefixes.remove(prefix)
+		e.placed(prefix, now)
 	}
 }
 
 // Holds tells whether a target is thought to hold a prefix.
 func (t *Table) Holds(name ident.Target, prefix uint64) bool {
 	e := t.targets[name]
-	return e != nil && e.prefixes.has(prefix)
-}
-
-// prefixSet remembers the prefixes that were used last.
-type prefixSet struct {
-	most int
-	used map[uint64]time.Time
-}
-
-func newPrefixSet(most int) prefixSet {
-	return prefixSet{most: most, used: map[uint64]time.Time{}}
-}
-
-func (s *prefixSet) has(prefix uint64) bool {
-	_, ok := s.used[prefix]
-	return ok
-}
-
-func (s *prefixSet) remove(prefix uint64) { delete(s.used, prefix) }
-
-func (s *prefixSet) add(prefix uint64, now time.Time) {
-	if len(s.used) >= s.most && !s.has(prefix) {
-		s.dropOldest()
-	}
-	s.used[prefix] = now
-}
-
-// dropOldest makes room by an eighth, so that its scan is paid for by many
-// additions.
-func (s *prefixSet) dropOldest() {
-	oldest, newest := s.span()
-	cutoff := oldest.Add(newest.Sub(oldest) / 8)
-	for p, at := range s.used {
-		if !at.After(cutoff) {
-			delete(s.used, p)
-		}
-	}
-}
-
-func (s *prefixSet) span() (oldest, newest time.Time) {
-	for _, at := range s.used {
-		if oldest.IsZero() || at.Before(oldest) {
-			oldest = at
-		}
-		if at.After(newest) {
-			newest = at
-		}
-	}
-	return oldest, newest
+	return e != nil && e.holds(prefix)
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -123,6 +123,8 @@
 	failures int
 	probe    probe
 	prefixes prefixSet
+	cache    cacheView
+	said     said
 }
 
 // New returns a table without targets. The rng spreads probes.
