--- /dev/null
+++ b/internal/attempt/cache_test.go
@@ -0,0 +1,86 @@
+package attempt_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/attempt"
+	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
+)
+
+// The cache of an engine changes more often than an answer holds. The events must
+// come in order over several polls, none twice; and once the engine has been
+// started again, a number of its former run must not hide the events of the new.
+func TestCacheEventsAreReadInPages(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t, quick())
+	cfg := enginestandin.Config{CacheEntries: 200, CacheLag: time.Nanosecond, CacheGap: -1}
+	e, engine := newEngine(t, cfg)
+	const prompts = 100
+	for i := range prompts {
+		e.Store(fmt.Sprint("case ", i))
+	}
+	var after uint64
+	for after < prompts {
+		page, err := r.CacheEvents(t.Context(), engine, after)
+		is.NoErr(err)
+		is.True(len(page.Events) > 0 && len(page.Events) <= attempt.CachePageEvents)
+		for _, event := range page.Events {
+			after++
+			is.Equal(event.Sequence, after)
+			is.Equal(event.Prefix, enginestandin.Prefix(fmt.Sprint("case ", after-1)))
+			is.True(event.Stored)
+		}
+		is.Equal(page.Next, after)
+		is.Equal(page.More, len(page.Events) == attempt.CachePageEvents)
+	}
+	first, err := r.CacheEvents(t.Context(), engine, after)
+	is.NoErr(err)
+	is.Equal(len(first.Events), 0)
+
+	again, engine := newEngine(t, cfg)
+	again.Store("case 7")
+	page, err := r.CacheEvents(t.Context(), engine, after)
+	is.NoErr(err)
+	is.True(page.Run != first.Run)
+	is.Equal(page.Next, uint64(1))
+}
+
+func TestCacheEventsThatAreNoneOfUse(t *testing.T) {
+	is := is.New(t)
+	r := newRunner(t, quick())
+	_, err := r.CacheEvents(t.Context(), serve(t, http.NotFoundHandler(), func() {}), 0)
+	is.True(errors.Is(err, attempt.ErrNoCacheEvents))
+	for _, body := range []string{"", "no JSON", `{"events":[{"seq":1,"kind":"stored","prefix":"xyz"}]}`} {
+		answer := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) })
+		_, err := r.CacheEvents(t.Context(), serve(t, answer, func() {}), 0)
+		is.True(err != nil)
+		is.True(!errors.Is(err, attempt.ErrNoCacheEvents))
+	}
+	_, err = r.CacheEvents(t.Context(), deadAddress(t), 0)
+	is.True(err != nil)
+}
+
+// BenchmarkCacheEvents is a poll with a full page, the stand-in's part included.
+func BenchmarkCacheEvents(b *testing.B) {
+	e := enginestandin.New(enginestandin.Config{CacheEntries: 200, CacheLag: time.Nanosecond, CacheGap: -1})
+	defer e.Close()
+	s := httptest.NewServer(e)
+	defer s.Close()
+	for i := range attempt.CachePageEvents {
+		e.Store(fmt.Sprint("case ", i))
+	}
+	r := attempt.NewRunner(attempt.Config{})
+	defer r.Close()
+	for b.Loop() {
+		if _, err := r.CacheEvents(b.Context(), s.Listener.Addr().String(), 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -147,10 +147,10 @@
 	return listener.Addr().String(), nil
 }
 
-// counted counts what a target sees, status probes aside.
+// counted counts what a target sees, the questions of its owner aside.
 func (e *Emulator) counted(target http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/status" {
+		if r.URL.Path != "/status" && r.URL.Path != "/cache/events" {
 			e.requests.Add(1)
 		}
 		target.ServeHTTP(w, r)
@@ -158,7 +158,7 @@
 }
 
 // TargetRequests returns how many requests all targets have seen together,
-// status probes aside.
+// status probes and polls of cache events aside.
 func (e *Emulator) TargetRequests() int64 { return e.requests.Load() }
 
 func (e *Emulator) apply(ctx context.Context) error {
--- a/internal/standin/engine/protocol.go
+++ b/internal/standin/engine/protocol.go
@@ -106,6 +106,9 @@
 
 // CacheEvents is the answer to GET /cache/events.
 type CacheEvents struct {
+	// Run names the run of the engine: its events count from one again in
+	// another.
+	Run    string       `json:"run"`
 	Events []CacheEvent `json:"events"`
 	// Next is the value of "after" for the next poll.
 	Next uint64 `json:"next"`
