--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/placement"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
@@ -234,6 +235,12 @@
 	l.do(func(now time.Time) { l.core.TargetHealth(now, service, target, health) })
 }
 
+// TargetCache hands over the answer of an owned target to a poll for its cache
+// events.
+func (l *Loop) TargetCache(service ident.Service, target ident.Target, page placement.CachePage) {
+	l.do(func(now time.Time) { l.core.TargetCache(now, service, target, page) })
+}
+
 // Leave begins a planned stop.
 func (l *Loop) Leave() {
 	l.do(func(now time.Time) { l.core.Leave(now) })
--- /dev/null
+++ b/internal/daemon/cache_test.go
@@ -0,0 +1,22 @@
+package daemon_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The owner of the engines asks each of them about its cache, again and again.
+func TestCacheEventsArePolled(t *testing.T) {
+	is := is.New(t)
+	site, _ := startDev(t)
+	deadline := time.Now().Add(20 * time.Second)
+	for name, engine := range site.Engines {
+		for engine.CachePolls() < 2 && time.Now().Before(deadline) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(engine.CachePolls() >= 2)
+		is.Equal(string(name.Service), "lm-pool")
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -99,11 +99,12 @@
 	probes := &prober{
 		store: p.Store, loop: p.Loop, vms: vms, runner: p.Runner, interval: probeInterval, log: p.Log,
 	}
+	caches := &cachePoller{store: p.Store, loop: p.Loop, runner: p.Runner}
 	gauges := &gaugeReporter{parts: p}
 	orders := &orderFollower{store: p.Store, loop: p.Loop, reconciler: p.Orders}
 	watch := func(ctx context.Context) { _ = p.Watcher.Run(ctx) }    // ends with nil
 	archive := func(ctx context.Context) { _ = p.Archiver.Run(ctx) } // ends with nil
-	return []func(context.Context){watch, archive, configuration.run, vms.run, probes.run, gauges.run, orders.run}
+	return []func(context.Context){watch, archive, configuration.run, vms.run, probes.run, caches.run, gauges.run, orders.run}
 }
 
 func seedVMs(s settings.Settings) []platform.VM {
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"errors"
 	"math"
 	"slices"
@@ -138,6 +139,10 @@
 		f.Grants.Pair = append(f.Grants.Pair, e.pair(f, g.Service, string(g.Workspace)))
 		f.Grants.Target = append(f.Grants.Target, e.name(f, string(g.Target)))
 		f.Grants.Spare = append(f.Grants.Spare, g.Spare)
+		f.Grants.Cached = append(f.Grants.Cached, marks(g.Cached))
+	}
+	if !slices.ContainsFunc(rows, func(g scheduler.Grant) bool { return len(g.Cached) > 0 }) {
+		f.Grants.Cached = nil
 	}
 }
 
@@ -321,6 +326,9 @@
 	if len(in.GetPair()) != n || len(in.GetTarget()) != n || len(in.GetSpare()) != n {
 		return errColumns
 	}
+	if len(in.GetCached()) != 0 && len(in.GetCached()) != n {
+		return errColumns
+	}
 	var step stepper
 	for i, s := range in.GetIdStep() {
 		p, err := d.pair(in.Pair[i])
@@ -334,10 +342,31 @@
 			ID: step.up(s), Service: p.service, Workspace: ident.Workspace(p.name),
 			Target: ident.Target(d.names[in.Target[i]]), Spare: in.Spare[i],
 		})
+		if len(in.GetCached()) > 0 {
+			m.Grants[len(m.Grants)-1].Cached = readMarks(in.Cached[i])
+		}
 	}
 	return nil
 }
 
+// marks writes the marks of prompt prefixes, two bytes each.
+func marks(list []uint16) []byte {
+	var out []byte
+	for _, m := range list {
+		out = binary.BigEndian.AppendUint16(out, m)
+	}
+	return out
+}
+
+// readMarks leaves out a byte that is no whole mark: they are hints.
+func readMarks(in []byte) []uint16 {
+	var list []uint16
+	for ; len(in) >= 2; in = in[2:] {
+		list = append(list, binary.BigEndian.Uint16(in))
+	}
+	return list
+}
+
 func (d *decoder) releases(f *fleetv1.Frame, m *scheduler.Message) error {
 	in := f.GetReleases()
 	n := len(in.GetGrantStep())
--- a/internal/fleet/codec_test.go
+++ b/internal/fleet/codec_test.go
@@ -40,6 +40,7 @@
 		m.Grants = append(m.Grants, scheduler.Grant{
 			ID: grant.Draw(t, "id"), Service: service.Draw(t, "s"),
 			Workspace: workspace.Draw(t, "w"), Target: target.Draw(t, "t"),
+			Cached: rapid.SampledFrom([][]uint16{nil, {7}, {1, 65535}}).Draw(t, "cached"),
 		})
 		m.Releases = append(m.Releases, scheduler.Release{
 			Grant: grant.Draw(t, "grant"), Unused: rapid.Bool().Draw(t, "unused"),
@@ -84,10 +85,13 @@
 		frame *fleetv1.Frame
 		want  error
 	}{
-		"unknown pair":      {&fleetv1.Frame{Parts: &fleetv1.Parts{Pair: []uint32{3}, Served: []int64{1}}}, errIndex},
-		"unknown name":      {&fleetv1.Frame{Pairs: &fleetv1.Pairs{Service: []uint32{0}, Name: []uint32{0}}}, errIndex},
-		"uneven demand":     {&fleetv1.Frame{Demands: &fleetv1.Demands{Pair: []uint32{0}}}, errColumns},
-		"uneven grants":     {&fleetv1.Frame{Grants: &fleetv1.Grants{IdStep: []int64{1}}}, errColumns},
+		"unknown pair":  {&fleetv1.Frame{Parts: &fleetv1.Parts{Pair: []uint32{3}, Served: []int64{1}}}, errIndex},
+		"unknown name":  {&fleetv1.Frame{Pairs: &fleetv1.Pairs{Service: []uint32{0}, Name: []uint32{0}}}, errIndex},
+		"uneven demand": {&fleetv1.Frame{Demands: &fleetv1.Demands{Pair: []uint32{0}}}, errColumns},
+		"uneven grants": {&fleetv1.Frame{Grants: &fleetv1.Grants{IdStep: []int64{1}}}, errColumns},
+		"uneven marks": {&fleetv1.Frame{Grants: &fleetv1.Grants{
+			IdStep: []int64{1, 1}, Pair: []uint32{0, 0}, Target: []uint32{0, 0}, Spare: []bool{true, true}, Cached: [][]byte{{1, 2}},
+		}}, errColumns},
 		"uneven releases":   {&fleetv1.Frame{Releases: &fleetv1.Releases{GrantStep: []int64{1}}}, errColumns},
 		"uneven news":       {&fleetv1.Frame{News: &fleetv1.News{Pair: []uint32{0}}}, errColumns},
 		"name of 257 bytes": {&fleetv1.Frame{Names: []string{long}}, errTable},
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -88,6 +88,7 @@
 	effects      []Effect
 	outbox       map[ident.Daemon]*Message
 	early        allowance
+	summaries    summaries
 	nextSettle   time.Time
 	nextExchange time.Time
 	nextHeld     time.Time
@@ -156,6 +157,8 @@
 	service *service
 	// grants are the slots in use that this daemon gave away.
 	grants map[uint64]*grantOut
+	// told is when each ingress last had a summary of the target's cache.
+	told map[ident.Daemon]time.Time
 }
 
 // grantOut is a grant as its owner remembers it.
@@ -273,7 +276,7 @@
 	for _, spec := range spec.Targets {
 		t := s.targets[spec.Name]
 		if t == nil {
-			t = &target{service: s, grants: map[uint64]*grantOut{}}
+			t = &target{service: s, grants: map[uint64]*grantOut{}, told: map[ident.Daemon]time.Time{}}
 		}
 		t.Target = spec
 		targets[spec.Name] = t
@@ -334,6 +337,7 @@
 		}
 	}
 	delete(c.outbox, p.ID)
+	c.forgetTold(p.ID)
 }
 
 // Leave begins a planned stop: the daemon owns no target from now on unless no
--- a/internal/scheduler/ingress.go
+++ b/internal/scheduler/ingress.go
@@ -183,6 +183,7 @@
 
 // accept binds a waiting request to a grant, or returns the grant at once.
 func (c *Core) accept(now time.Time, owner ident.Daemon, g Grant) {
+	c.takeSummary(now, g)
 	r := c.bind(now, g)
 	c.noteShown(owner, g, r != nil)
 	if r == nil {
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -139,6 +139,7 @@
 		return
 	}
 	w.setDemand(ingress, w.demand[ingress].less(1))
+	g.Cached = c.summary(now, t, ingress)
 	m := c.message(ingress)
 	m.Grants = append(m.Grants, g.Grant)
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -131,6 +131,9 @@
 	// Spare tells that the owner has slots to spare: the ingress may keep this
 	// one idle for a moment, for the workspace's next request.
 	Spare bool
+	// Cached are marks of the prompt prefixes that the target holds, where the
+	// owner knows them and has not told this ingress of late.
+	Cached []uint16
 }
 
 // Release gives a slot back to its owner.
