--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -14,9 +14,13 @@
 //   - A target fails at once. It is always free, so that it attracts all work and
 //     fails it. A suspect target gets nothing until a probe is answered.
 //   - Many requests share the start of their prompts. Spread at random, each
-//     target computes each start again. The prefix hint keeps them together, but
-//     only among targets that are about equally free, so that a hot prefix does
-//     not make a hot target.
+//     target computes each start again. The prefix hint, from own placements and
+//     the targets' cache events, chooses among the requests of the workspace that
+//     has the slot, and among targets that are about equally free, so that a hot
+//     prefix makes neither a hot target nor a wider gap.
+//   - Work waits from the first moment on, for targets whose documents promise too
+//     much. Each wait looks ordinary and the queue stays in the target. The proof
+//     of the base (proof.go) finds it out.
 //
 // The limit is found from completions alone. A target that queues shows it in
 // the time to the first byte: it grows by the time that a request waits for a
--- a/internal/placement/proof.go
+++ b/internal/placement/proof.go
@@ -21,6 +21,9 @@
 	// warm is set after the first window that filled the limit, strong where so
 	// many would wait that there is hardly another reason.
 	warm, strong bool
+	// doubted is set after the first time that a strong suspicion was not
+	// confirmed: one window of unequal answers is not enough to drop it.
+	doubted bool
 	// value is the limit before it was lowered, full the window under it.
 	value float64
 	full  window
@@ -123,6 +126,9 @@
 		l.lower(l.value * (1 - helpTrial))
 	default:
 		p.stage, l.value = proved, p.value
+		if p.strong && !p.doubted {
+			p.stage, p.doubted = unproved, true
+		}
 	}
 }
 
