--- a/internal/placement/standing_test.go
+++ b/internal/placement/standing_test.go
@@ -95,3 +95,24 @@
 	t.Logf("mean limit %.1f, a minute after the change %.1f", before, after)
 	is.True(after <= 2*slots)
 }
+
+// Prompts are long, so that the limit is lowered to prove the base, and the target
+// says that it is full. The proof finds no queue; it must not put back the limit
+// from before the refusal.
+func TestRefusalDuringTheProofIsNotForgotten(t *testing.T) {
+	is := is.New(t)
+	const slots = 16
+	p := newPool(placement.Config{}, slots, &backend{name: "a", slots: slots, step: 2 * time.Millisecond})
+	p.kind = "mixed"
+	for p.table.Limit("a") == slots {
+		p.run(len(p.done) + 1)
+	}
+	for range slots + 1 { // those dispatched under the former limit do not count
+		p.table.Observe(p.now, "a", placement.Sample{NotRun: true, InFlight: 6})
+	}
+	is.Equal(p.table.Limit("a"), 5)
+	for range 100 {
+		p.run(len(p.done) + 1)
+		is.True(p.table.Limit("a") <= 8)
+	}
+}
