Compare the waits of the proof by the runs of their own time

cause: in a trial with seven daemons (batch 4, document 16) 10 engines of 12 came down by 100 s; two held 10 to 12 in the queue after 140 s. The work of the first 40 s is shorter: the time to the first byte in the full window was 3.7 to 7.1 s between engines, so that a lowered limit with longer answers does not look like a gain.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -182,7 +182,12 @@
 func (l *limiter) measure() window {
 	slices.Sort(l.first)
 	w := quantileBounds(l.first)
+	var first time.Duration
+	for _, d := range l.first {
+		first += d
+	}
 	w.mean = l.slotTime.Seconds() / float64(len(l.first))
+	w.rest = w.mean - first.Seconds()/float64(len(l.first))
 	return w
 }
 
--- a/internal/placement/proof.go
+++ b/internal/placement/proof.go
@@ -41,11 +41,11 @@
 )
 
 // window is what a window of completions says of the time to the first byte, in
-// seconds: its early quantile, the bounds of that, and the mean time of a run
-// with all waits.
+// seconds: its early quantile, the bounds of that, the mean time of a request and
+// the mean of what follows the first byte.
 type window struct {
 	low, quick, high float64
-	mean             float64
+	mean, rest       float64
 }
 
 const (
@@ -117,12 +117,18 @@
 func (l *limiter) compare(w window) {
 	p := &l.proof
 	cut := 1 - l.value/p.value
+	// Where a queue stands its waits are sums of runs: other work than in the full
+	// window makes them longer or shorter as well.
+	same := 1.0
+	if p.strong && w.rest > 0 && p.full.rest > 0 {
+		same = math.Min(1, p.full.rest/w.rest)
+	}
 	switch {
-	case w.high < p.full.low:
+	case w.high*same < p.full.low:
 		l.base = math.Min(l.base, w.quick)
 		p.stage = drained
 		l.lower(p.value * math.Max(leastDrain, 1/(1+p.full.waits(p.full.quick))))
-	case p.strong && w.quick < p.full.quick*(1-goneShare*cut) && l.value > leastDrain*p.value:
+	case p.strong && w.quick*same < p.full.quick*(1-goneShare*cut) && l.value > leastDrain*p.value:
 		l.lower(l.value * (1 - helpTrial))
 	default:
 		p.stage, l.value = proved, p.value
