--- a/internal/attempt/cache_test.go
+++ b/internal/attempt/cache_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/savorystall/savorystall/internal/attempt"
 	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
+	"github.com/savorystall/savorystall/test/faultlink"
 )
 
 // The cache of an engine changes more often than an answer holds. The events must
@@ -63,7 +64,7 @@
 		is.True(err != nil)
 		is.True(!errors.Is(err, attempt.ErrNoCacheEvents))
 	}
-	_, err = r.CacheEvents(t.Context(), deadAddress(t), 0)
+	_, err = r.CacheEvents(t.Context(), faultlink.FreeAddress(t), 0)
 	is.True(err != nil)
 }
 
