--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/binary"
 	"errors"
 	"math"
 	"slices"
@@ -334,24 +333,6 @@
 	return nil
 }
 
-// marks writes the marks of prompt prefixes, two bytes each.
-func marks(list []uint16) []byte {
-	var out []byte
-	for _, m := range list {
-		out = binary.BigEndian.AppendUint16(out, m)
-	}
-	return out
-}
-
-// readMarks leaves out a byte that is no whole mark: they are hints.
-func readMarks(in []byte) []uint16 {
-	var list []uint16
-	for ; len(in) >= 2; in = in[2:] {
-		list = append(list, binary.BigEndian.Uint16(in))
-	}
-	return list
-}
-
 func (d *decoder) releases(f *fleetv1.Frame, m *scheduler.Message) error {
 	in := f.GetReleases()
 	n := len(in.GetGrantStep())
--- a/internal/fleet/columns.go
+++ b/internal/fleet/columns.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "encoding/binary"
+
 // stepper turns a column into differences and back.
 type stepper struct{ last uint64 }
 
@@ -31,3 +33,21 @@
 	}
 	return out
 }
+
+// marks writes the marks of prompt prefixes, two bytes each.
+func marks(list []uint16) []byte {
+	var out []byte
+	for _, m := range list {
+		out = binary.BigEndian.AppendUint16(out, m)
+	}
+	return out
+}
+
+// readMarks leaves out a byte that is no whole mark: they are hints.
+func readMarks(in []byte) []uint16 {
+	var list []uint16
+	for ; len(in) >= 2; in = in[2:] {
+		list = append(list, binary.BigEndian.Uint16(in))
+	}
+	return list
+}
