--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -144,11 +144,8 @@
 		f.Grants.Pair = append(f.Grants.Pair, e.pair(f, g.Service, string(g.Workspace)))
 		f.Grants.Target = append(f.Grants.Target, e.name(f, string(g.Target)))
 		f.Grants.Spare = append(f.Grants.Spare, g.Spare)
-		f.Grants.Cached = append(f.Grants.Cached, marks(g.Cached))
-	}
-	if !slices.ContainsFunc(rows, func(g scheduler.Grant) bool { return len(g.Cached) > 0 }) {
-		f.Grants.Cached = nil
 	}
+	f.Grants.Cached = cached(rows)
 }
 
 func (e *encoder) releases(f *fleetv1.Frame, rows []scheduler.Release) {
--- a/internal/fleet/columns.go
+++ b/internal/fleet/columns.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
 
 // stepper turns a column into differences and back.
 type stepper struct{ last uint64 }
@@ -34,6 +39,18 @@
 	return out
 }
 
+// cached is the column of the marks; none where no grant has any.
+func cached(rows []scheduler.Grant) [][]byte {
+	if !slices.ContainsFunc(rows, func(g scheduler.Grant) bool { return len(g.Cached) > 0 }) {
+		return nil
+	}
+	column := make([][]byte, len(rows))
+	for i, g := range rows {
+		column[i] = marks(g.Cached)
+	}
+	return column
+}
+
 // marks writes the marks of prompt prefixes, two bytes each.
 func marks(list []uint16) []byte {
 	var out []byte
