--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -145,6 +145,7 @@
 		f.Grants.Target = append(f.Grants.Target, e.name(f, string(g.Target)))
 		f.Grants.Spare = append(f.Grants.Spare, g.Spare)
 	}
+	f.Grants.Cached = cached(rows)
 }
 
 func (e *encoder) releases(f *fleetv1.Frame, rows []scheduler.Release) {
@@ -306,6 +307,9 @@
 	if len(in.GetPair()) != n || len(in.GetTarget()) != n || len(in.GetSpare()) != n {
 		return errColumns
 	}
+	if len(in.GetCached()) != 0 && len(in.GetCached()) != n {
+		return errColumns
+	}
 	var step stepper
 	for i, s := range in.GetIdStep() {
 		p, err := d.pair(in.Pair[i])
@@ -319,6 +323,9 @@
 			ID: step.up(s), Service: p.service, Workspace: ident.Workspace(p.name),
 			Target: ident.Target(d.names[in.Target[i]]), Spare: in.Spare[i],
 		})
+		if len(in.GetCached()) > 0 {
+			m.Grants[len(m.Grants)-1].Cached = readMarks(in.Cached[i])
+		}
 	}
 	return nil
 }
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -24,6 +24,8 @@
 	peak int
 	// base is the early quantile of the time to the first byte without a queue.
 	base float64
+	// proof tells whether that is so.
+	proof proof
 	// quick is the same of the last window.
 	quick float64
 	// held is the number of windows in which the limit must not grow.
@@ -54,6 +56,7 @@
 		// the target may be given.
 		l.value = float64(slots)
 		l.ramping = false
+		l.proof = proof{} // it would put the former limit back
 	}
 }
 
@@ -85,6 +88,7 @@
 	l.value = math.Max(1, math.Min(l.value, float64(inFlight)*refusedShare))
 	l.ramping = false
 	l.held = heldWindows
+	l.proof = proof{} // likewise
 }
 
 const (
@@ -134,7 +138,7 @@
 	l.first = append(l.first, s.First)
 	l.slotTime += s.Elapsed
 	l.peak = max(l.peak, s.InFlight)
-	if len(l.first) < max(l.cfg.MinWindow, l.limit()) {
+	if len(l.first) < l.wanted() {
 		return
 	}
 	l.closeWindow()
@@ -142,9 +146,25 @@
 	l.first, l.slotTime, l.peak = l.first[:0], 0, 0
 }
 
+// wanted is the number of completions in the present window.
+func (l *limiter) wanted() int {
+	return max(l.proof.wanted(l.cfg.MinWindow), l.limit())
+}
+
+// full tells whether the target had as many as it may have in the present window.
+func (l *limiter) full() bool { return float64(l.peak) >= saturated*float64(l.limit()) }
+
 func (l *limiter) closeWindow() {
-	full := float64(l.peak) >= saturated*float64(l.limit())
-	waiting := l.waiting()
+	full := l.full()
+	w := l.measure()
+	l.quick = w.quick
+	if l.base == 0 {
+		l.base = w.quick
+	}
+	if l.prove(w, full) {
+		return
+	}
+	waiting := l.waiting(w)
 	allowed := l.allowed()
 	switch {
 	case waiting > 2*allowed:
@@ -158,21 +178,28 @@
 	}
 }
 
+// measure sums the present window up.
+func (l *limiter) measure() window {
+	slices.Sort(l.first)
+	w := quantileBounds(l.first)
+	var first time.Duration
+	for _, d := range l.first {
+		first += d
+	}
+	w.mean = l.slotTime.Seconds() / float64(len(l.first))
+	w.rest = w.mean - first.Seconds()/float64(len(l.first))
+	return w
+}
+
 // waiting estimates the requests that wait in the target, as a part of those
 // that run in it, and moves the base. It returns zero where the window does not
 // surely show any.
-func (l *limiter) waiting() float64 {
-	slices.Sort(l.first)
-	low, quick, high := quantileBounds(l.first)
-	l.quick = quick
-	if l.base == 0 {
-		l.base = quick
-	}
-	wait := quick - l.base
-	run := l.slotTime.Seconds()/float64(len(l.first)) - max(0, wait)
-	sure := low > l.base
+func (l *limiter) waiting(w window) float64 {
+	wait := w.quick - l.base
+	run := w.mean - max(0, wait)
+	sure := w.low > l.base
 	switch {
-	case high < l.base:
+	case w.high < l.base:
 		l.base += falling * wait
 	case wait < 0:
 		l.base += sinking * wait
@@ -199,15 +226,15 @@
 	return l.cfg.Queue
 }
 
-// quantileBounds returns the early quantile of sorted times, in seconds, and
-// the bounds between which the quantile of all requests surely lies.
-func quantileBounds(sorted []time.Duration) (low, quick, high float64) {
+// quantileBounds returns the early quantile of sorted times and the bounds
+// between which the quantile of all requests surely lies.
+func quantileBounds(sorted []time.Duration) window {
 	n := float64(len(sorted))
 	spread := confidence * math.Sqrt(n*early*(1-early))
 	at := func(rank float64) float64 {
 		return sorted[max(0, min(len(sorted)-1, int(rank)))].Seconds()
 	}
-	return at(n*early - spread), at(n * early), at(n*early + spread)
+	return window{low: at(n*early - spread), quick: at(n * early), high: at(n*early + spread)}
 }
 
 // shrink takes away what waits in the target beyond the queue that it is
