fleet: event 609 where two daemons run under one name

Cause: the elder of two daemons of one name loses its links and grants the slots of all targets a second time. The others logged 604 for it, as for any refused link, at each of its dials, and the alarm page could only tell it from members that differ. Change: a daemon that refuses a link of an older incarnation while a later one has a link logs 609, ERROR, once for each elder, with both addresses; further dials log 604 as before. Figures: the new test starts a second daemon b beside the first: before, no line told the two addresses; now one line 609 and then 604. Conclusion: the event names whom to stop. The elder still takes itself for alone; that is left as it is.

--- a/internal/event/fleet.go
+++ b/internal/event/fleet.go
@@ -11,5 +11,6 @@
 	FleetBadFrame    = define(605, slog.LevelError, "frame of a daemon could not be read", "check that all daemons run versions that go together")
 	FleetOutdated    = define(607, slog.LevelError, "peers hold a later incarnation of this daemon and refuse its links", "check that no other daemon has its name and that the VM's clock is right, then restart it")
 	FleetHandshake   = define(608, slog.LevelWarn, "a TLS handshake with another daemon failed (at most one line in 10 s)", "see docs/operations/tls.md")
+	FleetTwoOfOne    = define(609, slog.LevelError, "two daemons run under one name; the one that started first is refused and takes all targets for its own", "stop the daemon at the address that the line gives as refused, or give it another name")
 	FleetSlowPeer    = define(606, slog.LevelWarn, "queue to a daemon overflowed and its link was reset", "look at the load of the daemon that the line names")
 )
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -174,6 +174,32 @@
 	ra.locked(func() { is.Equal(ra.ups["b"], 1) })
 }
 
+// A second daemon is started under the name of one that runs. The elder loses its
+// links and grants the slots of all targets by itself: the fleet over-admits, and
+// the members look right at all others. These have to name the elder's address.
+func TestTwoDaemonsOfOneNameAreTold(t *testing.T) {
+	log := &lockedBuffer{}
+	ra := newRecorder()
+	a, err := fleet.New(fleet.Config{
+		Self: "a", Incarnation: 1, Zone: "hall-a", Listen: "127.0.0.1:0", Heartbeat: beat,
+		Logger: slog.New(slog.NewTextHandler(log, nil)),
+	}, ra)
+	is := is.New(t)
+	is.NoErr(err)
+	is.NoErr(a.Start(t.Context()))
+	t.Cleanup(func() { stop(t, a) })
+	elder, _ := start(t, fleet.Config{Self: "b", Incarnation: 5})
+	elder.SetVMs([]platform.VM{vm("a", a.Address())})
+	ra.eventually(t, "link to the elder", linked("b"))
+	later, rl := start(t, fleet.Config{Self: "b", Incarnation: 6})
+	later.SetVMs([]platform.VM{vm("a", a.Address())})
+	rl.eventually(t, "link of the later one", linked("a"))
+	told := "event=609 peer=b refused=" + elder.Address() + " kept=" + later.Address()
+	ra.eventually(t, "event 609", func(*recorder) bool { return strings.Contains(log.String(), told) })
+	ra.eventually(t, "a further refusal", func(*recorder) bool { return strings.Contains(log.String(), "event=604") })
+	is.Equal(strings.Count(log.String(), "event=609"), 1)
+}
+
 // lockedBuffer takes log lines from many goroutines.
 type lockedBuffer struct {
 	mu   sync.Mutex
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -71,6 +71,10 @@
 	dialing int
 	ticks   int
 
+	// refused is the last incarnation of each name that was refused while a later
+	// one had a link; the control goroutine owns it.
+	refused map[ident.Daemon]uint64
+
 	// handshakes spaces the lines about failed handshakes.
 	handshakes rate.Sometimes
 }
@@ -94,6 +98,7 @@
 		events:     make(chan controlEvent, eventQueue), done: make(chan struct{}),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.refused = map[ident.Daemon]uint64{}
 	n.calls.conns = map[ident.Daemon]callConn{}
 	n.links.byPeer = map[ident.Daemon]*link{}
 	n.links.addresses = map[ident.Daemon]string{}
@@ -277,7 +282,7 @@
 		ID: l.peer, Incarnation: l.incarnation, Zone: l.zone, Address: l.address,
 	}
 	if !n.table.LinkUp(now, sighting) {
-		event.FleetLinkRefused.Log(n.cfg.Logger, "peer", l.peer, "error", errOutdated)
+		n.logRefused(l, old)
 		return errOutdated
 	}
 	if old != nil {
@@ -297,6 +302,19 @@
 	return nil
 }
 
+// logRefused tells the operator of a link of an older incarnation. Where a later
+// one has a link, two daemons run under one name, and the elder, which loses all
+// links, grants the slots of all targets a second time; that is said once for
+// each elder, which dials again and again.
+func (n *Node) logRefused(l, old *link) {
+	if old == nil || n.refused[l.peer] == l.incarnation {
+		event.FleetLinkRefused.Log(n.cfg.Logger, "peer", l.peer, "error", errOutdated)
+		return
+	}
+	n.refused[l.peer] = l.incarnation
+	event.FleetTwoOfOne.Log(n.cfg.Logger, "peer", l.peer, "refused", l.address, "kept", old.address)
+}
+
 // unregister forgets a link unless another one has taken its place.
 func (n *Node) unregister(now time.Time, l *link) {
 	if n.links.byPeer[l.peer] != l {
