--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -8,15 +8,17 @@
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
 
-// outbox holds what waits to be sent on one link. Of demand, parts and the held
-// list the newest stands for all; news are kept but for repeats; grants and
-// releases are all kept, in order, up to a bound.
+// outbox holds what waits to be sent on one link. Of demand, parts, sums, limits and
+// the held list the newest stands for all; news are kept but for repeats; grants,
+// releases and slots asked back are all kept, in order, up to a bound.
 type outbox struct {
 	mu      sync.Mutex
 	limit   int
 	queued  scheduler.Message
 	demands map[pair]int
 	parts   map[pair]int
+	sums    map[pair]int
+	limits  map[pair]int
 	news    map[pair]int
 	head    uint64
 	leaving bool
@@ -33,7 +35,8 @@
 func newOutbox(limit int) *outbox {
 	return &outbox{
 		limit:   limit,
-		demands: map[pair]int{}, parts: map[pair]int{}, news: map[pair]int{},
+		demands: map[pair]int{}, parts: map[pair]int{}, sums: map[pair]int{},
+		limits: map[pair]int{}, news: map[pair]int{},
 		ready: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 	}
 }
@@ -51,7 +54,7 @@
 		return false
 	}
 	o.merge(m)
-	o.signal(len(m.Grants) > 0)
+	o.signal(len(m.Grants)+len(m.Preempts) > 0)
 	return true
 }
 
@@ -63,11 +66,18 @@
 	for _, p := range m.Parts {
 		q.Parts = newest(q.Parts, o.parts, pair{p.Service, string(p.Workspace)}, p)
 	}
+	for _, p := range m.Sums {
+		q.Sums = newest(q.Sums, o.sums, pair{p.Service, string(p.Workspace)}, p)
+	}
+	for _, l := range m.Limits {
+		q.Limits = newest(q.Limits, o.limits, pair{l.Service, string(l.Workspace)}, l)
+	}
 	for _, n := range m.News {
 		o.addNews(n)
 	}
 	q.Grants = append(q.Grants, m.Grants...)
 	q.Releases = append(q.Releases, m.Releases...)
+	q.Preempts = append(q.Preempts, m.Preempts...)
 	if m.HeldValid {
 		q.Held, q.HeldSeen, q.HeldValid = m.Held, m.HeldSeen, true
 	}
@@ -182,6 +192,8 @@
 	o.watch, o.reports = fleetv1.Watch_WATCH_UNCHANGED, nil
 	clear(o.demands)
 	clear(o.parts)
+	clear(o.sums)
+	clear(o.limits)
 	clear(o.news)
 	return b, true
 }
--- a/internal/fleet/watch_test.go
+++ b/internal/fleet/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/test/faultlink"
 )
 
 // slowBeat makes a resting link speak every 24 s and be looked at after 72 s,
@@ -28,8 +29,8 @@
 		vms = append(vms, vm(id, nodes[id].Address()))
 	}
 	victim, _ := start(t, fleet.Config{Self: "z", Heartbeat: slowBeat, WatchAll: 1})
-	box := newMiddlebox(t)
-	vms = append(vms, vm("z", forgetfulProxy(t, victim.Address()).Listen))
+	way := faultlink.New(t, victim.Address())
+	vms = append(vms, vm("z", way.Address))
 	for _, id := range ids {
 		nodes[id].SetVMs(vms)
 	}
@@ -40,7 +41,7 @@
 			}
 		}
 	}
-	box.losses.Add(1)
+	way.SilenceOpen()
 	stop(t, victim)
 	for _, id := range ids {
 		recorders[id].eventually(t, "death at "+string(id), func(r *recorder) bool { return r.peers["z"].ID == "" })
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -10,6 +11,7 @@
 	"github.com/savorystall/savorystall/internal/fairshare"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/membership"
+	"github.com/savorystall/savorystall/internal/preemption"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -40,6 +42,9 @@
 	// Held is the interval at which the grants in use are listed to their
 	// owners. Default 2 s: a slot whose release was lost idles for no longer.
 	Held time.Duration
+	// ReduceAbove is the number of daemons above which service parts are added
+	// up within zones before they travel on (see reduce.go). Default 24.
+	ReduceAbove int
 }
 
 const (
@@ -51,21 +56,12 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.Spill == 0 {
-		c.Spill = defaultSpill
-	}
-	if c.Exchange == 0 {
-		c.Exchange = defaultExchange
-	}
-	if c.Slice == 0 {
-		c.Slice = defaultSlice
-	}
-	if c.Linger == 0 {
-		c.Linger = defaultLinger
-	}
-	if c.Held == 0 {
-		c.Held = defaultHeld
-	}
+	c.Spill = cmp.Or(c.Spill, defaultSpill)
+	c.Exchange = cmp.Or(c.Exchange, defaultExchange)
+	c.Slice = cmp.Or(c.Slice, defaultSlice)
+	c.Linger = cmp.Or(c.Linger, defaultLinger)
+	c.Held = cmp.Or(c.Held, defaultHeld)
+	c.ReduceAbove = cmp.Or(c.ReduceAbove, defaultReduceAbove)
 	return c
 }
 
@@ -91,6 +87,13 @@
 	nextSettle   time.Time
 	nextExchange time.Time
 	nextHeld     time.Time
+	// reduction is set while the fleet is large enough for the reduced
+	// exchange, whose next round is due at nextRound.
+	reduction *reduction
+	nextRound time.Time
+	// fullSettled is when totals that are seen first count again after a change
+	// back to the full exchange.
+	fullSettled time.Time
 	// gone is when each daemon was last seen among the peers.
 	gone map[ident.Daemon]time.Time
 }
@@ -109,13 +112,20 @@
 	// owned lists the targets that this daemon grants, by name.
 	owned []*target
 	// owners is the set of daemons that own targets.
-	owners    map[ident.Daemon]bool
-	ledger    *fairshare.Ledger
+	owners map[ident.Daemon]bool
+	ledger *fairshare.Ledger
+	// sums are what this daemon adds up for its zone.
+	sums      map[ident.Workspace]*sum
 	admission *admission.Controller
 	places    *places
 	// cost and rate are the mean cost of a request and its mean cost a second,
 	// over the requests of this ingress.
 	cost, rate average
+	// preemption tells that streams may be stopped, freeing lists the slots that
+	// are asked back, and allowance bounds them.
+	preemption bool
+	freeing    []freeing
+	allowance  preemption.Allowance
 }
 
 // waiting counts the requests of all workspaces that wait here.
@@ -164,6 +174,8 @@
 	ingress ident.Daemon
 	target  *target
 	sent    time.Time
+	// asked tells that the slot was asked back.
+	asked bool
 }
 
 // request is a request that waits or runs at this ingress.
@@ -180,6 +192,9 @@
 	granted time.Time
 	// charged is what the ledger was charged so far.
 	charged float64
+	// asked tells that the owner asked the grant's slot back, stopping that the
+	// attempt is being stopped.
+	asked, stopping bool
 }
 
 // peer is the state kept about another daemon.
@@ -189,6 +204,9 @@
 	seenGrant uint64
 	// full asks for all demand and all parts at the next exchange.
 	full bool
+	// retell asks for all parts and sums that concern the peer at the next
+	// exchange: it has come to add up for others.
+	retell bool
 	// lists is how many lists of the held grants are still to be sent although
 	// there may be none to list.
 	lists int
@@ -239,19 +257,21 @@
 		workspaces: map[ident.Workspace]*workspace{},
 		targets:    map[ident.Target]*target{},
 		ledger:     fairshare.New(fairshare.Config{Self: c.cfg.Self, Incarnation: c.cfg.Incarnation}),
-		admission:  admission.New(admission.Config{}),
+		admission:  c.newAdmission(),
 		places:     newPlaces(c.cfg.Zone, c.rng),
 	}
 }
 
 func (c *Core) configureService(s *service, spec Service) {
 	s.meanCost = spec.MeanCost
+	s.preemption = spec.Preemption
 	workspaces := make(map[ident.Workspace]*workspace, len(spec.Workspaces))
 	s.order = s.order[:0]
 	for _, ws := range spec.Workspaces {
 		w := s.workspaces[ws.Name]
 		if w == nil {
 			w = newWorkspace(ws)
+			w.shard = shardOf(s.name, ws.Name)
 		}
 		w.configure(ws)
 		s.ledger.SetWeight(ws.Name, ws.Weight)
@@ -264,6 +284,7 @@
 		if workspaces[name] == nil {
 			c.refuseQueue(w, resultcode.Fail(resultcode.Forbidden, "workspace %s was removed", name))
 			s.ledger.Remove(name)
+			delete(s.sums, name)
 			s.admission.Remove(name)
 		}
 	}
@@ -296,6 +317,7 @@
 		p := c.peers[spec.ID]
 		if p != nil && p.Incarnation != spec.Incarnation {
 			c.forgetPeer(p)
+			c.forgetLimits(now, p.ID)
 			p = nil
 		}
 		if p == nil {
@@ -314,7 +336,9 @@
 		delete(c.gone, id)
 	}
 	c.peers = kept
+	c.divideLimits(now)
 	c.assignOwners()
+	c.chooseExchange(now)
 	c.assignAll(now)
 }
 
@@ -341,6 +365,7 @@
 func (c *Core) Leave(now time.Time) {
 	c.leaving = true
 	c.assignOwners()
+	c.chooseExchange(now)
 	c.assignAll(now)
 }
 
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -67,8 +67,14 @@
 	fronts []*front
 	// adjust changes the settings of every daemon.
 	adjust func(*settings.Settings)
+	// limits are those of the first workspace.
+	limits document.WorkspaceLimits
 	// orders is the wanted state of the engines; nil leaves them alone.
 	orders *document.Orders
+	// preemption allows it on the engines; meanCost is what requests are taken to
+	// cost at first.
+	preemption bool
+	meanCost   float64
 
 	mu sync.Mutex // guards daemons while they are replaced
 }
@@ -98,7 +104,7 @@
 func startFleet(t *testing.T, options ...func(*fleet)) *fleet {
 	t.Helper()
 	program.OpenSources(t)
-	f := &fleet{t: t, platform: platformstandin.New(platformstandin.Config{}), adjust: func(*settings.Settings) {}}
+	f := &fleet{t: t, platform: platformstandin.New(platformstandin.Config{}), meanCost: 50, adjust: func(*settings.Settings) {}}
 	for _, option := range options {
 		option(f)
 	}
@@ -182,6 +188,7 @@
 	for i := range workspaces {
 		ws = append(ws, document.Workspace{Name: ident.Workspace(workspaceName(i)), Weight: 1, Keys: []string{document.HashKey(key(i))}})
 	}
+	ws[0].Limits = f.limits
 	documents := []document.Document{{
 		Service: modelService, Kind: document.Model, Models: []string{modelName}, Workspaces: ws,
 		Operations: []document.Operation{
@@ -189,9 +196,11 @@
 			{Name: "tag", Class: document.Standard, Unrepeatable: true},
 			{Name: "recap", Class: document.Batch},
 		},
-		Limits:  document.Limits{Deadline: time.Minute, MeanCost: 50},
+		Limits:  document.Limits{Deadline: time.Minute, MeanCost: f.meanCost},
 		Targets: f.targets(0, engineCount, engineSlots),
 		Orders:  f.orders,
+
+		Preemption: f.preemption,
 	}, {
 		Service: plainService, Kind: document.Plain, Workspaces: ws,
 		Operations: []document.Operation{
