--- a/internal/fleet/watch_test.go
+++ b/internal/fleet/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/test/faultlink"
 )
 
@@ -48,3 +49,35 @@
 		recorders[id].locked(func() { is.Equal(len(recorders[id].peers), len(ids)-1) })
 	}
 }
+
+// Something on the path to one daemon loses track of a link that rests. Requests
+// whose demand goes over it would wait for grants that never come; whoever sent it
+// has to find out within heartbeats, not when the rest ends.
+func TestSilentLinkAtRestIsFoundByWhatIsSent(t *testing.T) {
+	const quickBeat = 100 * time.Millisecond // a rest ends after 36 s, beyond bound
+	a, ra := start(t, fleet.Config{Self: "a", Heartbeat: quickBeat, WatchAll: 1})
+	known, seen := []platform.VM{vm("a", "")}, []platform.VM{}
+	ways, peers := map[ident.Daemon]*faultlink.Link{}, []*fleet.Node{}
+	for _, id := range []ident.Daemon{"b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
+		n, _ := start(t, fleet.Config{Self: id, Heartbeat: quickBeat, WatchAll: 1})
+		ways[id] = faultlink.New(t, n.Address())
+		peers = append(peers, n)
+		known, seen = append(known, vm(id, "")), append(seen, vm(id, ways[id].Address))
+	}
+	for _, n := range peers {
+		n.SetVMs(known) // without addresses: they choose among all and link to a alone
+	}
+	a.SetVMs(seen)
+	for id := range ways {
+		ra.eventually(t, "link to "+string(id), linked(id))
+	}
+	time.Sleep(5 * quickBeat) // links that nobody watches come to rest
+	for id, way := range ways {
+		before := ra.count(id)
+		way.SilenceOpen()
+		ra.eventually(t, "new link to "+string(id), func(r *recorder) bool {
+			a.Send(id, scheduler.Message{Demand: []scheduler.Demand{{Service: "s", Workspace: "w", Waiting: 1}}})
+			return r.ups[id] > before
+		})
+	}
+}
