--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -71,6 +71,10 @@
 	dialing int
 	ticks   int
 
+	// refused is the last incarnation of each name that was refused while a later
+	// one had a link; the control goroutine owns it.
+	refused map[ident.Daemon]uint64
+
 	// handshakes spaces the lines about failed handshakes.
 	handshakes rate.Sometimes
 }
@@ -84,9 +88,13 @@
 	}
 	table := membership.New(membership.Config{
 		Self:         cfg.Self,
+		Zone:         cfg.Zone,
 		SuspectAfter: suspectBeats * cfg.Heartbeat,
 		DeadAfter:    deadBeats * cfg.Heartbeat,
 		Grace:        2 * cfg.Heartbeat,
+		WatchAll:     cfg.WatchAll,
+		UseFor:       useBeats * cfg.Heartbeat,
+		RestAfter:    suspectBeats * restBeats * cfg.Heartbeat,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n := &Node{
 		cfg: cfg, handler: handler, table: table,
@@ -94,6 +102,7 @@
 		events:     make(chan controlEvent, eventQueue), done: make(chan struct{}),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.refused = map[ident.Daemon]uint64{}
 	n.calls.conns = map[ident.Daemon]callConn{}
 	n.links.byPeer = map[ident.Daemon]*link{}
 	n.links.addresses = map[ident.Daemon]string{}
@@ -152,7 +161,11 @@
 	n.links.RLock()
 	l := n.links.byPeer[to]
 	n.links.RUnlock()
-	if l == nil || l.out.put(&m) {
+	if l == nil {
+		return
+	}
+	l.used.Store(true)
+	if l.out.put(&m) {
 		return
 	}
 	event.FleetSlowPeer.Log(n.cfg.Logger, "peer", to)
@@ -231,6 +244,7 @@
 
 // tick replaces silent links, lets silences pass judgement and dials.
 func (n *Node) tick(now time.Time) {
+	n.noteUse(now)
 	n.table.Tick(now)
 	for _, peer := range n.table.Silent(now) {
 		l := n.links.byPeer[peer]
@@ -241,6 +255,8 @@
 		n.unregister(now, l)
 		l.cancel()
 	}
+	n.tellWatched()
+	n.tellReports()
 	n.startDials(now)
 	if n.ticks++; n.ticks%ticksPerBeat == 0 {
 		n.repeatHeads()
@@ -277,7 +293,7 @@
 		ID: l.peer, Incarnation: l.incarnation, Zone: l.zone, Address: l.address,
 	}
 	if !n.table.LinkUp(now, sighting) {
-		event.FleetLinkRefused.Log(n.cfg.Logger, "peer", l.peer, "error", errOutdated)
+		n.logRefused(l, old)
 		return errOutdated
 	}
 	if old != nil {
@@ -297,6 +313,19 @@
 	return nil
 }
 
+// logRefused tells the operator of a link of an older incarnation. Where a later
+// one has a link, two daemons run under one name, and the elder, which loses all
+// links, grants the slots of all targets a second time; that is said once for
+// each elder, which dials again and again.
+func (n *Node) logRefused(l, old *link) {
+	if old == nil || n.refused[l.peer] == l.incarnation {
+		event.FleetLinkRefused.Log(n.cfg.Logger, "peer", l.peer, "error", errOutdated)
+		return
+	}
+	n.refused[l.peer] = l.incarnation
+	event.FleetTwoOfOne.Log(n.cfg.Logger, "peer", l.peer, "refused", l.address, "kept", old.address)
+}
+
 // unregister forgets a link unless another one has taken its place.
 func (n *Node) unregister(now time.Time, l *link) {
 	if n.links.byPeer[l.peer] != l {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -20,6 +20,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -58,6 +59,9 @@
 	DefaultBackoffCap   = 10 * time.Second
 	DefaultGrace        = 2 * time.Second
 	DefaultForgetAfter  = 24 * time.Hour
+	DefaultWatchAll     = 18
+	DefaultUseFor       = 10 * time.Second
+	DefaultRestAfter    = 6 * time.Minute
 	// unlistedDials is how long a daemon that the list lacks is dialled after
 	// it was last heard: the list may hold it again soon.
 	unlistedDials = 2 * time.Minute
@@ -65,8 +69,9 @@
 
 // Config is the fixed part of a table.
 type Config struct {
-	// Self is the daemon that holds the table; it is not in it.
+	// Self is the daemon that holds the table; it is not in it. Zone is its own.
 	Self ident.Daemon
+	Zone ident.Zone
 	// SuspectAfter is the silence that makes a member suspect. Default: 3 s.
 	SuspectAfter time.Duration
 	// DeadAfter is the silence that makes a member dead. Default: 6 s.
@@ -80,6 +85,15 @@
 	// ForgetAfter is how long a dead member's incarnation is remembered once
 	// the list lacks it. Default: 24 h.
 	ForgetAfter time.Duration
+	// WatchAll is the size of the fleet, this daemon included, up to which it
+	// watches all others. Default: 18.
+	WatchAll int
+	// UseFor is how long a daemon is watched after it was last sent something.
+	// Default: 10 s.
+	UseFor time.Duration
+	// RestAfter is the silence of a resting link that makes the table look at
+	// the daemon. Default: 6 min.
+	RestAfter time.Duration
 }
 
 func (c Config) complete() Config {
@@ -93,11 +107,14 @@
 		{&c.BackoffCap, DefaultBackoffCap},
 		{&c.Grace, DefaultGrace},
 		{&c.ForgetAfter, DefaultForgetAfter},
+		{&c.UseFor, DefaultUseFor},
+		{&c.RestAfter, DefaultRestAfter},
 	} {
 		if *d.field == 0 {
 			*d.field = d.value
 		}
 	}
+	c.WatchAll = cmp.Or(c.WatchAll, DefaultWatchAll)
 	return c
 }
 
@@ -147,6 +164,7 @@
 	dialling    bool
 	nextDial    time.Time
 	failures    int
+	watch
 }
 
 // Table holds the other daemons of the fleet. It is not safe for concurrent use.
@@ -157,6 +175,7 @@
 	entries map[ident.Daemon]*entry
 	version uint64
 	ticked  time.Time
+	few     fewState
 }
 
 var lifeChart = chart.MustParse(charts.Member,
@@ -220,7 +239,7 @@
 func (t *Table) entry(id ident.Daemon, now time.Time) *entry {
 	e, ok := t.entries[id]
 	if !ok {
-		e = &entry{machine: t.chart.New(), id: id, nextDial: now}
+		e = &entry{machine: t.chart.New(), id: id, nextDial: now, watch: watch{watched: true, met: now}}
 		if id < t.cfg.Self {
 			e.nextDial = now.Add(t.cfg.Grace)
 		}
@@ -252,6 +271,7 @@
 	for _, e := range t.entries {
 		t.settleLeaving(e)
 	}
+	t.few.chosen = time.Time{}
 	t.forget(now)
 }
 
@@ -316,7 +336,7 @@
 }
 
 func (t *Table) heard(now time.Time, e *entry) {
-	e.lastHeard = now
+	e.lastHeard, e.reported = now, false
 	t.fire(e, heard)
 	t.settleLeaving(e)
 }
@@ -344,121 +364,3 @@
 		e.nextDial = e.nextDial.Add(t.cfg.Grace)
 	}
 }
-
-// Dials returns at most limit daemons to dial now and counts them as being
-// dialled until LinkUp or DialFailed.
-func (t *Table) Dials(now time.Time, limit int) []Dial {
-	var due []*entry
-	for _, e := range t.entries {
-		if t.wanted(now, e) && !now.Before(e.nextDial) {
-			due = append(due, e)
-		}
-	}
-	sort.Slice(due, func(i, j int) bool {
-		if !due[i].nextDial.Equal(due[j].nextDial) {
-			return due[i].nextDial.Before(due[j].nextDial)
-		}
-		return due[i].id < due[j].id
-	})
-	if len(due) > limit {
-		due = due[:max(limit, 0)]
-	}
-	dials := make([]Dial, 0, len(due))
-	for _, e := range due {
-		e.dialling = true
-		dials = append(dials, Dial{ID: e.id, Address: e.address})
-	}
-	return dials
-}
-
-func (t *Table) wanted(now time.Time, e *entry) bool {
-	if e.linked || e.dialling || e.address == "" {
-		return false
-	}
-	return e.listed || now.Sub(e.lastHeard) < unlistedDials
-}
-
-// DialFailed takes in that a dial brought no link and sets the next one.
-func (t *Table) DialFailed(now time.Time, id ident.Daemon) {
-	e, ok := t.entries[id]
-	if !ok {
-		return
-	}
-	e.dialling = false
-	wait := t.cfg.BackoffCap
-	if e.failures < maxDoublings {
-		wait = min(wait, t.cfg.BackoffBase<<e.failures)
-		e.failures++
-	}
-	e.nextDial = now.Add(t.jitter(wait))
-}
-
-// maxDoublings keeps the shift of the backoff in range.
-const maxDoublings = 16
-
-// jitter spreads a wait evenly between half and one and a half of it.
-func (t *Table) jitter(wait time.Duration) time.Duration {
-	return wait/2 + time.Duration(t.random.Int64N(int64(wait)+1))
-}
-
-// Silent returns the daemons whose link has brought nothing for SuspectAfter.
-// Such a link is to be replaced by one on a new connection: something between
-// the two ends may have lost track of the old one, which then stays silent for
-// good while new connections work.
-func (t *Table) Silent(now time.Time) []ident.Daemon {
-	var ids []ident.Daemon
-	for _, e := range t.entries {
-		if e.linked && now.Sub(e.lastHeard) >= t.cfg.SuspectAfter {
-			ids = append(ids, e.id)
-		}
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
-// Tick lets time pass: members that were not heard become suspect, then dead.
-// It is to be called several times a second.
-func (t *Table) Tick(now time.Time) {
-	t.forgivePause(now)
-	for _, e := range t.entries {
-		quiet := now.Sub(e.lastHeard)
-		if quiet >= t.cfg.SuspectAfter {
-			t.fire(e, silent)
-		}
-		if quiet >= t.cfg.DeadAfter {
-			t.fire(e, expired)
-		}
-	}
-	t.forget(now)
-}
-
-// forgivePause guards against the daemon's own pause (a stopped process, a busy
-// VM): when it wakes, every peer has been silent for as long as it slept, and it
-// would declare all of them dead at once and take over all their targets, while
-// their frames still wait in its buffers. A gap between two ticks says nothing
-// about the peers, so it is taken off their silence.
-func (t *Table) forgivePause(now time.Time) {
-	gap := now.Sub(t.ticked)
-	first := t.ticked.IsZero()
-	t.ticked = now
-	if first || gap < t.cfg.SuspectAfter/2 {
-		return
-	}
-	for _, e := range t.entries {
-		if !e.lastHeard.IsZero() {
-			e.lastHeard = e.lastHeard.Add(min(gap, now.Sub(e.lastHeard)))
-		}
-	}
-}
-
-func (t *Table) forget(now time.Time) {
-	for id, e := range t.entries {
-		if e.listed || e.linked || e.dialling {
-			continue
-		}
-		if e.incarnation == 0 || e.machine.State() == Dead && now.Sub(e.lastHeard) >= t.cfg.ForgetAfter {
-			t.fire(e, forgotten)
-			delete(t.entries, id)
-		}
-	}
-}
