--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -4,6 +4,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -33,6 +34,9 @@
 	// Step is the time in which an engine adds one token to every stream.
 	// Default 20 ms; the true step time of engines is not known.
 	Step time.Duration
+	// Batch is how many streams an engine runs at once. Default: the slots that
+	// its document says. Set it to try out documents that are wrong.
+	Batch int
 	// Delay is how long a plain service takes. Default none.
 	Delay time.Duration
 	// Listeners are used for the addresses that they are mapped from, in place
@@ -117,7 +121,7 @@
 	var handler http.Handler
 	if doc.Kind == document.Model {
 		engine := enginestandin.New(enginestandin.Config{
-			Step: e.cfg.Step, Slots: t.Slots,
+			Step: e.cfg.Step, Slots: cmp.Or(e.cfg.Batch, t.Slots),
 			EnforceFencing: doc.Orders != nil && doc.Orders.Fencing == document.Enforced,
 		})
 		e.Engines[name], handler = engine, engine
@@ -143,18 +147,21 @@
 	return listener.Addr().String(), nil
 }
 
-// counted counts what a target sees, status probes aside.
+// ownPaths are what daemons ask targets on their own account, at their own times.
+var ownPaths = map[string]bool{"/status": true, "/orders": true, "/cache/events": true}
+
+// counted counts what a target sees of callers' requests.
 func (e *Emulator) counted(target http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/status" {
+		if !ownPaths[r.URL.Path] {
 			e.requests.Add(1)
 		}
 		target.ServeHTTP(w, r)
 	})
 }
 
-// TargetRequests returns how many requests all targets have seen together,
-// status probes aside.
+// TargetRequests returns how many requests of callers all targets have seen
+// together. What daemons ask on their own account is not counted.
 func (e *Emulator) TargetRequests() int64 { return e.requests.Load() }
 
 func (e *Emulator) apply(ctx context.Context) error {
--- a/internal/fleet/columns.go
+++ b/internal/fleet/columns.go
@@ -1,5 +1,12 @@
 package fleet
 
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
 // stepper turns a column into differences and back.
 type stepper struct{ last uint64 }
 
@@ -31,3 +38,33 @@
 	}
 	return out
 }
+
+// cached is the column of the marks; none where no grant has any.
+func cached(rows []scheduler.Grant) [][]byte {
+	if !slices.ContainsFunc(rows, func(g scheduler.Grant) bool { return len(g.Cached) > 0 }) {
+		return nil
+	}
+	column := make([][]byte, len(rows))
+	for i, g := range rows {
+		column[i] = marks(g.Cached)
+	}
+	return column
+}
+
+// marks writes the marks of prompt prefixes, two bytes each.
+func marks(list []uint16) []byte {
+	var out []byte
+	for _, m := range list {
+		out = binary.BigEndian.AppendUint16(out, m)
+	}
+	return out
+}
+
+// readMarks leaves out a byte that is no whole mark: they are hints.
+func readMarks(in []byte) []uint16 {
+	var list []uint16
+	for ; len(in) >= 2; in = in[2:] {
+		list = append(list, binary.BigEndian.Uint16(in))
+	}
+	return list
+}
--- a/internal/scheduler/peers.go
+++ b/internal/scheduler/peers.go
@@ -65,6 +65,7 @@
 		}
 	}
 	delete(c.outbox, p.ID)
+	c.forgetTold(p.ID)
 }
 
 // hearFirst is how long a daemon that has just met most of its peers waits before
--- a/internal/scheduler/tied_test.go
+++ b/internal/scheduler/tied_test.go
@@ -75,8 +75,6 @@
 	return f
 }
 
-func daemonName(d int) ident.Daemon { return ident.Daemon(fmt.Sprintf("d%d", d)) }
-
 // tie draws new ties for half of the workspaces.
 func (f *tiedFleet) tie() {
 	f.service.Workspaces = append([]scheduler.Workspace(nil), f.service.Workspaces...)
