test/fairness: leave alone a draft that waits again already

Cause: `go run ./test/fairness` ended with a nil job in fleet-preempt under the pattern cut at a lag of 0.5 s, at both sites. A job found its target unreachable and was queued again under its id; a slot asked back in the same batch of effects then stopped it as if it ran, and queued it a second time. Ruled out for the daemon: there the signal to stop belongs to one placing of a request, and the end of an attempt takes it away before the request is placed again.

Change: only a job that is on an engine is stopped.

--- a/test/fairness/fleetpreempt.go
+++ b/test/fairness/fleetpreempt.go
@@ -37,10 +37,11 @@
 	spec.Stops, spec.Earlier = j.preempted, j.earlier
 }
 
-// preempt stops a job, and queues it again at its daemon.
+// preempt stops a job, and queues it again at its daemon. One that has found its
+// target unreachable in the meantime waits again already.
 func (f *fleet) preempt(n *node, e scheduler.Preempt) {
 	j := f.jobs[e.Request]
-	if j == nil || j.ended {
+	if j == nil || j.ended || e.Request != running(j) {
 		return
 	}
 	now := f.run.time()
--- a/test/fairness/preempt_test.go
+++ b/test/fairness/preempt_test.go
@@ -37,3 +37,12 @@
 		})
 	}
 }
+
+// A zone is cut off, a draft finds its new target unreachable, and at that moment
+// its slot is asked back. It waits again already: stopping it once more queued it
+// twice, and the measurement ended with a nil job.
+func TestPreemptionOfARequestThatFoundNoTarget(t *testing.T) {
+	is := is.New(t)
+	with := outcome(t, "cut", preemptingFleetName, 500*time.Millisecond)
+	is.True(with.Stops > 0)
+}
