A planned stop answers what comes on connections it has accepted

Cause: TestPlannedStopCutsNothingOff still failed with the race detector: 7 of 200 requests ended with an EOF. http.Server.Shutdown closes a connection without an answer where a request's header is read after it began, though the request was sent before. Those were the first requests of connections just accepted.

Change: after the listener is drained, the stop waits until no connection holds a request or may still bring its first one (5 s at most), and only then shuts the server down.

Conclusion: a request that reached the daemon before its listener closed is answered.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -155,6 +155,7 @@
 type servers struct {
 	callers, operators *http.Server
 	callersListener    *drainableListener
+	connections        *connections
 	operatorsListener  net.Listener
 }
 
@@ -174,8 +175,11 @@
 		_ = callers.Close()
 		return nil, merry.Prepend(err, "operators' listener")
 	}
+	conns := newConnections()
 	return &servers{
+		connections: conns,
 		callers: &http.Server{
+			ConnState:         conns.note,
 			Handler:           closing(life, in),
 			ReadHeaderTimeout: s.Callers.HeaderTimeout,
 			MaxHeaderBytes:    s.Callers.HeaderBytes,
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -174,6 +174,7 @@
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
+		d.p.Servers.connections.settle(ctx)
 		_ = d.p.Servers.callers.Shutdown(ctx)
 	}()
 	warn := time.NewTicker(max(d.p.Settings.Stop.WarnAfter, time.Second))
