--- a/test/fairness/fairness_test.go
+++ b/test/fairness/fairness_test.go
@@ -129,3 +129,10 @@
 	is.True(fleet.GapSeconds <= aimGap1)
 	is.True(fleet.AskFirst <= 2*best.AskFirst)
 }
+
+// Two systems were added to the measurement, and after minutes of work it ended
+// with a panic when it drew the plot: there were fewer colors than systems.
+func TestEachSystemHasAColor(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(lineColors), len(candidates))
+}
--- a/test/fairness/plot.go
+++ b/test/fairness/plot.go
@@ -20,7 +20,7 @@
 // lineColors tells the systems apart, in the order of candidates.
 var lineColors = []color.RGBA{
 	{0, 0, 0, 255}, {0, 90, 200, 255}, {100, 180, 180, 255}, {220, 120, 0, 255}, {150, 0, 150, 255},
-	{200, 0, 0, 255}, {120, 120, 120, 255}, {0, 140, 60, 255},
+	{200, 0, 0, 255}, {120, 120, 120, 255}, {0, 140, 60, 255}, {230, 190, 0, 255}, {240, 130, 190, 255},
 }
 
 // plotAll writes one tile a site and pattern: the gap over time by system, at
