--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -160,7 +160,8 @@
 }
 
 // resetOwners lets each workspace find the owners again, after a change of targets
-// or peers. A peer that owns none any more forgets what it was shown.
+// or peers. What a peer was shown that owns none any more stays noted, as the peer
+// keeps it too: should it own one again, it is told the difference.
 func (c *Core) resetOwners(s *service) {
 	for _, w := range s.order {
 		w.owners, w.told = nil, false
