Take out code that only tests called

Cause: a second reading. placement.Choose could prefer a target that holds a prefix, but the scheduler never gave it one, since a slot is granted before a request is bound to it; config.Store.Offer and Newer and resultcode.ByNumber had no caller in the product. Found by counting the callers of each function outside of tests.

Change: they are out, and with the first its cases in TestChoose and TestHotPrefixSpreadsOnlyWhenItsTargetFillsUp, which tested a choice that was never made. What is done with a prefix stays tested: TestHotPrefixDoesNotWidenTheGap, TestPrefixHintsRaiseTheCacheHits, the tests of cache events.

Conclusion: config.LoadArchive and retry.Policy.Balance are left: tests of whole machines read through them.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -42,8 +42,8 @@
 	return s
 }
 
-// Offer puts an entry in force if its revision is higher than the one in force
-// for the service, and tells whether it did.
+// OfferAll puts each entry in force whose revision is higher than the one in
+// force for its service, builds one snapshot, and tells whether any was taken.
 //
 // It guards against reverting: a stale read of the table, a peer that lags or
 // an old snapshot offers an older entry, which would show as a service that
@@ -51,15 +51,9 @@
 // holds because the comparison and the change are one step under the lock, and
 // because entries are replaced but never removed.
 //
-// The error tells that the entry is higher but its text is not valid (written
-// past Apply, or by a newer release); the entry in force stays.
-func (s *Store) Offer(e Entry) (accepted bool, err error) {
-	accepted, err = s.OfferAll([]Entry{e})
-	return accepted, err
-}
-
-// OfferAll offers many entries and builds one snapshot. An entry that is not
-// valid does not hinder the others; the error is about the first such.
+// The error tells of the first entry that is higher but whose text is not valid
+// (written past Apply, or by a newer release). The entry in force stays then, and
+// the others are not hindered.
 func (s *Store) OfferAll(entries []Entry) (accepted bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -159,18 +153,6 @@
 	return revisions
 }
 
-// Newer returns the entries in force whose revision is higher than the one
-// given for their service.
-func (s *Store) Newer(than map[ident.Service]uint64) []Entry {
-	var newer []Entry
-	for _, e := range s.Entries() {
-		if e.Revision > than[e.Service] {
-			newer = append(newer, e)
-		}
-	}
-	return newer
-}
-
 // Head returns the revision up to which every change is known to be in force
 // here; zero until the table or a whole snapshot of it was read once.
 func (s *Store) Head() uint64 {
--- a/internal/config/watcher_test.go
+++ b/internal/config/watcher_test.go
@@ -68,7 +68,7 @@
 	_, ok := store.Snapshot().Service("portal")
 	is.True(ok)
 	restarted := config.NewStore()
-	_, err = restarted.OfferAll(peer.Newer(restarted.Revisions()))
+	_, err = restarted.OfferAll(peer.Entries())
 	is.NoErr(err)
 	service, ok := restarted.Snapshot().Service("portal")
 	is.True(ok)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -13,27 +13,14 @@
 	InFlight int
 }
 
-// prefixSlack is how much fuller, as a part of its limit, a target that holds
-// the prefix may be than the emptiest one. A quarter keeps a hot prefix on its
-// target in ordinary times and spreads it as soon as that one fills up.
-const prefixSlack = 0.25
-
 // Choose returns the free target that is to take a request: one of the own zone
-// where there is one, among these the emptiest in proportion to its limit, or
-// one that holds the prompt's prefix and is not much fuller. It returns false
-// where none is usable. Prefix zero means no hint. The order of free decides
-// between equals.
-func (t *Table) Choose(now time.Time, free []Free, prefix uint64) (ident.Target, bool) {
+// where there is one, among these the emptiest in proportion to its limit. It
+// returns false where none is usable. The order of free decides between equals.
+func (t *Table) Choose(free []Free) (ident.Target, bool) {
 	best := t.emptiest(free)
 	if best == nil {
 		return "", false
 	}
-	if prefix != 0 {
-		if holder := t.holder(free, best, prefix); holder != nil {
-			best = holder
-		}
-		best.entry.placed(prefix, now)
-	}
 	return best.entry.Name, true
 }
 
@@ -67,22 +54,6 @@
 	return best
 }
 
-// holder returns the emptiest target that holds the prefix, is in the same zone
-// as the best one and at most prefixSlack fuller.
-func (t *Table) holder(free []Free, best *candidate, prefix uint64) *candidate {
-	var found *candidate
-	for _, f := range free {
-		c := t.candidate(f)
-		if c == nil || c.local != best.local || c.load > best.load+prefixSlack || !c.entry.holds(prefix) {
-			continue
-		}
-		if found == nil || c.load < found.load {
-			found = c
-		}
-	}
-	return found
-}
-
 // CacheStored takes in that a prefix was placed on a target from here.
 func (t *Table) CacheStored(now time.Time, name ident.Target, prefix uint64) {
 	if e := t.targets[name]; e != nil {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -213,7 +213,7 @@
 	table.Observe(start, "a", placement.Sample{Tokens: 10, Elapsed: time.Second})
 	table.Learn(start, "a", placement.Answered)
 	is.True(!table.Usable("a"))
-	_, ok := table.Choose(start, []placement.Free{{Target: "a"}}, 0)
+	_, ok := table.Choose([]placement.Free{{Target: "a"}})
 	is.True(!ok)
 	table.Learn(start, "a", placement.Returned)
 	is.True(table.Usable("a"))
@@ -250,67 +250,27 @@
 		return []placement.Free{{Target: "a", InFlight: a}, {Target: "b", InFlight: b}, {Target: "c", InFlight: c}}
 	}
 	cases := map[string]struct {
-		free   []placement.Free
-		prefix uint64
-		want   ident.Target
+		free []placement.Free
+		want ident.Target
 	}{
-		"emptiest of the zone":                    {free(5, 4, 0), 0, "b"},
-		"another zone where the own one is full":  {free(8, 8, 7), 0, "c"},
-		"nothing free":                            {free(8, 8, 8), 0, ""},
-		"holder of the prefix":                    {free(5, 4, 0), 7, "a"},
-		"holder that is much fuller":              {free(7, 4, 0), 7, "b"},
-		"holder in another zone":                  {free(0, 1, 0), 9, "a"},
-		"prefix that nobody holds":                {free(2, 1, 0), 8, "b"},
-		"a target that is not in the table":       {[]placement.Free{{Target: "x"}}, 0, ""},
-		"a holder that evicted it":                {free(5, 4, 0), 10, "b"},
-		"order decides between equally empty":     {free(3, 3, 3), 0, "a"},
-		"equally empty, the holder comes second":  {free(3, 3, 3), 11, "b"},
-		"more in flight than the limit is no gap": {free(9, 10, 9), 0, ""},
+		"emptiest of the zone":                    {free(5, 4, 0), "b"},
+		"another zone where the own one is full":  {free(8, 8, 7), "c"},
+		"nothing free":                            {free(8, 8, 8), ""},
+		"a target that is not in the table":       {[]placement.Free{{Target: "x"}}, ""},
+		"order decides between equally empty":     {free(3, 3, 3), "a"},
+		"more in flight than the limit is no gap": {free(9, 10, 9), ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			table := newTable(targets...)
-			table.CacheStored(start, "a", 7)
-			table.CacheStored(start, "c", 9)
-			table.CacheStored(start.Add(-time.Minute), "a", 10)
-			table.CachePage(start, "a", placement.CachePage{Events: []placement.CacheEvent{{Sequence: 1, Prefix: 10}}, Next: 1})
-			table.CacheStored(start, "b", 11)
-			got, ok := table.Choose(start, c.free, c.prefix)
+			got, ok := table.Choose(c.free)
 			is.Equal(got, c.want)
 			is.Equal(ok, c.want != "")
 		})
 	}
 }
 
-// Half of all requests start with the same long prompt. Kept on its one engine
-// at all costs, they wait there while others idle; spread at random, all
-// engines compute the prompt. It must stay on one while there is room, and move
-// on to the next when that one fills up.
-func TestHotPrefixSpreadsOnlyWhenItsTargetFillsUp(t *testing.T) {
-	is := is.New(t)
-	table := newTable(placement.Target{Name: "a", Slots: 20}, placement.Target{Name: "b", Slots: 20}, placement.Target{Name: "c", Slots: 20})
-	inFlight := map[ident.Target]int{}
-	place := func(prefix uint64) ident.Target {
-		free := []placement.Free{{"a", inFlight["a"]}, {"b", inFlight["b"]}, {"c", inFlight["c"]}}
-		name, ok := table.Choose(start, free, prefix)
-		is.True(ok)
-		inFlight[name]++
-		return name
-	}
-	hot := map[ident.Target]int{}
-	for range 4 {
-		hot[place(7)]++
-	}
-	is.Equal(len(hot), 1) // together while there is room
-	for range 46 {
-		hot[place(7)]++
-	}
-	for _, name := range []ident.Target{"a", "b", "c"} {
-		is.True(inFlight[name] >= 13) // no target idles, none is overrun
-	}
-}
-
 func TestPrefixMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	table := placement.New(placement.Config{PrefixEntries: 64}, rand.New(rand.NewPCG(1, 2)))
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -117,7 +117,7 @@
 		for i, b := range p.backends {
 			free[i] = placement.Free{Target: b.name, InFlight: b.held}
 		}
-		name, ok := p.table.Choose(p.now, free, 0)
+		name, ok := p.table.Choose(free)
 		if !ok {
 			return
 		}
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -48,16 +48,6 @@
 // All returns the table in order of definition. The caller must not change it.
 func All() []Code { return table }
 
-// ByNumber returns the row with the given number.
-func ByNumber(n int) (Code, bool) {
-	for _, c := range table {
-		if c.Number == n {
-			return c, true
-		}
-	}
-	return Code{}, false
-}
-
 // Codes about the request itself: it was not run.
 var (
 	BadRequest          = define(Code{1001, "bad_request", http.StatusBadRequest, NotRun, "the request is malformed", 0})
--- a/internal/scheduler/owner.go
+++ b/internal/scheduler/owner.go
@@ -66,7 +66,7 @@
 		if w == nil {
 			return
 		}
-		t := c.freeTarget(now, s, w)
+		t := c.freeTarget(s, w)
 		if t == nil {
 			return
 		}
--- a/internal/scheduler/places.go
+++ b/internal/scheduler/places.go
@@ -90,12 +90,12 @@
 
 // freeTarget returns the one of the free targets that takes the next request of
 // the workspace, or nil.
-func (c *Core) freeTarget(now time.Time, s *service, w *workspace) *target {
+func (c *Core) freeTarget(s *service, w *workspace) *target {
 	free := s.places.free
 	if w.targets != nil {
 		free = slices.DeleteFunc(free, func(f placement.Free) bool { return !w.targets[f.Target] })
 	}
-	name, ok := s.places.Choose(now, free, 0)
+	name, ok := s.places.Choose(free)
 	if !ok {
 		return nil
 	}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -133,7 +133,7 @@
 		return
 	}
 	s.findFree()
-	if t := c.freeTarget(now, s, w); t != nil {
+	if t := c.freeTarget(s, w); t != nil {
 		w.turn = 0 // the next draw is among ingresses with questions
 		c.grant(now, t, w, c.pickIngress(w))
 	}
