--- a/cmd/savorystalld/main.go
+++ b/cmd/savorystalld/main.go
@@ -7,9 +7,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
+	"math"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -18,6 +21,7 @@
 	"github.com/savorystall/savorystall/internal/dev"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/logging"
 	"github.com/savorystall/savorystall/internal/settings"
 )
 
@@ -75,7 +79,16 @@
 		fmt.Println("the settings are valid")
 		return exitOK
 	}
-	log := newLogger(s.Log.Level)
+	debug.SetMemoryLimit(memoryLimit(s.Memory.Limit))
+	out := os.Stderr
+	if s.Log.Output == "stdout" {
+		out = os.Stdout
+	}
+	lines := logging.NewWriter(out)
+	defer lines.Close()
+	log := newLoggerTo(lines, s.Log.Level)
+	reloads := o.reload(ctx, log)
+	defer reloads()
 	if err := daemon.Run(ctx, s, log, func(a daemon.Addresses) { o.announce(a, s.Platform.URL) }); err != nil {
 		fmt.Fprintln(os.Stderr, "savorystalld:", err)
 		return exitFailed
@@ -126,9 +139,55 @@
 	fmt.Printf("curl -sS http://%s/v1/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":\"recap-1\",\"prompt\":\"Where did I crash?\",\"max_tokens\":8}'\n", a.Callers, dev.Key)
 }
 
-func newLogger(level string) *slog.Logger {
+func newLogger(level string) *slog.Logger { return newLoggerTo(os.Stderr, level) }
+
+func newLoggerTo(out io.Writer, level string) *slog.Logger {
 	var l slog.Level
 	// The settings' validator has checked the level; an unknown one is info.
 	_ = l.UnmarshalText([]byte(level))
-	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: l}))
+}
+
+const (
+	megabyte = 1 << 20
+	// heapShare is the part of the VM's memory that the Go heap may take before
+	// the collector works harder. The rest is for stacks, the kernel's buffers of
+	// unread bytes, and the binary.
+	heapShare = 0.7
+)
+
+// memoryLimit returns the soft limit of the Go runtime for a VM with so many MB;
+// zero means no bound.
+func memoryLimit(mb int) int64 {
+	if mb <= 0 {
+		return math.MaxInt64
+	}
+	return int64(float64(mb) * megabyte * heapShare)
+}
+
+// reload answers SIGHUP: the settings are read and checked again, and the line
+// says what came of it. Without it the signal would end the process. What
+// changed takes effect at the next start.
+func (o *options) reload(ctx context.Context, log *slog.Logger) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+			}
+			if _, err := settings.Load(o.Settings, settings.FromEnvironment(os.LookupEnv), o.override); err != nil {
+				event.SettingsBad.Log(log, "error", err)
+				continue
+			}
+			event.SettingsRead.Log(log, "file", o.Settings)
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		cancel()
+	}
 }
--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"golang.org/x/sys/unix"
+
+	"github.com/savorystall/savorystall/internal/dialing"
 )
 
 const (
@@ -77,41 +77,16 @@
 	return begun
 }
 
-// dialer opens connections that notice a peer that is gone.
-//
-// A connection can go silent for good because something between the two ends
-// has lost track of it. TCP_USER_TIMEOUT shows that for one with bytes under
-// way, keepalive probes for one that waits; both end in an error of the read.
-// Where a proxy in between still acknowledges, only the deadlines of the
-// attempt help.
+// dialer opens tracked connections that notice a peer that is gone.
 type dialer struct {
-	net.Dialer
+	*net.Dialer
 }
 
 func newDialer(cfg Config) *dialer {
-	return &dialer{net.Dialer{
-		Timeout: cfg.ConnectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw, cfg.UserTimeout)
-		},
-	}}
-}
-
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
+	return &dialer{dialing.New(dialing.Config{
+		Connect: cfg.ConnectTimeout, UserTimeout: cfg.UserTimeout,
+		Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	})}
 }
 
 func (d *dialer) dialTracked(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,22 +86,20 @@
 }
 
 func newLoop(id identity, b *bridge) *control.Loop {
-	core := scheduler.New(scheduler.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone},
-		rand.New(rand.NewPCG(id.Incarnation, rand.Uint64())))
-	b.loop = control.New(control.Config{}, core, b)
+	b.loop = control.New(control.Config{}, newCore(id), b)
 	return b.loop
 }
 
+func newCore(id identity) *scheduler.Core {
+	return scheduler.New(scheduler.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone},
+		rand.New(rand.NewPCG(id.Incarnation, rand.Uint64())))
+}
+
 func newNode(id identity, s settings.Settings, b *bridge, _ *control.Loop, _ *claim.Claimer, log *slog.Logger) (*fleet.Node, error) {
-	cfg := fleet.Config{
-		Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone,
-		Listen: s.Fleet.Listen, Advertise: s.Fleet.Advertise, Heartbeat: s.Fleet.Heartbeat, Logger: log,
-	}
-	loaded, err := loadIdentity(s)
+	cfg, err := nodeConfig(id, s, log)
 	if err != nil {
 		return nil, err
 	}
-	cfg.Identity = loaded
 	node, err := fleet.New(cfg, b)
 	if err != nil {
 		return nil, err
@@ -110,6 +108,15 @@
 	return node, nil
 }
 
+func nodeConfig(id identity, s settings.Settings, log *slog.Logger) (fleet.Config, error) {
+	loaded, err := loadIdentity(s)
+	return fleet.Config{
+		Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone,
+		Listen: s.Fleet.Listen, Advertise: s.Fleet.Advertise, Heartbeat: s.Fleet.Heartbeat,
+		Identity: loaded, Logger: log,
+	}, err
+}
+
 // loadIdentity returns the certificates of the fleet, nil where none are set.
 func loadIdentity(s settings.Settings) (*certs.Identity, error) {
 	if s.Fleet.TLS == nil {
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/control"
+	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/internal/telemetry"
 )
@@ -30,8 +32,15 @@
 }
 
 func (g *gaugeReporter) report() {
+	p := g.parts
+	reportGauges(p.Loop, p.Node, p.Metrics, len(p.Bridge.members())+1, p.Store.Head())
+}
+
+// reportGauges sets the gauges. Members counts the live daemons, this one
+// included, and head is the version of the configuration in force.
+func reportGauges(loop *control.Loop, node *fleet.Node, metrics *telemetry.Metrics, members int, head uint64) {
 	var rows []telemetry.ServiceGauges
-	g.parts.Loop.Inspect(func(c *scheduler.Core) {
+	loop.Inspect(func(c *scheduler.Core) {
 		for _, load := range c.Loads() {
 			rows = append(rows, telemetry.ServiceGauges{
 				Service: load.Service, Waiting: load.Waiting, Running: load.Running,
@@ -40,8 +49,8 @@
 		}
 	})
 	for _, row := range rows {
-		g.parts.Metrics.Service(row)
+		metrics.Service(row)
 	}
-	traffic := g.parts.Node.Traffic()
-	g.parts.Metrics.Fleet(traffic.EstimatedSent(), traffic.EstimatedReceived(), len(g.parts.Bridge.members())+1, g.parts.Store.Head())
+	traffic := node.Traffic()
+	metrics.Fleet(traffic.EstimatedSent(), traffic.EstimatedReceived(), members, head)
 }
--- /dev/null
+++ b/internal/daemon/routed.go
@@ -0,0 +1,270 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+
+	"github.com/savorystall/savorystall/internal/control"
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/fleet"
+	"github.com/savorystall/savorystall/internal/gateway"
+	"github.com/savorystall/savorystall/internal/retry"
+	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/scheduler"
+	"github.com/savorystall/savorystall/internal/settings"
+	"github.com/savorystall/savorystall/internal/targetconn"
+	"github.com/savorystall/savorystall/internal/telemetry"
+	"github.com/savorystall/savorystall/platform"
+)
+
+// RoutedModule provides every part of a daemon that serves routes on the users'
+// platform. What that platform makes needless is not in it: documents of
+// services, the VM list, claims, leases and orders.
+var RoutedModule = fx.Module("savorystalld-routed",
+	fx.Provide(
+		newStore,
+		newRoutedIdentity,
+		NewLife,
+		telemetry.NewMetrics,
+		newTracing,
+		func() *route.Holder { return &route.Holder{} },
+		newRoutedBridge,
+		newRoutedLoop,
+		newRoutedNode,
+		newPool,
+		newGateway,
+		newRoutedServers,
+		newRouted,
+	),
+)
+
+func newStore(s settings.Settings) *platform.Store { return platform.NewStore(s.Platform.URL) }
+
+func newPool() *targetconn.Pool { return targetconn.New(targetconn.Config{}) }
+
+func newRoutedLoop(id identity, b *routedBridge) *control.Loop {
+	b.loop = control.New(control.Config{}, newCore(id), b)
+	return b.loop
+}
+
+func newRoutedNode(id identity, s settings.Settings, b *routedBridge, _ *control.Loop, _ *gateway.Server, log *slog.Logger) (*fleet.Node, error) {
+	cfg, err := nodeConfig(id, s, log)
+	if err != nil {
+		return nil, err
+	}
+	b.node, err = fleet.New(cfg, b)
+	return b.node, err
+}
+
+func newGateway(s settings.Settings, routes *route.Holder, loop *control.Loop, pool *targetconn.Pool, b *routedBridge,
+	metrics *telemetry.Metrics, log *slog.Logger) *gateway.Server {
+	b.gateway = gateway.New(gateway.Deps{
+		Config: gateway.Config{
+			Repeats: retry.WindowConfig{
+				Ratio: s.Routing.RepeatRatio, Burst: s.Routing.RepeatBurst, Span: s.Routing.RepeatWindow,
+			},
+			ConnectionShare: s.Routing.ConnectionShare,
+		},
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Metrics: metrics, Log: log,
+	})
+	return b.gateway
+}
+
+// routedServers are the listeners of a daemon that serves routes, already bound.
+type routedServers struct {
+	callers, operators, readiness *http.Server
+	callersListener               *drainableListener
+	connections                   *connections
+	operatorsListener             net.Listener
+	readinessListener             net.Listener
+}
+
+func newRoutedServers(s settings.Settings, id identity, g *gateway.Server, life *Life, loop *control.Loop, b *routedBridge, metrics *telemetry.Metrics) (*routedServers, error) {
+	ops := &routedOperators{identity: id, life: life, loop: loop, bridge: b, metrics: metrics}
+	r := &routedServers{connections: newConnections()}
+	var err error
+	if r.callersListener, err = listenDrainable(s.Callers.Listen); err != nil {
+		return nil, merry.Prepend(err, "callers' listener")
+	}
+	if r.operatorsListener, err = net.Listen("tcp", s.Operators.Listen); err != nil {
+		return nil, merry.Prepend(err, "operators' listener")
+	}
+	if s.Readiness.Listen != "" {
+		if r.readinessListener, err = net.Listen("tcp", s.Readiness.Listen); err != nil {
+			return nil, merry.Prepend(err, "readiness listener")
+		}
+	}
+	r.callers = &http.Server{
+		ConnState:         r.connections.note,
+		Handler:           closing(life, g),
+		ReadHeaderTimeout: s.Callers.HeaderTimeout,
+		MaxHeaderBytes:    s.Callers.HeaderBytes,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+	r.operators = &http.Server{Handler: ops.handler(), ReadHeaderTimeout: operatorsTimeout, ReadTimeout: operatorsTimeout}
+	r.readiness = &http.Server{Handler: http.HandlerFunc(ops.ready), ReadHeaderTimeout: operatorsTimeout}
+	return r, nil
+}
+
+// routedOperators serves the operators' port of a daemon that serves routes.
+type routedOperators struct {
+	identity identity
+	life     *Life
+	loop     *control.Loop
+	bridge   *routedBridge
+	metrics  *telemetry.Metrics
+}
+
+func (o *routedOperators) handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", o.healthy).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", o.ready).Methods(http.MethodGet)
+	r.Handle("/metrics", o.metrics.Handler()).Methods(http.MethodGet)
+	return r
+}
+
+func (o *routedOperators) healthy(w http.ResponseWriter, _ *http.Request) {
+	if !o.loop.Inspect(func(*scheduler.Core) {}) {
+		http.Error(w, "the control loop has ended", http.StatusServiceUnavailable)
+		return
+	}
+	// A caller that has left needs no answer.
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (o *routedOperators) ready(w http.ResponseWriter, _ *http.Request) {
+	if state := o.life.State(); state != StateReady {
+		http.Error(w, string(state), http.StatusServiceUnavailable)
+		return
+	}
+	// As above.
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// Routed is a running daemon that serves routes.
+type Routed struct {
+	p       routedParts
+	tasks   sync.WaitGroup
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+	endLoop context.CancelFunc
+	callers <-chan struct{}
+}
+
+type routedParts struct {
+	fx.In
+
+	Settings settings.Settings
+	Identity identity
+	Life     *Life
+	Loop     *control.Loop
+	Node     *fleet.Node
+	Bridge   *routedBridge
+	Routes   *route.Holder
+	Store    *platform.Store
+	Pool     *targetconn.Pool
+	Gateway  *gateway.Server
+	Servers  *routedServers
+	Metrics  *telemetry.Metrics
+	Tracing  *telemetry.Tracing
+	Log      *slog.Logger
+}
+
+func newRouted(lc fx.Lifecycle, p routedParts) *Routed {
+	d := &Routed{p: p}
+	lc.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
+	return d
+}
+
+func (d *Routed) start(ctx context.Context) error {
+	event.DaemonStarting.Log(d.p.Log, "daemon", d.p.Identity.Daemon, "zone", d.p.Identity.Zone, "incarnation", d.p.Identity.Incarnation)
+	loopCtx, endLoop := context.WithCancel(context.Background())
+	d.endLoop = endLoop
+	d.loops.Go(func() { d.p.Loop.Run(loopCtx) })
+	if err := d.p.Node.Start(ctx); err != nil {
+		endLoop()
+		return err
+	}
+	taskCtx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	site := newSite(d.p)
+	for _, run := range site.tasks() {
+		d.tasks.Go(func() { run(taskCtx) })
+	}
+	d.callers = d.serve(d.p.Servers.callers, d.p.Servers.callersListener)
+	d.serve(d.p.Servers.operators, d.p.Servers.operatorsListener)
+	if d.p.Servers.readinessListener != nil {
+		d.serve(d.p.Servers.readiness, d.p.Servers.readinessListener)
+	}
+	return nil
+}
+
+// serve returns a channel that is closed when the server accepts no more.
+func (d *Routed) serve(server *http.Server, listener net.Listener) <-chan struct{} {
+	done := make(chan struct{})
+	d.tasks.Go(func() {
+		defer close(done)
+		_ = server.Serve(listener) // ends with ErrServerClosed, or when the listener is drained
+	})
+	return done
+}
+
+// stop is the planned stop: see Daemon.stop, whose order it keeps.
+func (d *Routed) stop(ctx context.Context) error {
+	wasReady := d.p.Life.State() == StateReady
+	d.p.Life.fire(triggerStop)
+	event.DaemonDraining.Log(d.p.Log, "daemon", d.p.Identity.Daemon)
+	d.p.Node.Leaving()
+	d.p.Loop.Leave()
+	if wasReady {
+		pause(ctx, d.p.Settings.Stop.BalancerLag)
+	}
+	d.p.Life.fire(triggerBalancerNoticed)
+	d.p.Servers.callersListener.drain()
+	<-d.callers
+	d.p.Servers.connections.settle(ctx)
+	// What is left are connections without a request.
+	_ = d.p.Servers.callers.Shutdown(ctx)
+	d.p.Life.fire(triggerDrained)
+	d.cancel()
+	_ = d.p.Node.Stop(ctx)
+	_ = d.p.Servers.operators.Close()
+	_ = d.p.Servers.readiness.Close()
+	d.endLoop()
+	d.loops.Wait()
+	d.tasks.Wait()
+	d.p.Pool.Close()
+	d.p.Store.Close()
+	_ = d.p.Tracing.Close(ctx)
+	_ = d.p.Metrics.Close()
+	event.DaemonStopped.Log(d.p.Log, "daemon", d.p.Identity.Daemon)
+	return nil
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (d *Routed) life() *Life { return d.p.Life }
+
+func (d *Routed) addresses() Addresses {
+	return Addresses{
+		Callers:   d.p.Servers.callersListener.Addr().String(),
+		Operators: d.p.Servers.operatorsListener.Addr().String(),
+		Fleet:     d.p.Node.Address(),
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -137,7 +137,7 @@
 	d.p.Node.Leaving()
 	d.p.Loop.Leave()
 	if wasReady {
-		d.sleep(ctx, d.p.Settings.Stop.BalancerLag)
+		pause(ctx, d.p.Settings.Stop.BalancerLag)
 	}
 	d.p.Life.fire(triggerBalancerNoticed)
 	d.p.Servers.callersListener.drain()
@@ -159,15 +159,6 @@
 	return nil
 }
 
-func (d *Daemon) sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // drain waits until no request of a caller is left, and says so in the log when
 // that takes long.
 func (d *Daemon) drain(ctx context.Context) {
@@ -201,14 +192,32 @@
 
 const startLimit = 15 * time.Second
 
+// running is a daemon as Run sees it.
+type running interface {
+	life() *Life
+	addresses() Addresses
+}
+
+func (d *Daemon) life() *Life { return d.p.Life }
+
+// binding returns the parts of a daemon for the platform's binding, and a
+// function that returns the daemon once the parts are built.
+func binding(s settings.Settings) (fx.Option, func() running) {
+	if s.Platform.Binding == settings.BindingRoutes {
+		var d *Routed
+		return fx.Options(RoutedModule, fx.Populate(&d)), func() running { return d }
+	}
+	var d *Daemon
+	return fx.Options(Module, fx.Populate(&d)), func() running { return d }
+}
+
 // Run starts a daemon, calls ready once a configuration is in force and callers
 // are served, and stops it when ctx ends. It returns after the planned stop.
 func Run(ctx context.Context, s settings.Settings, log *slog.Logger, ready func(Addresses)) error {
-	var d *Daemon
+	parts, built := binding(s)
 	app := fx.New(
-		Module,
+		parts,
 		fx.Supply(s, log),
-		fx.Populate(&d),
 		fx.StartTimeout(startLimit),
 		fx.StopTimeout(stopLimit),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -222,8 +231,9 @@
 	if err := app.Start(starting); err != nil {
 		return err
 	}
+	d := built()
 	select {
-	case <-d.p.Life.Ready():
+	case <-d.life().Ready():
 		ready(d.addresses())
 		<-ctx.Done()
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/daemon/site.go
@@ -0,0 +1,359 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/gateway"
+	"github.com/savorystall/savorystall/internal/ident"
+	store "github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/registry"
+	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/scheduler"
+	"github.com/savorystall/savorystall/platform"
+)
+
+// site brings what the store holds to the parts that use it: routes, targets, and
+// the other daemons.
+type site struct {
+	p routedParts
+
+	mu       sync.Mutex
+	registry *registry.Registry
+	// heard tells that the targets were read once.
+	heard bool
+	// changed wakes the goroutine that drops lapsed targets.
+	changed chan struct{}
+}
+
+func newSite(p routedParts) *site {
+	return &site{p: p, registry: registry.New(registry.Config{}), changed: make(chan struct{}, 1)}
+}
+
+func (s *site) tasks() []func(context.Context) {
+	follow := func(table string, to store.Subscriber) func(context.Context) {
+		return store.NewFollower(store.FollowerConfig{Feed: s.p.Store, Table: table, Logger: s.p.Log}, to).Run
+	}
+	return []func(context.Context){
+		follow(platform.TableOperator, &routeRows{site: s}),
+		follow(platform.TableTargets, &targetRows{site: s}),
+		follow(platform.TableDaemons, &daemonRows{site: s, rows: map[string]daemonRow{}}),
+		s.announce,
+		s.expire,
+		s.report,
+	}
+}
+
+// apply puts routes and targets in force together.
+func (s *site) apply() {
+	s.mu.Lock()
+	entries := s.registry.Targets()
+	heard := s.heard
+	s.mu.Unlock()
+	table := s.p.Routes.Current()
+	targets := &gateway.Targets{ByIdentity: map[ident.Target]registry.Entry{}, Usable: map[ident.Service]bool{}}
+	addresses := map[string]bool{}
+	for _, e := range entries {
+		targets.ByIdentity[e.Identity] = e
+		addresses[e.Address] = true
+		if !e.Draining {
+			targets.Usable[e.Service] = true
+		}
+	}
+	s.p.Gateway.SetTargets(targets)
+	s.p.Pool.Retain(addresses)
+	if table == nil {
+		return
+	}
+	s.p.Loop.Configure(routedServices(table, entries))
+	if heard && s.p.Life.fire(triggerConfigured) {
+		event.DaemonReady.Log(s.p.Log, "routes_version", table.Version, "targets", len(entries))
+	}
+}
+
+// Assumed mean costs before any request was measured: a model's in tokens, a plain
+// service's in milliseconds of a slot.
+const (
+	modelCost = 2000
+	plainCost = 20
+	// plainSlots stands for the slots of a target that states none.
+	plainSlots = 4
+	// routedQueue bounds the requests of one workspace that wait at one daemon.
+	routedQueue = 500
+)
+
+// routedServices takes from routes and targets what decisions need.
+func routedServices(table *route.Table, entries []registry.Entry) []scheduler.Service {
+	workspaces := []scheduler.Workspace{{Name: route.Anonymous, Weight: 1, Queue: routedQueue}}
+	for _, w := range table.Workspaces {
+		workspaces = append(workspaces, scheduler.Workspace{Name: w.Name, Weight: 1, Queue: routedQueue})
+	}
+	var services []scheduler.Service
+	for _, spec := range table.Services {
+		service := scheduler.Service{Name: spec.Name, Workspaces: workspaces, Plain: !spec.Model, MeanCost: plainCost}
+		if spec.Model {
+			service.MeanCost = modelCost
+		}
+		for _, e := range entries {
+			if e.Service != spec.Name || e.Draining {
+				continue
+			}
+			slots := e.Slots
+			if slots <= 0 {
+				slots = max(spec.Slots, plainSlots)
+			}
+			service.Targets = append(service.Targets, scheduler.Target{Name: e.Identity, Zone: e.Zone, Slots: slots})
+		}
+		services = append(services, service)
+	}
+	return services
+}
+
+// routeRows takes the routes in.
+type routeRows struct{ site *site }
+
+// Reachable implements store.Subscriber.
+func (r *routeRows) Reachable(bool) {}
+
+// Replace implements store.Subscriber.
+func (r *routeRows) Replace(rows []store.FeedRow) {
+	for _, row := range rows {
+		r.Change(row)
+	}
+}
+
+// Change implements store.Subscriber.
+func (r *routeRows) Change(row store.FeedRow) {
+	if row.Key != platform.KeyRoutes || row.Deleted {
+		return
+	}
+	log := r.site.p.Log
+	document, err := platform.DecodeRoutes(row.Value)
+	if err != nil {
+		event.RowUnreadable.Log(log, "table", platform.TableOperator, "key", row.Key, "revision", row.Revision, "error", err)
+		return
+	}
+	table, err := route.NewTable(document)
+	if err != nil {
+		event.RowUnreadable.Log(log, "table", platform.TableOperator, "key", row.Key, "revision", row.Revision, "error", err)
+		return
+	}
+	if !r.site.p.Routes.Offer(table) {
+		if present := r.site.p.Routes.Current(); present.Version > table.Version {
+			event.RoutesOlder.Log(log, "version", table.Version, "in_force", present.Version, "revision", row.Revision)
+		}
+		return
+	}
+	event.RoutesInForce.Log(log, "version", table.Version, "revision", row.Revision,
+		"routes", len(table.Routes), "services", len(table.Services), "workspaces", len(table.Workspaces))
+	r.site.apply()
+}
+
+// targetRows takes the targets in.
+type targetRows struct{ site *site }
+
+// Reachable implements store.Subscriber.
+func (t *targetRows) Reachable(ok bool) {
+	if !ok {
+		return
+	}
+	t.site.mu.Lock()
+	t.site.registry.Returned(time.Now())
+	t.site.mu.Unlock()
+}
+
+// Replace implements store.Subscriber.
+func (t *targetRows) Replace(rows []store.FeedRow) {
+	var entries []registry.Entry
+	for _, row := range rows {
+		if e, ok := t.decode(row); ok {
+			entries = append(entries, e)
+		}
+	}
+	t.site.mu.Lock()
+	t.site.registry.Replace(time.Now(), entries)
+	t.site.heard = true
+	t.site.mu.Unlock()
+	t.site.targetsChanged("read", len(rows))
+}
+
+// Change implements store.Subscriber.
+func (t *targetRows) Change(row store.FeedRow) {
+	e, ok := t.decode(row)
+	t.site.mu.Lock()
+	if ok {
+		t.site.registry.Put(e)
+	} else {
+		t.site.registry.Remove(time.Now(), ident.Target(row.Key))
+	}
+	t.site.mu.Unlock()
+	t.site.targetsChanged("target", row.Key, "revision", row.Revision, "listed", ok, "draining", e.Draining, "service", e.Service)
+}
+
+// decode returns false for a row that names no target to use.
+func (t *targetRows) decode(row store.FeedRow) (registry.Entry, bool) {
+	if row.Deleted {
+		return registry.Entry{}, false
+	}
+	e, err := platform.DecodeTarget(row.Key, row.Value)
+	if err != nil {
+		event.RowUnreadable.Log(t.site.p.Log, "table", platform.TableTargets, "key", row.Key, "revision", row.Revision, "error", err)
+		return registry.Entry{}, false
+	}
+	return e, true
+}
+
+func (s *site) targetsChanged(args ...any) {
+	event.TargetsChanged.Log(s.p.Log, args...)
+	s.apply()
+	select {
+	case s.changed <- struct{}{}:
+	default: // it looks again anyway
+	}
+}
+
+// expire drops the targets that lapsed in an outage of the store and did not come
+// back.
+func (s *site) expire(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		before := len(s.registry.Targets())
+		next := s.registry.Expire(time.Now())
+		dropped := before - len(s.registry.Targets())
+		s.mu.Unlock()
+		if dropped > 0 {
+			event.TargetsChanged.Log(s.p.Log, "lapsed", dropped)
+			s.apply()
+		}
+		var due <-chan time.Time
+		if !next.IsZero() {
+			due = time.After(time.Until(next))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.changed:
+		case <-due:
+		}
+	}
+}
+
+// daemonRows takes the list of daemons in.
+type daemonRows struct {
+	site *site
+	rows map[string]daemonRow
+}
+
+// Reachable implements store.Subscriber.
+func (d *daemonRows) Reachable(bool) {}
+
+// Replace implements store.Subscriber.
+func (d *daemonRows) Replace(rows []store.FeedRow) {
+	clear(d.rows)
+	for _, row := range rows {
+		d.take(row)
+	}
+	d.tell()
+}
+
+// Change implements store.Subscriber.
+func (d *daemonRows) Change(row store.FeedRow) {
+	d.take(row)
+	d.tell()
+}
+
+func (d *daemonRows) take(row store.FeedRow) {
+	if row.Deleted {
+		delete(d.rows, row.Key)
+		return
+	}
+	var decoded daemonRow
+	if err := json.Unmarshal(row.Value, &decoded); err != nil {
+		event.RowUnreadable.Log(d.site.p.Log, "table", platform.TableDaemons, "key", row.Key, "revision", row.Revision, "error", err)
+		return
+	}
+	d.rows[row.Key] = decoded
+}
+
+func (d *daemonRows) tell() {
+	var vms []store.VM
+	for name, row := range d.rows {
+		vms = append(vms, store.VM{Name: name, Zone: row.Zone, Address: row.Address, Role: store.RoleDaemon, State: store.VMLive})
+	}
+	slices.SortFunc(vms, func(a, b store.VM) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	d.site.p.Node.SetVMs(vms)
+}
+
+const (
+	// announceTimeout bounds one write of the own row; announceRetry is the wait
+	// after a failed one, which needs no haste: peers dial each other as well.
+	announceTimeout = 2 * time.Second
+	announceRetry   = time.Second
+)
+
+// announce writes the own row once, so that other daemons find this one, and
+// takes it away at a planned stop.
+func (s *site) announce(ctx context.Context) {
+	id := s.p.Identity
+	// A struct of texts and a number can always be written.
+	value, _ := json.Marshal(daemonRow{Zone: id.Zone, Address: s.p.Node.Address(), Incarnation: id.Incarnation})
+	for {
+		try, cancel := context.WithTimeout(ctx, announceTimeout)
+		_, err := s.p.Store.PutRow(try, platform.TableDaemons, string(id.Daemon), value)
+		cancel()
+		if err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		event.RowNotWritten.Log(s.p.Log, "table", platform.TableDaemons, "error", err)
+		pause(ctx, announceRetry)
+	}
+	<-ctx.Done()
+	s.withdraw()
+}
+
+// withdraw removes the own row. A row that stays costs its peers some dials.
+func (s *site) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout/4)
+	defer cancel()
+	if err := s.p.Store.DeleteRow(ctx, platform.TableDaemons, string(s.p.Identity.Daemon)); err != nil {
+		event.RowNotWritten.Log(s.p.Log, "table", platform.TableDaemons, "error", err)
+	}
+}
+
+// reportEvery is the interval of gauges and of the lines about what the log
+// leaves out.
+const reportEvery = 5 * time.Second
+
+func (s *site) report(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.gauges()
+			s.p.Gateway.TellLeftOut()
+		}
+	}
+}
+
+func (s *site) gauges() {
+	head := uint64(0)
+	if table := s.p.Routes.Current(); table != nil {
+		head = table.Version
+	}
+	reportGauges(s.p.Loop, s.p.Node, s.p.Metrics, s.p.Gateway.Daemons(), head)
+}
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -13,8 +13,14 @@
 	DrainStuck     = define(107, slog.LevelWarn, "planned stop waits for requests", "see docs/OPERATIONS.md, a stuck drain")
 )
 
+// SettingsRead is logged at each reload.
+var SettingsRead = define(108, slog.LevelInfo, "settings were read again and are valid; changes take effect at the next start", "none")
+
 // Events of callers and their requests.
 var (
-	RequestFailed = define(201, slog.LevelWarn, "request failed after dispatch", "look at the target that the line names")
-	RequestPanic  = define(202, slog.LevelError, "request handler panicked", "report a defect with the stack in the line")
+	RequestFailed  = define(201, slog.LevelWarn, "request failed after dispatch", "look at the target that the line names")
+	RequestServed  = define(203, slog.LevelInfo, "request served", "none")
+	RequestRefused = define(204, slog.LevelInfo, "request refused before it ran", "none, unless one workspace or service is refused above its part: see docs/OPERATIONS.md")
+	LinesDropped   = define(205, slog.LevelWarn, "lines about requests were left out to bound the log", "none; the counters on the metrics address are complete")
+	RequestPanic   = define(202, slog.LevelError, "request handler panicked", "report a defect with the stack in the line")
 )
--- /dev/null
+++ b/internal/gateway/accept.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/patience"
+	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/route"
+)
+
+// job is an accepted request on its way to a target and back.
+type job struct {
+	w  http.ResponseWriter
+	id ident.Request
+	// in is the caller's request, of which the body is read into body.
+	in   *http.Request
+	body []byte
+	call Call
+
+	route     *route.Route
+	service   route.Service
+	workspace ident.Workspace
+	version   uint64
+	arrived   time.Time
+	// until is when the caller or the operator wants no answer any more.
+	until time.Time
+	plan  patience.Plan
+
+	// began tells that a part of the answer has gone to the caller.
+	began bool
+	// status is that of the answer; zero before it has one.
+	status int
+	// events is what is known of the stream so far.
+	events progress
+	trace  trace
+}
+
+// trace is what the line about the request tells.
+type trace struct {
+	target ident.Target
+	// sends counts the targets that it was sent to, runs those that may have run
+	// it, and unsent the tries that failed before a byte left.
+	sends, runs, unsent int
+	// waited is the time in the queue, first from the last dispatch to the first
+	// byte of the answer.
+	waited, first time.Duration
+	avoid         []ident.Target
+}
+
+const (
+	// bodyTimeout bounds the arrival of a body where the operator states nothing.
+	bodyTimeout = 10 * time.Second
+	// defaultBody bounds a body where the operator states nothing.
+	defaultBody = 4 << 20
+	// forever stands in for a time limit that nobody set.
+	forever = time.Minute
+)
+
+// accept checks everything that can be checked before a target is needed. The
+// job is nil where there is a failure.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *resultcode.Failure) {
+	arrived := time.Now()
+	table := s.Routes.Current()
+	if table == nil {
+		return nil, resultcode.Fail(resultcode.ConfigurationAbsent, "")
+	}
+	path, _, _ := strings.Cut(requestTarget(r), "?")
+	found, ok := table.Find(r.Host, path)
+	if !ok {
+		return nil, resultcode.Fail(resultcode.NotFound, "no route for %s%s", r.Host, path)
+	}
+	call := s.Dialect.Call(r.Header)
+	workspace, failure := table.Identify(found, call.Key)
+	if failure != nil {
+		return nil, failure
+	}
+	j := &job{
+		w: w, id: ident.NewRequest(), in: r, call: call,
+		route: found, workspace: workspace, version: table.Version, arrived: arrived,
+		events: progress{last: call.LastEvent},
+	}
+	if j.body, failure = readBody(w, r, table.Limits); failure != nil {
+		return nil, failure
+	}
+	s.schedule(j, table)
+	return j, nil
+}
+
+// schedule decides the service, and how long the request may wait.
+func (s *Server) schedule(j *job, table *route.Table) {
+	usable := s.targets.Load().Usable
+	name := j.route.Choose(rand.Float64(), func(n ident.Service) bool { return usable[n] })
+	j.service = route.Service{Name: name}
+	if known, ok := table.Service(name); ok {
+		j.service = *known
+	}
+	limit := forever
+	if j.route.Timeout > 0 {
+		limit = j.route.Timeout
+	}
+	left := limit
+	if j.call.Patience > 0 {
+		left = min(left, j.call.Patience)
+	}
+	j.until = j.arrived.Add(left)
+	j.plan = patience.Decide(patience.Request{
+		Arrived: j.arrived, Left: left, Limit: limit, Objective: j.route.Objective,
+		Stream: j.route.Repeat == route.Stream, Resumed: j.call.LastEvent > 0,
+		Prompt: j.call.PromptTokens, Output: j.call.OutputTokens,
+	})
+}
+
+// requestTarget is the path and query as the caller sent them.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI() // the absolute form, or the asterisk
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limits route.Limits) ([]byte, *resultcode.Failure) {
+	most := limits.BodyBytes
+	if most == 0 {
+		most = defaultBody
+	}
+	if r.ContentLength > most {
+		return nil, resultcode.Fail(resultcode.BodyTooLarge, "the limit is %d bytes", most)
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	deadline := http.NewResponseController(w)
+	// A server without deadlines reads on without one.
+	_ = deadline.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := readAll(io.LimitReader(r.Body, most+1), r.ContentLength)
+	_ = deadline.SetReadDeadline(time.Time{})
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, resultcode.Fail(resultcode.BodyTimeout, "")
+	case err != nil:
+		return nil, resultcode.Fail(resultcode.BadRequest, "the body broke off").Because(err)
+	case int64(len(body)) > most:
+		return nil, resultcode.Fail(resultcode.BodyTooLarge, "the limit is %d bytes", most)
+	}
+	return body, nil
+}
+
+// readAll reads a body whose length may be known in advance.
+func readAll(from io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"mime"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/registry"
+	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/targetconn"
+)
+
+const (
+	// chunk is how much is read of an answer at once.
+	chunk = 4 << 10
+	// heldBody is how much of a plain answer is awaited before its header goes to
+	// the caller, so that one that breaks off can still be told as a failure, or
+	// run again where that is allowed.
+	heldBody = 64 << 10
+)
+
+// exchange sends the request to a target and passes the answer on.
+func (s *Server) exchange(ctx context.Context, j *job, entry registry.Entry, began time.Time) result {
+	x, err := s.Pool.Do(ctx, entry.Address, s.request(j, entry))
+	if err != nil {
+		return s.unanswered(entry, err)
+	}
+	defer x.Abort() // does nothing after a whole answer
+	answer := s.Dialect.Answer(x.Response.StatusCode, x.Response.Header)
+	r := result{sent: true, status: x.Response.StatusCode}
+	switch {
+	case answer.NotRun:
+		return s.refused(x, r, answer)
+	case x.Response.StatusCode >= http.StatusBadRequest:
+		return s.failed(x, j, r, began)
+	case j.route.Repeat == route.Stream && isEventStream(x.Response.Header):
+		return s.stream(x, j, r, began)
+	}
+	return s.plain(x, j, r, began)
+}
+
+func isEventStream(h http.Header) bool {
+	media, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && media == "text/event-stream"
+}
+
+// request translates the caller's request for a target.
+func (s *Server) request(j *job, entry registry.Entry) targetconn.Request {
+	header := endToEnd(j.in.Header)
+	s.Dialect.ForTarget(header, Forward{
+		Identity: entry.Identity, Workspace: j.workspace,
+		Patience: time.Until(j.until), LastEvent: j.events.last,
+	})
+	connections := 0
+	if j.service.Connections > 0 {
+		connections = max(1, j.service.Connections/max(1, s.Config.ConnectionShare))
+	}
+	return targetconn.Request{
+		Method: j.in.Method, Target: requestTarget(j.in), Host: j.in.Host, Header: header, Body: j.body,
+		Connections: connections,
+		Mine: func(status int, h http.Header) bool {
+			echoed := s.Dialect.Answer(status, h)
+			return echoed.Attempt == j.call.Attempt || echoed.Attempt == "" && !echoed.Signed
+		},
+		Foreign: func() { event.AnswerForeign.Log(s.Log, "target", entry.Identity, "request", j.call.Attempt) },
+	}
+}
+
+// unanswered is the result of an exchange without an answer.
+func (s *Server) unanswered(entry registry.Entry, err error) result {
+	var unsent *targetconn.Unsent
+	if errors.As(err, &unsent) {
+		failed := !errors.Is(err, targetconn.ErrFull) && !errors.Is(err, context.Canceled)
+		return result{
+			failure:      resultcode.Fail(resultcode.TargetRefused, "target %s", entry.Identity).Because(err),
+			targetFailed: failed, refused: !failed,
+		}
+	}
+	canceled := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	return result{
+		failure: resultcode.Fail(resultcode.ConnectionLost, "target %s", entry.Identity).Because(err),
+		sent:    true, targetFailed: !canceled,
+	}
+}
+
+// refused is the result of an answer that says the request was not run.
+func (s *Server) refused(x *targetconn.Exchange, r result, answer Answer) result {
+	drain(x)
+	r.failure = resultcode.Fail(resultcode.TargetRefused, "status %d", r.status)
+	r.refused = !answer.Foreign
+	r.targetFailed, r.leaving = answer.Foreign, answer.Foreign
+	return r
+}
+
+// drain reads a short answer to its end, so that its connection can be used
+// again.
+func drain(x *targetconn.Exchange) {
+	// An error only means that the connection is not kept.
+	_, _ = io.CopyN(io.Discard, x, heldBody)
+}
+
+// failed takes a failure of the target's own. It is handed over unchanged, unless
+// its status promises that the request has not run, which this target did not say.
+func (s *Server) failed(x *targetconn.Exchange, j *job, r result, began time.Time) result {
+	r.first = time.Since(began)
+	body, err := io.ReadAll(io.LimitReader(x, heldBody))
+	if err != nil {
+		r.targetFailed = true
+		r.failure = resultcode.Fail(resultcode.AnswerCut, "").Because(err)
+		return r
+	}
+	r.failure = resultcode.Fail(resultcode.TargetError, "status %d", r.status)
+	r.targetFailed = r.status >= http.StatusInternalServerError
+	if !promisesNotRun(r.status) {
+		r.answer = &held{status: r.status, header: x.Response.Header, body: body}
+	}
+	return r
+}
+
+// promisesNotRun tells whether callers take a status for a promise that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// plain passes an answer on that is not a stream of events.
+func (s *Server) plain(x *targetconn.Exchange, j *job, r result, began time.Time) result {
+	start, err := io.ReadAll(io.LimitReader(x, heldBody))
+	r.first = time.Since(began)
+	r.served = float64(r.first.Milliseconds())
+	if err != nil {
+		r.targetFailed = true
+		r.failure = resultcode.Fail(resultcode.AnswerCut, "").Because(err)
+		return r
+	}
+	j.begin(x.Response.StatusCode, x.Response.Header, x.Response.ContentLength)
+	if _, err := j.w.Write(start); err != nil {
+		r.failure = resultcode.Fail(resultcode.CallerGone, "").Because(err)
+		return r
+	}
+	if len(start) < heldBody {
+		return r
+	}
+	if _, err := io.Copy(j.w, x); err != nil {
+		r.failure = resultcode.Fail(resultcode.AnswerCut, "").Because(err)
+	}
+	return r
+}
+
+// handOver gives a held answer to the caller.
+func (s *Server) handOver(j *job, a *held) {
+	j.begin(a.status, a.header, int64(len(a.body)))
+	// A caller that has left needs no answer.
+	_, _ = j.w.Write(a.body)
+}
+
+// begin writes the header of the answer.
+func (j *job) begin(status int, h http.Header, length int64) {
+	out := j.w.Header()
+	maps.Copy(out, endToEnd(h))
+	if length >= 0 {
+		out.Set("Content-Length", lengthText(length))
+	} else {
+		out.Del("Content-Length")
+	}
+	if _, set := out["Content-Type"]; !set {
+		out["Content-Type"] = nil // the server must not guess one
+	}
+	if _, set := out["Date"]; !set {
+		out["Date"] = nil
+	}
+	j.began, j.status = true, status
+	j.w.WriteHeader(status)
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host",
+}
+
+// endToEnd returns a copy of h without the headers of one connection.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	maps.Copy(out, h)
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/respond.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/resultcode"
+)
+
+// errorBody is the JSON of every refusal and failure.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    int                `json:"code"`
+	Name    string             `json:"name"`
+	Message string             `json:"message"`
+	Run     resultcode.Outcome `json:"run"`
+}
+
+// end answers a failure, logs the request, and breaks the connection off where
+// the answer must not look complete.
+func (s *Server) end(w http.ResponseWriter, r *http.Request, j *job, f *resultcode.Failure) {
+	s.note(r, j, f)
+	if f == nil {
+		return
+	}
+	if unanswered(f, j) {
+		panic(http.ErrAbortHandler)
+	}
+	s.answerFailure(w, j, f)
+}
+
+// status returns the HTTP status of a failure. Callers take 503 for a promise
+// that the request has not run, and come back; so every refusal for want of time
+// or place is told that way, and nothing else is.
+func status(f *resultcode.Failure) int {
+	if f.Code.Outcome == resultcode.NotRun && f.Code.HTTP >= http.StatusInternalServerError {
+		return http.StatusServiceUnavailable
+	}
+	return f.Code.HTTP
+}
+
+func (s *Server) answerFailure(w http.ResponseWriter, j *job, f *resultcode.Failure) {
+	message := f.Code.Text
+	if f.Detail != "" {
+		message += ": " + f.Detail
+	}
+	// Marshalling strings and numbers cannot fail.
+	text, _ := json.Marshal(errorBody{errorDetail{Code: f.Code.Number, Name: f.Code.Name, Message: message, Run: f.Code.Outcome}})
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", lengthText(int64(len(text))))
+	if wait := f.Wait(); wait > 0 {
+		header.Set("Retry-After", seconds(wait))
+	}
+	if f.Code.HTTP == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	if f.Code == resultcode.BodyTooLarge || f.Code == resultcode.BodyTimeout || f.Code == resultcode.BadRequest {
+		header.Set("Connection", "close") // the rest of the body is not read
+	}
+	w.WriteHeader(status(f))
+	// A caller that has left needs no answer.
+	_, _ = w.Write(text)
+}
+
+// seconds writes a wait with its fractions.
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
+// note writes the one line and the metrics of a request.
+func (s *Server) note(r *http.Request, j *job, f *resultcode.Failure) {
+	service, code := ident.Service(""), 0
+	if j != nil {
+		service = j.service.Name
+	}
+	if f != nil {
+		code = f.Code.Number
+	}
+	s.Metrics.Request(service, strconv.Itoa(code))
+	line, budget := event.RequestServed, s.lines.served
+	switch {
+	case f == nil:
+	case f.Code.Outcome == resultcode.NotRun:
+		line, budget = event.RequestRefused, s.lines.refused
+	default:
+		line, budget = event.RequestFailed, s.lines.failed
+	}
+	if budget.Allow() {
+		line.Log(s.Log, s.arguments(r, j, f)...)
+	}
+}
+
+// arguments tell how a request went: what decided, how old that was, and the end.
+func (s *Server) arguments(r *http.Request, j *job, f *resultcode.Failure) []any {
+	var args []any
+	if j == nil {
+		args = []any{"request", s.Dialect.Call(r.Header).Attempt, "host", r.Host, "path", r.URL.Path}
+	} else {
+		args = []any{
+			"request", j.call.Attempt, "route", j.route.Name, "service", j.service.Name, "workspace", j.workspace,
+			"routes_version", j.version, "target", j.trace.target, "class", j.plan.Class, "late", j.plan.Late,
+			"tokens", j.call.PromptTokens, "due_ms", j.plan.Due.Sub(j.arrived).Milliseconds(),
+			"waited_ms", j.trace.waited.Milliseconds(), "first_ms", j.trace.first.Milliseconds(),
+			"total_ms", time.Since(j.arrived).Milliseconds(), "sends", j.trace.sends, "runs", j.trace.runs,
+			"events", j.events.count, "last_event", j.events.last, "status", j.status,
+		}
+	}
+	if f != nil {
+		args = append(args, "code", f.Code.Number, "run", f.Code.Outcome, "reason", f.Error())
+	}
+	return args
+}
+
+// recover turns a panic of the handler into a logged failure.
+func (s *Server) recover(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		event.RequestPanic.Log(s.Log, "path", r.URL.Path, "panic", cause, "stack", string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/registry"
+	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/retry"
+	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
+// maxUnsent bounds the tries of one request that fail before a byte leaves, such
+// as at a target that refuses connections. They cost targets nothing.
+const maxUnsent = 3
+
+// result is how an attempt at one target ended.
+type result struct {
+	// failure is nil after a complete answer.
+	failure *resultcode.Failure
+	// sent tells that bytes of the request may have reached the target.
+	sent bool
+	// status is that of the target's answer; zero where none arrived.
+	status int
+	// targetFailed tells that the target or the way to it failed, leaving that
+	// it takes no new requests.
+	targetFailed, leaving bool
+	// refused tells that the target was full.
+	refused bool
+	// answer is a failure of the target's own, held back while another target may
+	// do better.
+	answer *held
+	served float64
+	first  time.Duration
+	ran    time.Duration
+}
+
+// held is an answer that is not handed over yet.
+type held struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run brings a request to its end: an answer, or one final failure.
+func (s *Server) run(ctx context.Context, j *job) *resultcode.Failure {
+	ctx, cancel := context.WithDeadline(ctx, j.until)
+	defer cancel()
+	s.accepted(j.service.Name, j.arrived)
+	outcome := resultcode.NotRun
+	for again := false; ; again = true {
+		placed, began := s.place(ctx, j, again)
+		if placed.Failure != nil {
+			return s.unplaced(ctx, j, placed.Failure, outcome)
+		}
+		r := s.try(ctx, j, placed.Target, began)
+		if r.failure == nil {
+			return nil
+		}
+		outcome = retry.Worst(outcome, r.failure.Code.Outcome)
+		if ctx.Err() != nil {
+			return s.expired(ctx, j, outcome)
+		}
+		if !s.again(j, r, placed.Target) {
+			return s.final(j, r, outcome)
+		}
+	}
+}
+
+// place waits for a target.
+func (s *Server) place(ctx context.Context, j *job, again bool) (p placedTarget, at time.Time) {
+	asked := time.Now()
+	request := scheduler.Request{
+		ID: j.id, Service: j.service.Name, Workspace: j.workspace, Class: j.plan.Class, Cost: j.plan.Cost,
+		Deadline: j.plan.Due, Prefix: prefixOf(j.call.Parts), Avoid: j.trace.avoid,
+	}
+	if again {
+		request.Deadline = j.until
+	}
+	placed := s.Placer.Place(ctx, request, again)
+	at = time.Now()
+	j.trace.waited += at.Sub(asked)
+	return placedTarget{Target: placed.Target, Failure: placed.Failure}, at
+}
+
+// placedTarget is the end of a wait: a target or a failure.
+type placedTarget struct {
+	Target  ident.Target
+	Failure *resultcode.Failure
+}
+
+// prefixOf names the shared part of a prompt that its session owns, the last one
+// but for the request's own.
+func prefixOf(parts []Part) uint64 {
+	if len(parts) < 2 {
+		return 0
+	}
+	return parts[len(parts)-2].ID
+}
+
+// try sends the request to one target and gives the slot back.
+func (s *Server) try(ctx context.Context, j *job, id ident.Target, began time.Time) result {
+	entry, known := s.targets.Load().ByIdentity[id]
+	if !known || entry.Draining || entry.Service != j.service.Name {
+		s.Placer.Finish(j.id, scheduler.Result{NotRun: true})
+		return result{failure: resultcode.Fail(resultcode.NoTarget, "target %s is gone", id), leaving: true}
+	}
+	j.trace.target = id
+	var r result
+	ended := false
+	defer func() {
+		// A panic on the way would keep the slot for good.
+		if !ended {
+			s.Placer.Finish(j.id, scheduler.Result{})
+		}
+	}()
+	r = s.exchange(ctx, j, entry, began)
+	ended = true
+	s.report(j, entry, r, time.Since(began))
+	return r
+}
+
+// report tells the scheduler and the metrics how an attempt ended.
+func (s *Server) report(j *job, entry registry.Entry, r result, elapsed time.Duration) {
+	notRun := r.failure != nil && r.failure.Code.Outcome == resultcode.NotRun
+	s.Placer.Finish(j.id, scheduler.Result{
+		Served: r.served, Elapsed: elapsed, First: r.first, Failed: r.targetFailed, NotRun: notRun,
+	})
+	if r.leaving {
+		s.Placer.TargetHealth(entry.Service, entry.Identity, scheduler.HealthLeaving)
+	}
+	if r.sent {
+		j.trace.sends++
+		if !notRun {
+			j.trace.runs++
+		}
+	} else {
+		j.trace.unsent++
+	}
+	j.trace.first = r.first
+	if r.first > 0 {
+		s.Metrics.First(entry.Service, r.first)
+	}
+	s.Metrics.Served(entry.Service, j.workspace, int64(r.served))
+}
+
+// again decides whether another target follows.
+func (s *Server) again(j *job, r result, target ident.Target) bool {
+	if !r.sent && j.trace.unsent > maxUnsent {
+		return false
+	}
+	// An engine's failure counts as run; a repeatable request may run again.
+	outcome := r.failure.Code.Outcome
+	if outcome == resultcode.Ran {
+		outcome = resultcode.MayHaveRun
+	}
+	reason := retry.Forbids(retry.Attempt{
+		Outcome: outcome, Status: r.status,
+		Attempts: j.trace.sends, Runs: j.trace.runs,
+		Delivered:  j.began && !(j.route.Repeat == route.Stream && j.route.Resumable),
+		Repeatable: j.route.Repeatable(),
+	}, j.route.Attempts, j.route.Attempts)
+	if reason != "" {
+		return false
+	}
+	if r.sent && !s.mayRepeat(j.service.Name, time.Now()) {
+		return false
+	}
+	if !slices.Contains(j.trace.avoid, target) {
+		j.trace.avoid = append(j.trace.avoid, target)
+	}
+	s.Metrics.Retry(j.service.Name)
+	return true
+}
+
+// final is the last word on a request that no other target follows.
+func (s *Server) final(j *job, r result, outcome resultcode.Outcome) *resultcode.Failure {
+	if r.answer != nil && !j.began {
+		s.handOver(j, r.answer)
+		return nil
+	}
+	return truthful(r.failure, outcome)
+}
+
+// truthful keeps a refusal from saying "not run" after an earlier attempt that
+// may have run.
+func truthful(f *resultcode.Failure, outcome resultcode.Outcome) *resultcode.Failure {
+	if f.Code.Outcome == resultcode.NotRun && outcome != resultcode.NotRun {
+		return resultcode.Fail(resultcode.ConnectionLost, "an earlier attempt may have run").Because(f)
+	}
+	return f
+}
+
+// unplaced is the answer to a request that got no target.
+func (s *Server) unplaced(ctx context.Context, j *job, f *resultcode.Failure, outcome resultcode.Outcome) *resultcode.Failure {
+	if ctx.Err() != nil {
+		return s.expired(ctx, j, outcome)
+	}
+	return truthful(f, outcome)
+}
+
+// expired tells a caller that left from one whose time is up.
+func (s *Server) expired(ctx context.Context, j *job, outcome resultcode.Outcome) *resultcode.Failure {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) || j.in.Context().Err() != nil {
+		return resultcode.Fail(resultcode.CallerGone, "")
+	}
+	if outcome == resultcode.NotRun {
+		return resultcode.Fail(resultcode.DeadlineUnmet, "the time is up after %s", time.Since(j.arrived).Round(time.Millisecond))
+	}
+	return resultcode.Fail(resultcode.TargetStalled, "the time is up after %s", time.Since(j.arrived).Round(time.Millisecond))
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/targetconn"
+)
+
+func lengthText(n int64) string { return strconv.FormatInt(n, 10) }
+
+// outputWeight is what a generated token counts against one read; eventTokens is
+// taken for the tokens of one event where the caller stated no size.
+const (
+	outputWeight = 2
+	eventTokens  = 8
+)
+
+// chargeEvery is how many events pass between two reports to the scheduler of
+// what a stream has received: often enough for shares within a second, and rare
+// enough to cost little beside the events themselves.
+const chargeEvery = 8
+
+// errPartial is the end of a stream in the middle of an event.
+var errPartial = errors.New("the stream ended in the middle of an event")
+
+// stream passes events on as they come. Only whole events go to the caller: what
+// a target left of one when it stopped is dropped, and a target that goes on
+// begins with it again.
+func (s *Server) stream(x *targetconn.Exchange, j *job, r result, began time.Time) result {
+	j.events.restart()
+	buffer := make([]byte, chunk)
+	flusher := http.NewResponseController(j.w)
+	counted := 0
+	for {
+		n, err := x.Read(buffer)
+		whole := j.events.take(buffer[:n])
+		if len(whole) > 0 {
+			if r.first == 0 {
+				r.first = time.Since(began)
+				s.Placer.Progress(j.id, j.promptCost())
+			}
+			if failure := j.deliver(x, whole, flusher); failure != nil {
+				r.failure = failure
+				break
+			}
+		}
+		if j.events.count-counted >= chargeEvery {
+			counted = j.events.count
+			s.Placer.Progress(j.id, j.cost())
+		}
+		if err == io.EOF {
+			r.failure = j.ended(x)
+			break
+		}
+		if err != nil {
+			r.failure = resultcode.Fail(resultcode.AnswerCut, "").Because(err)
+			break
+		}
+	}
+	r.targetFailed = r.failure != nil && r.failure.Code == resultcode.AnswerCut && j.in.Context().Err() == nil
+	if r.first > 0 {
+		r.served = j.cost()
+	}
+	return r
+}
+
+// ended judges a stream whose framing has ended.
+func (j *job) ended(x *targetconn.Exchange) *resultcode.Failure {
+	if j.events.partial() {
+		return resultcode.Fail(resultcode.AnswerCut, "").Because(errPartial)
+	}
+	if !j.began {
+		j.begin(x.Response.StatusCode, x.Response.Header, -1)
+	}
+	return nil
+}
+
+// deliver writes whole events to the caller.
+func (j *job) deliver(x *targetconn.Exchange, events []byte, flusher *http.ResponseController) *resultcode.Failure {
+	if !j.began {
+		j.begin(x.Response.StatusCode, x.Response.Header, -1)
+	}
+	if _, err := j.w.Write(events); err != nil {
+		return resultcode.Fail(resultcode.CallerGone, "").Because(err)
+	}
+	if err := flusher.Flush(); err != nil {
+		return resultcode.Fail(resultcode.CallerGone, "").Because(err)
+	}
+	return nil
+}
+
+// promptCost and cost are what a stream has received so far.
+func (j *job) promptCost() float64 { return float64(max(1, j.call.PromptTokens)) }
+
+func (j *job) cost() float64 {
+	return j.promptCost() + float64(outputWeight*eventTokens*j.events.count)
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,148 @@
+// Package registry knows the targets that register themselves in the platform's
+// store. It has no network: an adapter decodes the rows into Entries, and time
+// is an argument.
+//
+// Failure it guards against: while the store is away it cannot renew what
+// targets say of themselves, so that entries lapse although their targets serve.
+// Taken at its word, the store would empty the fleet of targets just after each
+// outage. So an entry that disappears in an outage, or right after one, stays
+// usable for a grace; a target that lives has registered again by then.
+package registry
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// Entry is what a target says of itself.
+type Entry struct {
+	// Identity names one registration; a target that starts again may keep it.
+	Identity ident.Target
+	Service  ident.Service
+	// Address is IP:PORT.
+	Address string
+	Zone    ident.Zone
+	// Slots is how many requests it runs at once; zero: not stated.
+	Slots int
+	// Draining tells that it takes no new requests.
+	Draining bool
+	// Born is the start of the process in Unix milliseconds; zero: not stated.
+	Born int64
+}
+
+// Config sets up a Registry.
+type Config struct {
+	// Grace is how long an entry that lapsed around an outage of the store is
+	// kept after the store's return. Default 2.5 s: targets that live are back
+	// within about 2 s.
+	Grace time.Duration
+	// Settled is how long after the end of an outage a removal still counts as
+	// lapsed by it. Default 1 s.
+	Settled time.Duration
+}
+
+const (
+	defaultGrace   = 2500 * time.Millisecond
+	defaultSettled = time.Second
+)
+
+// Registry holds the entries. It is not safe for concurrent use; Targets returns
+// copies.
+type Registry struct {
+	cfg     Config
+	entries map[ident.Target]Entry
+	lapsed  map[ident.Target]time.Time
+	// back is when the store last answered after an outage.
+	back time.Time
+}
+
+// New returns an empty registry.
+func New(cfg Config) *Registry {
+	if cfg.Grace == 0 {
+		cfg.Grace = defaultGrace
+	}
+	if cfg.Settled == 0 {
+		cfg.Settled = defaultSettled
+	}
+	return &Registry{cfg: cfg, entries: map[ident.Target]Entry{}, lapsed: map[ident.Target]time.Time{}}
+}
+
+// Returned tells that the store answers again after an outage.
+func (r *Registry) Returned(now time.Time) { r.back = now }
+
+// Put takes in what a target says of itself.
+func (r *Registry) Put(e Entry) {
+	r.entries[e.Identity] = e
+	delete(r.lapsed, e.Identity)
+}
+
+// Remove takes in that the store has no entry of a target any more.
+func (r *Registry) Remove(now time.Time, id ident.Target) {
+	if _, known := r.entries[id]; !known {
+		return
+	}
+	if r.back.IsZero() || now.Sub(r.back) > r.cfg.Settled {
+		delete(r.entries, id)
+		delete(r.lapsed, id)
+		return
+	}
+	if _, waits := r.lapsed[id]; !waits {
+		r.lapsed[id] = r.back.Add(r.cfg.Grace)
+	}
+}
+
+// Replace takes in everything that the store holds: what it lacks is removed.
+func (r *Registry) Replace(now time.Time, entries []Entry) {
+	held := make(map[ident.Target]bool, len(entries))
+	for _, e := range entries {
+		held[e.Identity] = true
+		r.Put(e)
+	}
+	for _, id := range slices.Collect(maps.Keys(r.entries)) {
+		if !held[id] {
+			r.Remove(now, id)
+		}
+	}
+}
+
+// Expire drops what lapsed and did not come back in time. It returns when the
+// next entry is due, or zero.
+func (r *Registry) Expire(now time.Time) (next time.Time) {
+	for id, due := range r.lapsed {
+		if !now.Before(due) {
+			delete(r.entries, id)
+			delete(r.lapsed, id)
+			continue
+		}
+		if next.IsZero() || due.Before(next) {
+			next = due
+		}
+	}
+	return next
+}
+
+// Targets returns the entries by identity. Where two stand for one address, the
+// one that was born last holds it: an address is given to another target once
+// its former one is gone, and the old entry may still be on its way out.
+func (r *Registry) Targets() []Entry {
+	byAddress := map[string]Entry{}
+	for _, e := range r.entries {
+		if other, taken := byAddress[e.Address]; !taken || newer(e, other) {
+			byAddress[e.Address] = e
+		}
+	}
+	list := slices.Collect(maps.Values(byAddress))
+	sort.Slice(list, func(i, j int) bool { return list[i].Identity < list[j].Identity })
+	return list
+}
+
+func newer(a, b Entry) bool {
+	if a.Born != b.Born {
+		return a.Born > b.Born
+	}
+	return a.Identity > b.Identity
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -158,7 +158,11 @@
 	return Decision{Retry: true, Wait: wait}
 }
 
-func (p *Policy) forbids(a Attempt) Reason {
+func (p *Policy) forbids(a Attempt) Reason { return Forbids(a, p.cfg.MaxAttempts, p.cfg.MaxRuns) }
+
+// Forbids returns why a failed attempt must not be followed by another, whatever
+// the budget says; it is empty where nothing speaks against it.
+func Forbids(a Attempt, maxAttempts, maxRuns int) Reason {
 	switch {
 	case a.CallerGone:
 		return CallerGone
@@ -166,7 +170,7 @@
 		return Delivered
 	case a.Outcome == resultcode.Ran:
 		return Final
-	case a.Attempts >= p.cfg.MaxAttempts:
+	case a.Attempts >= maxAttempts:
 		return TooMany
 	case a.Outcome == resultcode.NotRun:
 		return ""
@@ -174,7 +178,7 @@
 		return Unrepeatable
 	case a.Status >= http.StatusBadRequest && a.Status < http.StatusInternalServerError:
 		return Final
-	case a.Runs >= p.cfg.MaxRuns:
+	case a.Runs >= maxRuns:
 		return TooMany
 	}
 	return ""
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,9 @@
 	Callers Callers `yaml:"callers"`
 	// Operators is the listener for health, metrics and the admin API.
 	Operators Listener `yaml:"operators"`
+	// Readiness is a listener that answers only whether the daemon takes new
+	// connections. Default none; the operators' listener answers that as well.
+	Readiness Readiness `yaml:"readiness"`
 	// Fleet is the listener and the links between daemons.
 	Fleet Fleet `yaml:"fleet"`
 	// Platform says where the platform's services are.
@@ -35,6 +38,11 @@
 	Claims Claims `yaml:"claims"`
 	// Orders bounds the leases under which targets get orders.
 	Orders Orders `yaml:"orders"`
+	// Routing bounds what is done for routes, where the platform's binding is
+	// routes.
+	Routing Routing `yaml:"routing"`
+	// Memory bounds the process.
+	Memory Memory `yaml:"memory"`
 	// Log says what is logged.
 	Log Log `yaml:"log"`
 	// Trace says where spans go.
@@ -47,6 +55,42 @@
 	Listen string `yaml:"listen" validate:"required,hostname_port|tcp_addr"`
 }
 
+// Readiness is a listener for the platform's balancer.
+type Readiness struct {
+	// Listen is host:port with an IP number. Default none.
+	Listen string `yaml:"listen" validate:"omitempty,hostname_port|tcp_addr"`
+}
+
+// Bindings of the platform.
+const (
+	// BindingDocuments reads one document a service from the product's own HTTP
+	// binding (docs/PLATFORM-API.md).
+	BindingDocuments = "documents"
+	// BindingRoutes reads routes as one document, and targets that register
+	// themselves, from the users' platform.
+	BindingRoutes = "routes"
+)
+
+// Routing bounds what is done for routes.
+type Routing struct {
+	// RepeatRatio and RepeatBurst bound the attempts after the first one of each
+	// request, to each service and in each RepeatWindow, over the whole fleet: the
+	// ratio of the requests, and the burst more. Defaults 0.1, 20 and 10s.
+	RepeatRatio  float64       `yaml:"repeat_ratio" validate:"min=0,max=1"`
+	RepeatBurst  float64       `yaml:"repeat_burst" validate:"min=0"`
+	RepeatWindow time.Duration `yaml:"repeat_window" validate:"min=100000000"`
+	// ConnectionShare is how many daemons may open connections to one target: each
+	// uses that part of what the target accepts. Default 8.
+	ConnectionShare int `yaml:"connection_share" validate:"min=1"`
+}
+
+// Memory bounds the process.
+type Memory struct {
+	// Limit is what the VM gives the process, in MB; zero means no bound. The
+	// garbage collector then works harder as it comes near. Default 0.
+	Limit int `yaml:"limit" validate:"min=0"`
+}
+
 // Callers is the listener for callers and the bounds on what they send.
 type Callers struct {
 	// Listen is host:port with an IP number. Default 127.0.0.1:8080.
@@ -102,6 +146,8 @@
 	ConfigPoll time.Duration `yaml:"config_poll" validate:"min=50000000"`
 	// VMPoll is the interval at which the VM list is read. Default 1s.
 	VMPoll time.Duration `yaml:"vm_poll" validate:"min=50000000"`
+	// Binding is documents or routes. Default documents.
+	Binding string `yaml:"binding" validate:"oneof=documents routes"`
 	// Timeout bounds one call. Default 2s.
 	Timeout time.Duration `yaml:"timeout" validate:"min=10000000"`
 }
@@ -136,6 +182,8 @@
 type Log struct {
 	// Level is debug, info, warn or error. Default info.
 	Level string `yaml:"level" validate:"oneof=debug info warn error"`
+	// Output is stderr or stdout. Default stderr.
+	Output string `yaml:"output" validate:"oneof=stderr stdout"`
 }
 
 // Trace says where spans go.
@@ -160,11 +208,12 @@
 		},
 		Operators: Listener{Listen: "127.0.0.1:8081"},
 		Fleet:     Fleet{Listen: "127.0.0.1:8082", Heartbeat: time.Second},
-		Platform:  Platform{ConfigPoll: time.Second, VMPoll: time.Second, Timeout: 2 * time.Second},
+		Routing:   Routing{RepeatRatio: 0.1, RepeatBurst: 20, RepeatWindow: 10 * time.Second, ConnectionShare: 8},
+		Platform:  Platform{Binding: BindingDocuments, ConfigPoll: time.Second, VMPoll: time.Second, Timeout: 2 * time.Second},
 		Stop:      Stop{BalancerLag: 5 * time.Second, WarnAfter: time.Minute},
 		Claims:    Claims{Wait: 5 * time.Second},
 		Orders:    Orders{LeaseTerm: 20 * time.Second, ReadBack: 10 * time.Second},
-		Log:       Log{Level: "info"},
+		Log:       Log{Level: "info", Output: "stderr"},
 		Trace:     Trace{Sample: 0.01},
 	}
 }
