--- /dev/null
+++ b/internal/booking/core.go
@@ -0,0 +1,325 @@
+package booking
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
+)
+
+// Config holds what a Core needs to know of its daemon.
+type Config struct {
+	Self        ident.Daemon
+	Incarnation uint64
+	Zone        ident.Zone
+}
+
+// Intervals and bounds.
+const (
+	// askWait is how long the answer of another daemon is awaited. It is several
+	// times the way there and back with a busy owner, and below the time that a
+	// short objective leaves for another try.
+	askWait = 40 * time.Millisecond
+	// tellEvery is the interval at which sums and loads are told. At seven daemons
+	// and thirty workspaces it takes about 2 KB/s of each.
+	tellEvery = 200 * time.Millisecond
+	// forget is how long an owner keeps a request of which it hears nothing more;
+	// a lost end then frees its place. No request lasts longer than a few seconds
+	// beyond its first byte, and an owner that forgets too early only takes too
+	// many for a moment.
+	forget = 12 * time.Second
+	// hearing is how long an owner that did not answer is passed over, unless it
+	// is heard before.
+	hearing = time.Second
+)
+
+// Core is the booking state of one daemon. It is not safe for concurrent use: the
+// daemon's control goroutine owns it.
+type Core struct {
+	cfg      Config
+	rng      *rand.Rand
+	leaving  bool
+	services map[ident.Service]*service
+	peers    map[ident.Daemon]*peer
+	requests map[ident.Request]*request
+	asks     map[uint64]*request
+	lastAsk  uint64
+	runs     map[runKey]*run
+	effects  []Effect
+	outbox   map[ident.Daemon]*Message
+	nextTell time.Time
+}
+
+// service is the state of one service.
+type service struct {
+	name    ident.Service
+	model   bool
+	rate    float64
+	engines map[ident.Target]*engine
+	// order lists them by name, so that no decision hangs on the order of a map.
+	order  []*engine
+	shares shares
+}
+
+// peer is the state kept about another daemon.
+type peer struct {
+	Peer
+	// silent is until when it is passed over because it did not answer.
+	silent time.Time
+}
+
+// runKey names a request on an owned target.
+type runKey struct {
+	ingress ident.Daemon
+	id      uint64
+}
+
+// request is a request of this ingress: one that is being placed or that runs.
+type request struct {
+	Request
+	// candidates are the targets still to be asked, tried counts those that were.
+	candidates []candidate
+	tried      int
+	// ask is the present one, zero while none is out; asked is when it was sent,
+	// at is the target, to the owner.
+	ask   uint64
+	asked time.Time
+	at    candidate
+	to    ident.Daemon
+	// least is the shortest wait that an owner told.
+	least   time.Duration
+	running bool
+	began   time.Time
+	// placedBy is the daemon that keeps the run; empty: this one.
+	placedBy ident.Daemon
+	runID    uint64
+}
+
+type candidate struct {
+	engine *engine
+	by     string
+}
+
+// New returns a Core without services and peers.
+func New(cfg Config, rng *rand.Rand) *Core {
+	return &Core{
+		cfg: cfg, rng: rng,
+		services: map[ident.Service]*service{},
+		peers:    map[ident.Daemon]*peer{},
+		requests: map[ident.Request]*request{},
+		asks:     map[uint64]*request{},
+		runs:     map[runKey]*run{},
+		outbox:   map[ident.Daemon]*Message{},
+	}
+}
+
+// Configure puts a new set of services in force.
+func (c *Core) Configure(now time.Time, services []Service) {
+	kept := make(map[ident.Service]*service, len(services))
+	for _, spec := range services {
+		s := c.services[spec.Name]
+		if s == nil {
+			s = &service{name: spec.Name, engines: map[ident.Target]*engine{}, shares: newShares()}
+		}
+		s.model, s.rate = spec.Model, spec.Rate
+		s.shares.configure(spec.Workspaces)
+		c.configureTargets(s, spec.Targets)
+		kept[spec.Name] = s
+	}
+	c.services = kept
+	c.assign(now)
+}
+
+func (c *Core) configureTargets(s *service, targets []Target) {
+	engines := make(map[ident.Target]*engine, len(targets))
+	s.order = s.order[:0]
+	for _, spec := range targets {
+		e := s.engines[spec.Name]
+		if e == nil {
+			e = newEngine(s, spec)
+		}
+		if e.Born != spec.Born {
+			c.dropRuns(e)
+			e.restarted()
+		}
+		e.Target = spec
+		engines[spec.Name] = e
+		s.order = append(s.order, e)
+	}
+	sort.Slice(s.order, func(i, j int) bool { return s.order[i].Name < s.order[j].Name })
+	s.engines = engines
+}
+
+func (c *Core) dropRuns(e *engine) {
+	for _, r := range e.runs {
+		delete(c.runs, runKey{r.ingress, r.id})
+	}
+}
+
+// Peers replaces the list of other live daemons.
+func (c *Core) Peers(now time.Time, peers []Peer) {
+	present := make(map[ident.Daemon]*peer, len(peers))
+	for _, spec := range peers {
+		p := c.peers[spec.ID]
+		if p == nil || p.Incarnation != spec.Incarnation {
+			c.dropPeer(now, spec.ID)
+			p = &peer{}
+		}
+		p.Peer = spec
+		present[spec.ID] = p
+	}
+	for id := range c.peers {
+		if present[id] == nil {
+			c.dropPeer(now, id)
+		}
+	}
+	c.peers = present
+	c.assign(now)
+}
+
+// dropPeer forgets what stands on the word of a daemon that is gone: its requests
+// have lost their connections, and its sums fade by themselves.
+func (c *Core) dropPeer(now time.Time, id ident.Daemon) {
+	for key, r := range c.runs {
+		if key.ingress == id {
+			r.target.remove(now, r, 0)
+			delete(c.runs, key)
+		}
+	}
+}
+
+// Leave begins a planned stop: the daemon owns no target from now on unless no
+// other daemon is left to own it.
+func (c *Core) Leave(now time.Time) {
+	c.leaving = true
+	c.assign(now)
+}
+
+// assign decides which targets this daemon owns. A new owner starts with what its
+// peers tell it: each ingress lists what it has running there.
+func (c *Core) assign(now time.Time) {
+	members := []membership.Member{{ID: c.cfg.Self, Zone: c.cfg.Zone, Leaving: c.leaving}}
+	for _, p := range c.peers {
+		members = append(members, membership.Member{ID: p.ID, Zone: p.Zone, Incarnation: p.Incarnation, Leaving: p.Leaving})
+	}
+	owners := membership.NewOwners(members)
+	for _, s := range c.services {
+		for _, e := range s.order {
+			owner := owners.Of(s.name, e.Name, e.Zone)
+			if e.owned && owner != c.cfg.Self {
+				c.dropRuns(e)
+				e.runs, e.memory = nil, 0
+			}
+			if e.owner != owner {
+				e.owner = owner
+				e.owned = owner == c.cfg.Self
+				c.reclaim(now, e)
+			}
+		}
+	}
+}
+
+// reclaim tells the owner of a target what this ingress has running there.
+func (c *Core) reclaim(now time.Time, e *engine) {
+	for _, id := range c.sortedRequests() {
+		r := c.requests[id]
+		if r.running && r.at.engine == e {
+			c.note(now, r, e)
+		}
+	}
+}
+
+func (c *Core) sortedRequests() []ident.Request {
+	ids := make([]ident.Request, 0, len(c.requests))
+	for id := range c.requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Reset tells that messages to or from a peer may have been lost: its answers do
+// not come any more, and it is told again what runs on its targets.
+func (c *Core) Reset(now time.Time, id ident.Daemon) {
+	for _, rid := range c.sortedRequests() {
+		r := c.requests[rid]
+		switch {
+		case r.ask != 0 && r.to == id:
+			c.unanswered(now, r)
+		case r.running && r.at.engine.owner == id:
+			c.note(now, r, r.at.engine)
+		}
+	}
+}
+
+// Tick lets time pass.
+func (c *Core) Tick(now time.Time) {
+	for _, rid := range c.sortedRequests() {
+		if r := c.requests[rid]; r != nil && r.ask != 0 && now.Sub(r.asked) >= askWait {
+			if p := c.peers[r.to]; p != nil {
+				p.silent = now.Add(hearing)
+			}
+			c.unanswered(now, r)
+		}
+	}
+	for key, r := range c.runs {
+		if now.After(r.until) {
+			r.target.remove(now, r, 0)
+			delete(c.runs, key)
+		}
+	}
+	if !now.Before(c.nextTell) {
+		c.nextTell = now.Add(tellEvery)
+		c.tell(now)
+	}
+}
+
+// Take returns the effects since the last call and forgets them.
+func (c *Core) Take() []Effect {
+	peers := make([]ident.Daemon, 0, len(c.outbox))
+	for id := range c.outbox {
+		peers = append(peers, id)
+	}
+	slices.Sort(peers)
+	for _, id := range peers {
+		m := c.outbox[id]
+		m.Incarnation = c.cfg.Incarnation
+		c.emit(Send{To: id, Message: *m})
+	}
+	clear(c.outbox)
+	taken := c.effects
+	c.effects = nil
+	return taken
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) message(to ident.Daemon) *Message {
+	m := c.outbox[to]
+	if m == nil {
+		m = &Message{}
+		c.outbox[to] = m
+	}
+	return m
+}
+
+// Running returns how many requests of this ingress are placed or run.
+func (c *Core) Running() int { return len(c.requests) }
+
+// weight orders targets for a shared part: the highest is its home.
+func weight(part uint64, target ident.Target) uint64 {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(part >> (8 * i))
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(b[:]) // a hash never returns an error
+	_, _ = d.WriteString(string(target))
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/booking/engine.go
@@ -0,0 +1,336 @@
+package booking
+
+import (
+	"slices"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// Assumptions about an engine before anything was measured, and how fast
+// measurements replace them.
+const (
+	// firstPace is the time to read one token: 100 tokens a ms, of the order of
+	// today's engines beside running answers.
+	firstPace = 10 * time.Microsecond
+	// firstOverhead is the time to the first byte beyond the reading: the way to
+	// the target and back, and the first step.
+	firstOverhead = 40 * time.Millisecond
+	// learn is the weight of one observation of a pace or an overhead.
+	learn = 0.08
+	// slowest and fastest bound a learnt pace, so that one strange observation
+	// cannot close a target.
+	slowest = 200 * time.Microsecond
+	fastest = time.Microsecond
+	// quadratic is the number of tokens of context at which reading one more costs
+	// twice as much as reading the first: attention looks at all before it. It was
+	// measured on one engine model (0.295 ms for a million pairs beside 140 tokens
+	// a ms); others differ by a small factor, which the pace takes up.
+	quadratic = 24000
+	// plainWork is the time of a plain request before any was measured.
+	plainWork = 20 * time.Millisecond
+	// memoryShare is how much of an engine's memory running requests may fill by
+	// the requests' own statements. Beyond it the engine stops the newest and
+	// reads it again.
+	memoryShare = 0.9
+)
+
+// run is a request on a target, as its owner knows it.
+type run struct {
+	ingress ident.Daemon
+	id      uint64
+	target  *engine
+	// work is what is to be read, in tokens at the pace of an empty context.
+	work float64
+	// memory is what it fills when it has ended, in tokens.
+	memory int
+	at     time.Time
+	// expected is when the first byte should come.
+	expected time.Time
+	read     bool
+	// until is when the request is forgotten if nothing is heard of it.
+	until time.Time
+}
+
+// engine is the state of a target that this daemon owns, or sees as an ingress.
+type engine struct {
+	Target
+	service *service
+	// owner is the daemon that answers asks for it, owned tells that this one does.
+	owner ident.Daemon
+	owned bool
+	// runs are the requests on it in order of arrival; only owners keep them.
+	runs []*run
+	// memory is what they fill when they have ended.
+	memory int
+	// free is when everything that stands on it will have been read.
+	free time.Time
+	// pace is the time to read a token, overhead the rest of the time to the first
+	// byte; work is the time of a plain request.
+	pace, overhead, work time.Duration
+	// lastRead is when the last first byte came.
+	lastRead time.Time
+	kept     kept
+	health   health
+	// told is what its owner last said of it, and heard when.
+	told  Load
+	heard time.Time
+}
+
+func newEngine(s *service, spec Target) *engine {
+	return &engine{Target: spec, service: s, pace: firstPace, overhead: firstOverhead, work: plainWork, kept: newKept()}
+}
+
+// restarted forgets what a former process of the target held.
+func (e *engine) restarted() {
+	e.runs, e.memory, e.free = nil, 0, time.Time{}
+	e.kept = newKept()
+	e.health = health{}
+}
+
+// workOf returns what a prompt costs to read where the engine keeps so much of it.
+func workOf(prompt, kept int) float64 {
+	unread := float64(max(0, prompt-kept))
+	return unread * (1 + (float64(kept)+unread/2)/quadratic)
+}
+
+// expect returns when the first byte of a request would come if it were sent now.
+func (e *engine) expect(now time.Time, work float64) time.Time {
+	if !e.service.model {
+		return now.Add(e.queueing() + e.work)
+	}
+	begin := e.free
+	if begin.Before(now) {
+		begin = now
+	}
+	return begin.Add(e.overhead + time.Duration(work*float64(e.pace)))
+}
+
+// queueing is how long a plain request waits for a slot.
+func (e *engine) queueing() time.Duration {
+	over := len(e.runs) + 1 - e.Slots
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(float64(over) / float64(max(1, e.Slots)) * float64(e.work))
+}
+
+// backlog is the time until a new prompt would be begun.
+func (e *engine) backlog(now time.Time) time.Duration {
+	if !e.service.model {
+		return e.queueing()
+	}
+	return max(0, e.free.Sub(now))
+}
+
+// taken is the part of the slots in use.
+func (e *engine) taken() float64 { return float64(len(e.runs)) / float64(max(1, e.Slots)) }
+
+// fits tells whether memory is left for a request.
+func (e *engine) fits(memory int) bool {
+	return e.Memory == 0 || float64(e.memory+memory) <= memoryShare*float64(e.Memory)
+}
+
+// add notes a request that goes to the target now.
+func (e *engine) add(now time.Time, r *run) {
+	r.target, r.at = e, now
+	r.expected = e.expect(now, r.work)
+	if e.service.model {
+		e.free = r.expected.Add(-e.overhead)
+	}
+	e.runs = append(e.runs, r)
+	e.memory += r.memory
+}
+
+// first takes in that the first byte of a request has come.
+func (e *engine) first(now time.Time, r *run, took time.Duration) {
+	if r.read {
+		return
+	}
+	r.read = true
+	if e.service.model {
+		e.learnPace(now, r, took)
+	}
+}
+
+// learnPace compares the time to a first byte with what was expected. Prompts are
+// read one after the other: where another was read just before, the time since
+// then is this one's own; else the time since dispatch is, and the rest of it is
+// overhead.
+func (e *engine) learnPace(now time.Time, r *run, took time.Duration) {
+	since := now.Sub(e.lastRead)
+	queued := e.lastRead.After(r.at) && r.work >= leastWork
+	switch {
+	case queued && since > 0:
+		e.setPace(time.Duration(float64(since) / r.work))
+	case !e.lastRead.After(r.at) && took > 0:
+		own := time.Duration(r.work * float64(e.pace))
+		e.overhead += time.Duration(learn * float64(max(0, took-own)-e.overhead))
+	}
+	e.lastRead = now
+	e.settle(now)
+}
+
+// leastWork is the least work that tells a pace: below it, the step in which
+// several short prompts are read together shows, and not the reading.
+const leastWork = 1000
+
+func (e *engine) setPace(observed time.Duration) {
+	observed = min(max(observed, fastest), slowest)
+	e.pace += time.Duration(learn * float64(observed-e.pace))
+}
+
+// settle sets when everything will have been read by what has not been read yet,
+// so that errors of earlier expectations do not add up.
+func (e *engine) settle(now time.Time) {
+	work := 0.0
+	for _, r := range e.runs {
+		if !r.read {
+			work += r.work
+		}
+	}
+	e.free = now.Add(time.Duration(work * float64(e.pace)))
+}
+
+// remove takes a request off the target. One that is gone before its first byte
+// has left what it had not read.
+func (e *engine) remove(now time.Time, r *run, elapsed time.Duration) {
+	i := slices.Index(e.runs, r)
+	if i < 0 {
+		return
+	}
+	e.runs = slices.Delete(e.runs, i, i+1)
+	e.memory -= r.memory
+	if !e.service.model {
+		if elapsed > 0 && elapsed < time.Second {
+			e.work += time.Duration(learn * float64(elapsed-e.work))
+		}
+		return
+	}
+	if !r.read {
+		r.read = true
+		e.settle(now)
+	}
+}
+
+// kept is what an engine is thought to keep of prompts: the parts that were sent
+// to it last, up to a bound of tokens.
+type kept struct {
+	parts map[uint64]*keptPart
+	total int
+}
+
+type keptPart struct {
+	tokens int
+	used   time.Time
+}
+
+func newKept() kept { return kept{parts: map[uint64]*keptPart{}} }
+
+// hit returns how many tokens of a prompt's beginning are kept. A part counts only
+// where all before it are kept.
+func (k *kept) hit(parts []Part) int {
+	tokens := 0
+	for _, p := range parts {
+		if k.parts[p.ID] == nil {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// use notes that the shared parts of a prompt are on the engine from now on. What
+// was used longest ago gives way where it would keep more than the bound; a bound
+// of zero or less keeps what was used last.
+func (k *kept) use(now time.Time, parts []Part, bound int) {
+	for _, p := range parts {
+		if known := k.parts[p.ID]; known != nil {
+			known.used = now
+			continue
+		}
+		k.parts[p.ID] = &keptPart{tokens: p.Tokens, used: now}
+		k.total += p.Tokens
+	}
+	for k.total > bound && len(k.parts) > len(parts) {
+		k.evict()
+	}
+}
+
+func (k *kept) evict() {
+	oldest, at := uint64(0), time.Time{}
+	for id, p := range k.parts {
+		if at.IsZero() || p.used.Before(at) || p.used.Equal(at) && id < oldest {
+			oldest, at = id, p.used
+		}
+	}
+	if at.IsZero() {
+		return
+	}
+	k.total -= k.parts[oldest].tokens
+	delete(k.parts, oldest)
+}
+
+// health is how the requests on a target ended of late.
+type health struct {
+	// failures and ends are sums that fade.
+	failures, ends faded
+	// row counts the failures since the last good end.
+	row int
+	// closed is until when no request is taken but one in probeEvery.
+	closed time.Time
+	wait   time.Duration
+	probed time.Time
+}
+
+const (
+	// rowToClose is how many failures in a row close a target for a while: a
+	// request that fails by itself must not take the target from all others.
+	rowToClose = 3
+	// shareToClose is the part of failed requests that does the same for a target
+	// that succeeds between.
+	shareToClose = 0.35
+	// closeBase and closeMost bound the time that a target stays closed. It
+	// doubles with each failed probe.
+	closeBase = 300 * time.Millisecond
+	closeMost = 3 * time.Second
+	// leastEnds is how many ends a share of failures needs to say anything.
+	leastEnds = 3
+)
+
+// ended takes in how a request ended.
+func (h *health) ended(now time.Time, failed bool) {
+	h.ends.add(now, 1)
+	if !failed {
+		h.row, h.wait, h.closed = 0, 0, time.Time{}
+		return
+	}
+	h.failures.add(now, 1)
+	h.row++
+	if h.row >= rowToClose || h.share(now) > shareToClose {
+		h.wait = min(max(closeBase, 2*h.wait), closeMost)
+		h.closed = now.Add(h.wait)
+	}
+}
+
+// share is the part of requests that failed of late; zero where too few ended.
+func (h *health) share(now time.Time) float64 {
+	ends := h.ends.now(now)
+	if ends < leastEnds {
+		return 0
+	}
+	return h.failures.now(now) / ends
+}
+
+// open tells whether the target takes requests. Once the time that it was closed
+// for has passed, one request goes through as a probe.
+func (h *health) open(now time.Time) bool {
+	if h.closed.IsZero() {
+		return true
+	}
+	if now.Before(h.closed) || now.Sub(h.probed) < closeBase {
+		return false
+	}
+	h.probed = now
+	return true
+}
--- /dev/null
+++ b/internal/booking/ingress.go
@@ -0,0 +1,304 @@
+package booking
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/resultcode"
+)
+
+// Submit places a request: a Dispatch or a Refuse follows.
+func (c *Core) Submit(now time.Time, spec Request) {
+	s := c.services[spec.Service]
+	if s == nil {
+		c.refuse(spec.ID, resultcode.Fail(resultcode.UnknownService, "service %s", spec.Service))
+		return
+	}
+	if !spec.Late && !spec.Begun {
+		s.shares.account(spec.Workspace).asked.add(now, spec.Cost())
+	}
+	r := &request{Request: spec}
+	r.candidates = c.candidates(now, s, r)
+	if len(r.candidates) == 0 {
+		c.refuse(spec.ID, resultcode.Fail(resultcode.NoTarget, "service %s", spec.Service))
+		return
+	}
+	c.requests[spec.ID] = r
+	c.next(now, r)
+}
+
+func (c *Core) refuse(id ident.Request, f *resultcode.Failure) {
+	delete(c.requests, id)
+	c.emit(Refuse{Request: id, Failure: f})
+}
+
+// maxAsks bounds the owners that are asked for one request. Each costs a message
+// there and back, and the third is already the one that is thought emptiest.
+const maxAsks = 4
+
+// candidates lists the targets to ask, in order: the two homes of the shared part,
+// then those thought emptiest. A target that failed an earlier attempt comes last.
+func (c *Core) candidates(now time.Time, s *service, r *request) []candidate {
+	var list []candidate
+	add := func(e *engine, by string) {
+		if !slices.ContainsFunc(list, func(other candidate) bool { return other.engine == e }) {
+			list = append(list, candidate{e, by})
+		}
+	}
+	usable := c.usable(now, s, r)
+	if part, ok := homePart(r.Parts); ok {
+		byHome := slices.Clone(usable)
+		slices.SortFunc(byHome, func(a, b *engine) int { return cmp.Compare(weight(part, b.Name), weight(part, a.Name)) })
+		for i, e := range byHome[:min(len(byHome), 2)] {
+			add(e, [...]string{"home", "second home"}[i])
+		}
+	}
+	byLoad := slices.Clone(usable)
+	c.rng.Shuffle(len(byLoad), func(i, j int) { byLoad[i], byLoad[j] = byLoad[j], byLoad[i] })
+	slices.SortStableFunc(byLoad, func(a, b *engine) int { return cmp.Compare(c.load(now, a), c.load(now, b)) })
+	for _, e := range byLoad {
+		if len(list) >= maxAsks {
+			break
+		}
+		add(e, "emptiest")
+	}
+	return list
+}
+
+// usable lists the targets that may take the request. Where only such are left
+// that it should avoid, those are better than none.
+func (c *Core) usable(now time.Time, s *service, r *request) []*engine {
+	var open, avoided []*engine
+	for _, e := range s.order {
+		switch {
+		case slices.Contains(r.Avoid, e.Name):
+			avoided = append(avoided, e)
+		case e.shut(now):
+			avoided = append(avoided, e)
+		default:
+			open = append(open, e)
+		}
+	}
+	if len(open) == 0 {
+		return avoided
+	}
+	return open
+}
+
+// homePart names the part of a prompt by which its home is chosen: the last one
+// that it shares with others.
+func homePart(parts []Part) (uint64, bool) {
+	if len(parts) < 2 {
+		return 0, false
+	}
+	return parts[len(parts)-2].ID, true
+}
+
+// stale is how old an owner's word about a load may be to say anything.
+const stale = 2 * time.Second
+
+// load orders targets by what is known of them: the part of the slots in use, and
+// the time that a prompt waits in seconds.
+func (c *Core) load(now time.Time, e *engine) float64 {
+	if e.owned {
+		return e.taken() + e.backlog(now).Seconds()
+	}
+	if now.Sub(e.heard) > stale {
+		return 0
+	}
+	return e.told.Taken + e.told.Wait.Seconds()
+}
+
+// next asks for the next candidate, or ends the placing.
+func (c *Core) next(now time.Time, r *request) {
+	for len(r.candidates) > 0 {
+		r.at, r.candidates = r.candidates[0], r.candidates[1:]
+		r.tried++
+		e := r.at.engine
+		if e.owned {
+			if c.take(now, c.cfg.Self, c.newAsk(now, r)) {
+				c.place(now, r, c.cfg.Self)
+				return
+			}
+			r.heard(e.waitFor(now, r))
+			continue
+		}
+		p := c.peers[e.owner]
+		if p == nil || now.Before(p.silent) {
+			if c.blind(now, r) {
+				return
+			}
+			continue
+		}
+		c.ask(now, r, e)
+		return
+	}
+	c.refuse(r.ID, c.full(r))
+}
+
+// heard keeps the shortest wait that was told.
+func (r *request) heard(wait time.Duration) {
+	if r.least == 0 || wait < r.least {
+		r.least = wait
+	}
+}
+
+func (c *Core) newAsk(now time.Time, r *request) Ask {
+	c.lastAsk++
+	r.runID = c.lastAsk
+	return Ask{
+		ID: c.lastAsk, Service: r.Service, Target: r.at.engine.Name, Workspace: r.Workspace,
+		Prompt: r.Prompt, Output: r.Output, Parts: r.Parts, Left: r.Due.Sub(now), Late: r.Late, Begun: r.Begun,
+	}
+}
+
+func (c *Core) ask(now time.Time, r *request, e *engine) {
+	a := c.newAsk(now, r)
+	r.ask, r.asked, r.to = a.ID, now, e.owner
+	c.asks[a.ID] = r
+	m := c.message(e.owner)
+	m.Asks = append(m.Asks, a)
+}
+
+// answered takes an owner's answer.
+func (c *Core) answered(now time.Time, from ident.Daemon, reply Reply) {
+	r := c.asks[reply.ID]
+	if r == nil || r.ask != reply.ID {
+		// Placed elsewhere meanwhile, or its caller has left: the place is free.
+		if reply.OK {
+			m := c.message(from)
+			m.Ends = append(m.Ends, End{ID: reply.ID})
+		}
+		return
+	}
+	delete(c.asks, r.ask)
+	r.ask = 0
+	if reply.OK {
+		r.least = reply.Wait
+		c.place(now, r, from)
+		return
+	}
+	r.heard(reply.Wait)
+	c.next(now, r)
+}
+
+// unanswered goes on without an owner's answer. Where it took the request all the
+// same, it hears that the place is free.
+func (c *Core) unanswered(now time.Time, r *request) {
+	m := c.message(r.to)
+	m.Ends = append(m.Ends, End{ID: r.ask})
+	delete(c.asks, r.ask)
+	r.ask = 0
+	if !c.blind(now, r) {
+		c.next(now, r)
+	}
+}
+
+// blind decides by what this ingress knows itself, where the owner of the target
+// does not answer: it takes its part of what the target has, by its own requests
+// there.
+func (c *Core) blind(now time.Time, r *request) bool {
+	e := r.at.engine
+	mine := 0
+	for _, other := range c.requests {
+		if other.running && other.at.engine == e {
+			mine++
+		}
+	}
+	part := e.Slots / (len(c.peers) + 1)
+	if mine >= max(1, part) || e.shut(now) {
+		return false
+	}
+	r.at.by = "blind"
+	c.place(now, r, "")
+	return true
+}
+
+// place sends the request to its target. By is the daemon that keeps the run;
+// empty where none does.
+func (c *Core) place(now time.Time, r *request, by ident.Daemon) {
+	r.running, r.began, r.placedBy = true, now, by
+	c.emit(Dispatch{Request: r.ID, Target: r.at.engine.Name, Basis: Basis{
+		By: r.at.by, Expected: r.least, Asks: r.tried,
+	}})
+}
+
+// note tells the owner of a target of a request that runs there.
+func (c *Core) note(now time.Time, r *request, e *engine) {
+	a := c.newAsk(now, r)
+	a.Taken = true
+	r.placedBy = e.owner
+	if e.owned {
+		c.take(now, c.cfg.Self, a)
+		return
+	}
+	if c.peers[e.owner] == nil {
+		r.placedBy = ""
+		return
+	}
+	m := c.message(e.owner)
+	m.Asks = append(m.Asks, a)
+}
+
+// First tells that the first byte of an answer has come.
+func (c *Core) First(now time.Time, id ident.Request, took time.Duration) {
+	r := c.requests[id]
+	if r == nil || !r.running {
+		return
+	}
+	switch {
+	case r.placedBy == c.cfg.Self:
+		c.marked(now, c.cfg.Self, Mark{ID: r.runID, First: took})
+	case c.peers[r.placedBy] != nil:
+		m := c.message(r.placedBy)
+		m.Marks = append(m.Marks, Mark{ID: r.runID, First: took})
+	}
+}
+
+// Finish ends the attempt of a request.
+func (c *Core) Finish(now time.Time, id ident.Request, result Result) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	delete(c.requests, id)
+	if r.ask != 0 {
+		delete(c.asks, r.ask)
+		m := c.message(r.to)
+		m.Ends = append(m.Ends, End{ID: r.ask})
+		return
+	}
+	if !r.running {
+		return
+	}
+	r.at.engine.seen(now, result)
+	end := End{ID: r.runID, Elapsed: result.Elapsed, Failed: result.Failed, NotRun: result.NotRun}
+	switch {
+	case r.placedBy == c.cfg.Self:
+		c.ended(now, c.cfg.Self, end)
+	case c.peers[r.placedBy] != nil:
+		m := c.message(r.placedBy)
+		m.Ends = append(m.Ends, end)
+	}
+}
+
+// full is the refusal of a request that no target takes, with a time to come back.
+func (c *Core) full(r *request) *resultcode.Failure {
+	f := resultcode.Fail(resultcode.FleetFull, "%d targets asked, the shortest wait is %s", r.tried, r.least.Round(time.Millisecond))
+	f.RetryAfter = c.comeBack(r)
+	return f
+}
+
+const (
+	// backLeast and backSpread are when refused callers are told to come back:
+	// not before the backlog of an instant has gone, and spread out, so that those
+	// refused in one burst do not return as another.
+	backLeast  = 400 * time.Millisecond
+	backSpread = 1200 * time.Millisecond
+)
+
+func (c *Core) comeBack(r *request) time.Duration {
+	return max(backLeast, r.least) + time.Duration(c.rng.Float64()*float64(backSpread))
+}
--- /dev/null
+++ b/internal/booking/owner.go
@@ -0,0 +1,260 @@
+package booking
+
+import (
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+const (
+	// spareTaken and spareWait bound what a workspace above its share, or a late
+	// request, may find on a target to be taken: half of the slots, and a backlog
+	// that a request within its share hardly notices.
+	spareTaken = 0.5
+	spareWait  = 60 * time.Millisecond
+	// slotReserve is the part of the slots that is not given away: a slot is free
+	// a little later than its owner hears.
+	slotReserve = 0.03
+	// queueShare is how many plain requests may wait in a target, as a part of its
+	// slots.
+	queueShare = 1.0
+)
+
+// Receive takes a message of another daemon.
+func (c *Core) Receive(now time.Time, from ident.Daemon, m Message) {
+	p := c.peers[from]
+	if p == nil || m.Incarnation != p.Incarnation {
+		return
+	}
+	p.silent = time.Time{}
+	for _, u := range m.Usage {
+		c.takeUsage(now, from, u)
+	}
+	for _, l := range m.Loads {
+		c.takeLoad(now, l)
+	}
+	for _, mark := range m.Marks {
+		c.marked(now, from, mark)
+	}
+	for _, end := range m.Ends {
+		c.ended(now, from, end)
+	}
+	for _, a := range m.Asks {
+		c.asked(now, from, a)
+	}
+	for _, reply := range m.Replies {
+		c.answered(now, from, reply)
+	}
+}
+
+// asked answers an ask.
+func (c *Core) asked(now time.Time, from ident.Daemon, a Ask) {
+	ok := c.take(now, from, a)
+	if a.Taken {
+		return
+	}
+	reply := Reply{ID: a.ID, OK: ok}
+	if e := c.engine(a.Service, a.Target); e != nil {
+		reply.Wait = e.backlog(now) + e.overhead
+		if ok {
+			reply.Wait = c.runs[runKey{from, a.ID}].expected.Sub(now)
+		}
+	}
+	m := c.message(from)
+	m.Replies = append(m.Replies, reply)
+}
+
+func (c *Core) engine(service ident.Service, target ident.Target) *engine {
+	if s := c.services[service]; s != nil {
+		return s.engines[target]
+	}
+	return nil
+}
+
+// waitFor is the expected time to the first byte of a request that was refused.
+func (e *engine) waitFor(now time.Time, _ *request) time.Duration {
+	return e.backlog(now) + e.overhead
+}
+
+// take decides whether a target takes a request, and notes it where it does.
+func (c *Core) take(now time.Time, from ident.Daemon, a Ask) bool {
+	e := c.engine(a.Service, a.Target)
+	if e == nil {
+		return false
+	}
+	cached := e.kept.hit(a.Parts)
+	r := &run{ingress: from, id: a.ID, work: workOf(a.Prompt, cached), memory: a.Prompt + a.Output, until: now.Add(forget)}
+	if !a.Taken && !c.admits(now, e, a, r) {
+		return false
+	}
+	e.add(now, r)
+	c.runs[runKey{from, a.ID}] = r
+	if len(a.Parts) > 1 {
+		e.kept.use(now, a.Parts[:len(a.Parts)-1], e.Memory-e.memory)
+	}
+	if !a.Taken && !a.Begun {
+		e.service.shares.account(a.Workspace).granted.add(now, cost(a))
+	}
+	return true
+}
+
+func cost(a Ask) float64 {
+	r := Request{Prompt: a.Prompt, Output: a.Output}
+	return r.Cost()
+}
+
+// admits is the decision about a request on a target.
+func (c *Core) admits(now time.Time, e *engine, a Ask, r *run) bool {
+	if !c.healthy(now, e) || !e.fits(r.memory) || !e.hasSlot() {
+		return false
+	}
+	if c.spareOnly(now, e, a) {
+		return e.taken() < spareTaken && e.backlog(now) <= spareWait
+	}
+	return !e.expect(now, r.work).After(now.Add(a.Left))
+}
+
+// healthy tells whether a target takes requests as far as its failures go. Where
+// all targets of a service fail alike, none is passed over: that would leave
+// nothing, and fewer targets for the requests that succeed.
+func (c *Core) healthy(now time.Time, e *engine) bool {
+	usual := e.service.failures(now, e)
+	if e.health.share(now) <= usual+failsMore {
+		return true
+	}
+	return e.health.open(now)
+}
+
+// failsMore is how much larger a part of its requests a target must fail than the
+// others of its service to be passed over.
+const failsMore = 0.2
+
+// failures is the mean part of requests that failed of late at the other targets.
+func (s *service) failures(now time.Time, but *engine) float64 {
+	sum, n := 0.0, 0
+	for _, e := range s.order {
+		switch {
+		case e == but:
+			continue
+		case e.owned:
+			sum += e.health.share(now)
+		case now.Sub(e.heard) <= stale:
+			sum += e.told.Failures
+		}
+		n++
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// spareOnly tells whether a request gets only what is spare.
+func (c *Core) spareOnly(now time.Time, e *engine, a Ask) bool {
+	if !e.service.model || a.Begun {
+		return false
+	}
+	return a.Late || !e.service.shares.within(now, a.Workspace, cost(a), e.service.rate)
+}
+
+// hasSlot tells whether the target has a place. A plain one may have a few
+// waiting, since its answers are short.
+func (e *engine) hasSlot() bool {
+	most := float64(e.Slots) * (1 - slotReserve)
+	if !e.service.model {
+		most = float64(e.Slots) * (1 + queueShare)
+	}
+	return float64(len(e.runs)) < most
+}
+
+// marked takes in the first byte of an answer.
+func (c *Core) marked(now time.Time, from ident.Daemon, m Mark) {
+	if r := c.runs[runKey{from, m.ID}]; r != nil {
+		r.target.first(now, r, m.First)
+	}
+}
+
+// ended takes in that a request has left its target.
+func (c *Core) ended(now time.Time, from ident.Daemon, end End) {
+	key := runKey{from, end.ID}
+	r := c.runs[key]
+	if r == nil {
+		return
+	}
+	delete(c.runs, key)
+	r.target.remove(now, r, end.Elapsed)
+	if end.Elapsed > 0 {
+		r.target.health.ended(now, end.Failed)
+	}
+}
+
+// seen takes in, at the ingress, how an attempt ended: a target that refuses
+// connections is passed over at once and not when its owner tells.
+func (e *engine) seen(now time.Time, result Result) {
+	if e.owned || result.Elapsed == 0 {
+		return // its owner's view is the same
+	}
+	e.health.ended(now, result.Failed)
+}
+
+// shut tells whether an ingress passes a target over.
+func (e *engine) shut(now time.Time) bool { return now.Before(e.health.closed) }
+
+// takeUsage takes in the sums of another daemon.
+func (c *Core) takeUsage(now time.Time, from ident.Daemon, u Usage) {
+	s := c.services[u.Service]
+	if s == nil || s.shares.accounts[u.Workspace] == nil {
+		return
+	}
+	s.shares.accounts[u.Workspace].others[from] = &told{
+		asked: faded{u.Asked, now}, granted: faded{u.Granted, now},
+	}
+}
+
+func (c *Core) takeLoad(now time.Time, l Load) {
+	if e := c.engine(l.Service, l.Target); e != nil && !e.owned {
+		e.told, e.heard = l, now
+	}
+}
+
+// worthTelling is the change of a faded sum, as a part of it, that is worth telling.
+const worthTelling = 0.05
+
+// tell sends sums and loads to all peers.
+func (c *Core) tell(now time.Time) {
+	if len(c.peers) == 0 {
+		return
+	}
+	var usage []Usage
+	var loads []Load
+	for _, s := range c.services {
+		for name, a := range s.shares.accounts {
+			u := Usage{Service: s.name, Workspace: name, Asked: a.asked.now(now), Granted: a.granted.now(now)}
+			if changed(u.Asked, a.sent.asked.now(now)) || changed(u.Granted, a.sent.granted.now(now)) {
+				a.sent = told{asked: faded{u.Asked, now}, granted: faded{u.Granted, now}}
+				usage = append(usage, u)
+			}
+		}
+		for _, e := range s.order {
+			if e.owned {
+				loads = append(loads, Load{
+					Service: s.name, Target: e.Name,
+					Wait: e.backlog(now), Taken: e.taken(), Failures: e.health.share(now),
+				})
+			}
+		}
+	}
+	if len(usage)+len(loads) == 0 {
+		return
+	}
+	for id := range c.peers {
+		m := c.message(id)
+		m.Usage = append(m.Usage, usage...)
+		m.Loads = append(m.Loads, loads...)
+	}
+}
+
+// changed tells whether a sum differs enough from what was told.
+func changed(a, b float64) bool {
+	return max(a-b, b-a) > worthTelling*max(a, b, 1)
+}
--- /dev/null
+++ b/internal/booking/types.go
@@ -0,0 +1,209 @@
+package booking
+
+import (
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/resultcode"
+)
+
+// Part is a part of a prompt that an engine may keep.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what decisions need to know of a request.
+type Request struct {
+	ID        ident.Request
+	Service   ident.Service
+	Workspace ident.Workspace
+	// Prompt and Output are tokens, zero for a plain service. Parts are those of
+	// the prompt, the first one first; the last belongs to the request alone.
+	Prompt, Output int
+	Parts          []Part
+	// Due is when the first byte of the answer has to be there.
+	Due time.Time
+	// Late tells that an answer can't be in time any more and gets what is spare.
+	Late bool
+	// Avoid lists targets that a further attempt must not use.
+	Avoid []ident.Target
+	// Begun tells that an earlier attempt was placed: the request has counted in
+	// its workspace's share, and what was done for it is lost if it is refused now.
+	Begun bool
+}
+
+// Cost is what a request counts against its workspace: tokens, of which a
+// generated one counts twice; one for a plain service.
+func (r *Request) Cost() float64 {
+	if r.Prompt == 0 {
+		return 1
+	}
+	return float64(r.Prompt + outputWeight*r.Output)
+}
+
+// outputWeight is what a generated token counts against one read: about the
+// inverse of how many more of the latter an engine does in the same time.
+const outputWeight = 2
+
+// Workspace is a customer and its weight.
+type Workspace struct {
+	Name   ident.Workspace
+	Weight float64
+}
+
+// Target is one back end of a service.
+type Target struct {
+	Name ident.Target
+	Zone ident.Zone
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Memory is what it keeps, in tokens; zero for a plain service.
+	Memory int
+	// Born tells a target that was started again from its predecessor.
+	Born int64
+}
+
+// Service is what decisions need to know of a service.
+type Service struct {
+	Name ident.Service
+	// Model tells that the targets read prompts.
+	Model      bool
+	Targets    []Target
+	Workspaces []Workspace
+	// Rate is what all targets together give, in units of Cost a second; zero:
+	// not known, and no workspace is held to a share.
+	Rate float64
+}
+
+// Peer is another live daemon.
+type Peer struct {
+	ID          ident.Daemon
+	Incarnation uint64
+	Zone        ident.Zone
+	Leaving     bool
+}
+
+// Ask asks the owner of a target for a place.
+type Ask struct {
+	// ID grows with each ask of an ingress's incarnation.
+	ID        uint64
+	Service   ident.Service
+	Target    ident.Target
+	Workspace ident.Workspace
+	Prompt    int
+	Output    int
+	Parts     []Part
+	// Left is the time to Due.
+	Left time.Duration
+	Late bool
+	// Taken tells that the request runs there already: the owner only notes it.
+	Taken bool
+	// Begun tells that an earlier attempt was placed.
+	Begun bool
+}
+
+// Reply answers an ask.
+type Reply struct {
+	ID uint64
+	OK bool
+	// Wait is the expected time to the first byte.
+	Wait time.Duration
+}
+
+// Mark tells the owner that the first byte of an answer has come.
+type Mark struct {
+	ID uint64
+	// First runs from dispatch to the first byte.
+	First time.Duration
+}
+
+// End tells the owner that a request has left its target.
+type End struct {
+	ID uint64
+	// Elapsed runs from dispatch to the end; zero: it was not dispatched.
+	Elapsed time.Duration
+	// Failed tells that the target or the way to it failed, NotRun that it did not
+	// run the request.
+	Failed, NotRun bool
+}
+
+// Usage is what the sender's callers asked for of late, and what the sender
+// granted as owner, for one workspace: sums that fade (see usage.go).
+type Usage struct {
+	Service        ident.Service
+	Workspace      ident.Workspace
+	Asked, Granted float64
+}
+
+// Load is what the sender knows of a target that it owns.
+type Load struct {
+	Service ident.Service
+	Target  ident.Target
+	// Wait is the time until a new prompt would be begun, Taken the part of the
+	// slots in use, Failures the part of requests that failed of late.
+	Wait            time.Duration
+	Taken, Failures float64
+}
+
+// Message is everything that one Core tells another in one go. Incarnation is the
+// sender's; a message of an older incarnation is dropped.
+type Message struct {
+	Incarnation uint64
+	Asks        []Ask
+	Replies     []Reply
+	Marks       []Mark
+	Ends        []End
+	Usage       []Usage
+	Loads       []Load
+}
+
+// Empty tells that there is nothing in the message.
+func (m *Message) Empty() bool {
+	return len(m.Asks)+len(m.Replies)+len(m.Marks)+len(m.Ends)+len(m.Usage)+len(m.Loads) == 0
+}
+
+// Result tells how an attempt ended.
+type Result struct {
+	// Elapsed runs from dispatch to the end; zero: it was not dispatched.
+	Elapsed        time.Duration
+	Failed, NotRun bool
+}
+
+// Effect is something that the caller of the Core has to do.
+type Effect interface{ effect() }
+
+// Dispatch sends a request to a target.
+type Dispatch struct {
+	Request ident.Request
+	Target  ident.Target
+	// Basis tells on what the decision stands, for the log.
+	Basis Basis
+}
+
+// Basis is what a placement was decided by.
+type Basis struct {
+	// By is "home", "second home" or "emptiest" where the owner granted, "blind"
+	// where no owner answered.
+	By string
+	// Expected is the expected time to the first byte; zero: not known.
+	Expected time.Duration
+	// Asks counts the owners asked.
+	Asks int
+}
+
+// Refuse gives a request its final answer.
+type Refuse struct {
+	Request ident.Request
+	Failure *resultcode.Failure
+}
+
+// Send passes a message to another daemon.
+type Send struct {
+	To      ident.Daemon
+	Message Message
+}
+
+func (Dispatch) effect() {}
+func (Refuse) effect()   {}
+func (Send) effect()     {}
--- /dev/null
+++ b/internal/booking/usage.go
@@ -0,0 +1,150 @@
+package booking
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// fade is the time constant of what was asked and granted. Shares are judged over
+// some seconds: a shorter memory would let a workspace that comes in waves have
+// more than its share, a longer one would hold against it what is over.
+const fade = 2 * time.Second
+
+// faded is a sum that fades with time.
+type faded struct {
+	value float64
+	at    time.Time
+}
+
+func (f *faded) add(now time.Time, x float64) {
+	f.value = f.now(now) + x
+	f.at = now
+}
+
+func (f *faded) now(now time.Time) float64 {
+	if f.value == 0 {
+		return 0
+	}
+	return f.value * math.Exp(-max(0, now.Sub(f.at)).Seconds()/fade.Seconds())
+}
+
+// account is what is known of one workspace's use of a service.
+type account struct {
+	weight float64
+	// asked is what this daemon's callers asked for, granted what this daemon
+	// granted as owner.
+	asked, granted faded
+	// others are the same sums of each other daemon, as last told.
+	others map[ident.Daemon]*told
+	// sent are the values that the peers were last told; they fade there alike.
+	sent told
+}
+
+type told struct{ asked, granted faded }
+
+// sums returns the fleet's sums.
+func (a *account) sums(now time.Time) (asked, granted float64) {
+	asked, granted = a.asked.now(now), a.granted.now(now)
+	for _, t := range a.others {
+		asked += t.asked.now(now)
+		granted += t.granted.now(now)
+	}
+	return asked, granted
+}
+
+// levelEvery is how long a computed level holds: demands move over seconds, and
+// each computation looks at every workspace.
+const levelEvery = 50 * time.Millisecond
+
+// shares divides the rate of a service among its workspaces.
+type shares struct {
+	accounts map[ident.Workspace]*account
+	// level is the fair sum per weight that no workspace needs to exceed while
+	// another lacks; infinite where there is enough for all.
+	level   float64
+	levelAt time.Time
+}
+
+func newShares() shares { return shares{accounts: map[ident.Workspace]*account{}, level: math.Inf(1)} }
+
+func (s *shares) account(ws ident.Workspace) *account {
+	a := s.accounts[ws]
+	if a == nil {
+		a = &account{weight: 1, others: map[ident.Daemon]*told{}}
+		s.accounts[ws] = a
+	}
+	return a
+}
+
+// configure keeps the accounts of these workspaces.
+func (s *shares) configure(list []Workspace) {
+	kept := make(map[ident.Workspace]bool, len(list))
+	for _, w := range list {
+		s.account(w.Name).weight = w.Weight
+		kept[w.Name] = true
+	}
+	for name := range s.accounts {
+		if !kept[name] {
+			delete(s.accounts, name)
+		}
+	}
+}
+
+// within tells whether a workspace may have so much more and stay within its
+// share. Room is the part above the fair level that it may reach: sums of other
+// daemons are some hundred ms old, and requests are of unequal size.
+func (s *shares) within(now time.Time, ws ident.Workspace, cost, rate float64) bool {
+	if rate <= 0 {
+		return true
+	}
+	s.refresh(now, rate)
+	a := s.account(ws)
+	_, granted := a.sums(now)
+	return granted+cost/2 <= a.weight*s.level*room
+}
+
+// room is how far above its fair level a workspace may be and still count as
+// within its share.
+const room = 1.15
+
+// refresh computes the level by filling up: workspaces that ask for less than the
+// level get what they ask, and the rest is divided by weight.
+func (s *shares) refresh(now time.Time, rate float64) {
+	if now.Sub(s.levelAt) < levelEvery && !s.levelAt.IsZero() {
+		return
+	}
+	s.levelAt = now
+	type demand struct{ asked, weight float64 }
+	var demands []demand
+	weights, total := 0.0, 0.0
+	for _, a := range s.accounts {
+		if asked, _ := a.sums(now); asked > 0 {
+			demands = append(demands, demand{asked, a.weight})
+			weights += a.weight
+			total += asked
+		}
+	}
+	// A faded sum of a constant rate is the rate times the time constant.
+	left := rate * fade.Seconds()
+	s.level = math.Inf(1)
+	if total <= left {
+		return
+	}
+	slices.SortFunc(demands, func(a, b demand) int {
+		if a.asked*b.weight < b.asked*a.weight {
+			return -1
+		}
+		return 1
+	})
+	for _, d := range demands {
+		if d.asked/d.weight >= left/weights {
+			s.level = left / weights
+			return
+		}
+		left -= d.asked
+		weights -= d.weight
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -44,15 +44,12 @@
 	defaultEvents = 4096
 )
 
-type event func(now time.Time)
-
 // Loop owns a scheduler.Core.
 type Loop struct {
+	mailbox
 	cfg     Config
 	core    *scheduler.Core
 	actions Actions
-	events  chan event
-	done    chan struct{}
 	waiters map[ident.Request]chan Placed
 	// stops holds the signals of the running requests that may be stopped.
 	stops map[ident.Request]chan struct{}
@@ -60,18 +57,12 @@
 
 // New returns a Loop around core. Run must be called for anything to happen.
 func New(cfg Config, core *scheduler.Core, actions Actions) *Loop {
-	if cfg.Tick == 0 {
-		cfg.Tick = defaultTick
-	}
-	if cfg.Events == 0 {
-		cfg.Events = defaultEvents
-	}
+	cfg = cfg.withDefaults()
 	return &Loop{
+		mailbox: newMailbox(cfg),
 		cfg:     cfg,
 		core:    core,
 		actions: actions,
-		events:  make(chan event, cfg.Events),
-		done:    make(chan struct{}),
 		waiters: map[ident.Request]chan Placed{},
 		stops:   map[ident.Request]chan struct{}{},
 	}
@@ -80,32 +71,8 @@
 // Run handles events until ctx ends. Requests that still wait then are refused
 // as not run.
 func (l *Loop) Run(ctx context.Context) {
-	ticker := time.NewTicker(l.cfg.Tick)
-	defer ticker.Stop()
-	defer close(l.done)
-	for {
-		select {
-		case <-ctx.Done():
-			l.refuseAll()
-			return
-		case <-ticker.C:
-			// Not the tick's own time: it may have waited while events with
-			// later times were handled, and time must not run backwards.
-			l.core.Tick(time.Now())
-		case e := <-l.events:
-			e(time.Now())
-			l.drain()
-		}
-		l.carryOut()
-	}
-}
-
-// drain handles the events that already wait, so that a burst of requests costs
-// one message to each peer instead of one a request.
-func (l *Loop) drain() {
-	for range len(l.events) {
-		(<-l.events)(time.Now())
-	}
+	l.run(ctx, l.cfg.Tick, l.core.Tick, l.carryOut)
+	l.refuseAll()
 }
 
 func (l *Loop) carryOut() {
@@ -145,30 +112,6 @@
 	}
 }
 
-// do runs f on the control goroutine, or drops it once the loop has ended.
-func (l *Loop) do(f event) bool {
-	select {
-	case l.events <- f:
-		return true
-	case <-l.done:
-		return false
-	}
-}
-
-// call runs f on the control goroutine and waits for it.
-func (l *Loop) call(f event) bool {
-	ran := make(chan struct{})
-	if !l.do(func(now time.Time) { f(now); close(ran) }) {
-		return false
-	}
-	select {
-	case <-ran:
-		return true
-	case <-l.done:
-		return false
-	}
-}
-
 // Place queues a request and waits until it has a target or is refused. A
 // caller that leaves while waiting withdraws it. Again tells that the request
 // was placed before and did not run.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,13 +86,10 @@
 }
 
 func newLoop(id identity, b *bridge) *control.Loop {
-	b.loop = control.New(control.Config{}, newCore(id), b)
-	return b.loop
-}
-
-func newCore(id identity) *scheduler.Core {
-	return scheduler.New(scheduler.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone},
+	core := scheduler.New(scheduler.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone},
 		rand.New(rand.NewPCG(id.Incarnation, rand.Uint64())))
+	b.loop = control.New(control.Config{}, core, b)
+	return b.loop
 }
 
 func newNode(id identity, s settings.Settings, b *bridge, _ *control.Loop, _ *claim.Claimer, log *slog.Logger) (*fleet.Node, error) {
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/savorystall/savorystall/internal/control"
-	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/internal/telemetry"
 )
@@ -32,15 +30,8 @@
 }
 
 func (g *gaugeReporter) report() {
-	p := g.parts
-	reportGauges(p.Loop, p.Node, p.Metrics, len(p.Bridge.members())+1, p.Store.Head())
-}
-
-// reportGauges sets the gauges. Members counts the live daemons, this one
-// included, and head is the version of the configuration in force.
-func reportGauges(loop *control.Loop, node *fleet.Node, metrics *telemetry.Metrics, members int, head uint64) {
 	var rows []telemetry.ServiceGauges
-	loop.Inspect(func(c *scheduler.Core) {
+	g.parts.Loop.Inspect(func(c *scheduler.Core) {
 		for _, load := range c.Loads() {
 			rows = append(rows, telemetry.ServiceGauges{
 				Service: load.Service, Waiting: load.Waiting, Running: load.Running,
@@ -49,8 +40,8 @@
 		}
 	})
 	for _, row := range rows {
-		metrics.Service(row)
+		g.parts.Metrics.Service(row)
 	}
-	traffic := node.Traffic()
-	metrics.Fleet(traffic.EstimatedSent(), traffic.EstimatedReceived(), members, head)
+	traffic := g.parts.Node.Traffic()
+	g.parts.Metrics.Fleet(traffic.EstimatedSent(), traffic.EstimatedReceived(), len(g.parts.Bridge.members())+1, g.parts.Store.Head())
 }
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -12,13 +13,13 @@
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
 
+	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/gateway"
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
-	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/internal/settings"
 	"github.com/savorystall/savorystall/internal/targetconn"
 	"github.com/savorystall/savorystall/internal/telemetry"
@@ -50,12 +51,18 @@
 
 func newPool() *targetconn.Pool { return targetconn.New(targetconn.Config{}) }
 
-func newRoutedLoop(id identity, b *routedBridge) *control.Loop {
-	b.loop = control.New(control.Config{}, newCore(id), b)
+// bookingTick is how often answers of owners that do not come are noticed, and
+// what is due is told. It is a quarter of the wait for an answer.
+const bookingTick = 10 * time.Millisecond
+
+func newRoutedLoop(id identity, b *routedBridge) *control.Bookings {
+	core := booking.New(booking.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone},
+		rand.New(rand.NewPCG(id.Incarnation, rand.Uint64())))
+	b.loop = control.NewBookings(control.Config{Tick: bookingTick}, core, b)
 	return b.loop
 }
 
-func newRoutedNode(id identity, s settings.Settings, b *routedBridge, _ *control.Loop, _ *gateway.Server, log *slog.Logger) (*fleet.Node, error) {
+func newRoutedNode(id identity, s settings.Settings, b *routedBridge, _ *control.Bookings, _ *gateway.Server, log *slog.Logger) (*fleet.Node, error) {
 	cfg, err := nodeConfig(id, s, log)
 	if err != nil {
 		return nil, err
@@ -64,7 +71,7 @@
 	return b.node, err
 }
 
-func newGateway(s settings.Settings, routes *route.Holder, loop *control.Loop, pool *targetconn.Pool, b *routedBridge,
+func newGateway(s settings.Settings, routes *route.Holder, loop *control.Bookings, pool *targetconn.Pool, b *routedBridge,
 	metrics *telemetry.Metrics, log *slog.Logger) *gateway.Server {
 	b.gateway = gateway.New(gateway.Deps{
 		Config: gateway.Config{
@@ -87,7 +94,7 @@
 	readinessListener             net.Listener
 }
 
-func newRoutedServers(s settings.Settings, id identity, g *gateway.Server, life *Life, loop *control.Loop, b *routedBridge, metrics *telemetry.Metrics) (*routedServers, error) {
+func newRoutedServers(s settings.Settings, id identity, g *gateway.Server, life *Life, loop *control.Bookings, b *routedBridge, metrics *telemetry.Metrics) (*routedServers, error) {
 	ops := &routedOperators{identity: id, life: life, loop: loop, bridge: b, metrics: metrics}
 	r := &routedServers{connections: newConnections()}
 	var err error
@@ -119,7 +126,7 @@
 type routedOperators struct {
 	identity identity
 	life     *Life
-	loop     *control.Loop
+	loop     *control.Bookings
 	bridge   *routedBridge
 	metrics  *telemetry.Metrics
 }
@@ -133,7 +140,7 @@
 }
 
 func (o *routedOperators) healthy(w http.ResponseWriter, _ *http.Request) {
-	if !o.loop.Inspect(func(*scheduler.Core) {}) {
+	if !o.loop.Inspect(func(*booking.Core) {}) {
 		http.Error(w, "the control loop has ended", http.StatusServiceUnavailable)
 		return
 	}
@@ -166,7 +173,7 @@
 	Settings settings.Settings
 	Identity identity
 	Life     *Life
-	Loop     *control.Loop
+	Loop     *control.Bookings
 	Node     *fleet.Node
 	Bridge   *routedBridge
 	Routes   *route.Holder
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/fleet"
@@ -21,7 +22,7 @@
 type routedBridge struct {
 	// node, loop and gateway are set once, before the node starts.
 	node    *fleet.Node
-	loop    *control.Loop
+	loop    *control.Bookings
 	gateway *gateway.Server
 }
 
@@ -29,12 +30,18 @@
 
 func newRoutedBridge() *routedBridge { return &routedBridge{} }
 
-// Send implements control.Actions.
-func (b *routedBridge) Send(to ident.Daemon, m scheduler.Message) { b.node.Send(to, m) }
+// SendBookings implements control.BookingActions.
+func (b *routedBridge) SendBookings(to ident.Daemon, m booking.Message) {
+	b.node.Send(to, scheduler.Message{Bookings: m})
+}
 
 // Peers implements fleet.Handler.
 func (b *routedBridge) Peers(peers []scheduler.Peer) {
-	b.loop.Peers(peers)
+	list := make([]booking.Peer, len(peers))
+	for i, p := range peers {
+		list[i] = booking.Peer(p)
+	}
+	b.loop.Peers(list)
 	b.gateway.SetDaemons(len(peers) + 1)
 }
 
@@ -45,7 +52,10 @@
 func (b *routedBridge) LinkLost(peer ident.Daemon) { b.loop.Reset(peer) }
 
 // Receive implements fleet.Handler.
-func (b *routedBridge) Receive(from ident.Daemon, m scheduler.Message) { b.loop.Receive(from, m) }
+func (b *routedBridge) Receive(from ident.Daemon, m scheduler.Message) {
+	m.Bookings.Incarnation = m.Incarnation
+	b.loop.Receive(from, m.Bookings)
+}
 
 // Head implements fleet.Handler. Each daemon follows the store by itself.
 func (b *routedBridge) Head(ident.Daemon, uint64) {}
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -7,13 +7,13 @@
 	"sync"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/gateway"
 	"github.com/savorystall/savorystall/internal/ident"
 	store "github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/route"
-	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/platform"
 )
 
@@ -75,28 +75,20 @@
 	}
 }
 
-// Assumed mean costs before any request was measured: a model's in tokens, a plain
-// service's in milliseconds of a slot.
-const (
-	modelCost = 2000
-	plainCost = 20
-	// plainSlots stands for the slots of a target that states none.
-	plainSlots = 4
-	// routedQueue bounds the requests of one workspace that wait at one daemon.
-	routedQueue = 500
-)
+// defaultSlots stands for the slots of a target that states none.
+const defaultSlots = 4
 
 // routedServices takes from routes and targets what decisions need.
-func routedServices(table *route.Table, entries []registry.Entry) []scheduler.Service {
-	workspaces := []scheduler.Workspace{{Name: route.Anonymous, Weight: 1, Queue: routedQueue}}
+func routedServices(table *route.Table, entries []registry.Entry) []booking.Service {
+	workspaces := []booking.Workspace{{Name: route.Anonymous, Weight: 1}}
 	for _, w := range table.Workspaces {
-		workspaces = append(workspaces, scheduler.Workspace{Name: w.Name, Weight: 1, Queue: routedQueue})
+		workspaces = append(workspaces, booking.Workspace{Name: w.Name, Weight: 1})
 	}
-	var services []scheduler.Service
+	var services []booking.Service
 	for _, spec := range table.Services {
-		service := scheduler.Service{Name: spec.Name, Workspaces: workspaces, Plain: !spec.Model, MeanCost: plainCost}
+		service := booking.Service{Name: spec.Name, Model: spec.Model, Workspaces: workspaces}
 		if spec.Model {
-			service.MeanCost = modelCost
+			service.Rate = table.Limits.TokensPerSecond
 		}
 		for _, e := range entries {
 			if e.Service != spec.Name || e.Draining {
@@ -104,9 +96,11 @@
 			}
 			slots := e.Slots
 			if slots <= 0 {
-				slots = max(spec.Slots, plainSlots)
+				slots = max(spec.Slots, defaultSlots)
 			}
-			service.Targets = append(service.Targets, scheduler.Target{Name: e.Identity, Zone: e.Zone, Slots: slots})
+			service.Targets = append(service.Targets, booking.Target{
+				Name: e.Identity, Zone: e.Zone, Slots: slots, Memory: spec.Memory, Born: e.Born,
+			})
 		}
 		services = append(services, service)
 	}
@@ -355,5 +349,6 @@
 	if table := s.p.Routes.Current(); table != nil {
 		head = table.Version
 	}
-	reportGauges(s.p.Loop, s.p.Node, s.p.Metrics, s.p.Gateway.Daemons(), head)
+	traffic := s.p.Node.Traffic()
+	s.p.Metrics.Fleet(traffic.EstimatedSent(), traffic.EstimatedReceived(), s.p.Gateway.Daemons(), head)
 }
--- /dev/null
+++ b/internal/fleet/bookings.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
+	"github.com/savorystall/savorystall/internal/booking"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/scheduler"
+)
+
+// shareUnit is the resolution of shares on a link: thousandths.
+const shareUnit = 1000
+
+// mergeBookings queues bookings: of sums and loads the newest stands for all, and
+// every other row is kept.
+func (o *outbox) mergeBookings(m *booking.Message) {
+	q := &o.queued.Bookings
+	q.Asks = append(q.Asks, m.Asks...)
+	q.Replies = append(q.Replies, m.Replies...)
+	q.Marks = append(q.Marks, m.Marks...)
+	q.Ends = append(q.Ends, m.Ends...)
+	for _, u := range m.Usage {
+		q.Usage = newest(q.Usage, o.usage, pair{u.Service, string(u.Workspace)}, u)
+	}
+	for _, l := range m.Loads {
+		q.Loads = newest(q.Loads, o.loads, pair{l.Service, string(l.Target)}, l)
+	}
+}
+
+func (e *encoder) bookings(f *fleetv1.Frame, m *booking.Message) *fleetv1.Bookings {
+	if m.Empty() {
+		return nil
+	}
+	out := &fleetv1.Bookings{}
+	for _, a := range m.Asks {
+		out.Asks = append(out.Asks, e.ask(f, a))
+	}
+	for _, r := range m.Replies {
+		out.Replies = append(out.Replies, &fleetv1.BookingReply{Id: r.ID, Ok: r.OK, Wait: toTime(r.Wait)})
+	}
+	for _, k := range m.Marks {
+		out.Marks = append(out.Marks, &fleetv1.BookingMark{Id: k.ID, First: toTime(k.First)})
+	}
+	for _, d := range m.Ends {
+		out.Ends = append(out.Ends, &fleetv1.BookingEnd{Id: d.ID, Elapsed: toTime(d.Elapsed), Failed: d.Failed, NotRun: d.NotRun})
+	}
+	for _, u := range m.Usage {
+		out.Usage = append(out.Usage, &fleetv1.BookingUsage{
+			Workspace: e.pair(f, u.Service, string(u.Workspace)),
+			Asked:     uint64(math.Round(max(0, u.Asked))), Granted: uint64(math.Round(max(0, u.Granted))),
+		})
+	}
+	for _, l := range m.Loads {
+		out.Loads = append(out.Loads, &fleetv1.BookingLoad{
+			Target: e.pair(f, l.Service, string(l.Target)), Wait: toTime(l.Wait),
+			Taken: uint32(math.Round(shareUnit * l.Taken)), Failures: uint32(math.Round(shareUnit * l.Failures)),
+		})
+	}
+	return out
+}
+
+func (e *encoder) ask(f *fleetv1.Frame, a booking.Ask) *fleetv1.BookingAsk {
+	out := &fleetv1.BookingAsk{
+		Id: a.ID, Target: e.pair(f, a.Service, string(a.Target)), Workspace: e.name(f, string(a.Workspace)),
+		Prompt: uint32(a.Prompt), Output: uint32(a.Output),
+		Left: int64(a.Left / timeUnit), Late: a.Late, Taken: a.Taken, Begun: a.Begun,
+	}
+	for _, p := range a.Parts {
+		out.Parts = append(out.Parts, p.ID)
+		out.PartTokens = append(out.PartTokens, uint32(p.Tokens))
+	}
+	return out
+}
+
+func (d *decoder) bookings(f *fleetv1.Frame, m *scheduler.Message) error {
+	in := f.GetBookings()
+	if in == nil {
+		return nil
+	}
+	out := &m.Bookings
+	for _, a := range in.GetAsks() {
+		ask, err := d.ask(a)
+		if err != nil {
+			return err
+		}
+		out.Asks = append(out.Asks, ask)
+	}
+	for _, r := range in.GetReplies() {
+		out.Replies = append(out.Replies, booking.Reply{ID: r.GetId(), OK: r.GetOk(), Wait: fromTime(r.GetWait())})
+	}
+	for _, k := range in.GetMarks() {
+		out.Marks = append(out.Marks, booking.Mark{ID: k.GetId(), First: fromTime(k.GetFirst())})
+	}
+	for _, e := range in.GetEnds() {
+		out.Ends = append(out.Ends, booking.End{
+			ID: e.GetId(), Elapsed: fromTime(e.GetElapsed()), Failed: e.GetFailed(), NotRun: e.GetNotRun(),
+		})
+	}
+	return d.sums(in, out)
+}
+
+func (d *decoder) sums(in *fleetv1.Bookings, out *booking.Message) error {
+	for _, u := range in.GetUsage() {
+		p, err := d.pair(u.GetWorkspace())
+		if err != nil {
+			return err
+		}
+		out.Usage = append(out.Usage, booking.Usage{
+			Service: p.service, Workspace: ident.Workspace(p.name),
+			Asked: float64(u.GetAsked()), Granted: float64(u.GetGranted()),
+		})
+	}
+	for _, l := range in.GetLoads() {
+		p, err := d.pair(l.GetTarget())
+		if err != nil {
+			return err
+		}
+		out.Loads = append(out.Loads, booking.Load{
+			Service: p.service, Target: ident.Target(p.name), Wait: fromTime(l.GetWait()),
+			Taken: float64(l.GetTaken()) / shareUnit, Failures: float64(l.GetFailures()) / shareUnit,
+		})
+	}
+	return nil
+}
+
+func (d *decoder) ask(a *fleetv1.BookingAsk) (booking.Ask, error) {
+	p, err := d.pair(a.GetTarget())
+	if err != nil {
+		return booking.Ask{}, err
+	}
+	if int(a.GetWorkspace()) >= len(d.names) {
+		return booking.Ask{}, errIndex
+	}
+	if len(a.GetParts()) != len(a.GetPartTokens()) {
+		return booking.Ask{}, errColumns
+	}
+	out := booking.Ask{
+		ID: a.GetId(), Service: p.service, Target: ident.Target(p.name),
+		Workspace: ident.Workspace(d.names[a.GetWorkspace()]),
+		Prompt:    int(a.GetPrompt()), Output: int(a.GetOutput()),
+		Left: time.Duration(a.GetLeft()) * timeUnit, Late: a.GetLate(), Taken: a.GetTaken(), Begun: a.GetBegun(),
+	}
+	for i, id := range a.GetParts() {
+		out.Parts = append(out.Parts, booking.Part{ID: id, Tokens: int(a.GetPartTokens()[i])})
+	}
+	return out, nil
+}
+
+// fromTime reads a duration; a frame cannot hold one that overflows in earnest.
+func fromTime(units uint64) time.Duration {
+	return time.Duration(min(units, math.MaxInt64/uint64(timeUnit))) * timeUnit
+}
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -114,6 +114,7 @@
 	if len(m.Preempts) > 0 {
 		f.PreemptStep = steps(m.Preempts)
 	}
+	f.Bookings = e.bookings(f, &m.Bookings)
 }
 
 func (e *encoder) demand(f *fleetv1.Frame, rows []scheduler.Demand) {
@@ -228,7 +229,7 @@
 		return m, false, err
 	}
 	for _, read := range []func(*fleetv1.Frame, *scheduler.Message) error{
-		d.demand, d.grants, d.releases, d.parts, d.limits, d.news,
+		d.demand, d.grants, d.releases, d.parts, d.limits, d.news, d.bookings,
 	} {
 		if err := read(f, &m); err != nil {
 			return m, false, err
@@ -239,7 +240,7 @@
 		m.Held = values(h.GetGrantStep())
 	}
 	m.Preempts = values(f.GetPreemptStep())
-	ok = m.HeldValid || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.Sums)+len(m.Limits)+len(m.News)+len(m.Preempts) > 0
+	ok = m.HeldValid || !m.Bookings.Empty() || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.Parts)+len(m.Sums)+len(m.Limits)+len(m.News)+len(m.Preempts) > 0
 	return m, ok, nil
 }
 
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -20,6 +20,8 @@
 	sums    map[pair]int
 	limits  map[pair]int
 	news    map[pair]int
+	usage   map[pair]int
+	loads   map[pair]int
 	head    uint64
 	leaving bool
 	watch   fleetv1.Watch
@@ -36,7 +38,7 @@
 	return &outbox{
 		limit:   limit,
 		demands: map[pair]int{}, parts: map[pair]int{}, sums: map[pair]int{},
-		limits: map[pair]int{}, news: map[pair]int{},
+		limits: map[pair]int{}, news: map[pair]int{}, usage: map[pair]int{}, loads: map[pair]int{},
 		ready: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 	}
 }
@@ -49,15 +51,21 @@
 	if o.closed {
 		return true
 	}
-	if len(o.queued.Grants)+len(o.queued.Releases)+len(m.Grants)+len(m.Releases) > o.limit {
+	if queued(&o.queued)+queued(m) > o.limit {
 		o.closed = true
 		return false
 	}
 	o.merge(m)
-	o.signal(len(m.Grants)+len(m.Preempts) > 0)
+	o.signal(len(m.Grants)+len(m.Preempts)+len(m.Bookings.Asks)+len(m.Bookings.Replies) > 0)
 	return true
 }
 
+// queued counts the rows of a message of which each one must arrive.
+func queued(m *scheduler.Message) int {
+	b := &m.Bookings
+	return len(m.Grants) + len(m.Releases) + len(b.Asks) + len(b.Replies) + len(b.Marks) + len(b.Ends)
+}
+
 func (o *outbox) merge(m *scheduler.Message) {
 	q := &o.queued
 	for _, d := range m.Demand {
@@ -78,6 +86,7 @@
 	q.Grants = append(q.Grants, m.Grants...)
 	q.Releases = append(q.Releases, m.Releases...)
 	q.Preempts = append(q.Preempts, m.Preempts...)
+	o.mergeBookings(&m.Bookings)
 	if m.HeldValid {
 		q.Held, q.HeldSeen, q.HeldValid = m.Held, m.HeldSeen, true
 	}
@@ -195,5 +204,7 @@
 	clear(o.sums)
 	clear(o.limits)
 	clear(o.news)
+	clear(o.usage)
+	clear(o.loads)
 	return b, true
 }
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/patience"
 	"github.com/savorystall/savorystall/internal/resultcode"
@@ -48,7 +49,9 @@
 	// sends counts the targets that it was sent to, runs those that may have run
 	// it, and unsent the tries that failed before a byte left.
 	sends, runs, unsent int
-	// waited is the time in the queue, first from the last dispatch to the first
+	// basis is what the last placement was decided by.
+	basis booking.Basis
+	// waited is the time that the placing took, first from the last dispatch to the first
 	// byte of the answer.
 	waited, first time.Duration
 	avoid         []ident.Target
@@ -112,8 +115,7 @@
 	j.until = j.arrived.Add(left)
 	j.plan = patience.Decide(patience.Request{
 		Arrived: j.arrived, Left: left, Limit: limit, Objective: j.route.Objective,
-		Stream: j.route.Repeat == route.Stream, Resumed: j.call.LastEvent > 0,
-		Prompt: j.call.PromptTokens, Output: j.call.OutputTokens,
+		Resumed: j.call.LastEvent > 0,
 	})
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -37,7 +37,7 @@
 	r := result{sent: true, status: x.Response.StatusCode}
 	switch {
 	case answer.NotRun:
-		return s.refused(x, r, answer)
+		return s.refused(x, r)
 	case x.Response.StatusCode >= http.StatusBadRequest:
 		return s.failed(x, j, r, began)
 	case j.route.Repeat == route.Stream && isEventStream(x.Response.Header):
@@ -77,10 +77,9 @@
 func (s *Server) unanswered(entry registry.Entry, err error) result {
 	var unsent *targetconn.Unsent
 	if errors.As(err, &unsent) {
-		failed := !errors.Is(err, targetconn.ErrFull) && !errors.Is(err, context.Canceled)
 		return result{
 			failure:      resultcode.Fail(resultcode.TargetRefused, "target %s", entry.Identity).Because(err),
-			targetFailed: failed, refused: !failed,
+			targetFailed: !errors.Is(err, targetconn.ErrFull) && !errors.Is(err, context.Canceled),
 		}
 	}
 	canceled := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
@@ -91,11 +90,10 @@
 }
 
 // refused is the result of an answer that says the request was not run.
-func (s *Server) refused(x *targetconn.Exchange, r result, answer Answer) result {
+func (s *Server) refused(x *targetconn.Exchange, r result) result {
 	drain(x)
 	r.failure = resultcode.Fail(resultcode.TargetRefused, "status %d", r.status)
-	r.refused = !answer.Foreign
-	r.targetFailed, r.leaving = answer.Foreign, answer.Foreign
+	r.targetFailed = true
 	return r
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
@@ -23,17 +24,10 @@
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
-	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/internal/targetconn"
 	"github.com/savorystall/savorystall/internal/telemetry"
 )
 
-// Part is a part of a prompt that requests share.
-type Part struct {
-	ID     uint64
-	Tokens int
-}
-
 // Call is what a caller's headers say of its request.
 type Call struct {
 	// Attempt is the caller's name of the request, which targets echo.
@@ -48,7 +42,7 @@
 	// one of the answer; zero: not stated.
 	PromptTokens, OutputTokens int
 	// Parts are those of the prompt, the first one first.
-	Parts []Part
+	Parts []booking.Part
 }
 
 // Forward is what a target is told beside the caller's own headers.
@@ -82,12 +76,11 @@
 	Answer(status int, h http.Header) Answer
 }
 
-// Placer is the scheduler as the gateway sees it.
+// Placer finds targets for requests.
 type Placer interface {
-	Place(ctx context.Context, r scheduler.Request, again bool) control.Placed
-	Progress(id ident.Request, served float64)
-	Finish(id ident.Request, result scheduler.Result)
-	TargetHealth(service ident.Service, target ident.Target, health scheduler.Health)
+	Place(ctx context.Context, r booking.Request) control.Placement
+	First(id ident.Request, took time.Duration)
+	Finish(id ident.Request, result booking.Result)
 }
 
 // Config bounds what the gateway does.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -7,12 +7,13 @@
 	"slices"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/booking"
+	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
-	"github.com/savorystall/savorystall/internal/scheduler"
 )
 
 // maxUnsent bounds the tries of one request that fail before a byte leaves, such
@@ -27,17 +28,14 @@
 	sent bool
 	// status is that of the target's answer; zero where none arrived.
 	status int
-	// targetFailed tells that the target or the way to it failed, leaving that
-	// it takes no new requests.
-	targetFailed, leaving bool
-	// refused tells that the target was full.
-	refused bool
+	// targetFailed tells that the target or the way to it failed, or that the
+	// target refused what its owner thought it could take.
+	targetFailed bool
 	// answer is a failure of the target's own, held back while another target may
 	// do better.
 	answer *held
 	served float64
 	first  time.Duration
-	ran    time.Duration
 }
 
 // held is an answer that is not handed over yet.
@@ -53,8 +51,8 @@
 	defer cancel()
 	s.accepted(j.service.Name, j.arrived)
 	outcome := resultcode.NotRun
-	for again := false; ; again = true {
-		placed, began := s.place(ctx, j, again)
+	for {
+		placed, began := s.place(ctx, j)
 		if placed.Failure != nil {
 			return s.unplaced(ctx, j, placed.Failure, outcome)
 		}
@@ -72,43 +70,32 @@
 	}
 }
 
-// place waits for a target.
-func (s *Server) place(ctx context.Context, j *job, again bool) (p placedTarget, at time.Time) {
+// place finds a target.
+func (s *Server) place(ctx context.Context, j *job) (control.Placement, time.Time) {
 	asked := time.Now()
-	request := scheduler.Request{
-		ID: j.id, Service: j.service.Name, Workspace: j.workspace, Class: j.plan.Class, Cost: j.plan.Cost,
-		Deadline: j.plan.Due, Prefix: prefixOf(j.call.Parts), Avoid: j.trace.avoid,
+	request := booking.Request{
+		ID: j.id, Service: j.service.Name, Workspace: j.workspace,
+		Due: j.plan.Due, Late: j.plan.Late, Begun: j.trace.sends > 0, Avoid: j.trace.avoid,
 	}
-	if again {
-		request.Deadline = j.until
+	if j.service.Model {
+		request.Prompt, request.Output, request.Parts = j.call.PromptTokens, j.call.OutputTokens, j.call.Parts
 	}
-	placed := s.Placer.Place(ctx, request, again)
-	at = time.Now()
-	j.trace.waited += at.Sub(asked)
-	return placedTarget{Target: placed.Target, Failure: placed.Failure}, at
-}
-
-// placedTarget is the end of a wait: a target or a failure.
-type placedTarget struct {
-	Target  ident.Target
-	Failure *resultcode.Failure
-}
-
-// prefixOf names the shared part of a prompt that its session owns, the last one
-// but for the request's own.
-func prefixOf(parts []Part) uint64 {
-	if len(parts) < 2 {
-		return 0
+	if request.Begun {
+		request.Due = j.until
 	}
-	return parts[len(parts)-2].ID
+	placed := s.Placer.Place(ctx, request)
+	began := time.Now()
+	j.trace.waited += began.Sub(asked)
+	j.trace.basis = placed.Basis
+	return placed, began
 }
 
 // try sends the request to one target and gives the slot back.
 func (s *Server) try(ctx context.Context, j *job, id ident.Target, began time.Time) result {
 	entry, known := s.targets.Load().ByIdentity[id]
 	if !known || entry.Draining || entry.Service != j.service.Name {
-		s.Placer.Finish(j.id, scheduler.Result{NotRun: true})
-		return result{failure: resultcode.Fail(resultcode.NoTarget, "target %s is gone", id), leaving: true}
+		s.Placer.Finish(j.id, booking.Result{NotRun: true})
+		return result{failure: resultcode.Fail(resultcode.NoTarget, "target %s is gone", id)}
 	}
 	j.trace.target = id
 	var r result
@@ -116,7 +103,7 @@
 	defer func() {
 		// A panic on the way would keep the slot for good.
 		if !ended {
-			s.Placer.Finish(j.id, scheduler.Result{})
+			s.Placer.Finish(j.id, booking.Result{})
 		}
 	}()
 	r = s.exchange(ctx, j, entry, began)
@@ -128,12 +115,7 @@
 // report tells the scheduler and the metrics how an attempt ended.
 func (s *Server) report(j *job, entry registry.Entry, r result, elapsed time.Duration) {
 	notRun := r.failure != nil && r.failure.Code.Outcome == resultcode.NotRun
-	s.Placer.Finish(j.id, scheduler.Result{
-		Served: r.served, Elapsed: elapsed, First: r.first, Failed: r.targetFailed, NotRun: notRun,
-	})
-	if r.leaving {
-		s.Placer.TargetHealth(entry.Service, entry.Identity, scheduler.HealthLeaving)
-	}
+	s.Placer.Finish(j.id, booking.Result{Elapsed: elapsed, Failed: r.targetFailed, NotRun: notRun})
 	if r.sent {
 		j.trace.sends++
 		if !notRun {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,11 +20,6 @@
 	eventTokens  = 8
 )
 
-// chargeEvery is how many events pass between two reports to the scheduler of
-// what a stream has received: often enough for shares within a second, and rare
-// enough to cost little beside the events themselves.
-const chargeEvery = 8
-
 // errPartial is the end of a stream in the middle of an event.
 var errPartial = errors.New("the stream ended in the middle of an event")
 
@@ -35,24 +30,19 @@
 	j.events.restart()
 	buffer := make([]byte, chunk)
 	flusher := http.NewResponseController(j.w)
-	counted := 0
 	for {
 		n, err := x.Read(buffer)
 		whole := j.events.take(buffer[:n])
 		if len(whole) > 0 {
 			if r.first == 0 {
 				r.first = time.Since(began)
-				s.Placer.Progress(j.id, j.promptCost())
+				s.Placer.First(j.id, r.first)
 			}
 			if failure := j.deliver(x, whole, flusher); failure != nil {
 				r.failure = failure
 				break
 			}
 		}
-		if j.events.count-counted >= chargeEvery {
-			counted = j.events.count
-			s.Placer.Progress(j.id, j.cost())
-		}
 		if err == io.EOF {
 			r.failure = j.ended(x)
 			break
@@ -94,9 +84,7 @@
 	return nil
 }
 
-// promptCost and cost are what a stream has received so far.
-func (j *job) promptCost() float64 { return float64(max(1, j.call.PromptTokens)) }
-
+// cost is what a stream has received so far.
 func (j *job) cost() float64 {
-	return j.promptCost() + float64(outputWeight*eventTokens*j.events.count)
+	return float64(j.call.PromptTokens + outputWeight*eventTokens*j.events.count)
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -13,6 +13,7 @@
 import (
 	"time"
 
+	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/limit"
 	"github.com/savorystall/savorystall/internal/resultcode"
@@ -206,6 +207,9 @@
 	HeldSeen uint64
 	// Preempts lists grants of the sender whose slots it asks back.
 	Preempts []uint64
+	// Bookings is what package booking tells, where that takes the place of
+	// grants.
+	Bookings booking.Message
 }
 
 // Effect is something that the caller of the Core has to do.
