Long shared parts stay at their homes; what is spare is shared out; a planned stop ends in time

Change: up to three homes for a shared part of 400 tokens or more and no other target; spare only up to 1.3 times the least served; requests refused and unused connections closed once the balancer has noticed; aborted connections reset.

--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
@@ -34,27 +35,47 @@
 	c.emit(Refuse{Request: id, Failure: f})
 }
 
-// maxAsks bounds the owners that are asked for one request. Each costs a message
-// there and back, and the third is already the one that is thought emptiest.
-const maxAsks = 4
+const (
+	// maxAsks bounds the owners that are asked for one request. Each costs a
+	// message there and back.
+	maxAsks = 4
+	// homes is how many targets are homes of a shared part, and spareHomes how many
+	// of them a request is shown to that gets what is spare.
+	homes      = 3
+	spareHomes = 2
+	// longPart is the number of shared tokens from which on a request goes to none
+	// but its homes: to read them once more on another target takes longer than most
+	// requests are worth, and away from those that would be served in that time.
+	longPart = 400
+)
 
-// candidates lists the targets to ask, in order: the two homes of the shared part,
-// then those thought emptiest. A target that failed an earlier attempt comes last.
+// candidates lists the targets to ask, in order: the homes of the shared part, then
+// those thought emptiest. A target that failed an earlier attempt comes last.
 func (c *Core) candidates(now time.Time, s *service, r *request) []candidate {
+	usable := c.usable(now, s, r)
+	part, shared := sharedPart(r.Parts)
+	if shared == 0 {
+		return c.emptiest(now, usable, nil)
+	}
+	byHome := slices.Clone(usable)
+	slices.SortFunc(byHome, func(a, b *engine) int { return cmp.Compare(weight(part, b.Name), weight(part, a.Name)) })
+	n := homes
+	spare := r.Late || !s.shares.within(now, r.Workspace, r.Cost(), s.rate)
+	if spare && !r.Begun {
+		n = spareHomes
+	}
 	var list []candidate
-	add := func(e *engine, by string) {
-		if !slices.ContainsFunc(list, func(other candidate) bool { return other.engine == e }) {
-			list = append(list, candidate{e, by})
-		}
+	for i, e := range byHome[:min(len(byHome), n)] {
+		list = append(list, candidate{e, "home " + strconv.Itoa(i+1)})
 	}
-	usable := c.usable(now, s, r)
-	if part, ok := homePart(r.Parts); ok {
-		byHome := slices.Clone(usable)
-		slices.SortFunc(byHome, func(a, b *engine) int { return cmp.Compare(weight(part, b.Name), weight(part, a.Name)) })
-		for i, e := range byHome[:min(len(byHome), 2)] {
-			add(e, [...]string{"home", "second home"}[i])
-		}
+	if shared >= longPart || spare {
+		return list
 	}
+	return c.emptiest(now, usable, list)
+}
+
+// emptiest adds the targets thought emptiest to a list.
+func (c *Core) emptiest(now time.Time, usable []*engine, list []candidate) []candidate {
 	byLoad := slices.Clone(usable)
 	c.rng.Shuffle(len(byLoad), func(i, j int) { byLoad[i], byLoad[j] = byLoad[j], byLoad[i] })
 	slices.SortStableFunc(byLoad, func(a, b *engine) int { return cmp.Compare(c.load(now, a), c.load(now, b)) })
@@ -62,7 +83,9 @@
 		if len(list) >= maxAsks {
 			break
 		}
-		add(e, "emptiest")
+		if !slices.ContainsFunc(list, func(other candidate) bool { return other.engine == e }) {
+			list = append(list, candidate{e, "emptiest"})
+		}
 	}
 	return list
 }
@@ -87,13 +110,17 @@
 	return open
 }
 
-// homePart names the part of a prompt by which its home is chosen: the last one
-// that it shares with others.
-func homePart(parts []Part) (uint64, bool) {
+// sharedPart names the part of a prompt by which its homes are chosen, the last one
+// that it shares with others, and counts the tokens up to its end.
+func sharedPart(parts []Part) (id uint64, tokens int) {
 	if len(parts) < 2 {
-		return 0, false
+		return 0, 0
+	}
+	for _, p := range parts[:len(parts)-1] {
+		id = p.ID
+		tokens += p.Tokens
 	}
-	return parts[len(parts)-2].ID, true
+	return id, tokens
 }
 
 // stale is how old an owner's word about a load may be to say anything.
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -109,7 +109,8 @@
 		return false
 	}
 	if c.spareOnly(now, e, a) {
-		return e.taken() < spareTaken && e.backlog(now) <= spareWait
+		return e.taken() < spareTaken && e.backlog(now) <= spareWait &&
+			e.service.shares.maySpare(now, a.Workspace, cost(a), e.service.rate)
 	}
 	return !e.expect(now, r.work).After(now.Add(a.Left))
 }
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -183,7 +183,7 @@
 
 // Basis is what a placement was decided by.
 type Basis struct {
-	// By is "home", "second home" or "emptiest" where the owner granted, "blind"
+	// By is "home" with its number or "emptiest" where the owner granted, "blind"
 	// where no owner answered.
 	By string
 	// Expected is the expected time to the first byte; zero: not known.
--- a/internal/booking/usage.go
+++ b/internal/booking/usage.go
@@ -66,9 +66,14 @@
 	// another lacks; infinite where there is enough for all.
 	level   float64
 	levelAt time.Time
+	// behind is the least granted sum per weight among the workspaces that ask for
+	// more than the level; infinite where none does.
+	behind float64
 }
 
-func newShares() shares { return shares{accounts: map[ident.Workspace]*account{}, level: math.Inf(1)} }
+func newShares() shares {
+	return shares{accounts: map[ident.Workspace]*account{}, level: math.Inf(1), behind: math.Inf(1)}
+}
 
 func (s *shares) account(ws ident.Workspace) *account {
 	a := s.accounts[ws]
@@ -106,6 +111,24 @@
 	return granted+cost/2 <= a.weight*s.level*room
 }
 
+// maySpare tells whether a workspace above its share may have what is spare. That
+// is shared too: one that is far ahead of another that lacks waits until the other
+// has caught up.
+func (s *shares) maySpare(now time.Time, ws ident.Workspace, cost, rate float64) bool {
+	if rate <= 0 {
+		return true
+	}
+	s.refresh(now, rate)
+	a := s.account(ws)
+	_, granted := a.sums(now)
+	return granted+cost/2 <= a.weight*max(s.level, spareLead*s.behind)
+}
+
+// spareLead is how far a workspace may be ahead of the least served one that lacks
+// and still get what is spare. Far below two, since each daemon sees what the
+// others granted some hundred ms late.
+const spareLead = 1.3
+
 // room is how far above its fair level a workspace may be and still count as
 // within its share.
 const room = 1.15
@@ -129,7 +152,7 @@
 	}
 	// A faded sum of a constant rate is the rate times the time constant.
 	left := rate * fade.Seconds()
-	s.level = math.Inf(1)
+	s.level, s.behind = math.Inf(1), math.Inf(1)
 	if total <= left {
 		return
 	}
@@ -142,9 +165,20 @@
 	for _, d := range demands {
 		if d.asked/d.weight >= left/weights {
 			s.level = left / weights
-			return
+			break
 		}
 		left -= d.asked
 		weights -= d.weight
 	}
+	s.findBehind(now)
+}
+
+// findBehind finds the least served workspace that lacks.
+func (s *shares) findBehind(now time.Time) {
+	s.behind = math.Inf(1)
+	for _, a := range s.accounts {
+		if asked, granted := a.sums(now); asked > a.weight*s.level*room {
+			s.behind = min(s.behind, granted/a.weight)
+		}
+	}
 }
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -236,6 +236,11 @@
 		pause(ctx, d.p.Settings.Stop.BalancerLag)
 	}
 	d.p.Life.fire(triggerBalancerNoticed)
+	// From here on a request may be too long to end before the process is killed:
+	// one on a kept connection is refused as not run, and unused connections are
+	// closed, so that their callers take new ones elsewhere.
+	d.p.Gateway.Close()
+	d.p.Servers.callers.SetKeepAlivesEnabled(false)
 	d.p.Servers.callersListener.drain()
 	<-d.callers
 	d.p.Servers.connections.settle(ctx)
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -70,6 +70,9 @@
 // job is nil where there is a failure.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *resultcode.Failure) {
 	arrived := time.Now()
+	if s.closing.Load() {
+		return nil, resultcode.Fail(resultcode.Stopping, "")
+	}
 	table := s.Routes.Current()
 	if table == nil {
 		return nil, resultcode.Fail(resultcode.ConfigurationAbsent, "")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,8 @@
 	Deps
 	targets atomic.Pointer[Targets]
 	daemons atomic.Int64
+	// closing is set when no new request is taken any more.
+	closing atomic.Bool
 	lines   lines
 
 	mu      sync.Mutex
@@ -157,6 +159,9 @@
 // SetDaemons tells how many daemons serve callers.
 func (s *Server) SetDaemons(n int) { s.daemons.Store(int64(n)) }
 
+// Close refuses all requests from now on. Those that were taken before go on.
+func (s *Server) Close() { s.closing.Store(true) }
+
 // Daemons returns how many daemons serve callers, this one included.
 func (s *Server) Daemons() int { return int(s.daemons.Load()) }
 
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	x := &Exchange{pool: p, conn: c, written: make(chan struct{})}
-	x.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() }) // wakes reads and writes
+	x.stop = context.AfterFunc(ctx, c.reset) // wakes reads and writes
 	sent, err := x.send(&r)
 	if err != nil && !sent {
 		x.drop()
@@ -239,10 +239,20 @@
 }
 
 func (x *Exchange) closeConn() {
-	_ = x.conn.Conn.Close() // its place is free whatever this says
+	x.conn.reset()
 	x.pool.release(x.conn.address)
 }
 
+// reset closes a connection and throws away what has not left yet. A plain close
+// would still deliver a request that waits in the socket, for instance behind a
+// full window, to a target long after its caller has gone.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // at worst the rest is delivered
+	}
+	_ = c.Conn.Close() // its place is free whatever this says
+}
+
 // Abort ends the exchange and its connection, unless it has ended already. A
 // target that still works on the request drops it.
 func (x *Exchange) Abort() {
