Callers' connections are bounded, so that descriptors do not run out

Change: unused connections end after 5 s and callers are told 4; beyond half of the descriptors the one that is unused for longest is closed, and answers ask callers to close theirs beyond a quarter.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -27,13 +27,19 @@
 type connections struct {
 	mu sync.Mutex
 	// busy are those whose request is served, fresh those that have brought
-	// none yet, with the time of their beginning.
+	// none yet, with the time of their beginning, and idle those that wait for a
+	// further request, since when they do.
 	busy  map[net.Conn]bool
 	fresh map[net.Conn]time.Time
+	idle  map[net.Conn]time.Time
+	// most bounds the connections; zero means no bound.
+	most int
 }
 
-func newConnections() *connections {
-	return &connections{busy: map[net.Conn]bool{}, fresh: map[net.Conn]time.Time{}}
+// newConnections returns an empty set that is to hold at most so many; zero means
+// no bound.
+func newConnections(most int) *connections {
+	return &connections{busy: map[net.Conn]bool{}, fresh: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}, most: most}
 }
 
 // note is the ConnState hook of the server.
@@ -42,14 +48,50 @@
 	defer c.mu.Unlock()
 	delete(c.busy, conn)
 	delete(c.fresh, conn)
+	delete(c.idle, conn)
 	switch state {
 	case http.StateNew:
 		c.fresh[conn] = time.Now()
+		if c.full() {
+			c.closeIdle()
+		}
 	case http.StateActive:
 		c.busy[conn] = true
+	case http.StateIdle:
+		c.idle[conn] = time.Now()
 	}
 }
 
+func (c *connections) full() bool {
+	return c.most > 0 && len(c.busy)+len(c.fresh)+len(c.idle) > c.most
+}
+
+// closeIdle closes the connection that has been unused for longest.
+//
+// It guards against running out of descriptors: callers that come back after a
+// refusal do so on a new connection each time, and a daemon that can accept no
+// more leaves requests unread until long after their callers have gone.
+func (c *connections) closeIdle() {
+	var oldest net.Conn
+	for conn, since := range c.idle {
+		if oldest == nil || since.Before(c.idle[oldest]) {
+			oldest = conn
+		}
+	}
+	if oldest != nil {
+		delete(c.idle, oldest)
+		_ = oldest.Close() // its caller opens another one
+	}
+}
+
+// pressed tells whether so many connections are open that refused callers should
+// not keep theirs.
+func (c *connections) pressed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.most > 0 && 2*(len(c.busy)+len(c.fresh)+len(c.idle)) > c.most
+}
+
 // used tells whether a connection holds a request or may still bring its first.
 func (c *connections) used(now time.Time) bool {
 	c.mu.Lock()
--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	l, err := listenDrainable("127.0.0.1:0")
 	is.NoErr(err)
-	conns := newConnections()
+	conns := newConnections(0)
 	hello := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }
 	server := &http.Server{Handler: http.HandlerFunc(hello), ConnState: conns.note}
 	served := make(chan struct{})
@@ -52,7 +52,7 @@
 // hold up the stop for longer than a first request takes.
 func TestConnectionWithoutARequestIsNotWaitedForLong(t *testing.T) {
 	is := is.New(t)
-	conns := newConnections()
+	conns := newConnections(0)
 	conn, other := net.Pipe()
 	defer func() { _, _ = conn.Close(), other.Close() }()
 	conns.note(conn, http.StateNew)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -179,7 +179,7 @@
 		_ = callers.Close()
 		return nil, merry.Prepend(err, "operators' listener")
 	}
-	conns := newConnections()
+	conns := newConnections(0)
 	return &servers{
 		connections: conns,
 		callers: &http.Server{
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -96,7 +97,7 @@
 
 func newRoutedServers(s settings.Settings, id identity, g *gateway.Server, life *Life, loop *control.Bookings, b *routedBridge, metrics *telemetry.Metrics) (*routedServers, error) {
 	ops := &routedOperators{identity: id, life: life, loop: loop, bridge: b, metrics: metrics}
-	r := &routedServers{connections: newConnections()}
+	r := &routedServers{connections: newConnections(s.Memory.Descriptors / 2)}
 	var err error
 	if r.callersListener, err = listenDrainable(s.Callers.Listen); err != nil {
 		return nil, merry.Prepend(err, "callers' listener")
@@ -111,10 +112,10 @@
 	}
 	r.callers = &http.Server{
 		ConnState:         r.connections.note,
-		Handler:           closing(life, g),
+		Handler:           keeping(s.Callers.IdleTimeout, r.connections, closing(life, g)),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
 		MaxHeaderBytes:    s.Callers.HeaderBytes,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       s.Callers.IdleTimeout,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
 	r.operators = &http.Server{Handler: ops.handler(), ReadHeaderTimeout: operatorsTimeout, ReadTimeout: operatorsTimeout}
@@ -122,6 +123,24 @@
 	return r, nil
 }
 
+// idleMargin is how much less than the truth callers are told of how long an
+// unused connection is kept, so that no request crosses its close.
+const idleMargin = time.Second
+
+// keeping tells callers how long their connections are kept, and to close them
+// where descriptors run short.
+func keeping(idle time.Duration, conns *connections, next http.Handler) http.Handler {
+	value := "timeout=" + strconv.Itoa(int(max(time.Second, idle-idleMargin).Seconds()))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conns.pressed() {
+			w.Header().Set("Connection", "close")
+		} else {
+			w.Header().Set("Keep-Alive", value)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // routedOperators serves the operators' port of a daemon that serves routes.
 type routedOperators struct {
 	identity identity
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,6 +86,11 @@
 
 // Memory bounds the process.
 type Memory struct {
+	// Descriptors is how many files and sockets the process may have open; zero
+	// means no bound. Where routes are served, callers' connections take half of
+	// them at most; beyond it, the one that is unused for longest is closed.
+	// Default 0.
+	Descriptors int `yaml:"descriptors" validate:"min=0"`
 	// Limit is what the VM gives the process, in MB; zero means no bound. The
 	// garbage collector then works harder as it comes near. Default 0.
 	Limit int `yaml:"limit" validate:"min=0"`
@@ -101,6 +106,9 @@
 	HeaderTimeout time.Duration `yaml:"header_timeout" validate:"min=100000000"`
 	// BodyTimeout bounds the arrival of the body. Default 30s.
 	BodyTimeout time.Duration `yaml:"body_timeout" validate:"min=100000000"`
+	// IdleTimeout is how long an unused connection is kept where routes are
+	// served; callers are told a little less. Default 5s.
+	IdleTimeout time.Duration `yaml:"idle_timeout" validate:"min=1000000000"`
 }
 
 // Fleet is the listener for other daemons.
@@ -205,6 +213,7 @@
 			HeaderBytes:   32 << 10,
 			HeaderTimeout: 10 * time.Second,
 			BodyTimeout:   30 * time.Second,
+			IdleTimeout:   5 * time.Second,
 		},
 		Operators: Listener{Listen: "127.0.0.1:8081"},
 		Fleet:     Fleet{Listen: "127.0.0.1:8082", Heartbeat: time.Second},
