--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -154,16 +154,20 @@
 }
 
 // learnPace compares the time to a first byte with what was expected. Prompts are
-// read one after the other: where another was read just before, the time since
-// then is this one's own; else the time since dispatch is, and the rest of it is
-// overhead.
+// read one after the other, and their first bytes come an overhead later: this
+// one's reading began when it arrived or when the one before had been read,
+// whichever is later. Where it found nothing before it, what its own reading does
+// not explain is overhead.
 func (e *engine) learnPace(now time.Time, r *run, took time.Duration) {
-	since := now.Sub(e.lastRead)
-	queued := e.lastRead.After(r.at) && r.work >= leastWork
+	queued := e.lastRead.After(r.at)
+	reading := took - e.overhead
+	if queued {
+		reading = min(reading, now.Sub(e.lastRead))
+	}
 	switch {
-	case queued && since > 0:
-		e.setPace(time.Duration(float64(since) / r.work))
-	case !e.lastRead.After(r.at) && took > 0:
+	case r.work >= leastWork && reading > 0:
+		e.setPace(time.Duration(float64(reading) / r.work))
+	case !queued && took > 0:
 		own := time.Duration(r.work * float64(e.pace))
 		e.overhead += time.Duration(learn * float64(max(0, took-own)-e.overhead))
 	}
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -112,9 +112,30 @@
 		return e.taken() < spareTaken && e.backlog(now) <= spareWait &&
 			e.service.shares.maySpare(now, a.Workspace, cost(a), e.service.rate)
 	}
-	return !e.expect(now, r.work).After(now.Add(a.Left))
+	wait := e.expect(now, r.work).Sub(now)
+	most := time.Duration(c.headroom(now, e, a) * float64(a.Left))
+	if wait > most && e.backlog(now) <= spareWait {
+		most = a.Left // its own work alone takes longer than that
+	}
+	return wait <= most
+}
+
+// headroom is the part of the time that is left which a request may use up. A
+// workspace that has had its share leaves the rest of the time to those that have
+// had less: where the targets give less than their stated rate, all are within
+// their shares and the engines are full, and without it those who ask most have
+// most (trunk reservation).
+func (c *Core) headroom(now time.Time, e *engine, a Ask) float64 {
+	if e.service.rate <= 0 || !e.service.model || a.Begun {
+		return 1
+	}
+	used := e.service.shares.used(now, a.Workspace, e.service.rate)
+	return 1 - reserved*min(1, used)
 }
 
+// reserved is the part of the time that a workspace at its share leaves to others.
+const reserved = 0.35
+
 // healthy tells whether a target takes requests as far as its failures go. Where
 // all targets of a service fail alike, none is passed over: that would leave
 // nothing, and fewer targets for the requests that succeed.
--- /dev/null
+++ b/internal/booking/sim_test.go
@@ -0,0 +1,349 @@
+package booking_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/booking"
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// sim runs several Cores before simulated engines over simulated time. An engine
+// reads prompts one after the other, keeps shared parts, and answers with one token
+// a step; requests beyond its slots wait in it.
+type sim struct {
+	now     time.Time
+	rng     *rand.Rand
+	queue   events
+	serial  int
+	daemons []*daemon
+	engines map[ident.Target]*engine
+	service booking.Service
+	// delay is the way between two daemons, hop that to an engine.
+	delay, hop time.Duration
+	// cut tells whether messages between two daemons are lost.
+	cut func(from, to ident.Daemon) bool
+	// got counts what each workspace's callers got.
+	got    map[ident.Workspace]*tally
+	reread int
+	// trace, where set, is told of each refusal.
+	trace func(format string, args ...any)
+}
+
+// tally is what callers received.
+type tally struct {
+	asked, inTime, late, refused, failed int
+	tokens                               float64
+}
+
+type daemon struct {
+	id   ident.Daemon
+	core *booking.Core
+	dead bool
+	// jobs are the requests of this ingress.
+	jobs map[ident.Request]*job
+}
+
+type job struct {
+	booking.Request
+	arrived time.Time
+	target  ident.Target
+	began   time.Time
+}
+
+type engine struct {
+	spec  booking.Target
+	rate  float64 // tokens a millisecond
+	free  time.Time
+	parts map[uint64]bool
+	used  int
+	most  int
+	down  bool
+}
+
+type simEvent struct {
+	at     time.Time
+	serial int
+	do     func()
+}
+
+type events []simEvent
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].serial < e[j].serial
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// Figures of the simulated engines: the order of what users' engines show.
+const (
+	simOverhead = 55 * time.Millisecond
+	simStep     = 10 * time.Millisecond
+	simRate     = 100
+	simSlots    = 64
+	simMemory   = 444000
+	simTick     = 10 * time.Millisecond
+)
+
+func newSim(seed uint64, daemons, engines int, workspaces ...ident.Workspace) *sim {
+	s := &sim{
+		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		engines: map[ident.Target]*engine{}, delay: time.Millisecond, hop: time.Millisecond,
+		got: map[ident.Workspace]*tally{},
+		cut: func(ident.Daemon, ident.Daemon) bool { return false },
+	}
+	s.service = booking.Service{Name: "pool", Model: true}
+	for i := range engines {
+		spec := booking.Target{Name: ident.Target(fmt.Sprintf("engine-%02d", i)), Zone: "z", Slots: simSlots, Memory: simMemory}
+		s.engines[spec.Name] = &engine{spec: spec, rate: simRate, parts: map[uint64]bool{}}
+		s.service.Targets = append(s.service.Targets, spec)
+	}
+	for _, w := range workspaces {
+		s.service.Workspaces = append(s.service.Workspaces, booking.Workspace{Name: w, Weight: 1})
+		s.got[w] = &tally{}
+	}
+	for i := range daemons {
+		id := ident.Daemon(fmt.Sprintf("d%d", i))
+		s.daemons = append(s.daemons, &daemon{
+			id: id, jobs: map[ident.Request]*job{},
+			core: booking.New(booking.Config{Self: id, Incarnation: 1, Zone: "z"}, rand.New(rand.NewPCG(seed, uint64(i)))),
+		})
+	}
+	s.tellPeers()
+	for _, d := range s.daemons {
+		s.ticks(d)
+	}
+	return s
+}
+
+// tellPeers gives every daemon the list of the others that live.
+func (s *sim) tellPeers() {
+	for _, d := range s.daemons {
+		var peers []booking.Peer
+		for _, other := range s.daemons {
+			if other != d && !other.dead {
+				peers = append(peers, booking.Peer{ID: other.id, Incarnation: 1, Zone: "z"})
+			}
+		}
+		d.core.Peers(s.now, peers)
+		d.core.Configure(s.now, []booking.Service{s.service})
+		s.carryOut(d)
+	}
+}
+
+func (s *sim) ticks(d *daemon) {
+	s.after(simTick, func() {
+		if d.dead {
+			return
+		}
+		d.core.Tick(s.now)
+		s.carryOut(d)
+		s.ticks(d)
+	})
+}
+
+func (s *sim) after(wait time.Duration, do func()) {
+	s.serial++
+	heap.Push(&s.queue, simEvent{at: s.now.Add(wait), serial: s.serial, do: do})
+}
+
+func (s *sim) run(until time.Duration) {
+	end := time.Unix(1000, 0).Add(until)
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+// submit brings a request of a caller to a daemon.
+func (s *sim) submit(d *daemon, r booking.Request, objective time.Duration) {
+	if d.dead {
+		return
+	}
+	s.serial++
+	r.ID = ident.Request(fmt.Sprintf("r%07d", s.serial))
+	r.Service = "pool"
+	r.Due = s.now.Add(objective)
+	d.jobs[r.ID] = &job{Request: r, arrived: s.now}
+	s.got[r.Workspace].asked++
+	d.core.Submit(s.now, r)
+	s.carryOut(d)
+}
+
+func (s *sim) carryOut(d *daemon) {
+	for _, effect := range d.core.Take() {
+		switch e := effect.(type) {
+		case booking.Dispatch:
+			s.dispatch(d, d.jobs[e.Request], e.Target)
+		case booking.Refuse:
+			j := d.jobs[e.Request]
+			delete(d.jobs, e.Request)
+			s.got[j.Workspace].refused++
+			if s.trace != nil {
+				s.trace("%s %s refused %d tokens: %s", s.now.Sub(time.Unix(1000, 0)), j.Workspace, j.Prompt, e.Failure)
+			}
+		case booking.Send:
+			s.send(d, e)
+		}
+	}
+}
+
+func (s *sim) send(from *daemon, e booking.Send) {
+	if s.cut(from.id, e.To) {
+		return
+	}
+	for _, to := range s.daemons {
+		if to.id != e.To {
+			continue
+		}
+		s.after(s.delay, func() {
+			if to.dead {
+				return
+			}
+			to.core.Receive(s.now, from.id, e.Message)
+			s.carryOut(to)
+		})
+	}
+}
+
+func (s *sim) dispatch(d *daemon, j *job, target ident.Target) {
+	e := s.engines[target]
+	j.target, j.began = target, s.now
+	if e.down {
+		s.after(s.hop, func() { s.finish(d, j, booking.Result{Elapsed: s.now.Sub(j.began), Failed: true}, false) })
+		return
+	}
+	s.after(s.hop, func() { s.read(d, j, e) })
+}
+
+// read lets an engine read a prompt and answer.
+func (s *sim) read(d *daemon, j *job, e *engine) {
+	unread, known := j.Prompt, true
+	for i, p := range j.Parts {
+		if last := i == len(j.Parts)-1; last {
+			break
+		}
+		if known = known && e.parts[p.ID]; known {
+			unread -= p.Tokens
+		} else if s.anyHolds(p.ID) {
+			s.reread += p.Tokens
+		}
+		e.parts[p.ID] = true
+	}
+	begin := e.free
+	if begin.Before(s.now) {
+		begin = s.now
+	}
+	work := float64(unread) * (1 + float64(unread)/48000)
+	e.free = begin.Add(time.Duration(work / e.rate * float64(time.Millisecond)))
+	e.used++
+	e.most = max(e.most, e.used)
+	s.after(e.free.Sub(s.now)+simOverhead, func() {
+		if d.dead {
+			e.used--
+			return
+		}
+		d.core.First(s.now, j.ID, s.now.Sub(j.began))
+		s.carryOut(d)
+		s.received(j)
+	})
+	s.after(e.free.Sub(s.now)+simOverhead+time.Duration(j.Output)*simStep, func() {
+		e.used--
+		s.finish(d, j, booking.Result{Elapsed: s.now.Sub(j.began)}, true)
+	})
+}
+
+func (s *sim) anyHolds(part uint64) bool {
+	for _, e := range s.engines {
+		if e.parts[part] {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *sim) received(j *job) {
+	t := s.got[j.Workspace]
+	if s.now.After(j.Due) {
+		t.late++
+		return
+	}
+	t.inTime++
+	t.tokens += j.Cost()
+}
+
+func (s *sim) finish(d *daemon, j *job, r booking.Result, ok bool) {
+	if d.dead {
+		return
+	}
+	delete(d.jobs, j.ID)
+	if !ok {
+		s.got[j.Workspace].failed++
+	}
+	d.core.Finish(s.now, j.ID, r)
+	s.carryOut(d)
+}
+
+// load sends requests of one shape at a rate, from all daemons in turn.
+type load struct {
+	workspace ident.Workspace
+	perSecond float64
+	from, to  time.Duration
+	objective time.Duration
+	// make returns one request.
+	make func(rng *rand.Rand) booking.Request
+}
+
+func (s *sim) offer(l load) {
+	var next func()
+	next = func() {
+		if s.now.Sub(time.Unix(1000, 0)) >= l.to {
+			return
+		}
+		r := l.make(s.rng)
+		r.Workspace = l.workspace
+		s.submit(s.daemons[s.rng.IntN(len(s.daemons))], r, l.objective)
+		s.after(time.Duration(s.rng.ExpFloat64()/l.perSecond*float64(time.Second)), next)
+	}
+	s.after(l.from, next)
+}
+
+// session returns requests with a shared part of one of so many sessions.
+func session(first uint64, sessions, shared, own, output int) func(*rand.Rand) booking.Request {
+	return func(rng *rand.Rand) booking.Request {
+		id := first + uint64(rng.IntN(sessions))
+		tokens := 1 + int(float64(own)*(0.5+rng.Float64()))
+		return booking.Request{
+			Prompt: shared + tokens, Output: output,
+			Parts: []booking.Part{{ID: id, Tokens: shared}, {ID: rng.Uint64(), Tokens: tokens}},
+		}
+	}
+}
+
+// share returns the part of a workspace's requests that were answered in time.
+func (t *tally) share() float64 { return float64(t.inTime) / float64(max(1, t.asked)) }
+
+// log prints what each workspace got.
+func (s *sim) log(t *testing.T) {
+	t.Helper()
+	for _, w := range s.service.Workspaces {
+		g := s.got[w.Name]
+		t.Logf("%s: asked %d, in time %d, late %d, refused %d, failed %d", w.Name, g.asked, g.inTime, g.late, g.refused, g.failed)
+	}
+	t.Logf("shared tokens read again: %d", s.reread)
+}
--- a/internal/booking/usage.go
+++ b/internal/booking/usage.go
@@ -111,6 +111,14 @@
 	return granted+cost/2 <= a.weight*s.level*room
 }
 
+// used returns how much of its share a workspace has had: one is all of it.
+func (s *shares) used(now time.Time, ws ident.Workspace, rate float64) float64 {
+	s.refresh(now, rate)
+	a := s.account(ws)
+	_, granted := a.sums(now)
+	return granted / (a.weight * s.level)
+}
+
 // maySpare tells whether a workspace above its share may have what is spare. That
 // is shared too: one that is far ahead of another that lacks waits until the other
 // has caught up.
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,82 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func names(r *registry.Registry) []ident.Target {
+	var list []ident.Target
+	for _, e := range r.Targets() {
+		list = append(list, e.Identity)
+	}
+	return list
+}
+
+func entry(id ident.Target, address string) registry.Entry {
+	return registry.Entry{Identity: id, Service: "pool", Address: address, Zone: "a"}
+}
+
+func TestTargetsComeAndGo(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{})
+	r.Put(entry("t1", "10.0.0.1:80"))
+	r.Put(entry("t2", "10.0.0.2:80"))
+	is.Equal(names(r), []ident.Target{"t1", "t2"})
+	r.Remove(at(1), "t1")
+	is.Equal(names(r), []ident.Target{"t2"})
+	r.Replace(at(2), []registry.Entry{entry("t3", "10.0.0.3:80")})
+	is.Equal(names(r), []ident.Target{"t3"})
+}
+
+// The store is away for eight seconds and cannot renew the entries, so that they
+// lapse. A daemon that reads it at its return finds no target; the targets are
+// serving and register again within two seconds. Nobody may be refused meanwhile.
+func TestEntriesThatLapsedInAnOutageAreKeptForTheGrace(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{})
+	r.Put(entry("t1", "10.0.0.1:80"))
+	r.Put(entry("t2", "10.0.0.2:80"))
+	r.Returned(at(8))
+	r.Replace(at(8), nil)
+	is.Equal(names(r), []ident.Target{"t1", "t2"})
+	r.Put(entry("t1", "10.0.0.1:80"))
+	is.Equal(r.Expire(at(9)), at(10.5))
+	r.Expire(at(10.5))
+	is.Equal(names(r), []ident.Target{"t1"}) // the other one is taken as gone
+	is.True(r.Expire(at(11)).IsZero())
+}
+
+// A target that leaves long after the store's return has left.
+func TestRemovalLongAfterAnOutageCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{})
+	r.Put(entry("t1", "10.0.0.1:80"))
+	r.Returned(at(8))
+	r.Remove(at(9.5), "t1")
+	is.Equal(len(names(r)), 0)
+}
+
+// An address is used again by another service while the entry of its former holder
+// has not gone. Requests must go to the one that was born last.
+func TestAnAddressBelongsToItsLastHolder(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{})
+	old, fresh := entry("t9", "10.0.0.1:80"), entry("t1", "10.0.0.1:80")
+	old.Born, fresh.Born = 100, 200
+	fresh.Service = "other"
+	r.Put(old)
+	r.Put(fresh)
+	is.Equal(names(r), []ident.Target{"t1"})
+	r.Remove(at(1), "t1")
+	is.Equal(names(r), []ident.Target{"t9"})
+}
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -197,6 +197,7 @@
 	if x.ended {
 		return
 	}
+	x.ended = true
 	until, ok := x.pool.idleUntil(x.Response)
 	select {
 	case <-x.written:
@@ -205,14 +206,13 @@
 		// The target answered early and has not read all of the body; what is
 		// left of it is still due on this connection.
 		go x.finishLate(until, ok)
-		x.ended = true
 		return
 	}
 	x.settle(until, ok)
 }
 
+// settle keeps the connection where nothing speaks against it.
 func (x *Exchange) settle(until time.Time, ok bool) {
-	x.ended = true
 	stopped := x.stop()
 	if !ok || !stopped || x.conn.reader.Buffered() > 0 {
 		x.closeConn()
