--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -34,14 +34,26 @@
 	return &site{p: p, registry: registry.New(registry.Config{}), changed: make(chan struct{}, 1)}
 }
 
+const (
+	// beatWait is the wait of the table that stands for the store's heartbeat: with
+	// the slack of its calls, a silent store is found in 2.7 s, below the 3 s after
+	// which a daemon counts as in touch again. A heartbeat is a call, and calls are
+	// paid for: half a second's would cost four times as many.
+	beatWait = 2 * time.Second
+	// longWait is the wait of the others, the longest that the store allows but for
+	// a margin.
+	longWait = 25 * time.Second
+)
+
 func (s *site) tasks() []func(context.Context) {
-	follow := func(table string, to store.Subscriber) func(context.Context) {
-		return store.NewFollower(store.FollowerConfig{Feed: s.p.Store, Table: table, Logger: s.p.Log}, to).Run
+	group := store.NewFeedGroup()
+	follow := func(table string, wait time.Duration, to store.Subscriber) func(context.Context) {
+		return store.NewFollower(store.FollowerConfig{Feed: s.p.Store, Table: table, Wait: wait, Group: group, Logger: s.p.Log}, to).Run
 	}
 	return []func(context.Context){
-		follow(platform.TableOperator, &routeRows{site: s}),
-		follow(platform.TableTargets, &targetRows{site: s}),
-		follow(platform.TableDaemons, &daemonRows{site: s, rows: map[string]daemonRow{}}),
+		follow(platform.TableOperator, beatWait, &routeRows{site: s}),
+		follow(platform.TableTargets, longWait, &targetRows{site: s}),
+		follow(platform.TableDaemons, longWait, &daemonRows{site: s, rows: map[string]daemonRow{}}),
 		s.announce,
 		s.expire,
 		s.report,
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/event"
@@ -61,6 +62,8 @@
 	// ends without one costs a call, and a connection that went silent is found
 	// after Wait and Slack.
 	Wait time.Duration
+	// Group joins the followers of one store; nil: none.
+	Group *FeedGroup
 	// Slack is how long after Wait an answer may come. Default 700 ms: above the
 	// answer time of a loaded store, and together with Wait below the 3 s after
 	// which a daemon counts as in touch with the store again.
@@ -76,6 +79,10 @@
 	defaultFeedSlack = 700 * time.Millisecond
 	feedBackoffBase  = 100 * time.Millisecond
 	feedBackoffCap   = 800 * time.Millisecond
+	// feedGather is how long a follower waits after a change before it asks for the
+	// next one. Changes come in rows of some (targets start or leave one after the
+	// other), and each answer is a call: those that come within it share one.
+	feedGather = 150 * time.Millisecond
 	// feedRead bounds the reading of a whole table.
 	feedRead = 2 * time.Second
 )
@@ -95,6 +102,50 @@
 	away     bool
 }
 
+// FeedGroup joins the followers of one store, so that one of them with a short
+// Wait finds for all that the store or the way to it has gone silent; the others
+// can wait long, which saves calls. It is safe for concurrent use.
+type FeedGroup struct {
+	mu     sync.Mutex
+	broken chan struct{}
+}
+
+// NewFeedGroup returns a group without members.
+func NewFeedGroup() *FeedGroup { return &FeedGroup{broken: make(chan struct{})} }
+
+// fail ends the calls of all members, which then begin anew on other connections.
+func (g *FeedGroup) fail() {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.broken)
+	g.broken = make(chan struct{})
+}
+
+// watch returns a context that ends with the group's next failure.
+func (g *FeedGroup) watch(ctx context.Context) (context.Context, context.CancelFunc) {
+	if g == nil {
+		return context.WithCancel(ctx)
+	}
+	g.mu.Lock()
+	broken := g.broken
+	g.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-broken:
+			cancel(errGroupFailed)
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
+// errGroupFailed is the cause of a call's end where another member has failed.
+var errGroupFailed = errors.New("another follower of the store has failed")
+
 // NewFollower returns a Follower that is to be run.
 func NewFollower(cfg FollowerConfig, to Subscriber) *Follower {
 	if cfg.Wait == 0 {
@@ -109,36 +160,48 @@
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := f.step(ctx)
+		changed, err := f.step(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errGroupFailed): // at once, on another connection
+		case changed:
+			pauseFor(ctx, feedGather)
 		case errors.Is(err, ErrHistoryLost):
 			event.FeedHistoryLost.Log(f.cfg.Logger, "table", f.cfg.Table, "revision", f.revision)
 			f.read = false
 		case err != nil:
 			f.failed(err)
-			f.pause(ctx)
+			pauseFor(ctx, fullJitter(f.failures, feedBackoffBase, feedBackoffCap, rand.Float64()))
 		}
 	}
 }
 
-func (f *Follower) step(ctx context.Context) error {
+// step makes one call. Changed tells that it brought a change.
+func (f *Follower) step(ctx context.Context) (changed bool, err error) {
 	if !f.read {
-		return f.readAll(ctx)
+		return false, f.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
+	watched, end := f.cfg.Group.watch(ctx)
+	defer end()
+	call, cancel := context.WithTimeout(watched, f.cfg.Wait+f.cfg.Slack)
 	defer cancel()
-	rows, revision, err := f.cfg.Feed.Changes(ctx, f.cfg.Table, f.revision, f.cfg.Wait)
+	rows, revision, err := f.cfg.Feed.Changes(call, f.cfg.Table, f.revision, f.cfg.Wait)
+	if errors.Is(context.Cause(watched), errGroupFailed) {
+		return false, errGroupFailed
+	}
 	if err != nil {
-		return err
+		if call.Err() != nil {
+			f.cfg.Group.fail()
+		}
+		return false, err
 	}
 	f.answered()
 	for _, row := range rows {
 		f.to.Change(row)
 	}
 	f.revision = max(f.revision, revision)
-	return nil
+	return len(rows) > 0, nil
 }
 
 func (f *Follower) readAll(ctx context.Context) error {
@@ -172,8 +235,8 @@
 	}
 }
 
-func (f *Follower) pause(ctx context.Context) {
-	timer := time.NewTimer(fullJitter(f.failures, feedBackoffBase, feedBackoffCap, rand.Float64()))
+func pauseFor(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
