--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -49,10 +49,21 @@
 	requests map[ident.Request]*request
 	asks     map[uint64]*request
 	lastAsk  uint64
+	// sent are the asks that may still be out, in the order in which they were
+	// sent, so that a tick looks only at those that are due.
+	sent     []sentAsk
 	runs     map[runKey]*run
 	effects  []Effect
 	outbox   map[ident.Daemon]*Message
 	nextTell time.Time
+	// nextForget is when requests are looked for of which nothing is heard.
+	nextForget time.Time
+}
+
+// sentAsk is an ask that may still be out.
+type sentAsk struct {
+	id uint64
+	at time.Time
 }
 
 // service is the state of one service.
@@ -85,6 +96,10 @@
 	// candidates are the targets still to be asked, tried counts those that were.
 	candidates []candidate
 	tried      int
+	// more tells that the emptiest targets may be asked after the candidates.
+	more bool
+	// askedAt are the targets that were asked.
+	askedAt []*engine
 	// ask is the present one, zero while none is out; asked is when it was sent,
 	// at is the target, to the owner.
 	ask   uint64
@@ -257,26 +272,45 @@
 	}
 }
 
+// forgetEvery is how often requests are looked for of which nothing is heard.
+const forgetEvery = time.Second
+
 // Tick lets time pass.
 func (c *Core) Tick(now time.Time) {
-	for _, rid := range c.sortedRequests() {
-		if r := c.requests[rid]; r != nil && r.ask != 0 && now.Sub(r.asked) >= askWait {
-			if p := c.peers[r.to]; p != nil {
-				p.silent = now.Add(hearing)
-			}
-			c.unanswered(now, r)
+	c.giveUpAsks(now)
+	if !now.Before(c.nextForget) {
+		c.nextForget = now.Add(forgetEvery)
+		c.forgetRuns(now)
+	}
+	if !now.Before(c.nextTell) {
+		c.nextTell = now.Add(tellEvery)
+		c.tell(now)
+	}
+}
+
+// giveUpAsks goes on with the requests whose owner has not answered in time.
+func (c *Core) giveUpAsks(now time.Time) {
+	for len(c.sent) > 0 && now.Sub(c.sent[0].at) >= askWait {
+		id := c.sent[0].id
+		c.sent = c.sent[1:]
+		r := c.asks[id]
+		if r == nil || r.ask != id {
+			continue // it was answered
 		}
+		if p := c.peers[r.to]; p != nil {
+			p.silent = now.Add(hearing)
+		}
+		c.unanswered(now, r)
 	}
+}
+
+func (c *Core) forgetRuns(now time.Time) {
 	for key, r := range c.runs {
 		if now.After(r.until) {
 			r.target.remove(now, r, 0)
 			delete(c.runs, key)
 		}
 	}
-	if !now.Before(c.nextTell) {
-		c.nextTell = now.Add(tellEvery)
-		c.tell(now)
-	}
 }
 
 // Take returns the effects since the last call and forgets them.
--- /dev/null
+++ b/internal/booking/core_bench_test.go
@@ -0,0 +1,68 @@
+package booking_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/booking"
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// BenchmarkPlacing is the processor time of an ingress for a request whose owner
+// answers, in a fleet of 67 daemons before 60 engines with 30 workspaces, while so
+// many of its requests run.
+func BenchmarkPlacing(b *testing.B) {
+	for _, running := range []int{0, 1000, 4000} {
+		b.Run(fmt.Sprintf("running=%d", running), func(b *testing.B) { benchmarkPlacing(b, running) })
+	}
+}
+
+func benchmarkPlacing(b *testing.B, running int) {
+	now := time.Unix(1000, 0)
+	c := booking.New(booking.Config{Self: "d00", Incarnation: 1, Zone: "z"}, rand.New(rand.NewPCG(1, 1)))
+	var peers []booking.Peer
+	for i := range 66 {
+		peers = append(peers, booking.Peer{ID: ident.Daemon(fmt.Sprintf("d%02d", i+1)), Incarnation: 1, Zone: "z"})
+	}
+	service := booking.Service{Name: "pool", Model: true, Rate: 2e6}
+	for i := range 60 {
+		service.Targets = append(service.Targets, booking.Target{Name: ident.Target(fmt.Sprintf("engine-%02d", i)), Zone: "z", Slots: 32, Memory: 444000})
+	}
+	for i := range 30 {
+		service.Workspaces = append(service.Workspaces, booking.Workspace{Name: ident.Workspace(fmt.Sprintf("w%02d", i)), Weight: 1})
+	}
+	c.Peers(now, peers)
+	c.Configure(now, []booking.Service{service})
+	place := func(id int) ident.Request {
+		r := booking.Request{
+			ID: ident.Request(fmt.Sprintf("r%08d", id)), Service: "pool", Workspace: service.Workspaces[id%30].Name,
+			Prompt: 2000, Output: 100, Due: now.Add(time.Second),
+			Parts: []booking.Part{{ID: uint64(id % 500), Tokens: 500}, {ID: uint64(id) << 32, Tokens: 1500}},
+		}
+		c.Submit(now, r)
+		for _, e := range c.Take() {
+			if s, ok := e.(booking.Send); ok {
+				for _, a := range s.Message.Asks {
+					c.Receive(now, s.To, booking.Message{Incarnation: 1, Replies: []booking.Reply{{ID: a.ID, OK: true}}})
+				}
+			}
+		}
+		c.Take()
+		return r.ID
+	}
+	for i := range running {
+		place(i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		id := place(running + i)
+		c.Finish(now, id, booking.Result{Elapsed: time.Second})
+		if i%10 == 0 {
+			c.Tick(now)
+		}
+		c.Take()
+	}
+}
--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -72,6 +72,8 @@
 	lastRead time.Time
 	kept     kept
 	health   health
+	// mine counts the requests of this ingress on it.
+	mine int
 	// told is what its owner last said of it, and heard when.
 	told  Load
 	heard time.Time
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
@@ -49,47 +48,88 @@
 	longPart = 400
 )
 
-// candidates lists the targets to ask, in order: the homes of the shared part, then
-// those thought emptiest. A target that failed an earlier attempt comes last.
+// candidates lists the targets to ask first, in order: the homes of the shared part,
+// or where there is none those thought emptiest. A target that failed an earlier
+// attempt comes last.
 func (c *Core) candidates(now time.Time, s *service, r *request) []candidate {
 	usable := c.usable(now, s, r)
 	part, shared := sharedPart(r.Parts)
 	if shared == 0 {
-		return c.emptiest(now, usable, nil)
+		return c.emptiest(now, usable, maxAsks)
 	}
-	byHome := slices.Clone(usable)
-	slices.SortFunc(byHome, func(a, b *engine) int { return cmp.Compare(weight(part, b.Name), weight(part, a.Name)) })
-	n := homes
 	spare := r.Late || !s.shares.within(now, r.Workspace, r.Cost(), s.rate)
+	n := homes
 	if spare && !r.Begun {
 		n = spareHomes
 	}
-	var list []candidate
-	for i, e := range byHome[:min(len(byHome), n)] {
-		list = append(list, candidate{e, "home " + strconv.Itoa(i+1)})
-	}
-	if shared >= longPart || spare {
-		return list
-	}
-	return c.emptiest(now, usable, list)
+	r.more = shared < longPart && !spare
+	return homesOf(part, usable, n)
 }
 
-// emptiest adds the targets thought emptiest to a list.
-func (c *Core) emptiest(now time.Time, usable []*engine, list []candidate) []candidate {
-	byLoad := slices.Clone(usable)
-	c.rng.Shuffle(len(byLoad), func(i, j int) { byLoad[i], byLoad[j] = byLoad[j], byLoad[i] })
-	slices.SortStableFunc(byLoad, func(a, b *engine) int { return cmp.Compare(c.load(now, a), c.load(now, b)) })
-	for _, e := range byLoad {
-		if len(list) >= maxAsks {
-			break
+// homesOf returns the n homes of a part among targets.
+func homesOf(part uint64, usable []*engine, n int) []candidate {
+	var best [homes]*engine
+	var weights [homes]uint64
+	for _, e := range usable {
+		w := weight(part, e.Name)
+		for i := range n {
+			if best[i] == nil || w > weights[i] {
+				copy(best[i+1:n], best[i:n-1])
+				copy(weights[i+1:n], weights[i:n-1])
+				best[i], weights[i] = e, w
+				break
+			}
 		}
-		if !slices.ContainsFunc(list, func(other candidate) bool { return other.engine == e }) {
-			list = append(list, candidate{e, "emptiest"})
+	}
+	list := make([]candidate, 0, n)
+	for i, e := range best[:n] {
+		if e != nil {
+			list = append(list, candidate{e, homeNames[i]})
 		}
 	}
 	return list
 }
 
+var homeNames = [homes]string{"home 1", "home 2", "home 3"}
+
+// emptiest returns the n targets thought emptiest. They are counted from another one
+// each time, so that equal ones take turns.
+func (c *Core) emptiest(now time.Time, usable []*engine, n int) []candidate {
+	type loaded struct {
+		*engine
+		load float64
+	}
+	list := make([]loaded, 0, len(usable))
+	start := c.rng.IntN(max(1, len(usable)))
+	for i := range usable {
+		e := usable[(start+i)%len(usable)]
+		list = append(list, loaded{e, c.load(now, e)})
+	}
+	slices.SortStableFunc(list, func(a, b loaded) int { return cmp.Compare(a.load, b.load) })
+	out := make([]candidate, 0, n)
+	for _, l := range list[:min(n, len(list))] {
+		out = append(out, candidate{l.engine, "emptiest"})
+	}
+	return out
+}
+
+// further adds the emptiest targets once all homes were asked.
+func (c *Core) further(now time.Time, r *request) {
+	if len(r.candidates) > 0 || !r.more {
+		return
+	}
+	r.more = false
+	s := c.services[r.Service]
+	if s == nil {
+		return
+	}
+	for _, e := range c.emptiest(now, c.usable(now, s, r), maxAsks) {
+		if r.tried+len(r.candidates) < maxAsks && !slices.Contains(r.askedAt, e.engine) {
+			r.candidates = append(r.candidates, e)
+		}
+	}
+}
+
 // usable lists the targets that may take the request. Where only such are left
 // that it should avoid, those are better than none.
 func (c *Core) usable(now time.Time, s *service, r *request) []*engine {
@@ -140,10 +180,11 @@
 
 // next asks for the next candidate, or ends the placing.
 func (c *Core) next(now time.Time, r *request) {
-	for len(r.candidates) > 0 {
+	for c.further(now, r); len(r.candidates) > 0; c.further(now, r) {
 		r.at, r.candidates = r.candidates[0], r.candidates[1:]
 		r.tried++
 		e := r.at.engine
+		r.askedAt = append(r.askedAt, e)
 		if e.owned {
 			if c.take(now, c.cfg.Self, c.newAsk(now, r)) {
 				c.place(now, r, c.cfg.Self)
@@ -185,6 +226,7 @@
 	a := c.newAsk(now, r)
 	r.ask, r.asked, r.to = a.ID, now, e.owner
 	c.asks[a.ID] = r
+	c.sent = append(c.sent, sentAsk{a.ID, now})
 	m := c.message(e.owner)
 	m.Asks = append(m.Asks, a)
 }
@@ -228,14 +270,8 @@
 // there.
 func (c *Core) blind(now time.Time, r *request) bool {
 	e := r.at.engine
-	mine := 0
-	for _, other := range c.requests {
-		if other.running && other.at.engine == e {
-			mine++
-		}
-	}
 	part := e.Slots / (len(c.peers) + 1)
-	if mine >= max(1, part) || e.shut(now) {
+	if e.mine >= max(1, part) || e.shut(now) {
 		return false
 	}
 	r.at.by = "blind"
@@ -247,6 +283,7 @@
 // empty where none does.
 func (c *Core) place(now time.Time, r *request, by ident.Daemon) {
 	r.running, r.began, r.placedBy = true, now, by
+	r.at.engine.mine++
 	c.emit(Dispatch{Request: r.ID, Target: r.at.engine.Name, Basis: Basis{
 		By: r.at.by, Expected: r.least, Asks: r.tried,
 	}})
@@ -300,6 +337,7 @@
 	if !r.running {
 		return
 	}
+	r.at.engine.mine--
 	r.at.engine.seen(now, result)
 	end := End{ID: r.runID, Elapsed: result.Elapsed, Failed: result.Failed, NotRun: result.NotRun}
 	switch {
--- a/internal/booking/usage.go
+++ b/internal/booking/usage.go
@@ -37,26 +37,33 @@
 	// asked is what this daemon's callers asked for, granted what this daemon
 	// granted as owner.
 	asked, granted faded
-	// others are the same sums of each other daemon, as last told.
+	// others are the same sums of each other daemon, as last told, and all is what
+	// they add up to since the last refresh.
 	others map[ident.Daemon]*told
+	all    told
 	// sent are the values that the peers were last told; they fade there alike.
 	sent told
 }
 
 type told struct{ asked, granted faded }
 
-// sums returns the fleet's sums.
+// sums returns the fleet's sums. Those of others are as of the last refresh.
 func (a *account) sums(now time.Time) (asked, granted float64) {
-	asked, granted = a.asked.now(now), a.granted.now(now)
+	return a.asked.now(now) + a.all.asked.now(now), a.granted.now(now) + a.all.granted.now(now)
+}
+
+// addUp sums up what the other daemons told.
+func (a *account) addUp(now time.Time) {
+	var asked, granted float64
 	for _, t := range a.others {
 		asked += t.asked.now(now)
 		granted += t.granted.now(now)
 	}
-	return asked, granted
+	a.all = told{asked: faded{asked, now}, granted: faded{granted, now}}
 }
 
 // levelEvery is how long a computed level holds: demands move over seconds, and
-// each computation looks at every workspace.
+// each computation looks at every workspace and at what each daemon told of it.
 const levelEvery = 50 * time.Millisecond
 
 // shares divides the rate of a service among its workspaces.
@@ -152,6 +159,7 @@
 	var demands []demand
 	weights, total := 0.0, 0.0
 	for _, a := range s.accounts {
+		a.addUp(now)
 		if asked, _ := a.sums(now); asked > 0 {
 			demands = append(demands, demand{asked, a.weight})
 			weights += a.weight
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -112,7 +112,7 @@
 	}
 	r.callers = &http.Server{
 		ConnState:         r.connections.note,
-		Handler:           keeping(s.Callers.IdleTimeout, r.connections, closing(life, g)),
+		Handler:           keeping(s.Callers.IdleTimeout, func() bool { return r.connections.pressed() || loop.Overloaded() }, closing(life, g)),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
 		MaxHeaderBytes:    s.Callers.HeaderBytes,
 		IdleTimeout:       s.Callers.IdleTimeout,
@@ -128,11 +128,11 @@
 const idleMargin = time.Second
 
 // keeping tells callers how long their connections are kept, and to close them
-// where descriptors run short.
-func keeping(idle time.Duration, conns *connections, next http.Handler) http.Handler {
+// where descriptors or processor time run short: a new one may lead elsewhere.
+func keeping(idle time.Duration, pressed func() bool, next http.Handler) http.Handler {
 	value := "timeout=" + strconv.Itoa(int(max(time.Second, idle-idleMargin).Seconds()))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conns.pressed() {
+		if pressed() {
 			w.Header().Set("Connection", "close")
 		} else {
 			w.Header().Set("Keep-Alive", value)
@@ -172,6 +172,10 @@
 		http.Error(w, string(state), http.StatusServiceUnavailable)
 		return
 	}
+	if o.loop.Overloaded() {
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	}
 	// As above.
 	_, _ = w.Write([]byte("ready\n"))
 }
--- /dev/null
+++ b/internal/overload/overload.go
@@ -0,0 +1,62 @@
+// Package overload decides whether a daemon should be passed over by the balancer
+// because it has too little processor time for what reaches it. It has no network;
+// times are arguments.
+//
+// Load pattern: a balancer spreads callers by a hash, so that one of many daemons,
+// or the only one of an availability zone, gets several times its part; and VMs are
+// of unequal size, or slowed by others. Such a daemon reads requests seconds after
+// they were sent, and answers callers that have gone, while its neighbours idle. It
+// cannot see how long requests have waited in the kernel for it, but what it does
+// by the clock comes late as well.
+//
+// Grounds of the figures: a timer of 10 ms that comes 50 ms late on average is a
+// processor with five times as much to do as it can; answers then take longer than
+// the shortest objectives (100 ms). A balancer needs two to three seconds to notice,
+// so that a daemon stays out for as long as it takes to be noticed, and returns when
+// it has been idle enough for a second.
+package overload
+
+import "time"
+
+const (
+	// high and low are the mean lateness at which overload begins, and below which it
+	// may end.
+	high = 50 * time.Millisecond
+	low  = 8 * time.Millisecond
+	// calm is how long the lateness must have been low for it to end.
+	calm = time.Second
+	// weight is that of one observation in the mean: about half a second of ticks.
+	weight = 0.03
+	// most bounds one observation. A VM that stood still for seconds is not
+	// overloaded when it wakes.
+	most = 200 * time.Millisecond
+)
+
+// Detector follows how late timers come. It is not safe for concurrent use.
+type Detector struct {
+	mean time.Duration
+	over bool
+	// quiet is since when the mean has been low; zero: it is not.
+	quiet time.Time
+}
+
+// Note takes in that a timer came so much later than it was due, and tells whether
+// the daemon is overloaded.
+func (d *Detector) Note(now time.Time, late time.Duration) bool {
+	late = min(max(0, late), most)
+	d.mean += time.Duration(weight * float64(late-d.mean))
+	switch {
+	case d.mean >= high:
+		d.over, d.quiet = true, time.Time{}
+	case d.mean > low:
+		d.quiet = time.Time{}
+	case d.quiet.IsZero():
+		d.quiet = now
+	case now.Sub(d.quiet) >= calm:
+		d.over = false
+	}
+	return d.over
+}
+
+// Mean returns the mean lateness.
+func (d *Detector) Mean() time.Duration { return d.mean }
