An overloaded daemon sees it by the wait for a turn, and takes few new connections

Ruled out: the control loop's ticks (the runtime gives timers the next turn: they were never late), placing (10 us), collections at GOGC 300 (no less time, 24.9 instead of 14.4 GB s of memory). Change: the wait of a goroutine that yields; beyond 10 ms readiness fails, kept connections are closed, and new ones but 150 a second are closed unread; at most 256 requests are read or placed at once; callers' connections bounded by memory too.

--- a/cmd/savorystalld/main.go
+++ b/cmd/savorystalld/main.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -79,7 +78,7 @@
 		fmt.Println("the settings are valid")
 		return exitOK
 	}
-	debug.SetMemoryLimit(memoryLimit(s.Memory.Limit))
+	limitMemory(s.Memory.Limit)
 	out := os.Stderr
 	if s.Log.Output == "stdout" {
 		out = os.Stdout
@@ -156,13 +155,13 @@
 	heapShare = 0.7
 )
 
-// memoryLimit returns the soft limit of the Go runtime for a VM with so many MB;
-// zero means no bound.
-func memoryLimit(mb int) int64 {
+// limitMemory sets the runtime's soft limit for a VM with so many MB; zero means no
+// bound, and leaves the runtime as it is.
+func limitMemory(mb int) {
 	if mb <= 0 {
-		return math.MaxInt64
+		return
 	}
-	return int64(float64(mb) * megabyte * heapShare)
+	debug.SetMemoryLimit(int64(float64(mb) * megabyte * heapShare))
 }
 
 // reload answers SIGHUP: the settings are read and checked again, and the line
--- a/internal/control/mailbox.go
+++ b/internal/control/mailbox.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
-
-	"github.com/savorystall/savorystall/internal/overload"
 )
 
 type event func(now time.Time)
@@ -24,12 +21,10 @@
 type mailbox struct {
 	events chan event
 	done   chan struct{}
-	// over tells that ticks come so late that the daemon is overloaded.
-	over *atomic.Bool
 }
 
 func newMailbox(cfg Config) mailbox {
-	return mailbox{events: make(chan event, cfg.Events), done: make(chan struct{}), over: &atomic.Bool{}}
+	return mailbox{events: make(chan event, cfg.Events), done: make(chan struct{})}
 }
 
 // run handles events and ticks until ctx ends. After each batch it calls settle.
@@ -37,17 +32,14 @@
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	defer close(m.done)
-	var load overload.Detector
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case due := <-ticker.C:
+		case <-ticker.C:
 			// Not the tick's own time: it may have waited while events with
 			// later times were handled, and time must not run backwards.
-			now := time.Now()
-			m.over.Store(load.Note(now, now.Sub(due)))
-			tick(now)
+			tick(time.Now())
 		case e := <-m.events:
 			e(time.Now())
 			m.drain()
@@ -64,9 +56,6 @@
 	}
 }
 
-// Overloaded tells whether the daemon has too little processor time for its work.
-func (m *mailbox) Overloaded() bool { return m.over.Load() }
-
 // do runs f on the control goroutine, or drops it once the loop has ended.
 func (m *mailbox) do(f event) bool {
 	select {
--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -87,9 +87,14 @@
 // pressed tells whether so many connections are open that refused callers should
 // not keep theirs.
 func (c *connections) pressed() bool {
+	return c.most > 0 && 2*c.open() > c.most
+}
+
+// open counts the connections.
+func (c *connections) open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.most > 0 && 2*(len(c.busy)+len(c.fresh)+len(c.idle)) > c.most
+	return len(c.busy) + len(c.fresh) + len(c.idle)
 }
 
 // used tells whether a connection holds a request or may still bring its first.
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
 
 	"github.com/savorystall/savorystall/internal/chart"
 )
@@ -89,6 +90,46 @@
 	return err == nil && ready
 }
 
+// shedRate is how many new connections a second an overloaded daemon takes, and
+// shedBurst how many at once. A request on a new connection takes some 0.2 ms of a
+// core, so that these leave most of a small VM's share to the requests it has.
+const (
+	shedRate  = 150
+	shedBurst = 15
+)
+
+// sheddingListener closes most new connections at once while the daemon is
+// overloaded. Their requests have not been read, so that any of them may be sent
+// again elsewhere at once; that costs a tenth of an answer that says so.
+//
+// It answers callers that come back on a new connection each time, some thousand a
+// second where one workspace asks for ten times its share. Read in turn, their
+// requests would take all processor time, and every request of the daemon, also of
+// others, would be read seconds late.
+type sheddingListener struct {
+	*drainableListener
+	overloaded func() bool
+	limiter    *rate.Limiter
+}
+
+func newSheddingListener(l *drainableListener, overloaded func() bool) *sheddingListener {
+	return &sheddingListener{drainableListener: l, overloaded: overloaded, limiter: rate.NewLimiter(shedRate, shedBurst)}
+}
+
+// Accept implements net.Listener.
+func (l *sheddingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.drainableListener.Accept()
+		if err != nil || !l.overloaded() || l.limiter.Allow() {
+			return conn, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // a close without it keeps the connection's remains
+		}
+		_ = conn.Close() // nothing was read from it
+	}
+}
+
 // closing asks callers to open a new connection for their next request from the
 // begin of a planned stop on, which the balancer then leads elsewhere. Closing
 // unused connections at that moment instead would cut off the requests that are
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -38,6 +38,7 @@
 		telemetry.NewMetrics,
 		newTracing,
 		func() *route.Holder { return &route.Holder{} },
+		newLoadWatch,
 		newRoutedBridge,
 		newRoutedLoop,
 		newRoutedNode,
@@ -95,9 +96,9 @@
 	readinessListener             net.Listener
 }
 
-func newRoutedServers(s settings.Settings, id identity, g *gateway.Server, life *Life, loop *control.Bookings, b *routedBridge, metrics *telemetry.Metrics) (*routedServers, error) {
-	ops := &routedOperators{identity: id, life: life, loop: loop, bridge: b, metrics: metrics}
-	r := &routedServers{connections: newConnections(s.Memory.Descriptors / 2)}
+func newRoutedServers(s settings.Settings, g *gateway.Server, life *Life, loop *control.Bookings, load *loadWatch, metrics *telemetry.Metrics) (*routedServers, error) {
+	ops := &routedOperators{life: life, loop: loop, load: load, metrics: metrics}
+	r := &routedServers{connections: newConnections(callersConnections(s.Memory))}
 	var err error
 	if r.callersListener, err = listenDrainable(s.Callers.Listen); err != nil {
 		return nil, merry.Prepend(err, "callers' listener")
@@ -112,7 +113,7 @@
 	}
 	r.callers = &http.Server{
 		ConnState:         r.connections.note,
-		Handler:           keeping(s.Callers.IdleTimeout, func() bool { return r.connections.pressed() || loop.Overloaded() }, closing(life, g)),
+		Handler:           keeping(s.Callers.IdleTimeout, func() bool { return r.connections.pressed() || load.overloaded() }, closing(life, g)),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
 		MaxHeaderBytes:    s.Callers.HeaderBytes,
 		IdleTimeout:       s.Callers.IdleTimeout,
@@ -123,6 +124,19 @@
 	return r, nil
 }
 
+// connectionsPerMB bounds the callers' connections by the VM's memory: each takes
+// some 20 kB with its buffers and its goroutine, so that four fill a twelfth of it.
+const connectionsPerMB = 4
+
+// callersConnections bounds the callers' connections; zero means no bound.
+func callersConnections(m settings.Memory) int {
+	bound := m.Descriptors / 2
+	if m.Limit > 0 && (bound == 0 || bound > connectionsPerMB*m.Limit) {
+		bound = connectionsPerMB * m.Limit
+	}
+	return bound
+}
+
 // idleMargin is how much less than the truth callers are told of how long an
 // unused connection is kept, so that no request crosses its close.
 const idleMargin = time.Second
@@ -143,11 +157,10 @@
 
 // routedOperators serves the operators' port of a daemon that serves routes.
 type routedOperators struct {
-	identity identity
-	life     *Life
-	loop     *control.Bookings
-	bridge   *routedBridge
-	metrics  *telemetry.Metrics
+	life    *Life
+	loop    *control.Bookings
+	load    *loadWatch
+	metrics *telemetry.Metrics
 }
 
 func (o *routedOperators) handler() http.Handler {
@@ -172,7 +185,7 @@
 		http.Error(w, string(state), http.StatusServiceUnavailable)
 		return
 	}
-	if o.loop.Overloaded() {
+	if o.load.overloaded() {
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
 	}
@@ -197,6 +210,7 @@
 	Identity identity
 	Life     *Life
 	Loop     *control.Bookings
+	Load     *loadWatch
 	Node     *fleet.Node
 	Bridge   *routedBridge
 	Routes   *route.Holder
@@ -230,7 +244,7 @@
 	for _, run := range site.tasks() {
 		d.tasks.Go(func() { run(taskCtx) })
 	}
-	d.callers = d.serve(d.p.Servers.callers, d.p.Servers.callersListener)
+	d.callers = d.serve(d.p.Servers.callers, newSheddingListener(d.p.Servers.callersListener, d.p.Load.overloaded))
 	d.serve(d.p.Servers.operators, d.p.Servers.operatorsListener)
 	if d.p.Servers.readinessListener != nil {
 		d.serve(d.p.Servers.readiness, d.p.Servers.readinessListener)
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -57,6 +57,7 @@
 		s.announce,
 		s.expire,
 		s.report,
+		func(ctx context.Context) { s.p.Load.run(ctx, s.p.Log, s.p.Servers.connections) },
 	}
 }
 
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -16,6 +16,12 @@
 // SettingsRead is logged at each reload.
 var SettingsRead = define(108, slog.LevelInfo, "settings were read again and are valid; changes take effect at the next start", "none")
 
+// Events of a daemon's load.
+var (
+	Overloaded    = define(109, slog.LevelWarn, "the daemon has too little processor time for what reaches it; the balancer is told to pass it over", "give the VM more processor time, or the zone more VMs, if it lasts")
+	OverloadEnded = define(110, slog.LevelInfo, "the daemon has processor time again", "none")
+)
+
 // Events of callers and their requests.
 var (
 	RequestFailed  = define(201, slog.LevelWarn, "request failed after dispatch", "look at the target that the line names")
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -34,6 +34,8 @@
 	until time.Time
 	plan  patience.Plan
 
+	// isPending tells that it counts among those being read or placed.
+	isPending bool
 	// began tells that a part of the answer has gone to the caller.
 	began bool
 	// status is that of the answer; zero before it has one.
@@ -92,13 +94,35 @@
 		route: found, workspace: workspace, version: table.Version, arrived: arrived,
 		events: progress{last: call.LastEvent},
 	}
+	if s.pending.Add(1) > maxPending {
+		s.pending.Add(-1)
+		discard(r)
+		return nil, resultcode.Fail(resultcode.FleetFull, "this daemon has %d requests to place", maxPending)
+	}
+	j.isPending = true
 	if j.body, failure = readBody(w, r, table.Limits); failure != nil {
+		s.settled(j)
 		return nil, failure
 	}
 	s.schedule(j, table)
 	return j, nil
 }
 
+// settled tells that a request is not being read or placed any more.
+func (s *Server) settled(j *job) {
+	if j.isPending {
+		j.isPending = false
+		s.pending.Add(-1)
+	}
+}
+
+// discard reads a short body without keeping it: closing a connection with unread
+// bytes would reset it, and the caller might not get its answer.
+func discard(r *http.Request) {
+	// An error means that the caller has left.
+	_, _ = io.CopyN(io.Discard, r.Body, defaultBody)
+}
+
 // schedule decides the service, and how long the request may wait.
 func (s *Server) schedule(j *job, table *route.Table) {
 	usable := s.targets.Load().Usable
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,13 @@
 	ConnectionShare int
 }
 
+// maxPending bounds the requests that are being read or placed at once. It takes a
+// few milliseconds each, so that more of them mean that the daemon does not keep up;
+// their bodies, 24 kB on average and 140 kB at most where prompts are long, would
+// then fill a small VM's memory, and the garbage collector would take what is left of
+// the processor time. At 256 they take 6 MB, and 36 MB at the worst.
+const maxPending = 256
+
 // Deps are what the gateway works with.
 type Deps struct {
 	Config  Config
@@ -121,6 +128,8 @@
 	daemons atomic.Int64
 	// closing is set when no new request is taken any more.
 	closing atomic.Bool
+	// pending counts the requests that are being read or placed.
+	pending atomic.Int64
 	lines   lines
 
 	mu      sync.Mutex
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -50,9 +50,11 @@
 	ctx, cancel := context.WithDeadline(ctx, j.until)
 	defer cancel()
 	s.accepted(j.service.Name, j.arrived)
+	defer s.settled(j)
 	outcome := resultcode.NotRun
 	for {
 		placed, began := s.place(ctx, j)
+		s.settled(j)
 		if placed.Failure != nil {
 			return s.unplaced(ctx, j, placed.Failure, outcome)
 		}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -6,33 +6,33 @@
 // or the only one of an availability zone, gets several times its part; and VMs are
 // of unequal size, or slowed by others. Such a daemon reads requests seconds after
 // they were sent, and answers callers that have gone, while its neighbours idle. It
-// cannot see how long requests have waited in the kernel for it, but what it does
-// by the clock comes late as well.
+// cannot see how long requests have waited in the kernel for it, but it can see how
+// long a goroutine that is ready waits for its turn.
 //
-// Grounds of the figures: a timer of 10 ms that comes 50 ms late on average is a
-// processor with five times as much to do as it can; answers then take longer than
-// the shortest objectives (100 ms). A balancer needs two to three seconds to notice,
-// so that a daemon stays out for as long as it takes to be noticed, and returns when
-// it has been idle enough for a second.
+// Grounds of the figures: where a turn takes 10 ms on average, a request that takes
+// ten of them takes longer than the shortest objectives (100 ms). A balancer needs
+// two to three seconds to notice, so that a daemon stays out for as long as it takes
+// to be noticed, and returns when it has been idle enough for a second.
 package overload
 
 import "time"
 
 const (
-	// high and low are the mean lateness at which overload begins, and below which it
-	// may end.
-	high = 50 * time.Millisecond
-	low  = 8 * time.Millisecond
-	// calm is how long the lateness must have been low for it to end.
+	// high and low are the mean wait at which overload begins, and below which it may
+	// end.
+	high = 10 * time.Millisecond
+	low  = 2 * time.Millisecond
+	// calm is how long the wait must have been low for it to end.
 	calm = time.Second
-	// weight is that of one observation in the mean: about half a second of ticks.
-	weight = 0.03
+	// weight is that of one observation in the mean: of one in 20 ms, about half a
+	// second of them.
+	weight = 0.04
 	// most bounds one observation. A VM that stood still for seconds is not
 	// overloaded when it wakes.
 	most = 200 * time.Millisecond
 )
 
-// Detector follows how late timers come. It is not safe for concurrent use.
+// Detector follows how long a ready goroutine waits for its turn. It is not safe for concurrent use.
 type Detector struct {
 	mean time.Duration
 	over bool
@@ -40,11 +40,10 @@
 	quiet time.Time
 }
 
-// Note takes in that a timer came so much later than it was due, and tells whether
-// the daemon is overloaded.
-func (d *Detector) Note(now time.Time, late time.Duration) bool {
-	late = min(max(0, late), most)
-	d.mean += time.Duration(weight * float64(late-d.mean))
+// Note takes in one wait, and tells whether the daemon is overloaded.
+func (d *Detector) Note(now time.Time, wait time.Duration) bool {
+	wait = min(max(0, wait), most)
+	d.mean += time.Duration(weight * float64(wait-d.mean))
 	switch {
 	case d.mean >= high:
 		d.over, d.quiet = true, time.Time{}
@@ -58,5 +57,5 @@
 	return d.over
 }
 
-// Mean returns the mean lateness.
+// Mean returns the mean wait.
 func (d *Detector) Mean() time.Duration { return d.mean }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,7 +88,8 @@
 type Memory struct {
 	// Descriptors is how many files and sockets the process may have open; zero
 	// means no bound. Where routes are served, callers' connections take half of
-	// them at most; beyond it, the one that is unused for longest is closed.
+	// them at most, and four for each MB; beyond it, the one that is unused for
+	// longest is closed.
 	// Default 0.
 	Descriptors int `yaml:"descriptors" validate:"min=0"`
 	// Limit is what the VM gives the process, in MB; zero means no bound. The
