--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -36,10 +36,10 @@
 
 const (
 	// beatWait is the wait of the table that stands for the store's heartbeat: with
-	// the slack of its calls, a silent store is found in 2.7 s, below the 3 s after
+	// the slack of its calls, a silent store is found in 2.5 s, below the 3 s after
 	// which a daemon counts as in touch again. A heartbeat is a call, and calls are
 	// paid for: half a second's would cost four times as many.
-	beatWait = 2 * time.Second
+	beatWait = 1800 * time.Millisecond
 	// longWait is the wait of the others, the longest that the store allows but for
 	// a margin.
 	longWait = 25 * time.Second
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,8 +62,6 @@
 	Attempt string
 	// NotRun tells that the target has not run the request and never will.
 	NotRun bool
-	// Foreign tells that another target has the address.
-	Foreign bool
 	// Signed tells that the target vouches for the answer.
 	Signed bool
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -8,7 +8,6 @@
 package logging
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -96,6 +95,3 @@
 
 // LeftOut returns how many lines were left out since the last call.
 func (b *Budget) LeftOut() uint64 { return b.left.Swap(0) }
-
-// String tells the budget, for the line about what was left out.
-func (b *Budget) String() string { return fmt.Sprintf("%.0f/s", float64(b.limiter.Limit())) }
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -58,7 +58,7 @@
 type FollowerConfig struct {
 	Feed  Feed
 	Table string
-	// Wait is how long one call waits for a change. Default 2 s: each call that
+	// Wait is how long one call waits for a change. Default 1.8 s: each call that
 	// ends without one costs a call, and a connection that went silent is found
 	// after Wait and Slack.
 	Wait time.Duration
@@ -75,7 +75,7 @@
 // configuration has to be in force within seconds of an outage's end, and with
 // full jitter, so that daemons do not come back at once.
 const (
-	defaultFeedWait  = 2 * time.Second
+	defaultFeedWait  = 1800 * time.Millisecond
 	defaultFeedSlack = 700 * time.Millisecond
 	feedBackoffBase  = 100 * time.Millisecond
 	feedBackoffCap   = 800 * time.Millisecond
@@ -164,7 +164,10 @@
 		switch {
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, errGroupFailed): // at once, on another connection
+		case errors.Is(err, errGroupFailed):
+			// Another one has found the store silent, or back: what this one waited
+			// for may never come. It asks again at once, on another connection.
+			f.goAway()
 		case changed:
 			pauseFor(ctx, feedGather)
 		case errors.Is(err, ErrHistoryLost):
@@ -172,7 +175,11 @@
 			f.read = false
 		case err != nil:
 			f.failed(err)
-			pauseFor(ctx, fullJitter(f.failures, feedBackoffBase, feedBackoffCap, rand.Float64()))
+			// A call that ended by its own time limit was pause enough: another one
+			// would keep the daemon out of touch for longer than the outage.
+			if !errors.Is(err, context.DeadlineExceeded) {
+				pauseFor(ctx, fullJitter(f.failures, feedBackoffBase, feedBackoffCap, rand.Float64()))
+			}
 		}
 	}
 }
@@ -221,6 +228,9 @@
 	if f.away {
 		event.FeedReachable.Log(f.cfg.Logger, "table", f.cfg.Table, "failures", f.failures)
 		f.away = false
+		if f.failures > 0 {
+			f.cfg.Group.fail() // the others may wait on connections of the outage
+		}
 		f.to.Reachable(true)
 	}
 	f.failures = 0
@@ -229,8 +239,14 @@
 func (f *Follower) failed(err error) {
 	f.failures++
 	if !f.away {
-		f.away = true
 		event.FeedUnreachable.Log(f.cfg.Logger, "table", f.cfg.Table, "revision", f.revision, "error", err)
+	}
+	f.goAway()
+}
+
+func (f *Follower) goAway() {
+	if !f.away {
+		f.away = true
 		f.to.Reachable(false)
 	}
 }
--- /dev/null
+++ b/internal/platform/feed_test.go
@@ -0,0 +1,289 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/savorystall/savorystall/internal/platform"
+)
+
+// fakeFeed is a table in memory whose calls can be made to fail.
+type fakeFeed struct {
+	mu        sync.Mutex
+	rows      map[string]platform.FeedRow
+	revision  uint64
+	forgotten uint64
+	changed   chan struct{}
+	// fail, where set, is the error of each call; silent makes calls hang.
+	fail   error
+	silent bool
+	calls  int
+}
+
+func newFakeFeed() *fakeFeed {
+	return &fakeFeed{rows: map[string]platform.FeedRow{}, revision: 1, changed: make(chan struct{})}
+}
+
+func (f *fakeFeed) put(key, value string, deleted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	f.rows[key] = platform.FeedRow{Key: key, Value: []byte(value), Revision: f.revision, Deleted: deleted}
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// forget drops the history up to now.
+func (f *fakeFeed) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	f.forgotten = f.revision
+	for key, row := range f.rows {
+		if row.Deleted {
+			delete(f.rows, key)
+		}
+	}
+}
+
+func (f *fakeFeed) set(fail error, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fail, f.silent = fail, silent
+}
+
+func (f *fakeFeed) begin(ctx context.Context) error {
+	f.mu.Lock()
+	f.calls++
+	fail, silent := f.fail, f.silent
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return fail
+}
+
+// ReadTable implements platform.Feed.
+func (f *fakeFeed) ReadTable(ctx context.Context, _ string) (rows []platform.FeedRow, revision uint64, err error) {
+	if err := f.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, row := range f.rows {
+		if !row.Deleted {
+			rows = append(rows, row)
+		}
+	}
+	return rows, f.revision, nil
+}
+
+// Changes implements platform.Feed.
+func (f *fakeFeed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (rows []platform.FeedRow, revision uint64, err error) {
+	if err := f.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		if after < f.forgotten {
+			f.mu.Unlock()
+			return nil, 0, platform.ErrHistoryLost
+		}
+		for _, row := range f.rows {
+			if row.Revision > after {
+				rows = append(rows, row)
+			}
+		}
+		revision, changed := f.revision, f.changed
+		f.mu.Unlock()
+		if len(rows) > 0 {
+			return rows, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-timer.C:
+			return nil, revision, nil
+		case <-changed:
+		}
+	}
+}
+
+// copyOf is a subscriber that keeps what it is told.
+type copyOf struct {
+	mu   sync.Mutex
+	rows map[string]string
+	away bool
+}
+
+// Replace implements platform.Subscriber.
+func (c *copyOf) Replace(rows []platform.FeedRow) {
+	c.mu.Lock()
+	c.rows = map[string]string{}
+	c.mu.Unlock()
+	for _, row := range rows {
+		c.Change(row)
+	}
+}
+
+// Change implements platform.Subscriber.
+func (c *copyOf) Change(row platform.FeedRow) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if row.Deleted {
+		delete(c.rows, row.Key)
+		return
+	}
+	c.rows[row.Key] = string(row.Value)
+}
+
+// Reachable implements platform.Subscriber.
+func (c *copyOf) Reachable(ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.away = !ok
+}
+
+func (c *copyOf) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprint(c.rows, c.away)
+}
+
+func follow(feed platform.Feed, wait time.Duration, group *platform.FeedGroup) (*copyOf, context.CancelFunc) {
+	c := &copyOf{}
+	ctx, cancel := context.WithCancel(context.Background())
+	f := platform.NewFollower(platform.FollowerConfig{
+		Feed: feed, Table: "t", Wait: wait, Group: group, Logger: slog.New(slog.DiscardHandler),
+	}, c)
+	go f.Run(ctx)
+	return c, cancel
+}
+
+// Rows change, vanish while the history is dropped, and the store refuses in between.
+// Three seconds after the last of that, the copy is the table.
+func TestAFollowerKeepsUp(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 30).Draw(rt, "steps")
+		waits := rapid.SliceOfN(rapid.IntRange(0, 3000), len(steps), len(steps)).Draw(rt, "waits in ms")
+		synctest.Test(t, func(t *testing.T) {
+			feed := newFakeFeed()
+			c, cancel := follow(feed, 0, nil)
+			defer cancel()
+			want := map[string]string{}
+			for i, step := range steps {
+				key := fmt.Sprint("k", step%3)
+				switch step {
+				case 0, 1, 2:
+					want[key] = fmt.Sprint(i)
+					feed.put(key, want[key], false)
+				case 3:
+					delete(want, key)
+					feed.put(key, "", true)
+				case 4:
+					feed.forget()
+				case 5:
+					feed.set(errors.New("refused"), false)
+				}
+				time.Sleep(time.Duration(waits[i]) * time.Millisecond)
+				feed.set(nil, false)
+			}
+			time.Sleep(3 * time.Second)
+			if got := c.String(); got != fmt.Sprint(want, false) {
+				rt.Fatalf("got %s, want %v", got, want)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	})
+}
+
+// The store goes silent: calls hang, and no error comes. The follower with the short
+// wait finds it for the one with the long wait as well; three seconds after the store's
+// return both have what changed meanwhile.
+func TestASilentStoreIsFoundForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		group := platform.NewFeedGroup()
+		short, long := newFakeFeed(), newFakeFeed()
+		a, stopA := follow(short, 1800*time.Millisecond, group)
+		b, stopB := follow(long, 25*time.Second, group)
+		time.Sleep(5 * time.Second)
+		for _, feed := range []*fakeFeed{short, long} {
+			feed.set(nil, true)
+		}
+		time.Sleep(4 * time.Second)
+		is.Equal(a.String(), "map[] true")
+		for _, feed := range []*fakeFeed{short, long} {
+			feed.put("k", "new", false)
+			feed.set(nil, false)
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(a.String(), "map[k:new] false")
+		is.Equal(b.String(), "map[k:new] false")
+		stopA()
+		stopB()
+		synctest.Wait()
+	})
+}
+
+// The store goes silent, then refuses, and is back. The follower with the long wait
+// began its call in the silence and would wait for an answer that never comes, long
+// after the other one follows the store again.
+func TestNobodyWaitsOnAConnectionOfTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		group := platform.NewFeedGroup()
+		short, long := newFakeFeed(), newFakeFeed()
+		_, stopA := follow(short, 1800*time.Millisecond, group)
+		b, stopB := follow(long, 25*time.Second, group)
+		time.Sleep(5 * time.Second)
+		for _, feed := range []*fakeFeed{short, long} {
+			feed.set(nil, true)
+		}
+		time.Sleep(2 * time.Second) // the long one's call hangs from here on
+		short.set(errors.New("refused"), false)
+		time.Sleep(4 * time.Second)
+		long.put("k", "new", false)
+		short.set(nil, false)
+		long.set(nil, false)
+		time.Sleep(3 * time.Second)
+		is.Equal(b.String(), "map[k:new] false")
+		stopA()
+		stopB()
+		synctest.Wait()
+	})
+}
+
+// Each call is paid for: a follower with a long wait makes few, also where changes come
+// in a row.
+func TestFollowersMakeFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		feed := newFakeFeed()
+		c, stop := follow(feed, 25*time.Second, nil)
+		time.Sleep(50 * time.Second)
+		is.True(feed.calls <= 4)
+		for i := range 20 {
+			feed.put(fmt.Sprint("k", i%10), "v", false)
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		is.True(feed.calls <= 10)
+		is.Equal(len(c.rows), 10)
+		stop()
+		synctest.Wait()
+	})
+}
