A new owner takes streams that run for what they are

Cause: when targets change hands, each ingress lists what it has running there; the new owner took every listed stream for a prompt still to be read, and refused what was in time until the streams had ended. Ruled out: engines busy with what the daemons did not know of (a simulated start before busy engines recovers by itself). Change: a listed request tells whether its first byte has come; an overhead that is shown to be too long is unlearnt quickly.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -110,6 +110,8 @@
 	least   time.Duration
 	running bool
 	began   time.Time
+	// read tells that the first byte of the answer has come.
+	read bool
 	// placedBy is the daemon that keeps the run; empty: this one.
 	placedBy ident.Daemon
 	runID    uint64
--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -16,8 +16,10 @@
 	// firstOverhead is the time to the first byte beyond the reading: the way to
 	// the target and back, and the first step.
 	firstOverhead = 40 * time.Millisecond
-	// learn is the weight of one observation of a pace or an overhead.
-	learn = 0.08
+	// learn is the weight of one observation of a pace or an overhead, unlearn that
+	// of one that shows an overhead to be too long.
+	learn   = 0.08
+	unlearn = 0.3
 	// slowest and fastest bound a learnt pace, so that one strange observation
 	// cannot close a target.
 	slowest = 200 * time.Microsecond
@@ -137,7 +139,7 @@
 func (e *engine) add(now time.Time, r *run) {
 	r.target, r.at = e, now
 	r.expected = e.expect(now, r.work)
-	if e.service.model {
+	if e.service.model && !r.read {
 		e.free = r.expected.Add(-e.overhead)
 	}
 	e.runs = append(e.runs, r)
@@ -167,9 +169,14 @@
 		reading = min(reading, now.Sub(e.lastRead))
 	}
 	switch {
+	case took < e.overhead:
+		// It can't be as long as that. Under load each prompt finds another before
+		// it, and nothing else would correct an overhead that was learnt while the
+		// engine was busy with what this owner does not know of.
+		e.overhead += time.Duration(unlearn * float64(took-e.overhead))
 	case r.work >= leastWork && reading > 0:
 		e.setPace(time.Duration(float64(reading) / r.work))
-	case !queued && took > 0:
+	case !queued:
 		own := time.Duration(r.work * float64(e.pace))
 		e.overhead += time.Duration(learn * float64(max(0, took-own)-e.overhead))
 	}
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -292,7 +292,7 @@
 // note tells the owner of a target of a request that runs there.
 func (c *Core) note(now time.Time, r *request, e *engine) {
 	a := c.newAsk(now, r)
-	a.Taken = true
+	a.Taken, a.Read = true, r.read
 	r.placedBy = e.owner
 	if e.owned {
 		c.take(now, c.cfg.Self, a)
@@ -312,6 +312,7 @@
 	if r == nil || !r.running {
 		return
 	}
+	r.read = true
 	switch {
 	case r.placedBy == c.cfg.Self:
 		c.marked(now, c.cfg.Self, Mark{ID: r.runID, First: took})
--- a/internal/booking/load_test.go
+++ b/internal/booking/load_test.go
@@ -226,3 +226,29 @@
 	}
 	is.Equal(play(), play())
 }
+
+// Daemons find each other one after the other at the start, so that engines change
+// hands while streams of seconds run on them. The new owner hears from every ingress
+// what runs there. If it took those streams for prompts that are still to be read, it
+// would refuse what is in time until they have ended.
+func TestStreamsThatRunAreNoBacklogOfANewOwner(t *testing.T) {
+	for _, seed := range seeds {
+		is := is.New(t)
+		s := newSim(seed, 3, 3, "a")
+		s.offer(load{workspace: "a", perSecond: 30, to: 6 * time.Second, objective: 400 * time.Millisecond, make: session(1, 500, 100, 4000, 400)})
+		s.after(3*time.Second, func() {
+			for _, d := range s.daemons[:2] {
+				d.core.Leave(s.now)
+				s.carryOut(d)
+				s.leaving[d.id] = true
+			}
+			s.tellPeers()
+		})
+		s.run(3 * time.Second)
+		before := *s.got["a"]
+		s.run(6 * time.Second)
+		got := s.got["a"]
+		s.log(t)
+		is.True(float64(got.refused-before.refused) < 0.03*float64(got.asked-before.asked))
+	}
+}
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -87,6 +87,7 @@
 	if !a.Taken && !c.admits(now, e, a, r) {
 		return false
 	}
+	r.read = a.Read
 	e.add(now, r)
 	c.runs[runKey{from, a.ID}] = r
 	if len(a.Parts) > 1 {
--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -29,6 +29,8 @@
 	// got counts what each workspace's callers got.
 	got    map[ident.Workspace]*tally
 	reread int
+	// leaving are the daemons in a planned stop.
+	leaving map[ident.Daemon]bool
 	// trace, where set, is told of each refusal.
 	trace func(format string, args ...any)
 }
@@ -102,7 +104,7 @@
 	s := &sim{
 		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		engines: map[ident.Target]*engine{}, delay: time.Millisecond, hop: time.Millisecond,
-		got: map[ident.Workspace]*tally{},
+		got: map[ident.Workspace]*tally{}, leaving: map[ident.Daemon]bool{},
 		cut: func(ident.Daemon, ident.Daemon) bool { return false },
 	}
 	s.service = booking.Service{Name: "pool", Model: true}
@@ -135,7 +137,7 @@
 		var peers []booking.Peer
 		for _, other := range s.daemons {
 			if other != d && !other.dead {
-				peers = append(peers, booking.Peer{ID: other.id, Incarnation: 1, Zone: "z"})
+				peers = append(peers, booking.Peer{ID: other.id, Incarnation: 1, Zone: "z", Leaving: s.leaving[other.id]})
 			}
 		}
 		d.core.Peers(s.now, peers)
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -99,6 +99,8 @@
 	Late bool
 	// Taken tells that the request runs there already: the owner only notes it.
 	Taken bool
+	// Read tells of a taken one that its first byte has come: its prompt has been read.
+	Read bool
 	// Begun tells that an earlier attempt was placed.
 	Begun bool
 }
