A new link forgets what the old one lost

Cause: an ingress that gave up an ask tells the owner that the place is free; where the link was replaced just then (both ends dial at a start) the word was lost, and the owner kept the place for 12 s as a prompt still to be read. Change: at LinkUp either end forgets the other's requests and lists its own anew.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -260,15 +260,25 @@
 	return ids
 }
 
-// Reset tells that messages to or from a peer may have been lost: its answers do
-// not come any more, and it is told again what runs on its targets.
-func (c *Core) Reset(now time.Time, id ident.Daemon) {
+// LinkLost tells that messages to or from a peer may have been lost: its answers do
+// not come any more.
+func (c *Core) LinkLost(now time.Time, id ident.Daemon) {
 	for _, rid := range c.sortedRequests() {
-		r := c.requests[rid]
-		switch {
-		case r.ask != 0 && r.to == id:
+		if r := c.requests[rid]; r.ask != 0 && r.to == id {
 			c.unanswered(now, r)
-		case r.running && r.at.engine.owner == id:
+		}
+	}
+}
+
+// LinkUp tells that a link to a peer is up. Either end lists anew what it has running
+// on the other's targets, and forgets what it knew of that before: an end or a first
+// byte that was told to a lost link is never told again, and a request that nobody
+// ends would be taken for a prompt still to be read for as long as it is remembered.
+func (c *Core) LinkUp(now time.Time, id ident.Daemon) {
+	c.LinkLost(now, id)
+	c.dropPeer(now, id)
+	for _, rid := range c.sortedRequests() {
+		if r := c.requests[rid]; r.running && r.at.engine.owner == id {
 			c.note(now, r, r.at.engine)
 		}
 	}
--- a/internal/booking/load_test.go
+++ b/internal/booking/load_test.go
@@ -252,3 +252,30 @@
 		is.True(float64(got.refused-before.refused) < 0.03*float64(got.asked-before.asked))
 	}
 }
+
+// Links between daemons are replaced several times, as at a start when both ends dial,
+// and what was on its way is lost: also the word that a place is not needed. The owner
+// would keep it as a prompt still to be read, expect a quarter of a second where there
+// is nothing to wait for, and refuse what is in time.
+func TestWhatALostLinkTookIsForgotten(t *testing.T) {
+	for _, seed := range seeds {
+		is := is.New(t)
+		s := newSim(seed, 4, 4, "a")
+		lost := false
+		s.cut = func(ident.Daemon, ident.Daemon) bool { return lost }
+		s.offer(load{workspace: "a", perSecond: 150, to: 7 * time.Second, objective: 300 * time.Millisecond, make: session(1, 500, 100, 1500, 10)})
+		for at := 2 * time.Second; at < 4*time.Second; at += 200 * time.Millisecond {
+			s.after(at, func() { lost = true })
+			s.after(at+20*time.Millisecond, func() {
+				lost = false
+				s.linksUp()
+			})
+		}
+		s.run(4 * time.Second)
+		before := *s.got["a"]
+		s.run(9 * time.Second)
+		s.log(t)
+		got := s.got["a"]
+		is.True(float64(got.refused-before.refused) < 0.02*float64(got.asked-before.asked))
+	}
+}
--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -146,6 +146,18 @@
 	}
 }
 
+// linksUp tells every daemon that its links are new.
+func (s *sim) linksUp() {
+	for _, d := range s.daemons {
+		for _, other := range s.daemons {
+			if other != d {
+				d.core.LinkUp(s.now, other.id)
+			}
+		}
+		s.carryOut(d)
+	}
+}
+
 func (s *sim) ticks(d *daemon) {
 	s.after(simTick, func() {
 		if d.dead {
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -131,9 +131,14 @@
 	b.do(func(now time.Time) { b.core.Peers(now, peers) })
 }
 
-// Reset tells that messages to or from a peer may have been lost.
-func (b *Bookings) Reset(id ident.Daemon) {
-	b.do(func(now time.Time) { b.core.Reset(now, id) })
+// LinkUp tells that a link to a peer is up.
+func (b *Bookings) LinkUp(id ident.Daemon) {
+	b.do(func(now time.Time) { b.core.LinkUp(now, id) })
+}
+
+// LinkLost tells that messages to or from a peer may have been lost.
+func (b *Bookings) LinkLost(id ident.Daemon) {
+	b.do(func(now time.Time) { b.core.LinkLost(now, id) })
 }
 
 // Leave begins a planned stop.
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -46,10 +46,10 @@
 }
 
 // LinkUp implements fleet.Handler.
-func (b *routedBridge) LinkUp(peer ident.Daemon) { b.loop.Reset(peer) }
+func (b *routedBridge) LinkUp(peer ident.Daemon) { b.loop.LinkUp(peer) }
 
 // LinkLost implements fleet.Handler.
-func (b *routedBridge) LinkLost(peer ident.Daemon) { b.loop.Reset(peer) }
+func (b *routedBridge) LinkLost(peer ident.Daemon) { b.loop.LinkLost(peer) }
 
 // Receive implements fleet.Handler.
 func (b *routedBridge) Receive(from ident.Daemon, m scheduler.Message) {
