An owner that is told twice of a request counts it once

Cause: a link that comes up makes its other end the owner of targets at the same moment, so that an ingress lists what runs there twice, under two numbers; the first one was never ended. After all daemons had started anew, 5 to 15 requests an engine stood for prompts still to be read for 12 s (a trial that logged each engine's state). Ruled out: lost links alone (mended before, two thirds of the gap stayed), pace and overhead (10 us and 40 to 50 ms throughout). Change: a request keeps its number when it is listed anew; an owner that has it takes no second one; the former owner is told that it need not keep it.

--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -213,11 +213,16 @@
 	}
 }
 
+// newAsk describes a request under a new number.
 func (c *Core) newAsk(now time.Time, r *request) Ask {
 	c.lastAsk++
 	r.runID = c.lastAsk
+	return r.describe(now)
+}
+
+func (r *request) describe(now time.Time) Ask {
 	return Ask{
-		ID: c.lastAsk, Service: r.Service, Target: r.at.engine.Name, Workspace: r.Workspace,
+		ID: r.runID, Service: r.Service, Target: r.at.engine.Name, Workspace: r.Workspace,
 		Prompt: r.Prompt, Output: r.Output, Parts: r.Parts, Left: r.Due.Sub(now), Late: r.Late, Begun: r.Begun,
 	}
 }
@@ -289,9 +294,15 @@
 	}})
 }
 
-// note tells the owner of a target of a request that runs there.
+// note tells the owner of a target of a request that runs there, and the one that
+// kept it before that it need not. The request keeps its number: an owner is told of
+// it twice where a link comes up and makes it the owner at once, and a second number
+// would stand for a second request that nobody ends.
 func (c *Core) note(now time.Time, r *request, e *engine) {
-	a := c.newAsk(now, r)
+	if r.placedBy != e.owner {
+		c.tellEnd(now, r, End{ID: r.runID})
+	}
+	a := r.describe(now)
 	a.Taken, a.Read = true, r.read
 	r.placedBy = e.owner
 	if e.owned {
@@ -340,7 +351,11 @@
 	}
 	r.at.engine.mine--
 	r.at.engine.seen(now, result)
-	end := End{ID: r.runID, Elapsed: result.Elapsed, Failed: result.Failed, NotRun: result.NotRun}
+	c.tellEnd(now, r, End{ID: r.runID, Elapsed: result.Elapsed, Failed: result.Failed, NotRun: result.NotRun})
+}
+
+// tellEnd tells the daemon that keeps a request that it has left its target.
+func (c *Core) tellEnd(now time.Time, r *request, end End) {
 	switch {
 	case r.placedBy == c.cfg.Self:
 		c.ended(now, c.cfg.Self, end)
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -79,7 +79,7 @@
 // take decides whether a target takes a request, and notes it where it does.
 func (c *Core) take(now time.Time, from ident.Daemon, a Ask) bool {
 	e := c.engine(a.Service, a.Target)
-	if e == nil {
+	if e == nil || c.runs[runKey{from, a.ID}] != nil {
 		return false
 	}
 	cached := e.kept.hit(a.Parts)
