An overloaded daemon leaves connections in the kernel, and sends nothing on whose caller has gone

Cause: a connection that is closed unread makes its caller come back at once; on edge-hall-d-6 of the grown fleet (0.19 of a core) nothing but that went on from 3.5 s on, and a small VM never recovered. Requests that had waited in the kernel were sent on after their callers had left (GONE). Ruled out: a deadlock (the process came back after the burst), frozen VMs. Change: an overloaded daemon accepts 150 a second and leaves the rest waiting; connections that their callers have closed are dropped, and a caller that has gone is noticed before its request is sent on (one poll each, some microseconds). Calls to the store: targets' changes are gathered for 400 ms, the heartbeat's wait follows the time in which a daemon has to be in touch.

--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -98,14 +100,15 @@
 	shedBurst = 15
 )
 
-// sheddingListener closes most new connections at once while the daemon is
-// overloaded. Their requests have not been read, so that any of them may be sent
-// again elsewhere at once; that costs a tenth of an answer that says so.
+// sheddingListener takes few new connections while the daemon is overloaded, and
+// none whose caller has given up meanwhile.
 //
 // It answers callers that come back on a new connection each time, some thousand a
 // second where one workspace asks for ten times its share. Read in turn, their
 // requests would take all processor time, and every request of the daemon, also of
-// others, would be read seconds late.
+// others, would be read seconds late. Those that are not taken wait in the kernel,
+// where they cost nothing; closing them instead makes their callers come back at
+// once, which is worse than what it answers.
 type sheddingListener struct {
 	*drainableListener
 	overloaded func() bool
@@ -119,15 +122,50 @@
 // Accept implements net.Listener.
 func (l *sheddingListener) Accept() (net.Conn, error) {
 	for {
+		for l.overloaded() && !l.draining.Load() && !l.limiter.Allow() {
+			time.Sleep(time.Second / shedRate)
+		}
 		conn, err := l.drainableListener.Accept()
-		if err != nil || !l.overloaded() || l.limiter.Allow() {
+		if err != nil || !hungUp(conn) {
 			return conn, err
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // a close without it keeps the connection's remains
-		}
-		_ = conn.Close() // nothing was read from it
+		_ = conn.Close() // nobody waits for anything on it
+	}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// withConn lets callerGone find the connection of a request.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// callerGone tells whether the caller of a request has closed its connection. The
+// server notices that by itself, but only when it comes to read it, which on a daemon
+// short of processor time is after the request was sent on.
+func callerGone(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && hungUp(conn)
+}
+
+// hungUp tells whether the other end has closed the connection.
+func hungUp(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
 	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		gone = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && gone
 }
 
 // closing asks callers to open a new connection for their next request from the
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -82,7 +82,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Metrics: metrics, Log: log,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone, Metrics: metrics, Log: log,
 	})
 	return b.gateway
 }
@@ -113,6 +113,7 @@
 	}
 	r.callers = &http.Server{
 		ConnState:         r.connections.note,
+		ConnContext:       withConn,
 		Handler:           keeping(s.Callers.IdleTimeout, func() bool { return r.connections.pressed() || load.overloaded() }, closing(life, g)),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
 		MaxHeaderBytes:    s.Callers.HeaderBytes,
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -35,25 +35,34 @@
 }
 
 const (
-	// beatWait is the wait of the table that stands for the store's heartbeat: with
-	// the slack of its calls, a silent store is found in 2.5 s, below the 3 s after
-	// which a daemon counts as in touch again. A heartbeat is a call, and calls are
-	// paid for: half a second's would cost four times as many.
-	beatWait = 1800 * time.Millisecond
+	// beatMargin is by how much the wait of the table that stands for the store's
+	// heartbeat is shorter than the time after which a daemon counts as in touch with
+	// the store again: the slack of its calls, and half a second to ask anew. A
+	// heartbeat is a call, and calls are paid for: one in half a second would cost
+	// four times as many.
+	beatMargin = 1200 * time.Millisecond
 	// longWait is the wait of the others, the longest that the store allows but for
 	// a margin.
 	longWait = 25 * time.Second
+	// targetGather and daemonGather are how long changes are gathered. A target that
+	// drains serves on for two seconds and more, so that it may take some requests
+	// still; daemons also hear of each other by their links.
+	targetGather = 400 * time.Millisecond
+	daemonGather = time.Second
 )
 
 func (s *site) tasks() []func(context.Context) {
 	group := store.NewFeedGroup()
-	follow := func(table string, wait time.Duration, to store.Subscriber) func(context.Context) {
-		return store.NewFollower(store.FollowerConfig{Feed: s.p.Store, Table: table, Wait: wait, Group: group, Logger: s.p.Log}, to).Run
+	follow := func(table string, wait, gather time.Duration, to store.Subscriber) func(context.Context) {
+		return store.NewFollower(store.FollowerConfig{
+			Feed: s.p.Store, Table: table, Wait: wait, Gather: gather, Group: group, Logger: s.p.Log,
+		}, to).Run
 	}
+	beat := max(beatMargin, s.p.Settings.Routing.InTouch-beatMargin)
 	return []func(context.Context){
-		follow(platform.TableOperator, beatWait, &routeRows{site: s}),
-		follow(platform.TableTargets, longWait, &targetRows{site: s}),
-		follow(platform.TableDaemons, longWait, &daemonRows{site: s, rows: map[string]daemonRow{}}),
+		follow(platform.TableOperator, beat, 0, &routeRows{site: s}),
+		follow(platform.TableTargets, longWait, targetGather, &targetRows{site: s}),
+		follow(platform.TableDaemons, longWait, daemonGather, &daemonRows{site: s, rows: map[string]daemonRow{}}),
 		s.announce,
 		s.expire,
 		s.report,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,8 @@
 	Dialect Dialect
 	Placer  Placer
 	Pool    *targetconn.Pool
+	// Gone tells whether the caller of a request has left, by its context.
+	Gone    func(ctx context.Context) bool
 	Metrics *telemetry.Metrics
 	Log     *slog.Logger
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -58,6 +58,10 @@
 		if placed.Failure != nil {
 			return s.unplaced(ctx, j, placed.Failure, outcome)
 		}
+		if s.Gone(ctx) {
+			s.Placer.Finish(j.id, booking.Result{})
+			return resultcode.Fail(resultcode.CallerGone, "")
+		}
 		r := s.try(ctx, j, placed.Target, began)
 		if r.failure == nil {
 			return nil
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -62,6 +62,11 @@
 	// ends without one costs a call, and a connection that went silent is found
 	// after Wait and Slack.
 	Wait time.Duration
+	// Gather is how long the follower waits after a change before it asks for the
+	// next one. Default 150 ms. Changes come in rows of some (targets start or leave
+	// one after the other), and each answer is a call: those that come within it
+	// share one.
+	Gather time.Duration
 	// Group joins the followers of one store; nil: none.
 	Group *FeedGroup
 	// Slack is how long after Wait an answer may come. Default 700 ms: above the
@@ -75,14 +80,11 @@
 // configuration has to be in force within seconds of an outage's end, and with
 // full jitter, so that daemons do not come back at once.
 const (
-	defaultFeedWait  = 1800 * time.Millisecond
-	defaultFeedSlack = 700 * time.Millisecond
-	feedBackoffBase  = 100 * time.Millisecond
-	feedBackoffCap   = 800 * time.Millisecond
-	// feedGather is how long a follower waits after a change before it asks for the
-	// next one. Changes come in rows of some (targets start or leave one after the
-	// other), and each answer is a call: those that come within it share one.
-	feedGather = 150 * time.Millisecond
+	defaultFeedWait   = 1800 * time.Millisecond
+	defaultFeedSlack  = 700 * time.Millisecond
+	feedBackoffBase   = 100 * time.Millisecond
+	feedBackoffCap    = 800 * time.Millisecond
+	defaultFeedGather = 150 * time.Millisecond
 	// feedRead bounds the reading of a whole table.
 	feedRead = 2 * time.Second
 )
@@ -154,6 +156,9 @@
 	if cfg.Slack == 0 {
 		cfg.Slack = defaultFeedSlack
 	}
+	if cfg.Gather == 0 {
+		cfg.Gather = defaultFeedGather
+	}
 	return &Follower{cfg: cfg, to: to}
 }
 
@@ -169,7 +174,7 @@
 			// for may never come. It asks again at once, on another connection.
 			f.goAway()
 		case changed:
-			pauseFor(ctx, feedGather)
+			pauseFor(ctx, f.cfg.Gather)
 		case errors.Is(err, ErrHistoryLost):
 			event.FeedHistoryLost.Log(f.cfg.Logger, "table", f.cfg.Table, "revision", f.revision)
 			f.read = false
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,6 +79,9 @@
 	RepeatRatio  float64       `yaml:"repeat_ratio" validate:"min=0,max=1"`
 	RepeatBurst  float64       `yaml:"repeat_burst" validate:"min=0"`
 	RepeatWindow time.Duration `yaml:"repeat_window" validate:"min=100000000"`
+	// InTouch is how long after an outage of the store a daemon has to follow it
+	// again. Default 3s.
+	InTouch time.Duration `yaml:"in_touch" validate:"min=1000000000"`
 	// ConnectionShare is how many daemons may open connections to one target: each
 	// uses that part of what the target accepts. Default 8.
 	ConnectionShare int `yaml:"connection_share" validate:"min=1"`
@@ -218,7 +221,7 @@
 		},
 		Operators: Listener{Listen: "127.0.0.1:8081"},
 		Fleet:     Fleet{Listen: "127.0.0.1:8082", Heartbeat: time.Second},
-		Routing:   Routing{RepeatRatio: 0.1, RepeatBurst: 20, RepeatWindow: 10 * time.Second, ConnectionShare: 8},
+		Routing:   Routing{RepeatRatio: 0.1, RepeatBurst: 20, RepeatWindow: 10 * time.Second, InTouch: 3 * time.Second, ConnectionShare: 8},
 		Platform:  Platform{Binding: BindingDocuments, ConfigPoll: time.Second, VMPoll: time.Second, Timeout: 2 * time.Second},
 		Stop:      Stop{BalancerLag: 5 * time.Second, WarnAfter: time.Minute},
 		Claims:    Claims{Wait: 5 * time.Second},
