Prompts that are long by themselves may go to the emptiest target

Cause: the largest tenth of recaps (30,000 tokens and more) needs an engine that has nothing else to read, and was shown to its three homes only, for a shared part that is a sixth of it. Change: beyond four times the shared part the emptiest target is asked too; the headroom for workspaces below their share is 0.45, without which a hot workspace of such prompts took 0.3 in 100 more from the others (its test failed at 0.35).

--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -46,6 +46,10 @@
 	// but its homes: to read them once more on another target takes longer than most
 	// requests are worth, and away from those that would be served in that time.
 	longPart = 400
+	// longShare is the part of a prompt that its shared part must be for that. A
+	// prompt that is long by itself needs an engine that has nothing else to read, and
+	// is worth reading a little more.
+	longShare = 0.25
 )
 
 // candidates lists the targets to ask first, in order: the homes of the shared part,
@@ -62,7 +66,7 @@
 	if spare && !r.Begun {
 		n = spareHomes
 	}
-	r.more = shared < longPart && !spare
+	r.more = !spare && (shared < longPart || float64(shared) < longShare*float64(r.Prompt))
 	return homesOf(part, usable, n)
 }
 
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -135,7 +135,7 @@
 }
 
 // reserved is the part of the time that a workspace at its share leaves to others.
-const reserved = 0.35
+const reserved = 0.45
 
 // healthy tells whether a target takes requests as far as its failures go. Where
 // all targets of a service fail alike, none is passed over: that would leave
