The store's return is told when it happens, and not with the next change

Ruled out: a late feed (all seven daemons had the removal within 4 ms). Change: the table is read as a whole after an outage, which is answered at once.

--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -249,7 +249,11 @@
 	f.goAway()
 }
 
+// goAway notes that the store is out of reach. The table is read as a whole at its
+// return, which is answered at once: a call that waits for a change would tell of the
+// return only with the change.
 func (f *Follower) goAway() {
+	f.read = false
 	if !f.away {
 		f.away = true
 		f.to.Reachable(false)
--- a/internal/platform/feed_test.go
+++ b/internal/platform/feed_test.go
@@ -267,6 +267,34 @@
 	})
 }
 
+// An outage ends and nothing changes for seconds; then a target vanishes from its table.
+// A follower with a long wait heard of the store's return only with that change, so that
+// the target was taken for one that had lapsed in the outage, and got requests for two
+// and a half seconds more. The return has to be told when it happens.
+func TestTheReturnIsToldWhenItHappens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		group := platform.NewFeedGroup()
+		short, long := newFakeFeed(), newFakeFeed()
+		_, stopA := follow(short, 1800*time.Millisecond, group)
+		b, stopB := follow(long, 25*time.Second, group)
+		time.Sleep(5 * time.Second)
+		for _, feed := range []*fakeFeed{short, long} {
+			feed.set(errors.New("refused"), false)
+		}
+		time.Sleep(30 * time.Second)
+		is.Equal(b.String(), "map[] true")
+		for _, feed := range []*fakeFeed{short, long} {
+			feed.set(nil, false)
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(b.String(), "map[] false")
+		stopA()
+		stopB()
+		synctest.Wait()
+	})
+}
+
 // Each call is paid for: a follower with a long wait makes few, also where changes come
 // in a row.
 func TestFollowersMakeFewCalls(t *testing.T) {
