--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -34,22 +34,32 @@
 	return r
 }
 
-// healthy answers as long as the control goroutine does: a daemon whose loop
-// hangs serves nobody and is to be replaced.
 func (o *operators) healthy(w http.ResponseWriter, _ *http.Request) {
-	if !o.loop.Inspect(func(*scheduler.Core) {}) {
+	answerHealthy(w, o.loop.Inspect(func(*scheduler.Core) {}))
+}
+
+// answerHealthy answers as long as the control goroutine does: a daemon whose loop
+// hangs serves nobody and is to be replaced.
+func answerHealthy(w http.ResponseWriter, alive bool) {
+	if !alive {
 		http.Error(w, "the control loop has ended", http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = w.Write([]byte("ok\n"))
+	_, _ = w.Write([]byte("ok\n")) // a caller that has left needs no answer
 }
 
 func (o *operators) ready(w http.ResponseWriter, _ *http.Request) {
-	if state := o.life.State(); state != StateReady {
-		http.Error(w, string(state), http.StatusServiceUnavailable)
+	answerReady(w, string(o.life.State()), o.life.State() == StateReady)
+}
+
+// answerReady tells the balancer whether the daemon takes new connections, and the
+// reason where it does not.
+func answerReady(w http.ResponseWriter, reason string, ready bool) {
+	if !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = w.Write([]byte("ready\n"))
+	_, _ = w.Write([]byte("ready\n")) // as above
 }
 
 func (o *operators) status(w http.ResponseWriter, _ *http.Request) {
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -173,25 +173,16 @@
 }
 
 func (o *routedOperators) healthy(w http.ResponseWriter, _ *http.Request) {
-	if !o.loop.Inspect(func(*booking.Core) {}) {
-		http.Error(w, "the control loop has ended", http.StatusServiceUnavailable)
-		return
-	}
-	// A caller that has left needs no answer.
-	_, _ = w.Write([]byte("ok\n"))
+	answerHealthy(w, o.loop.Inspect(func(*booking.Core) {}))
 }
 
 func (o *routedOperators) ready(w http.ResponseWriter, _ *http.Request) {
-	if state := o.life.State(); state != StateReady {
-		http.Error(w, string(state), http.StatusServiceUnavailable)
-		return
-	}
-	if o.load.overloaded() {
-		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+	state := o.life.State()
+	if state == StateReady && o.load.overloaded() {
+		answerReady(w, "overloaded", false)
 		return
 	}
-	// As above.
-	_, _ = w.Write([]byte("ready\n"))
+	answerReady(w, string(state), state == StateReady)
 }
 
 // Routed is a running daemon that serves routes.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -93,6 +93,7 @@
 	began := time.Now()
 	j.trace.waited += began.Sub(asked)
 	j.trace.basis = placed.Basis
+	s.Metrics.Wait(j.service.Name, string(j.route.Repeat), began.Sub(asked))
 	return placed, began
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -46,7 +46,7 @@
 
 var (
 	metricRequests  = define("requests", Counter, "requests", "service, code", "Requests answered, by result code; code 0 is a complete answer.")
-	metricWait      = define("queue_wait", Histogram, "seconds", "service, class", "Time from acceptance to a grant.")
+	metricWait      = define("queue_wait", Histogram, "seconds", "service, class", "Time from acceptance to a grant; where routes are served, from asking for a place to the answer, by what may be repeated.")
 	metricFirst     = define("first_byte", Histogram, "seconds", "service", "Time from dispatch to the first byte of the answer.")
 	metricServed    = define("served_units", Counter, "tokens or slot milliseconds", "service, workspace", "Service delivered through this daemon.")
 	metricRetries   = define("retries", Counter, "attempts", "service", "Attempts after the first one.")
