--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -74,7 +74,7 @@
 }
 
 func newGateway(s settings.Settings, routes *route.Holder, loop *control.Bookings, pool *targetconn.Pool, b *routedBridge,
-	metrics *telemetry.Metrics, log *slog.Logger) *gateway.Server {
+	metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *gateway.Server {
 	b.gateway = gateway.New(gateway.Deps{
 		Config: gateway.Config{
 			Repeats: retry.WindowConfig{
@@ -82,7 +82,8 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone, Metrics: metrics, Log: log,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone,
+		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
 }
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -42,11 +42,11 @@
 	status int
 	// events is what is known of the stream so far.
 	events progress
-	trace  trace
+	trace  history
 }
 
-// trace is what the line about the request tells.
-type trace struct {
+// history is what the line about the request tells.
+type history struct {
 	target ident.Target
 	// sends counts the targets that it was sent to, runs those that may have run
 	// it, and unsent the tries that failed before a byte left.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/event"
@@ -107,6 +111,7 @@
 	// Gone tells whether the caller of a request has left, by its context.
 	Gone    func(ctx context.Context) bool
 	Metrics *telemetry.Metrics
+	Tracing *telemetry.Tracing
 	Log     *slog.Logger
 }
 
@@ -177,9 +182,15 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer s.recover(r)
+	ctx := s.Tracing.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := s.Tracing.Start(ctx, telemetry.SpanIngress, trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
 	j, failure := s.accept(w, r)
 	if failure == nil {
-		failure = s.run(r.Context(), j)
+		failure = s.run(ctx, j)
+	}
+	if failure != nil {
+		span.SetAttributes(attribute.Int("code", failure.Code.Number))
 	}
 	s.end(w, r, j, failure)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -7,6 +7,9 @@
 	"slices"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/ident"
@@ -14,6 +17,7 @@
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/telemetry"
 )
 
 // maxUnsent bounds the tries of one request that fail before a byte leaves, such
@@ -89,7 +93,9 @@
 	if request.Begun {
 		request.Due = j.until
 	}
+	ctx, span := s.Tracing.Start(ctx, telemetry.SpanPlace)
 	placed := s.Placer.Place(ctx, request)
+	span.End()
 	began := time.Now()
 	j.trace.waited += began.Sub(asked)
 	j.trace.basis = placed.Basis
@@ -113,7 +119,9 @@
 			s.Placer.Finish(j.id, booking.Result{})
 		}
 	}()
+	ctx, span := s.Tracing.Start(ctx, telemetry.SpanTarget, trace.WithAttributes(attribute.String("target", string(id))))
 	r = s.exchange(ctx, j, entry, began)
+	span.End()
 	ended = true
 	s.report(j, entry, r, time.Since(began))
 	return r
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -16,12 +16,15 @@
 	"github.com/savorystall/savorystall/internal/settings"
 )
 
-// Names of the spans, one a hop. The span of the target hop is made by package
-// attempt.
+// Names of the spans, one a hop. Where documents are served, the span of the target
+// hop is made by package attempt; where routes are, a request has an ingress, a place
+// and a target span for each attempt.
 const (
 	SpanIngress = "ingress"
 	SpanQueue   = "queue"
 	SpanGrant   = "grant"
+	SpanPlace   = "place"
+	SpanTarget  = "target"
 )
 
 // Tracing makes spans and carries their context in W3C headers.
