--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -31,6 +31,9 @@
 	reread int
 	// leaving are the daemons in a planned stop.
 	leaving map[ident.Daemon]bool
+	// policy, where set, places requests in the stead of the Cores; an empty target
+	// refuses.
+	policy func(s *sim, j *job) ident.Target
 	// trace, where set, is told of each refusal.
 	trace func(format string, args ...any)
 }
@@ -64,6 +67,29 @@
 	used  int
 	most  int
 	down  bool
+	// waiting are the requests beyond its slots, in order of arrival.
+	waiting []func()
+}
+
+// enter begins a request's work, or lets it wait for a slot.
+func (e *engine) enter(begin func()) {
+	if e.used >= e.spec.Slots {
+		e.waiting = append(e.waiting, begin)
+		return
+	}
+	e.used++
+	e.most = max(e.most, e.used)
+	begin()
+}
+
+// leave frees a slot for the first that waits.
+func (e *engine) leave() {
+	e.used--
+	if len(e.waiting) > 0 {
+		next := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		e.enter(next)
+	}
 }
 
 type simEvent struct {
@@ -195,10 +221,74 @@
 	r.Due = s.now.Add(objective)
 	d.jobs[r.ID] = &job{Request: r, arrived: s.now}
 	s.got[r.Workspace].asked++
+	if s.policy != nil {
+		s.placeByPolicy(d, d.jobs[r.ID])
+		return
+	}
 	d.core.Submit(s.now, r)
 	s.carryOut(d)
 }
 
+func (s *sim) placeByPolicy(d *daemon, j *job) {
+	target := s.policy(s, j)
+	if target == "" {
+		delete(d.jobs, j.ID)
+		s.got[j.Workspace].refused++
+		return
+	}
+	s.dispatch(d, j, target)
+}
+
+// emptiest sends every request to the engine with the fewest, which it knows exactly,
+// and refuses none.
+func emptiest(s *sim, _ *job) ident.Target {
+	var best *engine
+	for _, t := range s.service.Targets {
+		e := s.engines[t.Name]
+		if best == nil || e.used+len(e.waiting) < best.used+len(best.waiting) {
+			best = e
+		}
+	}
+	return best.spec.Name
+}
+
+// allKnowing sends a request to the engine that would answer it first, by the true
+// state of all engines and what they keep, and refuses what would be late.
+func allKnowing(s *sim, j *job) ident.Target {
+	var best *engine
+	var first time.Time
+	for _, t := range s.service.Targets {
+		e := s.engines[t.Name]
+		if e.used >= e.spec.Slots {
+			continue
+		}
+		begin := e.free
+		if begin.Before(s.now) {
+			begin = s.now
+		}
+		at := begin.Add(time.Duration(e.work(j) / e.rate * float64(time.Millisecond)))
+		if best == nil || at.Before(first) {
+			best, first = e, at
+		}
+	}
+	if best == nil || first.Add(simOverhead+s.hop).After(j.Due) {
+		return ""
+	}
+	return best.spec.Name
+}
+
+// work is what reading a request's prompt costs the engine.
+func (e *engine) work(j *job) float64 {
+	unread := j.Prompt
+	for _, p := range j.Parts[:len(j.Parts)-1] {
+		if !e.parts[p.ID] {
+			break
+		}
+		unread -= p.Tokens
+	}
+	return float64(unread) * (1 + float64(unread)/48000)
+}
+
 func (s *sim) carryOut(d *daemon) {
 	for _, effect := range d.core.Take() {
 		switch e := effect.(type) {
@@ -242,19 +332,14 @@
 		s.after(s.hop, func() { s.finish(d, j, booking.Result{Elapsed: s.now.Sub(j.began), Failed: true}, false) })
 		return
 	}
-	s.after(s.hop, func() { s.read(d, j, e) })
+	s.after(s.hop, func() { e.enter(func() { s.read(d, j, e) }) })
 }
 
 // read lets an engine read a prompt and answer.
 func (s *sim) read(d *daemon, j *job, e *engine) {
-	unread, known := j.Prompt, true
-	for i, p := range j.Parts {
-		if last := i == len(j.Parts)-1; last {
-			break
-		}
-		if known = known && e.parts[p.ID]; known {
-			unread -= p.Tokens
-		} else if s.anyHolds(p.ID) {
+	work := e.work(j)
+	for _, p := range j.Parts[:len(j.Parts)-1] {
+		if !e.parts[p.ID] && s.anyHolds(p.ID) {
 			s.reread += p.Tokens
 		}
 		e.parts[p.ID] = true
@@ -263,21 +348,19 @@
 	if begin.Before(s.now) {
 		begin = s.now
 	}
-	work := float64(unread) * (1 + float64(unread)/48000)
 	e.free = begin.Add(time.Duration(work / e.rate * float64(time.Millisecond)))
-	e.used++
-	e.most = max(e.most, e.used)
 	s.after(e.free.Sub(s.now)+simOverhead, func() {
 		if d.dead {
-			e.used--
 			return
 		}
-		d.core.First(s.now, j.ID, s.now.Sub(j.began))
-		s.carryOut(d)
+		if s.policy == nil {
+			d.core.First(s.now, j.ID, s.now.Sub(j.began))
+			s.carryOut(d)
+		}
 		s.received(j)
 	})
 	s.after(e.free.Sub(s.now)+simOverhead+time.Duration(j.Output)*simStep, func() {
-		e.used--
+		e.leave()
 		s.finish(d, j, booking.Result{Elapsed: s.now.Sub(j.began)}, true)
 	})
 }
@@ -309,8 +392,10 @@
 	if !ok {
 		s.got[j.Workspace].failed++
 	}
-	d.core.Finish(s.now, j.ID, r)
-	s.carryOut(d)
+	if s.policy == nil {
+		d.core.Finish(s.now, j.ID, r)
+		s.carryOut(d)
+	}
 }
 
 // load sends requests of one shape at a rate, from all daemons in turn.
