A service that is not known yet is no 404

Cause: routes are in force a moment before the Core hears of their services; a request between the two was told that its service does not exist, which ends it for good. Ruled out: a port that another process took, a desynchronised connection (the answer's body names the code). Change: such a request gets 503 with a time to come back. Before and after: the new test red with 404 / green.

--- a/internal/booking/core_test.go
+++ b/internal/booking/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -121,3 +122,16 @@
 	owner.Receive(now, other, booking.Message{Incarnation: 7, Asks: []booking.Ask{{ID: 1, Service: "pool", Target: "t", Workspace: "w", Prompt: 100, Taken: true}}})
 	is.Equal(taken(t, now, owner), 0.0)
 }
+
+// A daemon has just started: its routes are in force, and a request comes a moment before
+// the Core hears of their services. Told 404, the caller would never come back.
+func TestAServiceThatIsNotKnownYetIsNoNotFound(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := booking.New(booking.Config{Self: "a", Incarnation: 1, Zone: "z"}, rand.New(rand.NewPCG(1, 1)))
+	c.Submit(now, booking.Request{ID: "r", Service: "pool", Workspace: "w", Due: now.Add(time.Second)})
+	refused, ok := c.Take()[0].(booking.Refuse)
+	is.True(ok)
+	is.Equal(refused.Failure.Code.HTTP, http.StatusServiceUnavailable)
+	is.True(refused.Failure.Wait() > 0) // with a time to come back
+}
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -13,7 +13,9 @@
 func (c *Core) Submit(now time.Time, spec Request) {
 	s := c.services[spec.Service]
 	if s == nil {
-		c.refuse(spec.ID, resultcode.Fail(resultcode.UnknownService, "service %s", spec.Service))
+		// Routes are in force a moment before this Core hears of their services. To
+		// say that the service does not exist would end the request for good.
+		c.refuse(spec.ID, resultcode.Fail(resultcode.NoTarget, "service %s", spec.Service))
 		return
 	}
 	if !spec.Late && !spec.Begun {
