One daemon of an availability zone reads the store for the others

In an outage each of the three tables was tried anew.

Ruled out: longer waits alone (the 2.8 s of the beat are two fifths of the calls, and bound how soon a silent way is found); pushing rows over links (they carry messages that must not wait behind 200 kB of routes).

Change: package relay: the reader by rendezvous, the others ask it by Fleet.Follow what they would ask the store, with the store's revisions; a reader answers only while it reaches the store; a follower whose reader does not help asks the store at once. In an outage only the table that beats is tried, with up to 1.5 s between tries.

Tests over simulated time: reader frozen, without the store, new, gone; any order of faults: nobody goes back, all within two seconds.

--- a/internal/daemon/bridge.go
+++ b/internal/daemon/bridge.go
@@ -13,6 +13,7 @@
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
 
@@ -139,6 +140,11 @@
 	return entries
 }
 
+// Follow implements fleet.Handler. Each daemon polls the table by itself.
+func (b *bridge) Follow(context.Context, platform.FeedQuery) (platform.FeedAnswer, error) {
+	return platform.FeedAnswer{}, platform.ErrFeedUnfit
+}
+
 // Claim implements fleet.Handler.
 func (b *bridge) Claim(q fleet.ClaimQuery) fleet.ClaimAnswer {
 	key := claim.Key{Service: q.Service, Workspace: q.Workspace, Idempotency: q.Key}
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -19,6 +19,7 @@
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/gateway"
+	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/settings"
@@ -40,6 +41,7 @@
 		func() *route.Holder { return &route.Holder{} },
 		newLoadWatch,
 		newRoutedBridge,
+		newRelay,
 		newRoutedLoop,
 		newRoutedNode,
 		newPool,
@@ -51,6 +53,14 @@
 
 func newStore(s settings.Settings) *platform.Store { return platform.NewStore(s.Platform.URL) }
 
+// newRelay is given to the bridge before the node starts, whose members it needs.
+func newRelay(id identity, store *platform.Store, b *routedBridge, log *slog.Logger) *relay.Feed {
+	b.relay = relay.New(relay.Config{
+		Self: id.Daemon, Zone: id.Zone, Store: store, Peers: followPeers{b}, Beat: beatTable, Logger: log,
+	})
+	return b.relay
+}
+
 func newPool() *targetconn.Pool { return targetconn.New(targetconn.Config{}) }
 
 // bookingTick is how often answers of owners that do not come are noticed, and
@@ -64,7 +74,7 @@
 	return b.loop
 }
 
-func newRoutedNode(id identity, s settings.Settings, b *routedBridge, _ *control.Bookings, _ *gateway.Server, log *slog.Logger) (*fleet.Node, error) {
+func newRoutedNode(id identity, s settings.Settings, b *routedBridge, _ *control.Bookings, _ *gateway.Server, _ *relay.Feed, log *slog.Logger) (*fleet.Node, error) {
 	cfg, err := nodeConfig(id, s, log)
 	if err != nil {
 		return nil, err
@@ -208,6 +218,7 @@
 	Bridge   *routedBridge
 	Routes   *route.Holder
 	Store    *platform.Store
+	Relay    *relay.Feed
 	Pool     *targetconn.Pool
 	Gateway  *gateway.Server
 	Servers  *routedServers
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -12,6 +12,9 @@
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/gateway"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
+	store "github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/internal/settings"
 	"github.com/savorystall/savorystall/platform"
@@ -20,10 +23,11 @@
 // routedBridge joins the fleet's links to the control loop where routes are
 // served. Configuration and claims do not travel over links there.
 type routedBridge struct {
-	// node, loop and gateway are set once, before the node starts.
+	// node, loop, gateway and relay are set once, before the node starts.
 	node    *fleet.Node
 	loop    *control.Bookings
 	gateway *gateway.Server
+	relay   *relay.Feed
 }
 
 var _ fleet.Handler = (*routedBridge)(nil)
@@ -38,10 +42,13 @@
 // Peers implements fleet.Handler.
 func (b *routedBridge) Peers(peers []scheduler.Peer) {
 	list := make([]booking.Peer, len(peers))
+	members := make([]membership.Member, len(peers))
 	for i, p := range peers {
 		list[i] = booking.Peer(p)
+		members[i] = membership.Member{ID: p.ID, Zone: p.Zone, Incarnation: p.Incarnation, Leaving: p.Leaving}
 	}
 	b.loop.Peers(list)
+	b.relay.Elect(members)
 	b.gateway.SetDaemons(len(peers) + 1)
 }
 
@@ -63,6 +70,19 @@
 // Entries implements fleet.Handler.
 func (b *routedBridge) Entries(uint64) []fleet.Entry { return nil }
 
+// Follow implements fleet.Handler.
+func (b *routedBridge) Follow(ctx context.Context, q store.FeedQuery) (store.FeedAnswer, error) {
+	return b.relay.Answer(ctx, q)
+}
+
+// followPeers lets the relay ask peers.
+type followPeers struct{ bridge *routedBridge }
+
+// Follow implements relay.Peers.
+func (p followPeers) Follow(ctx context.Context, reader ident.Daemon, q store.FeedQuery) (store.FeedAnswer, error) {
+	return p.bridge.node.Follow(ctx, reader, q)
+}
+
 // Claim implements fleet.Handler. No request is claimed where routes are served.
 func (b *routedBridge) Claim(fleet.ClaimQuery) fleet.ClaimAnswer {
 	return fleet.ClaimAnswer{State: fleet.ClaimUnknown}
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -33,6 +33,9 @@
 	return &site{p: p, registry: registry.New(registry.Config{}), changed: make(chan struct{}, 1)}
 }
 
+// beatTable is the table whose calls show that the store answers.
+const beatTable = platform.TableOperator
+
 const (
 	// beatMargin is by how much the wait of the table that stands for the store's
 	// heartbeat is shorter than the time after which a daemon counts as in touch with
@@ -54,12 +57,12 @@
 	group := store.NewFeedGroup()
 	follow := func(table string, wait, gather time.Duration, to store.Subscriber) func(context.Context) {
 		return store.NewFollower(store.FollowerConfig{
-			Feed: s.p.Store, Table: table, Wait: wait, Gather: gather, Group: group, Logger: s.p.Log,
+			Feed: s.p.Relay, Table: table, Wait: wait, Gather: gather, Group: group, Beats: table == beatTable, Logger: s.p.Log,
 		}, to).Run
 	}
 	beat := max(beatMargin, s.p.Settings.Routing.InTouch-beatMargin)
 	return []func(context.Context){
-		follow(platform.TableOperator, beat, 0, &routeRows{site: s}),
+		follow(beatTable, beat, 0, &routeRows{site: s}),
 		follow(platform.TableTargets, longWait, targetGather, &targetRows{site: s}),
 		follow(platform.TableDaemons, longWait, daemonGather, &daemonRows{site: s, rows: map[string]daemonRow{}}),
 		s.announce,
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -25,5 +25,7 @@
 	RowUnreadable        = define(423, slog.LevelWarn, "a row of the store cannot be read and is passed over", "look at who writes the row that the line names")
 	RoutesInForce        = define(424, slog.LevelInfo, "a version of the routes is in force", "none")
 	RoutesOlder          = define(425, slog.LevelWarn, "the store holds older routes than those in force; they are passed over", "write the routes again with a higher version")
+	StoreReader          = define(427, slog.LevelInfo, "another daemon of the zone reads the store for this one, or this one for others, from now on", "none")
+	StoreReaderLost      = define(428, slog.LevelWarn, "the daemon that reads the store for this one does not help; this one asks the store itself for a while", "if it recurs, look at the daemon that the line names")
 	RowNotWritten        = define(426, slog.LevelWarn, "this daemon could not write its own row; it tries again", "see docs/OPERATIONS.md, a store outage")
 )
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"context"
 	"log/slog"
 	"time"
 
@@ -22,6 +23,7 @@
 
 	"github.com/savorystall/savorystall/internal/certs"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
 
@@ -79,7 +81,7 @@
 
 // Handler takes what a node learns. Receive, Peers, LinkUp, LinkLost and Head
 // are called one at a time from the node's control goroutine, in the order in
-// which things happened, and must not block. Entries and Claim are called from
+// which things happened, and must not block. Entries, Follow and Claim are called from
 // any goroutine.
 type Handler interface {
 	// Peers tells the live daemons but for the node itself, on each change.
@@ -98,6 +100,8 @@
 	// Entries returns the configuration in force of a higher revision than
 	// after, deletions included.
 	Entries(after uint64) []Entry
+	// Follow answers a peer that asks in the platform's store's stead.
+	Follow(ctx context.Context, q platform.FeedQuery) (platform.FeedAnswer, error)
 	// Claim answers a peer that met a claim of this daemon.
 	Claim(q ClaimQuery) ClaimAnswer
 }
--- /dev/null
+++ b/internal/fleet/follow.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/platform"
+)
+
+// Follow asks a peer for rows of the platform's store. The error is
+// platform.ErrHistoryLost where it cannot tell all changes.
+func (n *Node) Follow(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
+	c, err := n.client(reader)
+	if err != nil {
+		return platform.FeedAnswer{}, err
+	}
+	reply, err := c.Follow(ctx, &fleetv1.FollowRequest{
+		Table: q.Table, After: q.After, Whole: q.Whole, WaitMs: uint32(q.Wait.Milliseconds()),
+	})
+	switch status.Code(err) {
+	case codes.OK:
+	case codes.OutOfRange:
+		return platform.FeedAnswer{}, platform.ErrHistoryLost
+	default:
+		return platform.FeedAnswer{}, merry.Prependf(err, "table %s of %s", q.Table, reader)
+	}
+	answer := platform.FeedAnswer{Revision: reply.GetRevision(), Rows: make([]platform.FeedRow, 0, len(reply.GetRows()))}
+	for _, row := range reply.GetRows() {
+		answer.Rows = append(answer.Rows, platform.FeedRow{
+			Key: row.GetKey(), Value: row.GetValue(), Revision: row.GetRevision(), Deleted: row.GetDeleted(),
+		})
+	}
+	return answer, nil
+}
+
+// Follow answers a peer.
+func (s *server) Follow(ctx context.Context, r *fleetv1.FollowRequest) (*fleetv1.FollowReply, error) {
+	answer, err := s.node.handler.Follow(ctx, platform.FeedQuery{
+		Table: r.GetTable(), After: r.GetAfter(), Whole: r.GetWhole(), Wait: time.Duration(r.GetWaitMs()) * time.Millisecond,
+	})
+	switch {
+	case errors.Is(err, platform.ErrHistoryLost):
+		return nil, status.Error(codes.OutOfRange, err.Error())
+	case err != nil:
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	reply := &fleetv1.FollowReply{Revision: answer.Revision}
+	for _, row := range answer.Rows {
+		reply.Rows = append(reply.Rows, &fleetv1.Row{
+			Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted,
+		})
+	}
+	return reply, nil
+}
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -50,6 +50,10 @@
 	f()
 }
 
+func (r *recorder) Follow(context.Context, platform.FeedQuery) (platform.FeedAnswer, error) {
+	return platform.FeedAnswer{}, platform.ErrFeedUnfit
+}
+
 func (r *recorder) Peers(peers []scheduler.Peer) {
 	r.locked(func() {
 		r.peers = map[ident.Daemon]scheduler.Peer{}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -37,6 +37,26 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (rows []FeedRow, revision uint64, err error)
 }
 
+// ErrFeedUnfit is the error of a daemon that is asked in the store's stead and does not
+// keep up with it.
+var ErrFeedUnfit = errors.New("the daemon does not keep up with the store for others")
+
+// FeedQuery asks a daemon in the store's stead: for the rows of a table that changed
+// after a revision, as Feed.Changes does, or for the whole table.
+type FeedQuery struct {
+	Table string
+	After uint64
+	Whole bool
+	Wait  time.Duration
+}
+
+// FeedAnswer answers it.
+type FeedAnswer struct {
+	Rows []FeedRow
+	// Revision is the store's up to which the answer holds.
+	Revision uint64
+}
+
 // Rows writes single rows that one daemon alone writes.
 type Rows interface {
 	PutRow(ctx context.Context, table, key string, value []byte) (revision uint64, err error)
@@ -69,6 +89,9 @@
 	Gather time.Duration
 	// Group joins the followers of one store; nil: none.
 	Group *FeedGroup
+	// Beats tells that this is the group's follower with the short Wait, by which the
+	// others know whether the store answers.
+	Beats bool
 	// Slack is how long after Wait an answer may come. Default 700 ms: above the
 	// answer time of a loaded store, and together with Wait below the 3 s after
 	// which a daemon counts as in touch with the store again.
@@ -83,10 +106,13 @@
 	defaultFeedWait   = 1800 * time.Millisecond
 	defaultFeedSlack  = 700 * time.Millisecond
 	feedBackoffBase   = 100 * time.Millisecond
-	feedBackoffCap    = 800 * time.Millisecond
+	feedBackoffCap    = 1500 * time.Millisecond
 	defaultFeedGather = 150 * time.Millisecond
 	// feedRead bounds the reading of a whole table.
 	feedRead = 2 * time.Second
+	// awayRetry is how long a follower whose group is away waits before it tries by
+	// itself. Two calls of three in an outage would tell what the third one tells.
+	awayRetry = 2 * time.Second
 )
 
 // Follower keeps a subscriber up to date with one table of the platform's store.
@@ -110,11 +136,41 @@
 type FeedGroup struct {
 	mu     sync.Mutex
 	broken chan struct{}
+	// away is not nil while the follower that beats finds the store away, and is closed
+	// at its return.
+	away chan struct{}
 }
 
 // NewFeedGroup returns a group without members.
 func NewFeedGroup() *FeedGroup { return &FeedGroup{broken: make(chan struct{})} }
 
+// setAway notes whether the store is away.
+func (g *FeedGroup) setAway(away bool) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case away && g.away == nil:
+		g.away = make(chan struct{})
+	case !away && g.away != nil:
+		close(g.away)
+		g.away = nil
+	}
+}
+
+// isAway returns a channel that is closed at the store's return; nil while it is not
+// away.
+func (g *FeedGroup) isAway() <-chan struct{} {
+	if g == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.away
+}
+
 // fail ends the calls of all members, which then begin anew on other connections.
 func (g *FeedGroup) fail() {
 	if g == nil {
@@ -183,12 +239,28 @@
 			// A call that ended by its own time limit was pause enough: another one
 			// would keep the daemon out of touch for longer than the outage.
 			if !errors.Is(err, context.DeadlineExceeded) {
-				pauseFor(ctx, fullJitter(f.failures, feedBackoffBase, feedBackoffCap, rand.Float64()))
+				f.backOff(ctx)
 			}
 		}
 	}
 }
 
+// backOff waits after a failed call. While the follower that beats finds the store
+// away, the others leave it to that one to find it back.
+func (f *Follower) backOff(ctx context.Context) {
+	if back := f.cfg.Group.isAway(); back != nil && !f.cfg.Beats {
+		timer := time.NewTimer(awayRetry)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-back:
+		case <-timer.C:
+		}
+		return
+	}
+	pauseFor(ctx, fullJitter(f.failures, feedBackoffBase, feedBackoffCap, rand.Float64()))
+}
+
 // step makes one call. Changed tells that it brought a change.
 func (f *Follower) step(ctx context.Context) (changed bool, err error) {
 	if !f.read {
@@ -203,7 +275,7 @@
 		return false, errGroupFailed
 	}
 	if err != nil {
-		if call.Err() != nil {
+		if call.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
 			f.cfg.Group.fail()
 		}
 		return false, err
@@ -230,6 +302,9 @@
 }
 
 func (f *Follower) answered() {
+	if f.cfg.Beats {
+		f.cfg.Group.setAway(false)
+	}
 	if f.away {
 		event.FeedReachable.Log(f.cfg.Logger, "table", f.cfg.Table, "failures", f.failures)
 		f.away = false
@@ -254,6 +329,9 @@
 // return only with the change.
 func (f *Follower) goAway() {
 	f.read = false
+	if f.cfg.Beats {
+		f.cfg.Group.setAway(true)
+	}
 	if !f.away {
 		f.away = true
 		f.to.Reachable(false)
--- a/test/capacity/daemon.go
+++ b/test/capacity/daemon.go
@@ -80,6 +80,11 @@
 // Entries implements fleet.Handler.
 func (d *daemon) Entries(uint64) []fleet.Entry { return nil }
 
+// Follow implements fleet.Handler. The stand-in knows no table.
+func (d *daemon) Follow(context.Context, platform.FeedQuery) (platform.FeedAnswer, error) {
+	return platform.FeedAnswer{}, platform.ErrFeedUnfit
+}
+
 // Claim implements fleet.Handler.
 func (d *daemon) Claim(fleet.ClaimQuery) fleet.ClaimAnswer {
 	return fleet.ClaimAnswer{State: fleet.ClaimUnknown}
