Counters are found without tags, and spans that nobody sees are not made

Cause: of the processor time of a refused request (native profile of one daemon, 150 callers, GOMAXPROCS 1) 18% went to finding counters by their tags and 10% to spans without an exporter.

Ruled out: the collector (5%), the daemon's own exchange (8%).

Change: counters and histograms are kept by name and tag values; without an exporter the tracer makes no spans, and the context of callers is still passed on; values reach the reporter every 2 s.

--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -68,9 +69,17 @@
 	scope  tally.Scope
 	closer io.Closer
 	http   http.Handler
+	// known holds the counters and histograms that were used, by tagged: to find one
+	// by its tags takes 3 us and a map, four times a request.
+	known sync.Map
 }
 
-const reportInterval = time.Second
+// tagged names a counter or a histogram and the values of its tags.
+type tagged struct{ name, service, more string }
+
+// reportInterval is how often values reach the reporter. Whoever reads the metrics
+// does so every few seconds at most.
+const reportInterval = 2 * time.Second
 
 // NewMetrics returns a reporter with a registry of its own, so that several
 // daemons can live in one test process.
@@ -94,38 +103,66 @@
 // Close reports once more and stops.
 func (m *Metrics) Close() error { return m.closer.Close() }
 
-func (m *Metrics) tagged(tags map[string]string) tally.Scope { return m.scope.Tagged(tags) }
+// counter returns a counter of a service. Tag is the name of its second tag; empty
+// where it has one only.
+func (m *Metrics) counter(name, service, tag, value string) tally.Counter {
+	key := tagged{name, service, value}
+	if known, ok := m.known.Load(key); ok {
+		return known.(tally.Counter)
+	}
+	c := m.scope.Tagged(tags(service, tag, value)).Counter(name)
+	m.known.Store(key, c)
+	return c
+}
+
+// histogram is counter's like for a histogram of times.
+func (m *Metrics) histogram(name, service, tag, value string) tally.Histogram {
+	key := tagged{name, service, value}
+	if known, ok := m.known.Load(key); ok {
+		return known.(tally.Histogram)
+	}
+	h := m.scope.Tagged(tags(service, tag, value)).Histogram(name, tally.DefaultBuckets)
+	m.known.Store(key, h)
+	return h
+}
+
+func tags(service, tag, value string) map[string]string {
+	t := map[string]string{"service": service}
+	if tag != "" {
+		t[tag] = value
+	}
+	return t
+}
 
 // Request counts an answered request; code 0 is a complete answer.
 func (m *Metrics) Request(service ident.Service, code string) {
-	m.tagged(map[string]string{"service": string(service), "code": code}).Counter(metricRequests).Inc(1)
+	m.counter(metricRequests, string(service), "code", code).Inc(1)
 }
 
 // Wait records the time from acceptance to a grant.
 func (m *Metrics) Wait(service ident.Service, class string, d time.Duration) {
-	m.tagged(map[string]string{"service": string(service), "class": class}).Histogram(metricWait, tally.DefaultBuckets).RecordDuration(d)
+	m.histogram(metricWait, string(service), "class", class).RecordDuration(d)
 }
 
 // First records the time from dispatch to the first byte of the answer.
 func (m *Metrics) First(service ident.Service, d time.Duration) {
-	m.tagged(map[string]string{"service": string(service)}).Histogram(metricFirst, tally.DefaultBuckets).RecordDuration(d)
+	m.histogram(metricFirst, string(service), "", "").RecordDuration(d)
 }
 
 // Served counts delivered service.
 func (m *Metrics) Served(service ident.Service, workspace ident.Workspace, units int64) {
-	m.tagged(map[string]string{"service": string(service), "workspace": string(workspace)}).Counter(metricServed).Inc(units)
+	m.counter(metricServed, string(service), "workspace", string(workspace)).Inc(units)
 }
 
 // Retry counts an attempt after the first one.
 func (m *Metrics) Retry(service ident.Service) {
-	m.tagged(map[string]string{"service": string(service)}).Counter(metricRetries).Inc(1)
+	m.counter(metricRetries, string(service), "", "").Inc(1)
 }
 
 // Preempted counts a stopped stream and the tokens that are read again for it.
 func (m *Metrics) Preempted(service ident.Service, reread int64) {
-	scope := m.tagged(map[string]string{"service": string(service)})
-	scope.Counter(metricPreempted).Inc(1)
-	scope.Counter(metricReread).Inc(reread)
+	m.counter(metricPreempted, string(service), "", "").Inc(1)
+	m.counter(metricReread, string(service), "", "").Inc(reread)
 }
 
 // ServiceGauges is the state of one service at one daemon.
@@ -137,7 +174,7 @@
 
 // Service reports the state of one service.
 func (m *Metrics) Service(g ServiceGauges) {
-	scope := m.tagged(map[string]string{"service": string(g.Service)})
+	scope := m.scope.Tagged(tags(string(g.Service), "", ""))
 	scope.Gauge(metricWaiting).Update(float64(g.Waiting))
 	scope.Gauge(metricRunning).Update(float64(g.Running))
 	scope.Gauge(metricSlots).Update(float64(g.Slots))
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/savorystall/savorystall/internal/settings"
 )
@@ -40,6 +41,11 @@
 // exporter the context of callers is still carried through to targets.
 func NewTracing(ctx context.Context, daemon string, cfg settings.Trace) (*Tracing, error) {
 	t := &Tracing{Propagator: propagation.TraceContext{}}
+	if cfg.OTLP == "" && cfg.File == "" {
+		// Spans that nobody sees cost a tenth of a refused request's processor time.
+		t.Tracer = noop.NewTracerProvider().Tracer("savorystall")
+		return t, nil
+	}
 	options := []sdktrace.TracerProviderOption{
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(cfg.Sample))),
 		sdktrace.WithResource(resource.NewSchemaless(
@@ -73,6 +79,9 @@
 
 // Close flushes the spans that were not exported yet.
 func (t *Tracing) Close(ctx context.Context) error {
+	if t.provider == nil {
+		return nil
+	}
 	err := t.provider.Shutdown(ctx)
 	if t.file != nil {
 		_ = t.file.Close()
