A daemon short of processor time refuses a part at once and sends it elsewhere

Cause: the balancer leads each caller to one daemon, and a workspace with one caller of 600 requests a second reached a VM of 0.192 of a core, which serves 100 to 140. All were read late and 12,000 of 27,000 requests of its zone ended unread; the daemon came back into rotation after 1 s and was overloaded again 3 s later; 16 daemons beside it idled.

Change: package overload: a Shedder refuses the part that keeps the median turn at 3 ms, new connections first, with a return after 20 ms, which leads to another daemon; it counts in its workspace's demand; a daemon that refuses is overloaded for the balancer, and in a zone of four or more stays out 10 s, doubling to 40; connections are kept until the balancer knows. A request that is placed anew after a refused connection is no return.

--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -18,7 +18,7 @@
 		c.refuse(spec.ID, resultcode.Fail(resultcode.NoTarget, "service %s", spec.Service))
 		return
 	}
-	r := &request{Request: spec}
+	r := &request{Request: spec, met: spec.Known}
 	r.candidates = c.candidates(now, s, r)
 	if len(r.candidates) == 0 {
 		c.refuse(spec.ID, resultcode.Fail(resultcode.NoTarget, "service %s", spec.Service))
@@ -28,6 +28,13 @@
 	c.next(now, r)
 }
 
+// Wanted counts what a workspace asked for and was refused before a place was looked for.
+func (c *Core) Wanted(now time.Time, name ident.Service, ws ident.Workspace, cost float64) {
+	if s := c.services[name]; s != nil {
+		s.shares.account(ws).asked.add(now, cost)
+	}
+}
+
 func (c *Core) refuse(id ident.Request, f *resultcode.Failure) {
 	delete(c.requests, id)
 	c.emit(Refuse{Request: id, Failure: f})
--- a/internal/booking/load_test.go
+++ b/internal/booking/load_test.go
@@ -336,3 +336,29 @@
 	owner.Tick(now)
 	is.True(!ask("long after", 8, 2000).Back)
 }
+
+// A target refuses the connection, and the request is placed anew by the same daemon.
+// Its owner met it a moment before and took it for one that comes back late, so that it
+// was refused on a busy engine.
+func TestARequestThatIsPlacedAnewHasNotComeBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	ingress, owner, name := two(now)
+	other := map[ident.Daemon]ident.Daemon{"a": "b", "b": "a"}[name]
+	r := booking.Request{
+		ID: "r", Service: "pool", Workspace: "w", Prompt: 2000, Output: 10, Due: now.Add(300 * time.Millisecond),
+		Parts: []booking.Part{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 1500}},
+	}
+	for _, r.Known = range []bool{false, true} {
+		ingress.Submit(now, r)
+		pass(now, ingress, owner, other)
+		pass(now, owner, ingress, name)
+		for _, e := range ingress.Take() {
+			d, ok := e.(booking.Dispatch)
+			is.True(ok)
+			is.True(!d.Basis.Back)
+		}
+		ingress.Finish(now, r.ID, booking.Result{})
+		pass(now, ingress, owner, other)
+	}
+}
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -31,6 +31,9 @@
 	// Begun tells that an earlier attempt was placed: the request has counted in
 	// its workspace's share, and what was done for it is lost if it is refused now.
 	Begun bool
+	// Known tells that owners were asked for the request before: a place came to
+	// nothing, since the target could not be reached.
+	Known bool
 }
 
 // Cost is what a request counts against its workspace: tokens, of which a
@@ -39,9 +42,12 @@
 	if r.Prompt == 0 {
 		return 1
 	}
-	return float64(r.Prompt + outputWeight*r.Output)
+	return Tokens(r.Prompt, r.Output)
 }
 
+// Tokens is what a prompt and an answer count against their workspace.
+func Tokens(prompt, output int) float64 { return float64(prompt + outputWeight*output) }
+
 // outputWeight is what a generated token counts against one read: about the
 // inverse of how many more of the latter an engine does in the same time.
 const outputWeight = 2
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -116,6 +116,11 @@
 	b.do(func(now time.Time) { b.core.Finish(now, id, result) })
 }
 
+// Wanted counts what a workspace asked for without a place being looked for.
+func (b *Bookings) Wanted(service ident.Service, workspace ident.Workspace, cost float64) {
+	b.do(func(now time.Time) { b.core.Wanted(now, service, workspace, cost) })
+}
+
 // Configure puts new services in force.
 func (b *Bookings) Configure(services []booking.Service) {
 	b.do(func(now time.Time) { b.core.Configure(now, services) })
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -39,7 +39,11 @@
 }
 
 func listenDrainable(address string) (*drainableListener, error) {
-	l, err := net.Listen("tcp", address)
+	// No keepalive probes: an unused connection ends by its idle timeout and a request by
+	// its deadline, and to set them takes four system calls of the ten that a refused
+	// request on a new connection takes.
+	config := net.ListenConfig{KeepAlive: -1}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -126,7 +130,7 @@
 			time.Sleep(time.Second / shedRate)
 		}
 		conn, err := l.drainableListener.Accept()
-		if err != nil || !hungUp(conn) {
+		if err != nil || !l.overloaded() || !hungUp(conn) {
 			return conn, err
 		}
 		_ = conn.Close() // nobody waits for anything on it
@@ -136,17 +140,40 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// withConn lets callerGone find the connection of a request.
+// callerConn is a caller's connection and how many requests it has brought. One goroutine
+// serves it.
+type callerConn struct {
+	net.Conn
+	requests int
+}
+
+// withConn lets callerGone and firstOnConnection find the connection of a request.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(ctx, connKey{}, &callerConn{Conn: conn})
+}
+
+// counting counts the requests of connections.
+func counting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			conn.requests++
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// firstOnConnection tells whether a request is the first one on its connection.
+func firstOnConnection(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && conn.requests <= 1
 }
 
 // callerGone tells whether the caller of a request has closed its connection. The
 // server notices that by itself, but only when it comes to read it, which on a daemon
 // short of processor time is after the request was sent on.
 func callerGone(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && hungUp(conn)
+	conn, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && hungUp(conn.Conn)
 }
 
 // hungUp tells whether the other end has closed the connection.
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"runtime"
 	"sync/atomic"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/overload"
+	"github.com/savorystall/savorystall/internal/settings"
 )
 
 // probeTurnEvery is how often the wait for a turn is measured; it costs some
@@ -20,18 +22,56 @@
 // A timer does not tell: the runtime gives a goroutine that a timer wakes the next
 // turn. One that yields goes behind all that are ready.
 type loadWatch struct {
-	over atomic.Bool
+	over, starves atomic.Bool
+	// shed is the part of new requests to refuse, in thousandths.
+	shed atomic.Int64
+	// since is when the daemon became overloaded, in nanoseconds since started; zero: it
+	// is not.
+	since   atomic.Int64
+	started time.Time
+	// lag is how long the balancer takes to notice.
+	lag time.Duration
+	// zone is how many daemons the availability zone has.
+	zone atomic.Int64
 }
 
-func newLoadWatch() *loadWatch { return &loadWatch{} }
+// holdFrom is the number of daemons in a zone from which on one that is overloaded may
+// stay out for longer than its load lasts.
+const holdFrom = 4
+
+func newLoadWatch(s settings.Settings) *loadWatch {
+	return &loadWatch{started: time.Now(), lag: s.Stop.BalancerLag}
+}
 
 // overloaded tells whether the daemon has too little processor time.
 func (l *loadWatch) overloaded() bool { return l.over.Load() }
 
+// sheds tells whether a new request is to be refused at once, by its context.
+func (l *loadWatch) sheds(ctx context.Context) bool {
+	shed := l.shed.Load()
+	if shed == 0 {
+		return false
+	}
+	return rand.Float64() < overload.Part(float64(shed)/shedUnit, firstOnConnection(ctx))
+}
+
+// shedUnit is the unit of loadWatch.shed.
+const shedUnit = 1000
+
+// left tells whether the balancer has noticed that the daemon is overloaded.
+func (l *loadWatch) left() bool {
+	since := l.since.Load()
+	return since > 0 && time.Since(l.started)-time.Duration(since) > l.lag
+}
+
+// starved tells whether the daemon does not keep up though it refuses what it can.
+func (l *loadWatch) starved() bool { return l.starves.Load() }
+
 func (l *loadWatch) run(ctx context.Context, log *slog.Logger, conns *connections) {
 	ticker := time.NewTicker(probeTurnEvery)
 	defer ticker.Stop()
 	var detector overload.Detector
+	var shedder overload.Shedder
 	for {
 		select {
 		case <-ctx.Done():
@@ -41,14 +81,18 @@
 		before := time.Now()
 		runtime.Gosched()
 		now := time.Now()
-		over := detector.Note(now, now.Sub(before))
+		share := shedder.Note(now, now.Sub(before))
+		l.starves.Store(detector.Mean() >= overload.High)
+		l.shed.Store(int64(shedUnit * share))
+		over := detector.Note(now, now.Sub(before), share, l.zone.Load() >= holdFrom)
 		if l.over.Swap(over) == over {
 			continue
 		}
-		line := event.OverloadEnded
+		line, since := event.OverloadEnded, time.Duration(0)
 		if over {
-			line = event.Overloaded
+			line, since = event.Overloaded, now.Sub(l.started)
 		}
-		line.Log(log, "wait_ms", detector.Mean().Milliseconds(), "callers", conns.open())
+		l.since.Store(int64(since))
+		line.Log(log, "wait_ms", detector.Mean().Milliseconds(), "sheds", share, "callers", conns.open())
 	}
 }
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -83,7 +83,7 @@
 	return b.node, err
 }
 
-func newGateway(s settings.Settings, routes *route.Holder, loop *control.Bookings, pool *targetconn.Pool, b *routedBridge,
+func newGateway(s settings.Settings, routes *route.Holder, loop *control.Bookings, pool *targetconn.Pool, b *routedBridge, load *loadWatch,
 	metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *gateway.Server {
 	b.gateway = gateway.New(gateway.Deps{
 		Config: gateway.Config{
@@ -92,7 +92,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone, Sheds: load.sheds, Left: load.left,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
@@ -125,7 +125,7 @@
 	r.callers = &http.Server{
 		ConnState:         r.connections.note,
 		ConnContext:       withConn,
-		Handler:           keeping(s.Callers.IdleTimeout, func() bool { return r.connections.pressed() || load.overloaded() }, closing(life, g)),
+		Handler:           keeping(s.Callers.IdleTimeout, r.connections.pressed, closing(life, counting(g))),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
 		MaxHeaderBytes:    s.Callers.HeaderBytes,
 		IdleTimeout:       s.Callers.IdleTimeout,
@@ -248,7 +248,7 @@
 	for _, run := range site.tasks() {
 		d.tasks.Go(func() { run(taskCtx) })
 	}
-	d.callers = d.serve(d.p.Servers.callers, newSheddingListener(d.p.Servers.callersListener, d.p.Load.overloaded))
+	d.callers = d.serve(d.p.Servers.callers, newSheddingListener(d.p.Servers.callersListener, d.p.Load.starved))
 	d.serve(d.p.Servers.operators, d.p.Servers.operatorsListener)
 	if d.p.Servers.readinessListener != nil {
 		d.serve(d.p.Servers.readiness, d.p.Servers.readinessListener)
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -28,11 +28,15 @@
 	loop    *control.Bookings
 	gateway *gateway.Server
 	relay   *relay.Feed
+	zone    ident.Zone
+	load    *loadWatch
 }
 
 var _ fleet.Handler = (*routedBridge)(nil)
 
-func newRoutedBridge() *routedBridge { return &routedBridge{} }
+func newRoutedBridge(id identity, load *loadWatch) *routedBridge {
+	return &routedBridge{load: load, zone: id.Zone}
+}
 
 // SendBookings implements control.BookingActions.
 func (b *routedBridge) SendBookings(to ident.Daemon, m booking.Message) {
@@ -43,12 +47,17 @@
 func (b *routedBridge) Peers(peers []scheduler.Peer) {
 	list := make([]booking.Peer, len(peers))
 	members := make([]membership.Member, len(peers))
+	zone := int64(1)
 	for i, p := range peers {
 		list[i] = booking.Peer(p)
 		members[i] = membership.Member{ID: p.ID, Zone: p.Zone, Incarnation: p.Incarnation, Leaving: p.Leaving}
+		if p.Zone == b.zone && !p.Leaving {
+			zone++
+		}
 	}
 	b.loop.Peers(list)
 	b.relay.Elect(members)
+	b.load.zone.Store(zone)
 	b.gateway.SetDaemons(len(peers) + 1)
 }
 
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -125,12 +125,7 @@
 
 // schedule decides the service, and how long the request may wait.
 func (s *Server) schedule(j *job, table *route.Table) {
-	usable := s.targets.Load().Usable
-	name := j.route.Choose(rand.Float64(), func(n ident.Service) bool { return usable[n] })
-	j.service = route.Service{Name: name}
-	if known, ok := table.Service(name); ok {
-		j.service = *known
-	}
+	j.service = s.choose(j.route, table)
 	limit := forever
 	if j.route.Timeout > 0 {
 		limit = j.route.Timeout
@@ -146,6 +141,16 @@
 	})
 }
 
+// choose returns the service of a route's split that is to serve a request.
+func (s *Server) choose(r *route.Route, table *route.Table) route.Service {
+	usable := s.targets.Load().Usable
+	name := r.Choose(rand.Float64(), func(n ident.Service) bool { return usable[n] })
+	if known, ok := table.Service(name); ok {
+		return *known
+	}
+	return route.Service{Name: name}
+}
+
 // requestTarget is the path and query as the caller sent them.
 func requestTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,8 @@
 	Place(ctx context.Context, r booking.Request) control.Placement
 	First(id ident.Request, took time.Duration)
 	Finish(id ident.Request, result booking.Result)
+	// Wanted counts what was asked for and refused without asking for a place.
+	Wanted(service ident.Service, workspace ident.Workspace, cost float64)
 }
 
 // Config bounds what the gateway does.
@@ -109,7 +111,12 @@
 	Placer  Placer
 	Pool    *targetconn.Pool
 	// Gone tells whether the caller of a request has left, by its context.
-	Gone    func(ctx context.Context) bool
+	Gone func(ctx context.Context) bool
+	// Sheds tells whether a new request is to be refused for want of processor time,
+	// by its context.
+	Sheds func(ctx context.Context) bool
+	// Left tells whether the balancer leads no new connections here.
+	Left    func() bool
 	Metrics *telemetry.Metrics
 	Tracing *telemetry.Tracing
 	Log     *slog.Logger
@@ -182,6 +189,10 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer s.recover(r)
+	if s.Sheds(r.Context()) {
+		s.shed(w, r)
+		return
+	}
 	ctx := s.Tracing.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.Tracing.Start(ctx, telemetry.SpanIngress, trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -5,10 +5,13 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/overload"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -37,6 +40,42 @@
 	s.answerFailure(w, j, f)
 }
 
+// shed refuses a request that the daemon has no processor time for.
+func (s *Server) shed(w http.ResponseWriter, r *http.Request) {
+	s.wanted(r)
+	discard(r)
+	if s.Left() {
+		w.Header().Set("Connection", "close") // a new one leads to another daemon
+	}
+	f := resultcode.Fail(resultcode.DaemonBusy, "")
+	f.RetryAfter = overload.BackAtOnce
+	s.end(w, r, nil, f)
+}
+
+// wanted counts what a refused request asks for in its workspace's demand. Without it a
+// workspace whose callers all reach one busy daemon would seem to want nothing, and what
+// it lacks would go to those that have more already.
+func (s *Server) wanted(r *http.Request) {
+	table := s.Routes.Current()
+	if table == nil {
+		return
+	}
+	path, _, _ := strings.Cut(requestTarget(r), "?")
+	found, ok := table.Find(r.Host, path)
+	if !ok {
+		return
+	}
+	call := s.Dialect.Call(r.Header)
+	workspace, failure := table.Identify(found, call.Key)
+	if failure != nil {
+		return
+	}
+	service := s.choose(found, table)
+	if service.Model {
+		s.Placer.Wanted(service.Name, workspace, booking.Tokens(call.PromptTokens, call.OutputTokens))
+	}
+}
+
 // status returns the HTTP status of a failure. Callers take 503 for a promise
 // that the request has not run, and come back; so every refusal for want of time
 // or place is told that way, and nothing else is.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -85,7 +85,7 @@
 	asked := time.Now()
 	request := booking.Request{
 		ID: j.id, Service: j.service.Name, Workspace: j.workspace,
-		Due: j.plan.Due, Late: j.plan.Late, Begun: j.trace.sends > 0, Avoid: j.trace.avoid,
+		Due: j.plan.Due, Late: j.plan.Late, Begun: j.trace.sends > 0, Known: j.trace.sends+j.trace.unsent > 0, Avoid: j.trace.avoid,
 	}
 	if j.service.Model {
 		request.Prompt, request.Output, request.Parts = j.call.PromptTokens, j.call.OutputTokens, j.call.Parts
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -18,12 +18,21 @@
 import "time"
 
 const (
-	// high and low are the mean wait at which overload begins, and below which it may
+	// High and low are the mean wait at which overload begins, and below which it may
 	// end.
-	high = 10 * time.Millisecond
+	High = 10 * time.Millisecond
 	low  = 2 * time.Millisecond
 	// calm is how long the wait must have been low for it to end.
 	calm = time.Second
+	// sheds is the part of new requests refused for want of processor time from which
+	// on a daemon is overloaded too: refusals keep the wait low.
+	sheds = 0.2
+	// holdBase and holdMost bound how long a daemon stays out at least, in a zone that
+	// has others. The time doubles where it is overloaded again within relapse of its
+	// return: the caller that was too much for it has come back with it.
+	holdBase = 10 * time.Second
+	holdMost = 40 * time.Second
+	relapse  = 10 * time.Second
 	// weight is that of one observation in the mean: of one in 20 ms, about half a
 	// second of them.
 	weight = 0.04
@@ -38,24 +47,49 @@
 	over bool
 	// quiet is since when the mean has been low; zero: it is not.
 	quiet time.Time
+	// until is how long it stays overloaded at least, hold that time, ended when it
+	// last ended.
+	until time.Time
+	hold  time.Duration
+	ended time.Time
 }
 
-// Note takes in one wait, and tells whether the daemon is overloaded.
-func (d *Detector) Note(now time.Time, wait time.Duration) bool {
+// Note takes in one wait and the part of new requests that is refused, and tells whether
+// the daemon is overloaded. Holds tells whether it may stay out for longer than its load
+// lasts: where others can take its callers.
+func (d *Detector) Note(now time.Time, wait time.Duration, shed float64, holds bool) bool {
 	wait = min(max(0, wait), most)
 	d.mean += time.Duration(weight * float64(wait-d.mean))
 	switch {
-	case d.mean >= high:
-		d.over, d.quiet = true, time.Time{}
-	case d.mean > low:
+	case d.mean >= High || shed >= sheds:
+		d.begin(now, holds)
+		d.quiet = time.Time{}
+	case d.mean > low || shed > 0:
 		d.quiet = time.Time{}
 	case d.quiet.IsZero():
 		d.quiet = now
-	case now.Sub(d.quiet) >= calm:
-		d.over = false
+	case d.over && now.Sub(d.quiet) >= calm && (!holds || !now.Before(d.until)):
+		d.over, d.ended = false, now
 	}
 	return d.over
 }
 
+// begin notes that the daemon is overloaded.
+func (d *Detector) begin(now time.Time, holds bool) {
+	if d.over {
+		return
+	}
+	d.over = true
+	switch {
+	case !holds:
+		d.hold = 0
+	case !d.ended.IsZero() && now.Sub(d.ended) < relapse:
+		d.hold = min(max(holdBase, 2*d.hold), holdMost)
+	default:
+		d.hold = holdBase
+	}
+	d.until = now.Add(d.hold)
+}
+
 // Mean returns the mean wait.
 func (d *Detector) Mean() time.Duration { return d.mean }
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -15,7 +15,7 @@
 func play(d *overload.Detector, now *time.Time, wait, long time.Duration) (over bool) {
 	for end := now.Add(long); now.Before(end); {
 		*now = now.Add(tick + wait)
-		over = d.Note(*now, wait)
+		over = d.Note(*now, wait, 0, false)
 	}
 	return over
 }
@@ -40,7 +40,7 @@
 	now := time.Unix(1000, 0)
 	play(&d, &now, time.Millisecond, time.Second)
 	now = now.Add(5 * time.Second)
-	is.Equal(d.Note(now, 5*time.Second), false)
+	is.Equal(d.Note(now, 5*time.Second, 0, false), false)
 	is.Equal(play(&d, &now, time.Millisecond, time.Second), false)
 }
 
@@ -54,6 +54,58 @@
 	for range 100 {
 		is.Equal(play(&d, &now, 0, 140*time.Millisecond), false)
 		now = now.Add(40 * time.Millisecond)
-		is.Equal(d.Note(now, 30*time.Millisecond), false)
+		is.Equal(d.Note(now, 30*time.Millisecond, 0, false), false)
 	}
 }
+
+// The balancer leads a caller that is too much for a VM back to it as soon as it counts
+// as ready. Ready again after a second, it is overloaded again three seconds later, and
+// the caller's requests are refused or late for as long as it calls: each time the VM
+// stays out for longer.
+func TestADaemonThatIsOverloadedAgainStaysOutForLonger(t *testing.T) {
+	is := is.New(t)
+	var d overload.Detector
+	now := time.Unix(1000, 0)
+	out := func() (long time.Duration) {
+		for !d.Note(now, 30*time.Millisecond, 0, true) {
+			now = now.Add(tick)
+		}
+		began := now
+		for d.Note(now, 0, 0, true) {
+			now = now.Add(tick)
+		}
+		return now.Sub(began)
+	}
+	first := out()
+	now = now.Add(2 * time.Second)
+	second := out()
+	is.True(first >= 9*time.Second)
+	is.True(second >= 19*time.Second)
+	now = now.Add(time.Minute)
+	is.True(out() < second) // it was well for long
+}
+
+// In a small zone the others may not be able to take its callers: the daemon returns as
+// soon as it keeps up.
+func TestInASmallZoneNobodyStaysOut(t *testing.T) {
+	is := is.New(t)
+	var d overload.Detector
+	now := time.Unix(1000, 0)
+	is.Equal(play(&d, &now, 30*time.Millisecond, time.Second), true)
+	is.Equal(play(&d, &now, 0, 2500*time.Millisecond), false)
+}
+
+// Refusals keep the wait low. A daemon that refuses a part of what comes is overloaded
+// all the same, and the balancer has to know.
+func TestADaemonThatRefusesIsOverloaded(t *testing.T) {
+	is := is.New(t)
+	var d overload.Detector
+	now := time.Unix(1000, 0)
+	is.Equal(d.Note(now, 0, 0.1, false), false)
+	is.Equal(d.Note(now, 0, 0.3, false), true)
+	for range 200 {
+		now = now.Add(tick)
+		is.Equal(d.Note(now, 0, 0.1, false), true) // it refuses still
+	}
+	is.Equal(play(&d, &now, 0, 2*time.Second), false)
+}
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -77,6 +77,7 @@
 	DeadlinePassed  = define(Code{2006, "deadline_passed", http.StatusGatewayTimeout, NotRun, "the deadline passed while the request waited", 2 * time.Second})
 	NoTarget        = define(Code{2007, "no_target", http.StatusServiceUnavailable, NotRun, "the service has no usable target", 2 * time.Second})
 	Stopping        = define(Code{2008, "stopping", http.StatusServiceUnavailable, NotRun, "this daemon is stopping", time.Second})
+	DaemonBusy      = define(Code{2010, "daemon_busy", http.StatusServiceUnavailable, NotRun, "this daemon has too little processor time; another one may serve the request at once", 0})
 	TargetRefused   = define(Code{2009, "target_refused", http.StatusServiceUnavailable, NotRun, "no target accepted the request", time.Second})
 )
 
