A zone's reader is asked once the members have settled, and serves after its first call

Cause: while a zone starts, its members grow from 4 to 18 within half a second, and each daemon turned to up to four readers, three calls a turn; a new reader served nobody for 0.8 s, until its first call had waited for a change, so that its followers asked the store.

Change: another reader is asked after a second without a change of members; its first call waits 50 ms; what changes right after a table was read is gathered too.

--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -261,10 +261,11 @@
 	pauseFor(ctx, fullJitter(f.failures, feedBackoffBase, feedBackoffCap, rand.Float64()))
 }
 
-// step makes one call. Changed tells that it brought a change.
+// step makes one call. Changed tells that it brought a change, or the whole table.
 func (f *Follower) step(ctx context.Context) (changed bool, err error) {
 	if !f.read {
-		return false, f.readAll(ctx)
+		err := f.readAll(ctx)
+		return err == nil, err // what changes right after it is gathered too
 	}
 	watched, end := f.cfg.Group.watch(ctx)
 	defer end()
--- a/internal/relay/copies.go
+++ b/internal/relay/copies.go
@@ -67,6 +67,13 @@
 	c.signal()
 }
 
+// isInTouch tells whether the store has answered this reader's last call.
+func (c *copies) isInTouch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inTouch
+}
+
 func (c *copies) table(name string) *table {
 	t := c.tables[name]
 	if t == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,6 +58,9 @@
 	// and storeSlack how long after that an answer may come: above the answer time of
 	// a loaded store. A reader knows after 1.5 s that the store is silent.
 	readerBeat = 800 * time.Millisecond
+	// firstBeat is the wait of the first such call of a new reader, which serves
+	// nobody before it.
+	firstBeat  = 50 * time.Millisecond
 	storeSlack = 700 * time.Millisecond
 	// followerBeat is how long a follower's calls for the beat table wait at its
 	// reader, and slack how long after its wait an answer may come: a reader that
@@ -69,6 +72,10 @@
 	// reader that comes and goes does not take the follower with it.
 	restBase = 3 * time.Second
 	restMost = 30 * time.Second
+	// settle is how long the members must be the same for another reader to be asked.
+	// A zone that starts grows within some hundred ms, and each turn to another reader
+	// costs every daemon three calls.
+	settle = time.Second
 )
 
 // Feed is a platform.Feed that asks the zone's reader where there is one, and the
@@ -85,6 +92,8 @@
 	// restUntil is until when the reader is not asked, rest how long the next rest is.
 	restUntil time.Time
 	rest      time.Duration
+	// settling puts another reader in force.
+	settling *time.Timer
 	// turned is closed when calls under way are to be begun anew elsewhere.
 	turned chan struct{}
 	// seen is the highest revision of each table that was returned.
@@ -111,12 +120,22 @@
 			reader, serves = "", true
 		}
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.settling != nil {
+		f.settling.Stop()
+	}
+	f.settling = time.AfterFunc(settle, func() { f.install(reader, serves, len(members)) })
+}
+
+// install puts another reader in force.
+func (f *Feed) install(reader ident.Daemon, serves bool, members int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if reader == f.reader && serves == f.serves {
 		return
 	}
-	event.StoreReader.Log(f.cfg.Logger, "reader", reader, "serves", serves, "zone_daemons", len(members))
+	event.StoreReader.Log(f.cfg.Logger, "reader", reader, "serves", serves, "zone_daemons", members)
 	f.reader, f.serves = reader, serves
 	f.rest, f.restUntil = restBase, time.Time{}
 	f.copies.serve(serves)
@@ -214,8 +233,11 @@
 	}
 	if serves && table == f.cfg.Beat && wait > readerBeat {
 		wait = readerBeat
+		if !f.copies.isInTouch() {
+			wait = firstBeat
+		}
 		var cancel context.CancelFunc
-		call, cancel = context.WithTimeout(call, readerBeat+storeSlack)
+		call, cancel = context.WithTimeout(call, wait+storeSlack)
 		defer cancel()
 	}
 	rows, revision, err := f.cfg.Store.Changes(call, table, after, wait)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -425,6 +425,7 @@
 			time.Sleep(time.Second)
 			z.freeze(reader, true)
 			z.elect(slices.DeleteFunc(slices.Clone(five), func(n ident.Daemon) bool { return n == reader })...)
+			time.Sleep(1100 * time.Millisecond) // the new reader is asked from now on
 			z.store.put("k", "new", false)
 			time.Sleep(700 * time.Millisecond)
 			z.everywhere(t, "k", "new", reader, cut)
