--- a/internal/booking/tell_test.go
+++ b/internal/booking/tell_test.go
@@ -21,6 +21,8 @@
 	cores map[ident.Daemon]*Core
 	// frames counts what was sent, between those that went to another zone.
 	frames, between int
+	// sent counts the frames of each daemon.
+	sent map[ident.Daemon]int
 	// lost are daemons that neither send nor receive.
 	lost map[ident.Daemon]bool
 }
@@ -28,7 +30,7 @@
 const exchangeWay = 2 * time.Millisecond
 
 func newExchange(zones, each int) *exchange {
-	x := &exchange{now: time.Unix(1000, 0), zones: map[ident.Daemon]ident.Zone{}, cores: map[ident.Daemon]*Core{}, lost: map[ident.Daemon]bool{}}
+	x := &exchange{now: time.Unix(1000, 0), zones: map[ident.Daemon]ident.Zone{}, cores: map[ident.Daemon]*Core{}, lost: map[ident.Daemon]bool{}, sent: map[ident.Daemon]int{}}
 	for z := range zones {
 		for i := range each {
 			id := ident.Daemon(fmt.Sprintf("d%d-%02d", z, i))
@@ -78,6 +80,7 @@
 
 func (x *exchange) pass(from ident.Daemon, s Send) {
 	x.frames++
+	x.sent[from]++
 	if x.zones[from] != x.zones[s.To] {
 		x.between++
 	}
@@ -176,3 +179,27 @@
 		}
 	})
 }
+
+// BenchmarkTelling is what telling takes of a fleet at rest but for demand, in frames a
+// second of an ordinary daemon and of a hub.
+func BenchmarkTelling(b *testing.B) {
+	for _, size := range []struct{ zones, each int }{{4, 2}, {4, 17}, {14, 26}} {
+		b.Run(fmt.Sprintf("%d_daemons", size.zones*size.each), func(b *testing.B) {
+			for b.Loop() {
+				x := newExchange(size.zones, size.each)
+				x.run(time.Second, 1000)
+				x.sent = map[ident.Daemon]int{}
+				const long = 4
+				x.run(long*time.Second, 1000)
+				most, all := 0, 0
+				for _, n := range x.sent {
+					most = max(most, n)
+					all += n
+				}
+				hubs := len(x.ids) / size.each
+				b.ReportMetric(float64(most)/long, "hub-frames/s")
+				b.ReportMetric(float64(all-hubs*most)/float64(len(x.ids)-hubs)/long, "daemon-frames/s")
+			}
+		})
+	}
+}
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -96,47 +96,56 @@
 	return err == nil && ready
 }
 
-// shedRate is how many new connections a second a starved daemon takes, and shedBurst
-// how many at once. To refuse a request on a new connection takes 0.11 ms of a core, so
-// that these leave three quarters of a small VM's share to the requests it has.
 const (
-	shedRate  = 400
+	// shedBurst is how many new connections are taken at once where they are limited.
 	shedBurst = 15
+	// shedPause is how long the listener waits for a place, at most.
+	shedPause = 5 * time.Millisecond
 )
 
-// sheddingListener takes few new connections while the daemon is starved, and
-// none whose caller has given up meanwhile.
+// sheddingListener takes few new connections while the daemon does not keep up, and then
+// none whose caller has given up meanwhile (overload.AcceptRate).
 //
-// It answers callers that come back on a new connection each time, some thousand a
-// second where one workspace asks for ten times its share. Read in turn, their
-// requests would take all processor time, and every request of the daemon, also of
-// others, would be read seconds late. Those that are not taken wait in the kernel,
-// where they cost nothing; closing them instead makes their callers come back at
-// once, which is worse than what it answers.
+// Those that are not taken wait in the kernel, where they cost nothing; closing them
+// instead makes their callers come back at once, which is worse than what it answers.
 type sheddingListener struct {
 	*drainableListener
-	overloaded func() bool
-	limiter    *rate.Limiter
+	// rate is how many a second are taken; zero: all.
+	rate    func() rate.Limit
+	limiter *rate.Limiter
 }
 
-func newSheddingListener(l *drainableListener, overloaded func() bool) *sheddingListener {
-	return &sheddingListener{drainableListener: l, overloaded: overloaded, limiter: rate.NewLimiter(shedRate, shedBurst)}
+func newSheddingListener(l *drainableListener, most func() rate.Limit) *sheddingListener {
+	return &sheddingListener{drainableListener: l, rate: most, limiter: rate.NewLimiter(rate.Inf, shedBurst)}
 }
 
 // Accept implements net.Listener.
 func (l *sheddingListener) Accept() (net.Conn, error) {
 	for {
-		for l.overloaded() && !l.draining.Load() && !l.limiter.Allow() {
-			time.Sleep(time.Second / shedRate)
-		}
+		limited := l.await()
 		conn, err := l.drainableListener.Accept()
-		if err != nil || !l.overloaded() || !hungUp(conn) {
+		if err != nil || !limited || !hungUp(conn) {
 			return conn, err
 		}
 		_ = conn.Close() // nobody waits for anything on it
 	}
 }
 
+// await waits until one more connection may be taken, and tells whether they are limited.
+func (l *sheddingListener) await() bool {
+	for {
+		most := l.rate()
+		if most == 0 || l.draining.Load() {
+			return false
+		}
+		l.limiter.SetLimit(most)
+		if l.limiter.Allow() {
+			return true
+		}
+		time.Sleep(shedPause)
+	}
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/overload"
 	"github.com/savorystall/savorystall/internal/settings"
@@ -22,9 +24,10 @@
 // A timer does not tell: the runtime gives a goroutine that a timer wakes the next
 // turn. One that yields goes behind all that are ready.
 type loadWatch struct {
-	// over tells that the balancer is to pass the daemon over, starves that it does not
-	// keep up though it refuses what it can.
-	over, starves atomic.Bool
+	// over tells that the balancer is to pass the daemon over.
+	over atomic.Bool
+	// accepts is how many new connections a second are taken; zero: all.
+	accepts atomic.Int64
 	// shed is the part of new requests to refuse, in thousandths.
 	shed atomic.Int64
 	// since is when the daemon became overloaded, in nanoseconds since started; zero: it
@@ -66,14 +69,13 @@
 	return since > 0 && time.Since(l.started)-time.Duration(since) > l.lag
 }
 
-// starved tells whether the daemon does not keep up: some thousand requests a second are
-// more than a small VM can refuse.
-func (l *loadWatch) starved() bool { return l.starves.Load() }
+// acceptRate is how many new connections a second are to be taken; zero: all.
+func (l *loadWatch) acceptRate() rate.Limit { return rate.Limit(l.accepts.Load()) }
 
 func (l *loadWatch) run(ctx context.Context, log *slog.Logger, conns *connections) {
 	ticker := time.NewTicker(probeTurnEvery)
 	defer ticker.Stop()
-	var detector, starving overload.Detector
+	var detector overload.Detector
 	var shedder overload.Shedder
 	for {
 		select {
@@ -85,7 +87,7 @@
 		runtime.Gosched()
 		now := time.Now()
 		share := shedder.Note(now, now.Sub(before))
-		l.starves.Store(starving.Note(now, now.Sub(before), 0, false))
+		l.accepts.Store(int64(overload.AcceptRate(detector.Mean())))
 		l.shed.Store(int64(shedUnit * share))
 		over := detector.Note(now, now.Sub(before), share, l.zone.Load() >= holdFrom)
 		if l.over.Swap(over) == over {
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -244,7 +244,7 @@
 	for _, run := range site.tasks() {
 		d.tasks.Go(func() { run(taskCtx) })
 	}
-	d.callers = d.serve(d.p.Servers.callers, newSheddingListener(d.p.Servers.callersListener, d.p.Load.starved))
+	d.callers = d.serve(d.p.Servers.callers, newSheddingListener(d.p.Servers.callersListener, d.p.Load.acceptRate))
 	d.serve(d.p.Servers.operators, d.p.Servers.operatorsListener)
 	if d.p.Servers.readinessListener != nil {
 		d.serve(d.p.Servers.readiness, d.p.Servers.readinessListener)
--- a/internal/daemon/shed_test.go
+++ b/internal/daemon/shed_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/time/rate"
 )
 
 // A workspace that asks for ten times its share brings its callers back on a new
@@ -17,8 +18,14 @@
 	is := is.New(t)
 	inner, err := listenDrainable("127.0.0.1:0")
 	is.NoErr(err)
+	const shedRate = 150
 	var over atomic.Bool
-	l := newSheddingListener(inner, over.Load)
+	l := newSheddingListener(inner, func() rate.Limit {
+		if over.Load() {
+			return shedRate
+		}
+		return 0
+	})
 	t.Cleanup(func() { _ = l.Close() })
 	var taken, stale atomic.Int64
 	go func() {
--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -60,6 +60,27 @@
 	return s.share
 }
 
+const (
+	// acceptTurns is how many turns of the mean wait may begin with a new connection in a
+	// second: at a wait of 10 ms 1,000 are taken, about what a small VM can refuse beside
+	// its other work, at 50 ms 200.
+	acceptTurns = 10
+	// acceptLeast is what a daemon takes all the same.
+	acceptLeast = 150
+)
+
+// AcceptRate returns how many new connections a second a daemon takes where a turn takes
+// so long on average; zero: all. It answers callers that bring more than can even be
+// refused: read in turn, their requests would take all processor time, and each would be
+// sent on after its caller has gone. It falls with the wait and has no memory: held down
+// until a second of calm, the daemon left a third of a flood unread that it could refuse.
+func AcceptRate(wait time.Duration) float64 {
+	if wait < high {
+		return 0
+	}
+	return max(acceptLeast, acceptTurns/wait.Seconds())
+}
+
 // Part returns the part to refuse of the requests on connections that are new, or that
 // have brought some before, where so much of all is to be refused. Those that come first
 // on a connection go first: a caller that is served keeps its connection, and the balancer
--- a/internal/overload/shed_test.go
+++ b/internal/overload/shed_test.go
@@ -97,3 +97,16 @@
 	is.True(overload.Part(0.2, true) > overload.Part(0.2, false))
 	is.True(overload.Part(0.95, false) < 1) // some tell whether the load is over
 }
+
+// The longer a turn takes, the fewer new connections are taken; none is left that keeps up.
+func TestFewerConnectionsAreTakenTheLongerATurnTakes(t *testing.T) {
+	is := is.New(t)
+	is.Equal(overload.AcceptRate(9*time.Millisecond), 0.0)
+	last := overload.AcceptRate(10 * time.Millisecond)
+	is.True(last > 900 && last < 1100)
+	for wait := 11 * time.Millisecond; wait < 200*time.Millisecond; wait += time.Millisecond {
+		rate := overload.AcceptRate(wait)
+		is.True(rate <= last && rate >= 150)
+		last = rate
+	}
+}
