--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -38,6 +39,8 @@
 	entries  []fleet.Entry
 	queries  []fleet.ClaimQuery
 	answer   fleet.ClaimAnswer
+	// followed answers what is asked in the store's stead.
+	followed func(q platform.FeedQuery) (platform.FeedAnswer, error)
 }
 
 func newRecorder() *recorder {
@@ -50,8 +53,11 @@
 	f()
 }
 
-func (r *recorder) Follow(context.Context, platform.FeedQuery) (platform.FeedAnswer, error) {
-	return platform.FeedAnswer{}, platform.ErrFeedUnfit
+func (r *recorder) Follow(_ context.Context, q platform.FeedQuery) (platform.FeedAnswer, error) {
+	if r.followed == nil {
+		return platform.FeedAnswer{}, platform.ErrFeedUnfit
+	}
+	return r.followed(q)
 }
 
 func (r *recorder) Peers(peers []scheduler.Peer) {
@@ -227,3 +233,35 @@
 	ra.eventually(t, "new incarnation", func(r *recorder) bool { return r.peers["b"].Incarnation == 2 })
 	rb.eventually(t, "link to a", linked("a"))
 }
+
+// A daemon asks another one in the store's stead. Rows arrive as they are; history that
+// is lost is told from a peer that cannot help, since only the former means that the
+// whole table has to be read.
+func TestRowsOfTheStoreComeFromAPeer(t *testing.T) {
+	is := is.New(t)
+	a, ra := start(t, fleet.Config{Self: "a"})
+	b, rb := start(t, fleet.Config{Self: "b"})
+	want := platform.FeedAnswer{Revision: 9, Rows: []platform.FeedRow{
+		{Key: "k", Value: []byte("v"), Revision: 7}, {Key: "gone", Revision: 9, Deleted: true},
+	}}
+	rb.followed = func(q platform.FeedQuery) (platform.FeedAnswer, error) {
+		if q != (platform.FeedQuery{Table: "t", After: 5, Wait: time.Second}) {
+			return platform.FeedAnswer{}, platform.ErrHistoryLost
+		}
+		return want, nil
+	}
+	a.SetVMs([]platform.VM{vm("a", a.Address()), vm("b", b.Address())})
+	ra.eventually(t, "link to b", linked("b"))
+	got, err := a.Follow(t.Context(), "b", platform.FeedQuery{Table: "t", After: 5, Wait: time.Second})
+	is.NoErr(err)
+	is.Equal(got.Revision, want.Revision)
+	is.Equal(len(got.Rows), 2)
+	is.Equal(string(got.Rows[0].Value), "v")
+	is.Equal(got.Rows[1].Key, "gone")
+	is.True(got.Rows[1].Deleted)
+	_, err = a.Follow(t.Context(), "b", platform.FeedQuery{Table: "t", Whole: true})
+	is.True(errors.Is(err, platform.ErrHistoryLost))
+	_, err = b.Follow(t.Context(), "a", platform.FeedQuery{Table: "t"})
+	is.True(err != nil)
+	is.True(!errors.Is(err, platform.ErrHistoryLost))
+}
--- a/internal/platform/feed_test.go
+++ b/internal/platform/feed_test.go
@@ -162,11 +162,14 @@
 	return fmt.Sprint(c.rows, c.away)
 }
 
+// longWait is the wait of followers that leave it to another one to find the store away.
+const longWait = 25 * time.Second
+
 func follow(feed platform.Feed, wait time.Duration, group *platform.FeedGroup) (*copyOf, context.CancelFunc) {
 	c := &copyOf{}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := platform.NewFollower(platform.FollowerConfig{
-		Feed: feed, Table: "t", Wait: wait, Group: group, Logger: slog.New(slog.DiscardHandler),
+		Feed: feed, Table: "t", Wait: wait, Group: group, Beats: wait < longWait, Logger: slog.New(slog.DiscardHandler),
 	}, c)
 	go f.Run(ctx)
 	return c, cancel
@@ -315,3 +318,39 @@
 		synctest.Wait()
 	})
 }
+
+// The store refuses all calls for six seconds. The table that beats is tried until it is
+// back; another table's calls would tell nothing more and cost as much, and are made
+// every two seconds only. At the store's return both are followed at once.
+func TestInAnOutageOneTableIsTried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		group := platform.NewFeedGroup()
+		beats, other := newFakeFeed(), newFakeFeed()
+		_, stopA := follow(beats, 1800*time.Millisecond, group)
+		b, stopB := follow(other, 25*time.Second, group)
+		time.Sleep(5 * time.Second)
+		refused := errors.New("refused")
+		beats.set(refused, false)
+		other.set(refused, false)
+		other.put("wakes", "its call", false)
+		time.Sleep(2 * time.Second) // both have found the store away
+		other.mu.Lock()
+		before := other.calls
+		other.mu.Unlock()
+		time.Sleep(6 * time.Second)
+		other.mu.Lock()
+		made := other.calls - before
+		other.mu.Unlock()
+		t.Logf("%d calls of the other table", made)
+		is.True(made <= 4)
+		other.put("k", "new", false)
+		other.set(nil, false)
+		beats.set(nil, false)
+		time.Sleep(1600 * time.Millisecond) // the longest pause between tries, and the call
+		is.Equal(b.String(), "map[k:new wakes:its call] false")
+		stopA()
+		stopB()
+		synctest.Wait()
+	})
+}
