A zone's reader is replaced while members come and go

Cause: every change of members, also of other zones, began the second anew that another reader waits for. While daemons of a large fleet are restarted in turn a reader that is gone was never replaced, and its followers each asked the store by themselves.

Ruled out: no wait (a starting zone turns to four readers within half a second).

Change: an election that is waited for already goes on waiting; one that is in force ends the wait for another.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,10 +58,10 @@
 	// and storeSlack how long after that an answer may come: above the answer time of
 	// a loaded store. A reader knows after 1.5 s that the store is silent.
 	readerBeat = 800 * time.Millisecond
+	storeSlack = 700 * time.Millisecond
 	// firstBeat is the wait of the first such call of a new reader, which serves
 	// nobody before it.
-	firstBeat  = 50 * time.Millisecond
-	storeSlack = 700 * time.Millisecond
+	firstBeat = 50 * time.Millisecond
 	// followerBeat is how long a follower's calls for the beat table wait at its
 	// reader, and slack how long after its wait an answer may come: a reader that
 	// froze is found after 1.4 s.
@@ -92,7 +92,8 @@
 	// restUntil is until when the reader is not asked, rest how long the next rest is.
 	restUntil time.Time
 	rest      time.Duration
-	// settling puts another reader in force.
+	// next is what is to be put in force when settling fires; nil: nothing is.
+	next     *election
 	settling *time.Timer
 	// turned is closed when calls under way are to be begun anew elsewhere.
 	turned chan struct{}
@@ -113,32 +114,54 @@
 			members = append(members, m)
 		}
 	}
-	reader, serves := ident.Daemon(""), false
+	e := election{}
 	if len(members) >= zoneFrom {
-		reader = membership.NewOwners(members).Of("", "store", f.cfg.Zone)
-		if reader == f.cfg.Self {
-			reader, serves = "", true
+		e.reader = membership.NewOwners(members).Of("", "store", f.cfg.Zone)
+		if e.reader == f.cfg.Self {
+			e = election{serves: true}
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.settleOn(e)
+}
+
+// election is who reads for a daemon, or that it reads for others.
+type election struct {
+	reader ident.Daemon
+	serves bool
+}
+
+// settleOn puts an election in force unless another one follows within settle. One that
+// is waited for already goes on waiting: where members of other zones come and go all the
+// time, a reader that is gone would never be replaced. The caller holds the lock.
+func (f *Feed) settleOn(e election) {
+	if f.next != nil && *f.next == e {
+		return
+	}
 	if f.settling != nil {
 		f.settling.Stop()
 	}
-	f.settling = time.AfterFunc(settle, func() { f.install(reader, serves, len(members)) })
+	f.next = nil
+	if (e == election{f.reader, f.serves}) {
+		return
+	}
+	f.next = &e
+	f.settling = time.AfterFunc(settle, func() { f.install(&e) })
 }
 
-// install puts another reader in force.
-func (f *Feed) install(reader ident.Daemon, serves bool, members int) {
+// install puts an election in force.
+func (f *Feed) install(e *election) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if reader == f.reader && serves == f.serves {
-		return
+	if f.next != e {
+		return // another one has followed
 	}
-	event.StoreReader.Log(f.cfg.Logger, "reader", reader, "serves", serves, "zone_daemons", members)
-	f.reader, f.serves = reader, serves
+	f.next = nil
+	event.StoreReader.Log(f.cfg.Logger, "reader", e.reader, "serves", e.serves)
+	f.reader, f.serves = e.reader, e.serves
 	f.rest, f.restUntil = restBase, time.Time{}
-	f.copies.serve(serves)
+	f.copies.serve(e.serves)
 	f.turn()
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -433,3 +434,32 @@
 		})
 	}
 }
+
+// Members come and go every half second, as while daemons are restarted in turn, and the
+// reader is gone for good. The others agree on the next one all the same, and do not each
+// ask the store by themselves until all is quiet.
+func TestAReaderIsReplacedWhileMembersComeAndGo(t *testing.T) {
+	play(t, func(z *zone, reader ident.Daemon) {
+		z.freeze(reader, true)
+		rest := slices.DeleteFunc(slices.Clone(five), func(n ident.Daemon) bool { return n == reader })
+		for range 20 {
+			z.elect(rest...)
+			time.Sleep(500 * time.Millisecond)
+		}
+		before := 0
+		for _, name := range rest {
+			before += z.store.called(name)
+		}
+		for i := range 10 {
+			z.elect(rest...)
+			z.store.put("k", fmt.Sprint(i), false)
+			time.Sleep(500 * time.Millisecond)
+		}
+		after := 0
+		for _, name := range rest {
+			after += z.store.called(name)
+		}
+		t.Logf("%d calls", after-before)
+		is.New(t).True(after-before <= 20) // one reads, and each change is one call
+	})
+}
