A request that waited too long in a busy daemon is sent elsewhere

A daemon that did not keep up read a request, had its turn to send it on two seconds later, 8 ms before its caller left, and noticed the close as late.

Ruled out: the look for a caller that has left (it was there still); the wait in the kernel (a first request is refused there, this one came on a kept connection).

Change: a request whose answer can't be in time by when it has its place is refused by a daemon that refuses a part anyway, as not run, with a return that leads elsewhere. A place on a target that is gone counts as a try, since it would be sought there until the request's time is up (found by the test).

--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -60,6 +60,9 @@
 	return rand.Float64() < overload.Part(float64(shed)/shedUnit, firstOnConnection(ctx))
 }
 
+// busy tells whether a part of new requests is refused at once.
+func (l *loadWatch) busy() bool { return l.shed.Load() > 0 }
+
 // shedUnit is the unit of loadWatch.shed.
 const shedUnit = 1000
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,6 +115,8 @@
 	// Sheds tells whether a new request is to be refused for want of processor time,
 	// by its context.
 	Sheds func(ctx context.Context) bool
+	// Busy tells whether a part of new requests is refused so.
+	Busy func() bool
 	// Left tells whether the balancer leads no new connections here.
 	Left    func() bool
 	Metrics *telemetry.Metrics
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -47,9 +47,14 @@
 	if s.Left() {
 		w.Header().Set("Connection", "close") // a new one leads to another daemon
 	}
+	s.end(w, r, nil, busy())
+}
+
+// busy is the refusal for want of processor time.
+func busy() *resultcode.Failure {
 	f := resultcode.Fail(resultcode.DaemonBusy, "")
 	f.RetryAfter = overload.BackAtOnce
-	s.end(w, r, nil, f)
+	return f
 }
 
 // wanted counts what a refused request asks for in its workspace's demand. Without it a
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -66,6 +66,10 @@
 			s.Placer.Finish(j.id, booking.Result{})
 			return resultcode.Fail(resultcode.CallerGone, "")
 		}
+		if s.heldTooLong(j) {
+			s.Placer.Finish(j.id, booking.Result{})
+			return busy()
+		}
 		r := s.try(ctx, j, placed.Target, began)
 		if r.failure == nil {
 			return nil
@@ -80,6 +84,16 @@
 	}
 }
 
+// heldTooLong tells whether a request has waited in this daemon for so long that its
+// answer can't be in time.
+//
+// On a daemon that does not keep up a request that was read may wait for its turns until
+// its caller leaves, and the close waits as long to be noticed: the engine would work on
+// for nobody. The caller is sent elsewhere instead, where it may be served at least.
+func (s *Server) heldTooLong(j *job) bool {
+	return j.trace.sends == 0 && time.Now().After(j.plan.Due) && s.Busy()
+}
+
 // place finds a target.
 func (s *Server) place(ctx context.Context, j *job) (control.Placement, time.Time) {
 	asked := time.Now()
@@ -108,6 +122,7 @@
 	entry, known := s.targets.Load().ByIdentity[id]
 	if !known || entry.Draining || entry.Service != j.service.Name {
 		s.Placer.Finish(j.id, booking.Result{NotRun: true})
+		j.trace.unsent++ // else it would be placed there again and again until its time is up
 		return result{failure: resultcode.Fail(resultcode.NoTarget, "target %s is gone", id)}
 	}
 	j.trace.target = id
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -16,21 +16,27 @@
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/settings"
 	"github.com/savorystall/savorystall/internal/telemetry"
 )
 
 // countingPlacer refuses every place and counts what is asked of it.
 type countingPlacer struct {
-	places int
+	places, finishes int
+	// place, where set, takes the refusal's place.
+	place  func() control.Placement
 	wanted map[ident.Workspace]float64
 }
 
 func (p *countingPlacer) Place(context.Context, booking.Request) control.Placement {
 	p.places++
+	if p.place != nil {
+		return p.place()
+	}
 	return control.Placement{Failure: resultcode.Fail(resultcode.FleetFull, "")}
 }
 func (p *countingPlacer) First(ident.Request, time.Duration)   {}
-func (p *countingPlacer) Finish(ident.Request, booking.Result) {}
+func (p *countingPlacer) Finish(ident.Request, booking.Result) { p.finishes++ }
 func (p *countingPlacer) Wanted(_ ident.Service, w ident.Workspace, cost float64) {
 	p.wanted[w] += cost
 }
@@ -86,3 +92,44 @@
 	left = true
 	is.Equal(send("/a/x", "key").Get("Connection"), "close")
 }
+
+// A request is read by a daemon that does not keep up, and gets its place when its answer
+// can't be in time any more. Sent on, it would run until after its caller has left. It is
+// sent elsewhere, and its place is given back; a daemon that keeps up serves it late.
+func TestARequestThatWaitedTooLongIsSentElsewhere(t *testing.T) {
+	is := is.New(t)
+	metrics := telemetry.NewMetrics()
+	t.Cleanup(func() { _ = metrics.Close() })
+	tracing, err := telemetry.NewTracing(t.Context(), "d", settings.Trace{})
+	is.NoErr(err)
+	table, err := route.NewTable(route.Document{
+		Version:  1,
+		Routes:   []route.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Services: []route.Split{{Service: "app", Weight: 1}}, Attempts: 1, Objective: 10 * time.Millisecond}},
+		Services: []route.Service{{Name: "app"}},
+	})
+	is.NoErr(err)
+	routes := &route.Holder{}
+	is.True(routes.Offer(table))
+	placer := &countingPlacer{place: func() control.Placement {
+		time.Sleep(30 * time.Millisecond)
+		return control.Placement{Target: "t"}
+	}}
+	busyNow := true
+	s := New(Deps{
+		Routes: routes, Dialect: plainDialect{}, Placer: placer, Metrics: metrics, Tracing: tracing, Log: slog.New(slog.DiscardHandler),
+		Gone:  func(context.Context) bool { return false },
+		Sheds: func(context.Context) bool { return false }, Left: func() bool { return false }, Busy: func() bool { return busyNow },
+	})
+	send := func() (int, string) {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://h.example/a/x", nil))
+		return w.Code, w.Body.String()
+	}
+	code, body := send()
+	is.Equal(code, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, "daemon_busy"))
+	is.Equal(placer.finishes, 1)
+	busyNow = false
+	_, body = send()
+	is.True(strings.Contains(body, "no_target")) // it went on to a target, which is not there
+}
