A connection with an unread request is not closed to make room

A flood brings more connections than are to be held, since refused callers keep theirs now, and the one that was unused for longest was closed; on a daemon whose turns take some hundred ms a request had waited on it unread.

Ruled out: requests that waited too long (they are answered 503), the look for callers that have left (it ends in a closed connection only where the caller has closed it).

Change: a connection on which something waits to be read is not closed; up to four are looked at, and where all hold a request the bound is exceeded.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -15,6 +15,9 @@
 	firstRequest = 5 * time.Second
 	// settlePoll is how often the stop looks whether connections are in use.
 	settlePoll = 10 * time.Millisecond
+	// maxIdleLooks is how many connections are looked at for one to close. Each look is
+	// a system call; where so many hold a request, the bound is exceeded.
+	maxIdleLooks = 4
 )
 
 // connections knows which connections of callers are in use. It is safe for
@@ -66,21 +69,30 @@
 	return c.most > 0 && len(c.busy)+len(c.fresh)+len(c.idle) > c.most
 }
 
-// closeIdle closes the connection that has been unused for longest.
+// closeIdle closes the connection that has been unused for longest, of those on which
+// nothing waits to be read: on a daemon that is short of processor time a request waits
+// there for some hundred ms, and its caller would get neither an answer nor a refusal.
 //
 // It guards against running out of descriptors: callers that come back after a
 // refusal do so on a new connection each time, and a daemon that can accept no
 // more leaves requests unread until long after their callers have gone.
 func (c *connections) closeIdle() {
-	var oldest net.Conn
-	for conn, since := range c.idle {
-		if oldest == nil || since.Before(c.idle[oldest]) {
-			oldest = conn
+	for range maxIdleLooks {
+		var oldest net.Conn
+		for conn, since := range c.idle {
+			if oldest == nil || since.Before(c.idle[oldest]) {
+				oldest = conn
+			}
+		}
+		if oldest == nil {
+			return
 		}
-	}
-	if oldest != nil {
 		delete(c.idle, oldest)
-		_ = oldest.Close() // its caller opens another one
+		if !hasUnread(oldest) {
+			_ = oldest.Close() // its caller opens another one
+			return
+		}
+		c.busy[oldest] = true // its goroutine will say so when it has its turn
 	}
 }
 
--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -63,3 +63,41 @@
 	conns.note(conn, http.StateIdle)
 	is.True(!conns.used(time.Now()))
 }
+
+// A flood brings more connections than are to be held, on a daemon whose turns take long.
+// The connection that was unused for longest holds a request that nobody has read yet;
+// closed, its caller got neither an answer nor a refusal.
+func TestAConnectionWithAnUnreadRequestIsNotClosed(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	pair := func() (server, caller net.Conn) {
+		caller, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		server, err = l.Accept()
+		is.NoErr(err)
+		t.Cleanup(func() { _, _ = server.Close(), caller.Close() })
+		return server, caller
+	}
+	c := newConnections(2)
+	asking, asker := pair()
+	quiet, waiter := pair()
+	for _, conn := range []net.Conn{asking, quiet} {
+		c.note(conn, http.StateNew)
+		c.note(conn, http.StateIdle)
+	}
+	_, err = asker.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	is.NoErr(err)
+	for end := time.Now().Add(5 * time.Second); !hasUnread(asking) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	fresh, _ := pair()
+	c.note(fresh, http.StateNew)
+	is.NoErr(waiter.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = waiter.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // the quiet one is closed
+	_, err = asking.Read(make([]byte, 1))
+	is.NoErr(err) // the other one is read
+	is.True(c.used(time.Now()))
+}
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -187,6 +187,14 @@
 
 // hungUp tells whether the other end has closed the connection.
 func hungUp(conn net.Conn) bool {
+	return polled(conn, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
+}
+
+// hasUnread tells whether something waits to be read on the connection.
+func hasUnread(conn net.Conn) bool { return polled(conn, unix.POLLIN) }
+
+// polled tells whether one of these events holds for a connection now.
+func polled(conn net.Conn, events int16) bool {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -195,13 +203,13 @@
 	if err != nil {
 		return false
 	}
-	gone := false
+	holds := false
 	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
 		n, err := unix.Poll(fds, 0)
-		gone = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		holds = err == nil && n > 0 && fds[0].Revents&events != 0
 	})
-	return err == nil && gone
+	return err == nil && holds
 }
 
 // closing asks callers to open a new connection for their next request from the
