Lines tell which targets are kept past their entries, and how long a daemon stays out

Cause: the record of the incidents could not tell an engine that is kept past its entry from one that is used after its leaving was read, nor how long a daemon means to stay out of rotation. Change: event 310 of a whole table names what it kept, and later what it gave up, in place of their number; 109 and 110 tell the hold, how long it lasted and the daemons of the zone. No decision changed.

--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -97,10 +97,12 @@
 			continue
 		}
 		line, since := event.OverloadEnded, time.Duration(0)
+		lasted := now.Sub(l.started) - time.Duration(l.since.Load())
 		if over {
-			line, since = event.Overloaded, now.Sub(l.started)
+			line, since, lasted = event.Overloaded, now.Sub(l.started), 0
 		}
 		l.since.Store(int64(since))
-		line.Log(log, "wait_ms", detector.Mean().Milliseconds(), "sheds", share, "callers", conns.open())
+		line.Log(log, "wait_ms", detector.Mean().Milliseconds(), "sheds", share, "callers", conns.open(),
+			"hold_ms", detector.Hold().Milliseconds(), "lasted_ms", lasted.Milliseconds(), "zone_daemons", l.zone.Load())
 	}
 }
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -159,11 +159,9 @@
 func (s *site) expire(ctx context.Context) {
 	for {
 		s.mu.Lock()
-		before := len(s.registry.Targets())
-		next := s.registry.Expire(time.Now())
-		dropped := before - len(s.registry.Targets())
+		dropped, next := s.registry.Expire(time.Now())
 		s.mu.Unlock()
-		if dropped > 0 {
+		if len(dropped) > 0 {
 			event.TargetsChanged.Log(s.p.Log, "lapsed", dropped)
 			s.view.apply()
 		}
--- a/internal/daemon/siterows.go
+++ b/internal/daemon/siterows.go
@@ -78,8 +78,9 @@
 	t.site.mu.Lock()
 	t.site.registry.Replace(time.Now(), entries)
 	t.site.heard = true
+	kept := t.site.registry.Lapsed()
 	t.site.mu.Unlock()
-	t.site.targetsChanged("read", len(rows))
+	t.site.targetsChanged("read", len(rows), "kept", kept)
 }
 
 // Change implements store.Subscriber.
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -91,5 +91,8 @@
 	d.until = now.Add(d.hold)
 }
 
+// Hold returns for how long the daemon stays overloaded at least since it last became so.
+func (d *Detector) Hold() time.Duration { return d.hold }
+
 // Mean returns the mean wait.
 func (d *Detector) Mean() time.Duration { return d.mean }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -132,22 +132,26 @@
 	}
 }
 
-// Expire drops what lapsed and did not come back in time. It returns when the
-// next entry is due, or zero.
-func (r *Registry) Expire(now time.Time) (next time.Time) {
-	for id, due := range r.lapsed {
-		if !now.Before(due) {
+// Expire drops what lapsed and did not come back in time. It returns what it dropped,
+// and when the next entry is due, or zero.
+func (r *Registry) Expire(now time.Time) (dropped []ident.Target, next time.Time) {
+	for _, id := range r.Lapsed() {
+		due := r.lapsed[id]
+		switch {
+		case !now.Before(due):
 			delete(r.entries, id)
 			delete(r.lapsed, id)
-			continue
-		}
-		if next.IsZero() || due.Before(next) {
+			dropped = append(dropped, id)
+		case next.IsZero() || due.Before(next):
 			next = due
 		}
 	}
-	return next
+	return dropped, next
 }
 
+// Lapsed returns, in order, the entries that the store lacks and that are kept for now.
+func (r *Registry) Lapsed() []ident.Target { return slices.Sorted(maps.Keys(r.lapsed)) }
+
 // Targets returns the entries by identity. Where two stand for one address, the
 // one that was born last holds it: an address is given to another target once
 // its former one is gone, and the old entry may still be on its way out.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -50,10 +50,14 @@
 	r.Replace(at(8), nil)
 	is.Equal(names(r), []ident.Target{"t1", "t2"})
 	r.Put(entry("t1", "10.0.0.1:80"))
-	is.Equal(r.Expire(at(9)), at(10.5))
-	r.Expire(at(10.5))
+	is.Equal(r.Lapsed(), []ident.Target{"t2"})
+	dropped, next := r.Expire(at(9))
+	is.Equal(len(dropped), 0)
+	is.Equal(next, at(10.5))
+	dropped, next = r.Expire(at(10.5))
+	is.Equal(dropped, []ident.Target{"t2"})
 	is.Equal(names(r), []ident.Target{"t1"}) // the other one is taken as gone
-	is.True(r.Expire(at(11)).IsZero())
+	is.True(next.IsZero())
 }
 
 // A target that leaves long after the store's return has left.
@@ -96,7 +100,8 @@
 	left := now.Add(230 * time.Millisecond)
 	heard := left.Add(580 * time.Millisecond) // changes are gathered for 800 ms at most
 	r.Remove(heard, "leaves")
-	is.True(!r.Expire(heard).IsZero())
+	_, next := r.Expire(heard)
+	is.True(!next.IsZero())
 	r.Expire(left.Add(1800 * time.Millisecond))
 	list := r.Targets()
 	is.Equal(len(list), 1) // it is gone before it stops to serve
