The overload detector takes one observation, which counts callers' new connections

Cause: whether a balancer heeds a daemon that is out of rotation could not be seen from its lines. No decision changed.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -37,6 +37,8 @@
 	idle  map[net.Conn]time.Time
 	// most bounds the connections; zero means no bound.
 	most int
+	// opened counts those that were opened since arrived was last called.
+	opened int
 }
 
 // newConnections returns an empty set that is to hold at most so many; zero means
@@ -54,6 +56,7 @@
 	delete(c.idle, conn)
 	switch state {
 	case http.StateNew:
+		c.opened++
 		c.fresh[conn] = time.Now()
 		if c.full() {
 			c.closeIdle()
@@ -102,6 +105,15 @@
 	return c.most > 0 && 2*c.open() > c.most
 }
 
+// arrived returns how many connections were opened since its last call.
+func (c *connections) arrived() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	opened := c.opened
+	c.opened = 0
+	return opened
+}
+
 // open counts the connections.
 func (c *connections) open() int {
 	c.mu.Lock()
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -92,7 +92,9 @@
 		share := shedder.Note(now, now.Sub(before))
 		l.accepts.Store(int64(overload.AcceptRate(detector.Mean())))
 		l.shed.Store(int64(shedUnit * share))
-		over := detector.Note(now, now.Sub(before), share, l.zone.Load() >= holdFrom)
+		over := detector.Note(now, overload.Observation{
+			Wait: now.Sub(before), Shed: share, Holds: l.zone.Load() >= holdFrom, Arrived: conns.arrived(),
+		})
 		if l.over.Swap(over) == over {
 			continue
 		}
@@ -103,6 +105,6 @@
 		}
 		l.since.Store(int64(since))
 		line.Log(log, "wait_ms", detector.Mean().Milliseconds(), "sheds", share, "callers", conns.open(),
-			"hold_ms", detector.Hold().Milliseconds(), "lasted_ms", lasted.Milliseconds(), "zone_daemons", l.zone.Load())
+			"hold_ms", detector.Hold().Milliseconds(), "lasted_ms", lasted.Milliseconds(), "arrived", detector.Arrived(), "zone_daemons", l.zone.Load())
 	}
 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -33,6 +33,8 @@
 	holdBase = 10 * time.Second
 	holdMost = 40 * time.Second
 	relapse  = 10 * time.Second
+	// noticed is how long a balancer takes to notice that a daemon is out.
+	noticed = 3 * time.Second
 	// weight is that of one observation in the mean: of one in 20 ms, about half a
 	// second of them.
 	weight = 0.04
@@ -52,34 +54,62 @@
 	until time.Time
 	hold  time.Duration
 	ended time.Time
+	// began is when it last became overloaded, arrived what Arrived returns.
+	began   time.Time
+	arrived int
 }
 
-// Note takes in one wait and the part of new requests that is refused, and tells whether
-// the daemon is overloaded. Holds tells whether it may stay out for longer than its load
-// lasts: where others can take its callers.
-func (d *Detector) Note(now time.Time, wait time.Duration, shed float64, holds bool) bool {
-	wait = min(max(0, wait), most)
+// Observation is what a daemon sees of its load at one moment.
+type Observation struct {
+	// Wait is how long a ready goroutine waited for its turn.
+	Wait time.Duration
+	// Shed is the part of new requests that is refused.
+	Shed float64
+	// Holds tells whether the daemon may stay out for longer than its load lasts: where
+	// others can take its callers.
+	Holds bool
+	// Arrived is how many new connections callers have opened since the observation
+	// before.
+	Arrived int
+}
+
+// Note takes in an observation, and tells whether the daemon is overloaded.
+func (d *Detector) Note(now time.Time, o Observation) bool {
+	wait := min(max(0, o.Wait), most)
 	d.mean += time.Duration(weight * float64(wait-d.mean))
+	d.count(now, o.Arrived)
 	switch {
-	case d.mean >= high || shed >= sheds:
-		d.begin(now, holds)
+	case d.mean >= high || o.Shed >= sheds:
+		d.begin(now, o.Holds)
 		d.quiet = time.Time{}
-	case d.mean > low || shed > 0:
+	case d.mean > low || o.Shed > 0:
 		d.quiet = time.Time{}
 	case d.quiet.IsZero():
 		d.quiet = now
-	case d.over && now.Sub(d.quiet) >= calm && (!holds || !now.Before(d.until)):
+	case d.over && now.Sub(d.quiet) >= calm && (!o.Holds || !now.Before(d.until)):
 		d.over, d.ended = false, now
 	}
 	return d.over
 }
 
+// count adds up the connections that callers open although the balancer knows that the
+// daemon is overloaded.
+func (d *Detector) count(now time.Time, arrived int) {
+	if d.over && now.Sub(d.began) >= noticed {
+		d.arrived += arrived
+	}
+}
+
+// Arrived returns how many connections callers have opened, since the daemon last became
+// overloaded, after the balancer was to know it.
+func (d *Detector) Arrived() int { return d.arrived }
+
 // begin notes that the daemon is overloaded.
 func (d *Detector) begin(now time.Time, holds bool) {
 	if d.over {
 		return
 	}
-	d.over = true
+	d.over, d.began, d.arrived = true, now, 0
 	switch {
 	case !holds:
 		d.hold = 0
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -15,7 +15,7 @@
 func play(d *overload.Detector, now *time.Time, wait, long time.Duration) (over bool) {
 	for end := now.Add(long); now.Before(end); {
 		*now = now.Add(tick + wait)
-		over = d.Note(*now, wait, 0, false)
+		over = d.Note(*now, overload.Observation{Wait: wait})
 	}
 	return over
 }
@@ -40,7 +40,7 @@
 	now := time.Unix(1000, 0)
 	play(&d, &now, time.Millisecond, time.Second)
 	now = now.Add(5 * time.Second)
-	is.Equal(d.Note(now, 5*time.Second, 0, false), false)
+	is.Equal(d.Note(now, overload.Observation{Wait: 5 * time.Second}), false)
 	is.Equal(play(&d, &now, time.Millisecond, time.Second), false)
 }
 
@@ -54,7 +54,7 @@
 	for range 100 {
 		is.Equal(play(&d, &now, 0, 140*time.Millisecond), false)
 		now = now.Add(40 * time.Millisecond)
-		is.Equal(d.Note(now, 30*time.Millisecond, 0, false), false)
+		is.Equal(d.Note(now, overload.Observation{Wait: 30 * time.Millisecond}), false)
 	}
 }
 
@@ -67,11 +67,11 @@
 	var d overload.Detector
 	now := time.Unix(1000, 0)
 	out := func() (long time.Duration) {
-		for !d.Note(now, 30*time.Millisecond, 0, true) {
+		for !d.Note(now, overload.Observation{Wait: 30 * time.Millisecond, Holds: true}) {
 			now = now.Add(tick)
 		}
 		began := now
-		for d.Note(now, 0, 0, true) {
+		for d.Note(now, overload.Observation{Holds: true}) {
 			now = now.Add(tick)
 		}
 		return now.Sub(began)
@@ -101,11 +101,11 @@
 	is := is.New(t)
 	var d overload.Detector
 	now := time.Unix(1000, 0)
-	is.Equal(d.Note(now, 0, 0.1, false), false)
-	is.Equal(d.Note(now, 0, 0.3, false), true)
+	is.Equal(d.Note(now, overload.Observation{Shed: 0.1}), false)
+	is.Equal(d.Note(now, overload.Observation{Shed: 0.3}), true)
 	for range 200 {
 		now = now.Add(tick)
-		is.Equal(d.Note(now, 0, 0.1, false), true) // it refuses still
+		is.Equal(d.Note(now, overload.Observation{Shed: 0.1}), true) // it refuses still
 	}
 	is.Equal(play(&d, &now, 0, 2*time.Second), false)
 }
