--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -67,16 +67,10 @@
 
 func (s *site) tasks() []func(context.Context) {
 	group := store.NewFeedGroup()
-	follow := func(table string, wait, gather time.Duration, to store.Subscriber) func(context.Context) {
-		return store.NewFollower(store.FollowerConfig{
-			Feed: s.p.Relay, Table: table, Wait: wait, Gather: gather, Group: group, Beats: table == beatTable, Logger: s.p.Log,
-		}, to).Run
-	}
-	beat := max(beatMargin, s.p.Settings.Routing.InTouch-beatMargin)
 	return []func(context.Context){
-		follow(beatTable, beat, 0, &routeRows{site: s}),
-		follow(platform.TableTargets, longWait, targetGather, &targetRows{site: s}),
-		follow(platform.TableDaemons, longWait, daemonGather, &daemonRows{site: s, rows: map[string]daemonRow{}}),
+		s.followRoutes(group),
+		s.followTargets(group),
+		s.follow(group, platform.TableDaemons, longWait, daemonGather, &daemonRows{site: s, rows: map[string]daemonRow{}}),
 		s.announce,
 		s.expire,
 		s.report,
@@ -84,6 +78,21 @@
 	}
 }
 
+func (s *site) followRoutes(group *store.FeedGroup) func(context.Context) {
+	beat := max(beatMargin, s.p.Settings.Routing.InTouch-beatMargin)
+	return s.follow(group, beatTable, beat, 0, &routeRows{site: s})
+}
+
+func (s *site) followTargets(group *store.FeedGroup) func(context.Context) {
+	return s.follow(group, platform.TableTargets, longWait, targetGather, &targetRows{site: s, read: platform.DecodeTarget})
+}
+
+func (s *site) follow(group *store.FeedGroup, table string, wait, gather time.Duration, to store.Subscriber) func(context.Context) {
+	return store.NewFollower(store.FollowerConfig{
+		Feed: s.p.Relay, Table: table, Wait: wait, Gather: gather, Group: group, Beats: table == beatTable, Logger: s.p.Log,
+	}, to).Run
+}
+
 // look returns the routes and targets as they were read last.
 func (s *site) look() siteView {
 	s.mu.Lock()
--- a/internal/daemon/siterows.go
+++ b/internal/daemon/siterows.go
@@ -55,7 +55,11 @@
 }
 
 // targetRows takes the targets in.
-type targetRows struct{ site *site }
+type targetRows struct {
+	site *site
+	// read decodes what a target says of itself.
+	read func(key string, value []byte) (registry.Entry, error)
+}
 
 // Reachable implements store.Subscriber.
 func (t *targetRows) Reachable(ok bool) {
@@ -101,7 +105,7 @@
 	if row.Deleted {
 		return registry.Entry{}, false
 	}
-	e, err := platform.DecodeTarget(row.Key, row.Value)
+	e, err := t.read(row.Key, row.Value)
 	if err != nil {
 		event.RowUnreadable.Log(t.site.p.Log, "table", platform.TableTargets, "key", row.Key, "revision", row.Revision, "error", err)
 		return registry.Entry{}, false
