What lapsed in an outage goes before the daemon is in touch with the store again

What callers saw: a request reached a target 2.6 s after the store had its leaving, 2 s are allowed; the answer was good.

Cause: an entry that is missing at the store's return may have lapsed, since nobody could renew it, and is kept for 2.5 s. They ran from when the daemon noticed the return; between two calls it pauses for up to 1.5 s, and a call that hangs takes up to 2.5 s. A target that left while its zone was cut off was used for up to 4 s after the zone was joined again. Class: a time that is counted from the notice of an event and not from the event.

Ruled out: late news (the table was read as a whole), a place booked before (5 ms), an older view in force (the target was not in the table read).

Change: a follower tells its subscriber the earliest time at which the store may have been back, the begin of the last call that failed, of any follower of its group; the grace also ends 200 ms before the daemon counts as in touch again, reckoned from then. It holds since the outage cannot have ended before that call began: whoever is in touch has been so for longer than the grace. The same class elsewhere: looked for in the relay, the routes and the list of VMs; none keeps anything for a time after a return.

--- a/internal/daemon/cutzone_test.go
+++ b/internal/daemon/cutzone_test.go
@@ -170,7 +170,9 @@
 // A caller's request reaches a target 2.6 s after it left. Its zone was cut off from the
 // store, where its entry lapsed, since it could not be renewed, and the target began to leave
 // meanwhile. When the zone had been joined again for three seconds, and the store had known
-// for more than two that the target leaves, a daemon of the zone still used it.
+// for more than two that the target leaves, a daemon of the zone still used it: the grace for
+// lapsed entries ran from when the daemon noticed the store's return, which it does late by
+// the pause between two calls. Its lines showed the drop 2.5 s after the table was read.
 func TestATargetThatLeftWhileItsZoneWasCutOffGetsNothingOnceInTouch(t *testing.T) {
 	const (
 		cutFor  = 5300 * time.Millisecond
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -40,7 +40,7 @@
 }
 
 func newSite(p routedParts) *site {
-	s := &site{p: p, registry: registry.New(registry.Config{}), changed: make(chan struct{}, 1)}
+	s := &site{p: p, registry: registry.New(registry.Config{InTouch: p.Settings.Routing.InTouch}), changed: make(chan struct{}, 1)}
 	s.view = applier[siteView]{look: s.look, put: s.put}
 	return s
 }
--- a/internal/daemon/siterows.go
+++ b/internal/daemon/siterows.go
@@ -17,8 +17,11 @@
 // routeRows takes the routes in.
 type routeRows struct{ site *site }
 
-// Reachable implements store.Subscriber.
-func (r *routeRows) Reachable(bool) {}
+// Away implements store.Subscriber.
+func (r *routeRows) Away() {}
+
+// Back implements store.Subscriber.
+func (r *routeRows) Back(time.Time) {}
 
 // Replace implements store.Subscriber.
 func (r *routeRows) Replace(rows []store.FeedRow) {
@@ -61,13 +64,13 @@
 	read func(key string, value []byte) (registry.Entry, error)
 }
 
-// Reachable implements store.Subscriber.
-func (t *targetRows) Reachable(ok bool) {
-	if !ok {
-		return
-	}
+// Away implements store.Subscriber: what is known stays.
+func (t *targetRows) Away() {}
+
+// Back implements store.Subscriber.
+func (t *targetRows) Back(notBefore time.Time) {
 	t.site.mu.Lock()
-	t.site.registry.Returned(time.Now())
+	t.site.registry.Returned(time.Now(), notBefore)
 	t.site.mu.Unlock()
 }
 
@@ -119,8 +122,11 @@
 	rows map[string]daemonRow
 }
 
-// Reachable implements store.Subscriber.
-func (d *daemonRows) Reachable(bool) {}
+// Away implements store.Subscriber.
+func (d *daemonRows) Away() {}
+
+// Back implements store.Subscriber.
+func (d *daemonRows) Back(time.Time) {}
 
 // Replace implements store.Subscriber.
 func (d *daemonRows) Replace(rows []store.FeedRow) {
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -69,9 +69,12 @@
 	Replace(rows []FeedRow)
 	// Change takes one changed row in.
 	Change(row FeedRow)
-	// Reachable tells that the store stopped answering, or answers again; the
-	// latter comes before the rows of the first answer.
-	Reachable(ok bool)
+	// Away tells that the store stopped answering.
+	Away()
+	// Back tells that the store answers again, before the rows of the first answer. It may
+	// have been back for longer, though not before the given time, at which the last call
+	// that failed began.
+	Back(notBefore time.Time)
 }
 
 // FollowerConfig sets up a Follower.
@@ -128,6 +131,8 @@
 	read     bool
 	failures int
 	away     bool
+	// asked is when the present call began, failedAt when the last one that failed did.
+	asked, failedAt time.Time
 }
 
 // FeedGroup joins the followers of one store, so that one of them with a short
@@ -139,6 +144,8 @@
 	// away is not nil while the follower that beats finds the store away, and is closed
 	// at its return.
 	away chan struct{}
+	// failedAt is when the last call of any member that failed began.
+	failedAt time.Time
 }
 
 // NewFeedGroup returns a group without members.
@@ -171,6 +178,28 @@
 	return g.away
 }
 
+// noteFailure notes when a member's call that failed began.
+func (g *FeedGroup) noteFailure(asked time.Time) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if asked.After(g.failedAt) {
+		g.failedAt = asked
+	}
+}
+
+// lastFailure returns when the last call of any member that failed began.
+func (g *FeedGroup) lastFailure() time.Time {
+	if g == nil {
+		return time.Time{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.failedAt
+}
+
 // fail ends the calls of all members, which then begin anew on other connections.
 func (g *FeedGroup) fail() {
 	if g == nil {
@@ -263,6 +292,7 @@
 
 // step makes one call. Changed tells that it brought a change, or the whole table.
 func (f *Follower) step(ctx context.Context) (changed bool, err error) {
+	f.asked = time.Now()
 	if !f.read {
 		err := f.readAll(ctx)
 		return err == nil, err // what changes right after it is gathered too
@@ -276,6 +306,7 @@
 		return false, errGroupFailed
 	}
 	if err != nil {
+		f.noteFailure(err)
 		if call.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
 			f.cfg.Group.fail()
 		}
@@ -294,6 +325,7 @@
 	defer cancel()
 	rows, revision, err := f.cfg.Feed.ReadTable(ctx, f.cfg.Table)
 	if err != nil {
+		f.noteFailure(err)
 		return err
 	}
 	f.answered()
@@ -302,6 +334,24 @@
 	return nil
 }
 
+// noteFailure notes that the present call has failed, before the group is told, whose other
+// members may reach the store at once.
+func (f *Follower) noteFailure(err error) {
+	if errors.Is(err, ErrHistoryLost) {
+		return // an answer
+	}
+	f.failedAt = f.asked
+	f.cfg.Group.noteFailure(f.asked)
+}
+
+// lastFailure returns when the last call that failed began, be it another member's.
+func (f *Follower) lastFailure() time.Time {
+	if of := f.cfg.Group.lastFailure(); of.After(f.failedAt) {
+		return of
+	}
+	return f.failedAt
+}
+
 func (f *Follower) answered() {
 	if f.cfg.Beats {
 		f.cfg.Group.setAway(false)
@@ -312,7 +362,7 @@
 		if f.failures > 0 {
 			f.cfg.Group.fail() // the others may wait on connections of the outage
 		}
-		f.to.Reachable(true)
+		f.to.Back(f.lastFailure())
 	}
 	f.failures = 0
 }
@@ -335,7 +385,7 @@
 	}
 	if !f.away {
 		f.away = true
-		f.to.Reachable(false)
+		f.to.Away()
 	}
 }
 
--- a/internal/platform/feed_test.go
+++ b/internal/platform/feed_test.go
@@ -126,6 +126,8 @@
 	mu   sync.Mutex
 	rows map[string]string
 	away bool
+	// notBefore is what it was told last of the store's return.
+	notBefore time.Time
 }
 
 // Replace implements platform.Subscriber.
@@ -149,11 +151,18 @@
 	c.rows[row.Key] = string(row.Value)
 }
 
-// Reachable implements platform.Subscriber.
-func (c *copyOf) Reachable(ok bool) {
+// Away implements platform.Subscriber.
+func (c *copyOf) Away() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.away = !ok
+	c.away = true
+}
+
+// Back implements platform.Subscriber.
+func (c *copyOf) Back(notBefore time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.away, c.notBefore = false, notBefore
 }
 
 func (c *copyOf) String() string {
@@ -354,3 +363,43 @@
 		synctest.Wait()
 	})
 }
+
+// A target that left while the store could not be reached was used for too long after its
+// return, since the daemon noticed that late. Whoever follows is told the earliest time at
+// which the store may have been back: never after its return, and by the pause between two
+// calls before it at most, also where another follower of the group made the last call.
+func TestAFollowerIsToldWhenTheStoreMayHaveBeenBack(t *testing.T) {
+	const (
+		pause = 1500 * time.Millisecond // between two calls, at most
+		hangs = 2500 * time.Millisecond // a call that is not answered
+	)
+	for _, silent := range []bool{false, true} {
+		for range 20 {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				feed := newFakeFeed()
+				group := platform.NewFeedGroup()
+				_, endBeats := follow(feed, 0, group)
+				defer endBeats()
+				c, end := follow(feed, longWait, group)
+				defer end()
+				time.Sleep(time.Second)
+				fail := errors.New("refused")
+				if silent {
+					fail = nil
+				}
+				feed.set(fail, silent)
+				feed.put("k1", "v", false)
+				time.Sleep(9 * time.Second)
+				feed.set(nil, false)
+				back := time.Now()
+				time.Sleep(2 * (pause + hangs))
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				is.True(!c.away)
+				is.True(!c.notBefore.After(back))
+				is.True(back.Sub(c.notBefore) <= pause+hangs)
+			})
+		}
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,11 @@
 // usable for a grace; a target that lives has registered again by then. One that
 // disappears after the store's return may also have left by plan: it stays for a short
 // grace only, since it serves for two seconds more, counted from when the store had it.
+//
+// A daemon may notice the return late, and a target may have left in the outage. So the
+// grace also ends before the daemon counts as in touch with the store again, reckoned from
+// the earliest time at which the store may have been back: a daemon in touch sends nothing
+// to a target that the store has not had for longer than the target serves.
 package registry
 
 import (
@@ -46,6 +51,9 @@
 	// return. Default 900 ms: together with the 800 ms for which changes are gathered it is
 	// below the two seconds for which a target that leaves takes requests.
 	LeaveGrace time.Duration
+	// InTouch is how long after the end of an outage a daemon counts as in touch with the
+	// store. Default 3 s.
+	InTouch time.Duration
 	// Settled is how long after the end of an outage a removal still counts as
 	// lapsed by it. Default 1 s.
 	Settled time.Duration
@@ -54,7 +62,10 @@
 const (
 	defaultGrace      = 2500 * time.Millisecond
 	defaultLeaveGrace = 900 * time.Millisecond
+	defaultInTouch    = 3 * time.Second
 	defaultSettled    = time.Second
+	// onTheWay is how long a request may take from the choice of a target to the target.
+	onTheWay = 200 * time.Millisecond
 )
 
 // Registry holds the entries. It is not safe for concurrent use; Targets returns
@@ -63,8 +74,9 @@
 	cfg     Config
 	entries map[ident.Target]Entry
 	lapsed  map[ident.Target]time.Time
-	// back is when the store last answered after an outage.
-	back time.Time
+	// back is when the store last answered after an outage, notBefore the earliest time at
+	// which that outage may have ended.
+	back, notBefore time.Time
 }
 
 // New returns an empty registry.
@@ -75,14 +87,18 @@
 	if cfg.LeaveGrace == 0 {
 		cfg.LeaveGrace = defaultLeaveGrace
 	}
+	if cfg.InTouch == 0 {
+		cfg.InTouch = defaultInTouch
+	}
 	if cfg.Settled == 0 {
 		cfg.Settled = defaultSettled
 	}
 	return &Registry{cfg: cfg, entries: map[ident.Target]Entry{}, lapsed: map[ident.Target]time.Time{}}
 }
 
-// Returned tells that the store answers again after an outage.
-func (r *Registry) Returned(now time.Time) { r.back = now }
+// Returned tells that the store answers again after an outage, which ended at some time
+// from notBefore on.
+func (r *Registry) Returned(now, notBefore time.Time) { r.back, r.notBefore = now, notBefore }
 
 // Put takes in what a target says of itself.
 func (r *Registry) Put(e Entry) {
@@ -101,16 +117,22 @@
 	if _, known := r.entries[id]; !known {
 		return
 	}
-	if r.back.IsZero() || now.Sub(r.back) > r.cfg.Settled {
+	due := earlier(r.graceEnd(), most)
+	if r.back.IsZero() || now.Sub(r.back) > r.cfg.Settled || !now.Before(due) {
 		delete(r.entries, id)
 		delete(r.lapsed, id)
 		return
 	}
 	if _, waits := r.lapsed[id]; !waits {
-		r.lapsed[id] = earlier(r.back.Add(r.cfg.Grace), most)
+		r.lapsed[id] = due
 	}
 }
 
+// graceEnd returns until when what lapsed in the last outage may be used.
+func (r *Registry) graceEnd() time.Time {
+	return earlier(r.back.Add(r.cfg.Grace), r.notBefore.Add(r.cfg.InTouch-onTheWay))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -46,7 +46,7 @@
 	r := registry.New(registry.Config{})
 	r.Put(entry("t1", "10.0.0.1:80"))
 	r.Put(entry("t2", "10.0.0.2:80"))
-	r.Returned(at(8))
+	r.Returned(at(8), at(8))
 	r.Replace(at(8), nil)
 	is.Equal(names(r), []ident.Target{"t1", "t2"})
 	r.Put(entry("t1", "10.0.0.1:80"))
@@ -65,7 +65,7 @@
 	is := is.New(t)
 	r := registry.New(registry.Config{})
 	r.Put(entry("t1", "10.0.0.1:80"))
-	r.Returned(at(8))
+	r.Returned(at(8), at(8))
 	r.Remove(at(9.5), "t1")
 	is.Equal(len(names(r)), 0)
 }
@@ -95,7 +95,7 @@
 	r := registry.New(registry.Config{})
 	r.Put(registry.Entry{Identity: "lapsed", Address: "1"})
 	r.Put(registry.Entry{Identity: "leaves", Address: "2"})
-	r.Returned(now)
+	r.Returned(now, now)
 	r.Replace(now, []registry.Entry{{Identity: "leaves", Address: "2"}})
 	left := now.Add(230 * time.Millisecond)
 	heard := left.Add(580 * time.Millisecond) // changes are gathered for 800 ms at most
@@ -109,3 +109,21 @@
 	r.Expire(now.Add(2400 * time.Millisecond))
 	is.Equal(len(r.Targets()), 1) // what lapsed in the outage has all of the grace
 }
+
+// A daemon notices the store's return a second late, by the pause between two calls. A
+// target that left in the outage was used for as long as one that lapsed when the daemon
+// noticed at once; it has to go as long after the outage's end, not after the notice.
+func TestTheGraceEndsBeforeTheDaemonIsInTouch(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{InTouch: 3 * time.Second})
+	r.Put(entry("t1", "10.0.0.1:80"))
+	r.Returned(at(9), at(8))
+	r.Replace(at(9), nil)
+	is.Equal(names(r), []ident.Target{"t1"})
+	r.Expire(at(10.9))
+	is.Equal(len(names(r)), 0)
+	r.Put(entry("t2", "10.0.0.2:80"))
+	r.Returned(at(19), at(15)) // it counts as in touch already
+	r.Replace(at(19), nil)
+	is.Equal(len(names(r)), 0)
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -173,8 +173,11 @@
 	d.take(row)
 }
 
-// Reachable implements platform.Subscriber.
-func (d *daemon) Reachable(bool) {}
+// Away implements platform.Subscriber.
+func (d *daemon) Away() {}
+
+// Back implements platform.Subscriber.
+func (d *daemon) Back(time.Time) {}
 
 func (d *daemon) take(row platform.FeedRow) {
 	d.back = d.back || row.Revision < d.last[row.Key]
