A daemon that is out of rotation returns where the balancer uses it all the same

What callers saw: one workspace got a tenth of what it asked, and half of all requests of the fleet ended unread, for seventeen seconds, while nearly all VMs idled.

Cause: a workspace's callers are led to one VM at a time. Each was overloaded in turn and stayed out for 10 to 40 s, by itself, for good reasons of its own; together they were nine of the seventeen of a zone. A balancer that has fewer than half left uses all, so that the callers came back to the first VM of their order and stayed there. Class: a local decision whose sum over the zone has another effect.

Change: while it keeps up again and would only wait for its hold to end, a daemon counts the new connections that come after the balancer was to know that it is out; from three on it is not heeded, and it returns. It holds without knowing of others: all who idle see the same within seconds, and half of the zone is in rotation again. Weighed: telling the zone's daemons who is out (a message to sixteen at each change, and rested links that are opened for it); a hold that shrinks with the zone (crosses half with two such callers).

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -28,13 +28,16 @@
 	// on a daemon is overloaded too: refusals keep the wait low.
 	sheds = 0.2
 	// holdBase and holdMost bound how long a daemon stays out at least, in a zone that
-	// has others. The time doubles where it is overloaded again within relapse of its
+	// has others, unless the balancer uses it all the same. The time doubles where it is overloaded again within relapse of its
 	// return: the caller that was too much for it has come back with it.
 	holdBase = 10 * time.Second
 	holdMost = 40 * time.Second
 	relapse  = 10 * time.Second
-	// noticed is how long a balancer takes to notice that a daemon is out.
-	noticed = 3 * time.Second
+	// noticed is how long a balancer takes to notice that a daemon is out, and unheeded
+	// from how many new connections after it on it is taken not to heed that. One or two
+	// may have been under way.
+	noticed  = 3 * time.Second
+	unheeded = 3
 	// weight is that of one observation in the mean: of one in 20 ms, about half a
 	// second of them.
 	weight = 0.04
@@ -77,31 +80,40 @@
 func (d *Detector) Note(now time.Time, o Observation) bool {
 	wait := min(max(0, o.Wait), most)
 	d.mean += time.Duration(weight * float64(wait-d.mean))
-	d.count(now, o.Arrived)
 	switch {
 	case d.mean >= high || o.Shed >= sheds:
 		d.begin(now, o.Holds)
-		d.quiet = time.Time{}
+		d.quiet, d.arrived = time.Time{}, 0
 	case d.mean > low || o.Shed > 0:
-		d.quiet = time.Time{}
+		d.quiet, d.arrived = time.Time{}, 0
 	case d.quiet.IsZero():
 		d.quiet = now
-	case d.over && now.Sub(d.quiet) >= calm && (!o.Holds || !now.Before(d.until)):
+	}
+	if !d.over || d.quiet.IsZero() {
+		return d.over
+	}
+	if now.Sub(d.began) >= noticed {
+		d.arrived += o.Arrived
+	}
+	if now.Sub(d.quiet) >= calm && !(o.Holds && d.holds(now)) {
 		d.over, d.ended = false, now
 	}
 	return d.over
 }
 
-// count adds up the connections that callers open although the balancer knows that the
-// daemon is overloaded.
-func (d *Detector) count(now time.Time, arrived int) {
-	if d.over && now.Sub(d.began) >= noticed {
-		d.arrived += arrived
-	}
+// holds tells whether a daemon that keeps up again is to stay out.
+//
+// It guards against a zone whose daemons stay out one after the other, each for its own
+// reasons, until fewer are in rotation than a balancer heeds: it then uses all again, and
+// a flood that went from one to the next stays on one of them while the others idle. It
+// shows as most requests of a zone unread for as long as the hold lasts. None of them needs
+// to know of the others: who is out and gets new connections all the same is not heeded.
+func (d *Detector) holds(now time.Time) bool {
+	return now.Before(d.until) && d.arrived < unheeded
 }
 
-// Arrived returns how many connections callers have opened, since the daemon last became
-// overloaded, after the balancer was to know it.
+// Arrived returns how many connections callers have opened to a daemon that is out, after
+// the balancer was to know it and since the daemon keeps up again.
 func (d *Detector) Arrived() int { return d.arrived }
 
 // begin notes that the daemon is overloaded.
--- a/internal/overload/zone_test.go
+++ b/internal/overload/zone_test.go
@@ -121,7 +121,10 @@
 
 // One workspace's callers, whom a balancer leads to one VM at a time, are too many for any
 // of them. For twenty seconds half of the zone's requests end unread, that workspace gets a
-// tenth of what it asks, and all other VMs of the zone idle.
+// tenth of what it asks, and all other VMs of the zone idle: each was overloaded in turn and
+// stays out for 10 to 40 s by itself, until more than half are out, and a balancer that
+// takes so many for its own fault uses all, the first of them for this workspace. It began
+// and ended with the readiness of the ninth daemon of seventeen.
 func TestAFloodMovesOnWhileOtherVMsIdle(t *testing.T) {
 	// mostStay is above a second to see the overload, two that the balancer takes to
 	// notice, and two in which those that idle are to return.
