--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -172,7 +172,11 @@
 }
 
 // Lapsed returns, in order, the entries that the store lacks and that are kept for now.
-func (r *Registry) Lapsed() []ident.Target { return slices.Sorted(maps.Keys(r.lapsed)) }
+func (r *Registry) Lapsed() []ident.Target {
+	list := slices.AppendSeq([]ident.Target{}, maps.Keys(r.lapsed))
+	slices.Sort(list)
+	return list
+}
 
 // Targets returns the entries by identity. Where two stand for one address, the
 // one that was born last holds it: an address is given to another target once
