--- a/internal/booking/capacity.go
+++ b/internal/booking/capacity.go
@@ -11,18 +11,13 @@
 // Load pattern: several workspaces at once ask for many times their usual, and the stated
 // rate is what engines give for an average prompt. Two thirds of these prompts are kept
 // parts, which cost an engine nothing, or the engines are quicker than stated. Held to
-// shares of the stated rate, every third request was refused while engines read for 40%
-// of their time, and all that the workspaces beyond their shares could have was what is
-// spare.
+// shares of the stated rate, requests are refused while engines read for less than half of
+// their time, and all that the workspaces beyond their shares can have is what is spare.
 //
 // How near targets are to what they may be used for is told with their loads: one is as
 // near as they should be. What was granted at that use tells what they would give at one.
 // The estimate rests on the mix of the last seconds and not on how much is let in, so that
 // it does not follow its own decisions up or down.
-//
-// On three simulated sites without processor time it took the requests refused from 54 to
-// 69% down to 9 to 35%. Beside what bounds it since, the lead of what is spare and that over
-// workspaces which daemons keep back, it is 33 to 42%.
 
 const (
 	// aimTaken is the part of their slots and memory that targets may have taken in the
--- a/internal/booking/fetch.go
+++ b/internal/booking/fetch.go
@@ -18,17 +18,12 @@
 // Owners tell with each answer how much of a prompt their target keeps, so that an
 // ingress that asks the next one knows what can be copied from where, and the owner
 // that is asked counts the copy and not the reading. No message more is sent for it.
-//
-// It buys 0.01 to 0.017 of a day's worth on three simulated sites, and halves the tokens
-// that are read again.
 
 const (
 	// leastFetch is the number of tokens from which on a part is copied. A copy of so
-	// few takes as long as reading them, but a link and not the engine: with 512, worth
-	// with trouble was 0.014 lower where most shared parts are of 200 to 570 tokens.
+	// few takes as long as reading them, but a link and not the engine.
 	leastFetch = 128
-	// fetchStart is the time that a copy takes beyond its tokens: both ends set it up,
-	// in 1.7 to 5.3 ms on the engines seen.
+	// fetchStart is the time that a copy takes beyond its tokens: both ends set it up.
 	fetchStart = 4 * time.Millisecond
 )
 
--- a/internal/booking/hold.go
+++ b/internal/booking/hold.go
@@ -8,12 +8,8 @@
 // Load pattern: requests of one session come in bursts. The first one's part of 13,000
 // tokens takes an engine 268 ms to read, and only then it is kept: a second one that comes
 // meanwhile is admitted, finds nothing kept, and has all of it read once more, as do a
-// third and a fourth, one after the other. On a calm day of a simulated site most of what
-// was read again was of that kind: 29 requests, 310,000 tokens.
-//
-// Holding back is worth 0.013 of a heavy day's worth on engines of 50 tokens a ms (mean of
-// 13 plays), where 13,000 tokens are shared, and nothing that shows on engines of 140, where
-// it is 5,000.
+// third and a fourth, one after the other. It counts the more the slower an engine reads and the
+// longer the shared parts are.
 //
 // The request takes its place at once, so that nobody else gets it, and waits at its
 // ingress. The owner tells when the first byte of the one before has come, or that it has
@@ -22,8 +18,8 @@
 
 const (
 	// leastHold is the reading that must be saved for a request to be held back: half of a
-	// chunk of 2,048 tokens on an engine of 50 tokens a ms. Holding back for 8 or 3 ms
-	// measured the same, and takes a word for each of more requests.
+	// chunk of 2,048 tokens on an engine of 50 tokens a ms. Each holding back takes a word
+	// between daemons.
 	leastHold = 20 * time.Millisecond
 	// holdSlack is by how much longer than expected the request before may take, as a part
 	// of that time and beyond it, before the one held back goes all the same.
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -87,8 +87,7 @@
 // It guards against an availability zone that is cut off: a target is owned by a daemon
 // of its own zone, so that where the owner is silent the target most likely is too. Sent
 // there blindly a request hangs for a second, ends as one that may have run, and may not
-// be sent anywhere else, while other zones have room. The guard is worth 0.004 to 0.013
-// of a day with such cuts on three simulated sites.
+// be sent anywhere else, while other zones have room.
 func (r *request) passOver() {
 	r.unheard = append(r.unheard, r.at)
 	r.more = true
--- a/internal/booking/kept.go
+++ b/internal/booking/kept.go
@@ -9,9 +9,7 @@
 // The ends of prompts come once and never again, but an engine cannot know: it drops what was
 // used longest ago, whichever that is. An engine that reads 50,000 tokens a second has filled
 // 200,000 with them in 4 s. Counted without, a session that was last asked for 5 s ago seemed
-// to be kept, and requests of it were sent where it had to be read again. Counting them takes
-// 8 to 19% off what is read again, and is worth 0.001 to 0.006 of a heavy day and 0.006 to
-// 0.010 of a calm one on three simulated sites.
+// to be kept, and requests of it were sent where it had to be read again.
 //
 // Load pattern: ten requests of one session of 13,000 tokens run on an engine of 540,000.
 // Counted for each of them, the session would seem to fill a quarter of the memory: other
--- a/internal/booking/pace.go
+++ b/internal/booking/pace.go
@@ -18,8 +18,7 @@
 	// firstPace is the time to read one token: 50 tokens a ms, that of the slower of two
 	// engine models. Nothing is kept at a start, so that an engine that is taken for twice
 	// as fast as it is gets what it reads in seconds; one that is taken for slow refuses
-	// some for a second. With 100 tokens a ms, the two worst windows of a heavy day had
-	// 0.02 less of their worth on engines of 50, and the whole day 0.003.
+	// some for a second.
 	firstPace = 20 * time.Microsecond
 	// slowest and fastest bound an observed pace, so that one strange observation
 	// cannot close a target.
--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -121,16 +121,12 @@
 	//
 	// Load pattern: the callers of one hot workspace all reach one small VM, which has the
 	// processor time for a fraction of what they ask for, while the other hot ones fill
-	// the engines: 3.2 million tokens against 7.0 in six seconds, where half is the bound.
-	// With the room above the level it is the lead of what is spare; at 1.5 the bound was
-	// broken all the same, since sums are up to 0.75 s old and those ahead take turns at
-	// being the best served.
+	// the engines, and get more than twice what the hot one does. With the room above the
+	// level it is the lead of what is spare: sums are up to 0.75 s old and those ahead take
+	// turns at being the best served, so that it has to be well below two.
 	//
 	// It binds for such workspaces alone. Those that lack because the targets that keep
-	// their prompts are full gain nothing where others get less at other targets: with a
-	// lead over them too, on three simulated sites 54 to 55% of the requests of days with
-	// trouble were answered in time, in place of 70 to 73%, and 23 to 34% of those of a
-	// calm day refused in place of 1 to 15%.
+	// their prompts are full gain nothing where others get less at other targets.
 	observedLead = spareLead / room
 	// keptBackFrom is the part of what a workspace asks for from which on daemons that
 	// refuse it for want of processor time keep it back. Daemons that refuse nothing else
--- a/internal/booking/slowdown.go
+++ b/internal/booking/slowdown.go
@@ -10,22 +10,14 @@
 // chunk takes 41 ms and a token alone 7 ms, a stream beside steady reading lasts six times
 // as long, where they take 7 ms each, twice. First tokens are in time all the while. But
 // streams of 13 s outlive their callers' patience and a planned stop of 8 s, and whatever
-// fails takes six times as many of them along: with engines that read for 0.7 of their
-// time, 300 of 9,000 answers of a heavy day ended in the middle.
-//
-// Bounding that is worth 0.019 of a day with trouble on engines of slow chunks, against
-// 0.7 of the time for all, and nothing on engines of quick ones.
+// fails takes six times as many of them along.
 //
 // The rate of a stream's events is taken for one of steady reading and one of none, mixed
 // by the part of its time that the engine read. Two sums of squares of what ended streams
 // show give both.
 
 const (
-	// mostSlowdown is how many times as long a stream may take as beside no reading. In
-	// worth with trouble, engines whose streams slow down to a quarter did best when they
-	// read for 0.45 of their time (0.747; 0.736 at 0.55, 0.720 at 0.7), engines whose
-	// streams slow down to 0.6 at 0.7 (0.704; 0.680 at 0.6, 0.686 at 0.85): in both cases
-	// streams take 1.4 to 1.5 times as long.
+	// mostSlowdown is how many times as long a stream may take as beside no reading.
 	mostSlowdown = 1.5
 	// leastReading and mostReading bound the part of its time that an engine may read.
 	leastReading = 0.3
--- a/internal/booking/sums.go
+++ b/internal/booking/sums.go
@@ -72,8 +72,7 @@
 
 // toldHolds is how long a told sum stays as it is before it fades: until the next word is
 // due. The sum of a steady rate is steady; faded from the moment that it was told, what
-// others ask for and are granted would seem 12% lower than it is where all tell all, and
-// 25% lower by way of hubs.
+// others ask for and are granted would seem lower than it is, and more so by way of hubs.
 const toldHolds = tellEvery + tellEvery/5
 
 func toldNow(now time.Time, s sums) fading { return fadingFrom(now.Add(toldHolds), s) }
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -30,8 +30,7 @@
 //
 // A listener that is just closed resets those: their callers, who have sent
 // their requests before the balancer noticed the stop, get no answer. On a
-// daemon that is short of processor time these are many (132 of 200 requests
-// in TestPlannedStopCutsNothingOff beside 30 busy processes).
+// daemon that is short of processor time these are many.
 type drainableListener struct {
 	*net.TCPListener
 	draining atomic.Bool
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,8 +13,7 @@
 // back off with jitter, up to BackoffCap, so that a node that found n peers
 // gone makes about n/BackoffCap dials a second, and not all at once.
 //
-// Grounds of the figures: a heartbeat a second is what the budget of control
-// traffic allows; three missed in a row are rare on links that lose one packet
+// A heartbeat a second is what the budget of control traffic allows; three missed in a row are rare on links that lose one packet
 // in a hundred (one in a million), which is when the link is replaced; a
 // replacement takes up to three more, after which the peer is dead.
 package membership
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -9,10 +9,9 @@
 // cannot see how long requests have waited in the kernel for it, but it can see how
 // long a goroutine that is ready waits for its turn.
 //
-// Grounds of the figures: where a turn takes 10 ms on average, a request that takes
-// ten of them takes longer than the shortest objectives (100 ms). A balancer needs
-// two to three seconds to notice, so that a daemon stays out for as long as it takes
-// to be noticed, and returns when it has been idle enough for a second.
+// Where a turn takes 10 ms on average, a request that takes ten of them takes longer than
+// the shortest objectives (100 ms). A balancer needs two to three seconds to notice, so that
+// a daemon stays out for as long as it takes to be noticed.
 package overload
 
 import "time"
@@ -28,8 +27,9 @@
 	// on a daemon is overloaded too: refusals keep the wait low.
 	sheds = 0.2
 	// holdBase and holdMost bound how long a daemon stays out at least, in a zone that
-	// has others, unless the balancer uses it all the same. The time doubles where it is overloaded again within relapse of its
-	// return: the caller that was too much for it has come back with it.
+	// has others, unless the balancer uses it all the same. The time doubles where it is
+	// overloaded again within relapse of its return: the caller that was too much for it
+	// has come back with it.
 	holdBase = 10 * time.Second
 	holdMost = 40 * time.Second
 	relapse  = 10 * time.Second
--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -20,9 +20,9 @@
 // with a quota stands still for most of each tenth of a second, which shows in one wait
 // of eight.
 //
-// Grounds of the figures: a request takes about ten turns, so that 3 ms a turn are a
-// third of the shortest objectives (100 ms). From none to nearly all takes an eighth of a
-// second at five times the target, and back half a second.
+// A request takes about ten turns, so that the target is a third of the shortest
+// objectives (100 ms). From none to nearly all takes an eighth of a second at five times the
+// target, and back half a second.
 type Shedder struct {
 	waits [shedWindow]time.Duration
 	next  int
@@ -72,8 +72,8 @@
 // AcceptRate returns how many new connections a second a daemon takes where a turn takes
 // so long on average; zero: all. It answers callers that bring more than can even be
 // refused: read in turn, their requests would take all processor time, and each would be
-// sent on after its caller has gone. It falls with the wait and has no memory: held down
-// until a second of calm, the daemon left a third of a flood unread that it could refuse.
+// sent on after its caller has gone. It falls with the wait and has no memory, so that
+// what can be refused is not left unread once the wait has fallen.
 func AcceptRate(wait time.Duration) float64 {
 	if wait < high {
 		return 0
--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -39,9 +39,9 @@
 const (
 	// spentBefore is the part of the limit that a caller must have used to be taken
 	// for one that comes back. Callers state what is left of their time, and not all
-	// are as patient as the operator's limit lets them be: where they vary by 15%, a
-	// bound of 50 ms took nine first requests of ten for late ones, so that shares
-	// held for none of them, and those who asked most had most.
+	// are as patient as the operator's limit lets them be: a bound near
+	// the limit takes first requests for late ones, so that shares hold for none of them,
+	// and those who ask most have most.
 	spentBefore = 0.25
 	// wayBack is the time of the answer on its way to the caller.
 	wayBack = 5 * time.Millisecond
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -29,14 +29,11 @@
 // byte without a queue. That is a ratio of times: no step time and no unit of
 // it is assumed. (The step time of engines was reported without its unit.)
 //
-// Grounds of the figures: MinWindow 32 completions put the early quantile
+// What the defaults protect: MinWindow 32 completions put the early quantile
 // within a factor of two for the most spread prompts (exponential). Queue 0.05
 // lets one or two requests wait in an engine of 20 to 50 slots, so that a slot
-// that becomes free is refilled without a round trip to the daemons; half of it
-// left slots empty in the tests' mixed work. SlowFactor 8 is far beyond the
-// spread between target generations (factor 2 to 3), which share out by their
-// own limits: a target at a quarter of its speed still does a quarter of its
-// work, and probation at factor 4 left 3% of the fleet idle in the pattern
-// slow-target of test/fairness. The tests drive all of them with work of three
-// kinds on targets of 4 to 64 slots.
+// that becomes free is refilled without a round trip to the daemons. SlowFactor 8
+// is far beyond the spread between target generations (factor 2 to 3), which share
+// out by their own limits: a target at a quarter of its speed still does a quarter
+// of its work.
 package placement
--- a/internal/preemption/preemption.go
+++ b/internal/preemption/preemption.go
@@ -14,15 +14,11 @@
 // above its share and the one that got less than that, so that no two workspaces
 // take slots from each other in turn.
 //
-// Grounds of the figures (docs/design/preemption.md has the measurements). At one
-// slot above the share, three times overload cost 10% to 18% more control traffic,
-// mostly above 4 KB/s, for workspaces that all stood near their shares; at two it cost 2%
-// to 8%, and a question under a flood waited as short. Three
-// stops of one request bound its extra work to three readings. A twentieth of
-// the slots a second is twice what questions under a flood used at the measured
-// sites, and bounds the slots that read again (0.7 s a stop) to 3.5%.
-// From three quarters of the expected cost on, what is left is of the size of
-// what would be read again and of the wait that it saves.
+// What the bounds protect: two slots above the share keep workspaces that all stand near
+// their shares from taking slots from each other, which costs control traffic. Three stops
+// of one request bound its extra work to three readings, and a twentieth of the slots a
+// second bounds those that read again. From three quarters of the expected cost on, what is
+// left is of the size of what would be read again and of the wait that it saves.
 package preemption
 
 import "time"
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -12,7 +12,7 @@
 // only where it is repeatable, nothing of its answer was handed over, and the
 // budget allows it.
 //
-// Grounds of the figures: with Ratio 0.1 retries add at most a tenth to the
+// What the defaults protect: with Ratio 0.1 retries add at most a tenth to the
 // load in the long run, which a fleet at 90% of its capacity still carries.
 // Burst covers one target's worth of requests (50 slots) that fail together.
 // BaseWait is below the time of a short answer, MaxWait below the patience of
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -26,8 +26,8 @@
 	// the time of a request.
 	Spill time.Duration
 	// Exchange is the interval of demand updates and of service parts.
-	// Default 1 s, the shortest that stays within 4 KB/s of control at the
-	// sizes measured (docs/design/fair-share.md).
+	// Default 1 s, the shortest that stays within 4 KB/s of control
+	// (docs/design/fair-share.md).
 	Exchange time.Duration
 	// Slice is how long an ingress may go on using a grant of another daemon for
 	// further requests of the same workspace. Default 2 s: short requests then
--- a/internal/scheduler/reduce.go
+++ b/internal/scheduler/reduce.go
@@ -40,8 +40,7 @@
 	// heartbeats and configuration.
 	reduceBudget = 2048
 	// frameBytes and rowBytes are what a frame and one row of it take on a
-	// link: measured in docs/CAPACITY.md (88 bytes of framing, 234 bytes for 24
-	// rows).
+	// link (docs/CAPACITY.md).
 	frameBytes = 88
 	rowBytes   = 10
 	// reduceRounds is how many rounds a part takes to the last daemon: to who
