A failing test: a planned stop closes a connection whose request it is reading

What a caller sees: it keeps its connection, sends a request just when a planned stop closes what is unused, and gets neither an answer nor a refusal. Cause: the server counts a connection as idle until it has read the whole header. Ruled out: nothing else yet.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// closeUnused closes the connections on which no request is under way.
+func (c *connections) closeUnused(server *http.Server) { server.SetKeepAlivesEnabled(false) }
+
 // pressed tells whether so many connections are open that refused callers should
 // not keep theirs.
 func (c *connections) pressed() bool {
--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/time/rate"
 )
 
 // A caller has connected, and its request is still on its way when the planned
@@ -101,3 +102,57 @@
 	is.NoErr(err) // the other one is read
 	is.True(c.used(time.Now()))
 }
+
+// A caller keeps its connection and sends a request on it just when a planned stop closes
+// what is unused. The daemon has read the first part of the request, on a busy VM a good
+// while before it comes to the rest, and closes the connection as unused; the caller gets
+// neither an answer nor a refusal.
+func TestAPlannedStopClosesNoConnectionWithARequestUnderWay(t *testing.T) {
+	is := is.New(t)
+	l, err := listenDrainable("127.0.0.1:0")
+	is.NoErr(err)
+	conns := newConnections(0)
+	hello := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }
+	server := &http.Server{Handler: http.HandlerFunc(hello), ConnState: conns.note}
+	go func() { _ = server.Serve(newSheddingListener(l, func() rate.Limit { return 0 })) }()
+	t.Cleanup(func() { _ = server.Close() })
+	dial := func() (net.Conn, *bufio.Reader) {
+		caller, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = caller.Close() })
+		return caller, bufio.NewReader(caller)
+	}
+	send := func(caller net.Conn, text string) {
+		_, err := io.WriteString(caller, text)
+		is.NoErr(err)
+	}
+	answer := func(r *bufio.Reader) (string, error) {
+		response, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return "", err
+		}
+		text, err := io.ReadAll(response.Body)
+		return string(text), err
+	}
+	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	sending, fromSending := dial()
+	unused, fromUnused := dial()
+	for _, c := range []struct {
+		caller net.Conn
+		from   *bufio.Reader
+	}{{sending, fromSending}, {unused, fromUnused}} {
+		send(c.caller, request)
+		text, err := answer(c.from)
+		is.NoErr(err)
+		is.Equal(text, "hello")
+	}
+	send(sending, request[:10])
+	time.Sleep(50 * time.Millisecond) // it is read
+	conns.closeUnused(server)
+	_, err = answer(fromUnused)
+	is.True(err != nil) // closed, since nothing was under way
+	send(sending, request[10:])
+	text, err := answer(fromSending)
+	is.NoErr(err)
+	is.Equal(text, "hello")
+}
