A planned stop closes no connection on which a request is being read

Cause: the server tells that a connection is in use only when it has read a request's whole header, and SetKeepAlivesEnabled(false) and Shutdown close all that are not. On a VM whose turns take long, or of a header in two packets, a part of the request has been read by then. Ruled out: requests that the kernel holds unread (checked before for connections that are closed for want of room, not in a planned stop; now in both).

Change: accepted connections know whether something was read since their last answer; a planned stop closes by itself those on which nothing was and nothing waits, before and after it waits for the others. It holds since what has been read counts from the read and not from the header's end. The same in the daemon of documents, which shares settle.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -65,9 +66,31 @@
 		c.busy[conn] = true
 	case http.StateIdle:
 		c.idle[conn] = time.Now()
+		if reader, ok := conn.(*readingConn); ok {
+			reader.read.Store(false)
+		}
+	}
+}
+
+// readingConn is a caller's connection that knows whether something has been read from it
+// since its last request was answered. The server tells of a request only when it has read
+// its whole header.
+type readingConn struct {
+	*net.TCPConn
+	read atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *readingConn) Read(b []byte) (n int, err error) {
+	n, err = c.TCPConn.Read(b)
+	if n > 0 {
+		c.read.Store(true)
 	}
+	return n, err
 }
 
+func (c *readingConn) hasRead() bool { return c.read.Load() }
+
 func (c *connections) full() bool {
 	return c.most > 0 && len(c.busy)+len(c.fresh)+len(c.idle) > c.most
 }
@@ -90,17 +113,38 @@
 		if oldest == nil {
 			return
 		}
-		delete(c.idle, oldest)
-		if !hasUnread(oldest) {
-			_ = oldest.Close() // its caller opens another one
+		if c.closeOrWait(oldest) {
 			return
 		}
-		c.busy[oldest] = true // its goroutine will say so when it has its turn
 	}
 }
 
-// closeUnused closes the connections on which no request is under way.
-func (c *connections) closeUnused(server *http.Server) { server.SetKeepAlivesEnabled(false) }
+// closeUnused closes the connections on which no request is under way, leaves the others
+// to the end of theirs, and tells whether there are none of these.
+//
+// It stands in for http.Server.SetKeepAlivesEnabled(false), which closes a connection also
+// while its next request is being read, or waits to be: on a VM whose turns take long a
+// planned stop would leave such callers without an answer or a refusal.
+func (c *connections) closeUnused() (all bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.idle {
+		c.closeOrWait(conn)
+	}
+	return len(c.busy) == 0
+}
+
+// closeOrWait closes a connection that waits for a further request, unless a part of one has
+// come. The caller holds the lock.
+func (c *connections) closeOrWait(conn net.Conn) (closed bool) {
+	delete(c.idle, conn)
+	if reader, ok := conn.(*readingConn); ok && reader.hasRead() || hasUnread(conn) {
+		c.busy[conn] = true // its goroutine will say so when it has its turn
+		return false
+	}
+	_ = conn.Close() // its caller opens another one
+	return true
+}
 
 // pressed tells whether so many connections are open that refused callers should
 // not keep theirs.
@@ -139,11 +183,12 @@
 	return false
 }
 
-// settle waits until no connection is in use or ctx ends.
+// settle waits until no connection is in use or ctx ends, and closes those that are not: a
+// shutdown of the server would also close one whose next request is being read.
 func (c *connections) settle(ctx context.Context) {
 	ticker := time.NewTicker(settlePoll)
 	defer ticker.Stop()
-	for c.used(time.Now()) {
+	for c.used(time.Now()) || !c.closeUnused() {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -148,7 +148,7 @@
 	}
 	send(sending, request[:10])
 	time.Sleep(50 * time.Millisecond) // it is read
-	conns.closeUnused(server)
+	conns.closeUnused()
 	_, err = answer(fromUnused)
 	is.True(err != nil) // closed, since nothing was under way
 	send(sending, request[10:])
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -72,11 +72,14 @@
 			}
 			_ = l.SetDeadline(time.Now().Add(acceptLimit))
 		}
-		conn, err := l.TCPListener.Accept()
+		conn, err := l.AcceptTCP()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
 		}
-		return conn, err
+		if err != nil {
+			return nil, err
+		}
+		return &readingConn{TCPConn: conn}, nil
 	}
 }
 
