A refusal of a prompt that alone takes too long says so

Cause: a refusal of limit time told of a wait of 40 ms for a prompt of 44,903 tokens due in 795 ms: what decided it, the reading of the prompt alone at the assumed pace, stood in no field, and the reason was that the fleet is full.

Change: limit prompt and result code 2011 objective_unmet with the time of the prompt alone (alone_ms, told by the owner; two to three bytes in such replies). No decision changes: whatever the prompt alone cannot meet was refused before. The test's long prompt now meets a busy target; it also tells limit time and prompt apart.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -123,10 +123,12 @@
 	asked time.Time
 	at    candidate
 	to    ident.Daemon
-	// least is the shortest wait that an owner told, limit and used what it said with it.
+	// least is the shortest wait that an owner told, limit, used and alone what it said
+	// with it.
 	least time.Duration
 	limit Limit
 	used  float64
+	alone time.Duration
 	// source is the target that keeps most of the prompt by what owners told, and
 	// sourceKept how many tokens.
 	source     ident.Target
--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -95,6 +95,9 @@
 	return begin.Add(e.overhead + e.reads(r))
 }
 
+// alone is the time to the first byte of a prompt where nothing else is to be read.
+func (e *engine) alone(r *run) time.Duration { return r.fetch + e.overhead + e.reads(r) }
+
 // reads is how long the engine reads a prompt.
 func (e *engine) reads(r *run) time.Duration { return e.pace.of(r.work) }
 
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
@@ -73,7 +74,7 @@
 
 // basis is what is known of the decision about a request.
 func (r *request) basis() Basis {
-	return Basis{By: r.at.by, Expected: r.least, Asks: r.tried, Limit: r.limit, Used: r.used, Back: r.back}
+	return Basis{By: r.at.by, Expected: r.least, Asks: r.tried, Limit: r.limit, Used: r.used, Alone: r.alone, Back: r.back}
 }
 
 // silent tells whether the owner of a target is another daemon that does not answer.
@@ -100,7 +101,7 @@
 	r.back = r.back || reply.Back
 	r.Late = r.Late || reply.Back
 	if reply.OK || r.least == 0 || reply.Wait < r.least {
-		r.least, r.limit, r.used = reply.Wait, reply.Limit, reply.Used
+		r.least, r.limit, r.used, r.alone = reply.Wait, reply.Limit, reply.Used, reply.Alone
 	}
 	r.here = reply.Kept
 	if reply.Kept > r.sourceKept && !reply.OK {
@@ -281,7 +282,11 @@
 	if r.back {
 		returned = ", and it was refused before"
 	}
-	f := resultcode.Fail(resultcode.FleetFull, "%d targets asked, the shortest wait is %s%s", r.tried, r.least.Round(time.Millisecond), returned)
+	code, alone := resultcode.FleetFull, ""
+	if r.limit == LimitPrompt {
+		code, alone = resultcode.ObjectiveUnmet, fmt.Sprintf("; the prompt alone takes %s", r.alone.Round(time.Millisecond))
+	}
+	f := resultcode.Fail(code, "%d targets asked, the shortest wait is %s%s%s", r.tried, r.least.Round(time.Millisecond), alone, returned)
 	f.RetryAfter = c.comeBack(r)
 	return f
 }
--- a/internal/booking/limit.go
+++ b/internal/booking/limit.go
@@ -21,9 +21,11 @@
 	LimitShare
 	// LimitTime: the answer would come after its objective.
 	LimitTime
+	// LimitPrompt: the prompt alone takes the target longer than its objective.
+	LimitPrompt
 )
 
-var limitNames = [...]string{"", "failing", "memory", "slots", "spare", "share", "time"}
+var limitNames = [...]string{"", "failing", "memory", "slots", "spare", "share", "time", "prompt"}
 
 // String names the limit as logs do.
 func (l Limit) String() string {
--- a/internal/booking/limit_test.go
+++ b/internal/booking/limit_test.go
@@ -35,12 +35,19 @@
 	request := func(id ident.Request, prompt int, in time.Duration) booking.Request {
 		return booking.Request{ID: id, Service: "pool", Workspace: "w", Prompt: prompt, Output: 10, Due: now.Add(in)}
 	}
-	late := refusal(t, now, ingress, owner, name, request("long", 50000, 300*time.Millisecond))
-	is.Equal(late.Limit, booking.LimitTime)
+	ingress.Submit(now, request("before", 30000, time.Minute)) // it fills the next second
+	pass(now, ingress, owner, map[ident.Daemon]ident.Daemon{"a": "b", "b": "a"}[name])
+	pass(now, owner, ingress, name)
+	late := refusal(t, now, ingress, owner, name, request("long", 40000, 300*time.Millisecond))
+	is.Equal(late.Limit, booking.LimitPrompt)
 	is.Equal(late.Asks, 1)
 	is.True(late.Expected > 0)
+	is.True(late.Alone > 300*time.Millisecond)
+	late = refusal(t, now, ingress, owner, name, request("short", 10, 300*time.Millisecond))
+	is.Equal(late.Limit, booking.LimitTime)
+	is.Equal(late.Alone, time.Duration(0))
 	is.Equal(refusal(t, now, ingress, owner, name, request("huge", 99000, time.Minute)).Limit, booking.LimitMemory)
-	for _, id := range []ident.Request{"1", "2", "3", "4", "5", "6", "7", "8"} {
+	for _, id := range []ident.Request{"1", "2", "3", "4", "5", "6", "7"} {
 		ingress.Submit(now, request(id, 10, time.Minute))
 		pass(now, ingress, owner, map[ident.Daemon]ident.Daemon{"a": "b", "b": "a"}[name])
 		pass(now, owner, ingress, name)
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -95,6 +95,9 @@
 	if reply.Limit != LimitNone {
 		reply.Wait = e.backlog(now) + e.overhead
 		reply.Used = e.service.shareUsed(now, a.Workspace)
+		if reply.Limit == LimitPrompt {
+			reply.Alone = e.alone(r)
+		}
 		return reply
 	}
 	reply.Hold = e.holdBack(now, &a, r)
@@ -150,6 +153,9 @@
 
 // limitOfTime holds a request to its objective.
 func (c *Core) limitOfTime(now time.Time, e *engine, a Ask, r *run) Limit {
+	if e.service.model && e.alone(r) > a.Left {
+		return LimitPrompt
+	}
 	wait := e.expect(now, r).Sub(now)
 	most := time.Duration(c.headroom(now, e, a) * float64(a.Left))
 	if wait > most && e.backlog(now) <= spareWait {
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -138,6 +138,8 @@
 	// the workspace has had then; one is all of it.
 	Limit Limit
 	Used  float64
+	// Alone is, with LimitPrompt, the time to the first byte of the prompt alone.
+	Alone time.Duration
 	// Hold is for how long at most the request is to be held back, until the owner tells
 	// that it is to go on; zero: it is to go at once.
 	Hold time.Duration
@@ -239,6 +241,8 @@
 	// request, and Used how much of its share the workspace had had; one is all of it.
 	Limit Limit
 	Used  float64
+	// Alone is, with LimitPrompt, the time to the first byte of the prompt alone.
+	Alone time.Duration
 	// Back tells that the request was refused before and has come back.
 	Back bool
 	// Source is the target from which the beginning of the prompt is to be copied;
--- a/internal/explain/sentences.go
+++ b/internal/explain/sentences.go
@@ -50,6 +50,7 @@
 	"spare":   "it could have only what is spare, and the target had none",
 	"share":   "the target had something to spare, but the workspace was too far ahead of one that lacks",
 	"time":    "the answer would have come after its objective",
+	"prompt":  "the prompt alone takes the target longer than its objective",
 }
 
 // refusal says which limit refused the request.
@@ -58,6 +59,9 @@
 	if why == "" {
 		return indent + "no owner of a target was asked, or none answered"
 	}
+	if alone := l.number("alone_ms"); alone > 0 {
+		why += fmt.Sprintf(" (%.0f ms)", alone)
+	}
 	return fmt.Sprintf("%srefused: %s (%s owners asked, a wait of %s ms told; the workspace had had %.0f%% of its share)",
 		indent, why, l.field("asked"), l.field("expected_ms"), 100*l.number("share_used"))
 }
--- a/internal/fleet/bookings.go
+++ b/internal/fleet/bookings.go
@@ -44,7 +44,7 @@
 		out.Asks = append(out.Asks, e.ask(f, a))
 	}
 	for _, r := range m.Replies {
-		out.Replies = append(out.Replies, &fleetv1.BookingReply{Id: r.ID, Ok: r.OK, Wait: toTime(r.Wait), Back: r.Back, Kept: uint32(r.Kept), Hold: toTime(r.Hold), Limit: uint32(r.Limit), Used: uint32(math.Round(shareUnit * min(r.Used, mostUsed)))})
+		out.Replies = append(out.Replies, &fleetv1.BookingReply{Id: r.ID, Ok: r.OK, Wait: toTime(r.Wait), Back: r.Back, Kept: uint32(r.Kept), Hold: toTime(r.Hold), Limit: uint32(r.Limit), Used: uint32(math.Round(shareUnit * min(r.Used, mostUsed))), Alone: toTime(r.Alone)})
 	}
 	for _, k := range m.Marks {
 		out.Marks = append(out.Marks, &fleetv1.BookingMark{Id: k.ID, First: toTime(k.First)})
@@ -100,7 +100,7 @@
 		out.Asks = append(out.Asks, ask)
 	}
 	for _, r := range in.GetReplies() {
-		out.Replies = append(out.Replies, booking.Reply{ID: r.GetId(), OK: r.GetOk(), Wait: fromTime(r.GetWait()), Back: r.GetBack(), Kept: int(r.GetKept()), Hold: fromTime(r.GetHold()), Limit: booking.Limit(min(r.GetLimit(), math.MaxUint8)), Used: float64(r.GetUsed()) / shareUnit})
+		out.Replies = append(out.Replies, booking.Reply{ID: r.GetId(), OK: r.GetOk(), Wait: fromTime(r.GetWait()), Back: r.GetBack(), Kept: int(r.GetKept()), Hold: fromTime(r.GetHold()), Limit: booking.Limit(min(r.GetLimit(), math.MaxUint8)), Used: float64(r.GetUsed()) / shareUnit, Alone: fromTime(r.GetAlone())})
 	}
 	for _, k := range in.GetMarks() {
 		out.Marks = append(out.Marks, booking.Mark{ID: k.GetId(), First: fromTime(k.GetFirst())})
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -78,6 +78,7 @@
 	NoTarget        = define(Code{2007, "no_target", http.StatusServiceUnavailable, NotRun, "the service has no usable target", 2 * time.Second})
 	Stopping        = define(Code{2008, "stopping", http.StatusServiceUnavailable, NotRun, "this daemon is stopping", time.Second})
 	DaemonBusy      = define(Code{2010, "daemon_busy", http.StatusServiceUnavailable, NotRun, "this daemon has too little processor time; another one may serve the request at once", 0})
+	ObjectiveUnmet  = define(Code{2011, "objective_unmet", http.StatusServiceUnavailable, NotRun, "the prompt alone takes longer than its objective", 2 * time.Second})
 	TargetRefused   = define(Code{2009, "target_refused", http.StatusServiceUnavailable, NotRun, "no target accepted the request", time.Second})
 )
 
