--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -67,30 +66,11 @@
 	case http.StateIdle:
 		c.idle[conn] = time.Now()
 		if reader, ok := conn.(*readingConn); ok {
-			reader.read.Store(false)
+			reader.answered()
 		}
 	}
 }
 
-// readingConn is a caller's connection that knows whether something has been read from it
-// since its last request was answered. The server tells of a request only when it has read
-// its whole header.
-type readingConn struct {
-	*net.TCPConn
-	read atomic.Bool
-}
-
-// Read implements net.Conn.
-func (c *readingConn) Read(b []byte) (n int, err error) {
-	n, err = c.TCPConn.Read(b)
-	if n > 0 {
-		c.read.Store(true)
-	}
-	return n, err
-}
-
-func (c *readingConn) hasRead() bool { return c.read.Load() }
-
 func (c *connections) full() bool {
 	return c.most > 0 && len(c.busy)+len(c.fresh)+len(c.idle) > c.most
 }
