A line tells by what shares a daemon decides while a workspace lacks

Change: event 701 every 5 s while some workspace lacks: rates, level, behind, kept back, and asked, shed and granted of the four that ask for most. No decision changed.

--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -239,11 +240,22 @@
 			return
 		case <-ticker.C:
 			s.gauges()
+			s.logSharing()
 			s.p.Gateway.TellLeftOut()
 		}
 	}
 }
 
+// logSharing tells by what shares this daemon decides, where some workspace lacks.
+func (s *site) logSharing() {
+	var list []booking.Sharing
+	s.p.Loop.Inspect(func(c *booking.Core) { list = c.Sharing(time.Now()) })
+	for _, b := range list {
+		event.ServiceShared.Log(s.p.Log, "service", b.Service, "stated", b.Stated, "observed", math.Round(b.Observed),
+			"level", b.Level, "behind", b.Behind, "kept_back", b.KeptBack, "most", b.Most)
+	}
+}
+
 func (s *site) gauges() {
 	head := uint64(0)
 	if table := s.p.Routes.Current(); table != nil {
