--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -36,10 +36,11 @@
 // mostTold bounds Sharing.Most: those that ask for most decide the level.
 const mostTold = 4
 
-// Sharing returns the services of which some workspace lacks.
+// Sharing returns the services of which some workspace lacks. The level is computed when
+// somebody asks; one that is older than the sums' memory tells of a demand that is over.
 func (c *Core) Sharing(now time.Time) (list []Sharing) {
 	for name, s := range c.services {
-		if !s.model || s.rate <= 0 || math.IsInf(s.shares.behind, 1) {
+		if !s.model || s.rate <= 0 || math.IsInf(s.shares.behind, 1) || now.Sub(s.shares.levelAt) > fade {
 			continue
 		}
 		list = append(list, Sharing{
--- a/internal/booking/report_test.go
+++ b/internal/booking/report_test.go
@@ -40,4 +40,5 @@
 	hot := list[0].Most[0]
 	is.Equal(string(hot.Workspace), "hot")
 	is.True(hot.Asked > 4000 && hot.Asked == hot.Shed && hot.Granted == 0)
+	is.Equal(len(c.Sharing(now.Add(10*time.Second))), 0) // nobody has asked since: it is over
 }
