A workspace that daemons keep back is not held to a level that follows what it has itself

What callers saw: a hot workspace whose callers all reach one small VM after the other gets less and less of what it asks, while targets idle.

Cause: while daemons keep a workspace back for want of processor time, the level beyond the stated rate is 1.13 times what that workspace has. It was itself held to that level. So it had always used 0.88 of its share, by the rule of trunk reservation had 0.6 of the time of its requests, was refused what was spare, and had less a moment later, which lowers the level for all.

Of the logged refusals of zika283 from 4 to 11.5 s, 55 are for time, 68 for the lack of spare places and 21 for its share. Of those for time none is late, 41 have a share_used of 0.80 to 0.95 (median 0.88); of those for spare places 31 of 68 are neither late nor have come back.

Ruled out: grants that come to nothing because the callers have left; none of its logged refusals came after a place.

Change: a workspace that daemons keep back may have its share of what the targets were seen to give. Those ahead of it stay near what it has, as before.

TestAWorkspaceThatIsKeptBackIsNotHeldToWhatItHas: red before (0.88 of its share used at 300 of 800), green after.

--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -16,9 +16,10 @@
 type shares struct {
 	accounts map[ident.Workspace]*account
 	// level is the fair sum per weight that no workspace needs to exceed while
-	// another lacks; infinite where there is enough for all.
-	level   float64
-	levelAt time.Time
+	// another lacks; infinite where there is enough for all. Open is that of the
+	// workspaces that daemons keep back, by what the targets were seen to give.
+	level, open float64
+	levelAt     time.Time
 	// behind is the least granted sum per weight among the workspaces that ask for
 	// more than the level, and keptBack that among those of them that daemons keep back
 	// for want of processor time; infinite where there is none.
@@ -28,7 +29,7 @@
 }
 
 func newShares() shares {
-	return shares{accounts: map[ident.Workspace]*account{}, level: math.Inf(1), behind: math.Inf(1), keptBack: math.Inf(1)}
+	return shares{accounts: map[ident.Workspace]*account{}, level: math.Inf(1), open: math.Inf(1), behind: math.Inf(1), keptBack: math.Inf(1)}
 }
 
 func (s *shares) account(ws ident.Workspace) *account {
@@ -63,14 +64,14 @@
 	}
 	s.refresh(now, rate.stated, rate.observed)
 	a := s.account(ws)
-	return a.sums(now).granted+cost/2 <= a.weight*s.level*room
+	return a.sums(now).granted+cost/2 <= s.share(a)*room
 }
 
 // used returns how much of its share a workspace has had: one is all of it.
 func (s *shares) used(now time.Time, ws ident.Workspace, rate rates) float64 {
 	s.refresh(now, rate.stated, rate.observed)
 	a := s.account(ws)
-	return a.sums(now).granted / (a.weight * s.level)
+	return a.sums(now).granted / s.share(a)
 }
 
 // maySpare tells whether a workspace above its share may have what is spare. That
@@ -82,7 +83,19 @@
 	}
 	s.refresh(now, rate.stated, rate.observed)
 	a := s.account(ws)
-	return a.sums(now).granted+cost/2 <= a.weight*max(s.level, spareLead*s.behind)
+	return a.sums(now).granted+cost/2 <= max(s.share(a), a.weight*spareLead*s.behind)
+}
+
+// share is the sum that a workspace may have been granted.
+//
+// One that daemons keep back is not held to a level that follows what it has itself: it
+// would always seem to have had nearly all of its share, be refused for that while targets
+// idle, and take the level further down for all.
+func (s *shares) share(a *account) float64 {
+	if a.keptBack {
+		return a.weight * s.open
+	}
+	return a.weight * s.level
 }
 
 // spareLead is how far a workspace may be ahead of the least served one that lacks
@@ -110,8 +123,10 @@
 	}
 	s.level = s.fill(now, stated)
 	s.findBehind(now)
+	s.open = s.level
 	if observed > stated {
-		s.level = max(s.level, min(s.fill(now, observed), observedLead*s.keptBack))
+		s.open = s.fill(now, observed)
+		s.level = max(s.level, min(s.open, observedLead*s.keptBack))
 	}
 }
 
@@ -174,11 +189,13 @@
 	s.behind, s.keptBack = math.Inf(1), math.Inf(1)
 	for _, a := range s.accounts {
 		sum := a.sums(now)
+		a.keptBack = false
 		if sum.asked <= a.weight*s.level*room {
 			continue
 		}
 		s.behind = min(s.behind, sum.granted/a.weight)
 		if sum.shed >= keptBackFrom*sum.asked {
+			a.keptBack = true
 			s.keptBack = min(s.keptBack, sum.granted/a.weight)
 		}
 	}
--- a/internal/booking/shares_test.go
+++ b/internal/booking/shares_test.go
@@ -63,3 +63,20 @@
 	grant(&s, now, "ahead", 600)
 	is.True(s.within(now, "ahead", 100, r))
 }
+
+// Guards against holding a workspace that daemons keep back to a level that follows what it
+// has itself: owners refuse most of the little that reaches them while targets idle.
+func TestAWorkspaceThatIsKeptBackIsNotHeldToWhatItHas(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := newShares()
+	s.configure([]Workspace{{Name: "kept", Weight: 1}, {Name: "ahead", Weight: 1}})
+	r := rates{stated: 200, observed: 800}
+	grant(&s, now, "kept", 300)
+	s.account("kept").own.shed.add(now, 2000)
+	grant(&s, now, "ahead", 390)
+	is.True(s.used(now, "kept", r) < 0.5)   // of the 800 that are its share of what is seen
+	is.True(s.within(now, "kept", 200, r))  // also where it is much at once
+	is.True(s.used(now, "ahead", r) > 0.9)  // the other one has had what it may
+	is.True(!s.within(now, "ahead", 50, r)) // and stays near the first
+}
--- a/internal/booking/sums.go
+++ b/internal/booking/sums.go
@@ -59,6 +59,9 @@
 // account is what is known of one workspace's use of a service.
 type account struct {
 	weight float64
+	// keptBack tells that the workspace lacks because daemons refuse it for want of
+	// processor time.
+	keptBack bool
 	// own is what this daemon's callers asked for, and what this daemon granted as owner.
 	own fading
 	// others are the same sums of each other daemon, as last told, and all is what
