What no target has run is not counted as granted

A workspace whose callers reach one small VM gets less than half of what another hot one gets, while every daemon takes it to have as much as that one.

Cause: an owner counts a request as granted when it gives it a place. On a VM that does not keep up many callers leave before their requests are sent on; the place is given back, and the grant stayed in the sum. Others are held near that sum.

Change: an owner takes back what it granted for a request that was not sent, or that its target says it did not run. TestWhatNoTargetHasRunIsNotGranted: red before, green after.

--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -123,7 +123,8 @@
 	e.add(now, r)
 	c.runs[runKey{r.ingress, a.ID}] = r
 	if !a.Taken && !a.Begun {
-		e.service.shares.grant(now, a.Workspace, cost(a))
+		r.workspace, r.granted = a.Workspace, cost(a)
+		e.service.shares.grant(now, r.workspace, r.granted)
 	}
 }
 
@@ -251,6 +252,9 @@
 		return
 	}
 	delete(c.runs, key)
+	if end.unused() {
+		r.target.service.shares.takeBack(now, r.workspace, r.granted, r.at)
+	}
 	r.target.streamed(now, r, end)
 	r.target.remove(now, r, end.Elapsed)
 	c.releaseBehind(now, r)
--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -31,6 +31,8 @@
 	Asked     int             `json:"asked"`
 	Shed      int             `json:"shed"`
 	Granted   int             `json:"granted"`
+	// Unused is what this daemon granted of late as an owner and no target has run.
+	Unused int `json:"unused"`
 }
 
 // mostTold bounds Sharing.Most: those that ask for most decide the level.
@@ -58,6 +60,7 @@
 		sum := a.sums(now)
 		list = append(list, WorkspaceUse{
 			Workspace: name, Asked: int(perSecond(sum.asked)), Shed: int(perSecond(sum.shed)), Granted: int(perSecond(sum.granted)),
+			Unused: int(perSecond(a.unused.now(now))),
 		})
 	}
 	slices.SortFunc(list, func(a, b WorkspaceUse) int {
--- a/internal/booking/run.go
+++ b/internal/booking/run.go
@@ -32,6 +32,9 @@
 	behind *run
 	// until is when the request is forgotten if nothing is heard of it.
 	until time.Time
+	// workspace was granted so much for it by this owner; zero: nothing.
+	workspace ident.Workspace
+	granted   float64
 }
 
 // memoryOf returns the shared parts of a request, and what it fills beyond them.
--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -126,6 +126,21 @@
 // zero is not known, and no workspace is held to a share.
 type rates struct{ stated, observed float64 }
 
+// takeBack notes that what was granted a while ago was not used.
+//
+// The callers of a small VM that does not keep up leave before their requests are sent on. If
+// what was granted for those counted, their workspace would seem to have twice what it gets,
+// and others would be held near that.
+func (s *shares) takeBack(now time.Time, ws ident.Workspace, cost float64, at time.Time) {
+	a := s.accounts[ws]
+	if a == nil {
+		return
+	}
+	a.own.granted.take(now, faded{cost, at}.now(now))
+	a.unsaid.addOver(now, -min(a.unsaid.over(now, s.news), faded{cost, at}.over(now, s.news)), s.news)
+	a.unused.add(now, cost)
+}
+
 // refresh computes the level: what filling up the stated rate gives, and of the observed
 // one as much more as keeps those ahead near those that daemons keep back.
 func (s *shares) refresh(now time.Time, stated, observed float64) {
--- a/internal/booking/shares_test.go
+++ b/internal/booking/shares_test.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -80,3 +81,28 @@
 	is.True(s.used(now, "ahead", r) > 0.9)  // the other one has had what it may
 	is.True(!s.within(now, "ahead", 50, r)) // and stays near the first
 }
+
+// Guards against grants that came to nothing: callers of a small VM leave before their requests
+// are sent on, their workspace seems to have twice what it gets, and others are held near that.
+func TestWhatNoTargetHasRunIsNotGranted(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := New(Config{Self: "a", Incarnation: 1, Zone: "z"}, rand.New(rand.NewPCG(1, 1)))
+	c.Configure(now, []Service{{
+		Name: "pool", Model: true, Rate: 1000,
+		Targets:    []Target{{Name: "engine", Zone: "z", Slots: 32, Memory: 400000}},
+		Workspaces: []Workspace{{Name: "w", Weight: 1}},
+	}})
+	granted := func() float64 { return c.services["pool"].shares.granted(now) }
+	for _, result := range []Result{{}, {Elapsed: time.Millisecond, NotRun: true}} {
+		c.Submit(now, Request{
+			ID: "r", Service: "pool", Workspace: "w", Prompt: 1000, Output: 10,
+			Parts: []Part{{ID: 1, Tokens: 1000}}, Due: now.Add(time.Second),
+		})
+		is.Equal(granted(), 1020.0)
+		now = now.Add(300 * time.Millisecond)
+		c.Finish(now, "r", result)
+		is.True(granted() < 1e-6)
+		c.Take()
+	}
+}
--- a/internal/booking/sums.go
+++ b/internal/booking/sums.go
@@ -20,7 +20,10 @@
 
 func (f *faded) add(now time.Time, x float64) { f.addOver(now, x, fade) }
 
-func (f *faded) now(now time.Time) float64 { return f.over(now, fade) }
+func (f faded) now(now time.Time) float64 { return f.over(now, fade) }
+
+// take takes off, down to nothing.
+func (f *faded) take(now time.Time, x float64) { f.addOver(now, -min(x, f.now(now)), fade) }
 
 // addOver adds to a sum with a time constant of its own.
 func (f *faded) addOver(now time.Time, x float64, constant time.Duration) {
@@ -29,7 +32,7 @@
 }
 
 // over is what is left of a sum with a time constant of its own.
-func (f *faded) over(now time.Time, constant time.Duration) float64 {
+func (f faded) over(now time.Time, constant time.Duration) float64 {
 	if f.value == 0 {
 		return 0
 	}
@@ -70,6 +73,8 @@
 	keptBack bool
 	// own is what this daemon's callers asked for, and what this daemon granted as owner.
 	own fading
+	// unused is what of it came to nothing.
+	unused faded
 	// unsaid is what this daemon granted of late, over the age of news, and lift what the
 	// workspace is taken to have been granted beyond that (estimate.go).
 	unsaid, lift faded
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -164,6 +164,9 @@
 	Pause time.Duration
 }
 
+// unused tells that the target has not run the request: what was granted for it served nobody.
+func (e *End) unused() bool { return e.Elapsed == 0 || e.NotRun }
+
 // Usage is what the callers of the sender, or of all for whom it speaks, asked for of
 // late, what of it was refused for want of a daemon's processor time, and what was granted
 // by owners, for one workspace: sums that fade (see sums.go).
