--- a/internal/daemon/readingconn.go
+++ b/internal/daemon/readingconn.go
@@ -88,13 +88,6 @@
 	return true
 }
 
-// hasRead tells whether something has been read of a request that is not answered yet.
-func (c *readingConn) hasRead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.read
-}
-
 // answered notes that a request was answered. What has come of the next one by then, should
 // its caller have been so quick, waits in the kernel but for a byte.
 func (c *readingConn) answered() {
