--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -121,19 +121,6 @@
 	a.unsaid.addOver(now, cost, s.news)
 }
 
-// spareLead is how far a workspace may be ahead of the least served one that lacks
-// and still get what is spare. Far below two, since each daemon sees what the
-// others granted some hundred ms late.
-const spareLead = 1.3
-
-// room is how far above its fair level a workspace may be and still count as
-// within its share.
-const room = 1.15
-
-// rates are what the targets of a service give, as stated and as observed; a stated one of
-// zero is not known, and no workspace is held to a share.
-type rates struct{ stated, observed float64 }
-
 // takeBack notes that what was granted a while ago was not used.
 //
 // The callers of a small VM that does not keep up leave before their requests are sent on. If
@@ -149,6 +136,19 @@
 	a.unused.add(now, cost)
 }
 
+// spareLead is how far a workspace may be ahead of the least served one that lacks
+// and still get what is spare. Far below two, since each daemon sees what the
+// others granted some hundred ms late.
+const spareLead = 1.3
+
+// room is how far above its fair level a workspace may be and still count as
+// within its share.
+const room = 1.15
+
+// rates are what the targets of a service give, as stated and as observed; a stated one of
+// zero is not known, and no workspace is held to a share.
+type rates struct{ stated, observed float64 }
+
 // refresh computes the level: what filling up the stated rate gives, and of the observed
 // one as much more as keeps those ahead near those that daemons keep back.
 func (s *shares) refresh(now time.Time, stated, observed float64) {
@@ -203,8 +203,8 @@
 }
 
 // fill fills a rate up: workspaces that ask for less than the level get what they ask, and
-// the rest is divided by weight. One more of such a weight asks for all. Infinite: there is
-// enough for all.
+// the rest is divided by weight, with one more of weight more that asks for all; zero: with no
+// other. Infinite: there is enough for all.
 func (s *shares) fill(now time.Time, rate, more float64) float64 {
 	type demand struct{ wanted, weight float64 }
 	var demands []demand
@@ -241,7 +241,8 @@
 }
 
 // findBehind finds the least served workspace that lacks, and the least served one that
-// daemons keep back. It returns what the next one of the latter has; infinite: there is none.
+// daemons keep back. It returns the sum per weight of the second least served one of the
+// latter; infinite: there is none.
 func (s *shares) findBehind(now time.Time) (next float64) {
 	s.behind, s.keptBack, s.least, s.pressed = math.Inf(1), math.Inf(1), nil, false
 	next = math.Inf(1)
