--- a/internal/booking/keptback_test.go
+++ b/internal/booking/keptback_test.go
@@ -36,8 +36,10 @@
 	keptAsks = 8e6 // what the first workspace asks for, returns of the refused included
 	// keptUsual is what a third workspace asks for before its burst.
 	keptUsual = 0.4e6
-	keptStep  = 100 * time.Millisecond
-	keptEnd   = 24 * time.Second
+	// keptLead is how far the one that is kept back most may be ahead of the next one.
+	keptLead = 1.13
+	keptStep = 100 * time.Millisecond
+	keptEnd  = 24 * time.Second
 )
 
 // got is what a workspace was granted in each step.
@@ -51,9 +53,28 @@
 	return sum
 }
 
-// play plays the load on 68 daemons in four zones before 60 engines, which could give all
-// that is asked for.
+// played is what the three workspaces got.
+type played struct{ kept, ahead, second *got }
+
+// plays are those that tests share: each takes a second.
+var plays = map[keptBack]map[uint64]played{}
+
+// play returns what the workspaces got with a seed.
 func (k keptBack) play(seed uint64) (kept, ahead, second *got) {
+	if plays[k] == nil {
+		plays[k] = map[uint64]played{}
+	}
+	p, ok := plays[k][seed]
+	if !ok {
+		p.kept, p.ahead, p.second = k.run(seed)
+		plays[k][seed] = p
+	}
+	return p.kept, p.ahead, p.second
+}
+
+// run plays the load on 68 daemons in four zones before 60 engines, which could give all
+// that is asked for.
+func (k keptBack) run(seed uint64) (kept, ahead, second *got) {
 	s := newZonedSim(seed, []ident.Zone{"a", "b", "c", "d"}, 68, 60, "kept", "ahead", "second")
 	s.service.Rate = 500000
 	for _, e := range s.engines {
@@ -134,6 +155,13 @@
 	return k.second
 }
 
+// steadyLoad has one workspace that is kept back, and twoLoad a second one, whose burst begins
+// with that of the one ahead.
+var (
+	steadyLoad = keptBack{passes: 1.24e6, burst: 5.3e6, begins: 9500 * time.Millisecond}
+	twoLoad    = keptBack{passes: 1.9e6, second: 0.8e6, burst: 5.3e6, begins: 9500 * time.Millisecond}
+)
+
 // lacks tells whether a workspace has less than half of what another one has, but for three
 // of the largest requests.
 func lacks(has, other float64) bool { return has < (other-3*keptMost)/2 }
@@ -143,10 +171,10 @@
 func TestABurstStaysNearAWorkspaceThatIsKeptBack(t *testing.T) {
 	const ms = time.Millisecond
 	for name, k := range map[string]keptBack{
-		"steady":  {passes: 1.24e6, burst: 5.3e6, begins: 9500 * ms},
+		"steady":  steadyLoad,
 		"falling": {passes: 1.24e6, least: 0.31e6, falls: 6 * time.Second, halves: 5 * time.Second, burst: 5.3e6, begins: 9500 * ms},
 		"served":  {passes: 1.2e6, least: 0.5e6, falls: 9500 * ms, halves: time.Second, served: true, burst: 5.3e6, begins: 9500 * ms},
-		"two":     {passes: 1.9e6, second: 0.8e6, burst: 5.3e6, begins: 9500 * ms},
+		"two":     twoLoad,
 	} {
 		for _, seed := range seeds {
 			kept, ahead, second := k.play(seed)
@@ -164,15 +192,15 @@
 }
 
 // Guards against a workspace that has just begun to ask for more, and had little before, as the
-// reason to hold one near it that has long been refused: two thirds of what small VMs let
-// through of that one would be refused beside idle targets.
+// reason to hold one near that which has long been refused.
 func TestABurstThatIsKeptBackHoldsNobodyNearWhatItHadBefore(t *testing.T) {
 	is := is.New(t)
-	k := keptBack{passes: 1.9e6, second: 0.8e6, burst: 5.3e6, begins: 9500 * time.Millisecond}
+	k := twoLoad
 	for _, seed := range seeds {
 		kept, _, _ := k.play(seed)
 		const steps = int(6 * time.Second / keptStep)
-		is.True(kept.span(int(k.begins/keptStep), steps) > 0.45*k.passes*6)
+		may := keptLead * k.second * 6
+		is.True(kept.span(int(k.begins/keptStep), steps) >= 0.95*may) // but for the moment in which the other begins
 	}
 }
 
@@ -180,7 +208,7 @@
 // others: the other one gets about what it may have beside it.
 func TestABurstGetsWhatItMayHaveBesideAWorkspaceThatIsKeptBack(t *testing.T) {
 	is := is.New(t)
-	k := keptBack{passes: 1.24e6, burst: 5.3e6, begins: 9500 * time.Millisecond}
+	k := steadyLoad
 	for _, seed := range seeds {
 		kept, ahead, _ := k.play(seed)
 		first := int(12 * time.Second / keptStep)
