--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -124,7 +124,7 @@
 	c.runs[runKey{r.ingress, a.ID}] = r
 	if !a.Taken && !a.Begun {
 		r.workspace, r.granted = a.Workspace, cost(a)
-		e.service.shares.grant(now, r.workspace, r.granted)
+		e.service.shares.account(a.Workspace).own.granted.add(now, r.granted)
 	}
 }
 
@@ -252,8 +252,8 @@
 		return
 	}
 	delete(c.runs, key)
-	if end.unused() {
-		r.target.service.shares.takeBack(now, r.workspace, r.granted, r.at)
+	if a := r.target.service.shares.accounts[r.workspace]; a != nil && end.unused() {
+		a.unused.add(now, r.granted)
 	}
 	r.target.streamed(now, r, end)
 	r.target.remove(now, r, end.Elapsed)
--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -16,10 +16,10 @@
 	// Stated is the rate that the targets are said to give, Observed what they were seen
 	// to give.
 	Stated, Observed float64
-	// Level is what a workspace of weight one may have, Open what one may have that daemons
-	// keep back most for want of processor time, Behind the least that one that lacks has, and
-	// KeptBack the least that one has which daemons keep back; zero: there is none.
-	Level, Open, Behind, KeptBack float64
+	// Level is what a workspace of weight one may have, Behind the least that one that
+	// lacks has, and KeptBack the least that one has which daemons keep back for want of
+	// processor time; zero: there is none.
+	Level, Behind, KeptBack float64
 	// Most are the workspaces that ask for most.
 	Most []WorkspaceUse
 }
@@ -47,7 +47,7 @@
 		}
 		list = append(list, Sharing{
 			Service: name, Stated: s.rate, Observed: s.capacity.rate,
-			Level: perSecond(s.shares.level), Open: perSecond(s.shares.open), Behind: perSecond(s.shares.behind), KeptBack: perSecond(s.shares.keptBack),
+			Level: perSecond(s.shares.level), Behind: perSecond(s.shares.behind), KeptBack: perSecond(s.shares.keptBack),
 			Most: s.shares.most(now),
 		})
 	}
--- a/internal/booking/sums.go
+++ b/internal/booking/sums.go
@@ -18,39 +18,22 @@
 	at    time.Time
 }
 
-func (f *faded) add(now time.Time, x float64) { f.addOver(now, x, fade) }
-
-func (f faded) now(now time.Time) float64 { return f.over(now, fade) }
-
-// take takes off, down to nothing.
-func (f *faded) take(now time.Time, x float64) { f.addOver(now, -min(x, f.now(now)), fade) }
-
-// addOver adds to a sum with a time constant of its own.
-func (f *faded) addOver(now time.Time, x float64, constant time.Duration) {
-	f.value = f.over(now, constant) + x
+func (f *faded) add(now time.Time, x float64) {
+	f.value = f.now(now) + x
 	f.at = now
 }
 
-// over is what is left of a sum with a time constant of its own.
-func (f faded) over(now time.Time, constant time.Duration) float64 {
+func (f *faded) now(now time.Time) float64 {
 	if f.value == 0 {
 		return 0
 	}
-	return f.value * math.Exp(-max(0, now.Sub(f.at)).Seconds()/constant.Seconds())
+	return f.value * math.Exp(-max(0, now.Sub(f.at)).Seconds()/fade.Seconds())
 }
 
 // sums are what the callers of a workspace asked for of late, what of it a daemon refused
 // for want of processor time, and what owners granted. They fade.
 type sums struct{ asked, shed, granted float64 }
 
-// wanted is what is asked for, as far as it is known to be no return. A caller that is
-// refused for want of processor time comes back at once through another daemon and asks again:
-// what owners met may all have been refused before, and what was refused beyond that twice.
-func (s sums) wanted() float64 {
-	met := s.asked - s.shed
-	return met + max(0, s.shed-met)/2
-}
-
 // plus adds up.
 func (s sums) plus(t sums) sums {
 	return sums{asked: s.asked + t.asked, shed: s.shed + t.shed, granted: s.granted + t.granted}
@@ -76,16 +59,10 @@
 // account is what is known of one workspace's use of a service.
 type account struct {
 	weight float64
-	// pressed tells that daemons refuse the workspace for want of processor time, and that
-	// it asks for more than the level.
-	pressed bool
 	// own is what this daemon's callers asked for, and what this daemon granted as owner.
 	own fading
-	// unused is what of it came to nothing.
+	// unused is what of the grants came to nothing.
 	unused faded
-	// unsaid is what this daemon granted of late, over the age of news, and lift what the
-	// workspace is taken to have been granted beyond that (estimate.go).
-	unsaid, lift faded
 	// others are the same sums of each other daemon, as last told, and all is what
 	// they add up to since the last refresh.
 	others map[ident.Daemon]*fading
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -252,7 +252,7 @@
 	s.p.Loop.Inspect(func(c *booking.Core) { list = c.Sharing(time.Now()) })
 	for _, b := range list {
 		event.ServiceShared.Log(s.p.Log, "service", b.Service, "stated", b.Stated, "observed", math.Round(b.Observed),
-			"level", b.Level, "open", b.Open, "behind", b.Behind, "kept_back", b.KeptBack, "most", b.Most)
+			"level", b.Level, "behind", b.Behind, "kept_back", b.KeptBack, "most", b.Most)
 	}
 }
 
