Event 701 each second, with what the daemon itself refused and granted

A daemon that is asked as an owner by nobody wrote no 701 at all: the level that it reports was computed by asks only. That is the VM that refuses most.

Change: 701 comes once a second while a workspace lacks, also from such daemons. To its fields come `sheds` (the part of new requests refused now), `own` (for the eight workspaces that asked this daemon for most: shed, granted, refused by limit, in tokens since its line before, not faded, so that daemons' lines add up) and `targets` (owned, taken part of the slots, use). `most` is as it was. `savorystall explain` shows the line nearest to each try, with how near each workspace came to half of what the best served got; docs/operations/explain-a-request.md says how to read it.

No decision changes: a level older than 0.5 s is computed for the report, which is one by which nobody decided for as long.

An idle daemon has one more look a second.

Tests: go test of booking (but for the two known red), daemon, explain, reference.

--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -91,6 +91,7 @@
 	r.work, r.fetch = e.service.reading(a.Prompt, kept, a.Elsewhere)
 	if !a.Taken {
 		reply.Limit = c.limit(now, e, a, r)
+		e.service.shares.account(a.Workspace).tally.decided(a, reply.Limit)
 	}
 	if reply.Limit != LimitNone {
 		reply.Wait = e.backlog(now) + e.overhead
--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -22,6 +22,40 @@
 	Level, Behind, KeptBack float64
 	// Most are the workspaces that ask for most.
 	Most []WorkspaceUse
+	// Own are the workspaces that asked this daemon for most since the call before.
+	Own []WorkspaceOwn
+	// Targets are those that this daemon owns.
+	Targets TargetsUse
+}
+
+// WorkspaceOwn is what one daemon decided about a workspace, in units of Request.Cost. Each
+// figure counts once in the fleet but for Refused, so that daemons' figures add up.
+type WorkspaceOwn struct {
+	Workspace ident.Workspace `json:"workspace"`
+	// Shed is what it refused for want of processor time, Granted what it granted as an
+	// owner.
+	Shed    int `json:"shed,omitempty"`
+	Granted int `json:"granted,omitempty"`
+	// Refused is what it refused as an owner, by Limit. A request counts at each owner that
+	// was asked.
+	Refused map[string]int `json:"refused,omitempty"`
+}
+
+// total is what the workspace asked the daemon for.
+func (w *WorkspaceOwn) total() int {
+	sum := w.Shed + w.Granted
+	for _, refused := range w.Refused {
+		sum += refused
+	}
+	return sum
+}
+
+// TargetsUse is how far the targets that one daemon owns are used, in the mean.
+type TargetsUse struct {
+	Owned int `json:"owned"`
+	// Taken is the part of the slots, Use how near they are to what they may be used for.
+	Taken float64 `json:"taken"`
+	Use   float64 `json:"use"`
 }
 
 // WorkspaceUse is what a workspace asked for of late, what of that daemons refused for want
@@ -35,25 +69,103 @@
 	Unused int `json:"unused"`
 }
 
-// mostTold bounds Sharing.Most: those that ask for most decide the level.
-const mostTold = 4
+const (
+	// mostTold bounds Sharing.Most: those that ask for most decide the level.
+	mostTold = 4
+	// ownTold bounds Sharing.Own.
+	ownTold = 8
+	// levelOld is the age from which on a level is computed for the report. A daemon that
+	// only refuses for want of processor time decides by none.
+	levelOld = tellEvery
+)
 
-// Sharing returns the services of which some workspace lacks. The level is computed when
-// somebody asks; one that is older than the sums' memory tells of a demand that is over.
+// Sharing returns the services of which some workspace lacks. What this daemon itself did
+// counts from the call before.
 func (c *Core) Sharing(now time.Time) (list []Sharing) {
 	for name, s := range c.services {
-		if !s.model || s.rate <= 0 || math.IsInf(s.shares.behind, 1) || now.Sub(s.shares.levelAt) > fade {
+		own := s.shares.takeOwn()
+		if !s.model || s.rate <= 0 {
+			continue
+		}
+		if now.Sub(s.shares.levelAt) > levelOld {
+			s.shares.refresh(now, s.rate, s.capacity.rate)
+		}
+		if math.IsInf(s.shares.behind, 1) {
 			continue
 		}
 		list = append(list, Sharing{
 			Service: name, Stated: s.rate, Observed: s.capacity.rate,
 			Level: perSecond(s.shares.level), Behind: perSecond(s.shares.behind), KeptBack: perSecond(s.shares.keptBack),
-			Most: s.shares.most(now),
+			Most: s.shares.most(now), Own: own, Targets: s.targetsUse(now),
 		})
 	}
 	return list
 }
 
+// targetsUse is how far the targets that this daemon owns are used.
+func (s *service) targetsUse(now time.Time) (u TargetsUse) {
+	for _, e := range s.order {
+		if e.owned {
+			u.Owned++
+			u.Taken += e.taken()
+			u.Use += e.use(now)
+		}
+	}
+	if u.Owned > 0 {
+		u.Taken = hundredths(u.Taken / float64(u.Owned))
+		u.Use = hundredths(u.Use / float64(u.Owned))
+	}
+	return u
+}
+
+func hundredths(x float64) float64 { return math.Round(100*x) / 100 }
+
+// tally is what a daemon has decided about a workspace, in units of Request.Cost.
+type tally struct {
+	shed, granted float64
+	refused       [len(limitNames)]float64
+}
+
+// decided counts a decision of an owner about an ask.
+func (t *tally) decided(a Ask, l Limit) {
+	switch {
+	case l != LimitNone:
+		t.refused[l] += cost(a)
+	case !a.Begun:
+		t.granted += cost(a)
+	}
+}
+
+// of names a tally's figures.
+func (t *tally) of(name ident.Workspace) WorkspaceOwn {
+	own := WorkspaceOwn{Workspace: name, Shed: int(t.shed), Granted: int(t.granted)}
+	for l, refused := range t.refused {
+		if refused == 0 {
+			continue
+		}
+		if own.Refused == nil {
+			own.Refused = map[string]int{}
+		}
+		own.Refused[Limit(l).String()] = int(refused)
+	}
+	return own
+}
+
+// takeOwn returns the tallies of the workspaces that asked this daemon for most, in order,
+// and starts all anew.
+func (s *shares) takeOwn() (list []WorkspaceOwn) {
+	for name, a := range s.accounts {
+		if a.tally != (tally{}) {
+			list = append(list, a.tally.of(name))
+			a.tally = tally{}
+		}
+	}
+	slices.SortFunc(list, func(a, b WorkspaceOwn) int {
+		return cmp.Or(cmp.Compare(b.total(), a.total()), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return list[:min(len(list), ownTold)]
+}
+
 // most returns the workspaces that ask for most, in order.
 func (s *shares) most(now time.Time) (list []WorkspaceUse) {
 	for name, a := range s.accounts {
--- a/internal/booking/sums.go
+++ b/internal/booking/sums.go
@@ -63,6 +63,8 @@
 	own fading
 	// unused is what of the grants came to nothing.
 	unused faded
+	// tally is what this daemon has decided since Sharing was last called.
+	tally tally
 	// others are the same sums of each other daemon, as last told, and all is what
 	// they add up to since the last refresh.
 	others map[ident.Daemon]*fading
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -149,7 +149,7 @@
 // Leave begins a planned stop.
 func (b *Bookings) Leave() { b.do(func(now time.Time) { b.core.Leave(now) }) }
 
-// Inspect runs f on the control goroutine and waits for it; f must only read.
+// Inspect runs f on the control goroutine and waits for it; f must decide nothing.
 func (b *Bookings) Inspect(f func(*booking.Core)) bool {
 	return b.call(func(time.Time) { f(b.core) })
 }
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -231,17 +231,24 @@
 // leaves out.
 const reportEvery = 5 * time.Second
 
+// sharingEvery is the interval of the lines about shares. Each tells what was decided since
+// the one before, so that daemons' figures add up second by second.
+const sharingEvery = time.Second
+
 func (s *site) report(ctx context.Context) {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
+	sharing := time.NewTicker(sharingEvery)
+	defer sharing.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			s.gauges()
-			s.logSharing()
 			s.p.Gateway.TellLeftOut()
+		case <-sharing.C:
+			s.logSharing()
 		}
 	}
 }
@@ -250,9 +257,19 @@
 func (s *site) logSharing() {
 	var list []booking.Sharing
 	s.p.Loop.Inspect(func(c *booking.Core) { list = c.Sharing(time.Now()) })
+	sheds := float64(s.p.Load.shed.Load()) / shedUnit
 	for _, b := range list {
-		event.ServiceShared.Log(s.p.Log, "service", b.Service, "stated", b.Stated, "observed", math.Round(b.Observed),
-			"level", b.Level, "behind", b.Behind, "kept_back", b.KeptBack, "most", b.Most)
+		event.ServiceShared.Log(s.p.Log, sharingFields(b, sheds)...)
+	}
+}
+
+// sharingFields are those of a line about shares, on a daemon that refuses such a part of
+// new requests.
+func sharingFields(b booking.Sharing, sheds float64) []any {
+	return []any{
+		"service", b.Service, "stated", b.Stated, "observed", math.Round(b.Observed),
+		"level", b.Level, "behind", b.Behind, "kept_back", b.KeptBack, "most", b.Most,
+		"sheds", sheds, "own", b.Own, "targets", b.Targets,
 	}
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -105,10 +105,11 @@
 	slices.SortStableFunc(own, byTime)
 	story := slices.Clone(own)
 	for _, each := range l.lines {
-		if each.field("request") == "" && near(each, own) {
+		if each.field("request") == "" && each.event != eventShared && near(each, own) {
 			story = append(story, each)
 		}
 	}
+	story = l.addSharing(story, own)
 	slices.SortStableFunc(story, byTime)
 	for _, each := range story {
 		if _, err := fmt.Fprintln(to, each.tell()); err != nil {
@@ -149,6 +150,11 @@
 // tell writes the line for people.
 func (l *line) tell() string {
 	head := fmt.Sprintf("%s  %s  %d %s", l.at.UTC().Format("15:04:05.000"), l.source, l.event, l.text)
+	if l.event == eventShared {
+		if s, err := l.sharing(); err == nil {
+			return head + "\n" + strings.Join(s.sentences(), "\n")
+		}
+	}
 	if l.field("request") == "" {
 		return head + l.rest()
 	}
