Event 701 tells what a daemon refused since no owner answered in time

No owner counted such a request, so that it is in neither `asked` nor `shed` of any daemon: the sums by which shares are decided lack it, and no line summed it up.

No decision changes; the requests still count in no demand.

--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -70,6 +70,7 @@
 		return
 	}
 	delete(c.requests, r.ID)
+	c.countUnheard(r)
 	c.emit(Refuse{Request: r.ID, Failure: c.full(r), Basis: r.basis()})
 }
 
--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -32,9 +32,10 @@
 // figure counts once in the fleet but for Refused, so that daemons' figures add up.
 type WorkspaceOwn struct {
 	Workspace ident.Workspace `json:"workspace"`
-	// Shed is what it refused for want of processor time, Granted what it granted as an
-	// owner.
+	// Shed is what it refused for want of processor time, Unheard what it refused since no
+	// owner's answer came in time, and Granted what it granted as an owner.
 	Shed    int `json:"shed,omitempty"`
+	Unheard int `json:"unheard,omitempty"`
 	Granted int `json:"granted,omitempty"`
 	// Refused is what it refused as an owner, by Limit. A request counts at each owner that
 	// was asked.
@@ -43,7 +44,7 @@
 
 // total is what the workspace asked the daemon for.
 func (w *WorkspaceOwn) total() int {
-	sum := w.Shed + w.Granted
+	sum := w.Shed + w.Unheard + w.Granted
 	for _, refused := range w.Refused {
 		sum += refused
 	}
@@ -122,8 +123,16 @@
 
 // tally is what a daemon has decided about a workspace, in units of Request.Cost.
 type tally struct {
-	shed, granted float64
-	refused       [len(limitNames)]float64
+	shed, unheard, granted float64
+	refused                [len(limitNames)]float64
+}
+
+// countUnheard counts a refused request where no owner that it was sent to has answered. No
+// owner has counted it in its workspace's demand.
+func (c *Core) countUnheard(r *request) {
+	if s := c.services[r.Service]; s != nil && r.tried > 0 && !r.answered {
+		s.shares.account(r.Workspace).tally.unheard += r.Cost()
+	}
 }
 
 // decided counts a decision of an owner about an ask.
@@ -138,7 +147,7 @@
 
 // of names a tally's figures.
 func (t *tally) of(name ident.Workspace) WorkspaceOwn {
-	own := WorkspaceOwn{Workspace: name, Shed: int(t.shed), Granted: int(t.granted)}
+	own := WorkspaceOwn{Workspace: name, Shed: int(t.shed), Unheard: int(t.unheard), Granted: int(t.granted)}
 	for l, refused := range t.refused {
 		if refused == 0 {
 			continue
--- a/internal/booking/report_test.go
+++ b/internal/booking/report_test.go
@@ -92,6 +92,42 @@
 	is.Equal(list[0].Targets.Taken, 0.5)
 }
 
+// Guards against refusals that are in no sum: a VM that reads owners' answers too late takes
+// the owners for silent, refuses what it reads, and no owner counts what was asked for.
+func TestADaemonThatHearsNoOwnerTellsWhomItRefuses(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := booking.New(booking.Config{Self: "a", Incarnation: 1, Zone: "z"}, rand.New(rand.NewPCG(1, 1)))
+	service := booking.Service{Name: "pool", Model: true, Rate: 1000, Workspaces: []booking.Workspace{{Name: "hot", Weight: 1}}}
+	var peers []booking.Peer
+	for i := range 4 {
+		name := strconv.Itoa(i)
+		service.Targets = append(service.Targets, booking.Target{Name: ident.Target("t" + name), Zone: ident.Zone("z" + name), Slots: 1, Memory: 100000})
+		peers = append(peers, booking.Peer{ID: ident.Daemon("d" + name), Incarnation: 1, Zone: ident.Zone("z" + name)})
+	}
+	c.Peers(now, peers) // each target has its owner in its own zone
+	c.Configure(now, []booking.Service{service})
+	const requests = 50
+	placed := 0
+	for i := range requests {
+		c.Submit(now, booking.Request{ID: ident.Request(strconv.Itoa(i)), Service: "pool", Workspace: "hot", Prompt: 998, Output: 1, Due: now.Add(5 * time.Second)})
+	}
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		c.Tick(now)
+		for _, e := range c.Take() {
+			if _, ok := e.(booking.Dispatch); ok {
+				placed++
+			}
+		}
+	}
+	c.Wanted(now, "pool", "hot", 9000)
+	list := c.Sharing(now)
+	is.Equal(len(list), 1)
+	is.True(placed < requests)
+	is.Equal(list[0].Own, []booking.WorkspaceOwn{{Workspace: "hot", Shed: 9000, Unheard: 1000 * (requests - placed)}})
+}
+
 // Guards against a line that grows with the number of workspaces.
 func TestTheReportIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -75,7 +75,7 @@
 	is := is.New(t)
 	const shared = `
 {"time":"2026-02-19T20:13:53Z","level":"INFO","msg":"how a service is shared","event":701,"service":"pool","level":1,"most":null}
-{"time":"2026-02-19T20:13:55Z","level":"INFO","msg":"how a service is shared","event":701,"service":"pool","level":63000,"most":[{"workspace":"kalo","asked":6850000,"shed":5000000,"granted":690000,"unused":0},{"workspace":"timi","asked":3000000,"shed":0,"granted":1650000,"unused":10000}],"sheds":0.95,"own":[{"workspace":"kalo","shed":98000,"granted":4000,"refused":{"time":70,"spare":2000}}],"targets":{"owned":2,"taken":0.25,"use":0.4}}
+{"time":"2026-02-19T20:13:55Z","level":"INFO","msg":"how a service is shared","event":701,"service":"pool","level":63000,"most":[{"workspace":"kalo","asked":6850000,"shed":5000000,"granted":690000,"unused":0},{"workspace":"timi","asked":3000000,"shed":0,"granted":1650000,"unused":10000}],"sheds":0.95,"own":[{"workspace":"kalo","shed":98000,"unheard":12,"granted":4000,"refused":{"time":70,"spare":2000}}],"targets":{"owned":2,"taken":0.25,"use":0.4}}
 {"time":"2026-02-19T20:13:55.1Z","level":"INFO","msg":"how a service is shared","event":701,"service":"other","level":2}
 {"time":"2026-02-19T20:13:55.3Z","level":"INFO","msg":"request refused before it ran","event":204,"request":"a1","route":"r","service":"pool","workspace":"kalo","routes_version":10,"tokens":1422,"due_ms":495,"limit":"spare","asked":2,"expected_ms":38,"share_used":1.5,"reason":"2004 fleet_full","run":"not_run"}
 `
@@ -89,6 +89,6 @@
     kalo asked for 6850000, 5000000 of it refused for want of processor time, and got 690000: 0.84 of half of what timi got
     timi asked for 3000000, 0 of it refused for want of processor time, and got 1640000
     this daemon refuses 95% of new requests for want of processor time; its 2 targets have 25% of their slots taken
-    here kalo was granted 4000 and refused 98000 for want of processor time, 2000 as an owner (spare), 70 as an owner (time)
+    here kalo was granted 4000 and refused 98000 for want of processor time, 12 since no owner answered in time, 2000 as an owner (spare), 70 as an owner (time)
 `)
 }
--- a/internal/explain/sharing.go
+++ b/internal/explain/sharing.go
@@ -101,6 +101,9 @@
 // refusals lists what the daemon refused a workspace, by cause.
 func refusals(w booking.WorkspaceOwn) string {
 	list := []string{fmt.Sprintf("%d for want of processor time", w.Shed)}
+	if w.Unheard > 0 {
+		list = append(list, fmt.Sprintf("%d since no owner answered in time", w.Unheard))
+	}
 	var names []string
 	for name := range w.Refused {
 		names = append(names, name)
