--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -127,8 +127,8 @@
 	refused                [len(limitNames)]float64
 }
 
-// countUnheard counts a refused request where no owner that it was sent to has answered. No
-// owner has counted it in its workspace's demand.
+// countUnheard counts a refused request of which no owner's answer was read. Where no owner
+// was sent it either, it counts in no workspace's demand.
 func (c *Core) countUnheard(r *request) {
 	if s := c.services[r.Service]; s != nil && r.tried > 0 && !r.answered {
 		s.shares.account(r.Workspace).tally.unheard += r.Cost()
--- a/internal/booking/report_test.go
+++ b/internal/booking/report_test.go
@@ -92,8 +92,7 @@
 	is.Equal(list[0].Targets.Taken, 0.5)
 }
 
-// Guards against refusals that are in no sum: a VM that reads owners' answers too late takes
-// the owners for silent, refuses what it reads, and no owner counts what was asked for.
+// Guards against refusals that no line sums up: a VM that hears no owner refuses what it reads.
 func TestADaemonThatHearsNoOwnerTellsWhomItRefuses(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
