A daemon short of processor time passes new connections to neighbours, unread

Processor time of daemons is bound by the balancer's hash, and nobody shares it.

Change: where a daemon has 16 connections of which nothing was read for half a second, or refuses a part of new requests, it passes new connections, before reading anything, to a neighbour in its zone that has time and routes as new as its own (internal/handover decides, internal/daemon carries; docs/design/ handover.md). One connection, one request, one answer; nothing goes to a neighbour before its process has taken the connection, so that one that nobody takes is served where it is.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -30,24 +30,39 @@
 type connections struct {
 	mu sync.Mutex
 	// busy are those whose request is served, fresh those that have brought
-	// none yet, with the time of their beginning, and idle those that wait for a
+	// none yet, and idle those that wait for a
 	// further request, since when they do. Ending are those that were told to close
 	// and have not yet.
 	busy   map[net.Conn]bool
-	fresh  map[net.Conn]time.Time
+	fresh  map[net.Conn]*freshConn
 	idle   map[net.Conn]time.Time
 	ending map[net.Conn]bool
 	// most bounds the connections; zero means no bound.
 	most int
-	// opened counts those that were opened since arrived was last called.
+	// recent are those that were fresh of late, in order, and unreadNow counts those of them
+	// that still are.
+	recent    []*freshConn
+	unreadNow int
+	// opened counts those that callers opened since arrived was last called.
 	opened int
 }
 
+// freshConn is a connection that has brought no request yet.
+type freshConn struct {
+	began time.Time
+	// counted tells that it is among connections.unreadNow.
+	counted bool
+}
+
+// unreadFor is for how long a connection of which nothing was read counts as unread. One that is
+// older was opened in advance, or its caller is about to leave.
+const unreadFor = 500 * time.Millisecond
+
 // newConnections returns an empty set that is to hold at most so many; zero means
 // no bound.
 func newConnections(most int) *connections {
 	return &connections{
-		busy: map[net.Conn]bool{}, fresh: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}, ending: map[net.Conn]bool{},
+		busy: map[net.Conn]bool{}, fresh: map[net.Conn]*freshConn{}, idle: map[net.Conn]time.Time{}, ending: map[net.Conn]bool{},
 		most: most,
 	}
 }
@@ -57,13 +72,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.busy, conn)
-	delete(c.fresh, conn)
+	if f := c.fresh[conn]; f != nil {
+		c.uncount(f)
+		delete(c.fresh, conn)
+	}
 	delete(c.idle, conn)
 	delete(c.ending, conn)
 	switch state {
 	case http.StateNew:
-		c.opened++
-		c.fresh[conn] = time.Now()
+		if reader, ok := conn.(*readingConn); !ok || !reader.passedOn {
+			c.opened++
+		}
+		c.begin(conn, time.Now())
 		if c.full() {
 			c.closeIdle()
 		}
@@ -118,8 +138,8 @@
 	for conn := range c.idle {
 		c.closeOrWait(conn)
 	}
-	for conn, began := range c.fresh {
-		if now.Sub(began) >= firstRequest {
+	for conn, f := range c.fresh {
+		if now.Sub(f.began) >= firstRequest {
 			retire(conn)
 		}
 	}
@@ -155,7 +175,41 @@
 	return c.most > 0 && 2*c.open() > c.most
 }
 
-// arrived returns how many connections were opened since its last call.
+// begin notes a new connection. The caller holds the lock.
+func (c *connections) begin(conn net.Conn, now time.Time) {
+	f := &freshConn{began: now, counted: true}
+	c.fresh[conn] = f
+	c.recent = append(c.recent, f)
+	c.unreadNow++
+	c.forget(now)
+}
+
+// forget leaves out those that are fresh no more, or for too long to count. The caller holds
+// the lock.
+func (c *connections) forget(now time.Time) {
+	for len(c.recent) > 0 && (!c.recent[0].counted || now.Sub(c.recent[0].began) >= unreadFor) {
+		c.uncount(c.recent[0])
+		c.recent = c.recent[1:]
+	}
+}
+
+func (c *connections) uncount(f *freshConn) {
+	if f.counted {
+		f.counted = false
+		c.unreadNow--
+	}
+}
+
+// unread counts those that came of late and of which nothing has been read yet.
+func (c *connections) unread(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forget(now)
+	return c.unreadNow
+}
+
+// arrived returns how many connections callers opened to this daemon since its last call;
+// those that a neighbour passed on are not among them.
 func (c *connections) arrived() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -178,8 +232,8 @@
 	if len(c.busy) > 0 {
 		return true
 	}
-	for _, began := range c.fresh {
-		if now.Sub(began) < firstRequest {
+	for _, f := range c.fresh {
+		if now.Sub(f.began) < firstRequest {
 			return true
 		}
 	}
--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -117,7 +117,7 @@
 	conns := newConnections(0)
 	hello := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }
 	server := &http.Server{Handler: http.HandlerFunc(hello), ConnState: conns.note}
-	go func() { _ = server.Serve(newSheddingListener(l, func() rate.Limit { return 0 })) }()
+	go func() { _ = server.Serve(newSheddingListener(l, func() rate.Limit { return 0 }, nil)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	dial := func() (net.Conn, *bufio.Reader) {
 		caller, err := net.Dial("tcp", l.Addr().String())
--- /dev/null
+++ b/internal/daemon/handover.go
@@ -0,0 +1,218 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/handover"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/settings"
+	"github.com/savorystall/savorystall/internal/telemetry"
+)
+
+// takeoverTries is how many neighbours are asked to take one connection.
+const takeoverTries = 2
+
+// handovers passes new connections of callers on to neighbours while this daemon is short
+// of processor time. It is safe for concurrent use.
+type handovers struct {
+	watch *loadWatch
+	// unread counts the callers' connections of which nothing has been read.
+	unread func(now time.Time) int
+	// version is that of the routes in force.
+	version func() uint64
+	log     *slog.Logger
+	metrics *telemetry.Metrics
+	// returned brings the connections that no neighbour took.
+	returned *returnedListener
+	// active counts the connections that are being passed on.
+	active atomic.Int64
+	// passed, refused, unheard and lost count since the last report: those that a neighbour
+	// took, that it did not take, where it did not answer in time, and that it ended without an
+	// answer.
+	passed, refused, unheard, lost atomic.Int64
+
+	mu         sync.Mutex
+	picker     *handover.Picker
+	rng        *rand.Rand
+	neighbours []ident.Daemon
+	addresses  map[ident.Daemon]string
+	// passages are those under way, by who serves them.
+	passages map[ident.Daemon]map[*passage]bool
+}
+
+func newHandovers(s settings.Settings, load *loadWatch, metrics *telemetry.Metrics, log *slog.Logger) *handovers {
+	return &handovers{
+		watch: load, unread: func(time.Time) int { return 0 }, version: func() uint64 { return 0 }, log: log, metrics: metrics,
+		returned: newReturnedListener(),
+		picker:   handover.NewPicker(callersConnections(s.Memory) / 2),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		passages: map[ident.Daemon]map[*passage]bool{},
+	}
+}
+
+// setNeighbours replaces the daemons of the availability zone that may take connections over.
+// Live are all that are heard of: what others have taken over comes to nothing.
+func (h *handovers) setNeighbours(neighbours []ident.Daemon, live map[ident.Daemon]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.neighbours = neighbours
+	h.join()
+	for id, under := range h.passages {
+		if live[id] {
+			continue
+		}
+		for p := range under {
+			_ = p.neighbour.Close() // its caller gets an answer, and does not wait for one that stands still
+		}
+	}
+}
+
+// setAddresses replaces what is known of where daemons take connections over.
+func (h *handovers) setAddresses(addresses map[ident.Daemon]string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.addresses = addresses
+	h.join()
+}
+
+// join tells the picker of the neighbours that live and take connections over.
+func (h *handovers) join() {
+	var list []handover.Neighbour
+	for _, id := range h.neighbours {
+		if address := h.addresses[id]; address != "" {
+			list = append(list, handover.Neighbour{ID: id, Address: address})
+		}
+	}
+	h.picker.SetNeighbours(list)
+}
+
+// passOn takes a new connection over that a neighbour is to serve, and tells whether it did.
+func (h *handovers) passOn(caller *readingConn) bool {
+	part := h.load().Part()
+	if part == 0 {
+		return false
+	}
+	to, choice := h.offer(part)
+	if choice != handover.Neighbours {
+		caller.admitted = choice == handover.Here
+		return false
+	}
+	h.active.Add(1)
+	go func() {
+		defer h.active.Add(-1)
+		h.pass(caller, to)
+	}()
+	return true
+}
+
+// load is that of this daemon now.
+func (h *handovers) load() handover.Load {
+	return handover.Load{Refuse: h.watch.shedShare(), Unread: h.unread(time.Now())}
+}
+
+// pass passes a connection on until it ends, or gives it back to this daemon where nobody
+// takes it.
+func (h *handovers) pass(caller *readingConn, to handover.Neighbour) {
+	for try := 1; ; try++ {
+		conn, err := takeover(to.Address, h.version())
+		if err == nil {
+			h.carry(caller, conn, to)
+			return
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			h.unheard.Add(1)
+		} else {
+			h.refused.Add(1)
+		}
+		var ok bool
+		if to, ok = h.another(to.ID, try); !ok {
+			h.returned.give(caller)
+			return
+		}
+	}
+}
+
+// carry serves a connection that a neighbour has taken.
+func (h *handovers) carry(caller *readingConn, conn *net.TCPConn, to handover.Neighbour) {
+	p := &passage{caller: caller, neighbour: conn}
+	h.begun(to.ID, p)
+	defer h.ended(to.ID, p)
+	if hungUp(caller) {
+		_, _ = conn.Close(), caller.Close() // nobody waits for anything on it
+		return
+	}
+	h.passed.Add(1)
+	h.metrics.PassedOn()
+	if p.run() {
+		return
+	}
+	h.lost.Add(1)
+	event.HandoverLost.Log(h.log, "neighbour", to.ID)
+}
+
+func (h *handovers) offer(part float64) (handover.Neighbour, handover.Choice) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.picker.Offer(time.Now(), h.rng, part)
+}
+
+// another notes that a neighbour did not take a connection, and chooses the next one to ask.
+func (h *handovers) another(refused ident.Daemon, tries int) (handover.Neighbour, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.picker.Refused(now, refused)
+	if tries >= takeoverTries {
+		return handover.Neighbour{}, false
+	}
+	return h.picker.Choose(now, h.rng)
+}
+
+func (h *handovers) begun(id ident.Daemon, p *passage) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.passages[id] == nil {
+		h.passages[id] = map[*passage]bool{}
+	}
+	h.passages[id][p] = true
+}
+
+func (h *handovers) ended(id ident.Daemon, p *passage) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.picker.Ended(id)
+	delete(h.passages[id], p)
+	if len(h.passages[id]) == 0 {
+		delete(h.passages, id)
+	}
+}
+
+// report logs what was passed on since the last report, where there was anything.
+func (h *handovers) report() {
+	passed, refused, unheard, lost := h.passed.Swap(0), h.refused.Swap(0), h.unheard.Swap(0), h.lost.Swap(0)
+	if passed+refused+unheard > 0 {
+		event.HandoverReport.Log(h.log, "passed_on", passed, "refused", refused, "unheard", unheard, "lost", lost, "open", h.active.Load())
+	}
+}
+
+// settle waits until nothing is passed on any more or ctx ends.
+func (h *handovers) settle(ctx context.Context) {
+	ticker := time.NewTicker(settlePoll)
+	defer ticker.Stop()
+	for h.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -65,6 +65,14 @@
 // Accept implements net.Listener. Its error wraps net.ErrClosed once the
 // listener is drained.
 func (l *drainableListener) Accept() (net.Conn, error) {
+	conn, err := l.accept()
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (l *drainableListener) accept() (*readingConn, error) {
 	for {
 		if l.draining.Load() {
 			if !l.pending() || time.Now().After(*l.until.Load()) {
@@ -115,21 +123,28 @@
 	// rate is how many a second are taken; zero: all.
 	rate    func() rate.Limit
 	limiter *rate.Limiter
+	// passOn takes a connection over that a neighbour is to serve, and tells whether it did;
+	// nil: none is passed on.
+	passOn func(*readingConn) bool
 }
 
-func newSheddingListener(l *drainableListener, most func() rate.Limit) *sheddingListener {
-	return &sheddingListener{drainableListener: l, rate: most, limiter: rate.NewLimiter(rate.Inf, shedBurst)}
+func newSheddingListener(l *drainableListener, most func() rate.Limit, passOn func(*readingConn) bool) *sheddingListener {
+	return &sheddingListener{drainableListener: l, rate: most, limiter: rate.NewLimiter(rate.Inf, shedBurst), passOn: passOn}
 }
 
 // Accept implements net.Listener.
 func (l *sheddingListener) Accept() (net.Conn, error) {
 	for {
 		limited := l.await()
-		conn, err := l.drainableListener.Accept()
-		if err != nil || !limited || !hungUp(conn) {
-			return conn, err
+		conn, err := l.drainableListener.accept()
+		switch {
+		case err != nil:
+			return nil, err
+		case limited && hungUp(conn):
+			_ = conn.Close() // nobody waits for anything on it
+		case l.passOn == nil || l.draining.Load() || !l.passOn(conn):
+			return conn, nil
 		}
-		_ = conn.Close() // nobody waits for anything on it
 	}
 }
 
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -53,16 +53,19 @@
 
 // sheds tells whether a new request is to be refused at once, by its context.
 func (l *loadWatch) sheds(ctx context.Context) bool {
-	shed := l.shed.Load()
-	if shed == 0 {
+	share := l.shedShare()
+	if share == 0 || admitted(ctx) && firstOnConnection(ctx) {
 		return false
 	}
-	return rand.Float64() < overload.Part(float64(shed)/shedUnit, firstOnConnection(ctx))
+	return rand.Float64() < overload.Part(share, firstOnConnection(ctx))
 }
 
 // busy tells whether a part of new requests is refused at once.
 func (l *loadWatch) busy() bool { return l.shed.Load() > 0 }
 
+// shedShare is the part of new requests to refuse.
+func (l *loadWatch) shedShare() float64 { return float64(l.shed.Load()) / shedUnit }
+
 // shedUnit is the unit of loadWatch.shed.
 const shedUnit = 1000
 
--- a/internal/daemon/readingconn.go
+++ b/internal/daemon/readingconn.go
@@ -18,6 +18,7 @@
 	net.Conn
 	syscall.Conn
 	CloseWrite() error
+	SetLinger(sec int) error
 }
 
 // readingConn is a caller's connection that knows whether something has been read from it
@@ -33,6 +34,10 @@
 	// read tells that something has been read of a request that is not answered yet, and
 	// retired that the connection is to end unless a request comes.
 	read, retired bool
+	// passedOn tells that a neighbour took the connection first and passes it on, admitted that
+	// its first request is to be served here and not refused for want of processor time, since
+	// others were passed on in its place.
+	passedOn, admitted bool
 }
 
 func newReadingConn(conn tcpConn) *readingConn { return &readingConn{tcpConn: conn} }
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -40,6 +40,7 @@
 		newTracing,
 		func() *route.Holder { return &route.Holder{} },
 		newLoadWatch,
+		newHandovers,
 		newRoutedBridge,
 		newRelay,
 		newRoutedLoop,
@@ -99,13 +100,18 @@
 	callers, operators, readiness *http.Server
 	callersListener               *drainableListener
 	connections                   *connections
-	operatorsListener             net.Listener
-	readinessListener             net.Listener
+	// takeoverListener takes connections over from neighbours; nil: none are taken.
+	takeoverListener  *takeoverListener
+	operatorsListener net.Listener
+	readinessListener net.Listener
 }
 
-func newRoutedServers(s settings.Settings, g *gateway.Server, life *Life, loop *control.Bookings, load *loadWatch, metrics *telemetry.Metrics) (*routedServers, error) {
+func newRoutedServers(s settings.Settings, g *gateway.Server, life *Life, loop *control.Bookings, load *loadWatch, h *handovers, routes *route.Holder,
+	metrics *telemetry.Metrics) (*routedServers, error) {
 	ops := &routedOperators{life: life, loop: loop, load: load, metrics: metrics}
 	r := &routedServers{connections: newConnections(callersConnections(s.Memory))}
+	h.unread = r.connections.unread
+	h.version = routesVersion(routes)
 	var err error
 	if r.callersListener, err = listenDrainable(s.Callers.Listen); err != nil {
 		return nil, merry.Prepend(err, "callers' listener")
@@ -118,6 +124,12 @@
 			return nil, merry.Prepend(err, "readiness listener")
 		}
 	}
+	if s.Fleet.Handover != settings.HandoverNone {
+		takes := func() bool { return h.load().Takes() && life.State() == StateReady }
+		if r.takeoverListener, err = listenTakeover(s.Fleet, takes, h.version); err != nil {
+			return nil, merry.Prepend(err, "listener for connections of neighbours")
+		}
+	}
 	r.callers = &http.Server{
 		ConnState:         r.connections.note,
 		ConnContext:       withConn,
@@ -132,6 +144,16 @@
 	return r, nil
 }
 
+// routesVersion returns a function that tells the version of the routes in force; zero: none.
+func routesVersion(routes *route.Holder) func() uint64 {
+	return func() uint64 {
+		if table := routes.Current(); table != nil {
+			return table.Version
+		}
+		return 0
+	}
+}
+
 // connectionsPerMB bounds the callers' connections by the VM's memory: each takes
 // some 20 kB with its buffers and its goroutine, so that four fill a twelfth of it.
 const connectionsPerMB = 4
@@ -150,11 +172,13 @@
 const idleMargin = time.Second
 
 // keeping tells callers how long their connections are kept, and to close them
-// where descriptors or processor time run short: a new one may lead elsewhere.
+// where descriptors or processor time run short: a new one may lead elsewhere. One that a
+// neighbour passed on ends with its first answer, so that the neighbour, which does not read
+// it, knows from its end that no answer is owed.
 func keeping(idle time.Duration, pressed func() bool, next http.Handler) http.Handler {
 	value := "timeout=" + strconv.Itoa(int(max(time.Second, idle-idleMargin).Seconds()))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if pressed() {
+		if pressed() || passedOn(r.Context()) {
 			w.Header().Set("Connection", "close")
 		} else {
 			w.Header().Set("Keep-Alive", value)
@@ -205,22 +229,23 @@
 type routedParts struct {
 	fx.In
 
-	Settings settings.Settings
-	Identity identity
-	Life     *Life
-	Loop     *control.Bookings
-	Load     *loadWatch
-	Node     *fleet.Node
-	Bridge   *routedBridge
-	Routes   *route.Holder
-	Store    *platform.Store
-	Relay    *relay.Feed
-	Pool     *targetconn.Pool
-	Gateway  *gateway.Server
-	Servers  *routedServers
-	Metrics  *telemetry.Metrics
-	Tracing  *telemetry.Tracing
-	Log      *slog.Logger
+	Settings  settings.Settings
+	Identity  identity
+	Life      *Life
+	Loop      *control.Bookings
+	Load      *loadWatch
+	Node      *fleet.Node
+	Bridge    *routedBridge
+	Routes    *route.Holder
+	Store     *platform.Store
+	Relay     *relay.Feed
+	Pool      *targetconn.Pool
+	Gateway   *gateway.Server
+	Servers   *routedServers
+	Handovers *handovers
+	Metrics   *telemetry.Metrics
+	Tracing   *telemetry.Tracing
+	Log       *slog.Logger
 }
 
 func newRouted(lc fx.Lifecycle, p routedParts) *Routed {
@@ -244,7 +269,11 @@
 	for _, run := range site.tasks() {
 		d.tasks.Go(func() { run(taskCtx) })
 	}
-	d.callers = d.serve(d.p.Servers.callers, newSheddingListener(d.p.Servers.callersListener, d.p.Load.acceptRate))
+	d.callers = d.serve(d.p.Servers.callers, newSheddingListener(d.p.Servers.callersListener, d.p.Load.acceptRate, d.p.Handovers.passOn))
+	d.serve(d.p.Servers.callers, d.p.Handovers.returned)
+	if d.p.Servers.takeoverListener != nil {
+		d.serve(d.p.Servers.callers, d.p.Servers.takeoverListener)
+	}
 	d.serve(d.p.Servers.operators, d.p.Servers.operatorsListener)
 	if d.p.Servers.readinessListener != nil {
 		d.serve(d.p.Servers.readiness, d.p.Servers.readinessListener)
@@ -273,6 +302,9 @@
 		pause(ctx, d.p.Settings.Stop.BalancerLag)
 	}
 	d.p.Life.fire(triggerBalancerNoticed)
+	if d.p.Servers.takeoverListener != nil {
+		_ = d.p.Servers.takeoverListener.Close() // what waits there is not taken, and its neighbour knows
+	}
 	// From here on a request may be too long to end before the process is killed:
 	// one on a kept connection is refused as not run, and unused connections are
 	// closed, so that their callers take new ones elsewhere.
@@ -280,6 +312,7 @@
 	d.p.Servers.connections.closeUnused(time.Now())
 	d.p.Servers.callersListener.drain()
 	<-d.callers
+	d.p.Handovers.settle(ctx)
 	d.p.Servers.connections.settle(ctx)
 	// What is left are connections without a request.
 	_ = d.p.Servers.callers.Shutdown(ctx)
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -30,12 +30,14 @@
 	relay   *relay.Feed
 	zone    ident.Zone
 	load    *loadWatch
+	// handovers passes connections on to the neighbours in the zone.
+	handovers *handovers
 }
 
 var _ fleet.Handler = (*routedBridge)(nil)
 
-func newRoutedBridge(id identity, load *loadWatch) *routedBridge {
-	return &routedBridge{load: load, zone: id.Zone}
+func newRoutedBridge(id identity, load *loadWatch, h *handovers) *routedBridge {
+	return &routedBridge{load: load, zone: id.Zone, handovers: h}
 }
 
 // SendBookings implements control.BookingActions.
@@ -47,17 +49,20 @@
 func (b *routedBridge) Peers(peers []scheduler.Peer) {
 	list := make([]booking.Peer, len(peers))
 	members := make([]membership.Member, len(peers))
-	zone := int64(1)
+	var neighbours []ident.Daemon
+	live := make(map[ident.Daemon]bool, len(peers))
 	for i, p := range peers {
+		live[p.ID] = true
 		list[i] = booking.Peer(p)
 		members[i] = membership.Member{ID: p.ID, Zone: p.Zone, Incarnation: p.Incarnation, Leaving: p.Leaving}
 		if p.Zone == b.zone && !p.Leaving {
-			zone++
+			neighbours = append(neighbours, p.ID)
 		}
 	}
 	b.loop.Peers(list)
 	b.relay.Elect(members)
-	b.load.zone.Store(zone)
+	b.load.zone.Store(int64(len(neighbours)) + 1)
+	b.handovers.setNeighbours(neighbours, live)
 	b.gateway.SetDaemons(len(peers) + 1)
 }
 
@@ -101,7 +106,9 @@
 type daemonRow struct {
 	Zone ident.Zone `json:"zone"`
 	// Address is that of the fleet listener.
-	Address     string `json:"address"`
+	Address string `json:"address"`
+	// Handover is where it takes connections over; empty: nowhere.
+	Handover    string `json:"handover,omitempty"`
 	Incarnation uint64 `json:"incarnation"`
 }
 
--- a/internal/daemon/shed_test.go
+++ b/internal/daemon/shed_test.go
@@ -25,7 +25,7 @@
 			return shedRate
 		}
 		return 0
-	})
+	}, nil)
 	t.Cleanup(func() { _ = l.Close() })
 	var taken, stale atomic.Int64
 	go func() {
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -200,7 +200,9 @@
 func (s *site) announce(ctx context.Context) {
 	id := s.p.Identity
 	// A struct of texts and a number can always be written.
-	value, _ := json.Marshal(daemonRow{Zone: id.Zone, Address: s.p.Node.Address(), Incarnation: id.Incarnation})
+	value, _ := json.Marshal(daemonRow{
+		Zone: id.Zone, Address: s.p.Node.Address(), Handover: s.p.Servers.handoverAddress(s.p.Node.Address()), Incarnation: id.Incarnation,
+	})
 	for {
 		try, cancel := context.WithTimeout(ctx, announceTimeout)
 		_, err := s.p.Store.PutRow(try, platform.TableDaemons, string(id.Daemon), value)
@@ -246,6 +248,7 @@
 			return
 		case <-ticker.C:
 			s.gauges()
+			s.p.Handovers.report()
 			s.p.Gateway.TellLeftOut()
 		case <-sharing.C:
 			s.logSharing()
--- a/internal/daemon/siterows.go
+++ b/internal/daemon/siterows.go
@@ -158,9 +158,12 @@
 
 func (d *daemonRows) tell() {
 	var vms []store.VM
+	takers := map[ident.Daemon]string{}
 	for name, row := range d.rows {
+		takers[ident.Daemon(name)] = row.Handover
 		vms = append(vms, store.VM{Name: name, Zone: row.Zone, Address: row.Address, Role: store.RoleDaemon, State: store.VMLive})
 	}
 	slices.SortFunc(vms, func(a, b store.VM) int { return strings.Compare(a.Name, b.Name) })
 	d.site.p.Node.SetVMs(vms)
+	d.site.p.Handovers.setAddresses(takers)
 }
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -22,6 +22,12 @@
 	OverloadEnded = define(110, slog.LevelInfo, "the daemon has processor time again", "none")
 )
 
+// Events of connections that are passed on to neighbours.
+var (
+	HandoverReport = define(111, slog.LevelInfo, "new connections were passed on to neighbours for want of processor time", "none; give the VM more processor time if it lasts")
+	HandoverLost   = define(112, slog.LevelWarn, "a neighbour ended a connection that it had taken over, without an answer", "look at the neighbour that the line names")
+)
+
 // Events of callers and their requests.
 var (
 	RequestFailed  = define(201, slog.LevelWarn, "request failed after dispatch", "look at the target that the line names")
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -93,12 +93,7 @@
 }
 
 func (s *Server) answerFailure(w http.ResponseWriter, j *job, f *resultcode.Failure) {
-	message := f.Code.Text
-	if f.Detail != "" {
-		message += ": " + f.Detail
-	}
-	// Marshalling strings and numbers cannot fail.
-	text, _ := json.Marshal(errorBody{errorDetail{Code: f.Code.Number, Name: f.Code.Name, Message: message, Run: f.Code.Outcome}})
+	text := FailureBody(f)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", lengthText(int64(len(text))))
@@ -116,6 +111,17 @@
 	_, _ = w.Write(text)
 }
 
+// FailureBody returns the JSON body that tells a caller of a failure.
+func FailureBody(f *resultcode.Failure) []byte {
+	message := f.Code.Text
+	if f.Detail != "" {
+		message += ": " + f.Detail
+	}
+	// Marshalling strings and numbers cannot fail.
+	text, _ := json.Marshal(errorBody{errorDetail{Code: f.Code.Number, Name: f.Code.Name, Message: message, Run: f.Code.Outcome}})
+	return text
+}
+
 // seconds writes a wait with its fractions.
 func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
 
@@ -155,7 +161,7 @@
 			"limit", j.trace.basis.Limit.String(), "share_used", math.Round(100*j.trace.basis.Used) / 100, "alone_ms", j.trace.basis.Alone.Milliseconds(),
 			"tokens", j.call.PromptTokens, "due_ms", j.plan.Due.Sub(j.arrived).Milliseconds(),
 			"waited_ms", j.trace.waited.Milliseconds(), "first_ms", j.trace.first.Milliseconds(),
-			"total_ms", time.Since(j.arrived).Milliseconds(), "sends", j.trace.sends, "runs", j.trace.runs,
+			"total_ms", time.Since(j.arrived).Milliseconds(), "caller", r.RemoteAddr, "sends", j.trace.sends, "runs", j.trace.runs,
 			"events", j.events.count, "last_event", j.events.last, "status", j.status,
 		}
 	}
--- a/internal/overload/smallzone_share_test.go
+++ b/internal/overload/smallzone_share_test.go
@@ -45,6 +45,7 @@
 	for seed := range uint64(5) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			z := newSmallZone(seed, 15, 2, keeper{})
+			z.pass()
 			hot := &workspace{perSecond: hotAsks, may: rate.NewLimiter(shareOfEach, shareBurst), orders: [][]int{z.order(), z.order()}}
 			spread := &workspace{perSecond: spreadAsks, may: rate.NewLimiter(shareOfEach, shareBurst)}
 			usual := &workspace{perSecond: usualAsks, may: rate.NewLimiter(rate.Inf, 0)}
--- a/internal/overload/smallzone_test.go
+++ b/internal/overload/smallzone_test.go
@@ -38,7 +38,8 @@
 	largePart   = 0.8
 	quotaPeriod = 100 * time.Millisecond
 
-	// keptPart is the part of served callers who keep their connection for another request.
+	// keptPart is the part of served callers who keep their connection for another request. One
+	// that is passed on ends with its first answer.
 	keptPart = 0.5
 
 	simStep = time.Millisecond
@@ -371,7 +372,7 @@
 	}
 	c.from.got[z.second()]++
 	c.on.served++
-	if z.rng.Float64() < keptPart {
+	if kept := z.rng.Float64() < keptPart; kept && c.on.via == c.on.at {
 		c.from.idle = append(c.from.idle, c.on)
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,7 +4,10 @@
 package settings
 
 import (
+	"math"
+	"net"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -121,6 +124,11 @@
 	Listen string `yaml:"listen" validate:"required,hostname_port|tcp_addr"`
 	// Advertise is the address that other daemons dial. Default: Listen.
 	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port|tcp_addr"`
+	// Handover is the listener, host:port with an IP number, on which connections of callers
+	// are taken over from daemons of the availability zone that are short of processor
+	// time, where routes are served; none: they are not. Default: the host of Listen
+	// and its next port, or any where that is taken.
+	Handover string `yaml:"handover" validate:"omitempty,eq=none|hostname_port|tcp_addr"`
 	// Seeds are daemons to link to before the VM list was read for the first
 	// time; a daemon that starts while the platform is out learns the
 	// configuration from them. Default none.
@@ -235,6 +243,9 @@
 // only once the listener is open.
 const anyPort = ":0"
 
+// HandoverNone as Fleet.Handover says that no connections are taken over.
+const HandoverNone = "none"
+
 // Override changes one field after the file was read.
 type Override func(*Settings)
 
@@ -275,3 +286,18 @@
 	}
 	return s, nil
 }
+
+// DefaultHandover returns the addresses for Handover where the settings name none, in the order
+// in which they are to be tried: the port after that of Listen, and any.
+func (f Fleet) DefaultHandover() []string {
+	host, text, err := net.SplitHostPort(f.Listen)
+	if err != nil {
+		return nil // Listen was checked
+	}
+	anyOf := net.JoinHostPort(host, "0")
+	port, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || port == 0 || port == math.MaxUint16 {
+		return []string{anyOf}
+	}
+	return []string{net.JoinHostPort(host, strconv.FormatUint(port+1, 10)), anyOf}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -61,6 +61,7 @@
 	metricControlTx = define("control_sent", Gauge, "bytes", "", "Bytes sent to other daemons since the start.")
 	metricControlRx = define("control_received", Gauge, "bytes", "", "Bytes received from other daemons since the start.")
 	metricMembers   = define("members", Gauge, "daemons", "", "Live daemons that this one knows, itself included.")
+	metricPassedOn  = define("connections_passed_on", Counter, "connections", "", "New connections of callers that a neighbour took over for want of processor time here.")
 	metricRevision  = define("config_head", Gauge, "revision", "", "Highest configuration revision in force.")
 )
 
@@ -159,6 +160,9 @@
 	m.counter(metricRetries, string(service), "", "").Inc(1)
 }
 
+// PassedOn counts a connection that a neighbour took over.
+func (m *Metrics) PassedOn() { m.scope.Counter(metricPassedOn).Inc(1) }
+
 // Preempted counts a stopped stream and the tokens that are read again for it.
 func (m *Metrics) Preempted(service ident.Service, reread int64) {
 	m.counter(metricPreempted, string(service), "", "").Inc(1)
