Targets stop for callers that leave a daemon whose turns take long

Cause: a close is noticed by net/http's background read, a goroutine of the connection that waits for its turn like all others, and the reset of the target's connection by a second goroutine (context.AfterFunc).

The look itself cancels the request and resets the target's connection. A caller that leaves in the middle of a plain answer no longer counts as a failure of the target.

--- /dev/null
+++ b/internal/daemon/hangups_test.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/time/rate"
+
+	"github.com/savorystall/savorystall/internal/booking"
+	"github.com/savorystall/savorystall/internal/control"
+	"github.com/savorystall/savorystall/internal/gateway"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/registry"
+	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/settings"
+	"github.com/savorystall/savorystall/internal/targetconn"
+	"github.com/savorystall/savorystall/internal/telemetry"
+)
+
+// onlyTarget places every request at one target, and notes how its exchanges ended.
+type onlyTarget struct{ ended chan booking.Result }
+
+func (p onlyTarget) Place(context.Context, booking.Request) control.Placement {
+	return control.Placement{Target: "t"}
+}
+func (p onlyTarget) First(ident.Request, time.Duration)             {}
+func (p onlyTarget) Finish(_ ident.Request, r booking.Result)       { p.ended <- r }
+func (p onlyTarget) Wanted(ident.Service, ident.Workspace, float64) {}
+
+// anyDialect translates nothing.
+type anyDialect struct{}
+
+func (anyDialect) Call(http.Header) gateway.Call          { return gateway.Call{} }
+func (anyDialect) ForTarget(http.Header, gateway.Forward) {}
+func (anyDialect) Answer(int, http.Header) gateway.Answer { return gateway.Answer{} }
+
+// serveCallers serves callers as a daemon does, with all requests going to one target.
+func serveCallers(t *testing.T, target string) (address string, ended chan booking.Result) {
+	is := is.New(t)
+	table, err := route.NewTable(route.Document{
+		Version:  1,
+		Routes:   []route.Route{{Name: "r", Host: "h.example", Prefix: "/", Services: []route.Split{{Service: "app", Weight: 1}}, Attempts: 2, Repeat: route.Repeatable}},
+		Services: []route.Service{{Name: "app"}},
+	})
+	is.NoErr(err)
+	routes := &route.Holder{}
+	is.True(routes.Offer(table))
+	metrics := telemetry.NewMetrics()
+	tracing, err := telemetry.NewTracing(t.Context(), "d", settings.Trace{})
+	is.NoErr(err)
+	l, err := listenDrainable("127.0.0.1:0")
+	is.NoErr(err)
+	ended = make(chan booking.Result, 1000)
+	conns, left := newConnections(0), newHangups()
+	g := gateway.New(gateway.Deps{
+		Routes: routes, Dialect: anyDialect{}, Placer: onlyTarget{ended}, Pool: targetconn.New(targetconn.Config{}),
+		Gone: callerGone, Watch: left.watch, Sheds: func(context.Context) bool { return false },
+		Busy: func() bool { return false }, Left: func() bool { return false },
+		Metrics: metrics, Tracing: tracing, Log: slog.New(slog.DiscardHandler),
+	})
+	g.SetTargets(&gateway.Targets{
+		ByIdentity: map[ident.Target]registry.Entry{"t": {Identity: "t", Service: "app", Address: target}},
+		Usable:     map[ident.Service]bool{"app": true},
+	})
+	server := &http.Server{Handler: counting(g), ConnState: func(c net.Conn, state http.ConnState) { conns.note(c, state); left.note(c, state) }, ConnContext: withConn, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)}
+	go func() { _ = server.Serve(newSheddingListener(l, func() rate.Limit { return 0 })) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		_ = metrics.Close()
+	})
+	return l.Addr().String(), ended
+}
+
+// underWay sends requests and returns their callers' connections and those of the target,
+// which has begun to answer and goes on.
+func underWay(t *testing.T, n int) (callers, targets []net.Conn, ended chan booking.Result) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	address, ended := serveCallers(t, l.Addr().String())
+	for i := range n {
+		caller, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = caller.Close() })
+		_, err = io.WriteString(caller, "POST / HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\nbody")
+		is.NoErr(err)
+		target, err := l.Accept()
+		is.NoErr(err)
+		t.Cleanup(func() { _ = target.Close() })
+		_, err = target.Read(make([]byte, chunkOfTest))
+		is.NoErr(err)
+		if i%2 == 0 { // half of them have begun to answer
+			_, err = io.WriteString(target, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+			is.NoErr(err)
+		}
+		callers, targets = append(callers, caller), append(targets, target)
+	}
+	return callers, targets, ended
+}
+
+const chunkOfTest = 4 << 10
+
+// starve lets each turn on the processor take so long, until stop is called.
+func starve(turn time.Duration) (stop func()) {
+	const busy = 2 * time.Millisecond
+	former := runtime.GOMAXPROCS(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	for range int(turn / busy) {
+		go func() {
+			for ctx.Err() == nil {
+				for end := time.Now().Add(busy); time.Now().Before(end); {
+				}
+				runtime.Gosched()
+			}
+		}()
+	}
+	return func() {
+		cancel()
+		runtime.GOMAXPROCS(former)
+	}
+}
+
+// Targets work on for callers that have left a VM whose turns take long.
+func TestTargetsStopForCallersThatLeaveAStarvedDaemon(t *testing.T) {
+	const (
+		requests = 40
+		turn     = 600 * time.Millisecond
+		most     = turn / 2
+	)
+	is := is.New(t)
+	callers, targets, ended := underWay(t, requests)
+	stop := starve(turn)
+	defer stop()
+	time.Sleep(turn)
+	for _, c := range callers {
+		is.NoErr(c.Close())
+	}
+	left := time.Now()
+	for working := requests; working > 0; time.Sleep(20 * time.Millisecond) {
+		working = 0
+		for _, c := range targets {
+			if !hungUp(c) {
+				working++
+			}
+		}
+		if time.Since(left) > most {
+			t.Fatalf("%d of %d requests still run %v after their callers left", working, requests, time.Since(left))
+		}
+	}
+	t.Logf("all ended after %v", time.Since(left))
+	stop()
+	for range requests {
+		is.True(!(<-ended).Failed) // it was the caller that left, not the target that failed
+	}
+}
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -187,10 +187,11 @@
 	return ok && hungUp(conn.Conn)
 }
 
+// leftEvents are those of a connection that the other end has closed.
+const leftEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
 // hungUp tells whether the other end has closed the connection.
-func hungUp(conn net.Conn) bool {
-	return polled(conn, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
-}
+func hungUp(conn net.Conn) bool { return polled(conn, leftEvents) }
 
 // hasUnread tells whether something waits to be read on the connection.
 func hasUnread(conn net.Conn) bool { return polled(conn, unix.POLLIN) }
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -40,6 +40,7 @@
 		newTracing,
 		func() *route.Holder { return &route.Holder{} },
 		newLoadWatch,
+		newHangups,
 		newRoutedBridge,
 		newRelay,
 		newRoutedLoop,
@@ -79,7 +80,7 @@
 	return b.node, err
 }
 
-func newGateway(s settings.Settings, routes *route.Holder, loop *control.Bookings, pool *targetconn.Pool, b *routedBridge, load *loadWatch,
+func newGateway(s settings.Settings, routes *route.Holder, loop *control.Bookings, pool *targetconn.Pool, b *routedBridge, load *loadWatch, left *hangups,
 	metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *gateway.Server {
 	b.gateway = gateway.New(gateway.Deps{
 		Config: gateway.Config{
@@ -88,7 +89,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone, Sheds: load.sheds, Busy: load.busy, Left: load.left,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone, Watch: left.watch, Sheds: load.sheds, Busy: load.busy, Left: load.left,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
@@ -103,7 +104,7 @@
 	readinessListener             net.Listener
 }
 
-func newRoutedServers(s settings.Settings, g *gateway.Server, life *Life, loop *control.Bookings, load *loadWatch, metrics *telemetry.Metrics) (*routedServers, error) {
+func newRoutedServers(s settings.Settings, g *gateway.Server, life *Life, loop *control.Bookings, load *loadWatch, left *hangups, metrics *telemetry.Metrics) (*routedServers, error) {
 	ops := &routedOperators{life: life, loop: loop, load: load, metrics: metrics}
 	r := &routedServers{connections: newConnections(callersConnections(s.Memory))}
 	var err error
@@ -119,7 +120,7 @@
 		}
 	}
 	r.callers = &http.Server{
-		ConnState:         r.connections.note,
+		ConnState:         func(c net.Conn, state http.ConnState) { r.connections.note(c, state); left.note(c, state) },
 		ConnContext:       withConn,
 		Handler:           keeping(s.Callers.IdleTimeout, r.connections.pressed, closing(life, counting(g))),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -33,6 +34,8 @@
 	// until is when the caller or the operator wants no answer any more.
 	until time.Time
 	plan  patience.Plan
+	// leave ends the request because its caller has left.
+	leave context.CancelFunc
 
 	// isPending tells that it counts among those being read or placed.
 	isPending bool
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,11 +39,11 @@
 	case answer.NotRun:
 		return s.refused(x, r)
 	case x.Response.StatusCode >= http.StatusBadRequest:
-		return s.failed(x, j, r, began)
+		return s.failed(ctx, x, j, r, began)
 	case j.route.Repeat == route.Stream && isEventStream(x.Response.Header):
-		return s.stream(x, j, r, began)
+		return s.stream(ctx, x, j, r, began)
 	}
-	return s.plain(x, j, r, began)
+	return s.plain(ctx, x, j, r, began)
 }
 
 func isEventStream(h http.Header) bool {
@@ -75,10 +75,24 @@
 			return echoed.Attempt == j.call.Attempt || echoed.Attempt == "" && !echoed.Signed
 		},
 		Abandoned: func() bool { return time.Since(began) > freshLook && s.Gone(ctx) },
+		Watch:     s.watch(ctx, j),
 		Foreign:   func() { event.AnswerForeign.Log(s.Log, "target", entry.Identity, "request", j.call.Attempt) },
 	}
 }
 
+// watch ends an exchange at once when its caller leaves; nil: the daemon does not tell.
+func (s *Server) watch(ctx context.Context, j *job) func(end func()) (stop func() bool) {
+	if s.Watch == nil {
+		return nil
+	}
+	return func(end func()) func() bool {
+		return s.Watch(ctx, func() {
+			j.leave() // first: else the end would look like the target's
+			end()
+		})
+	}
+}
+
 // source is the address of the target that a prompt's beginning is copied from; empty
 // where there is none, or where it has left since the request was placed: its address may
 // be another service's by now.
@@ -130,11 +144,11 @@
 
 // failed takes a failure of the target's own. It is handed over unchanged, unless
 // its status promises that the request has not run, which this target did not say.
-func (s *Server) failed(x *targetconn.Exchange, j *job, r result, began time.Time) result {
+func (s *Server) failed(ctx context.Context, x *targetconn.Exchange, j *job, r result, began time.Time) result {
 	r.first = time.Since(began)
 	body, err := io.ReadAll(io.LimitReader(x, heldBody))
 	if err != nil {
-		r.targetFailed = true
+		r.targetFailed = !callerLeft(ctx, j)
 		r.failure = resultcode.Fail(resultcode.AnswerCut, "").Because(err)
 		return r
 	}
@@ -157,12 +171,12 @@
 }
 
 // plain passes an answer on that is not a stream of events.
-func (s *Server) plain(x *targetconn.Exchange, j *job, r result, began time.Time) result {
+func (s *Server) plain(ctx context.Context, x *targetconn.Exchange, j *job, r result, began time.Time) result {
 	start, err := io.ReadAll(io.LimitReader(x, heldBody))
 	r.first = time.Since(began)
 	r.served = float64(r.first.Milliseconds())
 	if err != nil {
-		r.targetFailed = true
+		r.targetFailed = !callerLeft(ctx, j)
 		r.failure = resultcode.Fail(resultcode.AnswerCut, "").Because(err)
 		return r
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,6 +115,9 @@
 	Pool    *targetconn.Pool
 	// Gone tells whether the caller of a request has left, by its context.
 	Gone func(ctx context.Context) bool
+	// Watch calls end once when the caller of a request, by its context, has left, until
+	// stop is called, which tells that end was not called; it may be nil.
+	Watch func(ctx context.Context, end func()) (stop func() bool)
 	// Sheds tells whether a new request is to be refused for want of processor time,
 	// by its context.
 	Sheds func(ctx context.Context) bool
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -66,6 +66,7 @@
 func (s *Server) run(ctx context.Context, j *job) *resultcode.Failure {
 	ctx, cancel := context.WithDeadline(ctx, j.until)
 	defer cancel()
+	j.leave = cancel
 	s.accepted(j.service.Name, j.arrived)
 	defer s.settled(j)
 	outcome := resultcode.NotRun
@@ -230,9 +231,14 @@
 	return truthful(f, outcome)
 }
 
+// callerLeft tells whether the request has ended because its caller left.
+func callerLeft(ctx context.Context, j *job) bool {
+	return errors.Is(ctx.Err(), context.Canceled) || j.in.Context().Err() != nil
+}
+
 // expired tells a caller that left from one whose time is up.
 func (s *Server) expired(ctx context.Context, j *job, outcome resultcode.Outcome) *resultcode.Failure {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) || j.in.Context().Err() != nil {
+	if callerLeft(ctx, j) {
 		return resultcode.Fail(resultcode.CallerGone, "")
 	}
 	if outcome == resultcode.NotRun {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -26,7 +27,7 @@
 // stream passes events on as they come. Only whole events go to the caller: what
 // a target left of one when it stopped is dropped, and a target that goes on
 // begins with it again.
-func (s *Server) stream(x *targetconn.Exchange, j *job, r result, began time.Time) result {
+func (s *Server) stream(ctx context.Context, x *targetconn.Exchange, j *job, r result, began time.Time) result {
 	j.events.restart()
 	before := j.events.count
 	buffer := make([]byte, chunk)
@@ -53,7 +54,7 @@
 			break
 		}
 	}
-	r.targetFailed = r.failure != nil && r.failure.Code == resultcode.AnswerCut && j.in.Context().Err() == nil
+	r.targetFailed = r.failure != nil && r.failure.Code == resultcode.AnswerCut && !callerLeft(ctx, j)
 	if r.first > 0 {
 		r.served = j.cost()
 	}
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -32,6 +32,9 @@
 	// Abandoned tells, right before the request is sent, whether nobody waits for its
 	// answer any more; it may be nil.
 	Abandoned func() bool
+	// Watch calls end once when nobody waits for the answer any more, until stop is called,
+	// which tells that end was not called; it may be nil. End does not block.
+	Watch func(end func()) (stop func() bool)
 }
 
 // Exchange is a request whose answer has begun.
@@ -73,7 +76,7 @@
 		return nil, &Unsent{Cause: ErrAbandoned}
 	}
 	x := &Exchange{pool: p, conn: c, written: make(chan struct{})}
-	x.stop = context.AfterFunc(ctx, c.reset) // wakes reads and writes
+	x.stop = r.endsWith(ctx, c)
 	sent, err := x.send(&r)
 	if err != nil && !sent {
 		x.drop()
@@ -95,6 +98,20 @@
 	return x, nil
 }
 
+// endsWith lets a connection end with ctx, or when nobody waits any more, which wakes reads
+// and writes. Stop tells that it has not.
+func (r *Request) endsWith(ctx context.Context, c *conn) (stop func() bool) {
+	stopped := context.AfterFunc(ctx, c.reset)
+	if r.Watch == nil {
+		return stopped
+	}
+	unwatched := r.Watch(c.reset)
+	return func() bool {
+		left := !unwatched()
+		return stopped() && !left
+	}
+}
+
 // silent tells whether an error says that the other end does not answer.
 func silent(err error) bool {
 	var timeout net.Error
