Callers that leave are looked for only while turns are slow

The load's own measurement now tells whether turns are slow, also while it still waits for its turn; else one timer asks ten times a second.

--- a/internal/daemon/hangups.go
+++ b/internal/daemon/hangups.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// hangupEvery is how often connections with a request at a target are looked at. It is
-	// far below the half second in which a target is to stop working for a caller that has
-	// left.
+	// hangupEvery is how often connections with a request at a target are looked at while
+	// turns are slow. It is far below the half second in which a target is to stop working
+	// for a caller that has left.
 	hangupEvery = 50 * time.Millisecond
+	// calmEvery is how often it is asked whether they are.
+	calmEvery = 100 * time.Millisecond
 	// hangupTimers is how many timers see to it. The runtime gives the goroutine of a timer
 	// the next turn, but only that of the last of those that have run out together; the
 	// others wait like all.
@@ -28,9 +30,11 @@
 //
 // The server notices a close by a goroutine of the connection, which waits for its turn like
 // all others: on a VM short of processor time for longer than targets may work on. Here one
-// system call looks at all connections. It is made by whatever has its turn when a look is
-// due: a timer, or a connection that begins or ends a request.
+// system call looks at all connections, while turns are slow. It is made by whatever has its
+// turn when a look is due: a timer, or a connection that begins or ends a request.
 type hangups struct {
+	// slow tells whether turns take long.
+	slow    func() bool
 	started time.Time
 	// looked is when the last look was, in nanoseconds since started, and count how many
 	// requests are watched.
@@ -51,8 +55,8 @@
 	end  func()
 }
 
-func newHangups() *hangups {
-	return &hangups{started: time.Now(), watched: map[*watchedRequest]bool{}}
+func newHangups(load *loadWatch) *hangups {
+	return &hangups{slow: load.slow, started: time.Now(), watched: map[*watchedRequest]bool{}}
 }
 
 // watch calls end once when the caller of a request, given by its context, has closed its
@@ -68,10 +72,8 @@
 	defer h.mu.Unlock()
 	h.watched[w] = true
 	h.count.Store(int64(len(h.watched)))
-	for i, timer := range h.timers {
-		if timer == nil {
-			h.arm(i, hangupEvery*time.Duration(i+1)/hangupTimers)
-		}
+	if h.timers[0] == nil {
+		h.arm(0, calmEvery)
 	}
 	return func() bool {
 		h.mu.Lock()
@@ -101,15 +103,25 @@
 	if len(h.watched) == 0 {
 		return
 	}
+	if !h.slow() {
+		if i == 0 {
+			h.arm(0, calmEvery)
+		}
+		return
+	}
 	if h.sinceLook() >= hangupEvery/2 {
 		h.look()
 	}
-	h.arm(i, hangupEvery)
+	for after := 1; after <= hangupTimers; after++ { // the others in between, and this one again
+		if k := (i + after) % hangupTimers; h.timers[k] == nil {
+			h.arm(k, hangupEvery*time.Duration(after)/hangupTimers)
+		}
+	}
 }
 
 // note is a ConnState hook of the server that looks where a look is due.
 func (h *hangups) note(net.Conn, http.ConnState) {
-	if h.count.Load() > 0 && h.sinceLook() >= hangupEvery && h.mu.TryLock() {
+	if h.count.Load() > 0 && h.sinceLook() >= hangupEvery && h.slow() && h.mu.TryLock() {
 		h.look()
 		h.mu.Unlock()
 	}
--- a/internal/daemon/hangups_test.go
+++ b/internal/daemon/hangups_test.go
@@ -58,7 +58,14 @@
 	l, err := listenDrainable("127.0.0.1:0")
 	is.NoErr(err)
 	ended = make(chan booking.Result, 1000)
-	conns, left := newConnections(0), newHangups()
+	conns, load := newConnections(0), newLoadWatch(settings.Settings{})
+	left := newHangups(load)
+	ctx, cancel := context.WithCancel(context.Background())
+	loads := make(chan struct{})
+	go func() {
+		defer close(loads)
+		load.run(ctx, slog.New(slog.DiscardHandler), conns)
+	}()
 	g := gateway.New(gateway.Deps{
 		Routes: routes, Dialect: anyDialect{}, Placer: onlyTarget{ended}, Pool: targetconn.New(targetconn.Config{}),
 		Gone: callerGone, Watch: left.watch, Sheds: func(context.Context) bool { return false },
@@ -72,6 +79,8 @@
 	server := &http.Server{Handler: counting(g), ConnState: func(c net.Conn, state http.ConnState) { conns.note(c, state); left.note(c, state) }, ConnContext: withConn, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)}
 	go func() { _ = server.Serve(newSheddingListener(l, func() rate.Limit { return 0 })) }()
 	t.Cleanup(func() {
+		cancel()
+		<-loads
 		_ = server.Close()
 		_ = metrics.Close()
 	})
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -34,6 +34,9 @@
 	// is not.
 	since   atomic.Int64
 	started time.Time
+	// probed is when the present measurement began, in nanoseconds since started, zero
+	// between two, and waited the last wait for a turn.
+	probed, waited atomic.Int64
 	// lag is how long the balancer takes to notice.
 	lag time.Duration
 	// zone is how many daemons the availability zone has.
@@ -75,6 +78,31 @@
 // acceptRate is how many new connections a second are to be taken; zero: all.
 func (l *loadWatch) acceptRate() rate.Limit { return rate.Limit(l.accepts.Load()) }
 
+// slowFrom is the wait for a turn from which on a turn is slow.
+const slowFrom = 20 * time.Millisecond
+
+// slow tells whether goroutines wait long for their turns, also while the measurement is
+// still waiting for its own.
+func (l *loadWatch) slow() bool {
+	if time.Duration(l.waited.Load()) >= slowFrom {
+		return true
+	}
+	probed := l.probed.Load()
+	return probed > 0 && time.Since(l.started)-time.Duration(probed) >= slowFrom
+}
+
+// probe measures the wait for a turn.
+func (l *loadWatch) probe() (now time.Time, wait time.Duration) {
+	before := time.Now()
+	l.probed.Store(int64(before.Sub(l.started)))
+	runtime.Gosched()
+	now = time.Now()
+	wait = now.Sub(before)
+	l.waited.Store(int64(wait))
+	l.probed.Store(0)
+	return now, wait
+}
+
 func (l *loadWatch) run(ctx context.Context, log *slog.Logger, conns *connections) {
 	ticker := time.NewTicker(probeTurnEvery)
 	defer ticker.Stop()
@@ -86,14 +114,12 @@
 			return
 		case <-ticker.C:
 		}
-		before := time.Now()
-		runtime.Gosched()
-		now := time.Now()
-		share := shedder.Note(now, now.Sub(before))
+		now, wait := l.probe()
+		share := shedder.Note(now, wait)
 		l.accepts.Store(int64(overload.AcceptRate(detector.Mean())))
 		l.shed.Store(int64(shedUnit * share))
 		over := detector.Note(now, overload.Observation{
-			Wait: now.Sub(before), Shed: share, Holds: l.zone.Load() >= holdFrom, Arrived: conns.arrived(),
+			Wait: wait, Shed: share, Holds: l.zone.Load() >= holdFrom, Arrived: conns.arrived(),
 		})
 		if l.over.Swap(over) == over {
 			continue
