A reload does not end a daemon that is still starting

What callers could see: a VM that was just restarted, and whose operator reloads settings in the same seconds (planned stops and reloads together), loses its daemon once more.

Cause: SIGHUP was caught only after the settings had been read and checked; until then it ends the process. On a VM whose turns take long that is a good while.

Change: it is caught first of all. A reload of a daemon with stand-ins (--dev) no longer says that its settings are not valid; it checked them without the defaults of the stand-ins.

--- a/cmd/savorystalld/main.go
+++ b/cmd/savorystalld/main.go
@@ -49,6 +49,8 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP) // first: until then the signal ends the process
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		var flagErr *flags.Error
@@ -86,8 +88,8 @@
 	lines := logging.NewWriter(out)
 	defer lines.Close()
 	log := newLoggerTo(lines, s.Log.Level)
-	reloads := o.reload(ctx, log)
-	defer reloads()
+	reloading := o.reload(ctx, log, reloads, defaults)
+	defer reloading()
 	if err := daemon.Run(ctx, s, log, func(a daemon.Addresses) { o.announce(a, s.Platform.URL) }); err != nil {
 		fmt.Fprintln(os.Stderr, "savorystalld:", err)
 		return exitFailed
@@ -165,11 +167,8 @@
 }
 
 // reload answers SIGHUP: the settings are read and checked again, and the line
-// says what came of it. Without it the signal would end the process. What
-// changed takes effect at the next start.
-func (o *options) reload(ctx context.Context, log *slog.Logger) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+// says what came of it. What changed takes effect at the next start.
+func (o *options) reload(ctx context.Context, log *slog.Logger, signals <-chan os.Signal, defaults settings.Override) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		for {
@@ -178,15 +177,12 @@
 				return
 			case <-signals:
 			}
-			if _, err := settings.Load(o.Settings, settings.FromEnvironment(os.LookupEnv), o.override); err != nil {
+			if _, err := settings.Load(o.Settings, defaults, settings.FromEnvironment(os.LookupEnv), o.override); err != nil {
 				event.SettingsBad.Log(log, "error", err)
 				continue
 			}
 			event.SettingsRead.Log(log, "file", o.Settings)
 		}
 	}()
-	return func() {
-		signal.Stop(signals)
-		cancel()
-	}
+	return cancel
 }
