A starved daemon hears of configurations: a call is not over before its answer could be read

Cause, shown by the test: the limits of the calls that follow the store are timers, which the runtime runs before goroutines that wait for their turns. With turns of 900 ms in a process of its own beside a store that is not starved, each call for changes (0.7 s beyond its wait) and each dial (0.5 s) is over before its answer is read; the next one meets the same. One version came into force after 1.49 s, the next not within 30 s. With turns of 300 and 600 ms the same daemon needed 0.31 and 0.66 s. Calls to a reader of the zone have 0.4 s. The answer to a call came in time; that nobody had read it was taken for its absence.

Change: package turn, a limit that lets everything that is ready have its turn once the time is up, for the calls of followers and of the relay and for dials to the store. Where processor time is not short this takes no time; a store that is silent is found as before.

After: with turns of 900 ms 1.26 to 1.27 s, five versions of five.

--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/turn"
 )
 
 // FeedRow is one row of a followed table.
@@ -299,7 +300,7 @@
 	}
 	watched, end := f.cfg.Group.watch(ctx)
 	defer end()
-	call, cancel := context.WithTimeout(watched, f.cfg.Wait+f.cfg.Slack)
+	call, cancel := turn.WithTimeout(watched, f.cfg.Wait+f.cfg.Slack)
 	defer cancel()
 	rows, revision, err := f.cfg.Feed.Changes(call, f.cfg.Table, f.revision, f.cfg.Wait)
 	if errors.Is(context.Cause(watched), errGroupFailed) {
@@ -321,7 +322,7 @@
 }
 
 func (f *Follower) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, feedRead)
+	ctx, cancel := turn.WithTimeout(ctx, feedRead)
 	defer cancel()
 	rows, revision, err := f.cfg.Feed.ReadTable(ctx, f.cfg.Table)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/membership"
 	"github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/turn"
 )
 
 // Peers asks other daemons.
@@ -260,7 +261,7 @@
 			wait = firstBeat
 		}
 		var cancel context.CancelFunc
-		call, cancel = context.WithTimeout(call, wait+storeSlack)
+		call, cancel = turn.WithTimeout(call, wait+storeSlack)
 		defer cancel()
 	}
 	rows, revision, err := f.cfg.Store.Changes(call, table, after, wait)
@@ -299,7 +300,7 @@
 }
 
 func (f *Feed) ask(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+slack)
+	ctx, cancel := turn.WithTimeout(ctx, q.Wait+slack)
 	defer cancel()
 	return f.cfg.Peers.Follow(ctx, reader, q)
 }
