A starved daemon does not take a target that it has reached for one that can't be reached

What callers could see: on a VM whose turns take longer than 400 ms each new connection to a target fails, the request goes to another one or is refused, and the target's owner is told that the target failed.

Cause: the limit of a dial is a timer of the runtime, which ends the dial before the goroutine that waits for it has its turn, though the kernel has connected at once.

Change: the limit of package turn, in package dialing, for targets and the store alike. A limit that is over still reads as a timeout, and as the target's failure.

--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -79,7 +79,7 @@
 
 // dialer opens tracked connections that notice a peer that is gone.
 type dialer struct {
-	*net.Dialer
+	*dialing.Dialer
 }
 
 func newDialer(cfg Config) *dialer {
--- a/internal/dialing/dialing.go
+++ b/internal/dialing/dialing.go
@@ -8,11 +8,14 @@
 package dialing
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/savorystall/savorystall/internal/turn"
 )
 
 // Config sets up a dialer.
@@ -28,15 +31,32 @@
 	Count          int
 }
 
+// Dialer opens connections. It is safe for concurrent use.
+type Dialer struct {
+	dialer  net.Dialer
+	connect time.Duration
+}
+
 // New returns a dialer.
-func New(cfg Config) *net.Dialer {
-	return &net.Dialer{
-		Timeout:         cfg.Connect,
+func New(cfg Config) *Dialer {
+	return &Dialer{connect: cfg.Connect, dialer: net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: cfg.Idle, Interval: cfg.Interval, Count: cfg.Count},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return setUserTimeout(raw, cfg.UserTimeout)
 		},
+	}}
+}
+
+// DialContext opens a connection. One that the kernel has opened in time counts, also where
+// this process comes to take it later.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	limited, cancel := turn.WithTimeout(ctx, d.connect)
+	defer cancel()
+	conn, err := d.dialer.DialContext(limited, network, address)
+	if err != nil && ctx.Err() == nil && limited.Err() != nil {
+		err = &net.OpError{Op: "dial", Net: network, Err: limited.Err()} // else it would look like the caller's end
 	}
+	return conn, err
 }
 
 func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -75,7 +75,7 @@
 // Pool keeps connections to many targets. It is safe for concurrent use.
 type Pool struct {
 	cfg    Config
-	dialer *net.Dialer
+	dialer *dialing.Dialer
 
 	mu      sync.Mutex
 	targets map[string]*target
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -408,3 +409,30 @@
 	is.Equal(ran.Load(), int64(1))
 	is.Equal(tg.opened.Load(), int64(1))
 }
+
+// A daemon whose turns take long takes a target that it has reached for one that can't be reached.
+func TestAConnectionThatWaitsForATurnIsNotTakenForAFailure(t *testing.T) {
+	const turn, busy = 800 * time.Millisecond, 2 * time.Millisecond
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0") // the kernel connects
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	former := runtime.GOMAXPROCS(1)
+	defer runtime.GOMAXPROCS(former)
+	done, end := context.WithCancel(t.Context())
+	defer end()
+	for range int(turn / busy) {
+		go func() {
+			for done.Err() == nil {
+				for end := time.Now().Add(busy); time.Now().Before(end); {
+				}
+				runtime.Gosched()
+			}
+		}()
+	}
+	runtime.Gosched()
+	r := request("a")
+	r.Abandoned = func() bool { return true } // asked once it is connected
+	_, err = targetconn.New(targetconn.Config{}).Do(t.Context(), l.Addr().String(), r)
+	is.True(errors.Is(err, targetconn.ErrAbandoned))
+}
