A flood is refused while it is being measured

Cause: the daemon measures its load by how long a goroutine waits for its turn, and takes the wait in when the turn has come; five long ones of nine make it refuse, and their mean limits new connections. While the first one is still waiting it knows nothing, and takes all connections.

Change: a wait that is not over yet counts by what it has lasted: from 250 ms on nearly all new requests are refused and from 10 ms on few connections are taken, until it ends. A processor with a quota stands still for up to a tenth of a second, which alone refuses nothing.

--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -56,15 +56,20 @@
 
 // sheds tells whether a new request is to be refused at once, by its context.
 func (l *loadWatch) sheds(ctx context.Context) bool {
-	shed := l.shed.Load()
-	if shed == 0 {
+	share := l.share()
+	if share == 0 {
 		return false
 	}
-	return rand.Float64() < overload.Part(float64(shed)/shedUnit, firstOnConnection(ctx))
+	return rand.Float64() < overload.Part(share, firstOnConnection(ctx))
+}
+
+// share is the part of new requests to refuse.
+func (l *loadWatch) share() float64 {
+	return max(float64(l.shed.Load())/shedUnit, overload.Waiting(l.waiting()))
 }
 
 // busy tells whether a part of new requests is refused at once.
-func (l *loadWatch) busy() bool { return l.shed.Load() > 0 }
+func (l *loadWatch) busy() bool { return l.share() > 0 }
 
 // shedUnit is the unit of loadWatch.shed.
 const shedUnit = 1000
@@ -76,7 +81,13 @@
 }
 
 // acceptRate is how many new connections a second are to be taken; zero: all.
-func (l *loadWatch) acceptRate() rate.Limit { return rate.Limit(l.accepts.Load()) }
+func (l *loadWatch) acceptRate() rate.Limit {
+	measured, now := l.accepts.Load(), int64(overload.AcceptRate(l.waiting()))
+	if measured == 0 || now > 0 && now < measured {
+		return rate.Limit(now)
+	}
+	return rate.Limit(measured)
+}
 
 // slowFrom is the wait for a turn from which on a turn is slow.
 const slowFrom = 20 * time.Millisecond
@@ -84,11 +95,16 @@
 // slow tells whether goroutines wait long for their turns, also while the measurement is
 // still waiting for its own.
 func (l *loadWatch) slow() bool {
-	if time.Duration(l.waited.Load()) >= slowFrom {
-		return true
-	}
+	return max(time.Duration(l.waited.Load()), l.waiting()) >= slowFrom
+}
+
+// waiting is how long the present measurement has waited for its turn; zero between two.
+func (l *loadWatch) waiting() time.Duration {
 	probed := l.probed.Load()
-	return probed > 0 && time.Since(l.started)-time.Duration(probed) >= slowFrom
+	if probed == 0 {
+		return 0
+	}
+	return max(0, time.Since(l.started)-time.Duration(probed))
 }
 
 // probe measures the wait for a turn.
--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -60,6 +60,20 @@
 	return s.share
 }
 
+// certain is the wait for a turn that tells by itself that the processor time is short, before
+// the turn has come: a processor with a quota stands still for less.
+const certain = 250 * time.Millisecond
+
+// Waiting returns the part of new requests to refuse where a turn is waited for since so
+// long, whatever the last waits were. On a daemon that is flooded at once no wait ends for
+// seconds, in which it would take on hundreds of requests that it can't serve.
+func Waiting(since time.Duration) float64 {
+	if since < certain {
+		return 0
+	}
+	return shedMost
+}
+
 const (
 	// acceptTurns is how many turns of the mean wait may begin with a new connection in a
 	// second: at a wait of 10 ms 1,000 are taken, about what a small VM can refuse beside
--- a/internal/overload/shed_test.go
+++ b/internal/overload/shed_test.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// A processor with a quota stands still for most of each tenth of a second, also while a turn
+// is waited for. A turn that has not come after much longer tells of a flood.
+func TestAWaitThatIsNotOverTellsOfAFlood(t *testing.T) {
+	is := is.New(t)
+	is.Equal(overload.Waiting(0), 0.0)
+	is.Equal(overload.Waiting(200*time.Millisecond), 0.0) // two of them in a row
+	is.True(overload.Waiting(300*time.Millisecond) > 0.9)
+	is.True(overload.Waiting(time.Minute) < 1) // some tell whether the load is over
+}
+
 // Where half is to be refused, nobody who has been served on a connection is; callers on
 // new connections reach another daemon by their next try.
 func TestNewConnectionsAreRefusedFirst(t *testing.T) {
