A daemon that may have missed a configuration does not deny routes and keys

Change: a daemon that refuses a part of new requests for want of processor time, and that the store has not answered for a second, sends callers elsewhere (503, not run, come back at once) in place of 401, 403 and 404. A daemon that keeps up answers as before, also while the store is away. What it costs: a caller with a wrong path or key that reaches such a VM is told to come back, and gets its 404 from another one.

Test: of the gateway, which had no such answer before.

--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -37,6 +37,9 @@
 	// probed is when the present measurement began, in nanoseconds since started, zero
 	// between two, and waited the last wait for a turn.
 	probed, waited atomic.Int64
+	// confirmed is when the store last told which routes are in force, in nanoseconds since
+	// started; zero: it has not.
+	confirmed atomic.Int64
 	// lag is how long the balancer takes to notice.
 	lag time.Duration
 	// zone is how many daemons the availability zone has.
@@ -74,6 +77,19 @@
 // shedUnit is the unit of loadWatch.shed.
 const shedUnit = 1000
 
+// confirm notes that the store has just told which routes are in force.
+func (l *loadWatch) confirm() { l.confirmed.Store(int64(time.Since(l.started))) }
+
+// confirmedFor is for how long a daemon without processor time goes by the routes that it
+// knows: with the turn that a new version takes to be read it stays within two seconds.
+const confirmedFor = time.Second
+
+// stale tells whether the routes may have changed without this daemon having come to read
+// them. One that keeps up is told of a change as it happens.
+func (l *loadWatch) stale() bool {
+	return l.busy() && time.Since(l.started)-time.Duration(l.confirmed.Load()) > confirmedFor
+}
+
 // left tells whether the balancer has noticed that the daemon is overloaded.
 func (l *loadWatch) left() bool {
 	since := l.since.Load()
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -89,9 +89,11 @@
 }
 
 func (s *site) follow(group *store.FeedGroup, table string, wait, gather time.Duration, to store.Subscriber) func(context.Context) {
-	return store.NewFollower(store.FollowerConfig{
-		Feed: s.p.Relay, Table: table, Wait: wait, Gather: gather, Group: group, Beats: table == beatTable, Logger: s.p.Log,
-	}, to).Run
+	cfg := store.FollowerConfig{Feed: s.p.Relay, Table: table, Wait: wait, Gather: gather, Group: group, Logger: s.p.Log}
+	if table == beatTable {
+		cfg.Beats, cfg.Answered = true, s.p.Load.confirm
+	}
+	return store.NewFollower(cfg, to).Run
 }
 
 // look returns the routes and targets as they were read last.
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -85,12 +85,12 @@
 	path, _, _ := strings.Cut(requestTarget(r), "?")
 	found, ok := table.Find(r.Host, path)
 	if !ok {
-		return nil, resultcode.Fail(resultcode.NotFound, "no route for %s%s", r.Host, path)
+		return nil, s.unknown(resultcode.Fail(resultcode.NotFound, "no route for %s%s", r.Host, path))
 	}
 	call := s.Dialect.Call(r.Header)
 	workspace, failure := table.Identify(found, call.Key)
 	if failure != nil {
-		return nil, failure
+		return nil, s.unknown(failure)
 	}
 	j := &job{
 		w: w, id: ident.NewRequest(), in: r, call: call,
@@ -111,6 +111,15 @@
 	return j, nil
 }
 
+// unknown is the answer to a request whose route or key is not known here. It sends the caller
+// elsewhere where that may be because this daemon has not come to read of them.
+func (s *Server) unknown(f *resultcode.Failure) *resultcode.Failure {
+	if s.Stale != nil && s.Stale() {
+		return busy()
+	}
+	return f
+}
+
 // settled tells that a request is not being read or placed any more.
 func (s *Server) settled(j *job) {
 	if j.isPending {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,6 +123,9 @@
 	Sheds func(ctx context.Context) bool
 	// Busy tells whether a part of new requests is refused so.
 	Busy func() bool
+	// Stale tells whether the routes may have changed without this daemon having had the
+	// processor time to read them; it may be nil.
+	Stale func() bool
 	// Left tells whether the balancer leads no new connections here.
 	Left    func() bool
 	Metrics *telemetry.Metrics
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -133,3 +133,40 @@
 	_, body = send()
 	is.True(strings.Contains(body, "no_target")) // it went on to a target, which is not there
 }
+
+// A daemon without processor time answers "no such route" by a table that is old.
+func TestADaemonThatMayHaveMissedRoutesDoesNotDenyThem(t *testing.T) {
+	is := is.New(t)
+	metrics := telemetry.NewMetrics()
+	t.Cleanup(func() { _ = metrics.Close() })
+	tracing, err := telemetry.NewTracing(t.Context(), "d", settings.Trace{})
+	is.NoErr(err)
+	table, err := route.NewTable(route.Document{
+		Version: 1, Keyed: true,
+		Routes:     []route.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Services: []route.Split{{Service: "app", Weight: 1}}, Attempts: 1}},
+		Services:   []route.Service{{Name: "app"}},
+		Workspaces: []route.Workspace{{Name: "club", Keys: []string{"key"}}},
+	})
+	is.NoErr(err)
+	routes := &route.Holder{}
+	is.True(routes.Offer(table))
+	stale := false
+	s := New(Deps{
+		Routes: routes, Dialect: plainDialect{}, Placer: &countingPlacer{}, Metrics: metrics, Tracing: tracing, Log: slog.New(slog.DiscardHandler),
+		Sheds: func(context.Context) bool { return false }, Stale: func() bool { return stale },
+	})
+	send := func(path, key string) *httptest.ResponseRecorder {
+		r := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader("body"))
+		r.Header.Set("Key", key)
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		return w
+	}
+	is.Equal(send("/b/x", "key").Code, http.StatusNotFound)
+	is.Equal(send("/a/x", "other").Code, http.StatusUnauthorized)
+	stale = true
+	for _, w := range []*httptest.ResponseRecorder{send("/b/x", "key"), send("/a/x", "other")} {
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.Equal(w.Header().Get("Retry-After"), "0.020")
+	}
+}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -99,8 +99,10 @@
 	// Slack is how long after Wait an answer may come. Default 700 ms: above the
 	// answer time of a loaded store, and together with Wait below the 3 s after
 	// which a daemon counts as in touch with the store again.
-	Slack  time.Duration
-	Logger *slog.Logger
+	Slack time.Duration
+	// Answered is called with each answer, before its rows are taken in; it may be nil.
+	Answered func()
+	Logger   *slog.Logger
 }
 
 // Defaults of FollowerConfig, and the backoff after a failed call: short, since a
@@ -354,6 +356,9 @@
 }
 
 func (f *Follower) answered() {
+	if f.cfg.Answered != nil {
+		f.cfg.Answered()
+	}
 	if f.cfg.Beats {
 		f.cfg.Group.setAway(false)
 	}
