A request's time runs from its arrival, and what is left is reckoned when it is sent

What callers saw: targets work on for callers that have left (GONE), and requests reach targets when nobody waits any more.

Cause: the daemon takes a request's arrival from the moment at which its handler has its turn, and reckons what is left of the caller's time before the connection to the target is opened, which takes another one.

Change: while turns are slow a request's arrival is what the kernel tells of the last bytes of its connection (TCP_INFO), or where it does not tell, the last wait for a turn; the headers that depend on the time are set once there is a connection.

--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -4,10 +4,12 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"runtime"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
 
 	"github.com/savorystall/savorystall/internal/event"
@@ -114,6 +116,33 @@
 	return max(time.Duration(l.waited.Load()), l.waiting()) >= slowFrom
 }
 
+// late tells how long ago a request has come that is read now, by its context.
+func (l *loadWatch) late(ctx context.Context) time.Duration {
+	if !l.slow() {
+		return 0
+	}
+	if conn, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		if since, ok := sinceData(conn.Conn); ok {
+			return since
+		}
+	}
+	return max(time.Duration(l.waited.Load()), l.waiting())
+}
+
+// sinceData returns how long ago the last bytes have come on a connection, by the kernel;
+// false where it does not tell.
+func sinceData(conn net.Conn) (since time.Duration, ok bool) {
+	fd := descriptor(conn)
+	if fd < 0 {
+		return 0, false
+	}
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
 // waiting is how long the present measurement has waited for its turn; zero between two.
 func (l *loadWatch) waiting() time.Duration {
 	probed := l.probed.Load()
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -89,7 +89,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone, Watch: left.watch, Sheds: load.sheds, Busy: load.busy, Stale: load.stale, Left: load.left,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone, Watch: left.watch, Sheds: load.sheds, Busy: load.busy, Stale: load.stale, Late: load.late, Left: load.left,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -74,7 +74,7 @@
 // accept checks everything that can be checked before a target is needed. The
 // job is nil where there is a failure.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *resultcode.Failure) {
-	arrived := time.Now()
+	arrived := s.arrival(r)
 	if s.closing.Load() {
 		return nil, resultcode.Fail(resultcode.Stopping, "")
 	}
@@ -111,6 +111,16 @@
 	return j, nil
 }
 
+// arrival is when a request has come. On a daemon short of processor time that may be well
+// before it is read, and a target that is told otherwise works on after its caller has left.
+func (s *Server) arrival(r *http.Request) time.Time {
+	now := time.Now()
+	if s.Late == nil {
+		return now
+	}
+	return now.Add(-s.Late(r.Context()))
+}
+
 // unknown is the answer to a request whose route or key is not known here. It sends the caller
 // elsewhere where that may be because this daemon has not come to read of them.
 func (s *Server) unknown(f *resultcode.Failure) *resultcode.Failure {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -58,17 +58,18 @@
 
 // request translates the caller's request for a target.
 func (s *Server) request(ctx context.Context, j *job, entry registry.Entry, began time.Time) targetconn.Request {
-	header := endToEnd(j.in.Header)
-	s.Dialect.ForTarget(header, Forward{
-		Identity: entry.Identity, Workspace: j.workspace,
-		Patience: time.Until(j.until), LastEvent: j.events.last, Source: s.source(j, entry),
-	})
 	connections := 0
 	if j.service.Connections > 0 {
 		connections = max(1, j.service.Connections/max(1, s.Config.ConnectionShare))
 	}
 	return targetconn.Request{
-		Method: j.in.Method, Target: requestTarget(j.in), Host: j.in.Host, Header: header, Body: j.body,
+		Method: j.in.Method, Target: requestTarget(j.in), Host: j.in.Host, Header: endToEnd(j.in.Header), Body: j.body,
+		Complete: func(h http.Header) {
+			s.Dialect.ForTarget(h, Forward{
+				Identity: entry.Identity, Workspace: j.workspace,
+				Patience: time.Until(j.until), LastEvent: j.events.last, Source: s.source(j, entry),
+			})
+		},
 		Connections: connections,
 		Mine: func(status int, h http.Header) bool {
 			echoed := s.Dialect.Answer(status, h)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,6 +126,9 @@
 	// Stale tells whether the routes may have changed without this daemon having had the
 	// processor time to read them; it may be nil.
 	Stale func() bool
+	// Late tells how long ago a request has come that is read now, by its context; it may be
+	// nil.
+	Late func(ctx context.Context) time.Duration
 	// Left tells whether the balancer leads no new connections here.
 	Left    func() bool
 	Metrics *telemetry.Metrics
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -22,7 +22,10 @@
 	// Host is the Host header.
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Complete sets the headers that depend on the time, once there is a connection; it may
+	// be nil.
+	Complete func(h http.Header)
+	Body     []byte
 	// Connections bounds the connections to the address; zero means no bound.
 	Connections int
 	// Mine tells whether the answer with these headers belongs to the request.
@@ -73,6 +76,9 @@
 	}
 	x := &Exchange{pool: p, conn: c, written: make(chan struct{})}
 	x.stop = r.endsWith(ctx, c)
+	if r.Complete != nil {
+		r.Complete(r.Header)
+	}
 	first, rest := r.text()
 	// Last of all: on a daemon short of processor time each lock and each piece of memory may
 	// cost a turn, in which the caller leaves.
