--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -61,20 +61,20 @@
 
 // sheds tells whether a new request is to be refused at once, by its context.
 func (l *loadWatch) sheds(ctx context.Context) bool {
-	share := l.share()
+	share := l.shedShare()
 	if share == 0 {
 		return false
 	}
 	return rand.Float64() < overload.Part(share, firstOnConnection(ctx))
 }
 
-// share is the part of new requests to refuse.
-func (l *loadWatch) share() float64 {
+// shedShare is the part of new requests to refuse.
+func (l *loadWatch) shedShare() float64 {
 	return max(float64(l.shed.Load())/shedUnit, overload.Waiting(l.waiting()))
 }
 
 // busy tells whether a part of new requests is refused at once.
-func (l *loadWatch) busy() bool { return l.share() > 0 }
+func (l *loadWatch) busy() bool { return l.shedShare() > 0 }
 
 // shedUnit is the unit of loadWatch.shed.
 const shedUnit = 1000
--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -63,7 +63,7 @@
 		}()
 	}
 	flooded := time.Now()
-	for time.Since(flooded) < turn && (load.share() == 0 || load.acceptRate() == 0) {
+	for time.Since(flooded) < turn && (load.shedShare() == 0 || load.acceptRate() == 0) {
 		time.Sleep(50 * time.Millisecond)
 	}
 	took := time.Since(flooded)
