--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -4,10 +4,12 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"runtime"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
 
 	"github.com/savorystall/savorystall/internal/event"
@@ -34,6 +36,12 @@
 	// is not.
 	since   atomic.Int64
 	started time.Time
+	// probed is when the present measurement began, in nanoseconds since started, zero
+	// between two, and waited the last wait for a turn.
+	probed, waited atomic.Int64
+	// confirmed is when the store last told which routes are in force, in nanoseconds since
+	// started; zero: it has not.
+	confirmed atomic.Int64
 	// lag is how long the balancer takes to notice.
 	lag time.Duration
 	// zone is how many daemons the availability zone has.
@@ -60,15 +68,30 @@
 	return rand.Float64() < overload.Part(share, firstOnConnection(ctx))
 }
 
-// busy tells whether a part of new requests is refused at once.
-func (l *loadWatch) busy() bool { return l.shed.Load() > 0 }
-
 // shedShare is the part of new requests to refuse.
-func (l *loadWatch) shedShare() float64 { return float64(l.shed.Load()) / shedUnit }
+func (l *loadWatch) shedShare() float64 {
+	return max(float64(l.shed.Load())/shedUnit, overload.Waiting(l.waiting()))
+}
+
+// busy tells whether a part of new requests is refused at once.
+func (l *loadWatch) busy() bool { return l.shedShare() > 0 }
 
 // shedUnit is the unit of loadWatch.shed.
 const shedUnit = 1000
 
+// confirm notes that the store has just told which routes are in force.
+func (l *loadWatch) confirm() { l.confirmed.Store(int64(time.Since(l.started))) }
+
+// confirmedFor is for how long a daemon without processor time goes by the routes that it
+// knows: with the turn that a new version takes to be read it stays within two seconds.
+const confirmedFor = time.Second
+
+// stale tells whether the routes may have changed without this daemon having come to read
+// them. One that keeps up is told of a change as it happens.
+func (l *loadWatch) stale() bool {
+	return l.busy() && time.Since(l.started)-time.Duration(l.confirmed.Load()) > confirmedFor
+}
+
 // left tells whether the balancer has noticed that the daemon is overloaded.
 func (l *loadWatch) left() bool {
 	since := l.since.Load()
@@ -76,7 +99,70 @@
 }
 
 // acceptRate is how many new connections a second are to be taken; zero: all.
-func (l *loadWatch) acceptRate() rate.Limit { return rate.Limit(l.accepts.Load()) }
+func (l *loadWatch) acceptRate() rate.Limit {
+	measured, now := l.accepts.Load(), int64(overload.AcceptRate(l.waiting()))
+	if measured == 0 || now > 0 && now < measured {
+		return rate.Limit(now)
+	}
+	return rate.Limit(measured)
+}
+
+// slowFrom is the wait for a turn from which on a turn is slow.
+const slowFrom = 20 * time.Millisecond
+
+// slow tells whether goroutines wait long for their turns, also while the measurement is
+// still waiting for its own.
+func (l *loadWatch) slow() bool {
+	return max(time.Duration(l.waited.Load()), l.waiting()) >= slowFrom
+}
+
+// late tells how long ago a request has come that is read now, by its context.
+func (l *loadWatch) late(ctx context.Context) time.Duration {
+	if !l.slow() {
+		return 0
+	}
+	if conn, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		if since, ok := sinceData(conn.Conn); ok {
+			return since
+		}
+	}
+	return max(time.Duration(l.waited.Load()), l.waiting())
+}
+
+// sinceData returns how long ago the last bytes have come on a connection, by the kernel;
+// false where it does not tell.
+func sinceData(conn net.Conn) (since time.Duration, ok bool) {
+	fd := descriptor(conn)
+	if fd < 0 {
+		return 0, false
+	}
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
+// waiting is how long the present measurement has waited for its turn; zero between two.
+func (l *loadWatch) waiting() time.Duration {
+	probed := l.probed.Load()
+	if probed == 0 {
+		return 0
+	}
+	return max(0, time.Since(l.started)-time.Duration(probed))
+}
+
+// probe measures the wait for a turn.
+func (l *loadWatch) probe() (now time.Time, wait time.Duration) {
+	before := time.Now()
+	l.probed.Store(int64(before.Sub(l.started)))
+	runtime.Gosched()
+	now = time.Now()
+	wait = now.Sub(before)
+	l.waited.Store(int64(wait))
+	l.probed.Store(0)
+	return now, wait
+}
 
 func (l *loadWatch) run(ctx context.Context, log *slog.Logger, conns *connections) {
 	ticker := time.NewTicker(probeTurnEvery)
@@ -89,14 +175,12 @@
 			return
 		case <-ticker.C:
 		}
-		before := time.Now()
-		runtime.Gosched()
-		now := time.Now()
-		share := shedder.Note(now, now.Sub(before))
+		now, wait := l.probe()
+		share := shedder.Note(now, wait)
 		l.accepts.Store(int64(overload.AcceptRate(detector.Mean())))
 		l.shed.Store(int64(shedUnit * share))
 		over := detector.Note(now, overload.Observation{
-			Wait: now.Sub(before), Shed: share, Holds: l.zone.Load() >= holdFrom, Arrived: conns.arrived(),
+			Wait: wait, Shed: share, Holds: l.zone.Load() >= holdFrom, Arrived: conns.arrived(),
 		})
 		if l.over.Swap(over) == over {
 			continue
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -41,6 +41,7 @@
 		func() *route.Holder { return &route.Holder{} },
 		newLoadWatch,
 		newHandovers,
+		newHangups,
 		newRoutedBridge,
 		newRelay,
 		newRoutedLoop,
@@ -80,7 +81,7 @@
 	return b.node, err
 }
 
-func newGateway(s settings.Settings, routes *route.Holder, loop *control.Bookings, pool *targetconn.Pool, b *routedBridge, load *loadWatch,
+func newGateway(s settings.Settings, routes *route.Holder, loop *control.Bookings, pool *targetconn.Pool, b *routedBridge, load *loadWatch, left *hangups,
 	metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *gateway.Server {
 	b.gateway = gateway.New(gateway.Deps{
 		Config: gateway.Config{
@@ -89,7 +90,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone, Sheds: load.sheds, Busy: load.busy, Left: load.left,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, Gone: callerGone, Watch: left.watch, Sheds: load.sheds, Busy: load.busy, Stale: load.stale, Late: load.late, Left: load.left,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
@@ -106,8 +107,8 @@
 	readinessListener net.Listener
 }
 
-func newRoutedServers(s settings.Settings, g *gateway.Server, life *Life, loop *control.Bookings, load *loadWatch, h *handovers, routes *route.Holder,
-	metrics *telemetry.Metrics) (*routedServers, error) {
+func newRoutedServers(s settings.Settings, g *gateway.Server, life *Life, loop *control.Bookings, load *loadWatch, h *handovers, left *hangups,
+	routes *route.Holder, metrics *telemetry.Metrics) (*routedServers, error) {
 	ops := &routedOperators{life: life, loop: loop, load: load, metrics: metrics}
 	r := &routedServers{connections: newConnections(callersConnections(s.Memory))}
 	h.unread = r.connections.unread
@@ -131,7 +132,7 @@
 		}
 	}
 	r.callers = &http.Server{
-		ConnState:         r.connections.note,
+		ConnState:         func(c net.Conn, state http.ConnState) { r.connections.note(c, state); left.note(c, state) },
 		ConnContext:       withConn,
 		Handler:           keeping(s.Callers.IdleTimeout, r.connections.pressed, closing(life, counting(g))),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
--- a/internal/daemon/takeover.go
+++ b/internal/daemon/takeover.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -101,7 +103,7 @@
 // force here: a caller that was answered by them must not be answered by older ones.
 func takeover(address string, version uint64) (*net.TCPConn, error) {
 	deadline := time.Now().Add(takeoverWait)
-	conn, err := hopDialer.Dial("tcp", address)
+	conn, err := hopDialer.DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -118,7 +120,13 @@
 		return err
 	}
 	var mark [takeoverSize]byte
-	if _, err := io.ReadFull(conn, mark[:]); err != nil {
+	_, err := io.ReadFull(conn, mark[:])
+	if errors.Is(err, os.ErrDeadlineExceeded) && hasUnread(conn) {
+		// It came in time and waited for this goroutine's turn.
+		_ = conn.SetReadDeadline(time.Now().Add(takeoverWait)) // fails only on a closed connection
+		_, err = io.ReadFull(conn, mark[:])
+	}
+	if err != nil {
 		return err
 	}
 	if mark[0] != takeoverMark {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -33,6 +34,8 @@
 	// until is when the caller or the operator wants no answer any more.
 	until time.Time
 	plan  patience.Plan
+	// leave ends the request because its caller has left.
+	leave context.CancelFunc
 
 	// isPending tells that it counts among those being read or placed.
 	isPending bool
@@ -71,7 +74,7 @@
 // accept checks everything that can be checked before a target is needed. The
 // job is nil where there is a failure.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*job, *resultcode.Failure) {
-	arrived := time.Now()
+	arrived := s.arrival(r)
 	if s.closing.Load() {
 		return nil, resultcode.Fail(resultcode.Stopping, "")
 	}
@@ -82,12 +85,12 @@
 	path, _, _ := strings.Cut(requestTarget(r), "?")
 	found, ok := table.Find(r.Host, path)
 	if !ok {
-		return nil, resultcode.Fail(resultcode.NotFound, "no route for %s%s", r.Host, path)
+		return nil, s.unknown(resultcode.Fail(resultcode.NotFound, "no route for %s%s", r.Host, path))
 	}
 	call := s.Dialect.Call(r.Header)
 	workspace, failure := table.Identify(found, call.Key)
 	if failure != nil {
-		return nil, failure
+		return nil, s.unknown(failure)
 	}
 	j := &job{
 		w: w, id: ident.NewRequest(), in: r, call: call,
@@ -108,6 +111,25 @@
 	return j, nil
 }
 
+// arrival is when a request has come. On a daemon short of processor time that may be well
+// before it is read, and a target that is told otherwise works on after its caller has left.
+func (s *Server) arrival(r *http.Request) time.Time {
+	now := time.Now()
+	if s.Late == nil {
+		return now
+	}
+	return now.Add(-s.Late(r.Context()))
+}
+
+// unknown is the answer to a request whose route or key is not known here. It sends the caller
+// elsewhere where that may be because this daemon has not come to read of them.
+func (s *Server) unknown(f *resultcode.Failure) *resultcode.Failure {
+	if s.Stale != nil && s.Stale() {
+		return busy()
+	}
+	return f
+}
+
 // settled tells that a request is not being read or placed any more.
 func (s *Server) settled(j *job) {
 	if j.isPending {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,11 +39,11 @@
 	case answer.NotRun:
 		return s.refused(x, r)
 	case x.Response.StatusCode >= http.StatusBadRequest:
-		return s.failed(x, j, r, began)
+		return s.failed(ctx, x, j, r, began)
 	case j.route.Repeat == route.Stream && isEventStream(x.Response.Header):
-		return s.stream(x, j, r, began)
+		return s.stream(ctx, x, j, r, began)
 	}
-	return s.plain(x, j, r, began)
+	return s.plain(ctx, x, j, r, began)
 }
 
 func isEventStream(h http.Header) bool {
@@ -58,27 +58,42 @@
 
 // request translates the caller's request for a target.
 func (s *Server) request(ctx context.Context, j *job, entry registry.Entry, began time.Time) targetconn.Request {
-	header := endToEnd(j.in.Header)
-	s.Dialect.ForTarget(header, Forward{
-		Identity: entry.Identity, Workspace: j.workspace,
-		Patience: time.Until(j.until), LastEvent: j.events.last, Source: s.source(j, entry),
-	})
 	connections := 0
 	if j.service.Connections > 0 {
 		connections = max(1, j.service.Connections/max(1, s.Config.ConnectionShare))
 	}
 	return targetconn.Request{
-		Method: j.in.Method, Target: requestTarget(j.in), Host: j.in.Host, Header: header, Body: j.body,
+		Method: j.in.Method, Target: requestTarget(j.in), Host: j.in.Host, Header: endToEnd(j.in.Header), Body: j.body,
+		Complete: func(h http.Header) {
+			s.Dialect.ForTarget(h, Forward{
+				Identity: entry.Identity, Workspace: j.workspace,
+				Patience: time.Until(j.until), LastEvent: j.events.last, Source: s.source(j, entry),
+			})
+		},
 		Connections: connections,
 		Mine: func(status int, h http.Header) bool {
 			echoed := s.Dialect.Answer(status, h)
 			return echoed.Attempt == j.call.Attempt || echoed.Attempt == "" && !echoed.Signed
 		},
 		Abandoned: func() bool { return time.Since(began) > freshLook && s.Gone(ctx) },
+		Watch:     s.watch(ctx, j),
 		Foreign:   func() { event.AnswerForeign.Log(s.Log, "target", entry.Identity, "request", j.call.Attempt) },
 	}
 }
 
+// watch ends an exchange at once when its caller leaves; nil: the daemon does not tell.
+func (s *Server) watch(ctx context.Context, j *job) func(end func()) (stop func() bool) {
+	if s.Watch == nil {
+		return nil
+	}
+	return func(end func()) func() bool {
+		return s.Watch(ctx, func() {
+			j.leave() // first: else the end would look like the target's
+			end()
+		})
+	}
+}
+
 // source is the address of the target that a prompt's beginning is copied from; empty
 // where there is none, or where it has left since the request was placed: its address may
 // be another service's by now.
@@ -130,11 +145,11 @@
 
 // failed takes a failure of the target's own. It is handed over unchanged, unless
 // its status promises that the request has not run, which this target did not say.
-func (s *Server) failed(x *targetconn.Exchange, j *job, r result, began time.Time) result {
+func (s *Server) failed(ctx context.Context, x *targetconn.Exchange, j *job, r result, began time.Time) result {
 	r.first = time.Since(began)
 	body, err := io.ReadAll(io.LimitReader(x, heldBody))
 	if err != nil {
-		r.targetFailed = true
+		r.targetFailed = !callerLeft(ctx, j)
 		r.failure = resultcode.Fail(resultcode.AnswerCut, "").Because(err)
 		return r
 	}
@@ -157,12 +172,12 @@
 }
 
 // plain passes an answer on that is not a stream of events.
-func (s *Server) plain(x *targetconn.Exchange, j *job, r result, began time.Time) result {
+func (s *Server) plain(ctx context.Context, x *targetconn.Exchange, j *job, r result, began time.Time) result {
 	start, err := io.ReadAll(io.LimitReader(x, heldBody))
 	r.first = time.Since(began)
 	r.served = float64(r.first.Milliseconds())
 	if err != nil {
-		r.targetFailed = true
+		r.targetFailed = !callerLeft(ctx, j)
 		r.failure = resultcode.Fail(resultcode.AnswerCut, "").Because(err)
 		return r
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,11 +115,20 @@
 	Pool    *targetconn.Pool
 	// Gone tells whether the caller of a request has left, by its context.
 	Gone func(ctx context.Context) bool
+	// Watch calls end once when the caller of a request, by its context, has left, until
+	// stop is called, which tells that end was not called; it may be nil.
+	Watch func(ctx context.Context, end func()) (stop func() bool)
 	// Sheds tells whether a new request is to be refused for want of processor time,
 	// by its context.
 	Sheds func(ctx context.Context) bool
 	// Busy tells whether a part of new requests is refused so.
 	Busy func() bool
+	// Stale tells whether the routes may have changed without this daemon having had the
+	// processor time to read them; it may be nil.
+	Stale func() bool
+	// Late tells how long ago a request has come that is read now, by its context; it may be
+	// nil.
+	Late func(ctx context.Context) time.Duration
 	// Left tells whether the balancer leads no new connections here.
 	Left    func() bool
 	Metrics *telemetry.Metrics
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/turn"
 )
 
 // FeedRow is one row of a followed table.
@@ -98,8 +99,10 @@
 	// Slack is how long after Wait an answer may come. Default 700 ms: above the
 	// answer time of a loaded store, and together with Wait below the 3 s after
 	// which a daemon counts as in touch with the store again.
-	Slack  time.Duration
-	Logger *slog.Logger
+	Slack time.Duration
+	// Answered is called with each answer, before its rows are taken in; it may be nil.
+	Answered func()
+	Logger   *slog.Logger
 }
 
 // Defaults of FollowerConfig, and the backoff after a failed call: short, since a
@@ -299,7 +302,7 @@
 	}
 	watched, end := f.cfg.Group.watch(ctx)
 	defer end()
-	call, cancel := context.WithTimeout(watched, f.cfg.Wait+f.cfg.Slack)
+	call, cancel := turn.WithTimeout(watched, f.cfg.Wait+f.cfg.Slack)
 	defer cancel()
 	rows, revision, err := f.cfg.Feed.Changes(call, f.cfg.Table, f.revision, f.cfg.Wait)
 	if errors.Is(context.Cause(watched), errGroupFailed) {
@@ -321,7 +324,7 @@
 }
 
 func (f *Follower) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, feedRead)
+	ctx, cancel := turn.WithTimeout(ctx, feedRead)
 	defer cancel()
 	rows, revision, err := f.cfg.Feed.ReadTable(ctx, f.cfg.Table)
 	if err != nil {
@@ -353,6 +356,9 @@
 }
 
 func (f *Follower) answered() {
+	if f.cfg.Answered != nil {
+		f.cfg.Answered()
+	}
 	if f.cfg.Beats {
 		f.cfg.Group.setAway(false)
 	}
