Registry: doubt what a copy of the store says of targets that left

Cause: a store that comes back from a copy holds entries that targets have changed or dropped since the copy was made. Replace took them in at their word: a target that had drained or left would get requests again.

Ruled out: comparing the rows' versions with those known. The store gives versions out again, so that a row that was written again may have a lower number than one that was seen before. Never believing such a row: a target whose entry lapsed while it lived, and whose row the copy holds, may have no reason to write it again.

Change: Registry.Restored. Targets known to have left within 30 s, or to drain, count before the copy's entries until the store tells of them anew (Put, Remove), for 10 s at most. Entries that the copy lacks get the grace that exists for outages. Without Restored nothing changes.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -14,6 +14,11 @@
 // grace also ends before the daemon counts as in touch with the store again, reckoned from
 // the earliest time at which the store may have been back: a daemon in touch sends nothing
 // to a target that the store has not had for longer than the target serves.
+//
+// A store that comes back from a copy holds entries that targets have changed or dropped
+// since the copy was made. Taken at its word, it would send requests to targets that have
+// left. What was known to leave counts before the copy's entry, until the store tells of
+// the target anew; the store's word stands again after Config.Doubt.
 package registry
 
 import (
@@ -57,6 +62,13 @@
 	// Settled is how long after the end of an outage a removal still counts as
 	// lapsed by it. Default 1 s.
 	Settled time.Duration
+	// Doubt is how long after the store's return from a copy what was known of targets that
+	// leave counts before the copy's entries. Default 10 s: several heartbeats of a target,
+	// whose entry the store drops after three without one.
+	Doubt time.Duration
+	// Remember is how long a target that left is remembered. Default 30 s: above the age of
+	// a copy.
+	Remember time.Duration
 }
 
 const (
@@ -64,6 +76,8 @@
 	defaultLeaveGrace = 900 * time.Millisecond
 	defaultInTouch    = 3 * time.Second
 	defaultSettled    = time.Second
+	defaultDoubt      = 10 * time.Second
+	defaultRemember   = 30 * time.Second
 	// onTheWay is how long a request may take from the choice of a target to the target.
 	onTheWay = 200 * time.Millisecond
 )
@@ -77,6 +91,14 @@
 	// back is when the store last answered after an outage, notBefore the earliest time at
 	// which that outage may have ended.
 	back, notBefore time.Time
+	// left is when targets left.
+	left map[ident.Target]time.Time
+	// doubted are the targets known to have left or to leave at the store's return from a
+	// copy, of which it has not told since. Entries of the copy that say otherwise wait in
+	// shadowed until doubtEnd.
+	doubted  map[ident.Target]bool
+	shadowed map[ident.Target]Entry
+	doubtEnd time.Time
 }
 
 // New returns an empty registry.
@@ -93,24 +115,74 @@
 	if cfg.Settled == 0 {
 		cfg.Settled = defaultSettled
 	}
-	return &Registry{cfg: cfg, entries: map[ident.Target]Entry{}, lapsed: map[ident.Target]time.Time{}}
+	if cfg.Doubt == 0 {
+		cfg.Doubt = defaultDoubt
+	}
+	if cfg.Remember == 0 {
+		cfg.Remember = defaultRemember
+	}
+	return &Registry{
+		cfg: cfg, entries: map[ident.Target]Entry{}, lapsed: map[ident.Target]time.Time{}, left: map[ident.Target]time.Time{},
+		doubted: map[ident.Target]bool{}, shadowed: map[ident.Target]Entry{},
+	}
 }
 
 // Returned tells that the store answers again after an outage, which ended at some time
 // from notBefore on.
 func (r *Registry) Returned(now, notBefore time.Time) { r.back, r.notBefore = now, notBefore }
 
-// Put takes in what a target says of itself.
+// Restored tells that the store came back from a copy, at some time from notBefore on. The
+// next Replace takes in the copy's entries.
+func (r *Registry) Restored(now, notBefore time.Time) {
+	r.Returned(now, notBefore)
+	r.doubtEnd = now.Add(r.cfg.Doubt)
+	r.forgetLeft(now)
+	for id := range r.left {
+		r.doubted[id] = true
+	}
+	for id, e := range r.entries {
+		if e.Draining {
+			r.doubted[id] = true
+		}
+	}
+}
+
+// Put takes in what a target has just said of itself.
 func (r *Registry) Put(e Entry) {
+	r.trust(e.Identity)
 	r.entries[e.Identity] = e
 	delete(r.lapsed, e.Identity)
+	delete(r.left, e.Identity)
+}
+
+// trust ends the doubt in what the store says of a target.
+func (r *Registry) trust(id ident.Target) {
+	delete(r.doubted, id)
+	delete(r.shadowed, id)
 }
 
 // Remove takes in that the store has just dropped a target's entry.
 func (r *Registry) Remove(now time.Time, id ident.Target) {
+	r.trust(id)
 	r.remove(now, id, now.Add(r.cfg.LeaveGrace))
 }
 
+// drop forgets an entry, and remembers that its target left.
+func (r *Registry) drop(now time.Time, id ident.Target) {
+	delete(r.entries, id)
+	delete(r.lapsed, id)
+	r.left[id] = now
+	r.forgetLeft(now)
+}
+
+func (r *Registry) forgetLeft(now time.Time) {
+	for id, at := range r.left {
+		if now.Sub(at) > r.cfg.Remember {
+			delete(r.left, id)
+		}
+	}
+}
+
 // remove drops an entry now, or where it may have lapsed by an outage, at the end of the
 // grace, at most at a given time.
 func (r *Registry) remove(now time.Time, id ident.Target, most time.Time) {
@@ -119,8 +191,7 @@
 	}
 	due := earlier(r.graceEnd(), most)
 	if r.back.IsZero() || now.Sub(r.back) > r.cfg.Settled || !now.Before(due) {
-		delete(r.entries, id)
-		delete(r.lapsed, id)
+		r.drop(now, id)
 		return
 	}
 	if _, waits := r.lapsed[id]; !waits {
@@ -142,9 +213,15 @@
 
 // Replace takes in everything that the store holds: what it lacks is removed.
 func (r *Registry) Replace(now time.Time, entries []Entry) {
+	r.endDoubt(now)
+	clear(r.shadowed)
 	held := make(map[ident.Target]bool, len(entries))
 	for _, e := range entries {
 		held[e.Identity] = true
+		if r.doubted[e.Identity] && !e.Draining {
+			r.shadowed[e.Identity] = e
+			continue
+		}
 		r.Put(e)
 	}
 	for _, id := range slices.Collect(maps.Keys(r.entries)) {
@@ -154,15 +231,35 @@
 	}
 }
 
-// Expire drops what lapsed and did not come back in time. It returns what it dropped,
-// and when the next entry is due, or zero.
+// endDoubt takes the copy's entries in that the store still holds when the time for doubt
+// is over.
+func (r *Registry) endDoubt(now time.Time) {
+	if now.Before(r.doubtEnd) {
+		return
+	}
+	for _, e := range r.shadowed {
+		r.Put(e)
+	}
+	clear(r.doubted)
+}
+
+// Shadowed returns, in order, the targets whose entries of the copy are not believed.
+func (r *Registry) Shadowed() []ident.Target {
+	return slices.Sorted(maps.Keys(r.shadowed))
+}
+
+// Expire drops what lapsed and did not come back in time, and ends the doubt in a copy's
+// entries. It returns what it dropped, and when the next entry is due, or zero.
 func (r *Registry) Expire(now time.Time) (dropped []ident.Target, next time.Time) {
+	r.endDoubt(now)
+	if len(r.shadowed) > 0 {
+		next = r.doubtEnd
+	}
 	for _, id := range r.Lapsed() {
 		due := r.lapsed[id]
 		switch {
 		case !now.Before(due):
-			delete(r.entries, id)
-			delete(r.lapsed, id)
+			r.drop(now, id)
 			dropped = append(dropped, id)
 		case next.IsZero() || due.Before(next):
 			next = due
