Store: versions are compared with their era

Cause: the platform's store may come back from a copy. Versions then go back and are given out again, and Store-Era rises. Nothing knew the header: a follower at version 105 of a store that is back at 100 got 410 at best; once the store had passed 105 again it missed what was written before, and its revision never fell.

A follower that is answered from a newer era ends the calls of its group and reads the table anew; an answer of an older era changes nothing. A reader of a zone answers only while all of its tables are of the newest era that it has met, and a follower passes over a reader of an older era. Follow's messages carry the era in new fields. Routes under the version in force with another text are logged (431) and passed over, as those of a lower version were (425). Event 429 and the counter store_restores tell of a return.

Ruled out: telling the return by a version that falls, or by 410. The store may have given out more versions than were lost before a follower asks again, and drops its history for other reasons.

Conditional writes: the routes binding makes none (PutRow and DeleteRow alone).

--- a/internal/daemon/cutzone_test.go
+++ b/internal/daemon/cutzone_test.go
@@ -25,12 +25,13 @@
 // a time. It refuses at once, or where it is silent, each call hangs until its caller
 // gives up.
 type tableOfTargets struct {
-	mu       sync.Mutex
-	rows     map[string]store.FeedRow
-	revision uint64
-	away     bool
-	silent   bool
-	changed  chan struct{}
+	mu   sync.Mutex
+	rows map[string]store.FeedRow
+	// era and revision are the store's present ones.
+	era, revision uint64
+	away          bool
+	silent        bool
+	changed       chan struct{}
 }
 
 func newTableOfTargets() *tableOfTargets {
@@ -42,7 +43,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.revision++
-	t.rows[key] = store.FeedRow{Key: key, Revision: t.revision, Deleted: deleted}
+	t.rows[key] = store.FeedRow{Key: key, Revision: store.NewRevision(t.era, t.revision), Deleted: deleted}
 	t.wake()
 }
 
@@ -60,17 +61,17 @@
 }
 
 // since returns the rows of a table after a revision.
-func (t *tableOfTargets) since(table string, after uint64) (rows []store.FeedRow, revision uint64, changed <-chan struct{}, away bool) {
+func (t *tableOfTargets) since(table string, after store.Revision) (rows []store.FeedRow, revision store.Revision, changed <-chan struct{}, away bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if table == platform.TableTargets {
 		for _, row := range t.rows {
-			if row.Revision > after {
+			if row.Revision.Number() > after.Number() {
 				rows = append(rows, row)
 			}
 		}
 	}
-	return rows, t.revision, t.changed, t.away
+	return rows, store.NewRevision(t.era, t.revision), t.changed, t.away
 }
 
 var errAway = errors.New("connection refused")
@@ -85,29 +86,29 @@
 }
 
 // ReadTable implements platform.Feed.
-func (t *tableOfTargets) ReadTable(ctx context.Context, table string) ([]store.FeedRow, uint64, error) {
-	rows, revision, _, away := t.since(table, 0)
+func (t *tableOfTargets) ReadTable(ctx context.Context, table string) ([]store.FeedRow, store.Revision, error) {
+	rows, revision, _, away := t.since(table, store.Revision{})
 	if away {
-		return nil, 0, t.fail(ctx)
+		return nil, store.Revision{}, t.fail(ctx)
 	}
 	return slices.DeleteFunc(rows, func(r store.FeedRow) bool { return r.Deleted }), revision, nil
 }
 
 // Changes implements platform.Feed.
-func (t *tableOfTargets) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]store.FeedRow, uint64, error) {
+func (t *tableOfTargets) Changes(ctx context.Context, table string, after store.Revision, wait time.Duration) ([]store.FeedRow, store.Revision, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		rows, revision, changed, away := t.since(table, after)
 		switch {
 		case away:
-			return nil, 0, t.fail(ctx)
+			return nil, store.Revision{}, t.fail(ctx)
 		case len(rows) > 0:
 			return rows, revision, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, store.Revision{}, ctx.Err()
 		case <-timer.C:
 			return nil, revision, nil
 		case <-changed:
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -165,14 +165,18 @@
 }
 
 // expire drops the targets that lapsed in an outage of the store and did not come
-// back.
+// back, and takes in those that a copy of the store still holds after the time for doubt.
 func (s *site) expire(ctx context.Context) {
 	for {
 		s.mu.Lock()
+		shadowed := s.registry.Shadowed()
 		dropped, next := s.registry.Expire(time.Now())
+		if len(s.registry.Shadowed()) > 0 {
+			shadowed = nil
+		}
 		s.mu.Unlock()
-		if len(dropped) > 0 {
-			event.TargetsChanged.Log(s.p.Log, "lapsed", dropped)
+		if len(dropped)+len(shadowed) > 0 {
+			event.TargetsChanged.Log(s.p.Log, "lapsed", dropped, "believed", shadowed)
 			s.view.apply()
 		}
 		var due <-chan time.Time
--- a/internal/daemon/siterows.go
+++ b/internal/daemon/siterows.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -15,7 +16,11 @@
 )
 
 // routeRows takes the routes in.
-type routeRows struct{ site *site }
+type routeRows struct {
+	site *site
+	// text is the document in force.
+	text []byte
+}
 
 // Away implements store.Subscriber.
 func (r *routeRows) Away() {}
@@ -24,12 +29,16 @@
 func (r *routeRows) Back(time.Time) {}
 
 // Replace implements store.Subscriber.
-func (r *routeRows) Replace(rows []store.FeedRow) {
+func (r *routeRows) Replace(rows []store.FeedRow, _ store.Revision) {
 	for _, row := range rows {
 		r.Change(row)
 	}
 }
 
+// Restored implements store.Subscriber. What is in force stays: the copy's routes are of a
+// lower version, until the operator's are written again.
+func (r *routeRows) Restored(store.Restore) { r.site.p.Metrics.Restored() }
+
 // Change implements store.Subscriber.
 func (r *routeRows) Change(row store.FeedRow) {
 	if row.Key != platform.KeyRoutes || row.Deleted {
@@ -47,16 +56,27 @@
 		return
 	}
 	if !r.site.p.Routes.Offer(table) {
-		if present := r.site.p.Routes.Current(); present.Version > table.Version {
-			event.RoutesOlder.Log(log, "version", table.Version, "in_force", present.Version, "revision", row.Revision)
-		}
+		r.passOver(table.Version, row)
 		return
 	}
+	r.text = row.Value
 	event.RoutesInForce.Log(log, "version", table.Version, "revision", row.Revision,
 		"routes", len(table.Routes), "services", len(table.Services), "workspaces", len(table.Workspaces))
 	r.site.view.apply()
 }
 
+// passOver logs routes that do not come into force, unless they are those in force.
+func (r *routeRows) passOver(version uint64, row store.FeedRow) {
+	log := r.site.p.Log
+	present := r.site.p.Routes.Current()
+	switch {
+	case version < present.Version:
+		event.RoutesOlder.Log(log, "version", version, "in_force", present.Version, "revision", row.Revision)
+	case version == present.Version && !bytes.Equal(row.Value, r.text):
+		event.RoutesDiffer.Log(log, "version", version, "revision", row.Revision)
+	}
+}
+
 // targetRows takes the targets in.
 type targetRows struct {
 	site *site
@@ -74,8 +94,15 @@
 	t.site.mu.Unlock()
 }
 
+// Restored implements store.Subscriber.
+func (t *targetRows) Restored(r store.Restore) {
+	t.site.mu.Lock()
+	t.site.registry.Restored(time.Now(), r.NotBefore)
+	t.site.mu.Unlock()
+}
+
 // Replace implements store.Subscriber.
-func (t *targetRows) Replace(rows []store.FeedRow) {
+func (t *targetRows) Replace(rows []store.FeedRow, _ store.Revision) {
 	var entries []registry.Entry
 	for _, row := range rows {
 		if e, ok := t.decode(row); ok {
@@ -85,8 +112,11 @@
 	t.site.mu.Lock()
 	t.site.registry.Replace(time.Now(), entries)
 	t.site.heard = true
-	kept := t.site.registry.Lapsed()
+	kept, shadowed := t.site.registry.Lapsed(), t.site.registry.Shadowed()
 	t.site.mu.Unlock()
+	if len(shadowed) > 0 {
+		event.TargetsShadowed.Log(t.site.p.Log, "targets", shadowed)
+	}
 	t.site.targetsChanged("read", len(rows), "kept", kept)
 }
 
@@ -128,8 +158,12 @@
 // Back implements store.Subscriber.
 func (d *daemonRows) Back(time.Time) {}
 
+// Restored implements store.Subscriber. Whether a daemon that the copy lacks lives is told
+// by the links.
+func (d *daemonRows) Restored(store.Restore) {}
+
 // Replace implements store.Subscriber.
-func (d *daemonRows) Replace(rows []store.FeedRow) {
+func (d *daemonRows) Replace(rows []store.FeedRow, _ store.Revision) {
 	clear(d.rows)
 	for _, row := range rows {
 		d.take(row)
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -22,7 +22,7 @@
 		return platform.FeedAnswer{}, err
 	}
 	reply, err := c.Follow(ctx, &fleetv1.FollowRequest{
-		Table: q.Table, After: q.After, Whole: q.Whole, WaitMs: uint32(q.Wait.Milliseconds()),
+		Table: q.Table, After: q.After.Number(), AfterEra: q.After.Era(), Whole: q.Whole, WaitMs: uint32(q.Wait.Milliseconds()),
 	})
 	switch status.Code(err) {
 	case codes.OK:
@@ -31,10 +31,13 @@
 	default:
 		return platform.FeedAnswer{}, merry.Prependf(err, "table %s of %s", q.Table, reader)
 	}
-	answer := platform.FeedAnswer{Revision: reply.GetRevision(), Rows: make([]platform.FeedRow, 0, len(reply.GetRows()))}
+	answer := platform.FeedAnswer{
+		Revision: platform.NewRevision(reply.GetEra(), reply.GetRevision()),
+		Rows:     make([]platform.FeedRow, 0, len(reply.GetRows())),
+	}
 	for _, row := range reply.GetRows() {
 		answer.Rows = append(answer.Rows, platform.FeedRow{
-			Key: row.GetKey(), Value: row.GetValue(), Revision: row.GetRevision(), Deleted: row.GetDeleted(),
+			Key: row.GetKey(), Value: row.GetValue(), Revision: platform.NewRevision(reply.GetEra(), row.GetRevision()), Deleted: row.GetDeleted(),
 		})
 	}
 	return answer, nil
@@ -43,7 +46,8 @@
 // Follow answers a peer.
 func (s *server) Follow(ctx context.Context, r *fleetv1.FollowRequest) (*fleetv1.FollowReply, error) {
 	answer, err := s.node.handler.Follow(ctx, platform.FeedQuery{
-		Table: r.GetTable(), After: r.GetAfter(), Whole: r.GetWhole(), Wait: time.Duration(r.GetWaitMs()) * time.Millisecond,
+		Table: r.GetTable(), After: platform.NewRevision(r.GetAfterEra(), r.GetAfter()), Whole: r.GetWhole(),
+		Wait: time.Duration(r.GetWaitMs()) * time.Millisecond,
 	})
 	switch {
 	case errors.Is(err, platform.ErrHistoryLost):
@@ -51,10 +55,10 @@
 	case err != nil:
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	reply := &fleetv1.FollowReply{Revision: answer.Revision}
+	reply := &fleetv1.FollowReply{Revision: answer.Revision.Number(), Era: answer.Revision.Era()}
 	for _, row := range answer.Rows {
 		reply.Rows = append(reply.Rows, &fleetv1.Row{
-			Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted,
+			Key: row.Key, Value: row.Value, Revision: row.Revision.Number(), Deleted: row.Deleted,
 		})
 	}
 	return reply, nil
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -241,22 +241,23 @@
 	is := is.New(t)
 	a, ra := start(t, fleet.Config{Self: "a"})
 	b, rb := start(t, fleet.Config{Self: "b"})
-	want := platform.FeedAnswer{Revision: 9, Rows: []platform.FeedRow{
-		{Key: "k", Value: []byte("v"), Revision: 7}, {Key: "gone", Revision: 9, Deleted: true},
+	want := platform.FeedAnswer{Revision: platform.NewRevision(2, 9), Rows: []platform.FeedRow{
+		{Key: "k", Value: []byte("v"), Revision: platform.NewRevision(2, 7)}, {Key: "gone", Revision: platform.NewRevision(2, 9), Deleted: true},
 	}}
 	rb.followed = func(q platform.FeedQuery) (platform.FeedAnswer, error) {
-		if q != (platform.FeedQuery{Table: "t", After: 5, Wait: time.Second}) {
+		if q != (platform.FeedQuery{Table: "t", After: platform.NewRevision(1, 5), Wait: time.Second}) {
 			return platform.FeedAnswer{}, platform.ErrHistoryLost
 		}
 		return want, nil
 	}
 	a.SetVMs([]platform.VM{vm("a", a.Address()), vm("b", b.Address())})
 	ra.eventually(t, "link to b", linked("b"))
-	got, err := a.Follow(t.Context(), "b", platform.FeedQuery{Table: "t", After: 5, Wait: time.Second})
+	got, err := a.Follow(t.Context(), "b", platform.FeedQuery{Table: "t", After: platform.NewRevision(1, 5), Wait: time.Second})
 	is.NoErr(err)
 	is.Equal(got.Revision, want.Revision)
 	is.Equal(len(got.Rows), 2)
 	is.Equal(string(got.Rows[0].Value), "v")
+	is.Equal(got.Rows[0].Revision, want.Rows[0].Revision)
 	is.Equal(got.Rows[1].Key, "gone")
 	is.True(got.Rows[1].Deleted)
 	_, err = a.Follow(t.Context(), "b", platform.FeedQuery{Table: "t", Whole: true})
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -16,25 +16,29 @@
 	Key   string
 	Value []byte
 	// Revision is that of the row's last change.
-	Revision uint64
+	Revision Revision
 	// Deleted tells that the row is gone; Value is then empty.
 	Deleted bool
 }
 
-// ErrHistoryLost is the error of Changes where the store has dropped the changes
-// after the asked revision. The table has to be read again.
+// ErrHistoryLost is the error of a read that the store cannot continue: it has dropped
+// the changes after the asked revision, or came back from a copy in the middle of a
+// table. The table has to be read again.
 var ErrHistoryLost = errors.New("the store has dropped the changes after this revision")
 
-// Feed reads tables whose rows are followed as they change.
+// Feed reads tables whose rows are followed as they change. All revisions of one answer
+// are of one era; a store that does not tell its era stands in era zero.
 type Feed interface {
 	// ReadTable returns all rows of a table, and a revision that none of the
-	// changes that it lacks is older than.
-	ReadTable(ctx context.Context, table string) (rows []FeedRow, revision uint64, err error)
+	// changes that it lacks is older than. The error is ErrHistoryLost where the
+	// table is to be read again.
+	ReadTable(ctx context.Context, table string) (rows []FeedRow, revision Revision, err error)
 	// Changes returns the rows that changed after a revision, in order, and the
 	// revision to go on from. It waits for the first change, up to wait, and then
 	// returns none. The error is ErrHistoryLost where the table is to be read
-	// again.
-	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (rows []FeedRow, revision uint64, err error)
+	// again. Where the returned revision is of another era than after, the rows
+	// are not those that changed since.
+	Changes(ctx context.Context, table string, after Revision, wait time.Duration) (rows []FeedRow, revision Revision, err error)
 }
 
 // ErrFeedUnfit is the error of a daemon that is asked in the store's stead and does not
@@ -45,7 +49,7 @@
 // after a revision, as Feed.Changes does, or for the whole table.
 type FeedQuery struct {
 	Table string
-	After uint64
+	After Revision
 	Whole bool
 	Wait  time.Duration
 }
@@ -53,20 +57,21 @@
 // FeedAnswer answers it.
 type FeedAnswer struct {
 	Rows []FeedRow
-	// Revision is the store's up to which the answer holds.
-	Revision uint64
+	// Revision is the store's up to which the answer holds. The rows are of its era.
+	Revision Revision
 }
 
 // Rows writes single rows that one daemon alone writes.
 type Rows interface {
-	PutRow(ctx context.Context, table, key string, value []byte) (revision uint64, err error)
+	PutRow(ctx context.Context, table, key string, value []byte) (revision Revision, err error)
 	DeleteRow(ctx context.Context, table, key string) error
 }
 
 // Subscriber takes what a Follower reads. The calls come from one goroutine.
 type Subscriber interface {
-	// Replace takes the whole table in; what it lacks is gone.
-	Replace(rows []FeedRow)
+	// Replace takes in the whole table as it stood at a revision; what it lacks is gone,
+	// but see Restored.
+	Replace(rows []FeedRow, at Revision)
 	// Change takes one changed row in.
 	Change(row FeedRow)
 	// Away tells that the store stopped answering.
@@ -75,6 +80,18 @@
 	// have been back for longer, though not before the given time, at which the last call
 	// that failed began.
 	Back(notBefore time.Time)
+	// Restored tells that the store came back from a copy, before the Replace with the
+	// copy's rows: what they lack may be written again, and what they hold may have been
+	// changed or dropped before.
+	Restored(r Restore)
+}
+
+// Restore is a return of the store from a copy, as the reader of a table notices it.
+type Restore struct {
+	// Last is the latest revision that was read before, First the one after.
+	Last, First Revision
+	// NotBefore is the earliest time at which the store may have been back.
+	NotBefore time.Time
 }
 
 // FollowerConfig sets up a Follower.
@@ -90,7 +107,7 @@
 	// one after the other), and each answer is a call: those that come within it
 	// share one.
 	Gather time.Duration
-	// Group joins the followers of one store; nil: none.
+	// Group joins the followers of one store; nil: this one is alone.
 	Group *FeedGroup
 	// Beats tells that this is the group's follower with the short Wait, by which the
 	// others know whether the store answers.
@@ -122,25 +139,44 @@
 //
 // Failures it guards against: a connection that goes silent shows as a table that
 // never changes, so that each call has an end; a store that forgets its history
-// would leave a gap, so that the table is then read anew as a whole; and a
-// revision never goes back, so that an old answer undoes nothing.
+// would leave a gap, so that the table is then read anew as a whole; a revision never
+// goes back, so that an old answer undoes nothing; and a store that came back from a copy
+// gives version numbers out again, so that an answer of a newer era has the table read
+// anew, and one of an older era is passed over.
 type Follower struct {
 	cfg      FollowerConfig
 	to       Subscriber
-	revision uint64
+	revision Revision
 	read     bool
+	// known tells that the table was read before.
+	known    bool
 	failures int
 	away     bool
 	// asked is when the present call began, failedAt when the last one that failed did.
 	asked, failedAt time.Time
 }
 
+// breach is what ends the calls of all members of a group.
+type breach struct {
+	ended chan struct{}
+	// cause is set before ended is closed.
+	cause error
+}
+
+func newBreach() *breach { return &breach{ended: make(chan struct{})} }
+
 // FeedGroup joins the followers of one store, so that one of them with a short
 // Wait finds for all that the store or the way to it has gone silent; the others
 // can wait long, which saves calls. It is safe for concurrent use.
 type FeedGroup struct {
 	mu     sync.Mutex
-	broken chan struct{}
+	breach *breach
+	// era is the highest one that a member was answered from, once told is set.
+	era  uint64
+	told bool
+	// answeredAt is when the last answer of that era came, leftAt when the last one of the
+	// era before it did.
+	answeredAt, leftAt time.Time
 	// away is not nil while the follower that beats finds the store away, and is closed
 	// at its return.
 	away chan struct{}
@@ -149,13 +185,10 @@
 }
 
 // NewFeedGroup returns a group without members.
-func NewFeedGroup() *FeedGroup { return &FeedGroup{broken: make(chan struct{})} }
+func NewFeedGroup() *FeedGroup { return &FeedGroup{breach: newBreach()} }
 
 // setAway notes whether the store is away.
 func (g *FeedGroup) setAway(away bool) {
-	if g == nil {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
@@ -170,9 +203,6 @@
 // isAway returns a channel that is closed at the store's return; nil while it is not
 // away.
 func (g *FeedGroup) isAway() <-chan struct{} {
-	if g == nil {
-		return nil
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.away
@@ -180,9 +210,6 @@
 
 // noteFailure notes when a member's call that failed began.
 func (g *FeedGroup) noteFailure(asked time.Time) {
-	if g == nil {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if asked.After(g.failedAt) {
@@ -192,39 +219,60 @@
 
 // lastFailure returns when the last call of any member that failed began.
 func (g *FeedGroup) lastFailure() time.Time {
-	if g == nil {
-		return time.Time{}
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.failedAt
 }
 
+// reach notes the era of an answer. It tells whether the answer is of an older era than
+// one that a member has met. The first answer of a newer era ends the calls of all: theirs
+// may wait for versions that the store will not come to for long.
+func (g *FeedGroup) reach(now time.Time, revision Revision) (older bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.told && revision.era < g.era:
+		return true
+	case g.told && revision.era > g.era:
+		g.leftAt = g.answeredAt
+		g.end(errGroupRestored)
+	}
+	g.era, g.told, g.answeredAt = revision.era, true, now
+	return false
+}
+
+// left returns when the last answer before the store's last return from a copy came.
+func (g *FeedGroup) left() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leftAt
+}
+
 // fail ends the calls of all members, which then begin anew on other connections.
 func (g *FeedGroup) fail() {
-	if g == nil {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	close(g.broken)
-	g.broken = make(chan struct{})
+	g.end(errGroupFailed)
+}
+
+// end ends the calls of all members. The caller holds the lock.
+func (g *FeedGroup) end(cause error) {
+	g.breach.cause = cause
+	close(g.breach.ended)
+	g.breach = newBreach()
 }
 
-// watch returns a context that ends with the group's next failure.
+// watch returns a context that ends with the group's next breach.
 func (g *FeedGroup) watch(ctx context.Context) (context.Context, context.CancelFunc) {
-	if g == nil {
-		return context.WithCancel(ctx)
-	}
 	g.mu.Lock()
-	broken := g.broken
+	next := g.breach
 	g.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	go func() {
 		select {
 		case <-ctx.Done():
-		case <-broken:
-			cancel(errGroupFailed)
+		case <-next.ended:
+			cancel(next.cause)
 		}
 	}()
 	return ctx, func() { cancel(context.Canceled) }
@@ -233,6 +281,12 @@
 // errGroupFailed is the cause of a call's end where another member has failed.
 var errGroupFailed = errors.New("another follower of the store has failed")
 
+// errGroupRestored is the cause where a member has met a newer era of the store.
+var errGroupRestored = errors.New("the store has come back from a copy")
+
+// errOlderEra is the error of an answer from before the store's return from a copy.
+var errOlderEra = errors.New("the answer is of an older era of the store")
+
 // NewFollower returns a Follower that is to be run.
 func NewFollower(cfg FollowerConfig, to Subscriber) *Follower {
 	if cfg.Wait == 0 {
@@ -244,6 +298,9 @@
 	if cfg.Gather == 0 {
 		cfg.Gather = defaultFeedGather
 	}
+	if cfg.Group == nil {
+		cfg.Group = NewFeedGroup()
+	}
 	return &Follower{cfg: cfg, to: to}
 }
 
@@ -258,6 +315,10 @@
 			// Another one has found the store silent, or back: what this one waited
 			// for may never come. It asks again at once, on another connection.
 			f.goAway()
+		case errors.Is(err, errGroupRestored):
+			f.read = false
+		case errors.Is(err, errOlderEra):
+			pauseFor(ctx, f.cfg.Gather)
 		case changed:
 			pauseFor(ctx, f.cfg.Gather)
 		case errors.Is(err, ErrHistoryLost):
@@ -302,8 +363,8 @@
 	call, cancel := context.WithTimeout(watched, f.cfg.Wait+f.cfg.Slack)
 	defer cancel()
 	rows, revision, err := f.cfg.Feed.Changes(call, f.cfg.Table, f.revision, f.cfg.Wait)
-	if errors.Is(context.Cause(watched), errGroupFailed) {
-		return false, errGroupFailed
+	if cause := context.Cause(watched); errors.Is(cause, errGroupFailed) || errors.Is(cause, errGroupRestored) {
+		return false, cause
 	}
 	if err != nil {
 		f.noteFailure(err)
@@ -312,14 +373,25 @@
 		}
 		return false, err
 	}
+	if f.isOlder(revision) {
+		return false, errOlderEra
+	}
+	if !revision.SameEra(f.revision) {
+		return false, errGroupRestored
+	}
 	f.answered()
 	for _, row := range rows {
 		f.to.Change(row)
 	}
-	f.revision = max(f.revision, revision)
+	f.revision = Later(f.revision, revision)
 	return len(rows) > 0, nil
 }
 
+// isOlder tells whether an answer is from before a return of the store that is known here.
+func (f *Follower) isOlder(revision Revision) bool {
+	return f.cfg.Group.reach(time.Now(), revision) || revision.OlderEra(f.revision)
+}
+
 func (f *Follower) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, feedRead)
 	defer cancel()
@@ -328,12 +400,29 @@
 		f.noteFailure(err)
 		return err
 	}
+	if f.isOlder(revision) {
+		return errOlderEra
+	}
 	f.answered()
-	f.to.Replace(rows)
-	f.read, f.revision = true, max(f.revision, revision)
+	if f.known && !revision.SameEra(f.revision) {
+		f.restored(revision)
+	}
+	f.to.Replace(rows, revision)
+	f.read, f.known, f.revision = true, true, Later(f.revision, revision)
 	return nil
 }
 
+// restored tells that the table is a copy's.
+func (f *Follower) restored(first Revision) {
+	notBefore := f.cfg.Group.left()
+	if failed := f.lastFailure(); failed.After(notBefore) {
+		notBefore = failed
+	}
+	event.FeedRestored.Log(f.cfg.Logger, "table", f.cfg.Table, "era", f.revision.era, "new_era", first.era,
+		"number", f.revision.number, "new_number", first.number)
+	f.to.Restored(Restore{Last: f.revision, First: first, NotBefore: notBefore})
+}
+
 // noteFailure notes that the present call has failed, before the group is told, whose other
 // members may reach the store at once.
 func (f *Follower) noteFailure(err error) {
--- a/internal/platform/feed_test.go
+++ b/internal/platform/feed_test.go
@@ -18,11 +18,12 @@
 
 // fakeFeed is a table in memory whose calls can be made to fail.
 type fakeFeed struct {
-	mu        sync.Mutex
-	rows      map[string]platform.FeedRow
-	revision  uint64
-	forgotten uint64
-	changed   chan struct{}
+	mu   sync.Mutex
+	rows map[string]platform.FeedRow
+	// era and revision are the store's present ones.
+	era, revision uint64
+	forgotten     uint64
+	changed       chan struct{}
 	// fail, where set, is the error of each call; silent makes calls hang.
 	fail   error
 	silent bool
@@ -37,11 +38,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision++
-	f.rows[key] = platform.FeedRow{Key: key, Value: []byte(value), Revision: f.revision, Deleted: deleted}
+	f.rows[key] = platform.FeedRow{Key: key, Value: []byte(value), Revision: f.at(), Deleted: deleted}
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+func (f *fakeFeed) at() platform.Revision { return platform.NewRevision(f.era, f.revision) }
+
 // forget drops the history up to now.
 func (f *fakeFeed) forget() {
 	f.mu.Lock()
@@ -74,9 +77,9 @@
 }
 
 // ReadTable implements platform.Feed.
-func (f *fakeFeed) ReadTable(ctx context.Context, _ string) (rows []platform.FeedRow, revision uint64, err error) {
+func (f *fakeFeed) ReadTable(ctx context.Context, _ string) (rows []platform.FeedRow, revision platform.Revision, err error) {
 	if err := f.begin(ctx); err != nil {
-		return nil, 0, err
+		return nil, platform.Revision{}, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -85,35 +88,35 @@
 			rows = append(rows, row)
 		}
 	}
-	return rows, f.revision, nil
+	return rows, f.at(), nil
 }
 
 // Changes implements platform.Feed.
-func (f *fakeFeed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (rows []platform.FeedRow, revision uint64, err error) {
+func (f *fakeFeed) Changes(ctx context.Context, _ string, after platform.Revision, wait time.Duration) (rows []platform.FeedRow, revision platform.Revision, err error) {
 	if err := f.begin(ctx); err != nil {
-		return nil, 0, err
+		return nil, platform.Revision{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		f.mu.Lock()
-		if after < f.forgotten {
+		if after.Number() < f.forgotten || after.Number() > f.revision {
 			f.mu.Unlock()
-			return nil, 0, platform.ErrHistoryLost
+			return nil, platform.Revision{}, platform.ErrHistoryLost
 		}
 		for _, row := range f.rows {
-			if row.Revision > after {
+			if row.Revision.Number() > after.Number() {
 				rows = append(rows, row)
 			}
 		}
-		revision, changed := f.revision, f.changed
+		revision, changed := f.at(), f.changed
 		f.mu.Unlock()
 		if len(rows) > 0 {
 			return rows, revision, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, platform.Revision{}, ctx.Err()
 		case <-timer.C:
 			return nil, revision, nil
 		case <-changed:
@@ -128,10 +131,11 @@
 	away bool
 	// notBefore is what it was told last of the store's return.
 	notBefore time.Time
+	restores  []platform.Restore
 }
 
 // Replace implements platform.Subscriber.
-func (c *copyOf) Replace(rows []platform.FeedRow) {
+func (c *copyOf) Replace(rows []platform.FeedRow, _ platform.Revision) {
 	c.mu.Lock()
 	c.rows = map[string]string{}
 	c.mu.Unlock()
@@ -165,6 +169,13 @@
 	c.away, c.notBefore = false, notBefore
 }
 
+// Restored implements platform.Subscriber.
+func (c *copyOf) Restored(r platform.Restore) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restores = append(c.restores, r)
+}
+
 func (c *copyOf) String() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/relay/copies.go
+++ b/internal/relay/copies.go
@@ -16,7 +16,8 @@
 // Failure it guards against: a reader that has lost the store, or never reads, would
 // keep its followers at an old state while the store answers them; so that it answers
 // only while it is the reader, its last call for the beat table has succeeded, and none
-// for another one has failed since.
+// for another one has failed since; and where the store came back from a copy, while all
+// tables are of the newest era that it has met.
 type copies struct {
 	mu     sync.Mutex
 	tables map[string]*table
@@ -25,6 +26,8 @@
 	// the last one, of this reader's own, did.
 	beat    string
 	inTouch bool
+	// latest is the latest revision of any table.
+	latest platform.Revision
 	// changed is closed at each change.
 	changed chan struct{}
 }
@@ -35,11 +38,11 @@
 	rows map[string]platform.FeedRow
 	// base is the revision since which all changes are known, revision that up to
 	// which they are.
-	base, revision uint64
+	base, revision platform.Revision
 	// deleted counts the deleted ones among rows.
 	deleted int
-	// lost tells that the last call failed.
-	lost bool
+	// lost tells that the last call failed, known that the whole table was read.
+	lost, known bool
 }
 
 // maxDeleted bounds the deleted rows that a copy remembers; beyond it followers that
@@ -103,31 +106,52 @@
 }
 
 // whole takes a whole table in. Direct tells that the store itself told it.
-func (c *copies) whole(name string, rows []platform.FeedRow, revision uint64, direct bool) {
+func (c *copies) whole(name string, rows []platform.FeedRow, revision platform.Revision, direct bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.reach(revision) {
+		return
+	}
 	t := c.table(name)
 	t.rows = make(map[string]platform.FeedRow, len(rows))
 	for _, row := range rows {
 		t.rows[row.Key] = row
 	}
-	t.base, t.revision, t.deleted = revision, revision, 0
+	t.base, t.revision, t.deleted, t.known = revision, revision, 0, true
 	if direct {
 		c.answered(name, t)
 	}
 	c.signal()
 }
 
-// changes takes the changes since the last call in.
-func (c *copies) changes(name string, rows []platform.FeedRow, revision uint64, direct bool) {
+// reach notes the revision of an answer, and tells whether it is of the newest era. The
+// caller holds the lock.
+func (c *copies) reach(revision platform.Revision) bool {
+	if revision.OlderEra(c.latest) {
+		return false
+	}
+	c.latest = platform.Later(c.latest, revision)
+	return true
+}
+
+// changes takes the changes since the last call in. Those of another era than the table's
+// are no changes of it: its followers wait until it was read anew.
+func (c *copies) changes(name string, rows []platform.FeedRow, revision platform.Revision, direct bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.reach(revision) {
+		return
+	}
 	t := c.table(name)
+	if t.known && !t.revision.SameEra(revision) {
+		c.signal()
+		return
+	}
 	wake := len(rows) > 0 || t.lost || !c.inTouch
 	for _, row := range rows {
 		t.take(row)
 	}
-	t.revision = max(t.revision, revision)
+	t.revision = platform.Later(t.revision, revision)
 	if t.deleted > maxDeleted {
 		t.forgetDeleted()
 	}
@@ -164,7 +188,7 @@
 		return false
 	}
 	for _, t := range c.tables {
-		if t.lost {
+		if t.lost || t.known && !t.revision.SameEra(c.latest) {
 			return false
 		}
 	}
@@ -209,16 +233,20 @@
 // since returns what a query asks for; known is false where nothing has changed.
 func (t *table) since(q platform.FeedQuery) (answer platform.FeedAnswer, known bool, err error) {
 	answer.Revision = t.revision
-	if !q.Whole && q.After < t.base {
+	switch {
+	case q.Whole:
+	case t.revision.OlderEra(q.After):
+		return answer, false, platform.ErrFeedUnfit
+	case q.After.Before(t.base):
 		return answer, false, platform.ErrHistoryLost
 	}
 	for _, row := range t.rows {
-		if q.Whole && !row.Deleted || !q.Whole && row.Revision > q.After {
+		if q.Whole && !row.Deleted || !q.Whole && q.After.Before(row.Revision) {
 			answer.Rows = append(answer.Rows, row)
 		}
 	}
 	slices.SortFunc(answer.Rows, func(a, b platform.FeedRow) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(a.Revision.Compare(b.Revision), cmp.Compare(a.Key, b.Key))
 	})
 	return answer, q.Whole || len(answer.Rows) > 0, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,13 +97,14 @@
 	settling *time.Timer
 	// turned is closed when calls under way are to be begun anew elsewhere.
 	turned chan struct{}
-	// seen is the highest revision of each table that was returned.
-	seen map[string]uint64
+	// seen is the latest revision of each table that was returned, latest that of all.
+	seen   map[string]platform.Revision
+	latest platform.Revision
 }
 
 // New returns a Feed that reads the store itself until Elect says otherwise.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, copies: newCopies(cfg.Beat), turned: make(chan struct{}), seen: map[string]uint64{}, rest: restBase}
+	return &Feed{cfg: cfg, copies: newCopies(cfg.Beat), turned: make(chan struct{}), seen: map[string]platform.Revision{}, rest: restBase}
 }
 
 // Elect takes in the live daemons but for this one, and decides who reads.
@@ -197,28 +198,36 @@
 }
 
 // helped notes that a reader answered.
-func (f *Feed) helped(table string, revision uint64) {
+func (f *Feed) helped(table string, revision platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.seen[table] = max(f.seen[table], revision)
+	f.see(table, revision)
 	f.rest = restBase
 }
 
-func (f *Feed) seenOf(table string) uint64 {
+// see keeps the latest revision that was returned. The caller holds the lock.
+func (f *Feed) see(table string, revision platform.Revision) {
+	f.seen[table] = platform.Later(f.seen[table], revision)
+	f.latest = platform.Later(f.latest, revision)
+}
+
+// isBehind tells whether a reader's answer is older than what is known here: than the
+// table, or of an older era than any of them.
+func (f *Feed) isBehind(table string, revision platform.Revision) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.seen[table]
+	return revision.Before(f.seen[table]) || revision.OlderEra(f.latest)
 }
 
 // errBehind is the failure of a reader that knows less than this daemon.
 var errBehind = errors.New("the reader is behind what is known here")
 
 // ReadTable implements platform.Feed.
-func (f *Feed) ReadTable(ctx context.Context, table string) ([]platform.FeedRow, uint64, error) {
+func (f *Feed) ReadTable(ctx context.Context, table string) ([]platform.FeedRow, platform.Revision, error) {
 	reader, _, _ := f.source(time.Now())
 	if reader != "" {
 		answer, err := f.ask(ctx, reader, platform.FeedQuery{Table: table, Whole: true})
-		if err == nil && answer.Revision < f.seenOf(table) {
+		if err == nil && f.isBehind(table, answer.Revision) {
 			err = errBehind
 		}
 		if err == nil {
@@ -231,23 +240,23 @@
 	rows, revision, err := f.cfg.Store.ReadTable(ctx, table)
 	if err != nil {
 		f.copies.lost(table)
-		return nil, 0, err
+		return nil, platform.Revision{}, err
 	}
 	f.copies.whole(table, rows, revision, true)
 	f.note(table, revision)
 	return rows, revision, nil
 }
 
-// note keeps the highest revision that the store told.
-func (f *Feed) note(table string, revision uint64) {
+// note keeps the latest revision that the store told.
+func (f *Feed) note(table string, revision platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.seen[table] = max(f.seen[table], revision)
+	f.see(table, revision)
 }
 
 // Changes implements platform.Feed. It may return without a change before wait has
 // passed.
-func (f *Feed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.FeedRow, uint64, error) {
+func (f *Feed) Changes(ctx context.Context, table string, after platform.Revision, wait time.Duration) ([]platform.FeedRow, platform.Revision, error) {
 	reader, serves, turned := f.source(time.Now())
 	call, end := endedBy(ctx, turned)
 	defer end()
@@ -269,7 +278,7 @@
 		return nil, after, nil
 	case err != nil:
 		f.copies.lost(table)
-		return nil, 0, err
+		return nil, platform.Revision{}, err
 	}
 	f.copies.changes(table, rows, revision, true)
 	f.note(table, revision)
@@ -278,20 +287,23 @@
 
 // changesOf asks the reader. Where it does not help, there is no change to tell yet,
 // and the next call goes to the store.
-func (f *Feed) changesOf(call, ctx context.Context, reader ident.Daemon, q platform.FeedQuery) ([]platform.FeedRow, uint64, error) {
+func (f *Feed) changesOf(call, ctx context.Context, reader ident.Daemon, q platform.FeedQuery) ([]platform.FeedRow, platform.Revision, error) {
 	if q.Table == f.cfg.Beat {
 		q.Wait = min(q.Wait, followerBeat)
 	}
 	answer, err := f.ask(call, reader, q)
+	if err == nil && answer.Revision.OlderEra(q.After) {
+		err = errBehind
+	}
 	switch {
 	case err == nil:
 		f.helped(q.Table, answer.Revision)
 		f.copies.changes(q.Table, answer.Rows, answer.Revision, false)
-		return answer.Rows, max(q.After, answer.Revision), nil
+		return answer.Rows, platform.Later(q.After, answer.Revision), nil
 	case errors.Is(err, platform.ErrHistoryLost):
-		return nil, 0, platform.ErrHistoryLost
+		return nil, platform.Revision{}, platform.ErrHistoryLost
 	case ctx.Err() != nil:
-		return nil, 0, ctx.Err()
+		return nil, platform.Revision{}, ctx.Err()
 	case !errors.Is(context.Cause(call), errTurned):
 		f.failed(reader, q.Table, err)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -26,13 +26,14 @@
 // fakeStore is one table in memory whose calls can be refused or left hanging for
 // single daemons.
 type fakeStore struct {
-	mu       sync.Mutex
-	rows     map[string]platform.FeedRow
-	revision uint64
-	changed  chan struct{}
-	refused  map[ident.Daemon]bool
-	silent   map[ident.Daemon]bool
-	calls    map[ident.Daemon]int
+	mu   sync.Mutex
+	rows map[string]platform.FeedRow
+	// era and revision are the store's present ones.
+	era, revision uint64
+	changed       chan struct{}
+	refused       map[ident.Daemon]bool
+	silent        map[ident.Daemon]bool
+	calls         map[ident.Daemon]int
 }
 
 func newFakeStore() *fakeStore {
@@ -46,7 +47,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.rows[key] = platform.FeedRow{Key: key, Value: []byte(value), Revision: s.revision, Deleted: deleted}
+	s.rows[key] = platform.FeedRow{Key: key, Value: []byte(value), Revision: platform.NewRevision(s.era, s.revision), Deleted: deleted}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -72,9 +73,9 @@
 }
 
 // ReadTable implements platform.Feed.
-func (v view) ReadTable(ctx context.Context, _ string) ([]platform.FeedRow, uint64, error) {
+func (v view) ReadTable(ctx context.Context, _ string) ([]platform.FeedRow, platform.Revision, error) {
 	if err := v.begin(ctx); err != nil {
-		return nil, 0, err
+		return nil, platform.Revision{}, err
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -84,9 +85,12 @@
 			rows = append(rows, row)
 		}
 	}
-	return rows, v.revision, nil
+	return rows, v.at(), nil
 }
 
+// at returns the store's present revision. The caller holds the lock.
+func (s *fakeStore) at() platform.Revision { return platform.NewRevision(s.era, s.revision) }
+
 func (v view) begin(ctx context.Context) error {
 	v.mu.Lock()
 	v.calls[v.who]++
@@ -103,33 +107,33 @@
 }
 
 // Changes implements platform.Feed.
-func (v view) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.FeedRow, uint64, error) {
+func (v view) Changes(ctx context.Context, _ string, after platform.Revision, wait time.Duration) ([]platform.FeedRow, platform.Revision, error) {
 	if err := v.begin(ctx); err != nil {
-		return nil, 0, err
+		return nil, platform.Revision{}, err
 	}
 	over := time.After(wait)
 	for {
 		v.mu.Lock()
 		var rows []platform.FeedRow
 		for _, row := range v.rows {
-			if row.Revision > after {
+			if row.Revision.Number() > after.Number() {
 				rows = append(rows, row)
 			}
 		}
-		revision, changed, refused, silent := v.revision, v.changed, v.refused[v.who], v.silent[v.who]
+		revision, changed, refused, silent := v.at(), v.changed, v.refused[v.who], v.silent[v.who]
 		v.mu.Unlock()
 		switch {
 		case refused:
-			return nil, 0, errRefused
+			return nil, platform.Revision{}, errRefused
 		case silent:
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, platform.Revision{}, ctx.Err()
 		case len(rows) > 0:
 			return rows, revision, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, platform.Revision{}, ctx.Err()
 		case <-over:
 			return nil, revision, nil
 		case <-changed:
@@ -152,12 +156,12 @@
 	mu   sync.Mutex
 	rows map[string]string
 	// last is the highest revision of a row, back tells that an older one came after.
-	last map[string]uint64
+	last map[string]platform.Revision
 	back bool
 }
 
 // Replace implements platform.Subscriber.
-func (d *daemon) Replace(rows []platform.FeedRow) {
+func (d *daemon) Replace(rows []platform.FeedRow, _ platform.Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	clear(d.rows)
@@ -179,8 +183,11 @@
 // Back implements platform.Subscriber.
 func (d *daemon) Back(time.Time) {}
 
+// Restored implements platform.Subscriber.
+func (d *daemon) Restored(platform.Restore) {}
+
 func (d *daemon) take(row platform.FeedRow) {
-	d.back = d.back || row.Revision < d.last[row.Key]
+	d.back = d.back || row.Revision.Before(d.last[row.Key])
 	d.last[row.Key] = row.Revision
 	if row.Deleted {
 		delete(d.rows, row.Key)
@@ -225,7 +232,7 @@
 		z.feeds[name] = relay.New(relay.Config{
 			Self: name, Zone: "z", Store: view{z.store, name}, Peers: z, Beat: beatTable, Logger: slog.New(slog.DiscardHandler),
 		})
-		z.daemons[name] = &daemon{rows: map[string]string{}, last: map[string]uint64{}}
+		z.daemons[name] = &daemon{rows: map[string]string{}, last: map[string]platform.Revision{}}
 	}
 	z.elect(names...)
 	for _, name := range names {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -58,6 +58,7 @@
 	metricSlots     = define("owned_slots", Gauge, "slots", "service", "Slots of the targets that this daemon owns.")
 	metricSlotsUsed = define("owned_slots_used", Gauge, "slots", "service", "Slots in use among them; divided by owned_slots it is the utilisation.")
 	metricGap       = define("fairness_gap", Gauge, "units over weight", "service", "Largest difference in service since both became backlogged between two workspaces, as this daemon sees the fleet.")
+	metricRestored  = define("store_restores", Counter, "restores", "", "Returns of the platform's store from a copy that this daemon has met, where routes are served.")
 	metricControlTx = define("control_sent", Gauge, "bytes", "", "Bytes sent to other daemons since the start.")
 	metricControlRx = define("control_received", Gauge, "bytes", "", "Bytes received from other daemons since the start.")
 	metricMembers   = define("members", Gauge, "daemons", "", "Live daemons that this one knows, itself included.")
@@ -165,6 +166,9 @@
 	m.counter(metricReread, string(service), "", "").Inc(reread)
 }
 
+// Restored counts a return of the platform's store from a copy.
+func (m *Metrics) Restored() { m.scope.Counter(metricRestored).Inc(1) }
+
 // ServiceGauges is the state of one service at one daemon.
 type ServiceGauges struct {
 	Service                        ident.Service
