Daemon: the own row is written again where the store has lost it

Cause: a daemon wrote its row once, at its start. A store that comes back from a copy that is older has lost it, or holds the one of a former incarnation; daemons that start later never find this one.

Ruled out: writing at each era (two of three daemons have lost nothing, and each write wakes every reader of the table); a writer that answers any row but its own (two processes under one name would write in turn without end: the higher incarnation stays).

Change: ownRow compares what a read of the table holds with the revision of the own write. Nobody is taken as dead meanwhile: membership takes the list as whom to look for, and lives by links.

--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	changed chan struct{}
 
 	view applier[siteView]
+	own  *ownRow
 }
 
 // siteView is what the store holds at one moment, as far as this daemon has read it.
@@ -41,7 +43,7 @@
 }
 
 func newSite(p routedParts) *site {
-	s := &site{p: p, registry: registry.New(registry.Config{InTouch: p.Settings.Routing.InTouch}), changed: make(chan struct{}, 1)}
+	s := &site{p: p, registry: registry.New(registry.Config{InTouch: p.Settings.Routing.InTouch}), changed: make(chan struct{}, 1), own: newOwnRow()}
 	s.view = applier[siteView]{look: s.look, put: s.put}
 	return s
 }
@@ -199,27 +201,45 @@
 	announceRetry   = time.Second
 )
 
-// announce writes the own row once, so that other daemons find this one, and
-// takes it away at a planned stop.
+// announce writes the own row, so that other daemons find this one, again where the store
+// has lost it, and takes it away at a planned stop.
 func (s *site) announce(ctx context.Context) {
 	id := s.p.Identity
 	// A struct of texts and a number can always be written.
 	value, _ := json.Marshal(daemonRow{Zone: id.Zone, Address: s.p.Node.Address(), Incarnation: id.Incarnation})
+	if !s.writeOwnRow(ctx, value) {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			s.withdraw()
+			return
+		case <-s.own.lost:
+		}
+		pause(ctx, rewriteDelay(rand.Float64()))
+		if s.own.isLost() && s.writeOwnRow(ctx, value) {
+			event.RowWrittenAgain.Log(s.p.Log, "table", platform.TableDaemons, "key", id.Daemon, "revision", s.own.revision())
+		}
+	}
+}
+
+// writeOwnRow writes the own row until that succeeds. It returns false where ctx ended before.
+func (s *site) writeOwnRow(ctx context.Context, value []byte) bool {
 	for {
 		try, cancel := context.WithTimeout(ctx, announceTimeout)
-		_, err := s.p.Store.PutRow(try, platform.TableDaemons, string(id.Daemon), value)
+		at, err := s.p.Store.PutRow(try, platform.TableDaemons, string(s.p.Identity.Daemon), value)
 		cancel()
 		if err == nil {
-			break
+			s.own.wrote(at)
+			return true
 		}
 		if ctx.Err() != nil {
-			return
+			return false
 		}
 		event.RowNotWritten.Log(s.p.Log, "table", platform.TableDaemons, "error", err)
 		pause(ctx, announceRetry)
 	}
-	<-ctx.Done()
-	s.withdraw()
 }
 
 // withdraw removes the own row. A row that stays costs its peers some dials.
--- a/internal/daemon/siterows.go
+++ b/internal/daemon/siterows.go
@@ -158,25 +158,37 @@
 // Back implements store.Subscriber.
 func (d *daemonRows) Back(time.Time) {}
 
-// Restored implements store.Subscriber. Whether a daemon that the copy lacks lives is told
-// by the links.
+// Restored implements store.Subscriber. Who is missing from the copy writes its row again;
+// whether it lives is told by the links meanwhile.
 func (d *daemonRows) Restored(store.Restore) {}
 
 // Replace implements store.Subscriber.
-func (d *daemonRows) Replace(rows []store.FeedRow, _ store.Revision) {
+func (d *daemonRows) Replace(rows []store.FeedRow, at store.Revision) {
 	clear(d.rows)
 	for _, row := range rows {
 		d.take(row)
 	}
+	d.site.own.told(d.holdsOwn(), at)
 	d.tell()
 }
 
 // Change implements store.Subscriber.
 func (d *daemonRows) Change(row store.FeedRow) {
 	d.take(row)
+	if row.Key == string(d.site.p.Identity.Daemon) {
+		d.site.own.told(d.holdsOwn(), row.Revision)
+	}
 	d.tell()
 }
 
+// holdsOwn tells whether the store holds this daemon's row. That of a later incarnation
+// counts as well: two processes under one name would else write in turn without end.
+func (d *daemonRows) holdsOwn() bool {
+	id := d.site.p.Identity
+	row, listed := d.rows[string(id.Daemon)]
+	return listed && row.Incarnation >= id.Incarnation
+}
+
 func (d *daemonRows) take(row store.FeedRow) {
 	if row.Deleted {
 		delete(d.rows, row.Key)
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -28,6 +28,7 @@
 	StoreReader          = define(427, slog.LevelInfo, "another daemon of the zone reads the store for this one, or this one for others, from now on", "none")
 	StoreReaderLost      = define(428, slog.LevelWarn, "the daemon that reads the store for this one does not help; this one asks the store itself for a while", "if it recurs, look at the daemon that the line names")
 	FeedRestored         = define(429, slog.LevelWarn, "the store came back from a copy; the table is read again, and what is known stays until its writers had time to write it again", "see docs/OPERATIONS.md, a store back from a copy")
+	RowWrittenAgain      = define(430, slog.LevelInfo, "the store's copy lacked this daemon's own row, which is written again", "none")
 	RoutesDiffer         = define(431, slog.LevelWarn, "the store holds other routes under the version in force; they are passed over", "write the routes again with a higher version")
 	TargetsShadowed      = define(432, slog.LevelWarn, "the store's copy holds targets that had left or were draining; they get no requests until the store tells of them anew, for a bounded time", "none")
 	RowNotWritten        = define(426, slog.LevelWarn, "this daemon could not write its own row; it tries again", "see docs/OPERATIONS.md, a store outage")
