Registry: a lapse keeps its grace where the table is read again; copies in a row

Change: Replace leaves lapsed entries to Expire; Restored, and Away within the time for doubt, have them found missing anew. Entries whose end the store told of keep their short grace.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -87,7 +87,7 @@
 type Registry struct {
 	cfg     Config
 	entries map[ident.Target]Entry
-	lapsed  map[ident.Target]time.Time
+	lapsed  map[ident.Target]lapse
 	// back is when the store last answered after an outage, notBefore the earliest time at
 	// which that outage may have ended.
 	back, notBefore time.Time
@@ -101,6 +101,13 @@
 	doubtEnd time.Time
 }
 
+// lapse is an entry that the store lacks and that is kept for now.
+type lapse struct {
+	due time.Time
+	// dropped tells that the store told of its end, rather than not of the entry.
+	dropped bool
+}
+
 // New returns an empty registry.
 func New(cfg Config) *Registry {
 	if cfg.Grace == 0 {
@@ -122,7 +129,7 @@
 		cfg.Remember = defaultRemember
 	}
 	return &Registry{
-		cfg: cfg, entries: map[ident.Target]Entry{}, lapsed: map[ident.Target]time.Time{}, left: map[ident.Target]time.Time{},
+		cfg: cfg, entries: map[ident.Target]Entry{}, lapsed: map[ident.Target]lapse{}, left: map[ident.Target]time.Time{},
 		doubted: map[ident.Target]bool{}, shadowed: map[ident.Target]Entry{},
 	}
 }
@@ -145,6 +152,24 @@
 			r.doubted[id] = true
 		}
 	}
+	r.keepLapsed()
+}
+
+// Away tells that the store stopped answering. What a copy lacks may be written again
+// unseen: its grace begins anew at the return.
+func (r *Registry) Away(now time.Time) {
+	if now.Before(r.doubtEnd) {
+		r.keepLapsed()
+	}
+}
+
+// keepLapsed keeps what the store lacks until it is found missing once more.
+func (r *Registry) keepLapsed() {
+	for id, l := range r.lapsed {
+		if !l.dropped {
+			delete(r.lapsed, id)
+		}
+	}
 }
 
 // Put takes in what a target has just said of itself.
@@ -164,7 +189,7 @@
 // Remove takes in that the store has just dropped a target's entry.
 func (r *Registry) Remove(now time.Time, id ident.Target) {
 	r.trust(id)
-	r.remove(now, id, now.Add(r.cfg.LeaveGrace))
+	r.remove(id, now, lapse{due: now.Add(r.cfg.LeaveGrace), dropped: true})
 }
 
 // drop forgets an entry, and remembers that its target left.
@@ -184,18 +209,18 @@
 }
 
 // remove drops an entry now, or where it may have lapsed by an outage, at the end of the
-// grace, at most at a given time.
-func (r *Registry) remove(now time.Time, id ident.Target, most time.Time) {
+// grace, at most when the lapse is due.
+func (r *Registry) remove(id ident.Target, now time.Time, l lapse) {
 	if _, known := r.entries[id]; !known {
 		return
 	}
-	due := earlier(r.graceEnd(), most)
-	if r.back.IsZero() || now.Sub(r.back) > r.cfg.Settled || !now.Before(due) {
+	l.due = earlier(r.graceEnd(), l.due)
+	if r.back.IsZero() || now.Sub(r.back) > r.cfg.Settled || !now.Before(l.due) {
 		r.drop(now, id)
 		return
 	}
 	if _, waits := r.lapsed[id]; !waits {
-		r.lapsed[id] = due
+		r.lapsed[id] = l
 	}
 }
 
@@ -225,8 +250,8 @@
 		r.Put(e)
 	}
 	for _, id := range slices.Collect(maps.Keys(r.entries)) {
-		if !held[id] {
-			r.remove(now, id, now.Add(r.cfg.Grace))
+		if _, waits := r.lapsed[id]; !held[id] && !waits {
+			r.remove(id, now, lapse{due: now.Add(r.cfg.Grace)})
 		}
 	}
 }
@@ -256,7 +281,7 @@
 		next = r.doubtEnd
 	}
 	for _, id := range r.Lapsed() {
-		due := r.lapsed[id]
+		due := r.lapsed[id].due
 		switch {
 		case !now.Before(due):
 			r.drop(now, id)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -127,3 +127,78 @@
 	r.Replace(at(19), nil)
 	is.Equal(len(names(r)), 0)
 }
+
+// An entry that lapsed in an outage must not go early where the table is read twice.
+func TestALapsedEntryKeepsItsGraceWhereTheTableIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{})
+	r.Put(entry("t1", "10.0.0.1:80"))
+	r.Returned(at(8), at(8))
+	r.Replace(at(8), nil)
+	r.Replace(at(9.2), nil)
+	is.Equal(names(r), []ident.Target{"t1"})
+	r.Expire(at(10.5))
+	is.Equal(len(names(r)), 0)
+}
+
+// A target that left, or drains, must not serve again by its entry in a copy.
+func TestACopyDoesNotBringTargetsBack(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{})
+	gone, drains, stays := entry("gone", "1"), entry("drains", "2"), entry("stays", "3")
+	r.Replace(at(0), []registry.Entry{gone, drains, stays})
+	draining := drains
+	draining.Draining = true
+	r.Put(draining)
+	r.Remove(at(1), "gone")
+	r.Restored(at(3), at(3))
+	r.Replace(at(3), []registry.Entry{gone, drains, stays})
+	is.Equal(r.Targets(), []registry.Entry{draining, stays})
+	is.Equal(r.Shadowed(), []ident.Target{"drains", "gone"})
+	r.Replace(at(4), []registry.Entry{gone, drains, stays}) // read once more
+	is.Equal(r.Targets(), []registry.Entry{draining, stays})
+	r.Remove(at(5), "drains")
+	is.Equal(r.Targets(), []registry.Entry{stays})
+	is.Equal(r.Shadowed(), []ident.Target{"gone"})
+}
+
+// A target that is taken for gone by mistake must not be left out for ever.
+func TestTheCopyIsBelievedWhereTheStoreTellsAnewOrAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{})
+	a, b := entry("a", "1"), entry("b", "2")
+	r.Put(a)
+	r.Put(b)
+	r.Remove(at(1), "a")
+	r.Remove(at(1), "b")
+	r.Restored(at(3), at(3))
+	r.Replace(at(3), []registry.Entry{a, b})
+	is.Equal(len(names(r)), 0)
+	r.Put(a) // it wrote its entry again
+	is.Equal(names(r), []ident.Target{"a"})
+	_, next := r.Expire(at(4))
+	is.Equal(next, at(13))
+	r.Expire(next)
+	is.Equal(names(r), []ident.Target{"a", "b"})
+	is.Equal(len(r.Shadowed()), 0)
+}
+
+// Entries that a copy lacks must outlast a second copy and an outage right after it.
+func TestWhatACopyLacksGetsANewGraceAtEachReturn(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{})
+	r.Put(entry("t", "1"))
+	r.Restored(at(0), at(0))
+	r.Replace(at(0), nil)
+	r.Restored(at(2), at(2))
+	r.Replace(at(2), nil)
+	r.Expire(at(4))
+	is.Equal(names(r), []ident.Target{"t"})
+	r.Away(at(4.1))
+	r.Expire(at(6))
+	is.Equal(names(r), []ident.Target{"t"})
+	r.Returned(at(6.1), at(6))
+	r.Replace(at(6.1), nil)
+	r.Expire(at(8.6))
+	is.Equal(len(names(r)), 0)
+}
