Follower: a member that pauses does not miss a newer era

Cause: the first answer of a newer era ends the calls of the group's members. A member that pauses between two calls, to gather changes, has none: its next call waited up to 25 s at the store for versions past its own, of the era before.

Change: a call of a revision that the group is past ends before it begins. Tests of the follower over simulated time: versions that were given out again past its own, a member that pauses, an answer of an older era that comes late.

--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -262,12 +262,16 @@
 	g.breach = newBreach()
 }
 
-// watch returns a context that ends with the group's next breach.
-func (g *FeedGroup) watch(ctx context.Context) (context.Context, context.CancelFunc) {
+// watch returns a context that ends with the group's next breach. It has ended already where
+// the group is past the era of a revision: a member that paused has missed its breach.
+func (g *FeedGroup) watch(ctx context.Context, revision Revision) (context.Context, context.CancelFunc) {
 	g.mu.Lock()
-	next := g.breach
+	next, passed := g.breach, g.era > revision.era
 	g.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
+	if passed {
+		cancel(errGroupRestored)
+	}
 	go func() {
 		select {
 		case <-ctx.Done():
@@ -358,8 +362,11 @@
 		err := f.readAll(ctx)
 		return err == nil, err // what changes right after it is gathered too
 	}
-	watched, end := f.cfg.Group.watch(ctx)
+	watched, end := f.cfg.Group.watch(ctx, f.revision)
 	defer end()
+	if errors.Is(context.Cause(watched), errGroupRestored) {
+		return false, errGroupRestored
+	}
 	call, cancel := context.WithTimeout(watched, f.cfg.Wait+f.cfg.Slack)
 	defer cancel()
 	rows, revision, err := f.cfg.Feed.Changes(call, f.cfg.Table, f.revision, f.cfg.Wait)
