--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -32,6 +32,8 @@
 
 	view applier[siteView]
 	own  *ownRow
+	// rows writes the own row.
+	rows store.Rows
 }
 
 // siteView is what the store holds at one moment, as far as this daemon has read it.
@@ -43,7 +45,7 @@
 }
 
 func newSite(p routedParts) *site {
-	s := &site{p: p, registry: registry.New(registry.Config{InTouch: p.Settings.Routing.InTouch}), changed: make(chan struct{}, 1), own: newOwnRow()}
+	s := &site{p: p, registry: registry.New(registry.Config{InTouch: p.Settings.Routing.InTouch}), changed: make(chan struct{}, 1), own: newOwnRow(), rows: p.Store}
 	s.view = applier[siteView]{look: s.look, put: s.put}
 	return s
 }
@@ -73,7 +75,7 @@
 	return []func(context.Context){
 		s.followRoutes(group),
 		s.followTargets(group),
-		s.follow(group, platform.TableDaemons, longWait, daemonGather, &daemonRows{site: s, rows: map[string]daemonRow{}}),
+		s.follow(group, platform.TableDaemons, longWait, daemonGather, newDaemonRows(s, s.p.Node.SetVMs)),
 		s.announce,
 		s.expire,
 		s.report,
@@ -201,12 +203,16 @@
 	announceRetry   = time.Second
 )
 
-// announce writes the own row, so that other daemons find this one, again where the store
-// has lost it, and takes it away at a planned stop.
-func (s *site) announce(ctx context.Context) {
+// announce writes the own row, so that other daemons find this one, and takes it away at a
+// planned stop.
+func (s *site) announce(ctx context.Context) { s.keepOwnRow(ctx, s.p.Node.Address()) }
+
+// keepOwnRow writes the own row with the address of the fleet listener, again where the
+// store has lost it, and takes it away when ctx ends.
+func (s *site) keepOwnRow(ctx context.Context, address string) {
 	id := s.p.Identity
 	// A struct of texts and a number can always be written.
-	value, _ := json.Marshal(daemonRow{Zone: id.Zone, Address: s.p.Node.Address(), Incarnation: id.Incarnation})
+	value, _ := json.Marshal(daemonRow{Zone: id.Zone, Address: address, Incarnation: id.Incarnation})
 	if !s.writeOwnRow(ctx, value) {
 		return
 	}
@@ -228,7 +234,7 @@
 func (s *site) writeOwnRow(ctx context.Context, value []byte) bool {
 	for {
 		try, cancel := context.WithTimeout(ctx, announceTimeout)
-		at, err := s.p.Store.PutRow(try, platform.TableDaemons, string(s.p.Identity.Daemon), value)
+		at, err := s.rows.PutRow(try, platform.TableDaemons, string(s.p.Identity.Daemon), value)
 		cancel()
 		if err == nil {
 			s.own.wrote(at)
@@ -246,7 +252,7 @@
 func (s *site) withdraw() {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout/4)
 	defer cancel()
-	if err := s.p.Store.DeleteRow(ctx, platform.TableDaemons, string(s.p.Identity.Daemon)); err != nil {
+	if err := s.rows.DeleteRow(ctx, platform.TableDaemons, string(s.p.Identity.Daemon)); err != nil {
 		event.RowNotWritten.Log(s.p.Log, "table", platform.TableDaemons, "error", err)
 	}
 }
--- a/internal/daemon/siterows.go
+++ b/internal/daemon/siterows.go
@@ -85,7 +85,11 @@
 }
 
 // Away implements store.Subscriber: what is known stays.
-func (t *targetRows) Away() {}
+func (t *targetRows) Away() {
+	t.site.mu.Lock()
+	t.site.registry.Away(time.Now())
+	t.site.mu.Unlock()
+}
 
 // Back implements store.Subscriber.
 func (t *targetRows) Back(notBefore time.Time) {
@@ -150,6 +154,12 @@
 type daemonRows struct {
 	site *site
 	rows map[string]daemonRow
+	// list takes whom to look for.
+	list func([]store.VM)
+}
+
+func newDaemonRows(s *site, list func([]store.VM)) *daemonRows {
+	return &daemonRows{site: s, rows: map[string]daemonRow{}, list: list}
 }
 
 // Away implements store.Subscriber.
@@ -208,5 +218,5 @@
 		vms = append(vms, store.VM{Name: name, Zone: row.Zone, Address: row.Address, Role: store.RoleDaemon, State: store.VMLive})
 	}
 	slices.SortFunc(vms, func(a, b store.VM) int { return strings.Compare(a.Name, b.Name) })
-	d.site.p.Node.SetVMs(vms)
+	d.list(vms)
 }
