Registry: doubt what a copy holds that was not known, and through an outage

Found by the test of the whole daemon: a daemon that started after a target had left never knew it, and took its row in the copy for a new target's; it got a request 2 ms after the return.

Change: a row of the copy whose version is not above the last one that was read before may be older than that reading; where the reading lacked it, it is doubted. A target that registers between the return and the first reading is left out for as long, 5 s at most; this is the price. Doubt lasts through an outage. Doubt is 5 s in place of 10: above three heartbeats, after which the store drops who is silent, and the shorter the better for targets that are doubted by mistake.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -63,8 +63,8 @@
 	// lapsed by it. Default 1 s.
 	Settled time.Duration
 	// Doubt is how long after the store's return from a copy what was known of targets that
-	// leave counts before the copy's entries. Default 10 s: several heartbeats of a target,
-	// whose entry the store drops after three without one.
+	// leave counts before the copy's entries. Default 5 s: above three heartbeats of a target,
+	// after which the store drops the entry of one that is silent.
 	Doubt time.Duration
 	// Remember is how long a target that left is remembered. Default 30 s: above the age of
 	// a copy.
@@ -76,7 +76,7 @@
 	defaultLeaveGrace = 900 * time.Millisecond
 	defaultInTouch    = 3 * time.Second
 	defaultSettled    = time.Second
-	defaultDoubt      = 10 * time.Second
+	defaultDoubt      = 5 * time.Second
 	defaultRemember   = 30 * time.Second
 	// onTheWay is how long a request may take from the choice of a target to the target.
 	onTheWay = 200 * time.Millisecond
@@ -99,6 +99,9 @@
 	doubted  map[ident.Target]bool
 	shadowed map[ident.Target]Entry
 	doubtEnd time.Time
+	// away tells that the store has stopped answering in the time for doubt, which lasts
+	// as long.
+	away bool
 }
 
 // lapse is an entry that the store lacks and that is kept for now.
@@ -136,7 +139,12 @@
 
 // Returned tells that the store answers again after an outage, which ended at some time
 // from notBefore on.
-func (r *Registry) Returned(now, notBefore time.Time) { r.back, r.notBefore = now, notBefore }
+func (r *Registry) Returned(now, notBefore time.Time) {
+	r.back, r.notBefore = now, notBefore
+	if r.away {
+		r.away, r.doubtEnd = false, now.Add(r.cfg.Doubt)
+	}
+}
 
 // Restored tells that the store came back from a copy, at some time from notBefore on. The
 // next Replace takes in the copy's entries.
@@ -155,10 +163,19 @@
 	r.keepLapsed()
 }
 
-// Away tells that the store stopped answering. What a copy lacks may be written again
-// unseen: its grace begins anew at the return.
+// Doubt tells that the copy holds a target's entry that may be older than what was known
+// before. A target that was not known then has left.
+func (r *Registry) Doubt(id ident.Target) {
+	if _, known := r.entries[id]; !known {
+		r.doubted[id] = true
+	}
+}
+
+// Away tells that the store stopped answering. What a copy lacks or has too much may be put
+// right unseen: grace and doubt begin anew at the return.
 func (r *Registry) Away(now time.Time) {
 	if now.Before(r.doubtEnd) {
+		r.away = true
 		r.keepLapsed()
 	}
 }
@@ -259,7 +276,7 @@
 // endDoubt takes the copy's entries in that the store still holds when the time for doubt
 // is over.
 func (r *Registry) endDoubt(now time.Time) {
-	if now.Before(r.doubtEnd) {
+	if r.away || now.Before(r.doubtEnd) {
 		return
 	}
 	for _, e := range r.shadowed {
@@ -277,7 +294,7 @@
 // entries. It returns what it dropped, and when the next entry is due, or zero.
 func (r *Registry) Expire(now time.Time) (dropped []ident.Target, next time.Time) {
 	r.endDoubt(now)
-	if len(r.shadowed) > 0 {
+	if len(r.shadowed) > 0 && !r.away {
 		next = r.doubtEnd
 	}
 	for _, id := range r.Lapsed() {
