--- a/internal/daemon/siterows.go
+++ b/internal/daemon/siterows.go
@@ -18,8 +18,9 @@
 // routeRows takes the routes in.
 type routeRows struct {
 	site *site
-	// text is the document in force.
-	text []byte
+	// text is the document in force, passed the revision of the row that was passed over last.
+	text   []byte
+	passed store.Revision
 }
 
 // Away implements store.Subscriber.
@@ -65,8 +66,12 @@
 	r.site.view.apply()
 }
 
-// passOver logs routes that do not come into force, unless they are those in force.
+// passOver logs a row whose routes do not come into force, unless they are those in force.
 func (r *routeRows) passOver(version uint64, row store.FeedRow) {
+	if row.Revision == r.passed {
+		return // it was read twice
+	}
+	r.passed = row.Revision
 	log := r.site.p.Log
 	present := r.site.p.Routes.Current()
 	switch {
@@ -82,6 +87,8 @@
 	site *site
 	// read decodes what a target says of itself.
 	read func(key string, value []byte) (registry.Entry, error)
+	// restore is the return from a copy whose rows come next; nil: none.
+	restore *store.Restore
 }
 
 // Away implements store.Subscriber: what is known stays.
@@ -103,6 +110,7 @@
 	t.site.mu.Lock()
 	t.site.registry.Restored(time.Now(), r.NotBefore)
 	t.site.mu.Unlock()
+	t.restore = &r
 }
 
 // Replace implements store.Subscriber.
@@ -114,6 +122,7 @@
 		}
 	}
 	t.site.mu.Lock()
+	t.doubt(rows)
 	t.site.registry.Replace(time.Now(), entries)
 	t.site.heard = true
 	kept, shadowed := t.site.registry.Lapsed(), t.site.registry.Shadowed()
@@ -124,6 +133,20 @@
 	t.site.targetsChanged("read", len(rows), "kept", kept)
 }
 
+// doubt tells which of a copy's rows may be older than what is known. The caller holds the
+// site's lock.
+func (t *targetRows) doubt(rows []store.FeedRow) {
+	if t.restore == nil {
+		return
+	}
+	for _, row := range rows {
+		if t.restore.MayPrecede(row) {
+			t.site.registry.Doubt(ident.Target(row.Key))
+		}
+	}
+	t.restore = nil
+}
+
 // Change implements store.Subscriber.
 func (t *targetRows) Change(row store.FeedRow) {
 	e, ok := t.decode(row)
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -94,6 +94,11 @@
 	NotBefore time.Time
 }
 
+// MayPrecede tells whether a row of the copy may have been written before Last. Where it was
+// and the table at Last lacked it, it had been dropped. A row that was written since the
+// return may have as low a version, so that this is a reason to doubt and no proof.
+func (r Restore) MayPrecede(row FeedRow) bool { return row.Revision.number <= r.Last.number }
+
 // FollowerConfig sets up a Follower.
 type FollowerConfig struct {
 	Feed  Feed
