Daemon: lost rows are written again at a rate of the fleet, not within a fixed time

Change: the delay is drawn from the time in which 240 rows a second make all of them, by the daemons that the store lists before or after: 1.5 s at 360 as before, 0.33 s at 80, 0.03 s at 7.

--- a/internal/daemon/ownrow.go
+++ b/internal/daemon/ownrow.go
@@ -7,13 +7,14 @@
 	store "github.com/savorystall/savorystall/internal/platform"
 )
 
-// rewriteSpread is within which time daemons write their rows again that the store has
-// lost: 360 of them make 240 writes a second, of the 400 that a store takes.
-const rewriteSpread = 1500 * time.Millisecond
+// rewriteRate is how many rows a second the daemons of a fleet write again that the store
+// has lost, on average: below the 400 writes that a store takes, with room for others.
+const rewriteRate = 240
 
-// rewriteDelay is how long a daemon waits before it writes its row again. Random is in [0,1).
-func rewriteDelay(random float64) time.Duration {
-	return time.Duration(random * float64(rewriteSpread))
+// rewriteDelay is how long a daemon of a fleet waits before it writes its row again. Random
+// is in [0,1).
+func rewriteDelay(daemons int, random float64) time.Duration {
+	return time.Duration(random * float64(daemons) / rewriteRate * float64(time.Second))
 }
 
 // ownRow knows whether the store has lost the row that this daemon alone writes. It is
@@ -26,6 +27,8 @@
 	// written is the revision of the last write, zero before it; lostAt the latest one at
 	// which the store did not hold what was written.
 	written, lostAt store.Revision
+	// daemons is how many the store listed before or after it lost the row.
+	daemons int
 	// lost is signalled when the row has to be written again.
 	lost chan struct{}
 }
@@ -40,20 +43,28 @@
 }
 
 // told takes in whether the store holds the row, or one of a later incarnation, at a
-// revision. What it held before the row was written says nothing.
-func (o *ownRow) told(holds bool, at store.Revision) {
+// revision, and how many daemons may have lost theirs. What it held before the row was
+// written says nothing.
+func (o *ownRow) told(holds bool, at store.Revision, daemons int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if holds || o.written == (store.Revision{}) || at.Before(o.written) {
 		return
 	}
-	o.lostAt = store.Later(o.lostAt, at)
+	o.lostAt, o.daemons = store.Later(o.lostAt, at), max(1, daemons)
 	select {
 	case o.lost <- struct{}{}:
 	default: // the writer looks again anyway
 	}
 }
 
+// delay is how long to wait before the row is written again. Random is in [0,1).
+func (o *ownRow) delay(random float64) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return rewriteDelay(o.daemons, random)
+}
+
 // isLost tells whether the row has to be written again.
 func (o *ownRow) isLost() bool {
 	o.mu.Lock()
--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -26,13 +26,18 @@
 // copiedStore is a store in memory that can come back from a copy.
 type copiedStore struct {
 	mu sync.Mutex
-	// writes are all writes that were not lost, in order.
-	writes        []storeWrite
+	// writes are all writes that were not lost, in order, last the last one of each row.
+	writes []storeWrite
+	last   map[string]map[string]store.FeedRow
+	// newest is the number of the last write of each table.
+	newest        map[string]uint64
 	era, number   uint64
 	forgotten     uint64
 	away, eraless bool
 	lag           time.Duration
 	changed       chan struct{}
+	// reads and puts are when calls came.
+	reads, puts []time.Time
 }
 
 type storeWrite struct {
@@ -42,7 +47,19 @@
 }
 
 func newCopiedStore(eraless bool) *copiedStore {
-	return &copiedStore{era: 1, number: 1, eraless: eraless, changed: make(chan struct{})}
+	return &copiedStore{
+		era: 1, number: 1, eraless: eraless, changed: make(chan struct{}),
+		last: map[string]map[string]store.FeedRow{}, newest: map[string]uint64{},
+	}
+}
+
+// keep notes the last write of a row. The caller holds the lock.
+func (c *copiedStore) keep(w storeWrite) {
+	if c.last[w.table] == nil {
+		c.last[w.table] = map[string]store.FeedRow{}
+	}
+	c.last[w.table][w.row.Key] = w.row
+	c.newest[w.table] = w.row.Revision.Number()
 }
 
 // revision returns that of a number now. The caller holds the lock.
@@ -63,7 +80,9 @@
 	defer c.mu.Unlock()
 	c.number++
 	row := store.FeedRow{Key: key, Value: []byte(value), Revision: store.NewRevision(0, c.number), Deleted: deleted}
-	c.writes = append(c.writes, storeWrite{time.Now(), table, row})
+	w := storeWrite{time.Now(), table, row}
+	c.writes = append(c.writes, w)
+	c.keep(w)
 	c.wake()
 	return c.revision(c.number)
 }
@@ -75,8 +94,10 @@
 	cut := time.Now().Add(-age)
 	c.writes = slices.DeleteFunc(c.writes, func(w storeWrite) bool { return w.at.After(cut) })
 	c.number = 1
-	if len(c.writes) > 0 {
-		c.number = c.writes[len(c.writes)-1].row.Revision.Number()
+	c.last, c.newest = map[string]map[string]store.FeedRow{}, map[string]uint64{}
+	for _, w := range c.writes {
+		c.number = w.row.Revision.Number()
+		c.keep(w)
 	}
 	c.forgotten = min(c.forgotten, c.number)
 	c.era++
@@ -97,19 +118,18 @@
 	c.wake()
 }
 
-// rows returns the last write of each row of a table after a number.
+// rows returns the last write of each row of a table after a number. The caller holds the lock.
 func (c *copiedStore) rows(table string, after uint64) (rows []store.FeedRow) {
-	for _, w := range c.writes {
-		if w.table != table {
-			continue
-		}
-		rows = slices.DeleteFunc(rows, func(r store.FeedRow) bool { return r.Key == w.row.Key })
-		if w.row.Revision.Number() > after {
-			row := w.row
-			row.Revision = c.revision(row.Revision.Number())
+	if c.newest[table] <= after {
+		return nil
+	}
+	for _, row := range c.last[table] {
+		if number := row.Revision.Number(); number > after {
+			row.Revision = c.revision(number)
 			rows = append(rows, row)
 		}
 	}
+	slices.SortFunc(rows, func(a, b store.FeedRow) int { return a.Revision.Compare(b.Revision) })
 	return rows
 }
 
@@ -135,6 +155,7 @@
 // ReadTable implements store.Feed.
 func (c *copiedStore) ReadTable(ctx context.Context, table string) ([]store.FeedRow, store.Revision, error) {
 	c.mu.Lock()
+	c.reads = append(c.reads, time.Now())
 	rows, at, away := c.rows(table, 0), c.revision(c.number), c.away
 	c.mu.Unlock()
 	if away {
@@ -145,6 +166,9 @@
 
 // Changes implements store.Feed.
 func (c *copiedStore) Changes(ctx context.Context, table string, after store.Revision, wait time.Duration) ([]store.FeedRow, store.Revision, error) {
+	c.mu.Lock()
+	c.reads = append(c.reads, time.Now())
+	c.mu.Unlock()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for over := false; ; {
@@ -173,6 +197,7 @@
 // PutRow implements store.Rows.
 func (c *copiedStore) PutRow(_ context.Context, table, key string, value []byte) (store.Revision, error) {
 	c.mu.Lock()
+	c.puts = append(c.puts, time.Now())
 	away := c.away
 	c.mu.Unlock()
 	if away {
@@ -210,9 +235,12 @@
 	broken            []string
 }
 
-func newDrill(ctx context.Context, s *copiedStore, metrics *telemetry.Metrics, tasks *sync.WaitGroup) (*drill, error) {
+// newDrill starts a daemon in an availability zone, among peers that may read for it.
+func newDrill(ctx context.Context, s *copiedStore, id identity, peers relay.Peers, metrics *telemetry.Metrics, tasks *sync.WaitGroup) (*drill, error) {
 	log := slog.New(slog.DiscardHandler)
-	set, err := settings.Parse(nil, func(s *settings.Settings) { s.Daemon, s.Zone, s.Platform.URL = "d", "a", "http://127.0.0.1:9" })
+	set, err := settings.Parse(nil, func(s *settings.Settings) {
+		s.Daemon, s.Zone, s.Platform.URL = id.Daemon, id.Zone, "http://127.0.0.1:9"
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -221,8 +249,8 @@
 		usable: map[ident.Target]bool{}, met: map[ident.Target]bool{}, over: map[ident.Target]bool{},
 	}
 	d.site = newSite(routedParts{
-		Settings: set, Log: log, Routes: &route.Holder{}, Metrics: metrics, Identity: identity{Daemon: "d", Zone: "a", Incarnation: 7},
-		Relay: relay.New(relay.Config{Self: "d", Zone: "a", Store: s, Beat: beatTable, Logger: log}),
+		Settings: set, Log: log, Routes: &route.Holder{}, Metrics: metrics, Identity: id,
+		Relay: relay.New(relay.Config{Self: id.Daemon, Zone: id.Zone, Store: s, Peers: peers, Beat: beatTable, Logger: log}),
 	})
 	d.site.rows = s
 	d.site.view.put = d.note
@@ -234,7 +262,7 @@
 	for _, run := range []func(context.Context){
 		d.site.followRoutes(group), d.site.follow(group, platform.TableTargets, longWait, targetGather, targets),
 		d.site.follow(group, platform.TableDaemons, longWait, daemonGather, daemons),
-		func(ctx context.Context) { d.site.keepOwnRow(ctx, "10.0.0.1:1") }, d.site.expire, d.watch,
+		func(ctx context.Context) { d.site.keepOwnRow(ctx, "10.0.0.1:1") }, d.site.expire,
 	} {
 		tasks.Go(func() { run(ctx) })
 	}
@@ -440,8 +468,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		var tasks sync.WaitGroup
-		d, err := newDrill(ctx, newCopiedStore(eraless), metrics, &tasks)
+		d, err := newDrill(ctx, newCopiedStore(eraless), identity{Daemon: "d", Zone: "a", Incarnation: 7}, nil, metrics, &tasks)
 		is.New(t).NoErr(err)
+		tasks.Go(func() { d.watch(ctx) })
 		d.operate()
 		d.target("t", entryReady)
 		time.Sleep(time.Second)
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -223,7 +223,7 @@
 			return
 		case <-s.own.lost:
 		}
-		pause(ctx, rewriteDelay(rand.Float64()))
+		pause(ctx, s.own.delay(rand.Float64()))
 		if s.own.isLost() && s.writeOwnRow(ctx, value) {
 			event.RowWrittenAgain.Log(s.p.Log, "table", platform.TableDaemons, "key", id.Daemon, "revision", s.own.revision())
 		}
--- a/internal/daemon/siterows.go
+++ b/internal/daemon/siterows.go
@@ -197,11 +197,12 @@
 
 // Replace implements store.Subscriber.
 func (d *daemonRows) Replace(rows []store.FeedRow, at store.Revision) {
+	before := len(d.rows)
 	clear(d.rows)
 	for _, row := range rows {
 		d.take(row)
 	}
-	d.site.own.told(d.holdsOwn(), at)
+	d.site.own.told(d.holdsOwn(), at, max(before, len(d.rows)))
 	d.tell()
 }
 
@@ -209,7 +210,7 @@
 func (d *daemonRows) Change(row store.FeedRow) {
 	d.take(row)
 	if row.Key == string(d.site.p.Identity.Daemon) {
-		d.site.own.told(d.holdsOwn(), row.Revision)
+		d.site.own.told(d.holdsOwn(), row.Revision, len(d.rows))
 	}
 	d.tell()
 }
