Own row: an acknowledgement that comes after the loss does not hide it

Found by reading: a daemon's first write is under way while the store comes back from a copy. The table is read before the answer, lacks the row, and says nothing, as nothing was written yet; then the answer of the older era arrives, and nobody asks again.

Change: what the table lacked is remembered, and the acknowledgement compared with it. Tests of ownRow; the daemon's package ran once, no failure.

--- a/internal/daemon/ownrow.go
+++ b/internal/daemon/ownrow.go
@@ -40,6 +40,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.written = at
+	o.signal()
 }
 
 // told takes in whether the store holds the row, or one of a later incarnation, at a
@@ -48,10 +49,18 @@
 func (o *ownRow) told(holds bool, at store.Revision, daemons int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if holds || o.written == (store.Revision{}) || at.Before(o.written) {
+	if holds {
 		return
 	}
 	o.lostAt, o.daemons = store.Later(o.lostAt, at), max(1, daemons)
+	o.signal()
+}
+
+// signal wakes the writer where the row is lost. The caller holds the lock.
+func (o *ownRow) signal() {
+	if !o.lostNow() {
+		return
+	}
 	select {
 	case o.lost <- struct{}{}:
 	default: // the writer looks again anyway
@@ -69,7 +78,12 @@
 func (o *ownRow) isLost() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.lostAt != (store.Revision{}) && !o.lostAt.Before(o.written)
+	return o.lostNow()
+}
+
+// lostNow tells the same. The caller holds the lock.
+func (o *ownRow) lostNow() bool {
+	return o.written != (store.Revision{}) && o.lostAt != (store.Revision{}) && !o.lostAt.Before(o.written)
 }
 
 // revision returns that of the last write.
