Passing a connection on costs less, and what nobody has time for is refused at once

Neighbours that had just said no were asked again after 100 ms. What nobody took was read late.

Change: 24 connections at most are being asked for at a time; a neighbour that took none rests for 250 ms; no probes on a hop (four system calls a connection; one that goes silent with nothing under way ends with its caller); and where nobody takes a connection, 16 are unread and the daemon refuses a part already, its first request is refused at once, so that the caller's next try reaches another daemon.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -97,13 +97,17 @@
 
 // passOn takes a new connection over that a neighbour is to serve, and tells whether it did.
 func (h *handovers) passOn(caller *readingConn) bool {
-	part := h.load().Part()
-	if part == 0 {
+	load := h.load()
+	if load.Part() == 0 {
 		return false
 	}
-	to, choice := h.offer(part)
-	if choice != handover.Neighbours {
-		caller.admitted = choice == handover.Here
+	to, choice := h.offer(load.Part())
+	switch choice {
+	case handover.Here:
+		caller.admitted = true
+		return false
+	case handover.Nobody:
+		caller.crowded = load.Crowded()
 		return false
 	}
 	h.active.Add(1)
@@ -180,6 +184,7 @@
 func (h *handovers) begun(id ident.Daemon, p *passage) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.picker.Taken()
 	if h.passages[id] == nil {
 		h.passages[id] = map[*passage]bool{}
 	}
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -62,7 +62,10 @@
 // sheds tells whether a new request is to be refused at once, by its context.
 func (l *loadWatch) sheds(ctx context.Context) bool {
 	share := l.shedShare()
-	if share == 0 || admitted(ctx) && firstOnConnection(ctx) {
+	if conn := readingConnOf(ctx); conn != nil && firstOnConnection(ctx) && (conn.admitted || conn.crowded) {
+		return conn.crowded
+	}
+	if share == 0 {
 		return false
 	}
 	return rand.Float64() < overload.Part(share, firstOnConnection(ctx))
--- a/internal/daemon/readingconn.go
+++ b/internal/daemon/readingconn.go
@@ -36,8 +36,9 @@
 	read, retired bool
 	// passedOn tells that a neighbour took the connection first and passes it on, admitted that
 	// its first request is to be served here and not refused for want of processor time, since
-	// others were passed on in its place.
-	passedOn, admitted bool
+	// others were passed on in its place, crowded that it is to be refused, since neither this
+	// daemon nor a neighbour would read it in time.
+	passedOn, admitted, crowded bool
 }
 
 func newReadingConn(conn tcpConn) *readingConn { return &readingConn{tcpConn: conn} }
--- a/internal/daemon/takeover.go
+++ b/internal/daemon/takeover.go
@@ -87,17 +87,12 @@
 	return err
 }
 
-const (
-	// Keep-alive probes and unacknowledged bytes show a hop that went silent.
-	hopUnacked       = time.Second
-	hopProbeIdle     = 2 * time.Second
-	hopProbeInterval = time.Second
-	hopProbes        = 2
-)
+// hopUnacked is how long bytes for a neighbour may stay unacknowledged: a hop that went silent.
+const hopUnacked = time.Second
 
-var hopDialer = dialing.New(dialing.Config{
-	Connect: takeoverWait, UserTimeout: hopUnacked, Idle: hopProbeIdle, Interval: hopProbeInterval, Count: hopProbes,
-})
+// hopDialer sets up no probes: they take four system calls a connection, and a hop that goes
+// silent with nothing under way ends with its caller.
+var hopDialer = dialing.New(dialing.Config{Connect: takeoverWait, UserTimeout: hopUnacked})
 
 // takeover opens a connection to a neighbour that takes it. Version is that of the routes in
 // force here: a caller that was answered by them must not be answered by older ones.
@@ -144,12 +139,6 @@
 	return conn != nil && conn.passedOn
 }
 
-// admitted tells whether the first request of a request's connection is served in any case.
-func admitted(ctx context.Context) bool {
-	conn := readingConnOf(ctx)
-	return conn != nil && conn.admitted
-}
-
 func readingConnOf(ctx context.Context) *readingConn {
 	conn, ok := ctx.Value(connKey{}).(*callerConn)
 	if !ok {
--- a/internal/dialing/dialing.go
+++ b/internal/dialing/dialing.go
@@ -26,7 +26,7 @@
 	UserTimeout time.Duration
 	// Idle, Interval and Count are the keepalive probes: when the first one is
 	// sent on an unused connection, how long each waits, and how many in a row
-	// may stay unanswered.
+	// may stay unanswered. An Idle of zero sends none.
 	Idle, Interval time.Duration
 	Count          int
 }
@@ -40,7 +40,8 @@
 // New returns a dialer.
 func New(cfg Config) *Dialer {
 	return &Dialer{connect: cfg.Connect, dialer: net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: cfg.Idle, Interval: cfg.Interval, Count: cfg.Count},
+		KeepAlive:       -1, // unless there is a configuration
+		KeepAliveConfig: net.KeepAliveConfig{Enable: cfg.Idle > 0, Idle: cfg.Idle, Interval: cfg.Interval, Count: cfg.Count},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return setUserTimeout(raw, cfg.UserTimeout)
 		},
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -47,11 +47,19 @@
 	return overload.Part(l.Refuse, true)
 }
 
+// Crowded tells whether connections are to be refused that nobody takes: they would be read too
+// late. Unread ones alone do not show it, since callers may have sent nothing on them yet.
+func (l Load) Crowded() bool { return l.Unread >= unreadMost && l.Refuse > 0 }
+
 // Takes tells whether connections of neighbours are to be taken over.
 func (l Load) Takes() bool { return l.Refuse < refusedTaken && l.Unread < unreadTaken }
 
 // rest is how long a neighbour is passed over that did not take a connection.
-const rest = 100 * time.Millisecond
+const rest = 250 * time.Millisecond
+
+// askingMost bounds the connections that neighbours are being asked to take: more than a small
+// VM has the processor time to ask for wait for their turns, and so does all else there.
+const askingMost = 24
 
 // Neighbour is another daemon of the availability zone that takes connections over.
 type Neighbour struct {
@@ -65,6 +73,8 @@
 type Picker struct {
 	// most bounds the connections that are passed on at a time.
 	most, open int
+	// asking counts those that no neighbour has taken yet.
+	asking     int
 	neighbours []Neighbour
 	states     map[ident.Daemon]*state
 }
@@ -112,8 +122,11 @@
 )
 
 // Offer chooses who serves a new connection where part of them, from 0 to 1, are to be passed
-// on. Where it is a neighbour, Refused or Ended has to follow.
+// on. Where it is a neighbour, Refused or Taken and Ended have to follow.
 func (p *Picker) Offer(now time.Time, rng *rand.Rand, part float64) (Neighbour, Choice) {
+	if p.asking >= askingMost {
+		return Neighbour{}, Nobody
+	}
 	n, ok := p.Choose(now, rng)
 	switch {
 	case !ok:
@@ -121,12 +134,13 @@
 	case rng.Float64() < part:
 		return n, Neighbours
 	}
+	p.Taken()
 	p.Ended(n.ID)
 	return Neighbour{}, Here
 }
 
 // Choose chooses the neighbour for a connection that is to be passed on. Where ok, Refused
-// or Ended has to follow.
+// or Taken and Ended have to follow.
 func (p *Picker) Choose(now time.Time, rng *rand.Rand) (n Neighbour, ok bool) {
 	var awake []Neighbour
 	for _, n := range p.neighbours {
@@ -143,6 +157,7 @@
 	}
 	p.states[n.ID].open++
 	p.open++
+	p.asking++
 	return n, true
 }
 
@@ -150,12 +165,16 @@
 
 // Refused notes that a neighbour did not take a connection.
 func (p *Picker) Refused(now time.Time, id ident.Daemon) {
+	p.Taken()
 	p.Ended(id)
 	if s := p.states[id]; s != nil {
 		s.rests = now.Add(rest)
 	}
 }
 
+// Taken notes that a neighbour has taken a connection.
+func (p *Picker) Taken() { p.asking-- }
+
 // Ended notes the end of a connection that was passed on.
 func (p *Picker) Ended(id ident.Daemon) {
 	if s := p.states[id]; s != nil && s.open > 0 {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -35,6 +35,7 @@
 		is.True(choice != handover.Nobody)
 		if choice == handover.Neighbours {
 			passed++
+			p.Taken()
 			p.Ended(n.ID)
 		}
 	}
@@ -55,6 +56,7 @@
 			slow++ // and never ends
 			continue
 		}
+		p.Taken()
 		p.Ended(n.ID)
 	}
 	is.True(slow < 60) // 250 of them by chance
@@ -73,6 +75,7 @@
 		n, ok := p.Choose(start.Add(50*time.Millisecond), rng)
 		is.True(ok)
 		is.True(n.ID != first.ID)
+		p.Taken()
 		p.Ended(n.ID)
 	}
 	second, _ := p.Choose(start, rng)
@@ -101,6 +104,7 @@
 	p.SetNeighbours(neighbours(4))
 	_, choice = p.Offer(start, rng, 1)
 	is.Equal(choice, handover.Nobody)
+	p.Taken()
 	p.Ended(last.ID)
 	_, choice = p.Offer(start, rng, 1)
 	is.Equal(choice, handover.Neighbours)
@@ -117,6 +121,9 @@
 	is := is.New(t)
 	is.Equal(handover.Load{Unread: 16}.Part(), 1.0)
 	is.Equal(handover.Load{Unread: 15}.Part(), 0.0)
+	is.True(handover.Load{Unread: 16, Refuse: 0.01}.Crowded())
+	is.True(!handover.Load{Unread: 16}.Crowded()) // callers may have opened them in advance
+	is.True(!handover.Load{Refuse: 0.9}.Crowded())
 	is.True(handover.Load{}.Takes())
 	is.True(!handover.Load{Unread: 8}.Takes())
 	is.True(!handover.Load{Refuse: 0.3}.Takes())
--- a/internal/overload/smallzone_handover_test.go
+++ b/internal/overload/smallzone_handover_test.go
@@ -58,6 +58,7 @@
 			panic(err)
 		}
 		if (handover.Load{Refuse: h.zone.vms[j].shed, Unread: h.unread(j)}).Takes() {
+			p.Taken()
 			open[j]++
 			return j
 		}
