--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -42,6 +42,8 @@
 	keepsLate bool
 	// placed, where set, is told of each request that is sent to an engine.
 	placed func(j *job)
+	// sent, where set, is told of each message between daemons.
+	sent func(m booking.Message)
 	// trace, where set, is told of each refusal.
 	trace func(format string, args ...any)
 }
@@ -318,6 +320,9 @@
 }
 
 func (s *sim) send(from *daemon, e booking.Send) {
+	if s.sent != nil {
+		s.sent(e.Message)
+	}
 	if s.cut(from.id, e.To) {
 		return
 	}
