A burst may have three tenths of its share at once

What callers saw: a workspace that had asked for little is granted up to two seconds of its share in the second in which its burst begins, and the others' next seconds are short.

Cause: the sum that a share is compared with fades over 2 s and is zero while nobody asks.

Change: where there is not enough for all, a workspace that asks for no more than its share is taken to have been granted 0.7 of it. This counts only once it asks for more; work below the share is let in as before. Nobody is held to what another one has.

TestABurstMayHaveAPartOfItsShareAtOnce is new and fails without the change.

What is taken is never more than 0.7 of the present share. It stays for the case of the unit test, which fails without it: a share that halves as the burst begins.

--- a/internal/booking/estimate.go
+++ b/internal/booking/estimate.go
@@ -20,6 +20,9 @@
 	// newsByHubs where hubs add up.
 	newsDirect = tellEvery / 2
 	newsByHubs = tellEvery/2 + 2*hubEvery
+	// credit is the part of its share that a workspace may have at once when it begins to ask
+	// for more. Sums that fade would let it have seconds of its share.
+	credit = 0.3
 )
 
 // reached estimates what the fleet has granted a workspace by now. One that asks for no more
@@ -34,7 +37,17 @@
 	// A rate over the age of news leaves a sum that has faded by as much in the mean.
 	unsaid := a.unsaid.over(now, s.news) * (1 - math.Exp(-age)) / age
 	before := max(0, own-unsaid) * math.Exp(age)
-	return own + others*math.Exp(-age) + unsaid*s.alike(a, others, before)
+	return own + others*math.Exp(-age) + unsaid*s.alike(a, others, before) + s.lifted(now, a, sum)
+}
+
+// lifted is what a workspace is taken to have been granted beyond that. One that daemons keep back
+// has no burst to be bounded.
+func (s *shares) lifted(now time.Time, a *account, sum sums) float64 {
+	if sum.shed >= keptBackFrom*sum.asked {
+		return 0
+	}
+	// The share becomes smaller as the workspace begins to ask.
+	return min(a.lift.now(now), (1-credit)*a.weight*s.level)
 }
 
 // alike is how many times what this daemon granted a workspace the others did together when
@@ -67,3 +80,20 @@
 	a.own.granted.add(now, cost)
 	a.unsaid.addOver(now, cost, s.news)
 }
+
+// liftAll takes the workspaces that ask for no more than their shares to have been granted most
+// of them, so that what they may have at once when they ask for more is a part of that.
+func (s *shares) liftAll(now time.Time) {
+	if math.IsInf(s.level, 1) {
+		return
+	}
+	for _, a := range s.accounts {
+		sum := a.sums(now)
+		if sum.asked > a.weight*s.level {
+			continue
+		}
+		if lift := (1-credit)*a.weight*s.level - sum.granted; lift > a.lift.now(now) {
+			a.lift = faded{lift, now}
+		}
+	}
+}
--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -117,6 +117,7 @@
 	if observed > stated {
 		s.level = max(s.level, min(s.fill(now, observed), observedLead*s.keptBack))
 	}
+	s.liftAll(now)
 }
 
 const (
--- a/internal/booking/shares_test.go
+++ b/internal/booking/shares_test.go
@@ -65,6 +65,29 @@
 	is.True(s.within(now, "ahead", 100, r))
 }
 
+// Guards against a burst that is granted seconds of its share at once, since it had asked for little.
+func TestABurstMayHaveAPartOfItsShareAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := newShares()
+	s.owns(1, 1)
+	s.configure([]Workspace{{Name: "hot", Weight: 1}, {Name: "burst", Weight: 1}})
+	r := rates{stated: 200, observed: 200}
+	grant(&s, now, "hot", 400)
+	s.account("burst").own.asked.add(now, 10)
+	is.True(s.within(now, "burst", 10, r)) // and its share is nearly 400
+
+	now = now.Add(100 * time.Millisecond)
+	grant(&s, now, "hot", 400)
+	s.account("burst").own.asked.add(now, 4000)
+	is.True(s.within(now, "burst", 100, r)) // its share is 200 now
+	is.True(!s.within(now, "burst", 300, r))
+	s.grant(now, s.account("burst"), 50)
+	is.True(!s.within(now, "burst", 100, r))
+	now = now.Add(time.Second)
+	is.True(s.within(now, "burst", 100, r))
+}
+
 // Guards against grants that came to nothing: callers of a small VM leave before their requests
 // are sent on, their workspace seems to have twice what it gets, and others are held near that.
 func TestWhatNoTargetHasRunIsNotGranted(t *testing.T) {
--- a/internal/booking/sums.go
+++ b/internal/booking/sums.go
@@ -67,8 +67,9 @@
 	weight float64
 	// own is what this daemon's callers asked for, and what this daemon granted as owner.
 	own fading
-	// unsaid is what this daemon granted of late, over the age of news (estimate.go).
-	unsaid faded
+	// unsaid is what this daemon granted of late, over the age of news, and lift what the
+	// workspace is taken to have been granted while it asked for less (estimate.go).
+	unsaid, lift faded
 	// unused is what of the grants came to nothing.
 	unused faded
 	// others are the same sums of each other daemon, as last told, and all is what
