One may be half as far again ahead of one that lacks for want of targets, to get what is spare

What callers saw: requests refused beside targets that are less than half taken, for being 1.3 times ahead of another workspace that no daemon keeps back.

Ruled out: the same lead over one that daemons keep back.

--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -86,13 +86,17 @@
 	}
 	s.refresh(now, rate.stated, rate.observed)
 	a := s.account(ws)
-	return s.reached(now, a)+cost/2 <= a.weight*max(s.level, spareLead*s.behind)
+	return s.reached(now, a)+cost/2 <= a.weight*max(s.level, min(spareLead*s.behind, keptBackLead*s.keptBack))
 }
 
 // spareLead is how far a workspace may be ahead of the least served one that lacks
-// and still get what is spare. Far below two, since each daemon sees what the
-// others granted some hundred ms late.
-const spareLead = 1.3
+// and still get what is spare, and keptBackLead over one that daemons keep back. Far below two,
+// since each daemon sees what the others granted some hundred ms late, and one that is kept back
+// may get less from one second to the next.
+const (
+	spareLead    = 1.5
+	keptBackLead = 1.3
+)
 
 // room is how far above its fair level a workspace may be and still count as
 // within its share.
@@ -132,7 +136,7 @@
 	//
 	// It binds for such workspaces alone. Those that lack because the targets that keep
 	// their prompts are full gain nothing where others get less at other targets.
-	observedLead = spareLead / room
+	observedLead = keptBackLead / room
 	// keptBackFrom is the part of what a workspace asks for from which on daemons that
 	// refuse it for want of processor time keep it back. Daemons that refuse nothing else
 	// refuse a few in a hundred while a burst of new connections lasts.
