A workspace that begins to ask for much is told of at once where hubs add up

Cause: each owner learns of a burst 0.75 s late on average; until then its level is the one without it, and it does not count as asking for more than its share.

Its messages are the usual ones, earlier, so that no more is expected of who gets them.

Bytes were not measured.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -52,13 +52,14 @@
 	runs map[runKey]*run
 	// held are the placed requests of this ingress that are held back, by the numbers
 	// of their runs; holds is until when, in order.
-	held     map[uint64]*request
-	holds    []heldUntil
-	returns  returns
-	effects  []Effect
-	outbox   map[ident.Daemon]*Message
-	nextTell time.Time
-	circle   circle
+	held    map[uint64]*request
+	holds   []heldUntil
+	returns returns
+	effects []Effect
+	outbox  map[ident.Daemon]*Message
+	// lastTell is when this daemon told others last, and nextTell when it is to.
+	lastTell, nextTell time.Time
+	circle             circle
 	// nextForget is when requests are looked for of which nothing is heard.
 	nextForget time.Time
 }
@@ -359,7 +360,7 @@
 		c.returns.forget(now)
 	}
 	if !now.Before(c.nextTell) {
-		c.nextTell = now.Add(c.interval())
+		c.lastTell, c.nextTell = now, now.Add(c.interval())
 		c.tell(now)
 	}
 }
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -31,9 +31,10 @@
 // before a place was looked for.
 func (c *Core) Wanted(now time.Time, name ident.Service, ws ident.Workspace, cost float64) {
 	if s := c.services[name]; s != nil {
-		own := &s.shares.account(ws).own
-		own.asked.add(now, cost)
-		own.shed.add(now, cost)
+		a := s.shares.account(ws)
+		a.own.asked.add(now, cost)
+		a.own.shed.add(now, cost)
+		c.hasten(now, s, a)
 	}
 }
 
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -112,7 +112,9 @@
 	back = c.returns.meet(now, a.Parts, a.Prompt)
 	a.Late = a.Late || back
 	if !a.Late {
-		s.shares.account(a.Workspace).own.asked.add(now, cost(*a))
+		account := s.shares.account(a.Workspace)
+		account.own.asked.add(now, cost(*a))
+		c.hasten(now, s, account)
 	}
 	return back
 }
--- a/internal/booking/tell.go
+++ b/internal/booking/tell.go
@@ -120,7 +120,9 @@
 		return
 	}
 	t := toldNow(now, sums{asked: u.Asked, shed: u.Shed, granted: u.Granted})
-	s.shares.accounts[u.Workspace].others[from] = &t
+	a := s.shares.accounts[u.Workspace]
+	a.others[from] = &t
+	c.hasten(now, s, a)
 }
 
 func (c *Core) takeLoad(now time.Time, l Load) {
--- a/internal/booking/tell_test.go
+++ b/internal/booking/tell_test.go
@@ -119,6 +119,24 @@
 	is.True(x.between <= 4*3*2*4+12)
 }
 
+// Guards against a burst that owners know of only when most of a second's grants are given.
+func TestABurstIsToldAtOnce(t *testing.T) {
+	x := newExchange(4, 17)
+	x.run(10*time.Second, 100)
+	x.frames = 0
+	const long, perSecond = 400 * time.Millisecond, 100000
+	x.run(long, perSecond)
+	asked := float64(len(x.ids)) * perSecond * long.Seconds()
+	for _, id := range x.ids {
+		if got := x.asked(id); got < asked/5 {
+			t.Errorf("%s knows of %.2f of a burst after %s", id, got/asked, long)
+		}
+	}
+	if most := 6 * len(x.ids); x.frames > most {
+		t.Errorf("%d frames in %s, want at most %d", x.frames, long, most)
+	}
+}
+
 // A few daemons tell all others.
 func TestAFewTellEachOther(t *testing.T) {
 	x := newExchange(3, 2)
