--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -131,7 +131,7 @@
 	// Load pattern: the callers of one hot workspace all reach one small VM, which has the
 	// processor time for a fraction of what they ask for, while the other hot ones fill
 	// the engines, and get more than twice what the hot one does. With the room above the
-	// level it is the lead of what is spare: sums are up to 0.75 s old and those ahead take
+	// level it is keptBackLead: sums are up to 0.75 s old and those ahead take
 	// turns at being the best served, so that it has to be well below two.
 	//
 	// It binds for such workspaces alone. Those that lack because the targets that keep
