What no target has run is not counted as granted

Cause: a grant stays in its workspace's sum whether or not its request was sent.

Change: the owner takes it back, from its sum and from what it takes others to have granted alike.

--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -256,7 +256,7 @@
 	}
 	delete(c.runs, key)
 	if a := r.target.service.shares.accounts[r.workspace]; a != nil && end.unused() {
-		a.unused.add(now, r.granted)
+		r.target.service.shares.takeBack(now, a, r.granted, r.at)
 	}
 	r.target.streamed(now, r, end)
 	r.target.remove(now, r, end.Elapsed)
