--- a/internal/booking/sim_engine_test.go
+++ b/internal/booking/sim_engine_test.go
@@ -40,3 +40,15 @@
 		e.enter(next)
 	}
 }
+
+// work is what reading a request's prompt costs the engine.
+func (e *engine) work(j *job) float64 {
+	unread := j.Prompt
+	for _, p := range j.Parts[:len(j.Parts)-1] {
+		if !e.parts[p.ID] {
+			break
+		}
+		unread -= p.Tokens
+	}
+	return float64(unread) * (1 + float64(unread)/48000)
+}
--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -220,66 +220,6 @@
 	s.carryOut(d)
 }
 
-func (s *sim) placeByPolicy(d *daemon, j *job) {
-	target := s.policy(s, j)
-	if target == "" {
-		delete(d.jobs, j.ID)
-		s.got[j.Workspace].refused++
-		return
-	}
-	s.dispatch(d, j, target)
-}
-
-// emptiest sends every request to the engine with the fewest, which it knows exactly,
-// and refuses none.
-func emptiest(s *sim, _ *job) ident.Target {
-	var best *engine
-	for _, t := range s.service.Targets {
-		e := s.engines[t.Name]
-		if best == nil || e.used+len(e.waiting) < best.used+len(best.waiting) {
-			best = e
-		}
-	}
-	return best.spec.Name
-}
-
-// allKnowing sends a request to the engine that would answer it first, by the true
-// state of all engines and what they keep, and refuses what would be late.
-func allKnowing(s *sim, j *job) ident.Target {
-	var best *engine
-	var first time.Time
-	for _, t := range s.service.Targets {
-		e := s.engines[t.Name]
-		if e.used >= e.spec.Slots {
-			continue
-		}
-		begin := e.free
-		if begin.Before(s.now) {
-			begin = s.now
-		}
-		at := begin.Add(time.Duration(e.work(j) / e.rate * float64(time.Millisecond)))
-		if best == nil || at.Before(first) {
-			best, first = e, at
-		}
-	}
-	if best == nil || first.Add(simOverhead+s.hop).After(j.Due) {
-		return ""
-	}
-	return best.spec.Name
-}
-
-// work is what reading a request's prompt costs the engine.
-func (e *engine) work(j *job) float64 {
-	unread := j.Prompt
-	for _, p := range j.Parts[:len(j.Parts)-1] {
-		if !e.parts[p.ID] {
-			break
-		}
-		unread -= p.Tokens
-	}
-	return float64(unread) * (1 + float64(unread)/48000)
-}
-
 func (s *sim) carryOut(d *daemon) {
 	for _, effect := range d.core.Take() {
 		switch e := effect.(type) {
@@ -308,25 +248,6 @@
 	}
 }
 
-// returnLater brings a refused request back through any daemon under a new id, as if
-// it were new.
-func (s *sim) returnLater(j *job) {
-	if s.comesBack == nil || j.again {
-		return
-	}
-	again := &job{Request: j.Request, again: true}
-	patience := j.Due.Sub(j.arrived)
-	s.after(s.comesBack(), func() {
-		s.serial++
-		again.ID = ident.Request(fmt.Sprintf("r%07d", s.serial))
-		again.arrived, again.Due = s.now, s.now.Add(patience)
-		d := s.daemons[s.rng.IntN(len(s.daemons))]
-		d.jobs[again.ID] = again
-		d.core.Submit(s.now, again.Request)
-		s.carryOut(d)
-	})
-}
-
 func (s *sim) send(from *daemon, e booking.Send) {
 	if s.sent != nil {
 		s.sent(e.Message)
@@ -454,42 +375,6 @@
 	}
 }
 
-// load sends requests of one shape at a rate, from all daemons in turn.
-type load struct {
-	workspace ident.Workspace
-	perSecond float64
-	from, to  time.Duration
-	objective time.Duration
-	// make returns one request.
-	make func(rng *rand.Rand) booking.Request
-}
-
-func (s *sim) offer(l load) {
-	var next func()
-	next = func() {
-		if s.now.Sub(time.Unix(1000, 0)) >= l.to {
-			return
-		}
-		r := l.make(s.rng)
-		r.Workspace = l.workspace
-		s.submit(s.daemons[s.rng.IntN(len(s.daemons))], r, l.objective)
-		s.after(time.Duration(s.rng.ExpFloat64()/l.perSecond*float64(time.Second)), next)
-	}
-	s.after(l.from, next)
-}
-
-// session returns requests with a shared part of one of so many sessions.
-func session(first uint64, sessions, shared, own, output int) func(*rand.Rand) booking.Request {
-	return func(rng *rand.Rand) booking.Request {
-		id := first + uint64(rng.IntN(sessions))
-		tokens := 1 + int(float64(own)*(0.5+rng.Float64()))
-		return booking.Request{
-			Prompt: shared + tokens, Output: output,
-			Parts: []booking.Part{{ID: id, Tokens: shared}, {ID: rng.Uint64(), Tokens: tokens}},
-		}
-	}
-}
-
 // share returns the part of a workspace's requests that were answered in time.
 func (t *tally) share() float64 { return float64(t.inTime) / float64(max(1, t.asked)) }
 
