--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -35,6 +35,7 @@
 		a.own.asked.add(now, cost)
 		a.own.shed.add(now, cost)
 		a.tally.shed += cost
+		c.hasten(now, s, a)
 	}
 }
 
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -113,7 +113,9 @@
 	back = c.returns.meet(now, a.Parts, a.Prompt)
 	a.Late = a.Late || back
 	if !a.Late {
-		s.shares.account(a.Workspace).own.asked.add(now, cost(*a))
+		account := s.shares.account(a.Workspace)
+		account.own.asked.add(now, cost(*a))
+		c.hasten(now, s, account)
 	}
 	return back
 }
@@ -125,7 +127,8 @@
 	c.runs[runKey{r.ingress, a.ID}] = r
 	if !a.Taken && !a.Begun {
 		r.workspace, r.granted = a.Workspace, cost(a)
-		e.service.shares.account(a.Workspace).own.granted.add(now, r.granted)
+		s := &e.service.shares
+		s.grant(now, s.account(a.Workspace), r.granted)
 	}
 }
 
@@ -254,7 +257,7 @@
 	}
 	delete(c.runs, key)
 	if a := r.target.service.shares.accounts[r.workspace]; a != nil && end.unused() {
-		a.unused.add(now, r.granted)
+		r.target.service.shares.takeBack(now, a, r.granted, r.at)
 	}
 	r.target.streamed(now, r, end)
 	r.target.remove(now, r, end.Elapsed)
--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -25,10 +25,14 @@
 	behind, keptBack float64
 	// fleet tells that what others told is the fleet's sum, this daemon's included.
 	fleet bool
+	// part is the part of the targets that this daemon owns, and news how old on average
+	// what others told is.
+	part float64
+	news time.Duration
 }
 
 func newShares() shares {
-	return shares{accounts: map[ident.Workspace]*account{}, level: math.Inf(1), behind: math.Inf(1), keptBack: math.Inf(1)}
+	return shares{accounts: map[ident.Workspace]*account{}, level: math.Inf(1), behind: math.Inf(1), keptBack: math.Inf(1), news: newsDirect}
 }
 
 func (s *shares) account(ws ident.Workspace) *account {
@@ -63,14 +67,14 @@
 	}
 	s.refresh(now, rate.stated, rate.observed)
 	a := s.account(ws)
-	return a.sums(now).granted+cost/2 <= a.weight*s.level*room
+	return s.reached(now, a)+cost/2 <= a.weight*s.level*room
 }
 
 // used returns how much of its share a workspace has had: one is all of it.
 func (s *shares) used(now time.Time, ws ident.Workspace, rate rates) float64 {
 	s.refresh(now, rate.stated, rate.observed)
 	a := s.account(ws)
-	return a.sums(now).granted / (a.weight * s.level)
+	return s.reached(now, a) / (a.weight * s.level)
 }
 
 // maySpare tells whether a workspace above its share may have what is spare. That
@@ -82,13 +86,17 @@
 	}
 	s.refresh(now, rate.stated, rate.observed)
 	a := s.account(ws)
-	return a.sums(now).granted+cost/2 <= a.weight*max(s.level, spareLead*s.behind)
+	return s.reached(now, a)+cost/2 <= a.weight*max(s.level, min(spareLead*s.behind, keptBackLead*s.keptBack))
 }
 
 // spareLead is how far a workspace may be ahead of the least served one that lacks
-// and still get what is spare. Far below two, since each daemon sees what the
-// others granted some hundred ms late.
-const spareLead = 1.3
+// and still get what is spare, and keptBackLead over one that daemons keep back. Far below two,
+// since each daemon sees what the others granted some hundred ms late, and one that is kept back
+// may get less from one second to the next.
+const (
+	spareLead    = 1.5
+	keptBackLead = 1.3
+)
 
 // room is how far above its fair level a workspace may be and still count as
 // within its share.
@@ -113,6 +121,7 @@
 	if observed > stated {
 		s.level = max(s.level, min(s.fill(now, observed), observedLead*s.keptBack))
 	}
+	s.liftAll(now)
 }
 
 const (
@@ -122,12 +131,12 @@
 	// Load pattern: the callers of one hot workspace all reach one small VM, which has the
 	// processor time for a fraction of what they ask for, while the other hot ones fill
 	// the engines, and get more than twice what the hot one does. With the room above the
-	// level it is the lead of what is spare: sums are up to 0.75 s old and those ahead take
+	// level it is keptBackLead: sums are up to 0.75 s old and those ahead take
 	// turns at being the best served, so that it has to be well below two.
 	//
 	// It binds for such workspaces alone. Those that lack because the targets that keep
 	// their prompts are full gain nothing where others get less at other targets.
-	observedLead = spareLead / room
+	observedLead = keptBackLead / room
 	// keptBackFrom is the part of what a workspace asks for from which on daemons that
 	// refuse it for want of processor time keep it back. Daemons that refuse nothing else
 	// refuse a few in a hundred while a burst of new connections lasts.
--- a/internal/booking/tell.go
+++ b/internal/booking/tell.go
@@ -102,7 +102,7 @@
 	changed := c.circle.hub != r.hub
 	c.circle = r
 	for _, s := range c.services {
-		s.shares.fleet = r.hub != "" && !r.isHub(c.cfg.Self)
+		s.shares.hear(r.hub != "", r.hub != "" && !r.isHub(c.cfg.Self))
 		for _, a := range s.shares.accounts {
 			for id := range a.others {
 				if _, ok := c.expects(id); changed || !ok {
@@ -120,7 +120,9 @@
 		return
 	}
 	t := toldNow(now, sums{asked: u.Asked, shed: u.Shed, granted: u.Granted})
-	s.shares.accounts[u.Workspace].others[from] = &t
+	a := s.shares.accounts[u.Workspace]
+	a.others[from] = &t
+	c.hasten(now, s, a)
 }
 
 func (c *Core) takeLoad(now time.Time, l Load) {
