--- a/internal/booking/estimate.go
+++ b/internal/booking/estimate.go
@@ -97,12 +97,3 @@
 		}
 	}
 }
-
-// takeBack notes that what was granted a while ago came to nothing: the callers of a small VM that
-// does not keep up leave before their requests are sent on.
-func (s *shares) takeBack(now time.Time, a *account, cost float64, at time.Time) {
-	granted := faded{cost, at}
-	a.own.granted.add(now, -min(a.own.granted.now(now), granted.now(now)))
-	a.unsaid.addOver(now, -min(a.unsaid.over(now, s.news), granted.over(now, s.news)), s.news)
-	a.unused.add(now, cost)
-}
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -257,7 +257,7 @@
 	}
 	delete(c.runs, key)
 	if a := r.target.service.shares.accounts[r.workspace]; a != nil && end.unused() {
-		r.target.service.shares.takeBack(now, a, r.granted, r.at)
+		a.unused.add(now, r.granted)
 	}
 	r.target.streamed(now, r, end)
 	r.target.remove(now, r, end.Elapsed)
--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -60,14 +60,13 @@
 }
 
 // WorkspaceUse is what a workspace asked for of late, what of that daemons refused for want
-// of processor time, and what owners granted and did not take back. What no daemon has read is in
-// none of them.
+// of processor time, and what owners granted. What no daemon has read is in none of them.
 type WorkspaceUse struct {
 	Workspace ident.Workspace `json:"workspace"`
 	Asked     int             `json:"asked"`
 	Shed      int             `json:"shed"`
 	Granted   int             `json:"granted"`
-	// Unused is what this daemon granted of late as an owner and took back, as no target has run it.
+	// Unused is what this daemon granted of late as an owner and no target has run.
 	Unused int `json:"unused"`
 }
 
