A planned stop waits for whom it has just taken over or taken back

What callers saw: on a VM whose turns take long, a request that a planned stop had read ended without an answer; in front of it, a caller passed on got 502 (may have run) for a request that had not run. Cause: a listener's goroutine accepts a connection and tells the server of it a turn later. The stop waited for the callers' listener to end, but not for those that bring connections over from neighbours and back from them: with such a connection not known yet it found none in use, shut the server down, and net/http closes what it reads after that. Ruled out: connections without a first request, which the stop also waits for. Change: each listener is closed and waited for before its connections are. Conclusion: it holds since a listener that has ended has told of all that it accepted.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -225,6 +225,16 @@
 	return len(c.busy) + len(c.fresh) + len(c.idle)
 }
 
+// use is how many connections hold a request, may still bring their first, and were told to
+// close.
+type use struct{ busy, fresh, ending int }
+
+func (c *connections) use() use {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return use{busy: len(c.busy), fresh: len(c.fresh), ending: len(c.ending)}
+}
+
 // used tells whether a connection holds a request or may still bring its first.
 func (c *connections) used(now time.Time) bool {
 	c.mu.Lock()
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -42,24 +42,19 @@
 }
 
 func newStarved(t *testing.T, neighbours ...string) *starved {
+	t.Helper()
+	return newStarvedVM(t, settings.Defaults(), neighbours...)
+}
+
+func newStarvedVM(t *testing.T, vm settings.Settings, neighbours ...string) *starved {
 	t.Helper()
 	inner, err := listenDrainable("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &starved{t: t, address: inner.Addr().String(), listener: inner, load: newLoadWatch(settings.Defaults())}
+	s := &starved{t: t, address: inner.Addr().String(), listener: inner, load: newLoadWatch(vm)}
 	s.load.shed.Store(shedUnit)
-	metrics := telemetry.NewMetrics()
-	t.Cleanup(func() { _ = metrics.Close() })
-	s.handovers = newHandovers(settings.Defaults(), s.load, metrics, slog.New(slog.DiscardHandler))
-	var ids []ident.Daemon
-	addresses := map[ident.Daemon]string{}
-	for i, address := range neighbours {
-		id := ident.Daemon(fmt.Sprintf("n%d", i))
-		ids, addresses[id] = append(ids, id), address
-	}
-	s.handovers.setNeighbours(ids, map[ident.Daemon]bool{"n0": true, "n1": true, "n2": true})
-	s.handovers.setAddresses(addresses)
+	s.handovers = newTestHandovers(t, vm, s.load, neighbours...)
 	s.handovers.version = s.version.Load
 	s.handovers.unread = func(time.Time) int { return int(s.unread.Load()) }
 	s.handler.Store(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "local") }))
@@ -74,6 +69,23 @@
 	return s
 }
 
+// newTestHandovers passes connections on to these neighbours.
+func newTestHandovers(t *testing.T, vm settings.Settings, load *loadWatch, neighbours ...string) *handovers {
+	t.Helper()
+	metrics := telemetry.NewMetrics()
+	t.Cleanup(func() { _ = metrics.Close() })
+	h := newHandovers(vm, load, metrics, slog.New(slog.DiscardHandler))
+	var ids []ident.Daemon
+	addresses := map[ident.Daemon]string{}
+	for i, address := range neighbours {
+		id := ident.Daemon(fmt.Sprintf("n%d", i))
+		ids, addresses[id] = append(ids, id), address
+	}
+	h.setNeighbours(ids, map[ident.Daemon]bool{"n0": true, "n1": true, "n2": true})
+	h.setAddresses(addresses)
+	return h
+}
+
 // neighbour takes connections over and serves them as a daemon does.
 type neighbour struct {
 	address string
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -224,7 +224,8 @@
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
 	endLoop context.CancelFunc
-	callers <-chan struct{}
+	// accepting tells when callers' connections are accepted no more.
+	accepting accepting
 }
 
 type routedParts struct {
@@ -270,10 +271,10 @@
 	for _, run := range site.tasks() {
 		d.tasks.Go(func() { run(taskCtx) })
 	}
-	d.callers = d.serve(d.p.Servers.callers, newSheddingListener(d.p.Servers.callersListener, d.p.Load.acceptRate, d.p.Handovers.passOn))
-	d.serve(d.p.Servers.callers, d.p.Handovers.returned)
+	d.accepting.callers = d.serve(d.p.Servers.callers, newSheddingListener(d.p.Servers.callersListener, d.p.Load.acceptRate, d.p.Handovers.passOn))
+	d.accepting.returned = d.serve(d.p.Servers.callers, d.p.Handovers.returned)
 	if d.p.Servers.takeoverListener != nil {
-		d.serve(d.p.Servers.callers, d.p.Servers.takeoverListener)
+		d.accepting.takeovers = d.serve(d.p.Servers.callers, d.p.Servers.takeoverListener)
 	}
 	d.serve(d.p.Servers.operators, d.p.Servers.operatorsListener)
 	if d.p.Servers.readinessListener != nil {
@@ -303,20 +304,16 @@
 		pause(ctx, d.p.Settings.Stop.BalancerLag)
 	}
 	d.p.Life.fire(triggerBalancerNoticed)
-	if d.p.Servers.takeoverListener != nil {
-		_ = d.p.Servers.takeoverListener.Close() // what waits there is not taken, and its neighbour knows
-	}
 	// From here on a request may be too long to end before the process is killed:
 	// one on a kept connection is refused as not run, and unused connections are
 	// closed, so that their callers take new ones elsewhere.
 	d.p.Gateway.Close()
-	d.p.Servers.connections.closeUnused(time.Now())
-	d.p.Servers.callersListener.drain()
-	<-d.callers
-	d.p.Handovers.settle(ctx)
-	d.p.Servers.connections.settle(ctx)
-	// What is left are connections without a request.
-	_ = d.p.Servers.callers.Shutdown(ctx)
+	drainCtx, drained := context.WithCancel(ctx)
+	d.tasks.Go(func() {
+		d.p.Servers.warnOfDrain(drainCtx, max(d.p.Settings.Stop.WarnAfter, time.Second), d.p.Handovers, d.p.Log)
+	})
+	d.p.Servers.drain(ctx, d.p.Handovers, d.accepting)
+	drained()
 	d.p.Life.fire(triggerDrained)
 	d.cancel()
 	_ = d.p.Node.Stop(ctx)
