An answer that comes together with 100 Continue is known for one

What callers see: an answer of the neighbour that serves them, and right behind it a 502 on the same connection, which may be taken for the answer to their next request. Cause: a chunk of an answer that begins with 100 Continue was taken for nothing but that. A caller that does not wait for it, and a daemon in front whose turn takes longer than the neighbour needs, make one chunk of both. Change: what follows the interim answer in the chunk counts. Conclusion: it holds for interim answers that come whole, as net/http writes them.

--- a/internal/daemon/passage.go
+++ b/internal/daemon/passage.go
@@ -91,14 +91,23 @@
 	_ = p.caller.SetReadDeadline(time.Now().Add(lastRead))
 }
 
-// continues is what a server says before it reads a body; it is no answer.
-var continues = []byte("HTTP/1.1 100 ")
+// continues is how that begins which a server says before it reads a body, and headerEnd how it
+// ends. It is no answer.
+var continues, headerEnd = []byte("HTTP/1.1 100 "), []byte("\r\n\r\n")
+
+// afterContinues returns what follows in a chunk of an answer's beginning.
+func afterContinues(chunk []byte) []byte {
+	for bytes.HasPrefix(chunk, continues) {
+		_, chunk, _ = bytes.Cut(chunk, headerEnd)
+	}
+	return chunk
+}
 
 // answer carries what the neighbour answers, and its end. It tells whether an answer came,
 // if one was owed.
 func (p *passage) answer() (whole bool) {
 	err := carryBytes(p.caller, p.neighbour, func(chunk []byte) {
-		if !bytes.HasPrefix(chunk, continues) {
+		if len(afterContinues(chunk)) > 0 {
 			p.answered.Store(true)
 		}
 	})
--- a/internal/daemon/passage_test.go
+++ b/internal/daemon/passage_test.go
@@ -161,6 +161,26 @@
 	is.Equal(w.StatusCode, 502)
 }
 
+// Guards against a second answer to a caller whose first one came together with "100 Continue".
+func TestAnAnswerRightBehindAContinueIsTheOnlyOne(t *testing.T) {
+	is := is.New(t)
+	s := newStarved(t, script(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_ = conn.Close()
+	}))
+	conn, err := net.Dial("tcp", s.address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\nabc")
+	is.NoErr(err)
+	text, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.True(strings.HasSuffix(string(text), "\r\n\r\nok"))
+}
+
 // A caller that leaves a stream rudely is no fault of the neighbour.
 func TestACallerThatResetsIsNoLostNeighbour(t *testing.T) {
 	is := is.New(t)
