--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"math/rand/v2"
-	"net"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -21,6 +21,16 @@
 // takeoverTries is how many neighbours are asked to take one connection.
 const takeoverTries = 2
 
+// passedPart is the part of the connections that a daemon may have of callers which it passes on
+// at a time. Each is carried through the daemon to its end, streams event by event: more than it
+// has turns for delay each other and all that it serves itself.
+const passedPart = 1.0 / 16
+
+// passagesMost bounds the connections that are passed on at a time; zero means no bound.
+func passagesMost(m settings.Memory) int {
+	return int(math.Ceil(passedPart * float64(callersConnections(m))))
+}
+
 // handovers passes new connections of callers on to neighbours while this daemon is short
 // of processor time. It is safe for concurrent use.
 type handovers struct {
@@ -39,6 +49,9 @@
 	// took, that it did not take, where it did not answer in time, and that it ended without an
 	// answer.
 	passed, refused, unheard, lost atomic.Int64
+	// sending are the waits since the last report from the acceptance of a connection until its
+	// first bytes went to a neighbour.
+	sending waits
 
 	mu         sync.Mutex
 	picker     *handover.Picker
@@ -53,7 +66,7 @@
 	return &handovers{
 		watch: load, unread: func(time.Time) int { return 0 }, version: func() uint64 { return 0 }, log: log, metrics: metrics,
 		returned: newReturnedListener(),
-		picker:   handover.NewPicker(callersConnections(s.Memory) / 2),
+		picker:   handover.NewPicker(passagesMost(s.Memory)),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		passages: map[ident.Daemon]map[*passage]bool{},
 	}
@@ -111,9 +124,10 @@
 		return false
 	}
 	h.active.Add(1)
+	p := &passage{caller: caller, accepted: time.Now(), sending: &h.sending}
 	go func() {
 		defer h.active.Add(-1)
-		h.pass(caller, to)
+		h.pass(p, to)
 	}()
 	return true
 }
@@ -125,11 +139,12 @@
 
 // pass passes a connection on until it ends, or gives it back to this daemon where nobody
 // takes it.
-func (h *handovers) pass(caller *readingConn, to handover.Neighbour) {
+func (h *handovers) pass(p *passage, to handover.Neighbour) {
 	for try := 1; ; try++ {
 		conn, err := takeover(to.Address, h.version())
 		if err == nil {
-			h.carry(caller, conn, to)
+			p.neighbour = conn
+			h.carry(p, to)
 			return
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -139,19 +154,18 @@
 		}
 		var ok bool
 		if to, ok = h.another(to.ID, try); !ok {
-			h.returned.give(caller)
+			h.returned.give(p.caller)
 			return
 		}
 	}
 }
 
 // carry serves a connection that a neighbour has taken.
-func (h *handovers) carry(caller *readingConn, conn *net.TCPConn, to handover.Neighbour) {
-	p := &passage{caller: caller, neighbour: conn}
+func (h *handovers) carry(p *passage, to handover.Neighbour) {
 	h.begun(to.ID, p)
 	defer h.ended(to.ID, p)
-	if hungUp(caller) {
-		_, _ = conn.Close(), caller.Close() // nobody waits for anything on it
+	if hungUp(p.caller) {
+		_, _ = p.neighbour.Close(), p.caller.Close() // nobody waits for anything on it
 		return
 	}
 	h.passed.Add(1)
@@ -204,8 +218,10 @@
 // report logs what was passed on since the last report, where there was anything.
 func (h *handovers) report() {
 	passed, refused, unheard, lost := h.passed.Swap(0), h.refused.Swap(0), h.unheard.Swap(0), h.lost.Swap(0)
+	sent, longest := h.sending.take()
 	if passed+refused+unheard > 0 {
-		event.HandoverReport.Log(h.log, "passed_on", passed, "refused", refused, "unheard", unheard, "lost", lost, "open", h.active.Load())
+		event.HandoverReport.Log(h.log, "passed_on", passed, "refused", refused, "unheard", unheard, "lost", lost, "open", h.active.Load(),
+			"sent_ms", sent.Milliseconds(), "longest_ms", longest.Milliseconds())
 	}
 }
 
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -423,3 +423,34 @@
 		is.Equal(sheds.Load(), want)
 	}
 }
+
+// Guards against a small VM that carries so many streams of callers to neighbours that it has no
+// turns left for them, nor for what it serves itself: all of them come late.
+func TestASmallVMCarriesFewConnectionsAtATime(t *testing.T) {
+	is := is.New(t)
+	const most = 46 // of a VM of 184 MB
+	held := make(chan struct{})
+	var carried atomic.Int64
+	n := newNeighbour(t, func(http.ResponseWriter, *http.Request) {
+		carried.Add(1)
+		<-held
+	})
+	t.Cleanup(func() { close(held) })
+	small := settings.Defaults()
+	small.Memory = settings.Memory{Limit: 184, Descriptors: 4100}
+	s := newStarvedVM(t, small, n.address)
+	for i := range int64(most) {
+		conn, err := net.Dial("tcp", s.address)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, hopRequest)
+		is.NoErr(err)
+		for end := time.Now().Add(5 * time.Second); carried.Load() <= i && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(carried.Load(), i+1)
+	}
+	_, answer, err := s.post("x")
+	is.NoErr(err)
+	is.Equal(answer, "local")
+}
--- a/internal/daemon/passage.go
+++ b/internal/daemon/passage.go
@@ -31,6 +31,10 @@
 type passage struct {
 	caller    tcpConn
 	neighbour *net.TCPConn
+	// accepted is when the caller's connection was, and sending takes how long its first bytes
+	// waited from then on; it may be nil.
+	accepted time.Time
+	sending  *waits
 	// asked tells that bytes of the caller may have reached the neighbour, answered that
 	// some of its answer came, left that the caller closed its connection.
 	asked, answered, left atomic.Bool
@@ -76,6 +80,9 @@
 	if p.asked.Swap(true) {
 		return
 	}
+	if p.sending != nil {
+		p.sending.note(time.Since(p.accepted))
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.ending {
--- a/internal/overload/smallzone_handover_test.go
+++ b/internal/overload/smallzone_handover_test.go
@@ -35,7 +35,7 @@
 }
 
 // passedMost is how many connections a small VM passes on at a time.
-const passedMost = 368
+const passedMost = 46
 
 func vmName(i int) ident.Daemon { return ident.Daemon(fmt.Sprint(i)) }
 
