Lines about requests tell what was left of the caller's time

Cause: a line of a caller that left did not tell whether it had run out of patience or the daemon only took it to have left; so a connection that the daemon closes on a caller that waits showed in no line. Change: left_ms.

--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -161,7 +161,7 @@
 			"limit", j.trace.basis.Limit.String(), "share_used", math.Round(100*j.trace.basis.Used) / 100, "alone_ms", j.trace.basis.Alone.Milliseconds(),
 			"tokens", j.call.PromptTokens, "due_ms", j.plan.Due.Sub(j.arrived).Milliseconds(),
 			"waited_ms", j.trace.waited.Milliseconds(), "first_ms", j.trace.first.Milliseconds(),
-			"total_ms", time.Since(j.arrived).Milliseconds(), "caller", r.RemoteAddr, "sends", j.trace.sends, "runs", j.trace.runs,
+			"total_ms", time.Since(j.arrived).Milliseconds(), "left_ms", time.Until(j.until).Milliseconds(), "caller", r.RemoteAddr, "sends", j.trace.sends, "runs", j.trace.runs,
 			"events", j.events.count, "last_event", j.events.last, "status", j.status,
 		}
 	}
