Targets stop for callers that leave a daemon which passed them on

What callers saw: nothing; targets worked on for callers that had left (GONE), and others waited for them. Cause: a daemon that lacks processor time passes callers on, and its goroutine that reads a caller's close waits for a turn. The look at all connections with a request at a target, which a slow daemon makes at any turn, knew only those that it serves itself. Ruled out: the neighbour; it has time, and watches the hop as it watches callers. Change: that look covers connections that are passed on; the hop is shut down at once. Conclusion: it holds as long as any goroutine of the daemon gets a turn.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -35,6 +35,8 @@
 // of processor time. It is safe for concurrent use.
 type handovers struct {
 	watch *loadWatch
+	// left tells of callers that close connections which neighbours serve.
+	left *hangups
 	// unread counts the callers' connections of which nothing has been read.
 	unread func(now time.Time) int
 	// version is that of the routes in force.
@@ -62,9 +64,9 @@
 	passages map[ident.Daemon]map[*passage]bool
 }
 
-func newHandovers(s settings.Settings, load *loadWatch, metrics *telemetry.Metrics, log *slog.Logger) *handovers {
+func newHandovers(s settings.Settings, load *loadWatch, left *hangups, metrics *telemetry.Metrics, log *slog.Logger) *handovers {
 	return &handovers{
-		watch: load, unread: func(time.Time) int { return 0 }, version: func() uint64 { return 0 }, log: log, metrics: metrics,
+		watch: load, left: left, unread: func(time.Time) int { return 0 }, version: func() uint64 { return 0 }, log: log, metrics: metrics,
 		returned: newReturnedListener(),
 		picker:   handover.NewPicker(passagesMost(s.Memory)),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -170,6 +172,7 @@
 	}
 	h.passed.Add(1)
 	h.metrics.PassedOn()
+	defer h.left.watchConn(p.caller, p.hangUp)()
 	if p.run() {
 		return
 	}
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -74,7 +74,7 @@
 	t.Helper()
 	metrics := telemetry.NewMetrics()
 	t.Cleanup(func() { _ = metrics.Close() })
-	h := newHandovers(vm, load, metrics, slog.New(slog.DiscardHandler))
+	h := newHandovers(vm, load, newHangups(load), metrics, slog.New(slog.DiscardHandler))
 	var ids []ident.Daemon
 	addresses := map[ident.Daemon]string{}
 	for i, address := range neighbours {
--- a/internal/daemon/hangups.go
+++ b/internal/daemon/hangups.go
@@ -68,15 +68,19 @@
 	return &hangups{slow: load.slow, started: time.Now(), watched: map[*watchedRequest]bool{}}
 }
 
-// watch calls end once when the caller of a request, given by its context, has closed its
-// connection, unless stop was called before. Stop tells whether it was; else end is called or
-// was. End must not block.
+// watch watches the connection of a request, given by its context.
 func (h *hangups) watch(ctx context.Context, end func()) (stop func() bool) {
 	conn, ok := ctx.Value(connKey{}).(*callerConn)
 	if !ok {
 		return func() bool { return true }
 	}
-	w := &watchedRequest{conn: conn.Conn, end: end}
+	return h.watchConn(conn.Conn, end)
+}
+
+// watchConn calls end once when the caller has closed the connection, unless stop was called
+// before. Stop tells whether it was; else end is called or was. End must not block.
+func (h *hangups) watchConn(conn net.Conn, end func()) (stop func() bool) {
+	w := &watchedRequest{conn: conn, end: end}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.watched[w] = true
--- a/internal/daemon/passage.go
+++ b/internal/daemon/passage.go
@@ -75,6 +75,14 @@
 	_, _ = io.Copy(io.Discard, p.caller)
 }
 
+// hangUp lets the neighbour know at once that the caller has left: on a daemon whose turns take long
+// the goroutine that reads the caller's close waits for its own. It does not wait for those that
+// use the connection, as a close does.
+func (p *passage) hangUp() {
+	p.left.Store(true)
+	_, _ = p.neighbour.CloseWrite(), p.neighbour.CloseRead() // fail where the neighbour has ended
+}
+
 // begin notes that bytes of the caller go to the neighbour. From then on it may be silent.
 func (p *passage) begin() {
 	if p.asked.Swap(true) {
