--- a/internal/booking/sim_engine_test.go
+++ b/internal/booking/sim_engine_test.go
@@ -16,6 +16,8 @@
 	slotsUsed          int
 	maxSlotsUsed       int
 	down               bool
+	// context is the number of prompt tokens of the requests that run on it.
+	context int
 	// waiting are the requests beyond its slots, in order of arrival.
 	waiting []func()
 }
--- a/internal/booking/sim_load_test.go
+++ b/internal/booking/sim_load_test.go
@@ -58,8 +58,10 @@
 		retry.ID = ident.Request(fmt.Sprintf("r%07d", s.serial))
 		retry.arrivedAt, retry.Deadline = s.now, s.now.Add(patience)
 		d := s.daemons[s.rng.IntN(len(s.daemons))]
+		if s.retryDaemon != nil {
+			d = s.retryDaemon(retry)
+		}
 		d.jobs[retry.ID] = retry
-		d.core.Submit(s.now, retry.Request)
-		s.applyEffects(d)
+		s.post(d, func() { d.core.Submit(s.now, retry.Request) })
 	})
 }
--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -46,6 +46,13 @@
 	onSend func(m booking.Message)
 	// onRefuse, if set, logs each refusal.
 	onRefuse func(format string, args ...any)
+	// onOutcome, if set, is called for each request that is refused, and for each first byte.
+	onOutcome func(j *job, late bool)
+	// retryDaemon, if set, returns the daemon that a refused caller returns to.
+	retryDaemon func(j *job) *daemon
+	// stepTime, if set, returns the time between two tokens of an answer that begins on an
+	// engine.
+	stepTime func(e *engine) time.Duration
 }
 
 // tally counts the outcomes of requests.
@@ -61,6 +68,8 @@
 	dead bool
 	// jobs are the requests of this ingress.
 	jobs map[ident.Request]*job
+	// turns, if set, delays the handling of events.
+	turns *turns
 }
 
 type job struct {
@@ -72,6 +81,8 @@
 	dispatchedAt time.Time
 	// retry is set if the request was refused before.
 	retry bool
+	// basis is that of its last decision.
+	basis booking.Basis
 }
 
 type simEvent struct {
@@ -173,7 +184,7 @@
 
 func (s *sim) scheduleTick(d *daemon) {
 	s.schedule(simTick, func() {
-		if d.dead {
+		if d.dead || d.turns != nil {
 			return
 		}
 		d.core.Tick(s.now)
@@ -212,8 +223,7 @@
 		s.placeByPolicy(d, d.jobs[r.ID])
 		return
 	}
-	d.core.Submit(s.now, r)
-	s.applyEffects(d)
+	s.post(d, func() { d.core.Submit(s.now, r) })
 }
 
 func (s *sim) applyEffects(d *daemon) {
@@ -221,6 +231,7 @@
 		switch e := effect.(type) {
 		case booking.Dispatch:
 			j := d.jobs[e.Request]
+			j.basis = e.Basis
 			if s.onDispatch != nil {
 				s.onDispatch(j)
 			}
@@ -228,8 +239,12 @@
 			s.dispatch(d, j, e.Target)
 		case booking.Refuse:
 			j := d.jobs[e.Request]
+			j.basis = e.Basis
 			delete(d.jobs, e.Request)
 			s.tallies[j.Workspace].refused++
+			if s.onOutcome != nil {
+				s.onOutcome(j, true)
+			}
 			s.scheduleRetry(j)
 			if s.onRefuse != nil {
 				s.onRefuse("%s %s refused %d tokens: %s", s.now.Sub(time.Unix(1000, 0)), j.Workspace, j.Prompt, e.Failure)
@@ -255,8 +270,7 @@
 			if to.dead {
 				return
 			}
-			to.core.Receive(s.now, from.id, e.Message)
-			s.applyEffects(to)
+			s.post(to, func() { to.core.Receive(s.now, from.id, e.Message) })
 		})
 	}
 }
@@ -299,14 +313,20 @@
 			return
 		}
 		if s.policy == nil {
-			d.core.FirstByte(s.now, j.ID, s.now.Sub(j.dispatchedAt))
-			s.applyEffects(d)
+			elapsed := s.now.Sub(j.dispatchedAt)
+			s.post(d, func() { d.core.FirstByte(s.now, j.ID, elapsed) })
 		}
 		s.recordFirstByte(j)
 	})
-	s.schedule(e.freeAt.Sub(s.now)+simOverhead+time.Duration(j.Output)*simStep, func() {
+	step := simStep
+	if s.stepTime != nil {
+		step = s.stepTime(e)
+	}
+	e.context += j.Prompt
+	s.schedule(e.freeAt.Sub(s.now)+simOverhead+time.Duration(j.Output)*step, func() {
 		e.releaseSlot()
-		s.finish(d, j, booking.Result{Elapsed: s.now.Sub(j.dispatchedAt), EventInterval: simStep}, true)
+		e.context -= j.Prompt
+		s.finish(d, j, booking.Result{Elapsed: s.now.Sub(j.dispatchedAt), EventInterval: step}, true)
 	})
 }
 
@@ -345,6 +365,9 @@
 
 func (s *sim) recordFirstByte(j *job) {
 	t := s.tallies[j.Workspace]
+	if s.onOutcome != nil {
+		s.onOutcome(j, s.now.After(j.Deadline))
+	}
 	if j.retry || s.now.After(j.Deadline) {
 		t.late++
 		return
@@ -362,8 +385,7 @@
 		s.tallies[j.Workspace].failed++
 	}
 	if s.policy == nil {
-		d.core.Finish(s.now, j.ID, r)
-		s.applyEffects(d)
+		s.post(d, func() { d.core.Finish(s.now, j.ID, r) })
 	}
 }
 
