Event 701 while owners refuse though no workspace is underserved

Change: the line is written also in seconds in which the daemon refused, and own has final (refusals of its own callers, once a request, by limit) and final_late. Decisions are unchanged.

TestOwnerReportsGrantsAndRefusals expects the new fields in addition to what it expected before.

--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -71,7 +71,7 @@
 		return
 	}
 	delete(c.requests, r.ID)
-	c.countUnanswered(r)
+	c.countRefusal(r)
 	c.emit(Refuse{Request: r.ID, Failure: c.refusal(r), Basis: r.decisionBasis()})
 }
 
--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -31,7 +31,7 @@
 
 // WorkspaceDecisions is what one daemon decided about a workspace, in units of Request.Cost.
 // Each value except Refused counts a request once in the fleet, so that the values of the
-// daemons add up.
+// daemons add up; what Final counts is also in Refused.
 type WorkspaceDecisions struct {
 	Workspace ident.Workspace `json:"workspace"`
 	// Shed is what the daemon refused for lack of processor time, Unanswered what it refused
@@ -42,6 +42,11 @@
 	// Refused is what it refused as an owner, by Limit. A request counts at each owner that was
 	// asked.
 	Refused map[string]int `json:"refused,omitempty"`
+	// Final is what it refused its own callers after owners had replied, by the Limit of the
+	// target with the shortest wait, and FinalLate the part of it that was late. A request
+	// counts once.
+	Final     map[string]int `json:"final,omitempty"`
+	FinalLate int            `json:"final_late,omitempty"`
 }
 
 // total is what the workspace asked the daemon for.
@@ -50,6 +55,9 @@
 	for _, refused := range w.Refused {
 		sum += refused
 	}
+	for _, refused := range w.Final {
+		sum += refused
+	}
 	return sum
 }
 
@@ -85,7 +93,8 @@
 	maxLevelAge = memberPublishInterval
 )
 
-// ShareReports returns the services with an underserved workspace. Decisions of this daemon are
+// ShareReports returns the services with an underserved workspace, and those of which this
+// daemon has refused requests since the previous call. Decisions of this daemon are
 // counted from the previous call on.
 func (c *Core) ShareReports(now time.Time) (list []ShareReport) {
 	for name, s := range c.services {
@@ -96,7 +105,7 @@
 		if now.Sub(s.shares.levelAt) > maxLevelAge {
 			s.shares.refresh(now, s.rate, s.capacity.rate)
 		}
-		if math.IsInf(s.shares.minUnderserved, 1) {
+		if math.IsInf(s.shares.minUnderserved, 1) && !slices.ContainsFunc(own, WorkspaceDecisions.refusedAny) {
 			continue
 		}
 		list = append(list, ShareReport{
@@ -128,16 +137,31 @@
 
 // tally is what a daemon has decided about a workspace, in units of Request.Cost.
 type tally struct {
-	shed, unanswered, granted float64
-	refused                   [len(limitNames)]float64
+	shed, unanswered, granted, finalLate float64
+	refused, final                       [len(limitNames)]float64
 }
 
-// countUnanswered counts a refused request for which no owner's reply arrived. If it was not
-// sent to an owner either, it is in no workspace's demand.
-func (c *Core) countUnanswered(r *request) {
-	if s := c.services[r.Service]; s != nil && r.ownersAsked > 0 && !r.anyReply {
-		s.shares.account(r.Workspace).tally.unanswered += r.Cost()
+// countRefusal counts a request that this daemon refuses. If no owner's reply arrived and it was
+// not sent to an owner either, it is in no workspace's demand.
+func (c *Core) countRefusal(r *request) {
+	s := c.services[r.Service]
+	if s == nil || r.ownersAsked == 0 {
+		return
+	}
+	t := &s.shares.account(r.Workspace).tally
+	if !r.anyReply {
+		t.unanswered += r.Cost()
+		return
 	}
+	t.final[r.limit] += r.Cost()
+	if r.Late {
+		t.finalLate += r.Cost()
+	}
+}
+
+// refusedAny reports whether the daemon refused any request of the workspace.
+func (w WorkspaceDecisions) refusedAny() bool {
+	return w.Shed > 0 || w.Unanswered > 0 || len(w.Refused) > 0 || len(w.Final) > 0
 }
 
 // record counts an owner's decision about a reservation.
@@ -152,17 +176,24 @@
 
 // decisions returns the values of a tally for the report.
 func (t *tally) decisions(name ident.Workspace) WorkspaceDecisions {
-	own := WorkspaceDecisions{Workspace: name, Shed: int(t.shed), Unanswered: int(t.unanswered), Granted: int(t.granted)}
-	for l, refused := range t.refused {
-		if refused == 0 {
+	own := WorkspaceDecisions{Workspace: name, Shed: int(t.shed), Unanswered: int(t.unanswered), Granted: int(t.granted), FinalLate: int(t.finalLate)}
+	own.Refused, own.Final = byLimit(&t.refused), byLimit(&t.final)
+	return own
+}
+
+// byLimit names the limits of the costs that are not zero; nil if all are.
+func byLimit(costs *[len(limitNames)]float64) map[string]int {
+	var m map[string]int
+	for l, cost := range costs {
+		if cost == 0 {
 			continue
 		}
-		if own.Refused == nil {
-			own.Refused = map[string]int{}
+		if m == nil {
+			m = map[string]int{}
 		}
-		own.Refused[Limit(l).String()] = int(refused)
+		m[Limit(l).String()] = int(cost)
 	}
-	return own
+	return m
 }
 
 // takeDecisions returns the tallies of the workspaces that asked this daemon for most, in
--- a/internal/booking/report_test.go
+++ b/internal/booking/report_test.go
@@ -88,7 +88,7 @@
 	now = now.Add(time.Second)
 	list := c.ShareReports(now)
 	is.Equal(len(list), 1)
-	is.Equal(list[0].Decisions, []booking.WorkspaceDecisions{{Workspace: "hot", Shed: 90000, Granted: 2004, Refused: map[string]int{"spare": 2004}}})
+	is.Equal(list[0].Decisions, []booking.WorkspaceDecisions{{Workspace: "hot", Shed: 90000, Granted: 2004, Refused: map[string]int{"spare": 2004}, Final: map[string]int{"spare": 2004}, FinalLate: 2004}})
 	is.Equal(list[0].OwnedTargets.Owned, 1)
 	is.Equal(list[0].OwnedTargets.SlotUtilization, 0.5)
 }
@@ -147,3 +147,30 @@
 	is.Equal(len(list[0].Decisions), 8)
 	is.Equal(len(list[0].TopWorkspaces), 4)
 }
+
+// Guards against an incident without a trace in the log: slots were full although the stated rate
+// exceeded the demand, so that no workspace counted as underserved, and owners refused most of what
+// one asked for.
+func TestRefusalsAreReportedWhileNoWorkspaceIsUnderserved(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := booking.New(booking.Config{Self: "a", Incarnation: 1, Zone: "z"}, rand.New(rand.NewPCG(1, 1)))
+	c.Configure(now, []booking.Service{{
+		Name: "pool", ServesModel: true, Rate: 1e6, Workspaces: []booking.Workspace{{Name: "hot", Weight: 1}, {Name: "cool", Weight: 1}},
+		Targets: []booking.Target{{Name: "t", Zone: "z", Slots: 1, Memory: 100000}},
+	}})
+	c.SetPeers(now, nil)
+	for i, workspace := range []ident.Workspace{"hot", "cool", "cool"} {
+		c.Submit(now, booking.Request{ID: ident.Request(strconv.Itoa(i)), Service: "pool", Workspace: workspace, Prompt: 998, Output: 1, Deadline: now.Add(time.Second), Late: i == 2})
+		c.TakeEffects()
+	}
+	list := c.ShareReports(now)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Level, 0.0) // there is none: the stated rate suffices for all
+	is.Equal(list[0].MinUnderserved, 0.0)
+	is.Equal(list[0].Decisions, []booking.WorkspaceDecisions{
+		{Workspace: "cool", Refused: map[string]int{"slots": 2000}, Final: map[string]int{"slots": 2000}, FinalLate: 1000},
+		{Workspace: "hot", Granted: 1000},
+	})
+	is.Equal(len(c.ShareReports(now)), 0) // nothing refused since the previous call
+}
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -302,7 +302,7 @@
 }
 
 // logSharing logs the shares that this daemon applies, for services in which a workspace is
-// underserved.
+// underserved or of which this daemon refuses requests.
 func (s *storeSync) logSharing() {
 	var reports []booking.ShareReport
 	s.deps.Loop.Inspect(func(core *booking.Core) { reports = core.ShareReports(time.Now()) })
