File names follow the renamed code: git mv and references only

Cause: identifiers were renamed, their files were not; names such as tell.go, hasten.go, proof.go or takeover.go no longer said what is in them.

No code is touched.

The order of tests within a package follows the file names, and so changes.

--- a/internal/booking/doc.go
+++ b/internal/booking/doc.go
@@ -16,7 +16,7 @@
 //     (rendezvous hashing over the service's targets, so that all daemons agree without
 //     exchanging messages), then its other homes, then the targets last reported as least
 //     loaded. The prefix that one of these targets has cached is copied to the target that
-//     takes the request (fetch.go, kept.go). Targets whose owners do not reply come last.
+//     takes the request (fetch.go, prefixcache.go). Targets whose owners do not reply come last.
 //   - As owner of targets (package membership) it replies at once. The owner sees every
 //     request on its targets, so that it can predict the time to first token, and it admits
 //     a request only if that meets the deadline, a slot and memory are free and the workspace
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -21,7 +21,7 @@
 //     popular prefix neither overloads a target nor widens the fairness gap.
 //   - Requests queue in a target from the start because the configuration allows
 //     it more than it can run. Every wait then looks normal, and the queue stays
-//     in the target. The baseline check (proof.go) detects this.
+//     in the target. The baseline check (baselinecheck.go) detects this.
 //
 // The limit is derived from completions alone. When a target queues requests, the
 // time to first byte grows by the time that a request waits for a slot, while the
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -44,7 +44,7 @@
 	// idles for no longer than that.
 	HeldGrantsInterval time.Duration
 	// AggregationThreshold is the number of daemons above which served totals are
-	// aggregated within zones before they are forwarded (see reduce.go). The default
+	// aggregated within zones before they are forwarded (see aggregation.go). The default
 	// is 24.
 	AggregationThreshold int
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -197,7 +197,7 @@
 	Grants       []Grant
 	Releases     []Release
 	ServedTotals []ServedTotal
-	// Aggregates are the totals that the sender has aggregated (see reduce.go). A
+	// Aggregates are the totals that the sender has aggregated (see aggregation.go). A
 	// daemon in the sender's zone receives the total of all other daemons, a daemon
 	// in another zone the total of the sender's zone. Only the difference from the
 	// previous value is counted.
