--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -95,7 +95,7 @@
 }
 
 // The systemd unit must start the daemon with existing flags, and its stop timeout
-// must not interrupt a planned shutdown.
+// must not interrupt a graceful shutdown.
 func TestSystemdUnit(t *testing.T) {
 	is := is.New(t)
 	text, err := os.ReadFile("systemd/savorystalld.service")
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -145,7 +145,7 @@
 	b.post(func(now time.Time) { b.core.LinkLost(now, id) })
 }
 
-// Leave begins a planned shutdown.
+// Leave begins a graceful shutdown.
 func (b *BookingLoop) Leave() { b.post(func(now time.Time) { b.core.Leave(now) }) }
 
 // Inspect runs f on the control goroutine and waits for it; f must not change any state.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -209,7 +209,7 @@
 	l.post(func(now time.Time) { l.core.ApplyCachePage(now, service, target, page) })
 }
 
-// Leave begins a planned shutdown.
+// Leave begins a graceful shutdown.
 func (l *Loop) Leave() {
 	l.post(func(now time.Time) { l.core.Leave(now) })
 }
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -34,12 +34,12 @@
 	Batch       Class = "batch"
 )
 
-// Fencing specifies whether the targets check the fencing number of an order.
+// Fencing specifies whether the targets check the fencing token of an order.
 type Fencing string
 
 // Kinds of fencing.
 const (
-	// Enforced means that the targets refuse an order with an older number.
+	// Enforced means that the targets refuse an order with an older token.
 	Enforced Fencing = "enforced"
 	// Ignored means that the targets accept any order.
 	Ignored Fencing = "ignored"
@@ -163,7 +163,7 @@
 // Orders is the desired state of the targets.
 type Orders struct {
 	// Fencing has no default, because it depends on whether the targets check the
-	// fencing number.
+	// fencing token.
 	Fencing Fencing `yaml:"fencing" validate:"required,oneof=enforced ignored"`
 	// LongestOrder is the longest time that an order can be in transit; default
 	// 30s. If fencing is ignored, a new lease holder waits that long first.
--- a/internal/event/claim.go
+++ b/internal/event/claim.go
@@ -15,7 +15,7 @@
 	LeaseHeld             = define(520, slog.LevelInfo, "an order waits because another daemon may hold the target's lease", "none")
 	LeaseNotReleased      = define(521, slog.LevelInfo, "a lease could not be released and will expire", "none")
 	OrderAccepted         = define(522, slog.LevelInfo, "the target has accepted an order", "none")
-	OrderRefused          = define(523, slog.LevelWarn, "the target refused an order with an old fencing number", "if it repeats, see docs/operations/target-takes-no-orders.md")
+	OrderRefused          = define(523, slog.LevelWarn, "the target refused an order with an old fencing token", "if it repeats, see docs/operations/target-takes-no-orders.md")
 	OrderDocumentOutdated = define(524, slog.LevelInfo, "no order is sent because another daemon has a newer document", "if it repeats, find out why this daemon does not receive documents")
 	TargetTakesNoOrders   = define(525, slog.LevelWarn, "the target is not in its desired state and accepts no orders", "see docs/operations/target-takes-no-orders.md")
 )
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -6,11 +6,11 @@
 var (
 	DaemonStarting  = define(101, slog.LevelInfo, "daemon starts", "none")
 	DaemonReady     = define(102, slog.LevelInfo, "daemon is ready", "none")
-	DaemonDraining  = define(103, slog.LevelInfo, "planned stop begins", "none")
+	DaemonDraining  = define(103, slog.LevelInfo, "graceful shutdown begins", "none")
 	DaemonStopped   = define(104, slog.LevelInfo, "daemon has stopped", "none")
 	SettingsInvalid = define(105, slog.LevelError, "settings are not valid", "correct the field that the line names")
 	FleetInsecure   = define(106, slog.LevelWarn, "links between daemons are not encrypted", "set fleet.tls in the settings")
-	DrainSlow       = define(107, slog.LevelWarn, "planned stop waits for requests", "see docs/OPERATIONS.md, a stuck drain")
+	DrainSlow       = define(107, slog.LevelWarn, "graceful shutdown waits for requests", "see docs/OPERATIONS.md, a stuck drain")
 )
 
 // SettingsReloaded is logged each time the settings are reloaded.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -203,7 +203,7 @@
 	}
 }
 
-// AnnounceLeaving announces a planned shutdown: the peers take over the node's
+// AnnounceLeaving announces a graceful shutdown: the peers take over the node's
 // targets and continue to grant slots to the requests that wait at this daemon.
 func (n *Node) AnnounceLeaving() {
 	n.leaving.Store(true)
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -135,7 +135,7 @@
 	o.signal(true)
 }
 
-// setLeaving queues the announcement of a planned shutdown.
+// setLeaving queues the announcement of a graceful shutdown.
 func (o *outbox) setLeaving() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/lease/handover_bench_test.go
+++ b/internal/lease/handover_bench_test.go
@@ -16,14 +16,14 @@
 )
 
 // BenchmarkHandover measures how long a successor waits for the lease of a
-// target that ignores fencing tokens: after a planned stop, where the lease is
+// target that ignores fencing tokens: after a graceful shutdown, where the lease is
 // released at once, and after a crash, where the successor waits for the term
 // and the longest order by its own clock.
 func BenchmarkHandover(b *testing.B) {
 	for _, c := range []struct {
 		name    string
 		planned bool
-	}{{"planned stop", true}, {"crash", false}} {
+	}{{"graceful shutdown", true}, {"crash", false}} {
 		b.Run(c.name, func(b *testing.B) {
 			for range b.N {
 				handOverLease(b, c.planned)
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -7,10 +7,10 @@
 // target would keep serving what the last order to arrive specified.
 //
 // An order is idempotent: it contains the complete desired state, so that it can
-// be repeated safely. It carries a fencing number that has never been used
+// be repeated safely. It carries a fencing token that has never been used
 // before. The state of the target is read back after each order and
 // periodically, and any difference is repaired. This ensures that a late order
-// is eventually corrected on targets that ignore fencing numbers. Package lease
+// is eventually corrected on targets that ignore fencing tokens. Package lease
 // limits which daemon may send orders at a time.
 //
 // Several daemons may safely reconcile the same target. The caller is
@@ -36,7 +36,7 @@
 	Role string `json:"role"`
 }
 
-// Order is the complete desired state of a target with the fencing number of the
+// Order is the complete desired state of a target with the fencing token of the
 // sender.
 type Order struct {
 	Fencing uint64 `json:"fencing"`
@@ -51,7 +51,7 @@
 	Address string
 	// DocumentRevision is the revision of the document.
 	DocumentRevision uint64
-	// Fenced reports that the target refuses orders with an old fencing number.
+	// Fenced reports that the target refuses orders with an old fencing token.
 	Fenced bool
 	// LongestOrder is the maximum time that an order can be in transit.
 	LongestOrder time.Duration
@@ -116,7 +116,7 @@
 }
 
 // StaleFencingError is the error of an order that the target refused because of
-// an old fencing number.
+// an old fencing token.
 type StaleFencingError struct {
 	// Current is the order that the target holds.
 	Current Order
@@ -124,5 +124,5 @@
 
 // Error implements error.
 func (r *StaleFencingError) Error() string {
-	return fmt.Sprintf("order refused: the target holds an order with fencing number %d", r.Current.Fencing)
+	return fmt.Sprintf("order refused: the target holds an order with fencing token %d", r.Current.Fencing)
 }
--- a/internal/order/reconciler_test.go
+++ b/internal/order/reconciler_test.go
@@ -185,9 +185,9 @@
 	}
 }
 
-func TestEachOrderHasAUniqueFencingNumber(t *testing.T) {
+func TestEachOrderHasAUniqueFencingToken(t *testing.T) {
 	// The responses to two orders are lost, either of which may take effect
-	// late. The retries must have higher fencing numbers, so that no late order
+	// late. The retries must have higher fencing tokens, so that no late order
 	// of the same daemon overrides a newer one.
 	is := is.New(t)
 	f, target := newFixture(t, platformstandin.Config{}), &fakeTarget{fenced: true, errs: []error{errResponseLost, errResponseLost}}
@@ -201,7 +201,7 @@
 }
 
 func TestLateOrderAtTargetThatIgnoresFencing(t *testing.T) {
-	// An order to a target that ignores fencing numbers gets no response and
+	// An order to a target that ignores fencing tokens gets no response and
 	// takes effect after its successor. The state must be read back and repaired.
 	is := is.New(t)
 	f, target := newFixture(t, platformstandin.Config{}), &fakeTarget{errs: []error{errResponseLost}}
@@ -229,7 +229,7 @@
 }
 
 func TestTargetThatRefusesOrdersIsReported(t *testing.T) {
-	// An engine holds a fencing number higher than any in the table, because of a
+	// An engine holds a fencing token higher than any in the table, because of a
 	// manual order or a restored table. Every order is refused. The operator must
 	// be notified, and the daemon must keep retrying with increasing backoff.
 	f, target := newFixture(t, platformstandin.Config{}), &fakeTarget{fenced: true}
--- a/internal/order/worker.go
+++ b/internal/order/worker.go
@@ -138,7 +138,7 @@
 }
 
 // acquireLease acquires or renews the lease, so that the next order has a fencing
-// number that has not been used before.
+// token that has not been used before.
 func (w *worker) acquireLease(ctx context.Context, d Desired) (wait time.Duration, ok bool) {
 	err := w.lease.Acquire(ctx, lease.Claim{
 		Holder: w.cfg.Daemon, Incarnation: w.cfg.Incarnation,
@@ -182,7 +182,7 @@
 	case errors.As(err, &stale):
 		w.lease.OrdersAnswered()
 		event.OrderRefused.Log(w.log, "target", d.Target, "fencing", o.Fencing, "present", stale.Current.Fencing)
-		return w.handleFailure(d, "the target refused the fencing number", err)
+		return w.handleFailure(d, "the target refused the fencing token", err)
 	}
 	return w.handleFailure(d, "the order was not confirmed", err)
 }
--- a/internal/scheduler/aggregation_test.go
+++ b/internal/scheduler/aggregation_test.go
@@ -65,7 +65,7 @@
 	f.live = append(f.live, Peer{ID: id, Incarnation: incarnation, Zone: zone})
 }
 
-// crash removes a daemon without a planned stop.
+// crash removes a daemon without a graceful shutdown.
 func (f *aggregationFleet) crash(id ident.Daemon) {
 	delete(f.cores, id)
 	var remaining []Peer
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -329,7 +329,7 @@
 	}
 }
 
-// Leave begins a planned shutdown: from now on the daemon owns no targets, unless
+// Leave begins a graceful shutdown: from now on the daemon owns no targets, unless
 // no other daemon is left to own them.
 func (c *Core) Leave(now time.Time) {
 	c.leaving = true
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -96,7 +96,7 @@
 	ID          ident.Daemon
 	Incarnation uint64
 	Zone        ident.Zone
-	// Leaving is set while the peer performs a planned shutdown: it no longer owns
+	// Leaving is set while the peer performs a graceful shutdown: it no longer owns
 	// targets, but its waiting requests still receive grants.
 	Leaving bool
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,7 +35,7 @@
 	Fleet Fleet `yaml:"fleet"`
 	// Platform configures access to the platform's services.
 	Platform Platform `yaml:"platform"`
-	// Stop configures the planned stop.
+	// Stop configures the graceful shutdown.
 	Stop Stop `yaml:"stop"`
 	// Claims configures the handling of unrepeatable requests.
 	Claims Claims `yaml:"claims"`
@@ -175,7 +175,7 @@
 	Timeout time.Duration `yaml:"timeout" validate:"min=10000000"`
 }
 
-// Stop configures the planned stop.
+// Stop configures the graceful shutdown.
 type Stop struct {
 	// BalancerLag is the time that the load balancer needs to notice that readiness
 	// fails. Requests are still accepted during that time. Default 5s.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -29,7 +29,7 @@
 	// Models lists the models that are served before any orders arrive. Default:
 	// any model.
 	Models []string
-	// EnforceFencing rejects orders with an outdated fencing number.
+	// EnforceFencing rejects orders with an outdated fencing token.
 	EnforceFencing bool
 	// DetachedTimeout is how long a stream without a connection can be resumed
 	// before it is dropped. Default: 10 s.
--- a/internal/standin/engine/protocol.go
+++ b/internal/standin/engine/protocol.go
@@ -93,7 +93,7 @@
 
 // Orders is the complete desired state of an engine, never a change to it.
 type Orders struct {
-	// Fencing is the fencing number. It grows with each new holder of the lease
+	// Fencing is the fencing token. It grows with each new holder of the lease
 	// that permits sending orders.
 	Fencing  uint64   `json:"fencing"`
 	Models   []string `json:"models"`
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -309,7 +309,7 @@
 	f.daemons[i] = restarted
 }
 
-// checkExit requires a planned shutdown with exit code 0 and no data race.
+// checkExit requires a graceful shutdown with exit code 0 and no data race.
 func (f *fleet) checkExit(p *daemonProcess) {
 	if p.killed {
 		return
--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -128,7 +128,7 @@
 	f.platform.SetVMs(f.vms...)
 }
 
-// Guards against requests lost in a planned shutdown of a daemon that has waiting
+// Guards against requests lost in a graceful shutdown of a daemon that has waiting
 // and running requests. Its callers must get complete responses, it must exit by
 // itself with code 0, and the other daemons must continue to use its targets.
 func TestPlannedShutdownInterruptsNoRequests(t *testing.T) {
