Logic that stood twice stands once: waits with a context, waiters of the control loops, keys of callers

Most are imports, defaults of settings, tables of constants or events, and tests; where logic was the same:

- Five packages (attempt, claim, ingress, order, platform) each had a sleep that ends with its context: clock.Sleep.
A wait of zero no longer makes a timer, and reports whether the context has ended instead of a random choice of the two.
- control.Loop and control.BookingLoop each had the waiters of requests and the end of a wait (result, end of the loop, end of the context): waiters and awaitResult in mailbox.go.

Left, with reason: internal/daemon, gateway and booking (others work there: Routed.start and Daemon.start, sleepContext, endToEndHeaders of gateway beside that of attempt, emit and messageTo of the two cores, of which ARCHITECTURE.md gives the reason); stand-ins, whose JSON is to be a second reading of the protocol; rows of claims and leases, of which five lines are alike and the errors differ; defaults of Config structs; a select on several channels besides.

Tests of clock, control, claim, attempt, ingress, platform, order, config, daemon, lease and relay pass (2 cores), those of clock, control, claim, ingress and order with -race, too; go vet and staticcheck are clean.

--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -312,8 +313,8 @@
 	backoff := time.Duration(0)
 	lastErr := error(errInactivityTimeout)
 	for {
-		if err := m.sleep(ctx, backoff); err != nil {
-			return nil, m.answerCanceled(err)
+		if !clock.Sleep(ctx, clock.Real, backoff) {
+			return nil, m.answerCanceled(context.Cause(ctx))
 		}
 		if time.Since(m.lastProgress) > m.cfg.ResumeWindow {
 			return nil, m.resumeTimedOut(lastErr)
@@ -350,20 +351,6 @@
 	return resultcode.AnswerCut
 }
 
-func (m *modelAttempt) sleep(ctx context.Context, d time.Duration) error {
-	if d == 0 {
-		return context.Cause(ctx)
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // tryResume makes one attempt to resume the stream. It uses a new connection
 // because the pooled ones to the target may have gone silent as well.
 func (m *modelAttempt) tryResume(ctx context.Context) (*exchange, error) {
--- a/internal/claim/committer.go
+++ b/internal/claim/committer.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/platform"
 )
 
@@ -119,11 +120,11 @@
 				continue
 			}
 		}
-		if !sleep(ctx, c.cfg.Linger) || c.limiter.Wait(ctx) != nil {
+		if !clock.Sleep(ctx, clock.Real, c.cfg.Linger) || c.limiter.Wait(ctx) != nil {
 			return
 		}
 		if batch := c.nextBatch(); len(batch) > 0 && !c.commit(ctx, batch) {
-			if !sleep(ctx, c.backoff()) {
+			if !clock.Sleep(ctx, clock.Real, c.backoff()) {
 				return
 			}
 		}
@@ -287,18 +288,3 @@
 	_, _ = rand.Read(b[:])
 	return "claim-" + hex.EncodeToString(b[:])
 }
-
-// sleep waits for d. It returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/claim/fake_test.go
+++ b/internal/claim/fake_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/platform"
 )
 
@@ -41,7 +42,7 @@
 var errInjected = errors.New("injected")
 
 func (t *fakeTable) Commit(ctx context.Context, tx platform.Transaction) (uint64, error) {
-	if !sleep(ctx, t.latency) {
+	if !clock.Sleep(ctx, clock.Real, t.latency) {
 		return 0, &platform.UnknownOutcome{Cause: ctx.Err()}
 	}
 	t.mu.Lock()
--- a/internal/claim/race_test.go
+++ b/internal/claim/race_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
@@ -57,7 +58,7 @@
 	releaseCtx, stopReleases := context.WithCancel(t.Context())
 	var releases sync.WaitGroup
 	releases.Go(func() {
-		for sleep(releaseCtx, 3*time.Millisecond) {
+		for clock.Sleep(releaseCtx, clock.Real, 3*time.Millisecond) {
 			table.applyDelayed()
 		}
 	})
@@ -97,7 +98,7 @@
 				return
 			}
 		}
-		sleep(t.Context(), time.Millisecond)
+		clock.Sleep(t.Context(), clock.Real, time.Millisecond)
 	}
 }
 
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,7 +2,10 @@
 // it.
 package clock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Clock provides the current time and timers.
 type Clock interface {
@@ -19,3 +22,17 @@
 func (realClock) Now() time.Time { return time.Now() }
 
 func (realClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// Sleep waits until d has elapsed on a clock or ctx ends, and reports whether d has elapsed. It
+// does not wait if d is not positive, and then reports whether ctx has not ended.
+func Sleep(ctx context.Context, c Clock, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.After(d):
+		return true
+	}
+}
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -29,7 +29,7 @@
 	cfg     Config
 	core    *booking.Core
 	actions BookingActions
-	waiters map[ident.Request]chan Placement
+	waiters waiters[Placement]
 }
 
 // NewBookingLoop returns a loop around core. The loop does nothing until Run is called.
@@ -37,36 +37,31 @@
 	cfg = cfg.withDefaults()
 	return &BookingLoop{
 		mailbox: newMailbox(cfg), cfg: cfg, core: core, actions: actions,
-		waiters: map[ident.Request]chan Placement{},
+		waiters: waiters[Placement]{},
 	}
 }
 
 // Run handles events until ctx ends. Requests that still wait then are refused as not run.
 func (b *BookingLoop) Run(ctx context.Context) {
 	b.run(ctx, b.core.NextTick, b.core.Tick, b.applyEffects)
-	for id := range b.waiters {
-		b.deliver(id, Placement{Failure: resultcode.Fail(resultcode.Stopping, "")})
-	}
+	b.waiters.deliverAll(stoppedPlacement)
 }
 
 func (b *BookingLoop) applyEffects() {
 	for _, effect := range b.core.TakeEffects() {
 		switch e := effect.(type) {
 		case booking.Dispatch:
-			b.deliver(e.Request, Placement{Target: e.Target, Basis: e.Basis})
+			b.waiters.deliver(e.Request, Placement{Target: e.Target, Basis: e.Basis})
 		case booking.Refuse:
-			b.deliver(e.Request, Placement{Failure: e.Failure, Basis: e.Basis})
+			b.waiters.deliver(e.Request, Placement{Failure: e.Failure, Basis: e.Basis})
 		case booking.Send:
 			b.actions.SendBookingMessage(e.To, e.Message)
 		}
 	}
 }
 
-func (b *BookingLoop) deliver(id ident.Request, p Placement) {
-	if w, ok := b.waiters[id]; ok {
-		delete(b.waiters, id)
-		w <- p // buffered: each waiter gets exactly one value
-	}
+func stoppedPlacement() Placement {
+	return Placement{Failure: resultcode.Fail(resultcode.Stopping, "")}
 }
 
 // Place waits until a request has a target or is refused. If ctx ends first, the request is
@@ -78,30 +73,15 @@
 		b.core.Submit(now, r)
 	})
 	if !ok {
-		return Placement{Failure: resultcode.Fail(resultcode.Stopping, "")}
+		return stoppedPlacement()
 	}
-	select {
-	case p := <-result:
-		return p
-	case <-b.done:
-		return finalPlacement(result)
-	case <-ctx.Done():
+	return awaitResult(ctx, &b.mailbox, result, stoppedPlacement, func() Placement {
 		b.postAndWait(func(now time.Time) {
 			delete(b.waiters, r.ID)
 			b.core.Finish(now, r.ID, booking.Result{})
 		})
 		return Placement{Failure: resultcode.Fail(resultcode.CallerGone, "")}
-	}
-}
-
-// finalPlacement returns the result that was delivered before the loop ended, if any.
-func finalPlacement(result chan Placement) Placement {
-	select {
-	case p := <-result:
-		return p
-	default:
-		return Placement{Failure: resultcode.Fail(resultcode.Stopping, "")}
-	}
+	})
 }
 
 // FirstByte reports that the first byte of a response has arrived.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -51,7 +51,7 @@
 	cfg     Config
 	core    *scheduler.Core
 	actions Actions
-	waiters map[ident.Request]chan Assignment
+	waiters waiters[Assignment]
 	// preemptSignals holds the channels of the requests that may be preempted.
 	preemptSignals map[ident.Request]chan struct{}
 }
@@ -64,7 +64,7 @@
 		cfg:            cfg,
 		core:           core,
 		actions:        actions,
-		waiters:        map[ident.Request]chan Assignment{},
+		waiters:        waiters[Assignment]{},
 		preemptSignals: map[ident.Request]chan struct{}{},
 	}
 }
@@ -73,30 +73,27 @@
 func (l *Loop) Run(ctx context.Context) {
 	untilTick, tick := fixedInterval(l.cfg.TickInterval, l.core.Tick)
 	l.run(ctx, untilTick, tick, l.applyEffects)
-	l.refuseAll()
+	l.waiters.deliverAll(stoppedAssignment)
 }
 
 func (l *Loop) applyEffects() {
 	for _, effect := range l.core.TakeEffects() {
 		switch e := effect.(type) {
 		case scheduler.Dispatch:
-			l.deliver(e.Request, Assignment{Target: e.Target, Preempted: l.preemptSignals[e.Request]})
+			l.waiters.deliver(e.Request, Assignment{Target: e.Target, Preempted: l.preemptSignals[e.Request]})
 		case scheduler.Preempt:
 			l.preempt(e.Request)
 		case scheduler.Refuse:
 			delete(l.preemptSignals, e.Request)
-			l.deliver(e.Request, Assignment{Failure: e.Failure})
+			l.waiters.deliver(e.Request, Assignment{Failure: e.Failure})
 		case scheduler.Send:
 			l.actions.Send(e.To, e.Message)
 		}
 	}
 }
 
-func (l *Loop) deliver(id ident.Request, a Assignment) {
-	if w, ok := l.waiters[id]; ok {
-		delete(l.waiters, id)
-		w <- a // buffered: each waiter gets exactly one value
-	}
+func stoppedAssignment() Assignment {
+	return Assignment{Failure: resultcode.Fail(resultcode.Stopping, "")}
 }
 
 // preempt signals that the attempt of a request has to be stopped.
@@ -107,12 +104,6 @@
 	}
 }
 
-func (l *Loop) refuseAll() {
-	for id := range l.waiters {
-		l.deliver(id, Assignment{Failure: resultcode.Fail(resultcode.Stopping, "")})
-	}
-}
-
 // Place queues a request and waits until it has a target or is refused. If ctx ends first,
 // the request is withdrawn. requeue reports that the request was placed before and did not
 // run.
@@ -129,25 +120,18 @@
 		}
 		if failure := submit(now, r); failure != nil {
 			delete(l.preemptSignals, r.ID)
-			l.deliver(r.ID, Assignment{Failure: failure})
+			l.waiters.deliver(r.ID, Assignment{Failure: failure})
 		}
 	})
 	if !ok {
-		return Assignment{Failure: resultcode.Fail(resultcode.Stopping, "")}
-	}
-	select {
-	case a := <-result:
-		return a
-	case <-l.done:
-		return l.finalAssignment(result)
-	case <-ctx.Done():
-		return l.withdraw(r.ID, result)
+		return stoppedAssignment()
 	}
+	return awaitResult(ctx, &l.mailbox, result, stoppedAssignment, func() Assignment { return l.withdraw(r.ID) })
 }
 
 // withdraw cancels a waiting request. A grant that is already on its way is returned, so that
 // the slot does not stay idle.
-func (l *Loop) withdraw(id ident.Request, result chan Assignment) Assignment {
+func (l *Loop) withdraw(id ident.Request) Assignment {
 	l.postAndWait(func(now time.Time) {
 		l.core.Cancel(now, id)
 		delete(l.waiters, id)
@@ -157,15 +141,6 @@
 	return Assignment{Failure: resultcode.Fail(resultcode.CallerGone, "")}
 }
 
-func (l *Loop) finalAssignment(result chan Assignment) Assignment {
-	select {
-	case a := <-result:
-		return a
-	default:
-		return Assignment{Failure: resultcode.Fail(resultcode.Stopping, "")}
-	}
-}
-
 // Progress reports the cost that a running request has received so far.
 func (l *Loop) Progress(id ident.Request, served float64) {
 	l.post(func(time.Time) { l.core.Progress(id, served) })
--- a/internal/control/mailbox.go
+++ b/internal/control/mailbox.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
 )
 
 type event func(now time.Time)
@@ -94,3 +96,39 @@
 		return false
 	}
 }
+
+// waiters holds the channels on which requests wait for their result. Each channel is buffered
+// and gets exactly one value.
+type waiters[T any] map[ident.Request]chan T
+
+func (w waiters[T]) deliver(id ident.Request, result T) {
+	if c, ok := w[id]; ok {
+		delete(w, id)
+		c <- result
+	}
+}
+
+func (w waiters[T]) deliverAll(result func() T) {
+	for id := range w {
+		w.deliver(id, result())
+	}
+}
+
+// awaitResult waits for a result. If ctx ends first it returns what withdraw returns. If the
+// loop ends first it returns the result that was delivered before, or what stopped returns if
+// there is none.
+func awaitResult[T any](ctx context.Context, m *mailbox, result <-chan T, stopped, withdraw func() T) T {
+	select {
+	case r := <-result:
+		return r
+	case <-m.done:
+		select {
+		case r := <-result:
+			return r
+		default:
+			return stopped()
+		}
+	case <-ctx.Done():
+		return withdraw()
+	}
+}
--- a/internal/ingress/model.go
+++ b/internal/ingress/model.go
@@ -53,11 +53,7 @@
 
 // acceptModel performs all checks that do not need a target and returns the job.
 func (s *Server) acceptModel(w *response, r *http.Request) (*job, *resultcode.Failure) {
-	key, failure := bearerToken(r)
-	if failure != nil {
-		return nil, failure
-	}
-	snapshot, failure := s.snapshotForKey(key)
+	snapshot, key, failure := s.snapshotForCaller(r)
 	if failure != nil {
 		return nil, failure
 	}
@@ -95,6 +91,16 @@
 	return j, nil
 }
 
+// snapshotForCaller returns the active configuration and the caller's API key.
+func (s *Server) snapshotForCaller(r *http.Request) (*config.Snapshot, string, *resultcode.Failure) {
+	key, failure := bearerToken(r)
+	if failure != nil {
+		return nil, "", failure
+	}
+	snapshot, failure := s.snapshotForKey(key)
+	return snapshot, key, failure
+}
+
 // snapshotForKey returns the active configuration if it contains the key. Before
 // any configuration is active, it fails with ConfigurationAbsent, because a valid
 // key cannot be told from an unknown one. The head must be read before the
@@ -218,11 +224,7 @@
 // handleModelList lists the models that the caller's key may use.
 func (s *Server) handleModelList(w http.ResponseWriter, r *http.Request) {
 	resp := newResponse(w, ident.NewRequest())
-	key, failure := bearerToken(r)
-	var snapshot *config.Snapshot
-	if failure == nil {
-		snapshot, failure = s.snapshotForKey(key)
-	}
+	snapshot, key, failure := s.snapshotForCaller(r)
 	if failure != nil {
 		s.writeFailure(resp, "", failure)
 		return
--- a/internal/ingress/place.go
+++ b/internal/ingress/place.go
@@ -9,6 +9,7 @@
 
 	"github.com/savorystall/savorystall/internal/attempt"
 	"github.com/savorystall/savorystall/internal/claim"
+	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/config"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/ident"
@@ -84,14 +85,7 @@
 	if hold != nil && !hold.MarkNotRun() {
 		return false
 	}
-	timer := time.NewTimer(decision.Backoff)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return clock.Sleep(ctx, clock.Real, decision.Backoff)
 }
 
 // awaitPlacement queues the job until a target is granted.
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -25,11 +25,7 @@
 }
 
 func (s *Server) acceptPlain(w *response, r *http.Request) (*job, *resultcode.Failure) {
-	key, failure := bearerToken(r)
-	if failure != nil {
-		return nil, failure
-	}
-	snapshot, failure := s.snapshotForKey(key)
+	snapshot, key, failure := s.snapshotForCaller(r)
 	if failure != nil {
 		return nil, failure
 	}
--- a/internal/order/weights.go
+++ b/internal/order/weights.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/platform"
@@ -36,18 +35,8 @@
 	if err != nil {
 		return err
 	}
-	return sleep(ctx, f.clock, wait)
-}
-
-// sleep waits for d or until ctx ends, in which case it returns the error of ctx.
-func sleep(ctx context.Context, c clock.Clock, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, f.clock, wait) {
 		return ctx.Err()
-	case <-c.After(d):
-		return nil
 	}
+	return nil
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -365,12 +365,7 @@
 		return false
 	}
 	s.metrics.retries.Inc(1)
-	select {
-	case <-ctx.Done():
-		return false
-	case <-s.config.Clock.After(fullJitter(attempt, retryBase, retryCap, s.config.Random())):
-		return true
-	}
+	return clock.Sleep(ctx, s.config.Clock, fullJitter(attempt, retryBase, retryCap, s.config.Random()))
 }
 
 // callIdempotent sends an idempotent request, and retries it until it is
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/turn"
 )
@@ -113,9 +114,9 @@
 		case errors.Is(err, errGroupRestored):
 			f.synced = false
 		case errors.Is(err, errOlderEra):
-			sleep(ctx, feedBackoffBase)
+			clock.Sleep(ctx, clock.Real, feedBackoffBase)
 		case changed:
-			sleep(ctx, f.cfg.CoalesceDelay)
+			clock.Sleep(ctx, clock.Real, f.cfg.CoalesceDelay)
 		case errors.Is(err, ErrHistoryLost):
 			event.FeedHistoryLost.Log(f.cfg.Logger, "table", f.cfg.Table, "revision", f.revision)
 			f.synced = false
@@ -143,7 +144,7 @@
 		}
 		return
 	}
-	sleep(ctx, fullJitter(f.failures, feedBackoffBase, feedBackoffCap, rand.Float64()))
+	clock.Sleep(ctx, clock.Real, fullJitter(f.failures, feedBackoffBase, feedBackoffCap, rand.Float64()))
 }
 
 // poll makes one call. It reports whether the call returned a change or the full table.
@@ -278,12 +279,3 @@
 		f.subscriber.StoreUnreachable()
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
