An unused field, a false comment on watchers, a stale rate in test/capacity

- gateway: eventFilter.resumed was set and never read.
- membership: the comment of TestFailureOfAThirdOfTheFleetIsDetected said that all five watchers of some daemons fail. watchersPerDaemon is 4, and counted (Watched of all tables before the failure) no daemon loses all: of the 24 that fail, each keeps one to six watchers, d069 one of four.
The comment is corrected and the test kept; TestFailureOfADaemonWithAllItsWatchersIsDetected stops three daemons of 70 in turn with all that watch them (5 to 7 failures).
- test/capacity: the comment of exchangeMessage said four times per second.
The exchange interval is 1 s by default since the core sends at that interval; the measurement takes the time of one message and does not depend on it.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -15,16 +15,12 @@
 	count  int
 	// partialEvent is the start of an event whose end has not arrived yet.
 	partialEvent []byte
-	// resumed reports whether the current target continues a stream of which the caller
-	// already has events.
-	resumed  bool
-	complete []byte
+	complete     []byte
 }
 
 // startAttempt prepares for the stream of another target.
 func (f *eventFilter) startAttempt() {
 	f.partialEvent = f.partialEvent[:0]
-	f.resumed = f.count > 0
 }
 
 // hasPartialEvent reports whether the stream has stopped within an event.
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -226,8 +226,8 @@
 	t.Logf("recovered after %s", s.awaitCorrectViews(t, 17*time.Second))
 }
 
-// A third of the fleet fails at once, including all five watchers of some daemons.
-// The failure of those daemons must be detected as well.
+// A third of the fleet fails at once, including most watchers of some daemons. The
+// failure of those daemons must be detected as well.
 func TestFailureOfAThirdOfTheFleetIsDetected(t *testing.T) {
 	s := newSimulatedFleet(70, 7)
 	for i, id := range s.ids {
@@ -238,6 +238,24 @@
 	t.Logf("detected by all after %s", s.awaitCorrectViews(t, detectionLimit))
 }
 
+// Guards against a failed daemon that stays live everywhere because all daemons
+// that watch it have failed with it, so that nobody reports it.
+func TestFailureOfADaemonWithAllItsWatchersIsDetected(t *testing.T) {
+	for _, failed := range []ident.Daemon{"d000", "d033", "d069"} {
+		t.Run(string(failed), func(t *testing.T) {
+			s := newSimulatedFleet(70, 7)
+			s.stopped[failed] = true
+			for _, id := range s.ids {
+				if id != failed && s.table[id].Watched(failed) {
+					s.stopped[id] = true
+				}
+			}
+			is.New(t).True(len(s.stopped) > 4) // the daemon and four or more watchers
+			t.Logf("%d failures detected by all after %s", len(s.stopped), s.awaitCorrectViews(t, detectionLimit))
+		})
+	}
+}
+
 // A daemon is paused for a minute and resumes. The others must not consider it
 // live during the pause, and it must not consider the others dead afterwards.
 func TestPausedDaemonRejoins(t *testing.T) {
--- a/test/capacity/core.go
+++ b/test/capacity/core.go
@@ -107,8 +107,9 @@
 	return peers
 }
 
-// exchangeMessage returns the message that a peer sends four times per second
-// while it has waiting and running requests of every backlogged workspace.
+// exchangeMessage returns the message that a peer sends once per exchange interval
+// (1 s by default) while it has waiting and running requests of every backlogged
+// workspace.
 func (s coreSize) exchangeMessage() scheduler.Message {
 	m := scheduler.Message{Incarnation: 1}
 	for i := range s.backlogged {
