--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -44,7 +44,7 @@
 	// idles for no longer than that.
 	HeldGrantsInterval time.Duration
 	// AggregationThreshold is the number of daemons above which served totals are
-	// aggregated within zones before they are forwarded (see reduce.go). The default
+	// aggregated within zones before they are forwarded (see aggregation.go). The default
 	// is 24.
 	AggregationThreshold int
 }
@@ -329,7 +329,7 @@
 	}
 }
 
-// Leave begins a planned shutdown: from now on the daemon owns no targets, unless
+// Leave begins a graceful shutdown: from now on the daemon owns no targets, unless
 // no other daemon is left to own them.
 func (c *Core) Leave(now time.Time) {
 	c.leaving = true
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -96,7 +96,7 @@
 	ID          ident.Daemon
 	Incarnation uint64
 	Zone        ident.Zone
-	// Leaving is set while the peer performs a planned shutdown: it no longer owns
+	// Leaving is set while the peer performs a graceful shutdown: it no longer owns
 	// targets, but its waiting requests still receive grants.
 	Leaving bool
 }
@@ -197,7 +197,7 @@
 	Grants       []Grant
 	Releases     []Release
 	ServedTotals []ServedTotal
-	// Aggregates are the totals that the sender has aggregated (see reduce.go). A
+	// Aggregates are the totals that the sender has aggregated (see aggregation.go). A
 	// daemon in the sender's zone receives the total of all other daemons, a daemon
 	// in another zone the total of the sender's zone. Only the difference from the
 	// previous value is counted.
