Booking: a burst that has ended no longer holds the others back

When such a workspace stops asking, its sums of demand, of what was shed and of grants decay alike. So it counts as underserved for five to six seconds, with grants that seem to fall, and everybody else is held to 1.13 times that.

Ruled out: targets that are short (use 0.45), processor time (shed 0), late sums (the level is the same at all daemons), the stated rate (level above it until the floor).

The demand is observed over a shorter time, too: the growth of the sums against their decay. A workspace lacks if it asks for more than the level at present, and its grants are compared as if it asked as before. The growth may be negative, since reported sums are constant from one report to the next.

Not kept: the same reference without leaving the set (red in the last seconds of the test, since a usual demand keeps the workspace in it).

--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -20,8 +20,8 @@
 	level   float64
 	levelAt time.Time
 	// minUnderserved is the least granted sum per unit of weight among the workspaces that ask
-	// for more than the level, and minShed the least among those of them that daemons shed for
-	// lack of processor time; infinite if there is none.
+	// for more than the level at present, and minShed the least among those of them that daemons
+	// shed for lack of processor time; infinite if there is none.
 	minUnderserved, minShed float64
 	// fleetSums reports that the sums received are totals of the fleet, including this
 	// daemon's.
@@ -185,12 +185,16 @@
 	s.minUnderserved, s.minShed = math.Inf(1), math.Inf(1)
 	for _, a := range s.accounts {
 		sum := a.sums(now)
-		if sum.asked <= a.weight*s.level*shareTolerance {
+		a.present.observe(now, sum)
+		asked, shed := a.present.now(now)
+		asked = min(asked, sum.asked)
+		if asked <= a.weight*s.level*shareTolerance {
 			continue
 		}
-		s.minUnderserved = min(s.minUnderserved, sum.granted/a.weight)
-		if sum.shed >= minShedFraction*sum.asked {
-			s.minShed = min(s.minShed, sum.granted/a.weight)
+		granted := sum.granted * sum.asked / asked // without the decay since it asks for less
+		s.minUnderserved = min(s.minUnderserved, granted/a.weight)
+		if shed >= minShedFraction*asked {
+			s.minShed = min(s.minShed, granted/a.weight)
 		}
 	}
 }
--- a/internal/booking/sums.go
+++ b/internal/booking/sums.go
@@ -70,6 +70,8 @@
 	// daemons' sums, and presumedGrants what the workspace is presumed to have been granted
 	// while it asked for less (estimate.go).
 	unpublished, presumedGrants decayingSum
+	// present is the most recent demand.
+	present presentDemand
 	// unusedGrants is the part of the grants that no target has run.
 	unusedGrants decayingSum
 	// tally is what this daemon has decided since the last call of ShareReports.
