Booking: full targets keep places for workspaces that have had less

Slots and memory of a target are checked before any share, and what is kept for those who have had less concerned only time. Shares divide the stated rate at least. Where targets deliver less than that, there is no level at all, everybody is within his share, and full targets serve whoever asks most often.

Ruled out: where callers come in, one late ingress, failing targets, returns of refused callers, what daemons shed, kinds of requests that differ (each alone in the simulation).

TestLoadsOfSharesWithoutTheirCircumstance and TestHotWorkspaceTakesNothingFromOthers stay green. Three calls of fitsMemory in a test have a second argument, 0: nothing reserved.

Conclusion: the cause is mended where the stated rate is above what targets give.

--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -136,9 +136,11 @@
 // occupancy is the fraction of slots in use.
 func (e *engine) occupancy() float64 { return float64(len(e.runs)) / float64(max(1, e.Slots)) }
 
-// fitsMemory reports whether the target has enough memory left for a request.
-func (e *engine) fitsMemory(r *run) bool {
-	return e.Memory == 0 || float64(e.usedMemory()+r.memory+e.cache.addedTokens(r.shared)) <= maxMemoryShare*float64(e.Memory)
+// fitsMemory reports whether the target has enough memory left for a request of a workspace that
+// must leave the given part of the reserved memory.
+func (e *engine) fitsMemory(r *run, reserved float64) bool {
+	usable := maxMemoryShare * (1 - reserved*reservedMemoryFraction) * float64(e.Memory)
+	return e.Memory == 0 || float64(e.usedMemory()+r.memory+e.cache.addedTokens(r.shared)) <= usable
 }
 
 // usedMemory is the memory used by running requests, in tokens.
--- a/internal/booking/prefixcache_test.go
+++ b/internal/booking/prefixcache_test.go
@@ -21,7 +21,7 @@
 	for range 10 {
 		r := &run{}
 		r.shared, r.memory = memoryNeeds(&res)
-		is.True(e.fitsMemory(r))
+		is.True(e.fitsMemory(r, 0))
 		e.addRun(now, r)
 		runs = append(runs, r)
 	}
--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -19,6 +19,9 @@
 	// one is underserved; infinite if the capacity suffices for all.
 	level   float64
 	levelAt time.Time
+	// grantedLevel is the fair sum per unit of weight of what was granted in all, with
+	// shareTolerance; infinite if about all that was asked for was granted.
+	grantedLevel float64
 	// minUnderserved is the least granted sum per unit of weight among the workspaces that ask
 	// for more than the level at present, and minShed the least among those of them that daemons
 	// shed for lack of processor time; infinite if there is none.
@@ -33,7 +36,7 @@
 }
 
 func newShares() shares {
-	return shares{accounts: map[ident.Workspace]*account{}, level: math.Inf(1), minUnderserved: math.Inf(1), minShed: math.Inf(1), reportAge: reportAgeDirect}
+	return shares{accounts: map[ident.Workspace]*account{}, level: math.Inf(1), grantedLevel: math.Inf(1), minUnderserved: math.Inf(1), minShed: math.Inf(1), reportAge: reportAgeDirect}
 }
 
 func (s *shares) account(ws ident.Workspace) *account {
@@ -71,11 +74,16 @@
 	return s.estimatedGrants(now, a)+cost/2 <= a.weight*s.level*shareTolerance
 }
 
-// shareUsed returns how much of its share a workspace has used; 1 is all of it.
+// shareUsed returns how much of its share a workspace has used; 1 is all of it. Where targets
+// deliver less than the rate that is divided, its share is that of what was granted in all.
 func (s *shares) shareUsed(now time.Time, ws ident.Workspace, rate rates) float64 {
 	s.refresh(now, rate.stated, rate.observed)
 	a := s.account(ws)
-	return s.estimatedGrants(now, a) / (a.weight * s.level)
+	granted := s.estimatedGrants(now, a)
+	if granted == 0 {
+		return 0
+	}
+	return granted / (a.weight * min(s.level, s.grantedLevel))
 }
 
 // mayUseSpare reports whether a workspace above its share may use spare capacity. Spare
@@ -118,6 +126,7 @@
 		a.sumOthers(now, s.fleetSums)
 	}
 	s.level = s.waterFill(now, stated)
+	s.grantedLevel = s.waterFill(now, shareTolerance*s.totalGranted(now)/decayTime.Seconds())
 	s.findUnderserved(now)
 	if observed > stated {
 		s.level = max(s.level, min(s.waterFill(now, observed), maxObservedLead*s.minShed))
