Control: replies that have arrived are read before they count as missing

What callers saw: daemons short of processor time refuse what owners have admitted, with no limit named ("4 targets asked, the shortest wait is 0s"), and for a second skip these owners.

Timers run before goroutines that have something to read. The tick that gives up a reservation after 40 ms then comes before the reply that lies in the socket or in the loop's queue, and takes its owner for silent.

Ruled out: that it is the only cause of refusals without a reply.

A tick that would give up a reply is deferred until the goroutines that were runnable have had three turns, and what they posted is handled; a second at most. Nothing waits meanwhile: the loop goes on with its events. On a daemon that has processor time it costs microseconds.

Conclusion: mended for what has arrived. Grants replied too late still stay in their workspace's sum: listed.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -238,6 +238,19 @@
 	return max(minTickInterval, next.Sub(now))
 }
 
+// RepliesOverdue reports whether the next Tick gives up waiting for the reply of an owner.
+func (c *Core) RepliesOverdue(now time.Time) bool {
+	for _, sent := range c.sentReservations {
+		if now.Sub(sent.at) < replyTimeout {
+			return false
+		}
+		if r := c.pending[sent.id]; r != nil && r.pendingID == sent.id {
+			return true
+		}
+	}
+	return false
+}
+
 // Tick handles everything that has become due by now.
 func (c *Core) Tick(now time.Time) {
 	c.timeOutReservations(now)
--- a/internal/booking/sim_turns_test.go
+++ b/internal/booking/sim_turns_test.go
@@ -4,7 +4,7 @@
 
 // turns models the event loop of a daemon that is not always scheduled (control.mailbox): events
 // are queued until its next turn, which handles all of them, and a tick that has become due
-// meanwhile comes before or after them.
+// meanwhile comes before or after them; after them if it would give up waiting for a reply.
 type turns struct {
 	// period and run are the length of a scheduling period and the part of it in which the
 	// daemon runs; offset shifts the periods.
@@ -61,7 +61,7 @@
 	if d.dead || len(t.queued) == 0 && !due {
 		return
 	}
-	if due && (len(t.queued) == 0 || t.tickFirst()) {
+	if due && (len(t.queued) == 0 || t.tickFirst() && !d.core.RepliesOverdue(s.now)) {
 		d.core.Tick(s.now)
 		s.applyEffects(d)
 	}
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -7,6 +7,7 @@
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/turn"
 )
 
 // BookingActions carries out the decisions of package booking. Its methods are called from
@@ -30,6 +31,8 @@
 	core    *booking.Core
 	actions BookingActions
 	waiters waiters[Placement]
+	// tickDeferred is set while a tick waits for the goroutines that read replies.
+	tickDeferred bool
 }
 
 // NewBookingLoop returns a loop around core. The loop does nothing until Run is called.
@@ -43,10 +46,37 @@
 
 // Run handles events until ctx ends. Requests that still wait then are refused as not run.
 func (b *BookingLoop) Run(ctx context.Context) {
-	b.run(ctx, b.core.NextTick, b.core.Tick, b.applyEffects)
+	b.run(ctx, b.untilTick, b.tick, b.applyEffects)
 	b.waiters.deliverAll(stoppedPlacement)
 }
 
+// maxTickDelay bounds how long a deferred tick is waited for.
+const maxTickDelay = time.Second
+
+func (b *BookingLoop) untilTick(now time.Time) time.Duration {
+	if b.tickDeferred {
+		return maxTickDelay
+	}
+	return b.core.NextTick(now)
+}
+
+// tick handles what is due. A tick that would give up waiting for a reply is deferred until the
+// goroutines that read replies have run: on a daemon that is short of processor time, timers run
+// before them, so that all owners would seem silent although their replies have arrived.
+func (b *BookingLoop) tick(now time.Time) {
+	if b.tickDeferred || !b.core.RepliesOverdue(now) {
+		b.core.Tick(now)
+		return
+	}
+	b.tickDeferred = true
+	turn.After(func() {
+		b.post(func(now time.Time) {
+			b.tickDeferred = false
+			b.core.Tick(now)
+		})
+	})
+}
+
 func (b *BookingLoop) applyEffects() {
 	for _, effect := range b.core.TakeEffects() {
 		switch e := effect.(type) {
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -25,9 +25,7 @@
 func WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	timer := time.AfterFunc(timeout, func() {
-		for range readerTurns {
-			runtime.Gosched() // runs after all runnable goroutines
-		}
+		yield()
 		cancel(context.DeadlineExceeded)
 	})
 	return timeoutContext{ctx}, func() {
@@ -36,6 +34,22 @@
 	}
 }
 
+// After calls f in a goroutine of its own once the goroutines that are runnable now have read
+// and passed on what has arrived for them.
+func After(f func()) {
+	go func() {
+		yield()
+		f()
+	}()
+}
+
+// yield lets the goroutines run that have a response to read.
+func yield() {
+	for range readerTurns {
+		runtime.Gosched() // runs after all runnable goroutines
+	}
+}
+
 // timeoutContext is a context whose Err is context.DeadlineExceeded if its timeout
 // expired.
 type timeoutContext struct{ context.Context }
