Booking tests: the small fleet's simulation in short functions

The function that ran a load of the small fleet had 150 lines. Its steps are functions of a type now, the file says what is in it (order_test.go before), and names are those of the field.

--- a/internal/booking/order_test.go
+++ b/internal/booking/smallfleet_test.go
@@ -13,26 +13,25 @@
 	"github.com/savorystall/savorystall/internal/ident"
 )
 
-// requestKind is a kind of requests of the small fleet.
+// requestKind is a kind of requests of the small fleet. Spreads are coefficients of variation.
 type requestKind struct {
 	objective time.Duration
-	// own is the mean size of the unshared part in tokens, shared those of the two shared
-	// parts, sessions the number of different second parts.
-	own       float64
-	ownSpread float64
-	shared    [2]int
-	sessions  int
-	events    float64
-	evSpread  float64
-	maxOwn    int
+	// own and maxOwn are the mean and the greatest size of the unshared part in tokens, shared
+	// the sizes of the two shared parts, sessions the number of different second parts.
+	own, ownSpread float64
+	maxOwn         int
+	shared         [2]int
+	sessions       int
+	// events is the mean number of events of an answer.
+	events, eventSpread float64
 }
 
 const tokensPerEvent = 12
 
 var (
-	longPrompts  = requestKind{objective: 600 * time.Millisecond, own: 6610, ownSpread: 1.4, maxOwn: 54600, shared: [2]int{512, 4870}, sessions: 137, events: 31.9, evSpread: 0.44}
-	shortPrompts = requestKind{objective: 300 * time.Millisecond, own: 628, ownSpread: 1, maxOwn: 3310, shared: [2]int{119, 79}, sessions: 244, events: 24.3, evSpread: 0.69}
-	shortAnswers = requestKind{objective: 300 * time.Millisecond, own: 1800, ownSpread: 1.3, maxOwn: 6870, shared: [2]int{341, 227}, sessions: 252, events: 1.88, evSpread: 1.4}
+	longPrompts  = requestKind{objective: 600 * time.Millisecond, own: 6610, ownSpread: 1.4, maxOwn: 54600, shared: [2]int{512, 4870}, sessions: 137, events: 31.9, eventSpread: 0.44}
+	shortPrompts = requestKind{objective: 300 * time.Millisecond, own: 628, ownSpread: 1, maxOwn: 3310, shared: [2]int{119, 79}, sessions: 244, events: 24.3, eventSpread: 0.69}
+	shortAnswers = requestKind{objective: 300 * time.Millisecond, own: 1800, ownSpread: 1.3, maxOwn: 6870, shared: [2]int{341, 227}, sessions: 252, events: 1.88, eventSpread: 1.4}
 	smallKinds   = []requestKind{longPrompts, shortPrompts, shortAnswers}
 )
 
@@ -46,7 +45,7 @@
 
 func (k *requestKind) make(rng *rand.Rand, kind, workspace int) booking.Request {
 	own := 1 + int(lognormal(rng, k.own, k.ownSpread, float64(k.maxOwn)))
-	output := tokensPerEvent * max(1, int(0.5+lognormal(rng, k.events, k.evSpread, 3*k.events)))
+	output := tokensPerEvent * max(1, int(0.5+lognormal(rng, k.events, k.eventSpread, 3*k.events)))
 	base := uint64(kind+1)<<40 | uint64(workspace)<<24
 	return booking.Request{
 		Prompt: own + k.shared[0] + k.shared[1], Output: output,
@@ -73,9 +72,9 @@
 	daemons []int
 }
 
-// orderScenario is the load of a fleet of 16 small VMs in four availability zones with 20
+// smallFleetScenario is the load of a fleet of 16 small VMs in four availability zones with 20
 // targets, of which 30 workspaces ask for more than it can serve.
-type orderScenario struct {
+type smallFleetScenario struct {
 	// stated is the configured rate, base the demand of the workspaces that are not hot, in
 	// tokens per second; prefill is the prefill rate of a target in tokens per millisecond.
 	stated, base, prefill  float64
@@ -87,9 +86,9 @@
 	from, to time.Duration
 }
 
-// orderResult is the window in which a workspace that was refused or late in every second got
+// leastServed is the window in which a workspace that was refused or late in every second got
 // least of what it is owed.
-type orderResult struct {
+type leastServed struct {
 	// margin is what it got in relation to half of the lesser of what it asked for and what the
 	// best served one got, less three of the largest requests.
 	margin           float64
@@ -100,8 +99,8 @@
 	decisions map[int]map[string]float64
 }
 
-func smallTwin(hot ...hotLoad) orderScenario {
-	return orderScenario{stated: 700e3, slots: 32, memory: 444000, prefill: 140, base: 1.2e6, targets: 20, hot: hot, duration: 12 * time.Second, from: 3 * time.Second, to: 12 * time.Second}
+func smallFleet(hot ...hotLoad) smallFleetScenario {
+	return smallFleetScenario{stated: 700e3, slots: 32, memory: 444000, prefill: 140, base: 1.2e6, targets: 20, hot: hot, duration: 12 * time.Second, from: 3 * time.Second, to: 12 * time.Second}
 }
 
 // hotAlike returns hot workspaces of the usual mix.
@@ -129,163 +128,228 @@
 
 func wsName(i int) ident.Workspace { return ident.Workspace(fmt.Sprintf("w%02d", i)) }
 
-func (sc orderScenario) run(seed uint64) orderResult {
-	const workspaces = 30
-	names := make([]ident.Workspace, workspaces)
+// smallFleetRun is one simulation of a scenario.
+type smallFleetRun struct {
+	smallFleetScenario
+	sim   *sim
+	start time.Time
+	index map[ident.Workspace]int
+	// asked and got are tokens, and bad whether a request was refused or late, by workspace and
+	// step.
+	asked, got [][]float64
+	bad        [][]bool
+	// largest is the cost of the largest request.
+	largest   float64
+	decisions map[int]map[string]float64
+}
+
+const (
+	smallFleetWorkspaces = 30
+	smallFleetWindow     = 6 // seconds
+	stepsPerSecond       = int(time.Second / shedStep)
+)
+
+func (sc smallFleetScenario) run(seed uint64) leastServed {
+	names := make([]ident.Workspace, smallFleetWorkspaces)
 	for i := range names {
 		names[i] = wsName(i)
 	}
-	s := newZonedSim(seed, []ident.Zone{"a", "b", "c", "d"}, 16, sc.targets, names...)
-	s.service.Rate = sc.stated
+	r := &smallFleetRun{smallFleetScenario: sc, index: map[ident.Workspace]int{}, decisions: map[int]map[string]float64{}}
+	r.sim = newZonedSim(seed, []ident.Zone{"a", "b", "c", "d"}, 16, sc.targets, names...)
+	r.start = r.sim.now
+	steps := int(sc.duration / shedStep)
+	for i, name := range names {
+		r.index[name] = i
+		r.asked, r.got, r.bad = append(r.asked, make([]float64, steps)), append(r.got, make([]float64, steps)), append(r.bad, make([]bool, steps))
+	}
+	r.configureTargets()
+	r.observe()
+	r.offerAll()
+	r.countDecisions()
+	if sc.prepare != nil {
+		sc.prepare(r.sim)
+	}
+	r.sim.run(sc.duration)
+	return r.leastServed()
+}
+
+func (r *smallFleetRun) configureTargets() {
+	s := r.sim
+	s.service.Rate = r.stated
 	s.service.FetchPerToken = 0
 	for i := range s.service.Targets {
 		t := &s.service.Targets[i]
-		t.Slots, t.Memory = sc.slots, sc.memory
-		s.engines[t.Name].spec, s.engines[t.Name].rate = *t, sc.prefill
+		t.Slots, t.Memory = r.slots, r.memory
+		s.engines[t.Name].spec, s.engines[t.Name].rate = *t, r.prefill
 	}
 	s.stepTime = func(e *engine) time.Duration {
 		busy := min(1, max(0, e.freeAt.Sub(s.now).Seconds()/0.1))
 		return time.Duration((2.2 + 0.0175*float64(e.context)/1000 + 7.3*busy) * float64(time.Millisecond))
 	}
 	s.updatePeers()
-	steps := int(sc.duration / shedStep)
-	start := s.now
-	step := func() int { return min(steps-1, int(s.now.Sub(start)/shedStep)) }
-	asked, got, bad := make([][]float64, workspaces), make([][]float64, workspaces), make([][]bool, workspaces)
-	for i := range workspaces {
-		asked[i], got[i], bad[i] = make([]float64, steps), make([]float64, steps), make([]bool, steps)
-	}
-	index := map[ident.Workspace]int{}
-	for i, n := range names {
-		index[n] = i
-	}
-	largest := 0.0
-	o := orderResult{margin: math.Inf(1), decisions: map[int]map[string]float64{}}
-	count := func(i int, what string, x float64) {
-		if o.decisions[i] == nil {
-			o.decisions[i] = map[string]float64{}
-		}
-		o.decisions[i][what] += x
+}
+
+// step is the number of the present step.
+func (r *smallFleetRun) step() int {
+	return min(len(r.asked[0])-1, int(r.sim.now.Sub(r.start)/shedStep))
+}
+
+func (r *smallFleetRun) count(ws int, what string, tokens float64) {
+	if r.decisions[ws] == nil {
+		r.decisions[ws] = map[string]float64{}
 	}
-	s.onDispatch = func(j *job) {
-		got[index[j.Workspace]][step()] += j.Cost()
+	r.decisions[ws][what] += tokens
+}
+
+// observe records what becomes of the requests.
+func (r *smallFleetRun) observe() {
+	r.sim.onDispatch = func(j *job) {
+		ws := r.index[j.Workspace]
+		r.got[ws][r.step()] += j.Cost()
 		if j.basis.SelectedBy == "blind" {
-			count(index[j.Workspace], "unconfirmed", j.Cost())
+			r.count(ws, "unconfirmed", j.Cost())
 		}
 	}
-	s.onOutcome = func(j *job, late bool) {
+	r.sim.onOutcome = func(j *job, late bool) {
+		ws := r.index[j.Workspace]
 		if late && j.target == "" && j.basis.Limit == booking.LimitNone {
-			count(index[j.Workspace], "no reply", j.Cost())
+			r.count(ws, "no reply", j.Cost())
 		}
 		if late {
-			bad[index[j.Workspace]][step()] = true
-		}
-	}
-	{
-		s.retryDelay = func() time.Duration {
-			return 400*time.Millisecond + time.Duration(s.rng.Int64N(int64(1200*time.Millisecond)))
+			r.bad[ws][r.step()] = true
 		}
 	}
-	offer := func(i int, l hotLoad) {
-		perSecond := l.rate / meanCost(l.mix)
-		var next func()
-		next = func() {
-			if s.now.Sub(start) >= l.end {
-				return
-			}
-			x := s.rng.Float64() * (l.mix[0] + l.mix[1] + l.mix[2])
-			k := 0
-			for ; k < 2 && x >= l.mix[k]; k++ {
-				x -= l.mix[k]
-			}
-			r := smallKinds[k].make(s.rng, k, i)
-			r.Workspace = names[i]
-			asked[i][step()] += r.Cost()
-			largest = max(largest, r.Cost())
-			d := s.daemons[s.rng.IntN(len(s.daemons))]
-			if len(l.daemons) > 0 {
-				d = s.daemons[l.daemons[s.rng.IntN(len(l.daemons))]]
-			}
-			s.submit(d, r, smallKinds[k].objective)
-			s.schedule(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
-		}
-		s.schedule(l.start, next)
+}
+
+// offerAll submits the requests of all workspaces. Refused callers retry once.
+func (r *smallFleetRun) offerAll() {
+	s := r.sim
+	s.retryDelay = func() time.Duration {
+		return 400*time.Millisecond + time.Duration(s.rng.Int64N(int64(1200*time.Millisecond)))
 	}
-	s.retryDaemon = func(j *job) *daemon {
-		i := index[j.Workspace]
-		if i < len(sc.hot) && len(sc.hot[i].daemons) > 0 {
-			return s.daemons[sc.hot[i].daemons[s.rng.IntN(len(sc.hot[i].daemons))]]
+	s.retryDaemon = func(j *job) *daemon { return r.daemonOf(r.index[j.Workspace]) }
+	for ws := range smallFleetWorkspaces {
+		if ws < len(r.hot) {
+			r.offer(ws, r.hot[ws])
+			continue
 		}
-		return s.daemons[s.rng.IntN(len(s.daemons))]
+		r.offer(ws, hotLoad{rate: r.base / float64(smallFleetWorkspaces-len(r.hot)), mix: usualMix, end: r.duration})
 	}
-	weights := 0.0
-	for i := range workspaces {
-		weights += 1 / float64(i+1)
+}
+
+// daemonOf draws a daemon that callers of a workspace reach.
+func (r *smallFleetRun) daemonOf(ws int) *daemon {
+	s := r.sim
+	if ws < len(r.hot) && len(r.hot[ws].daemons) > 0 {
+		return s.daemons[r.hot[ws].daemons[s.rng.IntN(len(r.hot[ws].daemons))]]
 	}
-	for i := range workspaces {
-		if i < len(sc.hot) {
-			offer(i, sc.hot[i])
-			continue
+	return s.daemons[s.rng.IntN(len(s.daemons))]
+}
+
+func (r *smallFleetRun) offer(ws int, l hotLoad) {
+	s, perSecond := r.sim, l.rate/meanCost(l.mix)
+	var next func()
+	next = func() {
+		if s.now.Sub(r.start) >= l.end {
+			return
+		}
+		kind := l.kind(s.rng)
+		request := smallKinds[kind].make(s.rng, kind, ws)
+		request.Workspace = wsName(ws)
+		r.asked[ws][r.step()] += request.Cost()
+		r.largest = max(r.largest, request.Cost())
+		d := s.daemons[s.rng.IntN(len(s.daemons))]
+		if len(l.daemons) > 0 {
+			d = r.daemonOf(ws)
 		}
-		offer(i, hotLoad{rate: sc.base / float64(workspaces-len(sc.hot)), mix: usualMix, end: sc.duration})
+		s.submit(d, request, smallKinds[kind].objective)
+		s.schedule(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
-	for at := time.Second; at < sc.duration; at += time.Second {
-		s.schedule(at, func() {
-			for _, d := range s.daemons {
-				for _, r := range d.core.ShareReports(s.now) {
-					for _, w := range r.Decisions {
-						for l, x := range w.Refused {
-							count(index[w.Workspace], l, float64(x))
+	s.schedule(l.start, next)
+}
+
+// kind draws a kind of requests from the mix.
+func (l *hotLoad) kind(rng *rand.Rand) int {
+	x := rng.Float64() * (l.mix[0] + l.mix[1] + l.mix[2])
+	kind := 0
+	for ; kind < 2 && x >= l.mix[kind]; kind++ {
+		x -= l.mix[kind]
+	}
+	return kind
+}
+
+// countDecisions counts each second what owners decided.
+func (r *smallFleetRun) countDecisions() {
+	for at := time.Second; at < r.duration; at += time.Second {
+		r.sim.schedule(at, func() {
+			for _, d := range r.sim.daemons {
+				for _, report := range d.core.ShareReports(r.sim.now) {
+					for _, w := range report.Decisions {
+						for limit, tokens := range w.Refused {
+							r.count(r.index[w.Workspace], limit, float64(tokens))
 						}
-						count(index[w.Workspace], "granted", float64(w.Granted))
+						r.count(r.index[w.Workspace], "granted", float64(w.Granted))
 					}
 				}
 			}
 		})
 	}
-	if sc.prepare != nil {
-		sc.prepare(s)
+}
+
+// second returns the steps of one second of the window that begins at the step first.
+func second[T any](steps []T, first, sec int) []T {
+	return steps[first+sec*stepsPerSecond : first+(sec+1)*stepsPerSecond]
+}
+
+func total(tokens []float64) (sum float64) {
+	for _, x := range tokens {
+		sum += x
 	}
-	s.run(sc.duration)
-	const perSecond = int(time.Second / shedStep)
-	for first := int(sc.from / shedStep); first+6*perSecond <= int(sc.to/shedStep); first++ {
-		sum := func(x []float64, sec int) (v float64) {
-			for _, y := range x[first+sec*perSecond : first+(sec+1)*perSecond] {
-				v += y
-			}
-			return v
-		}
-		all := func(x []float64) (v float64) {
-			for sec := range 6 {
-				v += sum(x, sec)
-			}
-			return v
-		}
-		best, bestOf := 0.0, 0
-		for i := range workspaces {
-			if g := all(got[i]); g > best {
-				best, bestOf = g, i
+	return sum
+}
+
+// leastServed compares the workspaces in all windows.
+func (r *smallFleetRun) leastServed() leastServed {
+	least := leastServed{margin: math.Inf(1), decisions: r.decisions}
+	const window = smallFleetWindow * stepsPerSecond
+	for first := int(r.from / shedStep); first+window <= int(r.to/shedStep); first++ {
+		inWindow := func(tokens []float64) float64 { return total(tokens[first : first+window]) }
+		best, bestWs := 0.0, 0
+		for ws := range smallFleetWorkspaces {
+			if got := inWindow(r.got[ws]); got > best {
+				best, bestWs = got, ws
 			}
 		}
-		for i := range workspaces {
-			owed, everySecond := 0.0, i != bestOf
-			for sec := range 6 {
-				everySecond = everySecond && slices.Contains(bad[i][first+sec*perSecond:first+(sec+1)*perSecond], true)
-				owed += min(sum(asked[i], sec), sum(got[bestOf], sec)) / 2
-			}
-			if owed -= 3 * largest; !everySecond || owed <= 0 {
+		for ws := range smallFleetWorkspaces {
+			owed := r.owed(ws, bestWs, first)
+			if ws == bestWs || owed <= 0 {
 				continue
 			}
-			if m := all(got[i]) / owed; m < o.margin {
-				o.margin, o.ws, o.at, o.asked, o.got, o.best, o.bestWs = m, i, time.Duration(first)*shedStep, all(asked[i]), all(got[i]), best, bestOf
+			if margin := inWindow(r.got[ws]) / owed; margin < least.margin {
+				least.margin, least.ws, least.bestWs, least.at = margin, ws, bestWs, time.Duration(first)*shedStep
+				least.asked, least.got, least.best = inWindow(r.asked[ws]), inWindow(r.got[ws]), best
 			}
 		}
 	}
-	return o
+	return least
+}
+
+// owed returns what a workspace is owed in a window: second by second half of what it asked for or
+// the best served one got, less three of the largest requests; 0 if there is a second without a
+// request that was refused or late.
+func (r *smallFleetRun) owed(ws, bestWs, first int) float64 {
+	owed := -3 * r.largest
+	for sec := range smallFleetWindow {
+		if !slices.Contains(second(r.bad[ws], first, sec), true) {
+			return 0
+		}
+		owed += min(total(second(r.asked[ws], first, sec)), total(second(r.got[bestWs], first, sec))) / 2
+	}
+	return owed
 }
 
 // String describes the window and what became of the two workspaces' requests.
-func (o orderResult) String() string {
+func (o leastServed) String() string {
 	decisions := func(ws int) string {
 		var list []string
 		for what, tokens := range o.decisions[ws] {
@@ -299,7 +363,7 @@
 }
 
 // checkShares fails for each seed with which a workspace gets less than it is owed.
-func (sc orderScenario) checkShares(t *testing.T, name string) {
+func (sc smallFleetScenario) checkShares(t *testing.T, name string) {
 	t.Helper()
 	for _, seed := range seeds {
 		if o := sc.run(seed); o.margin < 1 {
@@ -325,10 +389,10 @@
 // are within their shares, and a target that is full refuses those that have had little as it
 // refuses those that have had most.
 func TestFullTargetsAreSharedWhenTheStatedRateIsTooHigh(t *testing.T) {
-	slots := smallTwin(of([3]float64{0, 1, 0}, hotAlike(0.3e6, 1e6, 3.5e6))...)
+	slots := smallFleet(of([3]float64{0, 1, 0}, hotAlike(0.3e6, 1e6, 3.5e6))...)
 	slots.stated, slots.base = 1.4e6, 0.3e6
 	slots.checkShares(t, "slots")
-	memory := smallTwin(of([3]float64{1, 0, 0}, hotAlike(0.3e6, 1e6, 3.5e6))...)
+	memory := smallFleet(of([3]float64{1, 0, 0}, hotAlike(0.3e6, 1e6, 3.5e6))...)
 	memory.stated, memory.base, memory.slots, memory.memory = 1.4e6, 0.3e6, 128, 120000
 	memory.checkShares(t, "memory")
 }
@@ -339,7 +403,7 @@
 // than a share, and counts neither as granted. A workspace whose callers reach one daemon has
 // one daemon's number of these, one whose callers reach all has all of them.
 func TestTickBeforeQueuedRepliesTakesNoShares(t *testing.T) {
-	sc := smallTwin(firstAtOneDaemon(hotAlike(0.8e6, 0.8e6, 0.8e6, 0.8e6))...)
+	sc := smallFleet(firstAtOneDaemon(hotAlike(0.8e6, 0.8e6, 0.8e6, 0.8e6))...)
 	sc.base, sc.prepare = 0.45e6, lateTurns(func(int) bool { return true }, 12*time.Millisecond, true)
 	sc.checkShares(t, "all daemons late, ticks first")
 }
@@ -349,7 +413,7 @@
 // sum, so that a workspace whose callers reach a daemon that runs on time, among owners that do
 // not, is refused at a share that it has not had.
 func TestGrantsRepliedTooLateTakeNoShares(t *testing.T) {
-	sc := smallTwin(firstAtOneDaemon(hotAlike(0.8e6, 0.8e6, 0.8e6, 0.8e6))...)
+	sc := smallFleet(firstAtOneDaemon(hotAlike(0.8e6, 0.8e6, 0.8e6, 0.8e6))...)
 	sc.base, sc.prepare = 0.3e6, lateTurns(func(i int) bool { return i != 1 }, 9*time.Millisecond, false)
 	sc.checkShares(t, "all daemons but one late")
 }
@@ -357,10 +421,10 @@
 // The same loads without the circumstance that a test above adds leave every workspace what it
 // is owed, so that it is this circumstance that the tests show.
 func TestLoadsOfSharesWithoutTheirCircumstance(t *testing.T) {
-	sc := smallTwin(of([3]float64{0, 1, 0}, hotAlike(0.3e6, 1e6, 3.5e6))...)
+	sc := smallFleet(of([3]float64{0, 1, 0}, hotAlike(0.3e6, 1e6, 3.5e6))...)
 	sc.base = 0.3e6
 	sc.checkShares(t, "slots, with a stated rate that targets deliver")
-	sc = smallTwin(firstAtOneDaemon(hotAlike(0.8e6, 0.8e6, 0.8e6, 0.8e6))...)
+	sc = smallFleet(firstAtOneDaemon(hotAlike(0.8e6, 0.8e6, 0.8e6, 0.8e6))...)
 	sc.base = 0.45e6
 	sc.checkShares(t, "all daemons on time")
 	sc.prepare = lateTurns(func(int) bool { return true }, 12*time.Millisecond, false)
