Daemon: connections closed without a complete response are counted by cause; event 206

A request that gets no answer left no trace in the daemon: mustAbort closes without a word whenever a request ended as caller_gone, and net/http closes idle connections by itself. trackedConn.Close is the one place where a connection of a caller ends. It now counts each connection that is closed without a complete response to its request (connections_unanswered, by cause, by how far the request had got, and whether an earlier request was answered on it), and logs those whose caller had not closed (event 206, at most 20 a second). The gateway reports why it aborts just before it does so; the kernel is asked for the caller's close and for unread bytes only then, and when a connection is closed that holds no request.

Connections that a neighbour serves are not counted in front: event 112 and the result code 3007 are their record.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -40,6 +40,8 @@
 	closing map[net.Conn]bool
 	// maxConns bounds the number of connections; zero means no limit.
 	maxConns int
+	// ends records how connections ended; nil if that is not recorded.
+	ends *endRecorder
 	// recentPending lists, in order, the connections that became pending recently, and
 	// unreadConns counts those of them that are still pending.
 	recentPending []*pendingConn
@@ -82,9 +84,13 @@
 	delete(c.closing, conn)
 	switch state {
 	case http.StateNew:
-		if tracked, ok := conn.(*trackedConn); !ok || !tracked.forwarded {
+		tracked, ok := conn.(*trackedConn)
+		if !ok || !tracked.forwarded {
 			c.openedConns++
 		}
+		if ok {
+			tracked.recordEndTo(c.ends)
+		}
 		c.addPending(conn, time.Now())
 		if c.overLimit() {
 			c.closeOldestIdle()
@@ -121,7 +127,7 @@
 		if oldest == nil {
 			return
 		}
-		if c.tryCloseIdle(oldest) {
+		if c.tryCloseIdle(oldest, endConnectionLimit) {
 			return
 		}
 	}
@@ -139,24 +145,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.idle {
-		c.tryCloseIdle(conn)
+		c.tryCloseIdle(conn, endShutdown)
 	}
 	for conn, p := range c.pending {
 		if now.Sub(p.openedAt) >= firstRequestTimeout {
-			tryClose(conn)
+			tryClose(conn, endShutdown)
 		}
 	}
 	for conn := range c.closing {
-		tryClose(conn) // repeated because the server sets its own deadline when a request has ended
+		tryClose(conn, endShutdown) // repeated because the server sets its own deadline when a request has ended
 	}
 	return len(c.active)+len(c.pending)+len(c.closing) == 0
 }
 
 // tryCloseIdle closes an idle connection unless part of its next request has arrived. The
 // caller holds the lock.
-func (c *connTracker) tryCloseIdle(conn net.Conn) (closed bool) {
+func (c *connTracker) tryCloseIdle(conn net.Conn, reason endCause) (closed bool) {
 	delete(c.idle, conn)
-	if hasUnreadData(conn) || !tryClose(conn) {
+	if hasUnreadData(conn) || !tryClose(conn, reason) {
 		c.active[conn] = true // its goroutine updates the state when it is scheduled
 		return false
 	}
@@ -166,9 +172,9 @@
 
 // tryClose closes a connection unless a request is in progress on it, and reports whether
 // none is.
-func tryClose(conn net.Conn) bool {
+func tryClose(conn net.Conn, reason endCause) bool {
 	if tracked, ok := conn.(*trackedConn); ok {
-		return tracked.closeIfIdle()
+		return tracked.closeIfIdle(reason)
 	}
 	return conn.Close() == nil
 }
--- a/internal/daemon/readingconn.go
+++ b/internal/daemon/readingconn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -40,6 +41,20 @@
 	// it is to be refused, because neither this daemon nor a neighbour would read it in
 	// time.
 	forwarded, mustServe, mustRefuse bool
+
+	// ends records the end of the connection; nil if it is not to be recorded.
+	ends *endRecorder
+	// request is the state of the current request, and answered the number of those that
+	// were answered.
+	request  requestState
+	answered int
+	// responseStarted reports that part of the response to the current request was sent.
+	responseStarted atomic.Bool
+	// closeReason is why closeIfIdle was called; empty if it was not, or if a request has
+	// been answered since. callerClosed reports that a read found the connection closed by
+	// the caller, and timedOut that the last read failed at its deadline.
+	closeReason            endCause
+	callerClosed, timedOut bool
 }
 
 func newTrackedConn(conn tcpConn) *trackedConn { return &trackedConn{tcpConn: conn} }
@@ -53,6 +68,7 @@
 			c.onRequestData()
 			return n, err
 		case !errors.Is(err, os.ErrDeadlineExceeded) || !c.hasWaitingRequest():
+			c.onReadError(err)
 			return n, err
 		}
 	}
@@ -62,7 +78,7 @@
 func (c *trackedConn) onRequestData() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requestStarted = true
+	c.requestStarted, c.timedOut = true, false
 	if c.closePending {
 		c.closePending = false
 		_ = c.SetReadDeadline(time.Now().Add(requestRestTimeout)) // fails only on a closed connection, which the next read reports
@@ -85,13 +101,13 @@
 // closeIfIdle closes the connection unless a request has arrived or arrives first, and
 // reports whether none had. Closing is left to the reading goroutine: only it knows what it
 // has read.
-func (c *trackedConn) closeIfIdle() bool {
+func (c *trackedConn) closeIfIdle(reason endCause) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.requestStarted {
 		return false
 	}
-	c.closePending = true
+	c.closePending, c.closeReason = true, reason
 	_ = c.SetReadDeadline(time.Now()) // fails only on a closed connection
 	return true
 }
@@ -101,5 +117,6 @@
 func (c *trackedConn) onRequestDone() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requestStarted = false
+	c.requestStarted, c.closeReason, c.request = false, "", requestState{}
+	c.responseStarted.Store(false)
 }
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -88,7 +88,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, ShouldShed: load.shouldShed, Shedding: load.shedding, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
--- a/internal/daemon/routedservers.go
+++ b/internal/daemon/routedservers.go
@@ -30,9 +30,10 @@
 }
 
 func newRoutedServers(s settings.Settings, g *gateway.Server, life *Lifecycle, loop *control.BookingLoop, load *loadMonitor, h *connForwarder, watcher *disconnectWatcher,
-	routes *route.Holder, metrics *telemetry.Metrics) (*routedServers, error) {
+	routes *route.Holder, metrics *telemetry.Metrics, log *slog.Logger) (*routedServers, error) {
 	ops := &routedOperators{life: life, loop: loop, load: load, metrics: metrics}
 	r := &routedServers{connections: newConnTracker(maxCallerConnections(s.Memory))}
+	r.connections.ends = newEndRecorder(metrics, log)
 	h.unreadConns = r.connections.countUnread
 	h.routesVersion = routesVersion(routes)
 	var err error
@@ -56,7 +57,7 @@
 	r.callers = &http.Server{
 		ConnState:         func(c net.Conn, state http.ConnState) { r.connections.track(c, state); watcher.pollIfDue(c, state) },
 		ConnContext:       withConn,
-		Handler:           withConnectionHeaders(s.Callers.IdleTimeout, r.connections.nearLimit, closeWhenStopping(life, countRequests(g))),
+		Handler:           withConnectionHeaders(s.Callers.IdleTimeout, r.connections.nearLimit, closeWhenStopping(life, countRequests(trackRequests(g)))),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
 		MaxHeaderBytes:    s.Callers.HeaderBytes,
 		IdleTimeout:       s.Callers.IdleTimeout,
--- a/internal/daemon/takeover.go
+++ b/internal/daemon/takeover.go
@@ -159,6 +159,7 @@
 // Close implements net.Conn. A connection that a neighbour forwarded and that has unread
 // data lingers: closing it at once would reset it, and the answer might be lost.
 func (c *trackedConn) Close() error {
+	c.recordEnd()
 	if !c.forwarded || !hasUnreadData(c.tcpConn) || c.CloseWrite() != nil {
 		return c.tcpConn.Close()
 	}
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -35,4 +35,6 @@
 	RequestRefused  = define(204, slog.LevelInfo, "request refused before it ran", "none, unless one workspace or service is refused out of proportion to its share: see docs/OPERATIONS.md")
 	LinesSuppressed = define(205, slog.LevelWarn, "lines about requests were suppressed to limit the volume of the log", "none; the counters on the metrics address are complete")
 	RequestPanic    = define(202, slog.LevelError, "request handler panicked", "report a defect with the stack in the line")
+
+	ConnectionUnanswered = define(206, slog.LevelWarn, "a connection was closed without a complete response to its request although its caller had not disconnected", "none if a target failed or the request is unread; otherwise report a defect with the line")
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,6 +123,9 @@
 	// disconnects, unless stop is called first; stop reports whether it prevented the call.
 	// May be nil.
 	OnCallerGone func(ctx context.Context, end func()) (stop func() bool)
+	// OnAbort is called before the connection of the request with this context is aborted
+	// because the request gets no complete response. May be nil.
+	OnAbort func(ctx context.Context, a AbortedRequest)
 	// ShouldShed reports whether the new request with this context is to be refused for lack
 	// of processor time.
 	ShouldShed func(ctx context.Context) bool
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -36,11 +36,38 @@
 		return
 	}
 	if mustAbort(f, pr) {
+		if s.OnAbort != nil {
+			s.OnAbort(r.Context(), abortedRequest(pr, f))
+		}
 		panic(http.ErrAbortHandler)
 	}
 	s.writeFailure(w, pr, f)
 }
 
+// AbortedRequest describes a request that gets no complete response.
+type AbortedRequest struct {
+	AttemptID string
+	Route     string
+	// Target is the last target of the request, and Sent reports whether the request was
+	// sent to one.
+	Target ident.Target
+	Sent   bool
+	// Elapsed is the time since the request arrived, and Remaining what is left of the time
+	// that its caller or the operator allows.
+	Elapsed, Remaining time.Duration
+	Failure            *resultcode.Failure
+}
+
+func abortedRequest(pr *proxyRequest, f *resultcode.Failure) AbortedRequest {
+	if pr == nil {
+		return AbortedRequest{Failure: f}
+	}
+	return AbortedRequest{
+		AttemptID: pr.info.AttemptID, Route: string(pr.route.Name), Target: pr.stats.target, Sent: pr.stats.attempts > 0,
+		Elapsed: time.Since(pr.arrived), Remaining: time.Until(pr.deadline), Failure: f,
+	}
+}
+
 // shed refuses a request for lack of processor time.
 func (s *Server) shed(w http.ResponseWriter, r *http.Request) {
 	s.recordShedDemand(r)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -63,6 +64,7 @@
 	metricControlReceived      = define("control_received", Gauge, "bytes", "", "Bytes received from other daemons since the start.")
 	metricMembers              = define("members", Gauge, "daemons", "", "Live daemons that this one knows, itself included.")
 	metricForwardedConnections = define("connections_passed_on", Counter, "connections", "", "New connections of callers that a neighbour took over for want of processor time here.")
+	metricUnanswered           = define("connections_unanswered", Counter, "connections", "cause, progress, kept", "Connections of callers that were closed without a complete response to their request, by why, how far the request had got, and whether a request was answered on them before; where routes are served.")
 	metricConfigHead           = define("config_head", Gauge, "revision", "", "Highest configuration revision in force.")
 )
 
@@ -164,6 +166,18 @@
 // ConnectionForwarded counts a connection that a neighbour took over.
 func (m *Metrics) ConnectionForwarded() { m.scope.Counter(metricForwardedConnections).Inc(1) }
 
+// ConnectionUnanswered counts a connection that was closed without a complete response to
+// its request. Kept reports whether an earlier request was answered on it.
+func (m *Metrics) ConnectionUnanswered(cause, progress string, kept bool) {
+	key := seriesKey{metricUnanswered, cause, progress + strconv.FormatBool(kept)}
+	cached, ok := m.series.Load(key)
+	if !ok {
+		cached = m.scope.Tagged(map[string]string{"cause": cause, "progress": progress, "kept": strconv.FormatBool(kept)}).Counter(metricUnanswered)
+		m.series.Store(key, cached)
+	}
+	cached.(tally.Counter).Inc(1)
+}
+
 // Preempted counts a preempted stream and the tokens that must be prefilled again to
 // resume it.
 func (m *Metrics) Preempted(service ident.Service, tokens int64) {
