Daemon: a caller that has sent part of its next request is seen to leave

Cause: while the server serves a request, a goroutine reads one byte ahead to notice the caller's close. If the caller has sent bytes of a further request, that byte is read and the goroutine ends; the close is then seen only by the poll, and that is made only while the scheduling latency is high. The target works on until its response cannot be written (GONE).

Change: a connection from which the server has read ahead is polled every 100 ms also while the latency is low. The read ahead is recognised by the size of its buffer, one byte; the test fails if that changes. Other connections are polled as before, so that nothing is added where nobody sends ahead.

--- a/internal/daemon/hangups.go
+++ b/internal/daemon/hangups.go
@@ -17,7 +17,8 @@
 	// while the scheduling latency is high. It is far below the half second within which a
 	// target is to stop working for a caller that has disconnected.
 	disconnectPollInterval = 50 * time.Millisecond
-	// latencyCheckInterval is how often the scheduling latency is checked while it is low.
+	// latencyCheckInterval is how often the scheduling latency is checked, and connections
+	// that are always polled are polled, while it is low.
 	latencyCheckInterval = 100 * time.Millisecond
 	// disconnectTimers is the number of timers that trigger polls. The runtime schedules
 	// the goroutine of a timer next, but only that of the last of those that have expired
@@ -33,6 +34,10 @@
 // may continue to work. While the scheduling latency is high, this type polls all
 // connections with one system call instead. The call is made by whichever goroutine runs
 // when a poll is due: that of a timer, or of a connection that begins or ends a request.
+//
+// The server's goroutine also stops reading at the first byte of a further request.
+// Connections whose callers send one before the response to the previous one are always
+// polled.
 type disconnectWatcher struct {
 	// slow reports whether the scheduling latency is high.
 	slow    func() bool
@@ -111,8 +116,8 @@
 func (h *disconnectWatcher) onTimer(i int) {
 	slow := h.slow()
 	h.restartTimers(i, slow)
-	if slow && h.sincePoll() >= disconnectPollInterval/2 {
-		h.poll()
+	if h.sincePoll() >= disconnectPollInterval/2 {
+		h.poll(!slow)
 	}
 }
 
@@ -137,7 +142,7 @@
 // pollIfDue is a ConnState hook of the server that polls if a poll is due.
 func (h *disconnectWatcher) pollIfDue(net.Conn, http.ConnState) {
 	if h.watchedCount.Load() > 0 && h.sincePoll() >= disconnectPollInterval && h.slow() {
-		h.poll()
+		h.poll(false)
 	}
 }
 
@@ -145,37 +150,50 @@
 	return time.Since(h.started) - time.Duration(h.lastPoll.Load())
 }
 
-// poll ends the requests whose callers have disconnected. If its goroutine is descheduled
-// meanwhile, the next poll runs concurrently.
-func (h *disconnectWatcher) poll() {
+// poll ends the requests whose callers have disconnected, or only those of them that the
+// server does not detect by itself. If its goroutine is descheduled meanwhile, the next poll
+// runs concurrently.
+func (h *disconnectWatcher) poll(undetectedOnly bool) {
 	h.lastPoll.Store(int64(time.Since(h.started)))
 	buffers := h.spareBuffers.Swap(nil)
 	if buffers == nil {
 		buffers = &pollBuffers{}
 	}
-	h.collectRequests(buffers)
+	h.collectRequests(buffers, undetectedOnly)
 	buffers.fds = buffers.fds[:0]
 	for _, w := range buffers.requests {
 		buffers.fds = append(buffers.fds, unix.PollFd{Fd: fileDescriptor(w.conn), Events: disconnectEvents})
 	}
-	if n, err := unix.Poll(buffers.fds, 0); err == nil && n > 0 { // otherwise the next poll finds them
-		for i, w := range buffers.requests {
-			if buffers.fds[i].Revents&disconnectEvents != 0 && h.unwatch(w) {
-				w.onDisconnect()
-			}
-		}
-	}
+	h.endDisconnected(buffers)
 	clear(buffers.requests)
 	h.spareBuffers.Store(buffers)
 }
 
-// collectRequests lists the watched requests.
-func (h *disconnectWatcher) collectRequests(l *pollBuffers) {
+// endDisconnected polls the listed requests and ends those whose callers have disconnected.
+func (h *disconnectWatcher) endDisconnected(l *pollBuffers) {
+	if len(l.fds) == 0 {
+		return
+	}
+	if n, err := unix.Poll(l.fds, 0); err != nil || n == 0 {
+		return // after an error the next poll finds them
+	}
+	for i, w := range l.requests {
+		if l.fds[i].Revents&disconnectEvents != 0 && h.unwatch(w) {
+			w.onDisconnect()
+		}
+	}
+}
+
+// collectRequests lists the watched requests, or only those whose callers' disconnects the
+// server does not detect.
+func (h *disconnectWatcher) collectRequests(l *pollBuffers, undetectedOnly bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l.requests = l.requests[:0]
 	for w := range h.watched {
-		l.requests = append(l.requests, w)
+		if !undetectedOnly || hasReadAhead(w.conn) {
+			l.requests = append(l.requests, w)
+		}
 	}
 }
 
--- a/internal/daemon/hangups_test.go
+++ b/internal/daemon/hangups_test.go
@@ -131,3 +131,24 @@
 		is.True(!(<-ended).Failed)
 	}
 }
+
+// Guards against a target that works on after its caller has left, if the caller had sent part of
+// its next request before: the server reads one byte ahead and then does not read again until
+// the response is complete, so that it does not notice the close.
+func TestDisconnectAfterPipelinedRequestCancelsTarget(t *testing.T) {
+	const maxDelay = 500 * time.Millisecond
+	is := is.New(t)
+	callers, targets, _ := startRequests(t, 2) // the second one without a response so far
+	for i, c := range callers {
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\n")
+		is.NoErr(err)
+		time.Sleep(50 * time.Millisecond) // until the server has read ahead
+		is.NoErr(c.Close())
+		closedAt := time.Now()
+		is.NoErr(targets[i].SetReadDeadline(closedAt.Add(4 * maxDelay)))
+		_, err = targets[i].Read(make([]byte, 1))
+		is.True(err != nil)
+		t.Logf("the target notices after %v: %v", time.Since(closedAt), err)
+		is.True(time.Since(closedAt) < maxDelay)
+	}
+}
--- a/internal/daemon/readingconn.go
+++ b/internal/daemon/readingconn.go
@@ -42,6 +42,10 @@
 	// time.
 	forwarded, mustServe, mustRefuse bool
 
+	// readAhead reports that the server has read the first byte of the next request while
+	// it serves one.
+	readAhead atomic.Bool
+
 	// ends records the end of the connection; nil if it is not to be recorded.
 	ends *endRecorder
 	// request is the state of the current request, and answered the number of those that
@@ -57,6 +61,17 @@
 	callerClosed, timedOut bool
 }
 
+// readAheadSize is the size of the buffer into which the server reads while it serves a
+// request. It reads requests into larger ones.
+const readAheadSize = 1
+
+// hasReadAhead reports whether the server has read the first byte of the next request while
+// it serves one. It does not read from the connection then until the response is complete.
+func hasReadAhead(conn net.Conn) bool {
+	tracked, ok := conn.(*trackedConn)
+	return ok && tracked.readAhead.Load()
+}
+
 func newTrackedConn(conn tcpConn) *trackedConn { return &trackedConn{tcpConn: conn} }
 
 // Read implements net.Conn.
@@ -65,6 +80,9 @@
 		n, err = c.tcpConn.Read(b)
 		switch {
 		case n > 0:
+			if len(b) == readAheadSize {
+				c.readAhead.Store(true)
+			}
 			c.onRequestData()
 			return n, err
 		case !errors.Is(err, os.ErrDeadlineExceeded) || !c.hasWaitingRequest():
@@ -119,4 +137,5 @@
 	defer c.mu.Unlock()
 	c.requestStarted, c.closeReason, c.request = false, "", requestState{}
 	c.responseStarted.Store(false)
+	c.readAhead.Store(false)
 }
