--- a/internal/daemon/ends.go
+++ b/internal/daemon/ends.go
@@ -7,9 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/gateway"
@@ -197,7 +194,7 @@
 	case c.requestStarted:
 		return progressBegun, !c.responseStarted.Load() // the server itself responds to a malformed request
 	}
-	return progressUnread, !c.callerClosed && unreadBytes(c.tcpConn) > 0
+	return progressUnread, !c.callerClosed && hasUnreadData(c.tcpConn) && !peerClosed(c.tcpConn) // a close counts as unread data
 }
 
 // endCause returns why the connection is closed before its request has a complete response.
@@ -221,14 +218,3 @@
 	}
 	return endIdleTimeout
 }
-
-// unreadBytes returns the number of bytes that wait to be read from a connection.
-func unreadBytes(conn syscall.Conn) int {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // both fail only on a closed connection
-	return n
-}
