Handover: what a stopped neighbour has answered is still delivered

Cause: when a neighbour is not known to be alive any more, the front closes its connections to it, so that callers of a frozen VM get an error at once. A close drops what has arrived and is unread. A neighbour that stops by plan answers everything, closes, and then leaves the fleet; a front whose goroutines wait long for their turns, or whose caller reads slowly, still holds part of these answers in its kernel. Its caller got a reset within the answer, or 3007 where nothing of the answer had been read.

Change: a connection that the neighbour has closed itself is left to end by itself; what arrived is followed by its end.

What is left: an answer whose last bytes have not arrived at the front yet when the neighbour counts as gone is still cut.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -79,7 +79,7 @@
 
 // setNeighbours replaces the daemons of the availability zone that may accept forwarded
 // connections. alive holds all daemons that are known to be alive; connections that other
-// daemons have accepted are closed.
+// daemons have accepted are closed, except those that such a daemon has closed itself.
 func (h *connForwarder) setNeighbours(neighbours []ident.Daemon, alive map[ident.Daemon]bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -90,7 +90,7 @@
 			continue
 		}
 		for p := range proxies {
-			_ = p.neighbour.Close() // its caller gets an error instead of waiting for a frozen daemon
+			p.neighbourGone()
 		}
 	}
 }
--- a/internal/daemon/passage.go
+++ b/internal/daemon/passage.go
@@ -85,6 +85,16 @@
 	_, _ = p.neighbour.CloseWrite(), p.neighbour.CloseRead() // fail if the neighbour has closed the connection
 }
 
+// neighbourGone ends a proxy whose neighbour is not known to be alive any more: its caller
+// gets an error instead of waiting for a frozen daemon. A neighbour that has closed the
+// connection has stopped or crashed. Its answer may have arrived and be unread, and the
+// proxy ends by itself after it.
+func (p *connProxy) neighbourGone() {
+	if !peerClosed(p.neighbour) {
+		_ = p.neighbour.Close()
+	}
+}
+
 // onRequestData records that bytes of the caller are sent to the neighbour. From then on
 // the caller may be silent.
 func (p *connProxy) onRequestData() {
--- a/internal/daemon/passage_test.go
+++ b/internal/daemon/passage_test.go
@@ -248,3 +248,44 @@
 	t.Cleanup(func() { _, _ = a.Close(), b.Close() })
 	return a, b
 }
+
+// Guards against a front that drops the rest of an answer when the neighbour that has sent it stops:
+// on a daemon with a high scheduling latency, or before a caller that reads slowly, part of the
+// answer is still unread when the neighbour is known to be gone.
+func TestAnswerOfStoppedNeighbourIsDelivered(t *testing.T) {
+	const size, bufferSize = 100 << 10, 8 << 10
+	is := is.New(t)
+	sent := make(chan error, 1)
+	s := newOverloadedDaemon(t, startScriptedNeighbour(t, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1000))
+		_, err := io.WriteString(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", size, strings.Repeat("x", size)))
+		_ = conn.Close()
+		sent <- err
+	}))
+	setSendBuffer(t, s.listener, bufferSize)
+	caller, err := net.Dial("tcp", s.address)
+	is.NoErr(err)
+	defer func() { _ = caller.Close() }()
+	is.NoErr(caller.(*net.TCPConn).SetReadBuffer(bufferSize)) // most of the answer waits in the front's kernel
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	is.NoErr(<-sent)
+	time.Sleep(50 * time.Millisecond) // until the close has reached the front
+	s.forwarder.setNeighbours(nil, nil)
+	w, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(w.Body)
+	is.NoErr(err)
+	is.Equal(len(body), size)
+}
+
+// setSendBuffer limits the send buffers of the connections that a listener accepts.
+func setSendBuffer(t *testing.T, l *drainableListener, size int) {
+	t.Helper()
+	is := is.New(t)
+	raw, err := l.SyscallConn()
+	is.NoErr(err)
+	is.NoErr(raw.Control(func(fd uintptr) {
+		is.NoErr(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size))
+	}))
+}
