--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -264,3 +264,56 @@
 	_, err = conn.Read(b)
 	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // the rest never arrives
 }
+
+// Guards against a graceful shutdown that cancels a request which its caller sent before the
+// previous one was answered. Such a request may be read together with the previous one, so that
+// neither the kernel nor the reads of the connection show it, and the deadline that closes an
+// idle connection is set while the request begins.
+func TestShutdownKeepsConnectionWithPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	l, err := listenDrainable("127.0.0.1:0")
+	is.NoErr(err)
+	conns := newConnTracker(0)
+	canceled := make(chan bool, 2)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+				canceled <- true
+			case <-time.After(100 * time.Millisecond):
+				canceled <- false
+			}
+			_, _ = io.WriteString(w, r.URL.Path)
+		}),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateActive && conns.countIdle() > 0 {
+				conns.closeInactive(time.Now()) // the second request was read and is not served yet
+			}
+			conns.track(c, state)
+		},
+		IdleTimeout: time.Minute,
+	}
+	go func() { _ = server.Serve(newRateLimitedListener(l, func() rate.Limit { return 0 }, nil)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = caller.Close() })
+	_, err = io.WriteString(caller, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	reader := bufio.NewReader(caller)
+	for _, path := range []string{"/1", "/2"} {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		text, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(text), path)
+		is.True(!<-canceled)
+	}
+}
+
+// countIdle returns the number of connections that wait for a further request.
+func (c *connTracker) countIdle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idle)
+}
