Daemon: connections without a complete response are summed up in the log; event 207

In a flood lines about single connections are missing: they are limited, and the log drops lines when its queue is full.

--- a/internal/daemon/ends.go
+++ b/internal/daemon/ends.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/gateway"
@@ -81,14 +82,19 @@
 	metrics *telemetry.Metrics
 	log     *slog.Logger
 	limiter *logging.RateLimiter
+
+	mu sync.Mutex
+	// counts holds the number of connections since the last report, by cause and progress.
+	counts map[string]int
 }
 
 func newEndRecorder(metrics *telemetry.Metrics, log *slog.Logger) *endRecorder {
-	return &endRecorder{metrics: metrics, log: log, limiter: logging.NewRateLimiter(unansweredLogRate)}
+	return &endRecorder{metrics: metrics, log: log, limiter: logging.NewRateLimiter(unansweredLogRate), counts: map[string]int{}}
 }
 
 func (r *endRecorder) record(e unansweredEnd) {
 	r.metrics.ConnectionUnanswered(string(e.cause), string(e.progress), e.answered > 0)
+	r.count(e)
 	if e.cause == endCallerGone || !r.limiter.Allow() {
 		return
 	}
@@ -99,6 +105,28 @@
 	event.ConnectionUnanswered.Log(r.log, append(args, "suppressed", r.limiter.TakeSuppressed())...)
 }
 
+func (r *endRecorder) count(e unansweredEnd) {
+	key := string(e.cause) + "/" + string(e.progress)
+	if e.answered > 0 {
+		key += "/kept"
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[key]++
+}
+
+// logReport logs the number of connections since the last report, if there were any. The
+// lines about single connections may be suppressed.
+func (r *endRecorder) logReport() {
+	r.mu.Lock()
+	counts := r.counts
+	r.counts = map[string]int{}
+	r.mu.Unlock()
+	if len(counts) > 0 {
+		event.ConnectionsUnanswered.Log(r.log, "connections", counts)
+	}
+}
+
 // trackRequests is middleware that records on the connection which request is served and
 // whether it was answered.
 func trackRequests(next http.Handler) http.Handler {
--- a/internal/daemon/ends_test.go
+++ b/internal/daemon/ends_test.go
@@ -36,8 +36,9 @@
 	return b.buf.Write(p)
 }
 
-// lines returns the lines of event 206 that have been written so far.
-func (b *logBuffer) lines(t *testing.T) (lines []map[string]any) {
+// lines returns the lines of an event that have been written so far; those of event 207
+// without all but their counts.
+func (b *logBuffer) lines(t *testing.T, number float64) (lines []map[string]any) {
 	t.Helper()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -46,7 +47,11 @@
 		if err := json.Unmarshal([]byte(line), &fields); err != nil {
 			t.Fatal(err)
 		}
-		if fields["event"] == 206.0 {
+		switch {
+		case fields["event"] != number:
+		case number == 207:
+			lines = append(lines, fields["connections"].(map[string]any))
+		default:
 			lines = append(lines, fields)
 		}
 	}
@@ -176,12 +181,15 @@
 		answered        any
 	}
 	var got []record
-	for _, line := range e.log.lines(t) {
+	for _, line := range e.log.lines(t, 206) {
 		got = append(got, record{line["cause"], line["progress"], line["answered"]})
 	}
 	is.Equal(got, []record{
 		{"canceled", "sent", 1.0}, {"canceled", "read", 1.0}, {"response_aborted", "sent", 1.0}, {"panic", "read", 1.0},
 	}) // neither the caller that left nor the one that was answered
+	e.conns.ends.logReport()
+	e.conns.ends.logReport() // nothing since
+	is.Equal(e.log.lines(t, 207), []map[string]any{{"canceled/sent/kept": 1.0, "canceled/read/kept": 1.0, "response_aborted/sent/kept": 1.0, "panic/read/kept": 1.0, "caller_gone/sent": 1.0}})
 	is.Equal(e.counters(t), []string{
 		`savorystall_connections_unanswered{cause="caller_gone",kept="false",progress="sent"} 1`,
 		`savorystall_connections_unanswered{cause="canceled",kept="true",progress="read"} 1`,
@@ -248,7 +256,7 @@
 				test.prepare(conn)
 			}
 			is.NoErr(conn.Close())
-			lines := log.lines(t)
+			lines := log.lines(t, 206)
 			if test.cause == nil {
 				is.Equal(len(lines), 0)
 				return
@@ -269,5 +277,5 @@
 	for range 100 {
 		r.record(unansweredEnd{cause: endCanceled, progress: progressSent, caller: &net.TCPAddr{}})
 	}
-	is.True(len(log.lines(t)) <= 2)
+	is.True(len(log.lines(t, 206)) <= 2)
 }
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -192,6 +192,7 @@
 	})
 	d.deps.Servers.drain(ctx, d.deps.Forwarder, d.accepting)
 	stopWarnings()
+	d.deps.Servers.connections.ends.logReport()
 	d.deps.Life.applyTrigger(triggerDrained)
 	d.cancel()
 	_ = d.deps.Node.Stop(ctx)
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -294,6 +294,7 @@
 		case <-ticker.C:
 			s.updateGauges()
 			s.deps.Forwarder.logReport()
+			s.deps.Servers.connections.ends.logReport()
 			s.deps.Gateway.LogDroppedLines()
 		case <-sharing.C:
 			s.logSharing()
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -37,4 +37,6 @@
 	RequestPanic    = define(202, slog.LevelError, "request handler panicked", "report a defect with the stack in the line")
 
 	ConnectionUnanswered = define(206, slog.LevelWarn, "a connection was closed without a complete response to its request although its caller had not disconnected", "none if a target failed or the request is unread; otherwise report a defect with the line")
+
+	ConnectionsUnanswered = define(207, slog.LevelInfo, "connections were closed without a complete response to their requests, counted by cause, by how far the requests had got, and for connections kept after an earlier response", "none; see event 206 for those whose callers had not disconnected")
 )
