--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -440,3 +440,35 @@
 	_, err = targetconn.New(targetconn.Config{}).Do(t.Context(), l.Addr().String(), r)
 	is.True(errors.Is(err, targetconn.ErrCallerGone))
 }
+
+// Guards against a response that is cut because its target reads the request's body late: it
+// may respond first, and for as long as its receive window is full nothing of the body is
+// acknowledged although the target is sound.
+func TestResponseOfTargetThatReadsBodyLateIsComplete(t *testing.T) {
+	const events, interval, userTimeout = 5, 250 * time.Millisecond, 400 * time.Millisecond
+	is := is.New(t)
+	body := strings.Repeat("x", 4<<20)
+	tg := serve(t, func(conn *net.TCPConn, in *bufio.Reader, _ int) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Name: late\r\nContent-Length: 5\r\n\r\n")
+		for range events {
+			_, _ = io.WriteString(conn, "x")
+			time.Sleep(interval)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	pool := targetconn.New(targetconn.Config{UserTimeout: userTimeout})
+	t.Cleanup(pool.Close)
+	r := request("late")
+	r.Body = []byte(body)
+	started := time.Now()
+	x, err := pool.Do(t.Context(), tg.address, r)
+	is.NoErr(err)
+	text, err := io.ReadAll(x)
+	t.Logf("%d of %d bytes after %v: %v", len(text), events, time.Since(started), err)
+	is.NoErr(err)
+	is.Equal(len(text), events)
+}
