Booking: headroom by its name of the glossary

What a workspace leaves free on targets was called reserved in one place and headroom in the glossary, and `reservation` is the name of the request for a place. No decision changes: the tests of full targets and hot workspaces stay green.

--- a/internal/booking/doc.go
+++ b/internal/booking/doc.go
@@ -31,7 +31,9 @@
 // (capacity.go), which is derived from the utilization of slots, memory and prefill time. The
 // fraction of its time that an engine may spend on prefill follows from how much its streams
 // slow down meanwhile (slowdown.go). A workspace above its share, and a request that is already
-// late, get spare capacity only: a place on a target that is less than half used.
+// late, get spare capacity only: a place on a target that is less than half used. A workspace that
+// has used its share leaves headroom on full targets to those that have had less. Whether a
+// workspace is underserved is judged by its present demand (presentdemand.go).
 //
 // Prefill speed is learned from the times to first byte (pace.go), target failures from the
 // outcomes of requests (health.go).
--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -136,10 +136,10 @@
 // occupancy is the fraction of slots in use.
 func (e *engine) occupancy() float64 { return float64(len(e.runs)) / float64(max(1, e.Slots)) }
 
-// fitsMemory reports whether the target has enough memory left for a request of a workspace that
-// must leave the given part of the reserved memory.
-func (e *engine) fitsMemory(r *run, reserved float64) bool {
-	usable := maxMemoryShare * (1 - reserved*reservedMemoryFraction) * float64(e.Memory)
+// fitsMemory reports whether the target has enough memory left for a request beside the given part
+// of its headroom.
+func (e *engine) fitsMemory(r *run, headroom float64) bool {
+	usable := maxMemoryShare * (1 - headroom*maxMemoryHeadroom) * float64(e.Memory)
 	return e.Memory == 0 || float64(e.usedMemory()+r.memory+e.cache.addedTokens(r.shared)) <= usable
 }
 
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -138,16 +138,16 @@
 
 // admissionLimit decides about a request on a target: LimitNone admits it.
 func (c *Core) admissionLimit(now time.Time, e *engine, res Reservation, r *run) Limit {
-	reserved := c.reservation(now, e, res)
+	headroom := c.headroom(now, e, res)
 	switch {
 	case !c.healthy(now, e):
 		return LimitFailing
-	case !e.fitsMemory(r, reserved):
+	case !e.fitsMemory(r, headroom):
 		return LimitMemory
-	case !e.hasSlot(reserved):
+	case !e.hasSlot(headroom):
 		return LimitSlots
 	case !c.spareOnly(now, e, res):
-		return c.latencyLimit(now, e, res, r, reserved)
+		return c.latencyLimit(now, e, res, r, headroom)
 	case e.occupancy() >= maxSpareUtilization || e.backlog(now) > maxSpareBacklog:
 		return LimitSpare
 	case !e.service.shares.mayUseSpare(now, res.Workspace, reservationCost(res), e.service.currentRates(now)):
@@ -157,12 +157,12 @@
 }
 
 // latencyLimit checks a request against its latency objective.
-func (c *Core) latencyLimit(now time.Time, e *engine, res Reservation, r *run, reserved float64) Limit {
+func (c *Core) latencyLimit(now time.Time, e *engine, res Reservation, r *run, headroom float64) Limit {
 	if e.service.servesModel && e.isolatedFirstByte(r) > res.Remaining {
 		return LimitPrompt
 	}
 	wait := e.expectedFirstByte(now, r).Sub(now)
-	maxWait := time.Duration((1 - reserved*reservedTimeFraction) * float64(res.Remaining))
+	maxWait := time.Duration((1 - headroom*maxTimeHeadroom) * float64(res.Remaining))
 	if wait > maxWait && e.backlog(now) <= maxSpareBacklog {
 		maxWait = res.Remaining // its own prefill alone takes longer than that
 	}
@@ -172,27 +172,29 @@
 	return LimitNone
 }
 
-// reservation is the part, from 0 to 1, of what targets reserve for others that a workspace must
-// leave free (trunk reservation): it rises from nothing at half of its share to all at its share.
+// headroom is the part, from 0 to 1, of a target's headroom that a workspace leaves to those that
+// have had less (trunk reservation): it rises from nothing at half of its share to all at its share.
 //
 // Without it, when targets deliver less than the rate that is divided, all workspaces are within
 // their shares and the targets are full, so that those that ask for most get most.
-func (c *Core) reservation(now time.Time, e *engine, res Reservation) float64 {
+func (c *Core) headroom(now time.Time, e *engine, res Reservation) float64 {
 	if e.service.rate <= 0 || !e.service.servesModel || res.PreviouslyPlaced {
 		return 0
 	}
-	return min(max(2*e.service.shareUsed(now, res.Workspace)-1, 0), 1)
+	used := e.service.shareUsed(now, res.Workspace)
+	return min(max((used-headroomOnset)/(1-headroomOnset), 0), 1)
 }
 
 const (
-	// reservedTimeFraction is the fraction of the remaining time that a workspace at its share
-	// leaves to others.
-	reservedTimeFraction = 0.45
-	// reservedSlotFraction and reservedMemoryFraction are the fractions of a target's slots and
-	// memory that it leaves: a few slots, and the memory of a long prompt. They are smaller,
-	// since a few free places serve a workspace that asks for little.
-	reservedSlotFraction   = 0.08
-	reservedMemoryFraction = 0.15
+	// headroomOnset is the fraction of its share up to which a workspace leaves no headroom.
+	headroomOnset = 0.5
+	// maxTimeHeadroom is the fraction of the remaining time that a workspace at its share leaves.
+	maxTimeHeadroom = 0.45
+	// maxSlotHeadroom and maxMemoryHeadroom are the fractions of a target's slots and memory that
+	// it leaves: a few slots, and the memory of a long prompt. They are smaller, since a few free
+	// places serve a workspace that asks for little.
+	maxSlotHeadroom   = 0.08
+	maxMemoryHeadroom = 0.15
 )
 
 // healthy reports whether a target's failure rate allows it to take requests. If all targets of
@@ -238,11 +240,10 @@
 	return res.Late || !e.service.shares.withinShare(now, res.Workspace, reservationCost(res), e.service.currentRates(now))
 }
 
-// hasSlot reports whether the target has a free slot for a workspace that must leave the given
-// part of the reserved ones. A plain target may have a few requests queued, since its answers are
-// short.
-func (e *engine) hasSlot(reserved float64) bool {
-	maxRuns := float64(e.Slots) * (1 - slotReserve - reserved*reservedSlotFraction)
+// hasSlot reports whether the target has a free slot beside the given part of its headroom. A plain
+// target may have a few requests queued, since its answers are short.
+func (e *engine) hasSlot(headroom float64) bool {
+	maxRuns := float64(e.Slots) * (1 - slotReserve - headroom*maxSlotHeadroom)
 	if !e.service.servesModel {
 		maxRuns = float64(e.Slots) * (1 + plainQueueRatio)
 	}
