--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -252,12 +252,8 @@
 }
 
 // Tick handles everything that has become due by now.
-func (c *Core) Tick(now time.Time) { c.TickWithReplies(now, now) }
-
-// TickWithReplies is like Tick, except that only replies that were overdue at readUntil are given
-// up: later ones may have arrived without having been read.
-func (c *Core) TickWithReplies(now, readUntil time.Time) {
-	c.timeOutReservations(now, readUntil)
+func (c *Core) Tick(now time.Time) {
+	c.timeOutReservations(now)
 	c.expireHolds(now)
 	if !now.Before(c.nextExpiry) {
 		c.nextExpiry = now.Add(expiryInterval)
@@ -270,9 +266,9 @@
 	}
 }
 
-// timeOutReservations proceeds with the requests whose owners' replies were overdue at readUntil.
-func (c *Core) timeOutReservations(now, readUntil time.Time) {
-	for len(c.sentReservations) > 0 && readUntil.Sub(c.sentReservations[0].at) >= replyTimeout {
+// timeOutReservations proceeds with the requests whose owners have not replied in time.
+func (c *Core) timeOutReservations(now time.Time) {
+	for len(c.sentReservations) > 0 && now.Sub(c.sentReservations[0].at) >= replyTimeout {
 		id := c.sentReservations[0].id
 		c.sentReservations = c.sentReservations[1:]
 		r := c.pending[id]
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -70,9 +70,9 @@
 	}
 	b.tickDeferred = true
 	turn.After(func() {
-		b.post(func(later time.Time) {
+		b.post(func(now time.Time) {
 			b.tickDeferred = false
-			b.core.TickWithReplies(later, now)
+			b.core.Tick(now)
 		})
 	})
 }
