Control: only replies that were overdue wait for their readers, and nothing else does

Three faults of the deferred tick on a daemon that is short of processor time, where three turns take hundreds of ms:

The deferred tick gave up every reservation that was overdue by then, also those sent after the deferral had begun, whose readers had no turns. With turns that take longer than 40 ms that is nearly every reservation. Now it gives up those that were overdue when the deferral began. 2. The whole tick was deferred: sums and loads were published late, and held requests sent late, by as much. Now only the replies wait. 3. The bound of a second began anew with each event that the loop handled, since the timer is reset after each batch, so that a busy loop had no bound. Now it counts from the deferral.

Tests, red before: TestReservationSentWhileATickIsDeferredHasItsOwnTurns, TestOverdueReplyDefersNothingElse, TestWaitForReadersOfRepliesIsBounded (red in a form that asked untilTick, which is gone). The model of the loop in the simulation follows the loop: its order of ticks and events is unchanged, the part of the tick that is not about replies comes where it came without overdue ones.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -238,7 +238,7 @@
 	return max(minTickInterval, next.Sub(now))
 }
 
-// RepliesOverdue reports whether the next Tick gives up waiting for the reply of an owner.
+// RepliesOverdue reports whether Tick would give up waiting for the reply of an owner.
 func (c *Core) RepliesOverdue(now time.Time) bool {
 	for _, sent := range c.sentReservations {
 		if now.Sub(sent.at) < replyTimeout {
@@ -253,7 +253,12 @@
 
 // Tick handles everything that has become due by now.
 func (c *Core) Tick(now time.Time) {
-	c.timeOutReservations(now)
+	c.GiveUpReplies(now, now)
+	c.TickExceptReplies(now)
+}
+
+// TickExceptReplies handles everything that has become due by now except overdue replies.
+func (c *Core) TickExceptReplies(now time.Time) {
 	c.expireHolds(now)
 	if !now.Before(c.nextExpiry) {
 		c.nextExpiry = now.Add(expiryInterval)
@@ -266,9 +271,10 @@
 	}
 }
 
-// timeOutReservations proceeds with the requests whose owners have not replied in time.
-func (c *Core) timeOutReservations(now time.Time) {
-	for len(c.sentReservations) > 0 && now.Sub(c.sentReservations[0].at) >= replyTimeout {
+// GiveUpReplies proceeds with the requests whose owners' replies were overdue at a time and have
+// not arrived by now.
+func (c *Core) GiveUpReplies(now, overdueAt time.Time) {
+	for len(c.sentReservations) > 0 && overdueAt.Sub(c.sentReservations[0].at) >= replyTimeout {
 		id := c.sentReservations[0].id
 		c.sentReservations = c.sentReservations[1:]
 		r := c.pending[id]
--- a/internal/booking/sim_turns_test.go
+++ b/internal/booking/sim_turns_test.go
@@ -4,7 +4,7 @@
 
 // turns models the event loop of a daemon that is not always scheduled (control.mailbox): events
 // are queued until its next turn, which handles all of them, and a tick that has become due
-// meanwhile comes before or after them; after them if it would give up waiting for a reply.
+// meanwhile comes before or after them. Replies are given up after them.
 type turns struct {
 	// period and run are the length of a scheduling period and the part of it in which the
 	// daemon runs; offset shifts the periods.
@@ -61,8 +61,11 @@
 	if d.dead || len(t.queued) == 0 && !due {
 		return
 	}
-	if due && (len(t.queued) == 0 || t.tickFirst() && !d.core.RepliesOverdue(s.now)) {
-		d.core.Tick(s.now)
+	if due && (len(t.queued) == 0 || t.tickFirst()) {
+		d.core.TickExceptReplies(s.now)
+		if len(t.queued) == 0 {
+			d.core.GiveUpReplies(s.now, s.now)
+		}
 		s.applyEffects(d)
 	}
 	for len(t.queued) > 0 {
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -31,8 +31,9 @@
 	core    *booking.Core
 	actions BookingActions
 	waiters waiters[Placement]
-	// tickDeferred is set while a tick waits for the goroutines that read replies.
-	tickDeferred bool
+	// overdueAt is when overdue replies were found that are given up once the goroutines that read
+	// replies have run; zero if there are none.
+	overdueAt time.Time
 }
 
 // NewBookingLoop returns a loop around core. The loop does nothing until Run is called.
@@ -46,35 +47,39 @@
 
 // Run handles events until ctx ends. Requests that still wait then are refused as not run.
 func (b *BookingLoop) Run(ctx context.Context) {
-	b.run(ctx, b.untilTick, b.tick, b.applyEffects)
+	b.run(ctx, b.core.NextTick, b.tick, b.applyEffects)
 	b.waiters.deliverAll(stoppedPlacement)
 }
 
-// maxTickDelay bounds how long a deferred tick is waited for.
-const maxTickDelay = time.Second
+// maxReplyDelay bounds how long the goroutines that read replies are waited for.
+const maxReplyDelay = time.Second
 
-func (b *BookingLoop) untilTick(now time.Time) time.Duration {
-	if b.tickDeferred {
-		return maxTickDelay
+// tick handles what is due. Overdue replies are given up only after the goroutines that read
+// replies have run: on a daemon that is short of processor time, timers run before them, so that
+// all owners would seem silent although their replies have arrived. Nothing else waits meanwhile.
+func (b *BookingLoop) tick(now time.Time) {
+	b.core.TickExceptReplies(now)
+	switch {
+	case !b.overdueAt.IsZero():
+		if now.Sub(b.overdueAt) >= maxReplyDelay {
+			b.giveUpReplies(now, b.overdueAt)
+		}
+	case b.core.RepliesOverdue(now):
+		b.overdueAt = now
+		turn.After(func() {
+			b.post(func(later time.Time) { b.giveUpReplies(later, now) })
+		})
 	}
-	return b.core.NextTick(now)
 }
 
-// tick handles what is due. A tick that would give up waiting for a reply is deferred until the
-// goroutines that read replies have run: on a daemon that is short of processor time, timers run
-// before them, so that all owners would seem silent although their replies have arrived.
-func (b *BookingLoop) tick(now time.Time) {
-	if b.tickDeferred || !b.core.RepliesOverdue(now) {
-		b.core.Tick(now)
-		return
+// giveUpReplies gives up the replies that were overdue when the loop began to wait for their
+// readers. Reservations sent since then have turns of their own.
+func (b *BookingLoop) giveUpReplies(now, overdueAt time.Time) {
+	if !b.overdueAt.Equal(overdueAt) {
+		return // given up when maxReplyDelay had passed
 	}
-	b.tickDeferred = true
-	turn.After(func() {
-		b.post(func(now time.Time) {
-			b.tickDeferred = false
-			b.core.Tick(now)
-		})
-	})
+	b.overdueAt = time.Time{}
+	b.core.GiveUpReplies(now, overdueAt)
 }
 
 func (b *BookingLoop) applyEffects() {
