Booking: a burst in a quiet fleet is not held to what was granted before it

Shares are those of what was granted in all, if more than 1.15 times that was asked for. Demand is counted when a request arrives and grants when it is admitted, so that in a fleet with little load, of one workspace too, the first requests of a burst make the granted level small, and after a start zero: the workspace is then at its share or above it, and leaves 45% of the time, 8% of the slots and 15% of the memory to workspaces that lack nothing, for the 50 ms until the next level and as long as refused requests count as demand. The share used in the log was infinite after a start.

The granted level is at least that of a fifth of the stated rate. Targets that deliver less than a fifth of it keep the shares of a fifth.

Suspected and left: one workspace alone that asks for more than targets deliver leaves up to three quarters of the reservation for nobody.

--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -20,7 +20,8 @@
 	level   float64
 	levelAt time.Time
 	// grantedLevel is the fair sum per unit of weight of what was granted in all, with
-	// shareTolerance; infinite if about all that was asked for was granted.
+	// shareTolerance, and at least of minDeliveredFraction of the stated rate; infinite if about
+	// all that was asked for was granted.
 	grantedLevel float64
 	// minUnderserved is the least granted sum per unit of weight among the workspaces that ask
 	// for more than the level at present, and minShed the least among those of them that daemons
@@ -111,6 +112,11 @@
 // as within its share.
 const shareTolerance = 1.15
 
+// minDeliveredFraction is the least fraction of the stated rate that targets are presumed to
+// deliver. Demand is counted before it is granted: at a lower rate one burst is most of what is
+// asked for, and little of it seems to have been granted.
+const minDeliveredFraction = 0.2
+
 // rates are the stated and observed capacity of the targets of a service. If the stated rate is
 // zero it is unknown, and workspaces are not limited to shares.
 type rates struct{ stated, observed float64 }
@@ -126,7 +132,7 @@
 		a.sumOthers(now, s.fleetSums)
 	}
 	s.level = s.waterFill(now, stated)
-	s.grantedLevel = s.waterFill(now, shareTolerance*s.totalGranted(now)/decayTime.Seconds())
+	s.grantedLevel = s.waterFill(now, max(shareTolerance*s.totalGranted(now)/decayTime.Seconds(), minDeliveredFraction*stated))
 	s.findUnderserved(now)
 	if observed > stated {
 		s.level = max(s.level, min(s.waterFill(now, observed), maxObservedLead*s.minShed))
