Gateway: requests beyond the pending ones count as demand of their workspace

Review: a limit that is checked first come first served. A daemon that reads and places 256 requests refuses further ones before it has read them, whoever sends them. Unlike requests that are shed, they were in no workspace's demand: a workspace whose callers all reach this daemon seems to lack nothing, so that its share goes to others and nobody is held near it.

Change: they are counted as shed demand. The refusal costs two more look-ups, as shedding does.

Test, without network: TestRequestsBeyondThePendingOnesCountAsDemand, red before (no demand).

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -99,6 +99,7 @@
 	}
 	if s.pending.Add(1) > maxPending {
 		s.pending.Add(-1)
+		s.recordShedDemand(r)
 		discardBody(r)
 		return nil, resultcode.Fail(resultcode.FleetFull, "this daemon has %d requests to place", maxPending)
 	}
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -171,3 +171,38 @@
 		is.Equal(w.Header().Get("Retry-After"), "0.020")
 	}
 }
+
+// All callers of a workspace reach one daemon, which already reads and places as many requests as
+// its memory allows. What it refuses counts as demand of the workspace: otherwise its share would go
+// to other workspaces, as with requests that are shed.
+func TestRequestsBeyondThePendingOnesCountAsDemand(t *testing.T) {
+	is := is.New(t)
+	metrics := telemetry.NewMetrics()
+	t.Cleanup(func() { _ = metrics.Close() })
+	tracing, err := telemetry.NewTracing(t.Context(), "d", settings.Trace{})
+	is.NoErr(err)
+	table, err := route.NewTable(route.Document{
+		Version: 1, RequireKeys: true,
+		Routes:     []route.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Services: []route.WeightedService{{Service: "pool", Weight: 1}}, MaxAttempts: 1}},
+		Services:   []route.Service{{Name: "pool", ServesModel: true}},
+		Workspaces: []route.Workspace{{Name: "club", Keys: []string{"key"}}},
+	})
+	is.NoErr(err)
+	routes := &route.Holder{}
+	is.True(routes.UpdateIfNewer(table))
+	placer := &fakePlacer{shedCost: map[ident.Workspace]float64{}}
+	s := New(Deps{
+		Routes: routes, Dialect: fakeDialect{}, Placer: placer, Metrics: metrics, Tracing: tracing, Log: slog.New(slog.DiscardHandler),
+		CallerGone: func(context.Context) bool { return false },
+		ShouldShed: func(context.Context) bool { return false }, OutOfRotation: func() bool { return false }, Shedding: func() bool { return false },
+	})
+	s.pending.Store(maxPending)
+	r := httptest.NewRequest(http.MethodPost, "http://h.example/a/x", strings.NewReader("body"))
+	r.Header.Set("Key", "key")
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(placer.placeCalls, 0)
+	is.Equal(placer.shedCost, map[ident.Workspace]float64{"club": 1100})
+	is.Equal(s.pending.Load(), int64(maxPending))
+}
