Booking: less demand of a shed workspace raises nobody if its grants stay

It compares the grants of a workspace as if they had decayed as much as its demand. That holds for a burst that has ended. Where daemons admit as much of a workspace as before, while it asks for less and still for more than the level, its grants counted as several times what they are, and the others were let that far ahead of it.

The grants are observed over the shorter time, too. They are raised by what they have decayed, divided by the decay of the demand, and by no more than the demand has decayed: the same as before for a demand that has ended, to whatever rest, and nothing for grants that stay.

TestEndedBurstOfAShedWorkspaceHoldsNobodyBack stays green.

--- a/internal/booking/presentdemand.go
+++ b/internal/booking/presentdemand.go
@@ -9,18 +9,19 @@
 // for seconds the demand stays above the level and the grants seem to fall. Workspaces that may be
 // only so far ahead of it would be held near nothing while targets are idle.
 //
-// Therefore the demand is also observed over a shorter time. From it follows whether the workspace
-// still asks for more than the level, and by how much its grants have decayed only because it asks
-// for less.
+// Therefore the demand and the grants are also observed over a shorter time. From them follows
+// whether the workspace still asks for more than the level, and by how much its grants have decayed
+// only because it asks for less. What daemons admit of a workspace need not fall with what it asks
+// for: grants that have not decayed are not raised.
 
 // presentDecayTime is the time constant of the present demand: two intervals of publication, so
 // that a late report does not count as an end of demand.
 const presentDecayTime = 2 * memberPublishInterval
 
-// presentDemand is what a workspace asked for most recently, in the fleet, and the part of it that
-// daemons shed.
+// presentDemand is what a workspace asked for most recently, in the fleet, the part of it that
+// daemons shed, and what it was granted.
 type presentDemand struct {
-	asked, shed decayingSum
+	asked, shed, granted decayingSum
 	// last are the sums at the previous observation.
 	last decayingSums
 }
@@ -32,12 +33,23 @@
 	last := p.last.now(now)
 	p.asked.addWithDecay(now, s.asked-last.asked, presentDecayTime)
 	p.shed.addWithDecay(now, s.shed-last.shed, presentDecayTime)
+	p.granted.addWithDecay(now, s.granted-last.granted, presentDecayTime)
 	p.last = newDecayingSums(now, s)
 }
 
-// now returns the present demand and the shed part on the scale of sums that decay with decayTime,
-// to which they are equal while the demand is constant.
-func (p *presentDemand) now(now time.Time) (asked, shed float64) {
+// now returns the present demand and grants on the scale of sums that decay with decayTime, to
+// which they are equal while both are constant.
+func (p *presentDemand) now(now time.Time) sums {
 	const scale = float64(decayTime) / float64(presentDecayTime)
-	return max(0, scale*p.asked.decayed(now, presentDecayTime)), max(0, scale*p.shed.decayed(now, presentDecayTime))
+	present := func(d *decayingSum) float64 { return max(0, scale*d.decayed(now, presentDecayTime)) }
+	return sums{asked: present(&p.asked), shed: present(&p.shed), granted: present(&p.granted)}
+}
+
+// withoutDecline returns the grants of a workspace as if it still asked for as much as it did. Of a
+// demand that has ended, the sum s has decayed to x*s, and its present value to x*x*s. What is
+// missing, (1-x)*s, is the difference of the two divided by x, and x follows from the demand. Grants
+// that have decayed by more than the demand have done so for another reason.
+func (s sums) withoutDecline(present sums) float64 {
+	x := present.asked / s.asked
+	return s.granted + min(max(0, s.granted-present.granted)/x, s.granted*(1/x-1))
 }
--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -201,14 +201,14 @@
 	for _, a := range s.accounts {
 		sum := a.sums(now)
 		a.present.observe(now, sum)
-		asked, shed := a.present.now(now)
-		asked = min(asked, sum.asked)
-		if asked <= a.weight*s.level*shareTolerance {
+		present := a.present.now(now)
+		present.asked = min(present.asked, sum.asked)
+		if present.asked <= a.weight*s.level*shareTolerance {
 			continue
 		}
-		granted := sum.granted * sum.asked / asked // without the decay since it asks for less
+		granted := sum.withoutDecline(present)
 		s.minUnderserved = min(s.minUnderserved, granted/a.weight)
-		if shed >= minShedFraction*asked {
+		if present.shed >= minShedFraction*present.asked {
 			s.minShed = min(s.minShed, granted/a.weight)
 		}
 	}
