--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -50,34 +50,53 @@
 func (fakeDialect) SetTargetHeaders(http.Header, ForwardInfo)   {}
 func (fakeDialect) ParseResponse(int, http.Header) ResponseInfo { return ResponseInfo{} }
 
-// All callers of a workspace reach one daemon that has no processor time for them. They are
-// told to retry at once, which leads them to another daemon. The shed requests count as
-// demand of their workspace: otherwise it would appear to have no demand and its share would
-// go to other workspaces.
-func TestShedRequestsCountAsDemand(t *testing.T) {
+// newTestServer returns a server with one route, h.example/a/, to the given service. It serves
+// whatever the processor time, and for the workspace "club" only if requireKeys is set.
+func newTestServer(t *testing.T, service route.Service, requireKeys bool, placer Placer) *Server {
+	t.Helper()
 	is := is.New(t)
-	placer := &fakePlacer{shedCost: map[ident.Workspace]float64{}}
 	metrics := telemetry.NewMetrics()
 	t.Cleanup(func() { _ = metrics.Close() })
-	routes := &route.Holder{}
+	tracing, err := telemetry.NewTracing(t.Context(), "d", settings.Trace{})
+	is.NoErr(err)
 	table, err := route.NewTable(route.Document{
-		Version: 1, RequireKeys: true,
-		Routes:     []route.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Services: []route.WeightedService{{Service: "pool", Weight: 1}}, MaxAttempts: 1}},
-		Services:   []route.Service{{Name: "pool", ServesModel: true}},
+		Version: 1, RequireKeys: requireKeys,
+		Routes:     []route.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Services: []route.WeightedService{{Service: service.Name, Weight: 1}}, MaxAttempts: 1, Objective: 10 * time.Millisecond}},
+		Services:   []route.Service{service},
 		Workspaces: []route.Workspace{{Name: "club", Keys: []string{"key"}}},
 	})
 	is.NoErr(err)
+	routes := &route.Holder{}
 	is.True(routes.UpdateIfNewer(table))
-	shouldShed, outOfRotation := true, false
-	s := New(Deps{
-		Routes: routes, Dialect: fakeDialect{}, Placer: placer, Metrics: metrics, Log: slog.New(slog.DiscardHandler),
-		ShouldShed: func(context.Context) bool { return shouldShed }, OutOfRotation: func() bool { return outOfRotation },
+	return New(Deps{
+		Routes: routes, Dialect: fakeDialect{}, Placer: placer, Metrics: metrics, Tracing: tracing, Log: slog.New(slog.DiscardHandler),
+		CallerGone: func(context.Context) bool { return false },
+		ShouldShed: func(context.Context) bool { return false }, OutOfRotation: func() bool { return false }, Shedding: func() bool { return false },
 	})
+}
+
+// post sends a request with a key to a server.
+func post(s *Server, path, key string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader("body"))
+	r.Header.Set("Key", key)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w
+}
+
+// All callers of a workspace reach one daemon that has no processor time for them. They are
+// told to retry at once, which leads them to another daemon. The shed requests count as
+// demand of their workspace: otherwise it would appear to have no demand and its share would
+// go to other workspaces.
+func TestShedRequestsCountAsDemand(t *testing.T) {
+	is := is.New(t)
+	placer := &fakePlacer{shedCost: map[ident.Workspace]float64{}}
+	s := newTestServer(t, route.Service{Name: "pool", ServesModel: true}, true, placer)
+	outOfRotation := false
+	s.ShouldShed = func(context.Context) bool { return true }
+	s.OutOfRotation = func() bool { return outOfRotation }
 	send := func(path, key string) http.Header {
-		r := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader("body"))
-		r.Header.Set("Key", key)
-		w := httptest.NewRecorder()
-		s.ServeHTTP(w, r)
+		w := post(s, path, key)
 		is.Equal(w.Code, http.StatusServiceUnavailable)
 		is.Equal(w.Header().Get("Retry-After"), "0.020")
 		return w.Header()
@@ -98,28 +117,13 @@
 // refuse it and release the slot; a daemon that keeps up serves it late.
 func TestOverdueRequestIsRefusedWhileShedding(t *testing.T) {
 	is := is.New(t)
-	metrics := telemetry.NewMetrics()
-	t.Cleanup(func() { _ = metrics.Close() })
-	tracing, err := telemetry.NewTracing(t.Context(), "d", settings.Trace{})
-	is.NoErr(err)
-	table, err := route.NewTable(route.Document{
-		Version:  1,
-		Routes:   []route.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Services: []route.WeightedService{{Service: "app", Weight: 1}}, MaxAttempts: 1, Objective: 10 * time.Millisecond}},
-		Services: []route.Service{{Name: "app"}},
-	})
-	is.NoErr(err)
-	routes := &route.Holder{}
-	is.True(routes.UpdateIfNewer(table))
 	placer := &fakePlacer{placeFunc: func() control.Placement {
 		time.Sleep(30 * time.Millisecond)
 		return control.Placement{Target: "t"}
 	}}
 	shedding := true
-	s := New(Deps{
-		Routes: routes, Dialect: fakeDialect{}, Placer: placer, Metrics: metrics, Tracing: tracing, Log: slog.New(slog.DiscardHandler),
-		CallerGone: func(context.Context) bool { return false },
-		ShouldShed: func(context.Context) bool { return false }, OutOfRotation: func() bool { return false }, Shedding: func() bool { return shedding },
-	})
+	s := newTestServer(t, route.Service{Name: "app"}, false, placer)
+	s.Shedding = func() bool { return shedding }
 	send := func() (int, string) {
 		w := httptest.NewRecorder()
 		s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://h.example/a/x", nil))
@@ -138,35 +142,13 @@
 // key as unknown because it has not read the update yet.
 func TestUnknownRouteOrKeyIsBusyWhileRoutesMayBeStale(t *testing.T) {
 	is := is.New(t)
-	metrics := telemetry.NewMetrics()
-	t.Cleanup(func() { _ = metrics.Close() })
-	tracing, err := telemetry.NewTracing(t.Context(), "d", settings.Trace{})
-	is.NoErr(err)
-	table, err := route.NewTable(route.Document{
-		Version: 1, RequireKeys: true,
-		Routes:     []route.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Services: []route.WeightedService{{Service: "app", Weight: 1}}, MaxAttempts: 1}},
-		Services:   []route.Service{{Name: "app"}},
-		Workspaces: []route.Workspace{{Name: "club", Keys: []string{"key"}}},
-	})
-	is.NoErr(err)
-	routes := &route.Holder{}
-	is.True(routes.UpdateIfNewer(table))
 	stale := false
-	s := New(Deps{
-		Routes: routes, Dialect: fakeDialect{}, Placer: &fakePlacer{}, Metrics: metrics, Tracing: tracing, Log: slog.New(slog.DiscardHandler),
-		ShouldShed: func(context.Context) bool { return false }, RoutesMayBeStale: func() bool { return stale },
-	})
-	send := func(path, key string) *httptest.ResponseRecorder {
-		r := httptest.NewRequest(http.MethodPost, "http://h.example"+path, strings.NewReader("body"))
-		r.Header.Set("Key", key)
-		w := httptest.NewRecorder()
-		s.ServeHTTP(w, r)
-		return w
-	}
-	is.Equal(send("/b/x", "key").Code, http.StatusNotFound)
-	is.Equal(send("/a/x", "other").Code, http.StatusUnauthorized)
+	s := newTestServer(t, route.Service{Name: "app"}, true, &fakePlacer{})
+	s.RoutesMayBeStale = func() bool { return stale }
+	is.Equal(post(s, "/b/x", "key").Code, http.StatusNotFound)
+	is.Equal(post(s, "/a/x", "other").Code, http.StatusUnauthorized)
 	stale = true
-	for _, w := range []*httptest.ResponseRecorder{send("/b/x", "key"), send("/a/x", "other")} {
+	for _, w := range []*httptest.ResponseRecorder{post(s, "/b/x", "key"), post(s, "/a/x", "other")} {
 		is.Equal(w.Code, http.StatusServiceUnavailable)
 		is.Equal(w.Header().Get("Retry-After"), "0.020")
 	}
@@ -177,30 +159,10 @@
 // to other workspaces, as with requests that are shed.
 func TestRequestsBeyondThePendingOnesCountAsDemand(t *testing.T) {
 	is := is.New(t)
-	metrics := telemetry.NewMetrics()
-	t.Cleanup(func() { _ = metrics.Close() })
-	tracing, err := telemetry.NewTracing(t.Context(), "d", settings.Trace{})
-	is.NoErr(err)
-	table, err := route.NewTable(route.Document{
-		Version: 1, RequireKeys: true,
-		Routes:     []route.Route{{Name: "r", Host: "h.example", Prefix: "/a/", Services: []route.WeightedService{{Service: "pool", Weight: 1}}, MaxAttempts: 1}},
-		Services:   []route.Service{{Name: "pool", ServesModel: true}},
-		Workspaces: []route.Workspace{{Name: "club", Keys: []string{"key"}}},
-	})
-	is.NoErr(err)
-	routes := &route.Holder{}
-	is.True(routes.UpdateIfNewer(table))
 	placer := &fakePlacer{shedCost: map[ident.Workspace]float64{}}
-	s := New(Deps{
-		Routes: routes, Dialect: fakeDialect{}, Placer: placer, Metrics: metrics, Tracing: tracing, Log: slog.New(slog.DiscardHandler),
-		CallerGone: func(context.Context) bool { return false },
-		ShouldShed: func(context.Context) bool { return false }, OutOfRotation: func() bool { return false }, Shedding: func() bool { return false },
-	})
+	s := newTestServer(t, route.Service{Name: "pool", ServesModel: true}, true, placer)
 	s.pending.Store(maxPending)
-	r := httptest.NewRequest(http.MethodPost, "http://h.example/a/x", strings.NewReader("body"))
-	r.Header.Set("Key", "key")
-	w := httptest.NewRecorder()
-	s.ServeHTTP(w, r)
+	w := post(s, "/a/x", "key")
 	is.Equal(w.Code, http.StatusServiceUnavailable)
 	is.Equal(placer.placeCalls, 0)
 	is.Equal(placer.shedCost, map[ident.Workspace]float64{"club": 1100})
