Start of hundreds of daemons: few calls to the store, owners kept over changes, a log that can be read

Cause: a start of 295 daemons grows with the square of their number in three places. (1) Until a zone has elected its reader each daemon follows the store by itself, also the table in which all of them register, so that each registration ends a call of every other one; 22 of 50 followers of one zone then found a reader that had not elected itself yet (event 428) and called the store for three seconds more. (3) A line of event 601 a link, 86,000 in the fleet.

Ruled out: the follower's backoff (it never ran in these seconds), TLS (not on in this binding).

Change: a daemon leaves changes unread until its zone has elected a reader, and asks a new reader again for a moment instead of the store; it reads the list of daemons after its own row is in it, so that of two that start together one finds the other. OwnerIndex keeps owners over changes of the members. The rows of one answer take effect together. Links share a line beyond eight a second (event 610). Calls to the store are counted by table and kind (event 434, savorystall_store_calls).

Before and after, tests: 50 daemons that start within half a second make 2,605 calls in the first five seconds; 60 at most now.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
 )
 
 // Config identifies the daemon that a Core runs on.
@@ -39,6 +40,7 @@
 	cfg               Config
 	rng               *rand.Rand
 	leaving           bool
+	owners            *membership.OwnerIndex
 	services          map[ident.Service]*service
 	peers             map[ident.Daemon]*peer
 	requests          map[ident.Request]*request
@@ -156,6 +158,7 @@
 func New(cfg Config, rng *rand.Rand) *Core {
 	return &Core{
 		cfg: cfg, rng: rng,
+		owners:        membership.NewOwnerIndex(),
 		services:      map[ident.Service]*service{},
 		peers:         map[ident.Daemon]*peer{},
 		requests:      map[ident.Request]*request{},
@@ -181,6 +184,9 @@
 		kept[spec.Name] = s
 	}
 	c.services = kept
+	c.owners.Forget(func(service ident.Service, target ident.Target) bool {
+		return target == hubRole || c.engine(service, target) != nil
+	})
 	c.assignOwners(now)
 }
 
--- a/internal/booking/core_bench_test.go
+++ b/internal/booking/core_bench_test.go
@@ -66,3 +66,27 @@
 		c.TakeEffects()
 	}
 }
+
+// BenchmarkMembershipChange measures the processor time of one daemon that leaves and joins in
+// a fleet of 295 daemons with 169 engines.
+func BenchmarkMembershipChange(b *testing.B) {
+	now := time.Unix(1000, 0)
+	zone := func(i int) ident.Zone { return ident.Zone(fmt.Sprintf("z%d", i%6)) }
+	c := booking.New(booking.Config{Self: "d000", Incarnation: 1, Zone: "z0"}, rand.New(rand.NewPCG(1, 1)))
+	var peers []booking.Peer
+	for i := range 294 {
+		peers = append(peers, booking.Peer{ID: ident.Daemon(fmt.Sprintf("d%03d", i+1)), Incarnation: 1, Zone: zone(i + 1)})
+	}
+	service := booking.Service{Name: "pool", ServesModel: true, Rate: 2e6}
+	for i := range 169 {
+		service.Targets = append(service.Targets, booking.Target{Name: ident.Target(fmt.Sprintf("engine-%03d", i)), Zone: zone(i), Slots: 12, Memory: 444000})
+	}
+	c.SetPeers(now, peers)
+	c.Configure(now, []booking.Service{service})
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		without := append(peers[:i%294:i%294], peers[i%294+1:]...)
+		c.SetPeers(now, without)
+		c.SetPeers(now, peers)
+	}
+}
--- a/internal/booking/exchange.go
+++ b/internal/booking/exchange.go
@@ -67,12 +67,15 @@
 // isHub reports whether a daemon is the hub of the group.
 func (g *exchangeGroup) isHub(self ident.Daemon) bool { return g.hub == self }
 
+// hubRole is the name under which the hub of a zone is looked up like the owner of a target.
+const hubRole = "sums"
+
 // exchangeGroupOf determines with whom this daemon exchanges sums.
-func (c *Core) exchangeGroupOf(members []membership.Member, owners *membership.Owners) exchangeGroup {
+func (c *Core) exchangeGroupOf(members []membership.Member) exchangeGroup {
 	if len(members) < minDaemonsForHubs {
 		return exchangeGroup{}
 	}
-	hubOf := func(zone ident.Zone) ident.Daemon { return owners.Lookup("", "sums", zone) }
+	hubOf := func(zone ident.Zone) ident.Daemon { return c.owners.Lookup("", hubRole, zone) }
 	g := exchangeGroup{hub: hubOf(c.cfg.Zone)}
 	for _, m := range members {
 		switch {
--- a/internal/booking/members.go
+++ b/internal/booking/members.go
@@ -54,12 +54,12 @@
 	for _, p := range c.peers {
 		members = append(members, membership.Member{ID: p.ID, Zone: p.Zone, Incarnation: p.Incarnation, Leaving: p.Leaving})
 	}
-	owners := membership.NewOwners(members)
-	c.setGroup(c.exchangeGroupOf(members, owners))
+	c.owners.SetMembers(members)
+	c.setGroup(c.exchangeGroupOf(members))
 	for _, s := range c.services {
 		owned := 0
 		for _, e := range s.sortedEngines {
-			owner := owners.Lookup(s.name, e.Name, e.Zone)
+			owner := c.owners.Lookup(s.name, e.Name, e.Zone)
 			if e.owned && owner != c.cfg.Self {
 				c.dropRuns(e)
 				e.runs, e.unsharedMemory = nil, 0
--- a/internal/daemon/ownrow.go
+++ b/internal/daemon/ownrow.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -34,18 +35,36 @@
 	daemons int
 	// lostSignal is signalled when the row has to be rewritten.
 	lostSignal chan struct{}
+	// firstWrite is closed when the store has acknowledged the row for the first time.
+	firstWrite chan struct{}
 }
 
-func newOwnRow() *ownRow { return &ownRow{lostSignal: make(chan struct{}, 1)} }
+func newOwnRow() *ownRow {
+	return &ownRow{lostSignal: make(chan struct{}, 1), firstWrite: make(chan struct{})}
+}
 
 // recordWrite records that the store has acknowledged the row.
 func (o *ownRow) recordWrite(at store.Revision) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.written == (store.Revision{}) {
+		close(o.firstWrite)
+	}
 	o.written = at
 	o.notify()
 }
 
+// awaitFirstWrite waits until the row has been written once, ctx ends or timeout has passed.
+func (o *ownRow) awaitFirstWrite(ctx context.Context, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-o.firstWrite:
+	case <-timer.C:
+	}
+}
+
 // observe records whether the store held the row, or that of a later incarnation, at a
 // revision, and how many daemons may have lost their rows. Revisions before the last write
 // are irrelevant.
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -16,6 +16,7 @@
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/gateway"
+	store "github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
@@ -31,6 +32,7 @@
 var RoutedModule = fx.Module("savorystalld-routed",
 	fx.Provide(
 		newStore,
+		newStoreCalls,
 		newRoutedIdentity,
 		NewLifecycle,
 		telemetry.NewMetrics,
@@ -52,11 +54,16 @@
 
 func newStore(s settings.Settings) *platform.Store { return platform.NewStore(s.Platform.URL) }
 
+// newStoreCalls returns the client by which a daemon makes all of its calls to the store.
+func newStoreCalls(s *platform.Store, metrics *telemetry.Metrics) *store.CallCounter {
+	return store.NewCallCounter(s, s, func(c store.Call) { metrics.StoreCall(c.Table, string(c.Kind), c.Failed) })
+}
+
 // newRelay also sets the relay of the bridge. That must happen before the node starts,
 // because the bridge passes the members reported by the node to the relay.
-func newRelay(id identity, store *platform.Store, b *routedBridge, log *slog.Logger) *relay.Feed {
+func newRelay(id identity, calls *store.CallCounter, b *routedBridge, log *slog.Logger) *relay.Feed {
 	b.relay = relay.New(relay.Config{
-		Self: id.Daemon, Zone: id.Zone, Store: store, Peers: feedPeers{b}, HeartbeatTable: heartbeatTable, Logger: log,
+		Self: id.Daemon, Zone: id.Zone, Store: calls, Peers: feedPeers{b}, HeartbeatTable: heartbeatTable, Logger: log,
 	})
 	return b.relay
 }
@@ -117,6 +124,7 @@
 	Bridge    *routedBridge
 	Routes    *route.Holder
 	Store     *platform.Store
+	Calls     *store.CallCounter
 	Relay     *relay.Feed
 	Pool      *targetconn.Pool
 	Gateway   *gateway.Server
@@ -201,6 +209,7 @@
 	d.cancelLoop()
 	d.loopTasks.Wait()
 	d.tasks.Wait()
+	logStoreCalls(d.deps.Calls, d.deps.Log)
 	d.deps.Pool.Close()
 	d.deps.Store.Close()
 	_ = d.deps.Tracing.Close(ctx)
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -123,11 +123,11 @@
 // This guards against a clock that was set back. Incarnations are derived from the time of
 // day, and peers refuse the links of a daemon that restarts with a lower incarnation than
 // before, which would leave it isolated.
-func newRoutedIdentity(s settings.Settings, store *platform.Store, log *slog.Logger) identity {
+func newRoutedIdentity(s settings.Settings, calls *store.CallCounter, log *slog.Logger) identity {
 	id := newIdentity(s)
 	ctx, cancel := context.WithTimeout(context.Background(), identityReadTimeout)
 	defer cancel()
-	rows, _, err := store.ReadTable(ctx, platform.TableDaemons)
+	rows, _, err := calls.ReadTable(ctx, platform.TableDaemons)
 	if err != nil {
 		event.FeedUnreachable.Log(log, "table", platform.TableDaemons, "error", err)
 		return id
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -45,7 +46,7 @@
 }
 
 func newStoreSync(p routedDependencies) *storeSync {
-	s := &storeSync{deps: p, registry: registry.New(registry.Config{CatchUpTime: p.Settings.Routing.InTouch}), targetsUpdated: make(chan struct{}, 1), ownRow: newOwnRow(), rows: p.Store}
+	s := &storeSync{deps: p, registry: registry.New(registry.Config{CatchUpTime: p.Settings.Routing.InTouch}), targetsUpdated: make(chan struct{}, 1), ownRow: newOwnRow(), rows: p.Calls}
 	s.view = viewApplier[routingView]{snapshot: s.snapshot, install: s.install}
 	return s
 }
@@ -75,7 +76,7 @@
 	return []func(context.Context){
 		s.followRoutes(group),
 		s.followTargets(group),
-		s.follow(group, platform.TableDaemons, longPollWait, daemonCoalesceDelay, newDaemonSubscriber(s, s.setDaemons)),
+		s.followDaemons(group),
 		s.announce,
 		s.expire,
 		s.report,
@@ -92,6 +93,16 @@
 	return s.follow(group, platform.TableTargets, longPollWait, targetCoalesceDelay, &targetSubscriber{storeSync: s, decodeEntry: platform.DecodeTarget})
 }
 
+// followDaemons reads the list of daemons after this daemon's row is in it. Of two daemons that
+// start together the one that reads later then finds the other, without a further read.
+func (s *storeSync) followDaemons(group *store.FeedGroup) func(context.Context) {
+	run := s.follow(group, platform.TableDaemons, longPollWait, daemonCoalesceDelay, newDaemonSubscriber(s, s.setDaemons))
+	return func(ctx context.Context) {
+		s.ownRow.awaitFirstWrite(ctx, announceTimeout)
+		run(ctx)
+	}
+}
+
 func (s *storeSync) follow(group *store.FeedGroup, table string, wait, coalesceDelay time.Duration, subscriber store.Subscriber) func(context.Context) {
 	cfg := store.FollowerConfig{Feed: s.deps.Relay, Table: table, Wait: wait, CoalesceDelay: coalesceDelay, Group: group, Logger: s.deps.Log}
 	if table == heartbeatTable {
@@ -296,12 +307,29 @@
 			s.deps.Forwarder.logReport()
 			s.deps.Servers.connections.ends.logReport()
 			s.deps.Gateway.LogDroppedLines()
+			logStoreCalls(s.deps.Calls, s.deps.Log)
 		case <-sharing.C:
 			s.logSharing()
 		}
 	}
 }
 
+// logStoreCalls logs the calls to the store since the last report, if there were any.
+func logStoreCalls(calls *store.CallCounter, log *slog.Logger) {
+	total, byKind := 0, map[string]int{}
+	for call, n := range calls.TakeCounts() {
+		key := call.Table + " " + string(call.Kind)
+		if call.Failed {
+			key += " failed"
+		}
+		byKind[key] = n
+		total += n
+	}
+	if total > 0 {
+		event.StoreCalls.Log(log, "calls", total, "by", byKind)
+	}
+}
+
 // logSharing logs the shares that this daemon applies, for services in which a workspace is
 // underserved or of which this daemon refuses requests.
 func (s *storeSync) logSharing() {
--- a/internal/daemon/subscribers.go
+++ b/internal/daemon/subscribers.go
@@ -32,9 +32,7 @@
 
 // Replace implements store.Subscriber.
 func (r *routeSubscriber) Replace(rows []store.FeedRow, _ store.Revision) {
-	for _, row := range rows {
-		r.Change(row)
-	}
+	r.Change(rows)
 }
 
 // StoreRestored implements store.Subscriber. The routes in force stay: those of the backup
@@ -42,7 +40,13 @@
 func (r *routeSubscriber) StoreRestored(store.Restore) { r.storeSync.deps.Metrics.StoreRestored() }
 
 // Change implements store.Subscriber.
-func (r *routeSubscriber) Change(row store.FeedRow) {
+func (r *routeSubscriber) Change(rows []store.FeedRow) {
+	for _, row := range rows {
+		r.applyRow(row)
+	}
+}
+
+func (r *routeSubscriber) applyRow(row store.FeedRow) {
 	if row.Key != platform.KeyRoutes || row.Deleted {
 		return
 	}
@@ -149,17 +153,28 @@
 	t.restore = nil
 }
 
-// Change implements store.Subscriber.
-func (t *targetSubscriber) Change(row store.FeedRow) {
-	e, ok := t.decode(row)
+// Change implements store.Subscriber. The rows of one answer take effect together: each time
+// that targets take effect, all of them are compared with all daemons.
+func (t *targetSubscriber) Change(rows []store.FeedRow) {
+	var listed, draining, removed []ident.Target
 	t.storeSync.mu.Lock()
-	if ok {
+	for _, row := range rows {
+		name := ident.Target(row.Key)
+		e, ok := t.decode(row)
+		switch {
+		case !ok:
+			t.storeSync.registry.Remove(time.Now(), name)
+			removed = append(removed, name)
+			continue
+		case e.Draining:
+			draining = append(draining, name)
+		default:
+			listed = append(listed, name)
+		}
 		t.storeSync.registry.Put(e)
-	} else {
-		t.storeSync.registry.Remove(time.Now(), ident.Target(row.Key))
 	}
 	t.storeSync.mu.Unlock()
-	t.storeSync.applyTargetChange("target", row.Key, "revision", row.Revision, "listed", ok, "draining", e.Draining, "service", e.Service)
+	t.storeSync.applyTargetChange("listed", listed, "draining", draining, "removed", removed, "revision", rows[len(rows)-1].Revision)
 }
 
 // decode decodes a row. It returns false if the row is deleted or unreadable.
@@ -210,10 +225,12 @@
 }
 
 // Change implements store.Subscriber.
-func (d *daemonSubscriber) Change(row store.FeedRow) {
-	d.applyRow(row)
-	if row.Key == string(d.storeSync.deps.Identity.Daemon) {
-		d.storeSync.ownRow.observe(d.hasOwnRow(), row.Revision, len(d.rows))
+func (d *daemonSubscriber) Change(rows []store.FeedRow) {
+	for _, row := range rows {
+		d.applyRow(row)
+		if row.Key == string(d.storeSync.deps.Identity.Daemon) {
+			d.storeSync.ownRow.observe(d.hasOwnRow(), row.Revision, len(d.rows))
+		}
 	}
 	d.publish()
 }
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -31,5 +31,6 @@
 	RowRewritten             = define(430, slog.LevelInfo, "the restored store lacked this daemon's own row; the row was written again", "none")
 	RoutesConflict           = define(431, slog.LevelWarn, "the store holds different routes under the version in force; they are ignored", "write the routes again with a higher version")
 	TargetsQuarantined       = define(432, slog.LevelWarn, "the restored store holds targets that had left or were draining; they get no requests until the store reports a new change of them, or until a time limit has passed", "none")
+	StoreCalls               = define(434, slog.LevelInfo, "this daemon has called the store since the last line of this kind; the line counts its calls by table and kind", "none; if most daemons of a zone have these lines at rest, look for event 428")
 	RowNotWritten            = define(426, slog.LevelWarn, "this daemon could not write its own row; it retries", "see docs/OPERATIONS.md, a store outage")
 )
--- a/internal/event/fleet.go
+++ b/internal/event/fleet.go
@@ -12,5 +12,6 @@
 	FleetOldIncarnation   = define(607, slog.LevelError, "peers know a later incarnation of this daemon and refuse its links", "check that no other daemon has its name and that the VM's clock is right, then restart it")
 	FleetHandshakeFailed  = define(608, slog.LevelWarn, "a TLS handshake with another daemon failed (at most one line in 10 s)", "see docs/operations/tls.md")
 	FleetDuplicateName    = define(609, slog.LevelError, "two daemons have the same name; the one that started first is refused and considers itself the owner of all targets", "stop the daemon at the address that the line gives as refused, or give it another name")
+	FleetLinksSummary     = define(610, slog.LevelInfo, "links to daemons have come up or gone down that have no lines of their own; links is how many are up", "none; at a start links reaches the number of daemons less one")
 	FleetSlowPeer         = define(606, slog.LevelWarn, "send queue to a daemon overflowed and its link was reset", "check the load of the daemon that the line names")
 )
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -15,7 +15,8 @@
 )
 
 // Follow reads rows of the platform's store from a peer. The error is
-// platform.ErrHistoryLost if the peer does not know all changes since q.After.
+// platform.ErrHistoryLost if the peer does not know all changes since q.After, and
+// platform.ErrReaderNotCurrent if the peer is not up to date with the store.
 func (n *Node) Follow(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
 	c, err := n.client(reader)
 	if err != nil {
@@ -28,6 +29,8 @@
 	case codes.OK:
 	case codes.OutOfRange:
 		return platform.FeedAnswer{}, platform.ErrHistoryLost
+	case codes.FailedPrecondition:
+		return platform.FeedAnswer{}, platform.ErrReaderNotCurrent
 	default:
 		return platform.FeedAnswer{}, merry.Prependf(err, "follow table %s at %s", q.Table, reader)
 	}
@@ -52,6 +55,8 @@
 	switch {
 	case errors.Is(err, platform.ErrHistoryLost):
 		return nil, status.Error(codes.OutOfRange, err.Error())
+	case errors.Is(err, platform.ErrReaderNotCurrent):
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	case err != nil:
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -75,6 +75,7 @@
 	session         uint64
 	dialing         int
 	ticks           int
+	linkLog         linkLog
 
 	// refusedIncarnations holds, for each name, the last incarnation that was
 	// refused while a later one had a link. It is owned by the control
@@ -107,6 +108,7 @@
 		handshakeLogLimit: rate.Sometimes{Interval: handshakeLogInterval},
 		events:            make(chan controlEvent, eventQueueSize), done: make(chan struct{}),
 	}
+	n.linkLog.log = cfg.Logger
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.refusedIncarnations = map[ident.Daemon]uint64{}
 	n.calls.conns = map[ident.Daemon]callConn{}
@@ -255,6 +257,7 @@
 // replaced, and starts due dials.
 func (n *Node) tick(now time.Time) {
 	n.recordSends(now)
+	n.linkLog.summarize(now, len(n.links.byPeer))
 	n.table.Tick(now)
 	for _, peer := range n.table.SilentLinks(now) {
 		l := n.links.byPeer[peer]
@@ -318,7 +321,7 @@
 	}
 	n.links.Unlock()
 	l.outbox.queueInitialState(n.head.Load(), n.leaving.Load())
-	event.FleetLinkUp.Log(n.cfg.Logger, "peer", l.peer, "incarnation", l.incarnation, "zone", l.zone)
+	n.linkLog.linkUp(now, l.peer, l.incarnation, l.zone, len(n.links.byPeer))
 	n.notifyPeers()
 	n.handler.LinkUp(l.peer)
 	return nil
@@ -347,7 +350,7 @@
 	delete(n.links.byPeer, l.peer)
 	n.links.Unlock()
 	n.table.LinkLost(now, l.peer)
-	event.FleetLinkDown.Log(n.cfg.Logger, "peer", l.peer)
+	n.linkLog.linkDown(now, l.peer, len(n.links.byPeer))
 	n.handler.LinkLost(l.peer)
 }
 
--- a/internal/membership/owner.go
+++ b/internal/membership/owner.go
@@ -52,15 +52,14 @@
 }
 
 func highestWeight(service ident.Service, target ident.Target, candidates []Member) ident.Daemon {
-	var best ident.Daemon
-	var bestWeight uint64
+	var best ranking
 	for _, m := range candidates {
 		w := hashWeight(service, target, m.ID)
-		if best == "" || w > bestWeight || w == bestWeight && m.ID < best {
-			best, bestWeight = m.ID, w
+		if best.owner == "" || outranks(w, m.ID, best) {
+			best = ranking{owner: m.ID, weight: w}
 		}
 	}
-	return best
+	return best.owner
 }
 
 func hashWeight(service ident.Service, target ident.Target, daemon ident.Daemon) uint64 {
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -68,8 +68,8 @@
 	// Replace passes the full table at a revision; rows that are missing have been deleted,
 	// except after StoreRestored.
 	Replace(rows []FeedRow, at Revision)
-	// Change passes one changed row.
-	Change(row FeedRow)
+	// Change passes the changed rows of one answer, in order.
+	Change(rows []FeedRow)
 	// StoreUnreachable reports that the store has stopped answering.
 	StoreUnreachable()
 	// StoreReachable reports that the store answers again, before the rows of the first
--- a/internal/platform/feed_test.go
+++ b/internal/platform/feed_test.go
@@ -142,12 +142,18 @@
 	s.rows = map[string]string{}
 	s.mu.Unlock()
 	for _, row := range rows {
-		s.Change(row)
+		s.change(row)
 	}
 }
 
 // Change implements platform.Subscriber.
-func (s *recordingSubscriber) Change(row platform.FeedRow) {
+func (s *recordingSubscriber) Change(rows []platform.FeedRow) {
+	for _, row := range rows {
+		s.change(row)
+	}
+}
+
+func (s *recordingSubscriber) change(row platform.FeedRow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if row.Deleted {
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -178,8 +178,8 @@
 		return false, errGroupRestored
 	}
 	f.handleAnswer()
-	for _, row := range rows {
-		f.subscriber.Change(row)
+	if len(rows) > 0 {
+		f.subscriber.Change(rows)
 	}
 	f.revision = Later(f.revision, revision)
 	return len(rows) > 0, nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/membership"
@@ -78,6 +79,16 @@
 	// effect. A starting zone grows within a few hundred ms, and each change of the reader
 	// costs every daemon three calls.
 	electionDelay = time.Second
+	// startupWait is how long after its start a daemon leaves changes unread at most while
+	// its zone is about to elect a reader. It has just read the tables. A daemon that has
+	// run for less counts as disconnected from the store anyway.
+	startupWait = 2 * time.Second
+	// newReaderWait is how long after an election a reader that is not current yet is
+	// queried again instead of the store: daemons learn of the same members at different
+	// times, so that a reader may be elected by its followers before it elects itself.
+	// newReaderRetryDelay is the pause between such queries, beside recoveryWait.
+	newReaderWait       = 400 * time.Millisecond
+	newReaderRetryDelay = 50 * time.Millisecond
 )
 
 // Feed is a platform.Feed that queries the zone's reader if there is one, and the store
@@ -101,6 +112,9 @@
 	electionTimer *time.Timer
 	// sourceChanged is closed when calls in progress have to be restarted at another source.
 	sourceChanged chan struct{}
+	// startedAt is when the feed was created. electedAt is when the last election took
+	// effect; zero if none has.
+	startedAt, electedAt time.Time
 	// latestByTable holds the latest returned revision of each table, latest that of all
 	// tables.
 	latestByTable map[string]platform.Revision
@@ -109,7 +123,7 @@
 
 // New returns a Feed that reads the store itself until Elect chooses a reader.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, cache: newTableCache(cfg.HeartbeatTable), sourceChanged: make(chan struct{}), latestByTable: map[string]platform.Revision{}, backoff: backoffBase}
+	return &Feed{cfg: cfg, cache: newTableCache(cfg.HeartbeatTable), sourceChanged: make(chan struct{}), startedAt: time.Now(), latestByTable: map[string]platform.Revision{}, backoff: backoffBase}
 }
 
 // Elect chooses the reader of the zone from the live daemons; others excludes this one.
@@ -167,7 +181,7 @@
 	}
 	f.pending = nil
 	event.StoreReaderChanged.Log(f.cfg.Logger, "reader", e.reader, "serves", e.isReader)
-	f.reader, f.isReader = e.reader, e.isReader
+	f.reader, f.isReader, f.electedAt = e.reader, e.isReader, time.Now()
 	f.backoff, f.backoffUntil = backoffBase, time.Time{}
 	f.cache.setReader(e.isReader)
 	f.interruptCalls()
@@ -262,9 +276,50 @@
 	f.updateLatest(table, revision)
 }
 
+// awaitFirstElection waits until a reader is elected or none is to be expected, for at most
+// wait, and returns what is left of wait. Without it each daemon of a starting fleet follows
+// the table in which all of them register by itself.
+func (f *Feed) awaitFirstElection(ctx context.Context, wait time.Duration) (left time.Duration) {
+	began := time.Now()
+	for {
+		hold, elected := f.startupHold(time.Now())
+		hold = min(hold, wait-time.Since(began))
+		if hold <= 0 {
+			return max(0, wait-time.Since(began))
+		}
+		timer := time.NewTimer(hold)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return 0
+		case <-elected:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// startupHold returns how much longer a daemon that has just started leaves changes unread,
+// and a channel that is closed when an election takes effect. A zone that has elected nobody
+// within electionDelay has too few daemons for a reader unless an election is pending.
+func (f *Feed) startupHold(now time.Time) (hold time.Duration, elected <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch age := now.Sub(f.startedAt); {
+	case !f.electedAt.IsZero():
+		return 0, f.sourceChanged
+	case age < electionDelay:
+		return electionDelay - age, f.sourceChanged
+	case f.pending != nil:
+		return startupWait - age, f.sourceChanged
+	}
+	return 0, f.sourceChanged
+}
+
 // Changes implements platform.Feed. It may return without a change before wait has
 // passed.
 func (f *Feed) Changes(ctx context.Context, table string, after platform.Revision, wait time.Duration) ([]platform.FeedRow, platform.Revision, error) {
+	wait = f.awaitFirstElection(ctx, wait)
 	reader, isReader, sourceChanged := f.source(time.Now())
 	callCtx, stop := withInterrupt(ctx, sourceChanged)
 	defer stop()
@@ -299,7 +354,7 @@
 	if q.Table == f.cfg.HeartbeatTable {
 		q.Wait = min(q.Wait, followerHeartbeatWait)
 	}
-	answer, err := f.queryReader(callCtx, reader, q)
+	answer, err := f.queryNewReader(callCtx, reader, q)
 	if err == nil && answer.Revision.OlderEra(q.After) {
 		err = errReaderStale
 	}
@@ -318,6 +373,25 @@
 	return nil, q.After, nil
 }
 
+// queryNewReader queries the reader, and a new one again while it is not current.
+func (f *Feed) queryNewReader(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
+	for {
+		answer, err := f.queryReader(ctx, reader, q)
+		if err == nil || !errors.Is(err, platform.ErrReaderNotCurrent) || !f.isNewReader(time.Now()) {
+			return answer, err
+		}
+		clock.Sleep(ctx, clock.Real, newReaderRetryDelay)
+	}
+}
+
+// isNewReader reports whether the last election took effect, or this daemon started, a
+// short time ago.
+func (f *Feed) isNewReader(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.electedAt) < newReaderWait || now.Sub(f.startedAt) < startupWait
+}
+
 func (f *Feed) queryReader(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
 	ctx, cancel := turn.WithTimeout(ctx, q.Wait+readerTimeoutMargin)
 	defer cancel()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -197,10 +197,12 @@
 }
 
 // Change implements platform.Subscriber.
-func (d *subscriber) Change(row platform.FeedRow) {
+func (d *subscriber) Change(rows []platform.FeedRow) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.apply(row)
+	for _, row := range rows {
+		d.apply(row)
+	}
 }
 
 // StoreUnreachable implements platform.Subscriber.
@@ -253,6 +255,14 @@
 
 // newZone starts daemons that know each other and follow the table until ctx ends.
 func newZone(ctx context.Context, names ...ident.Daemon) *zone {
+	z := newUnelectedZone(names...)
+	z.elect(names...)
+	z.follow(ctx)
+	return z
+}
+
+// newUnelectedZone returns a zone of daemons that do not know each other.
+func newUnelectedZone(names ...ident.Daemon) *zone {
 	z := &zone{
 		store: newFakeStore(), feeds: map[ident.Daemon]*relay.Feed{}, subscribers: map[ident.Daemon]*subscriber{},
 		frozen: map[ident.Daemon]bool{},
@@ -263,20 +273,38 @@
 		})
 		z.subscribers[name] = &subscriber{rows: map[string]string{}, lastRevisions: map[string]platform.Revision{}}
 	}
-	z.elect(names...)
-	for _, name := range names {
+	return z
+}
+
+// follow makes the daemons follow the table until ctx ends.
+func (z *zone) follow(ctx context.Context) {
+	for name := range z.feeds {
 		follower := platform.NewFollower(platform.FollowerConfig{
 			Feed: z.feeds[name], Table: heartbeatTable, Wait: followWait, CoalesceDelay: time.Millisecond,
 			Group: platform.NewFeedGroup(), Heartbeat: true, Logger: slog.New(slog.DiscardHandler),
 		}, z.subscribers[name])
 		go follower.Run(ctx)
 	}
-	return z
+}
+
+// electedReader returns the daemon that a zone of these daemons elects.
+func electedReader(names []ident.Daemon) ident.Daemon {
+	var members []membership.Member
+	for _, name := range names {
+		members = append(members, membership.Member{ID: name, Zone: "z"})
+	}
+	return membership.NewOwners(members).Lookup("", "store", "z")
 }
 
 // elect passes the list of live daemons to each of them.
-func (z *zone) elect(live ...ident.Daemon) {
+func (z *zone) elect(live ...ident.Daemon) { z.electExcept("", live...) }
+
+// electExcept passes the list of live daemons to each of them but one.
+func (z *zone) electExcept(late ident.Daemon, live ...ident.Daemon) {
 	for _, name := range live {
+		if name == late {
+			continue
+		}
 		var others []membership.Member
 		for _, other := range live {
 			if other != name {
--- /dev/null
+++ b/internal/relay/start_test.go
@@ -0,0 +1,88 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// startZone starts daemons that do not know of each other yet.
+func startZone(ctx context.Context, daemons int) (*zone, []ident.Daemon) {
+	var names []ident.Daemon
+	for i := range daemons {
+		names = append(names, ident.Daemon(fmt.Sprintf("d%02d", i)))
+	}
+	z := newUnelectedZone(names...)
+	z.follow(ctx)
+	return z, names
+}
+
+// Guards against a fleet that starts at once and in which every daemon follows the store by
+// itself until its zone has a reader: each registration of a daemon then ends a call of every
+// other one.
+func TestStartingZoneMakesFewStoreCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		const daemons = 50
+		z, names := startZone(ctx, daemons)
+		for i := range daemons {
+			time.Sleep(10 * time.Millisecond)
+			z.store.put(string(names[i]), "registered", false)
+			z.elect(names[:i+1]...)
+		}
+		time.Sleep(4 * time.Second)
+		calls := 0
+		for _, name := range names {
+			calls += z.store.callCount(name)
+		}
+		// One read for each daemon, and the reader's heartbeats.
+		if most := daemons + 10; calls > most {
+			t.Errorf("%d calls to the store, want at most %d", calls, most)
+		}
+		z.store.put("k", "new", false)
+		time.Sleep(time.Second)
+		z.expectValue(t, "k", "new")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against followers that call the store for seconds because they have elected a reader
+// before it has elected itself.
+func TestFollowersWaitForReaderThatIsElectedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		z, names := startZone(ctx, 5)
+		reader := electedReader(names)
+		z.electExcept(reader, names...)
+		time.Sleep(300 * time.Millisecond)
+		z.elect(names...)
+		time.Sleep(3 * time.Second)
+		for _, name := range names {
+			if calls := z.store.callCount(name); calls > 1 && name != reader {
+				t.Errorf("%s made %d calls to the store, want 1", name, calls)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a daemon that reads no changes because its zone has too few daemons for a
+// reader.
+func TestZoneWithoutReaderFollowsTheStoreSoonAfterItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		z, names := startZone(ctx, 2)
+		z.elect(names...)
+		z.store.put("k", "new", false)
+		time.Sleep(1100 * time.Millisecond)
+		z.expectValue(t, "k", "new")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -65,6 +65,7 @@
 	metricMembers              = define("members", Gauge, "daemons", "", "Live daemons that this one knows, itself included.")
 	metricForwardedConnections = define("connections_passed_on", Counter, "connections", "", "New connections of callers that a neighbour took over for want of processor time here.")
 	metricUnanswered           = define("connections_unanswered", Counter, "connections", "cause, progress, kept", "Connections of callers that were closed without a complete response to their request, by why, how far the request had got, and whether a request was answered on them before; where routes are served.")
+	metricStoreCalls           = define("store_calls", Counter, "calls", "table, kind, failed", "Calls to the platform's store, by table and what they are for (read, follow, write); where routes are served.")
 	metricConfigHead           = define("config_head", Gauge, "revision", "", "Highest configuration revision in force.")
 )
 
@@ -166,6 +167,17 @@
 // ConnectionForwarded counts a connection that a neighbour took over.
 func (m *Metrics) ConnectionForwarded() { m.scope.Counter(metricForwardedConnections).Inc(1) }
 
+// StoreCall counts a call to the platform's store.
+func (m *Metrics) StoreCall(table, kind string, failed bool) {
+	key := seriesKey{metricStoreCalls, table, kind + strconv.FormatBool(failed)}
+	cached, ok := m.series.Load(key)
+	if !ok {
+		cached = m.scope.Tagged(map[string]string{"table": table, "kind": kind, "failed": strconv.FormatBool(failed)}).Counter(metricStoreCalls)
+		m.series.Store(key, cached)
+	}
+	cached.(tally.Counter).Inc(1)
+}
+
 // ConnectionUnanswered counts a connection that was closed without a complete response to
 // its request. Kept reports whether an earlier request was answered on it.
 func (m *Metrics) ConnectionUnanswered(cause, progress string, kept bool) {
