Store: an outage or a lost history is found out by the readers of zones, not by each daemon

(1) When the store drops its history, the reader reads its tables again and forgets what it knew, so that all 49 followers read three whole tables from it in the same moment; it answers most of them too late (event 428), and they read them from the store. (2) In an outage all daemons find that their reader has lost the store and call it themselves, each for three tables and again every second or two. (3) At a start links take a second and more, longer than daemons waited for an election. (4) A daemon whose start keeps its processor busy took itself out of rotation for ten seconds before any caller had reached it (event 109 with callers 0).

Ruled out: calls at rest (1 in 25 s for a follower).

Change: a table that is read again counts as the changes since; a follower that knows a table asks its reader for changes only; when its reader has failed, the heartbeat table alone calls the store until that answers, and one that finds both silent calls it every three seconds; daemons without links wait for them up to 2.5 s; no overload without a caller's connection. Also mends a loop of: a query to a new reader whose call had been cancelled was repeated without a pause (it hung a random sequence of faults in simulated time for ten minutes).

Before and after, tests in simulated time: four followers read whole tables after a lost history, none now; 12 to 14 calls by each follower in an outage of 6 s, at most 5 now.

--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -192,7 +192,7 @@
 		l.measuredAcceptRate.Store(int64(overload.AcceptRate(detector.MeanLatency())))
 		l.shedPermille.Store(int64(shedScale * shedFraction))
 		overloaded := detector.Observe(now, overload.Observation{
-			SchedLatency: latency, ShedFraction: shedFraction, MayHold: l.hasZonePeers(), NewConns: conns.takeOpenedConns(),
+			SchedLatency: latency, ShedFraction: shedFraction, Idle: conns.countOpen() == 0, MayHold: l.hasZonePeers(), NewConns: conns.takeOpenedConns(),
 		})
 		if l.overloadedNow.Swap(overloaded) == overloaded {
 			continue
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -71,6 +71,10 @@
 	SchedLatency time.Duration
 	// ShedFraction is the fraction of new requests that is refused.
 	ShedFraction float64
+	// Idle reports that no caller has a connection. The daemon is then busy with its own
+	// work, as at its start in a large fleet, which taking it out of rotation does not
+	// shorten.
+	Idle bool
 	// MayHold reports whether the daemon may stay out of rotation for longer than its
 	// load lasts, because other daemons can serve its callers.
 	MayHold bool
@@ -84,7 +88,7 @@
 	sample := min(max(0, o.SchedLatency), maxSample)
 	d.meanLatency += time.Duration(ewmaWeight * float64(sample-d.meanLatency))
 	switch {
-	case d.meanLatency >= enterLatency || o.ShedFraction >= enterShedFraction:
+	case !o.Idle && (d.meanLatency >= enterLatency || o.ShedFraction >= enterShedFraction):
 		d.enter(now, o.MayHold)
 		d.lowSince, d.newConns = time.Time{}, 0
 	case d.meanLatency > exitLatency || o.ShedFraction > 0:
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -108,3 +108,16 @@
 	}
 	is.Equal(feed(&d, &now, 0, 2*time.Second), false)
 }
+
+// Guards against a daemon that starts among hundreds of others, is busy with its links for a
+// second, and stays out of rotation for ten although no caller has reached it.
+func TestStartWithoutCallersIsNotOverload(t *testing.T) {
+	is := is.New(t)
+	var d overload.Detector
+	now := time.Unix(1000, 0)
+	for range 100 {
+		now = now.Add(tick)
+		is.Equal(d.Observe(now, overload.Observation{SchedLatency: 50 * time.Millisecond, ShedFraction: 0.5, Idle: true, MayHold: true}), false)
+	}
+	is.Equal(d.Observe(now.Add(tick), overload.Observation{SchedLatency: 50 * time.Millisecond, MayHold: true}), true) // with callers it is
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,6 +75,10 @@
 	// keeps failing and recovering does not disrupt its followers each time.
 	backoffBase = 3 * time.Second
 	backoffMax  = 30 * time.Second
+	// probeInterval is the pause between calls to the store by a follower whose reader has
+	// lost the store, too. During an outage the readers find out when it ends; if each
+	// daemon did, an outage of seconds would take more calls than a day without one.
+	probeInterval = 3 * time.Second
 	// electionDelay is how long the result of the election must be stable before it takes
 	// effect. A starting zone grows within a few hundred ms, and each change of the reader
 	// costs every daemon three calls.
@@ -82,7 +86,8 @@
 	// startupWait is how long after its start a daemon leaves changes unread at most while
 	// its zone is about to elect a reader. It has just read the tables. A daemon that has
 	// run for less counts as disconnected from the store anyway.
-	startupWait = 2 * time.Second
+	startupWait         = 2500 * time.Millisecond
+	startupPollInterval = 100 * time.Millisecond
 	// newReaderWait is how long after an election a reader that is not current yet is
 	// queried again instead of the store: daemons learn of the same members at different
 	// times, so that a reader may be elected by its followers before it elects itself.
@@ -107,6 +112,14 @@
 	// length of the next such time.
 	backoffUntil time.Time
 	backoff      time.Duration
+	// storeAnswered is closed once the store has answered a heartbeat call of this daemon
+	// since its reader failed; nil if the reader has not failed.
+	storeAnswered chan struct{}
+	// nextProbe is when this daemon may call the store next, after both its reader and the
+	// store have failed.
+	nextProbe time.Time
+	// others is the number of other live daemons in all zones.
+	others int
 	// pending is the election that takes effect when electionTimer fires; nil means none.
 	pending       *election
 	electionTimer *time.Timer
@@ -143,6 +156,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.others = len(others)
 	f.scheduleElection(e)
 }
 
@@ -183,6 +197,7 @@
 	event.StoreReaderChanged.Log(f.cfg.Logger, "reader", e.reader, "serves", e.isReader)
 	f.reader, f.isReader, f.electedAt = e.reader, e.isReader, time.Now()
 	f.backoff, f.backoffUntil = backoffBase, time.Time{}
+	f.nextProbe, f.storeAnswered = time.Time{}, nil
 	f.cache.setReader(e.isReader)
 	f.interruptCalls()
 }
@@ -216,6 +231,7 @@
 	event.StoreReaderFailed.Log(f.cfg.Logger, "reader", reader, "table", table, "rest", f.backoff, "error", err)
 	f.backoffUntil = now.Add(f.backoff)
 	f.backoff = min(2*f.backoff, backoffMax)
+	f.storeAnswered = make(chan struct{})
 	f.interruptCalls()
 }
 
@@ -225,6 +241,7 @@
 	defer f.mu.Unlock()
 	f.updateLatest(table, revision)
 	f.backoff = backoffBase
+	f.nextProbe, f.storeAnswered = time.Time{}, nil
 }
 
 // updateLatest records a returned revision. The caller holds the lock.
@@ -248,32 +265,108 @@
 func (f *Feed) ReadTable(ctx context.Context, table string) ([]platform.FeedRow, platform.Revision, error) {
 	reader, _, _ := f.source(time.Now())
 	if reader != "" {
-		answer, err := f.queryReader(ctx, reader, platform.FeedQuery{Table: table, FullTable: true})
-		if err == nil && f.isStale(table, answer.Revision) {
-			err = errReaderStale
-		}
-		if err == nil {
-			f.recordReaderSuccess(table, answer.Revision)
-			f.cache.replaceTable(table, answer.Rows, answer.Revision, false)
-			return answer.Rows, answer.Revision, nil
+		rows, revision, err := f.readFromReader(ctx, reader, table)
+		if err == nil || f.hasProbed(time.Now()) {
+			return rows, revision, err
 		}
 		f.recordReaderFailure(reader, table, err)
 	}
+	if err := f.awaitStore(ctx, table); err != nil {
+		return nil, platform.Revision{}, err
+	}
 	rows, revision, err := f.cfg.Store.ReadTable(ctx, table)
 	if err != nil {
-		f.cache.recordFailure(table)
+		f.recordStoreFailure(table)
 		return nil, platform.Revision{}, err
 	}
 	f.cache.replaceTable(table, rows, revision, true)
-	f.recordRevision(table, revision)
+	f.recordStoreSuccess(table, revision)
+	return rows, revision, nil
+}
+
+// readFromReader reads a table from the reader: only what has changed if this daemon knows the
+// table already.
+func (f *Feed) readFromReader(ctx context.Context, reader ident.Daemon, table string) ([]platform.FeedRow, platform.Revision, error) {
+	q := platform.FeedQuery{Table: table, FullTable: true}
+	if after, known := f.cache.revision(table); known {
+		q = platform.FeedQuery{Table: table, After: after}
+	}
+	answer, err := f.queryReader(ctx, reader, q)
+	if !q.FullTable && (errors.Is(err, platform.ErrHistoryLost) || err == nil && !answer.Revision.SameEra(q.After)) {
+		q = platform.FeedQuery{Table: table, FullTable: true}
+		answer, err = f.queryReader(ctx, reader, q)
+	}
+	if err == nil && f.isStale(table, answer.Revision) {
+		err = errReaderStale
+	}
+	if err != nil {
+		return nil, platform.Revision{}, err
+	}
+	f.recordReaderSuccess(table, answer.Revision)
+	if q.FullTable {
+		f.cache.replaceTable(table, answer.Rows, answer.Revision, false)
+		return answer.Rows, answer.Revision, nil
+	}
+	f.cache.applyChanges(table, answer.Rows, answer.Revision, false)
+	rows, revision := f.cache.liveRows(table)
 	return rows, revision, nil
 }
 
-// recordRevision records the revision of an answer of the store.
-func (f *Feed) recordRevision(table string, revision platform.Revision) {
+// awaitStore waits, if the reader of this daemon has failed, until the store has answered a
+// heartbeat call, so that during an outage only one of a daemon's tables calls the store.
+func (f *Feed) awaitStore(ctx context.Context, table string) error {
+	f.mu.Lock()
+	answered, until := f.storeAnswered, f.backoffUntil
+	f.mu.Unlock()
+	if answered == nil || table == f.cfg.HeartbeatTable {
+		return nil
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-answered:
+		return nil
+	case <-timer.C:
+		return platform.ErrReaderNotCurrent
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// hasProbed reports whether the store has failed to answer this daemon a short time ago, too.
+func (f *Feed) hasProbed(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.nextProbe)
+}
+
+// recordStoreFailure records that a call to the store failed. If the reader has lost the
+// store as well, it is queried again, and the store only after probeInterval.
+func (f *Feed) recordStoreFailure(table string) {
+	f.cache.recordFailure(table)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reader != "" && table == f.cfg.HeartbeatTable {
+		f.nextProbe, f.backoffUntil = time.Now().Add(probeInterval), time.Time{}
+	}
+}
+
+// recordStoreSuccess records an answer of the store.
+func (f *Feed) recordStoreSuccess(table string, revision platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.updateLatest(table, revision)
+	if f.storeAnswered != nil && table == f.cfg.HeartbeatTable {
+		close(f.storeAnswered)
+		f.nextProbe, f.storeAnswered = time.Time{}, nil
+	}
+}
+
+// isChecking reports whether the store has not answered this daemon since its reader failed.
+func (f *Feed) isChecking() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeAnswered != nil
 }
 
 // awaitFirstElection waits until a reader is elected or none is to be expected, for at most
@@ -300,18 +393,19 @@
 }
 
 // startupHold returns how much longer a daemon that has just started leaves changes unread,
-// and a channel that is closed when an election takes effect. A zone that has elected nobody
-// within electionDelay has too few daemons for a reader unless an election is pending.
+// and a channel that is closed when an election takes effect. A daemon that knows others by
+// the end of electionDelay, and for which no election is pending, is in a zone with too few
+// daemons for a reader.
 func (f *Feed) startupHold(now time.Time) (hold time.Duration, elected <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch age := now.Sub(f.startedAt); {
-	case !f.electedAt.IsZero():
+	case !f.electedAt.IsZero() || age >= startupWait:
 		return 0, f.sourceChanged
 	case age < electionDelay:
 		return electionDelay - age, f.sourceChanged
-	case f.pending != nil:
-		return startupWait - age, f.sourceChanged
+	case f.pending != nil || f.others == 0:
+		return min(startupWait-age, startupPollInterval), f.sourceChanged
 	}
 	return 0, f.sourceChanged
 }
@@ -326,11 +420,11 @@
 	if reader != "" {
 		return f.changesFromReader(callCtx, ctx, reader, platform.FeedQuery{Table: table, After: after, Wait: wait})
 	}
-	if isReader && table == f.cfg.HeartbeatTable && wait > readerHeartbeatWait {
-		wait = readerHeartbeatWait
-		if !f.cache.isStoreReachable() {
-			wait = firstHeartbeatWait
-		}
+	if err := f.awaitStore(callCtx, table); err != nil {
+		return nil, after, ctx.Err()
+	}
+	if table == f.cfg.HeartbeatTable {
+		wait = min(wait, f.heartbeatWait(isReader, wait))
 		var cancel context.CancelFunc
 		callCtx, cancel = turn.WithTimeout(callCtx, wait+storeTimeoutMargin)
 		defer cancel()
@@ -339,15 +433,31 @@
 	switch {
 	case err != nil && errors.Is(context.Cause(callCtx), errSourceChanged) && ctx.Err() == nil:
 		return nil, after, nil
-	case err != nil:
+	case errors.Is(err, platform.ErrHistoryLost):
+		f.recordStoreSuccess(table, platform.Revision{})
 		f.cache.recordFailure(table)
 		return nil, platform.Revision{}, err
+	case err != nil:
+		f.recordStoreFailure(table)
+		return nil, platform.Revision{}, err
 	}
 	f.cache.applyChanges(table, rows, revision, true)
-	f.recordRevision(table, revision)
+	f.recordStoreSuccess(table, revision)
 	return rows, revision, nil
 }
 
+// heartbeatWait returns how long a heartbeat call to the store waits at most: a short time if
+// the store has still to show that it answers.
+func (f *Feed) heartbeatWait(isReader bool, wait time.Duration) time.Duration {
+	switch {
+	case isReader && !f.cache.isStoreReachable() || f.isChecking():
+		return firstHeartbeatWait
+	case isReader:
+		return readerHeartbeatWait
+	}
+	return wait
+}
+
 // changesFromReader queries the reader. If the reader fails, it returns no changes, and the
 // next call goes to the store.
 func (f *Feed) changesFromReader(callCtx, ctx context.Context, reader ident.Daemon, q platform.FeedQuery) ([]platform.FeedRow, platform.Revision, error) {
@@ -377,7 +487,7 @@
 func (f *Feed) queryNewReader(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
 	for {
 		answer, err := f.queryReader(ctx, reader, q)
-		if err == nil || !errors.Is(err, platform.ErrReaderNotCurrent) || !f.isNewReader(time.Now()) {
+		if err == nil || !errors.Is(err, platform.ErrReaderNotCurrent) || !f.isNewReader(time.Now()) || ctx.Err() != nil {
 			return answer, err
 		}
 		clock.Sleep(ctx, clock.Real, newReaderRetryDelay)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,12 +28,12 @@
 type fakeStore struct {
 	mu   sync.Mutex
 	rows map[string]platform.FeedRow
-	// era and revision are the store's current ones.
-	era, revision uint64
-	changed       chan struct{}
-	refused       map[ident.Daemon]bool
-	hanging       map[ident.Daemon]bool
-	calls         map[ident.Daemon]int
+	// era and revision are the store's current ones; changes up to historyStart are lost.
+	era, revision, historyStart uint64
+	changed                     chan struct{}
+	refused                     map[ident.Daemon]bool
+	hanging                     map[ident.Daemon]bool
+	calls                       map[ident.Daemon]int
 }
 
 func newFakeStore() *fakeStore {
@@ -81,6 +81,16 @@
 	s.changed = make(chan struct{})
 }
 
+// loseHistory drops the changes up to now and ends the calls that wait for changes.
+func (s *fakeStore) loseHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.historyStart = s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeStore) callCount(id ident.Daemon) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,7 +153,7 @@
 				rows = append(rows, row)
 			}
 		}
-		revision, changed, refused, hanging := v.currentRevision(), v.changed, v.refused[v.daemon], v.hanging[v.daemon]
+		revision, changed, refused, hanging, lostUntil := v.currentRevision(), v.changed, v.refused[v.daemon], v.hanging[v.daemon], v.historyStart
 		v.mu.Unlock()
 		switch {
 		case refused:
@@ -151,7 +161,7 @@
 		case hanging:
 			<-ctx.Done()
 			return nil, platform.Revision{}, ctx.Err()
-		case revision.Number() < after.Number():
+		case revision.Number() < after.Number() || after.Number() < lostUntil:
 			return nil, platform.Revision{}, platform.ErrHistoryLost
 		case len(rows) > 0:
 			return rows, revision, nil
@@ -174,6 +184,8 @@
 	mu          sync.Mutex
 	// frozen daemons do not answer queries.
 	frozen map[ident.Daemon]bool
+	// fullReads is the number of whole tables that followers have read from a reader.
+	fullReads int
 }
 
 // subscriber holds the rows that a daemon of the zone has received.
@@ -234,6 +246,9 @@
 func (z *zone) Follow(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
 	z.mu.Lock()
 	frozen, feed := z.frozen[reader], z.feeds[reader]
+	if q.FullTable {
+		z.fullReads++
+	}
 	z.mu.Unlock()
 	if frozen {
 		<-ctx.Done()
--- a/internal/relay/start_test.go
+++ b/internal/relay/start_test.go
@@ -86,3 +86,66 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against followers that all read whole tables from their reader, and many of them from
+// the store as the reader is too slow, whenever the store drops its history.
+func TestLostHistoryMakesOnlyTheReaderReadAgain(t *testing.T) {
+	runZone(t, func(z *zone, reader ident.Daemon) {
+		z.store.put("kept", "old", false)
+		z.store.put("dropped", "old", false)
+		time.Sleep(time.Second)
+		z.fullReads = 0
+		before := map[ident.Daemon]int{}
+		for name := range z.feeds {
+			before[name] = z.store.callCount(name)
+		}
+		z.store.loseHistory()
+		z.store.put("kept", "new", false)
+		z.store.put("dropped", "", true)
+		z.store.loseHistory()
+		time.Sleep(2 * time.Second)
+		z.expectValue(t, "kept", "new")
+		z.expectValue(t, "dropped", "")
+		if z.fullReads != 0 {
+			t.Errorf("followers read %d whole tables", z.fullReads)
+		}
+		for name := range z.feeds {
+			if calls := z.store.callCount(name) - before[name]; calls > 0 && name != reader {
+				t.Errorf("%s made %d calls to the store", name, calls)
+			}
+		}
+	})
+}
+
+// Guards against an outage of the store in which each daemon of a large fleet goes on calling
+// it, and after which each of them reads all tables again from the store.
+func TestFollowersLeaveAnOutageToTheirReader(t *testing.T) {
+	// The calls that find out that the store has failed and that it is back, and one each three
+	// seconds of the nine between them.
+	const most = 2 + 9/3
+	for _, hanging := range []bool{false, true} {
+		runZone(t, func(z *zone, reader ident.Daemon) {
+			before := map[ident.Daemon]int{}
+			for name := range z.feeds {
+				before[name] = z.store.callCount(name)
+				z.store.setFaults(name, !hanging, hanging)
+			}
+			time.Sleep(6 * time.Second)
+			z.fullReads = 0
+			for name := range z.feeds {
+				z.store.setFaults(name, false, false)
+			}
+			z.store.put("k", "new", false)
+			time.Sleep(3 * time.Second)
+			z.expectValue(t, "k", "new")
+			for name := range z.feeds {
+				if calls := z.store.callCount(name) - before[name]; calls > most && name != reader {
+					t.Errorf("hanging %v: %s made %d calls to the store", hanging, name, calls)
+				}
+			}
+			if z.fullReads > 0 {
+				t.Errorf("hanging %v: followers read %d whole tables", hanging, z.fullReads)
+			}
+		})
+	}
+}
--- a/internal/relay/tablecache.go
+++ b/internal/relay/tablecache.go
@@ -115,15 +115,67 @@
 		return
 	}
 	t := c.table(name)
+	if t.loaded && t.revision.SameEra(revision) {
+		t.catchUp(rows, revision)
+	} else {
+		t.reset(rows, revision)
+	}
+	if fromStore {
+		c.recordSuccess(name, t)
+	}
+	c.notify()
+}
+
+// revision returns the revision of a table; known is false if it has not been read.
+func (c *tableCache) revision(name string) (revision platform.Revision, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.table(name)
+	return t.revision, t.loaded
+}
+
+// liveRows returns the rows of a table that are not deleted, and its revision.
+func (c *tableCache) liveRows(name string) (rows []platform.FeedRow, revision platform.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.table(name)
+	answer, _, _ := t.changesSince(platform.FeedQuery{FullTable: true}) // fails for changes only
+	return answer.Rows, t.revision
+}
+
+// reset replaces the rows and forgets all changes before.
+func (t *cachedTable) reset(rows []platform.FeedRow, revision platform.Revision) {
 	t.rows = make(map[string]platform.FeedRow, len(rows))
 	for _, row := range rows {
 		t.rows[row.Key] = row
 	}
 	t.historyStart, t.revision, t.tombstones, t.loaded = revision, revision, 0, true
-	if fromStore {
-		c.recordSuccess(name, t)
+}
+
+// catchUp applies a table that was read again as the changes since it was last known, so that
+// followers need not read it again themselves. If the store has dropped its history, all
+// followers of a zone would do so in the same moment, and a small reader would answer most
+// of them too late.
+func (t *cachedTable) catchUp(rows []platform.FeedRow, revision platform.Revision) {
+	if !t.revision.Before(revision) {
+		return // changes that were applied since are newer
+	}
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		listed[row.Key] = true
+		if known, ok := t.rows[row.Key]; !ok || known.Revision.Before(row.Revision) {
+			t.apply(row)
+		}
+	}
+	for key, row := range t.rows {
+		if !listed[key] && !row.Deleted {
+			t.apply(platform.FeedRow{Key: key, Deleted: true, Revision: revision})
+		}
+	}
+	t.revision = revision
+	if t.tombstones > maxTombstones {
+		t.dropTombstones()
 	}
-	c.notify()
 }
 
 // observeRevision records the revision of an answer and reports whether it belongs to the
@@ -214,7 +266,7 @@
 		case !canServe:
 		case err != nil:
 			return platform.FeedAnswer{}, err
-		case hasResult:
+		case hasResult || q.Wait == 0:
 			return answer, nil
 		default:
 			recoveryTimer = nil
