A flooded daemon leaves few connections in the kernel's queue

Cause: a small VM is sent thousands of connections a second by callers that the balancer leads to it, and accepts 150 to 1,000 of them, in the order of their arrival. The kernel's queue holds thousands: what is accepted has waited for seconds, its caller has left or is about to, and each that had left still took one of the connections that the daemon may accept.

Change: 128 connections wait at most, so that none is accepted more than some tenths of a second old; callers that have left take no token. Event 113 counts them.

--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/savorystall/savorystall/internal/chart"
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/overload"
 )
 
 // drainAcceptTimeout bounds the wait for a connection that was reported as pending and was
@@ -51,9 +54,27 @@
 		_ = l.Close()
 		return nil, merry.Errorf("%s: not a TCP listener", address)
 	}
+	if err := setBacklog(tcp, overload.AcceptBacklog); err != nil {
+		_ = l.Close()
+		return nil, merry.Prepend(err, address)
+	}
 	return &drainableListener{TCPListener: tcp}, nil
 }
 
+// setBacklog bounds the connections that wait in the kernel until they are accepted. A further
+// call of listen changes only that bound.
+func setBacklog(l *net.TCPListener, connections int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	if err := raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), connections) }); err != nil {
+		return err
+	}
+	return listenErr
+}
+
 // drain ends the listener as soon as no connection is pending.
 func (l *drainableListener) drain() {
 	until := time.Now().Add(maxDrainAcceptTime)
@@ -129,6 +150,9 @@
 	// tryForward starts forwarding a connection if a neighbour is to serve it, and reports
 	// whether it did. If nil, no connection is forwarded.
 	tryForward func(*trackedConn) bool
+	// abandoned counts the connections since the last report whose callers had disconnected
+	// before they were accepted.
+	abandoned atomic.Int64
 }
 
 func newRateLimitedListener(l *drainableListener, acceptRate func() rate.Limit, tryForward func(*trackedConn) bool) *rateLimitedListener {
@@ -140,19 +164,24 @@
 	for {
 		limited := l.waitForToken()
 		conn, err := l.drainableListener.accept()
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
-		case limited && peerClosed(conn):
-			_ = conn.Close() // the caller has disconnected
+		}
+		if limited && peerClosed(conn) {
+			l.abandoned.Add(1)
+			_ = conn.Close() // the caller has disconnected; no token is taken for it
+			continue
+		}
+		l.limiter.Allow()
+		switch {
 		case l.tryForward == nil || l.draining.Load() || !l.tryForward(conn):
 			return conn, nil
 		}
 	}
 }
 
-// waitForToken waits until another connection may be accepted, and reports whether the rate
-// is limited.
+// waitForToken waits until another connection may be accepted, without taking the token for
+// it, and reports whether the rate is limited.
 func (l *rateLimitedListener) waitForToken() bool {
 	for {
 		limit := l.acceptRate()
@@ -160,13 +189,21 @@
 			return false
 		}
 		l.limiter.SetLimit(limit)
-		if l.limiter.Allow() {
+		if l.limiter.Tokens() >= 1 {
 			return true
 		}
 		time.Sleep(acceptPollInterval)
 	}
 }
 
+// logReport logs how many callers had disconnected before their connections were accepted since
+// the last report, if any had.
+func (l *rateLimitedListener) logReport(log *slog.Logger) {
+	if abandoned := l.abandoned.Swap(0); abandoned > 0 {
+		event.ConnectionsAbandoned.Log(log, "abandoned", abandoned)
+	}
+}
+
 // connContextKey is the context key of a request's connection.
 type connContextKey struct{}
 
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -156,7 +156,7 @@
 	for _, run := range storeSync.tasks() {
 		d.tasks.Go(func() { run(taskCtx) })
 	}
-	d.accepting.callers = d.serve(d.deps.Servers.callers, newRateLimitedListener(d.deps.Servers.callersListener, d.deps.Load.acceptRate, d.deps.Forwarder.tryForward))
+	d.accepting.callers = d.serve(d.deps.Servers.callers, d.deps.Servers.limitedListener)
 	d.accepting.returned = d.serve(d.deps.Servers.callers, d.deps.Forwarder.returned)
 	if d.deps.Servers.forwardedListener != nil {
 		d.accepting.forwarded = d.serve(d.deps.Servers.callers, d.deps.Servers.forwardedListener)
--- a/internal/daemon/routedservers.go
+++ b/internal/daemon/routedservers.go
@@ -21,7 +21,9 @@
 type routedServers struct {
 	callers, operators, readiness *http.Server
 	callersListener               *drainableListener
-	connections                   *connTracker
+	// limitedListener limits the rate of the connections that callersListener accepts.
+	limitedListener *rateLimitedListener
+	connections     *connTracker
 	// forwardedListener accepts connections forwarded by neighbours; nil if none are
 	// accepted.
 	forwardedListener *forwardedListener
@@ -40,6 +42,7 @@
 	if r.callersListener, err = listenDrainable(s.Callers.Listen); err != nil {
 		return nil, merry.Prepend(err, "callers' listener")
 	}
+	r.limitedListener = newRateLimitedListener(r.callersListener, load.acceptRate, h.tryForward)
 	if r.operatorsListener, err = net.Listen("tcp", s.Operators.Listen); err != nil {
 		return nil, merry.Prepend(err, "operators' listener")
 	}
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -306,6 +306,7 @@
 			s.updateGauges()
 			s.deps.Forwarder.logReport()
 			s.deps.Servers.connections.ends.logReport()
+			s.deps.Servers.limitedListener.logReport(s.deps.Log)
 			s.deps.Gateway.LogDroppedLines()
 			logStoreCalls(s.deps.Calls, s.deps.Log)
 		case <-sharing.C:
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -25,6 +25,7 @@
 // Events of connections that are forwarded to neighbours.
 var (
 	HandoverSummary        = define(111, slog.LevelInfo, "new connections were forwarded to neighbours for lack of processor time", "none; give the VM more processor time if it persists")
+	ConnectionsAbandoned   = define(113, slog.LevelWarn, "callers had disconnected before their connections were accepted, for lack of processor time", "give the VM more processor time if it persists; see docs/operations/large-fleet.md")
 	HandoverConnectionLost = define(112, slog.LevelWarn, "a neighbour closed a connection that it had taken over without sending a response", "check the neighbour that the line names")
 )
 
--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -89,6 +89,12 @@
 	minAcceptRate = 150
 )
 
+// AcceptBacklog is how many new connections wait in the kernel at most until the daemon accepts
+// them. They are accepted in the order of their arrival: with the thousands that the kernel
+// allows, a flooded daemon accepts only connections whose callers have waited for seconds and
+// have left or are about to.
+const AcceptBacklog = 128
+
 // AcceptRate returns how many new connections a daemon accepts per second at the given
 // mean scheduling latency; zero means no limit. It addresses callers that send more than
 // the daemon can even refuse: read in order, their requests would take all processor
--- a/internal/overload/smallzone_test.go
+++ b/internal/overload/smallzone_test.go
@@ -59,6 +59,8 @@
 	workspace *simWorkspace
 	conn      *simConn
 	try       int
+	// since is when the attempt began.
+	since time.Duration
 	// deadline is when its caller disconnects.
 	deadline time.Duration
 }
@@ -148,7 +150,6 @@
 func (v *simVM) observe(now time.Time, periodLeft time.Duration) {
 	latency := v.schedLatency(periodLeft)
 	v.shedFraction = v.shedder.Observe(now, latency)
-	v.limiter.SetLimitAt(now, acceptRateLimit(v.detector.MeanLatency()))
 	v.overloaded = v.detector.Observe(now, overload.Observation{SchedLatency: latency, ShedFraction: v.shedFraction, MayHold: true, NewConns: v.newConns})
 	v.newConns, v.probeDue = 0, false
 }
@@ -173,8 +174,13 @@
 	// offered, served and failed count by second: first attempts, requests that targets
 	// have accepted, and attempts that were refused or whose callers disconnected.
 	offered, served, failed []float64
+	// inTime counts the served attempts that took at most servedInTime, and total all.
+	inTime, total float64
 }
 
+// servedInTime is the time within which an attempt that is served has to be dispatched.
+const servedInTime = 400 * time.Millisecond
+
 // simZone is an availability zone of small VMs and a few larger ones behind a balancer,
 // with the workspaces that use it.
 type simZone struct {
@@ -184,6 +190,8 @@
 	workspaces []*simWorkspace
 	elapsed    time.Duration
 	scheduled  map[time.Duration][]func()
+	// acceptBacklog bounds the connections that wait in the kernel of a VM.
+	acceptBacklog int
 }
 
 var simStart = time.Unix(1000, 0)
@@ -193,7 +201,7 @@
 // newSimZone returns a zone with the given numbers of small and large VMs, in an order
 // derived from the seed.
 func newSimZone(seed uint64, small, large int, p placer) *simZone {
-	z := &simZone{rng: rand.New(rand.NewPCG(seed, 1)), placer: p, scheduled: map[time.Duration][]func(){}}
+	z := &simZone{rng: rand.New(rand.NewPCG(seed, 1)), placer: p, acceptBacklog: overload.AcceptBacklog, scheduled: map[time.Duration][]func(){}}
 	for i, place := range z.rng.Perm(small + large) {
 		cores := smallVMCores
 		if place >= small {
@@ -251,7 +259,7 @@
 			return
 		}
 		w.offered[z.second()]++
-		c := &simCall{workspace: w, deadline: z.elapsed + callerTimeout}
+		c := &simCall{workspace: w, since: z.elapsed, deadline: z.elapsed + callerTimeout}
 		if c.conn = z.takeIdleConn(w); c.conn == nil {
 			z.connect(c)
 			continue
@@ -284,9 +292,16 @@
 			}
 		}
 	}
+	if len(v.acceptQueue) >= z.acceptBacklog {
+		z.schedule(callerTimeout, func() { z.giveUp(c) }) // the connection attempt is not answered
+		return
+	}
 	v.acceptQueue = append(v.acceptQueue, c)
 }
 
+// giveUp ends a call whose connection attempt has timed out.
+func (z *simZone) giveUp(c *simCall) { c.workspace.failed[z.second()]++ }
+
 // inUse reports which VMs the balancer uses: the ready ones, or all if fewer than half
 // are ready.
 func (z *simZone) inUse() []bool {
@@ -320,6 +335,8 @@
 			v.failedProbes = 0
 		}
 	}
+	pending := v.schedLatency(time.Duration(period-ms%period) * simStep)
+	v.limiter.SetLimitAt(z.now(), min(acceptRateLimit(v.detector.MeanLatency()), acceptRateLimit(pending)))
 	z.accept(v)
 	v.run()
 }
@@ -381,6 +398,10 @@
 		return
 	}
 	c.workspace.served[z.second()]++
+	c.workspace.total++
+	if z.elapsed-c.since <= servedInTime {
+		c.workspace.inTime++
+	}
 	c.conn.requests++
 	if kept := z.rng.Float64() < keepAliveFraction; kept && c.conn.acceptedBy == c.conn.servedBy {
 		c.workspace.idleConns = append(c.workspace.idleConns, c.conn)
@@ -397,7 +418,10 @@
 		return
 	}
 	retry := &simCall{workspace: c.workspace, try: c.try + 1, deadline: c.deadline}
-	z.schedule(overload.ImmediateRetryDelay, func() { z.connect(retry) })
+	z.schedule(overload.ImmediateRetryDelay, func() {
+		retry.since = z.elapsed
+		z.connect(retry)
+	})
 }
 
 func (k *simConn) close() { k.acceptedBy.forwarded[k.servedBy.index]-- }
