--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -111,11 +111,15 @@
 // counter returns a counter of a service. Tag is the name of its second tag, or
 // empty if it has only one.
 func (m *Metrics) counter(name, service, tag, value string) tally.Counter {
-	key := seriesKey{name, service, value}
+	return m.cachedCounter(seriesKey{name, service, value}, func() map[string]string { return tagMap(service, tag, value) })
+}
+
+// cachedCounter returns the counter of a key, which has the given tags.
+func (m *Metrics) cachedCounter(key seriesKey, tags func() map[string]string) tally.Counter {
 	if cached, ok := m.series.Load(key); ok {
 		return cached.(tally.Counter)
 	}
-	c := m.scope.Tagged(tagMap(service, tag, value)).Counter(name)
+	c := m.scope.Tagged(tags()).Counter(key.name)
 	m.series.Store(key, c)
 	return c
 }
@@ -170,24 +174,18 @@
 // StoreCall counts a call to the platform's store.
 func (m *Metrics) StoreCall(table, kind string, failed bool) {
 	key := seriesKey{metricStoreCalls, table, kind + strconv.FormatBool(failed)}
-	cached, ok := m.series.Load(key)
-	if !ok {
-		cached = m.scope.Tagged(map[string]string{"table": table, "kind": kind, "failed": strconv.FormatBool(failed)}).Counter(metricStoreCalls)
-		m.series.Store(key, cached)
-	}
-	cached.(tally.Counter).Inc(1)
+	m.cachedCounter(key, func() map[string]string {
+		return map[string]string{"table": table, "kind": kind, "failed": strconv.FormatBool(failed)}
+	}).Inc(1)
 }
 
 // ConnectionUnanswered counts a connection that was closed without a complete response to
 // its request. Kept reports whether an earlier request was answered on it.
 func (m *Metrics) ConnectionUnanswered(cause, progress string, kept bool) {
 	key := seriesKey{metricUnanswered, cause, progress + strconv.FormatBool(kept)}
-	cached, ok := m.series.Load(key)
-	if !ok {
-		cached = m.scope.Tagged(map[string]string{"cause": cause, "progress": progress, "kept": strconv.FormatBool(kept)}).Counter(metricUnanswered)
-		m.series.Store(key, cached)
-	}
-	cached.(tally.Counter).Inc(1)
+	m.cachedCounter(key, func() map[string]string {
+		return map[string]string{"cause": cause, "progress": progress, "kept": strconv.FormatBool(kept)}
+	}).Inc(1)
 }
 
 // Preempted counts a preempted stream and the tokens that must be prefilled again to
