--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -172,9 +172,10 @@
 			_ = conn.Close() // the caller has disconnected; no token is taken for it
 			continue
 		}
-		l.limiter.Allow()
-		switch {
-		case l.tryForward == nil || l.draining.Load() || !l.tryForward(conn):
+		if limited {
+			l.limiter.Allow()
+		}
+		if l.tryForward == nil || l.draining.Load() || !l.tryForward(conn) {
 			return conn, nil
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,9 +24,7 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/clock"
-	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
-	"github.com/savorystall/savorystall/internal/membership"
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/turn"
 )
@@ -52,10 +50,6 @@
 }
 
 const (
-	// minDaemonsForReader is the number of live daemons from which a zone has a reader. A
-	// smaller zone would save few calls, and its daemons are better off independent of each
-	// other.
-	minDaemonsForReader = 4
 	// readerHeartbeatWait is how long a reader's calls for the heartbeat table wait at the
 	// store, and storeTimeoutMargin how much later the answer may arrive; the margin is
 	// longer than a loaded store takes to answer. A reader detects an unresponsive store
@@ -70,30 +64,6 @@
 	// arrive. A frozen reader is detected after 1.4 s.
 	followerHeartbeatWait = time.Second
 	readerTimeoutMargin   = 400 * time.Millisecond
-	// backoffBase and backoffMax bound how long a follower calls the store itself after its
-	// reader failed. The backoff doubles with each failure in a row, so that a reader that
-	// keeps failing and recovering does not disrupt its followers each time.
-	backoffBase = 3 * time.Second
-	backoffMax  = 30 * time.Second
-	// probeInterval is the pause between calls to the store by a follower whose reader has
-	// lost the store, too. During an outage the readers find out when it ends; if each
-	// daemon did, an outage of seconds would take more calls than a day without one.
-	probeInterval = 3 * time.Second
-	// electionDelay is how long the result of the election must be stable before it takes
-	// effect. A starting zone grows within a few hundred ms, and each change of the reader
-	// costs every daemon three calls.
-	electionDelay = time.Second
-	// startupWait is how long after its start a daemon leaves changes unread at most while
-	// its zone is about to elect a reader. It has just read the tables. A daemon that has
-	// run for less counts as disconnected from the store anyway.
-	startupWait         = 2500 * time.Millisecond
-	startupPollInterval = 100 * time.Millisecond
-	// newReaderWait is how long after an election a reader that is not current yet is
-	// queried again instead of the store: daemons learn of the same members at different
-	// times, so that a reader may be elected by its followers before it elects itself.
-	// newReaderRetryDelay is the pause between such queries, beside recoveryWait.
-	newReaderWait       = 400 * time.Millisecond
-	newReaderRetryDelay = 50 * time.Millisecond
 )
 
 // Feed is a platform.Feed that queries the zone's reader if there is one, and the store
@@ -139,69 +109,6 @@
 	return &Feed{cfg: cfg, cache: newTableCache(cfg.HeartbeatTable), sourceChanged: make(chan struct{}), startedAt: time.Now(), latestByTable: map[string]platform.Revision{}, backoff: backoffBase}
 }
 
-// Elect chooses the reader of the zone from the live daemons; others excludes this one.
-func (f *Feed) Elect(others []membership.Member) {
-	members := []membership.Member{{ID: f.cfg.Self, Zone: f.cfg.Zone}}
-	for _, m := range others {
-		if m.Zone == f.cfg.Zone && !m.Leaving {
-			members = append(members, m)
-		}
-	}
-	e := election{}
-	if len(members) >= minDaemonsForReader {
-		e.reader = membership.NewOwners(members).Lookup("", "store", f.cfg.Zone)
-		if e.reader == f.cfg.Self {
-			e = election{isReader: true}
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.others = len(others)
-	f.scheduleElection(e)
-}
-
-// election is the result of choosing a reader: the daemon to query, or that this daemon is
-// the reader.
-type election struct {
-	reader   ident.Daemon
-	isReader bool
-}
-
-// scheduleElection applies an election after electionDelay unless a different one replaces
-// it. A repeated result does not restart the delay: with members of other zones joining and
-// leaving all the time, a reader that is gone would never be replaced. The caller holds the
-// lock.
-func (f *Feed) scheduleElection(e election) {
-	if f.pending != nil && *f.pending == e {
-		return
-	}
-	if f.electionTimer != nil {
-		f.electionTimer.Stop()
-	}
-	f.pending = nil
-	if (e == election{f.reader, f.isReader}) {
-		return
-	}
-	f.pending = &e
-	f.electionTimer = time.AfterFunc(electionDelay, func() { f.applyElection(&e) })
-}
-
-// applyElection makes an election take effect.
-func (f *Feed) applyElection(e *election) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.pending != e {
-		return // replaced by a later election
-	}
-	f.pending = nil
-	event.StoreReaderChanged.Log(f.cfg.Logger, "reader", e.reader, "serves", e.isReader)
-	f.reader, f.isReader, f.electedAt = e.reader, e.isReader, time.Now()
-	f.backoff, f.backoffUntil = backoffBase, time.Time{}
-	f.nextProbe, f.storeAnswered = time.Time{}, nil
-	f.cache.setReader(e.isReader)
-	f.interruptCalls()
-}
-
 // interruptCalls ends the calls in progress. The caller holds the lock.
 func (f *Feed) interruptCalls() {
 	close(f.sourceChanged)
@@ -219,31 +126,6 @@
 	return f.reader, f.isReader, f.sourceChanged
 }
 
-// recordReaderFailure records that a reader did not answer usefully, so that all calls go to
-// the store during the backoff.
-func (f *Feed) recordReaderFailure(reader ident.Daemon, table string, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	if reader != f.reader || now.Before(f.backoffUntil) {
-		return // another call has reported the failure
-	}
-	event.StoreReaderFailed.Log(f.cfg.Logger, "reader", reader, "table", table, "rest", f.backoff, "error", err)
-	f.backoffUntil = now.Add(f.backoff)
-	f.backoff = min(2*f.backoff, backoffMax)
-	f.storeAnswered = make(chan struct{})
-	f.interruptCalls()
-}
-
-// recordReaderSuccess records that a reader answered, which resets the backoff.
-func (f *Feed) recordReaderSuccess(table string, revision platform.Revision) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.updateLatest(table, revision)
-	f.backoff = backoffBase
-	f.nextProbe, f.storeAnswered = time.Time{}, nil
-}
-
 // updateLatest records a returned revision. The caller holds the lock.
 func (f *Feed) updateLatest(table string, revision platform.Revision) {
 	f.latestByTable[table] = platform.Later(f.latestByTable[table], revision)
@@ -312,104 +194,6 @@
 	return rows, revision, nil
 }
 
-// awaitStore waits, if the reader of this daemon has failed, until the store has answered a
-// heartbeat call, so that during an outage only one of a daemon's tables calls the store.
-func (f *Feed) awaitStore(ctx context.Context, table string) error {
-	f.mu.Lock()
-	answered, until := f.storeAnswered, f.backoffUntil
-	f.mu.Unlock()
-	if answered == nil || table == f.cfg.HeartbeatTable {
-		return nil
-	}
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	select {
-	case <-answered:
-		return nil
-	case <-timer.C:
-		return platform.ErrReaderNotCurrent
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// hasProbed reports whether the store has failed to answer this daemon a short time ago, too.
-func (f *Feed) hasProbed(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return now.Before(f.nextProbe)
-}
-
-// recordStoreFailure records that a call to the store failed. If the reader has lost the
-// store as well, it is queried again, and the store only after probeInterval.
-func (f *Feed) recordStoreFailure(table string) {
-	f.cache.recordFailure(table)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.reader != "" && table == f.cfg.HeartbeatTable {
-		f.nextProbe, f.backoffUntil = time.Now().Add(probeInterval), time.Time{}
-	}
-}
-
-// recordStoreSuccess records an answer of the store.
-func (f *Feed) recordStoreSuccess(table string, revision platform.Revision) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.updateLatest(table, revision)
-	if f.storeAnswered != nil && table == f.cfg.HeartbeatTable {
-		close(f.storeAnswered)
-		f.nextProbe, f.storeAnswered = time.Time{}, nil
-	}
-}
-
-// isChecking reports whether the store has not answered this daemon since its reader failed.
-func (f *Feed) isChecking() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.storeAnswered != nil
-}
-
-// awaitFirstElection waits until a reader is elected or none is to be expected, for at most
-// wait, and returns what is left of wait. Without it each daemon of a starting fleet follows
-// the table in which all of them register by itself.
-func (f *Feed) awaitFirstElection(ctx context.Context, wait time.Duration) (left time.Duration) {
-	began := time.Now()
-	for {
-		hold, elected := f.startupHold(time.Now())
-		hold = min(hold, wait-time.Since(began))
-		if hold <= 0 {
-			return max(0, wait-time.Since(began))
-		}
-		timer := time.NewTimer(hold)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return 0
-		case <-elected:
-			timer.Stop()
-		case <-timer.C:
-		}
-	}
-}
-
-// startupHold returns how much longer a daemon that has just started leaves changes unread,
-// and a channel that is closed when an election takes effect. A daemon that knows others by
-// the end of electionDelay, and for which no election is pending, is in a zone with too few
-// daemons for a reader.
-func (f *Feed) startupHold(now time.Time) (hold time.Duration, elected <-chan struct{}) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch age := now.Sub(f.startedAt); {
-	case !f.electedAt.IsZero() || age >= startupWait:
-		return 0, f.sourceChanged
-	case age < electionDelay:
-		return electionDelay - age, f.sourceChanged
-	case f.pending != nil || f.others == 0:
-		return min(startupWait-age, startupPollInterval), f.sourceChanged
-	}
-	return 0, f.sourceChanged
-}
-
 // Changes implements platform.Feed. It may return without a change before wait has
 // passed.
 func (f *Feed) Changes(ctx context.Context, table string, after platform.Revision, wait time.Duration) ([]platform.FeedRow, platform.Revision, error) {
@@ -494,14 +278,6 @@
 	}
 }
 
-// isNewReader reports whether the last election took effect, or this daemon started, a
-// short time ago.
-func (f *Feed) isNewReader(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return now.Sub(f.electedAt) < newReaderWait || now.Sub(f.startedAt) < startupWait
-}
-
 func (f *Feed) queryReader(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
 	ctx, cancel := turn.WithTimeout(ctx, q.Wait+readerTimeoutMargin)
 	defer cancel()
