--- a/internal/daemon/subscribers.go
+++ b/internal/daemon/subscribers.go
@@ -153,8 +153,8 @@
 	t.restore = nil
 }
 
-// Change implements store.Subscriber. The rows of one answer take effect together: each time
-// that targets take effect, all of them are compared with all daemons.
+// Change implements store.Subscriber. The rows of one answer take effect together, since each
+// time the view of all targets is built anew.
 func (t *targetSubscriber) Change(rows []store.FeedRow) {
 	var listed, draining, removed []ident.Target
 	t.storeSync.mu.Lock()
--- a/internal/membership/ownerindex.go
+++ b/internal/membership/ownerindex.go
@@ -16,7 +16,8 @@
 	live map[ident.Daemon]liveMember
 	// generation counts the calls of SetMembers.
 	generation uint64
-	known      map[ownedTarget]ranking
+	// known holds the owners that were looked up in zones with live members.
+	known map[ownedTarget]ranking
 	// comparisons is the number of weights that were computed.
 	comparisons int
 }
