Relay: a daemon that knows no others follows the store at once

The store comes back from a copy one second after the daemon's start; since the daemon had left changes unread until then, its last answer of the era before was that of its first read, and the time in which live targets may write themselves again was reckoned from there.

Change: a daemon waits for an election only once it knows others. A daemon of a starting fleet makes one call more for it, as it follows the routes before its links are up.

--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -356,3 +356,12 @@
 	is.True(len(runSimulation(t, steps, true, metrics)) > 0)
 	is.NoErr(metrics.Close())
 }
+
+// Guards against a live target that is dropped because the store comes back from a copy a second
+// after the daemon's start, before the daemon has followed any table.
+func TestStoreRestoredRightAfterStartKeepsTargets(t *testing.T) {
+	metrics := telemetry.NewMetrics()
+	steps := []simulationStep{{Kind: stepRestore, Size: 4000, Pause: 666}, {Kind: stepDelay, Size: 458, Pause: 1137}}
+	is.New(t).Equal(len(runSimulation(t, steps, false, metrics)), 0)
+	is.New(t).NoErr(metrics.Close())
+}
--- a/internal/relay/election.go
+++ b/internal/relay/election.go
@@ -22,8 +22,6 @@
 	// its zone is about to elect a reader. It has just read the tables, and what is written
 	// right after that is in force within two seconds.
 	startupWait = 1600 * time.Millisecond
-	// startupPollInterval is how often a daemon without links checks whether it has any.
-	startupPollInterval = 100 * time.Millisecond
 	// newReaderWait is how long after an election a reader that is not current yet is
 	// queried again instead of the store: daemons learn of the same members at different
 	// times, so that a reader may be elected by its followers before it elects itself.
@@ -119,19 +117,19 @@
 }
 
 // startupHold returns how much longer a daemon that has just started leaves changes unread,
-// and a channel that is closed when an election takes effect. A daemon that knows others by
-// the end of electionDelay, and for which no election is pending, is in a zone with too few
-// daemons for a reader.
+// and a channel that is closed when an election takes effect. A daemon that knows no others
+// does not wait. One for which no election is pending at the end of electionDelay is in a zone
+// with too few daemons for a reader.
 func (f *Feed) startupHold(now time.Time) (hold time.Duration, elected <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch age := now.Sub(f.startedAt); {
-	case !f.electedAt.IsZero() || age >= startupWait:
+	case !f.electedAt.IsZero() || age >= startupWait || f.others == 0:
 		return 0, f.sourceChanged
 	case age < electionDelay:
 		return electionDelay - age, f.sourceChanged
-	case f.pending != nil || f.others == 0:
-		return min(startupWait-age, startupPollInterval), f.sourceChanged
+	case f.pending != nil:
+		return startupWait - age, f.sourceChanged
 	}
 	return 0, f.sourceChanged
 }
