Relay: no table waits for a check that has ended, and only one table probes the store in an outage

(1) While the reader's answer to a heartbeat call is on its way, another table's query fails, and that table waits for the store's answer to a heartbeat call.

--- a/internal/platform/callcounter.go
+++ b/internal/platform/callcounter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -21,8 +22,10 @@
 
 // Call identifies the calls that are counted together.
 type Call struct {
-	Table  string
-	Kind   CallKind
+	Table string
+	Kind  CallKind
+	// Failed reports that the store did not answer or refused. A call that its caller has
+	// canceled has not failed, nor has one whose answer is that the history is lost.
 	Failed bool
 }
 
@@ -57,8 +60,9 @@
 	return counts
 }
 
-func (c *CallCounter) count(kind CallKind, table string, err error) {
-	call := Call{Table: table, Kind: kind, Failed: err != nil}
+func (c *CallCounter) count(ctx context.Context, kind CallKind, table string, err error) {
+	canceled := errors.Is(ctx.Err(), context.Canceled)
+	call := Call{Table: table, Kind: kind, Failed: err != nil && !canceled && !errors.Is(err, ErrHistoryLost)}
 	if c.onCall != nil {
 		c.onCall(call)
 	}
@@ -70,27 +74,27 @@
 // ReadTable implements Feed.
 func (c *CallCounter) ReadTable(ctx context.Context, table string) ([]FeedRow, Revision, error) {
 	rows, revision, err := c.feed.ReadTable(ctx, table)
-	c.count(CallRead, table, err)
+	c.count(ctx, CallRead, table, err)
 	return rows, revision, err
 }
 
 // Changes implements Feed.
 func (c *CallCounter) Changes(ctx context.Context, table string, after Revision, wait time.Duration) ([]FeedRow, Revision, error) {
 	rows, revision, err := c.feed.Changes(ctx, table, after, wait)
-	c.count(CallFollow, table, err)
+	c.count(ctx, CallFollow, table, err)
 	return rows, revision, err
 }
 
 // PutRow implements RowWriter.
 func (c *CallCounter) PutRow(ctx context.Context, table, key string, value []byte) (Revision, error) {
 	revision, err := c.rows.PutRow(ctx, table, key, value)
-	c.count(CallWrite, table, err)
+	c.count(ctx, CallWrite, table, err)
 	return revision, err
 }
 
 // DeleteRow implements RowWriter.
 func (c *CallCounter) DeleteRow(ctx context.Context, table, key string) error {
 	err := c.rows.DeleteRow(ctx, table, key)
-	c.count(CallWrite, table, err)
+	c.count(ctx, CallWrite, table, err)
 	return err
 }
--- a/internal/platform/callcounter_test.go
+++ b/internal/platform/callcounter_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -31,3 +32,18 @@
 	is.Equal(len(c.TakeCounts()), 0)
 	is.Equal(seen, 3)
 }
+
+// Guards against lines that tell of failed calls wherever a daemon has ended its own call, as when
+// a reader of its zone is elected.
+func TestCanceledCallHasNotFailed(t *testing.T) {
+	is := is.New(t)
+	c := platform.NewCallCounter(newFakeFeed(), nil, nil)
+	_, revision, err := c.ReadTable(t.Context(), "t")
+	is.NoErr(err)
+	c.TakeCounts()
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, _, err = c.Changes(ctx, "t", revision, time.Minute)
+	is.True(err != nil)
+	is.Equal(c.TakeCounts(), map[platform.Call]int{{Table: "t", Kind: platform.CallFollow}: 1})
+}
--- a/internal/relay/fallback.go
+++ b/internal/relay/fallback.go
@@ -33,17 +33,28 @@
 	event.StoreReaderFailed.Log(f.cfg.Logger, "reader", reader, "table", table, "rest", f.backoff, "error", err)
 	f.backoffUntil = now.Add(f.backoff)
 	f.backoff = min(2*f.backoff, backoffMax)
-	f.storeAnswered = make(chan struct{})
+	if f.storeAnswered == nil {
+		f.storeAnswered = make(chan struct{})
+	}
 	f.interruptCalls()
 }
 
+// endCheck lets the calls of all tables go on that wait for the store's answer to a heartbeat
+// call. The caller holds the lock.
+func (f *Feed) endCheck() {
+	if f.storeAnswered != nil {
+		close(f.storeAnswered)
+		f.storeAnswered = nil
+	}
+}
+
 // recordReaderSuccess records that a reader answered, which resets the backoff.
 func (f *Feed) recordReaderSuccess(table string, revision platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.updateLatest(table, revision)
-	f.backoff = backoffBase
-	f.nextProbe, f.storeAnswered = time.Time{}, nil
+	f.backoff, f.nextProbe = backoffBase, time.Time{}
+	f.endCheck()
 }
 
 // awaitStore waits, if the reader of this daemon has failed, until the store has answered a
@@ -90,9 +101,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.updateLatest(table, revision)
-	if f.storeAnswered != nil && table == f.cfg.HeartbeatTable {
-		close(f.storeAnswered)
-		f.nextProbe, f.storeAnswered = time.Time{}, nil
+	if table == f.cfg.HeartbeatTable {
+		f.nextProbe = time.Time{}
+		f.endCheck()
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,8 +82,8 @@
 	// length of the next such time.
 	backoffUntil time.Time
 	backoff      time.Duration
-	// storeAnswered is closed once the store has answered a heartbeat call of this daemon
-	// since its reader failed; nil if the reader has not failed.
+	// storeAnswered is not nil from a failure of the reader until the store has answered a
+	// heartbeat call of this daemon, or the reader has answered again, and is then closed.
 	storeAnswered chan struct{}
 	// nextProbe is when this daemon may call the store next, after both its reader and the
 	// store have failed.
@@ -261,7 +261,10 @@
 		return nil, platform.Revision{}, platform.ErrHistoryLost
 	case ctx.Err() != nil:
 		return nil, platform.Revision{}, ctx.Err()
-	case !errors.Is(context.Cause(callCtx), errSourceChanged):
+	case errors.Is(context.Cause(callCtx), errSourceChanged):
+	case f.hasProbed(time.Now()):
+		return nil, platform.Revision{}, err
+	default:
 		f.recordReaderFailure(reader, q.Table, err)
 	}
 	return nil, q.After, nil
--- a/internal/relay/start_test.go
+++ b/internal/relay/start_test.go
@@ -10,25 +10,30 @@
 	"github.com/savorystall/savorystall/internal/ident"
 )
 
-// startZone starts daemons that do not know of each other yet.
-func startZone(ctx context.Context, daemons int) (*zone, []ident.Daemon) {
-	var names []ident.Daemon
-	for i := range daemons {
-		names = append(names, ident.Daemon(fmt.Sprintf("d%02d", i)))
-	}
-	z := newUnelectedZone(names...)
-	z.followCoalescing(ctx, time.Second) // as the list of daemons is followed
-	return z, names
+// runStart runs a test in simulated time on daemons that have just started and do not know of
+// each other yet.
+func runStart(t *testing.T, daemons int, f func(z *zone, names []ident.Daemon)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var names []ident.Daemon
+		for i := range daemons {
+			names = append(names, ident.Daemon(fmt.Sprintf("d%02d", i)))
+		}
+		z := newUnelectedZone(names...)
+		z.followCoalescing(ctx, time.Second) // as the list of daemons is followed
+		f(z, names)
+		cancel()
+		synctest.Wait()
+	})
 }
 
 // Guards against a fleet that starts at once and in which every daemon follows the store by
 // itself until its zone has a reader: each registration of a daemon then ends a call of every
 // other one.
 func TestStartingZoneMakesFewStoreCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		const daemons = 50
-		z, names := startZone(ctx, daemons)
+	const daemons = 50
+	runStart(t, daemons, func(z *zone, names []ident.Daemon) {
 		for i := range daemons {
 			time.Sleep(10 * time.Millisecond)
 			z.store.put(string(names[i]), "registered", false)
@@ -46,17 +51,13 @@
 		z.store.put("k", "new", false)
 		time.Sleep(time.Second)
 		z.expectValue(t, "k", "new")
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against followers that call the store for seconds because they have elected a reader
 // before it has elected itself.
 func TestFollowersWaitForReaderThatIsElectedLater(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		z, names := startZone(ctx, 5)
+	runStart(t, 5, func(z *zone, names []ident.Daemon) {
 		reader := electedReader(names)
 		z.electExcept(reader, names...)
 		time.Sleep(300 * time.Millisecond)
@@ -67,23 +68,17 @@
 				t.Errorf("%s made %d calls to the store, want 1", name, calls)
 			}
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against a daemon that reads no changes because its zone has too few daemons for a
 // reader.
 func TestZoneWithoutReaderFollowsTheStoreSoonAfterItsStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		z, names := startZone(ctx, 2)
+	runStart(t, 2, func(z *zone, names []ident.Daemon) {
 		z.elect(names...)
 		z.store.put("k", "new", false)
 		time.Sleep(1100 * time.Millisecond)
 		z.expectValue(t, "k", "new")
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -153,14 +148,33 @@
 // Guards against a daemon that starts alone and puts a change in force too late that was written
 // right after it had read the tables.
 func TestLoneDaemonAppliesChangesWithinTwoSecondsOfItsStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		z, _ := startZone(ctx, 1)
+	runStart(t, 1, func(z *zone, _ []ident.Daemon) {
 		time.Sleep(time.Millisecond)
 		z.store.put("k", "new", false)
 		time.Sleep(1700 * time.Millisecond)
 		z.expectValue(t, "k", "new")
-		cancel()
-		synctest.Wait()
+	})
+}
+
+// Guards against an outage in which each table of a daemon calls the store, or makes the others
+// call it sooner.
+func TestOutageIsProbedByOneTableOfADaemon(t *testing.T) {
+	const most = 2 + 9/3
+	runZone(t, func(z *zone, reader ident.Daemon) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		z.followSecondTable(ctx)
+		time.Sleep(time.Second)
+		before := map[ident.Daemon]int{}
+		for name := range z.feeds {
+			before[name] = z.store.callCount(name)
+			z.store.setFaults(name, true, false)
+		}
+		time.Sleep(9 * time.Second)
+		for name := range z.feeds {
+			if calls := z.store.callCount(name) - before[name]; calls > most && name != reader {
+				t.Errorf("%s made %d calls to the store", name, calls)
+			}
+		}
 	})
 }
