--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -11,7 +11,6 @@
 	"testing/synctest"
 	"time"
 
-
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/membership"
 	"github.com/savorystall/savorystall/internal/platform"
