Daemon tests: a request that was read is not closed on for the connection limit

The graceful shutdown had such a test, the limit had none.

Change: tests only. The server with a reader that can be held between the system call and its return is shared by both tests; the check of the first is unchanged.

--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -193,49 +193,103 @@
 	return newTrackedConn(slow), nil
 }
 
-// Guards against a graceful shutdown that closes a kept-alive connection after its
-// request was read from the kernel but before its goroutine was scheduled again. The
-// caller got no answer.
-func TestShutdownKeepsConnectionWhoseRequestWasRead(t *testing.T) {
+// pausableServer is a server with one kept-alive connection of a caller, whose reads can be
+// paused.
+type pausableServer struct {
+	t      *testing.T
+	conns  *connTracker
+	addr   string
+	conn   *pausableConn
+	caller net.Conn
+	reader *bufio.Reader
+}
+
+// startPausableServer starts a server with one connection on which a request was answered and
+// which is idle.
+func startPausableServer(t *testing.T, conns *connTracker) *pausableServer {
 	is := is.New(t)
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := &pausableListener{Listener: tcp, accepted: make(chan *pausableConn, 1)}
-	conns := newConnTracker(0)
+	l := &pausableListener{Listener: tcp, accepted: make(chan *pausableConn, 4)}
 	hello := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }
 	server := &http.Server{Handler: http.HandlerFunc(hello), ConnState: conns.track, IdleTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	caller, err := net.Dial("tcp", tcp.Addr().String())
+	s := &pausableServer{t: t, conns: conns, addr: tcp.Addr().String()}
+	s.caller = s.dial()
+	s.reader = bufio.NewReader(s.caller)
+	s.sendRequest()
+	is.Equal(s.readAnswer(), "hello")
+	s.conn = <-l.accepted
+	s.waitFor(func() bool { return conns.countIdle() == 1 })
+	return s
+}
+
+func (s *pausableServer) dial() net.Conn {
+	is := is.New(s.t)
+	caller, err := net.Dial("tcp", s.addr)
 	is.NoErr(err)
-	t.Cleanup(func() { _ = caller.Close() })
-	reader := bufio.NewReader(caller)
-	sendRequest := func() {
-		_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-		is.NoErr(err)
-	}
-	readAnswer := func() string {
-		is.NoErr(caller.SetReadDeadline(time.Now().Add(5 * time.Second)))
-		response, err := http.ReadResponse(reader, nil)
-		is.NoErr(err)
-		text, err := io.ReadAll(response.Body)
-		is.NoErr(err)
-		return string(text)
-	}
-	sendRequest()
-	is.Equal(readAnswer(), "hello")
+	s.t.Cleanup(func() { _ = caller.Close() })
+	return caller
+}
+
+func (s *pausableServer) sendRequest() {
+	is := is.New(s.t)
+	_, err := io.WriteString(s.caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+}
+
+func (s *pausableServer) readAnswer() string {
+	is := is.New(s.t)
+	is.NoErr(s.caller.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	response, err := http.ReadResponse(s.reader, nil)
+	is.NoErr(err)
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return string(text)
+}
 
-	conn := <-l.accepted
-	for end := time.Now().Add(5 * time.Second); conns.inUse(time.Now()) && time.Now().Before(end); {
+// sendRequestAndPause sends a request and returns when it has been read from the kernel by a
+// goroutine that does not run on until resume is called.
+func (s *pausableServer) sendRequestAndPause() (resume func()) {
+	s.conn.paused.Store(true)
+	s.sendRequest()
+	<-s.conn.received
+	s.conn.paused.Store(false)
+	return func() { s.conn.resume <- struct{}{} }
+}
+
+func (s *pausableServer) waitFor(holds func() bool) {
+	is := is.New(s.t)
+	for end := time.Now().Add(5 * time.Second); !holds() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	conn.paused.Store(true)
-	sendRequest()
-	<-conn.received
-	conn.paused.Store(false)
-	conns.closeInactive(time.Now())
-	conn.resume <- struct{}{}
-	is.Equal(readAnswer(), "hello")
+	is.True(holds())
+}
+
+// Guards against a graceful shutdown that closes a kept-alive connection after its
+// request was read from the kernel but before its goroutine was scheduled again. The
+// caller got no answer.
+func TestShutdownKeepsConnectionWhoseRequestWasRead(t *testing.T) {
+	is := is.New(t)
+	s := startPausableServer(t, newConnTracker(0))
+	resume := s.sendRequestAndPause()
+	s.conns.closeInactive(time.Now())
+	resume()
+	is.Equal(s.readAnswer(), "hello")
+}
+
+// Guards against a flooded daemon that closes, to make room for a new connection, a kept-alive
+// one whose request was read from the kernel before its goroutine was scheduled again. The
+// caller got neither an answer nor a refusal.
+func TestConnectionLimitKeepsConnectionWhoseRequestWasRead(t *testing.T) {
+	is := is.New(t)
+	s := startPausableServer(t, newConnTracker(1))
+	resume := s.sendRequestAndPause()
+	s.dial()
+	s.waitFor(func() bool { return s.conns.countIdle() == 0 }) // the limit was enforced
+	resume()
+	is.Equal(s.readAnswer(), "hello")
 }
 
 // Guards against closing a kept-alive connection at its idle timeout although its next
