--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -84,6 +84,29 @@
 	is.True(overloadDuration() < second) // no relapse
 }
 
+// Guards against a VM that keeps up and stays out of rotation for ten seconds although callers
+// still reach it.
+func TestVMThatCallersStillReachReturnsToRotation(t *testing.T) {
+	const (
+		connInterval = 100 * time.Millisecond
+		maxOut       = 5 * time.Second
+	)
+	is := is.New(t)
+	var d overload.Detector
+	began := time.Unix(1000, 0)
+	is.True(d.Observe(began, overload.Observation{ShedFraction: 0.25, MayHold: true}))
+	now := began
+	for overloaded := true; overloaded; {
+		now = now.Add(tick)
+		o := overload.Observation{MayHold: true}
+		if now.Sub(began)%connInterval == 0 {
+			o.NewConns = 1
+		}
+		overloaded = d.Observe(now, o)
+	}
+	is.True(now.Sub(began) <= maxOut)
+}
+
 // In a small zone the other daemons may not be able to serve its callers: the daemon
 // becomes ready as soon as it keeps up.
 func TestNoHoldInSmallZone(t *testing.T) {
