--- a/internal/overload/smallzone_largevm_test.go
+++ b/internal/overload/smallzone_largevm_test.go
@@ -5,16 +5,14 @@
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
-	"golang.org/x/time/rate"
-
 	"github.com/savorystall/savorystall/internal/overload"
 )
 
 // leaveAt is when the large VM leaves rotation, in the middle of the flood.
 const leaveAt = 9 * time.Second
 
-// largeFirst returns an order in which callers try a large VM, and then the small ones at random.
+// largeFirst returns an order in which callers try one large VM, then the small ones at random,
+// and then the other large ones.
 func (z *simZone) largeFirst() []int {
 	order := z.vmOrder()
 	last := len(order) - 1
@@ -38,16 +36,8 @@
 					z.enableForwarding()
 				}
 				order := z.largeFirst()
-				hot := &simWorkspace{rate: hotRate, limiter: rate.NewLimiter(targetRate, targetBurst), vmOrders: [][]int{order, order}}
-				spread := &simWorkspace{rate: spreadRate, limiter: rate.NewLimiter(targetRate, targetBurst)}
-				normal := &simWorkspace{rate: normalRate, limiter: rate.NewLimiter(rate.Inf, 0)}
-				z.workspaces = []*simWorkspace{hot, spread, normal}
 				z.schedule(leaveAt, func() { z.overloadOnce(z.vms[order[0]]) })
-				z.run(simSeconds)
-				ratio, second := minShareRatio(hot, spread)
-				t.Logf("from second %d: served %.2f of the entitlement; requests per second %.0f, other workspace %.0f",
-					second, ratio, hot.served[second:second+windowSeconds], spread.served[second:second+windowSeconds])
-				is.New(t).True(ratio >= 1)
+				z.requireShare(t, order, order)
 			})
 		}
 	}
--- a/internal/overload/smallzone_share_test.go
+++ b/internal/overload/smallzone_share_test.go
@@ -43,6 +43,22 @@
 	return ratio, second
 }
 
+// requireShare simulates a zone with two busy workspaces, one whose callers try VMs in the given
+// orders and one whose callers reach all VMs. It fails the test if the former gets less than its
+// entitlement.
+func (z *simZone) requireShare(t *testing.T, vmOrders ...[]int) {
+	t.Helper()
+	hot := &simWorkspace{rate: hotRate, limiter: rate.NewLimiter(targetRate, targetBurst), vmOrders: vmOrders}
+	spread := &simWorkspace{rate: spreadRate, limiter: rate.NewLimiter(targetRate, targetBurst)}
+	normal := &simWorkspace{rate: normalRate, limiter: rate.NewLimiter(rate.Inf, 0)}
+	z.workspaces = []*simWorkspace{hot, spread, normal}
+	z.run(simSeconds)
+	ratio, second := minShareRatio(hot, spread)
+	t.Logf("from second %d: served %.2f of the entitlement; requests per second %.0f, other workspace %.0f",
+		second, ratio, hot.served[second:second+windowSeconds], spread.served[second:second+windowSeconds])
+	is.New(t).True(ratio >= 1)
+}
+
 // Guards against a workspace that starves beside idle VMs because its callers reach one
 // small VM at a time.
 func TestWorkspaceBehindOneSmallVMGetsItsShare(t *testing.T) {
@@ -50,15 +66,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			z := newSimZone(seed, 15, 2, localPlacer{})
 			z.enableForwarding()
-			hot := &simWorkspace{rate: hotRate, limiter: rate.NewLimiter(targetRate, targetBurst), vmOrders: [][]int{z.vmOrder(), z.vmOrder()}}
-			spread := &simWorkspace{rate: spreadRate, limiter: rate.NewLimiter(targetRate, targetBurst)}
-			normal := &simWorkspace{rate: normalRate, limiter: rate.NewLimiter(rate.Inf, 0)}
-			z.workspaces = []*simWorkspace{hot, spread, normal}
-			z.run(simSeconds)
-			ratio, second := minShareRatio(hot, spread)
-			t.Logf("from second %d: served %.2f of the entitlement; requests per second %.0f, other workspace %.0f",
-				second, ratio, hot.served[second:second+windowSeconds], spread.served[second:second+windowSeconds])
-			is.New(t).True(ratio >= 1)
+			z.requireShare(t, z.vmOrder(), z.vmOrder())
 		})
 	}
 }
