Log lines tell the versions of a stream and who began it

Cause: a line about a request named its last target only, so that a stream that a caller took up at another version could not be told from one that a daemon took up within its answer, nor from one that stayed at its version. No decision reads them.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -52,6 +52,10 @@
 // requestStats holds what is logged about a request.
 type requestStats struct {
 	target ident.Target
+	// version is the software version of target. firstTarget and firstVersion are those of the
+	// target that started the response.
+	version, firstVersion ident.Version
+	firstTarget           ident.Target
 	// attempts counts the targets that the request was sent to, runs those that may have run
 	// it, and unsentAttempts the attempts that failed before a byte was sent.
 	attempts, runs, unsentAttempts int
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -219,6 +219,7 @@
 		out["Date"] = nil
 	}
 	pr.responseStarted, pr.status = true, status
+	pr.stats.firstTarget, pr.stats.firstVersion = pr.stats.target, pr.stats.version
 	pr.w.WriteHeader(status)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,9 @@
 	Key string
 	// LastEventID is the ID of the last event that the caller has received; zero if none.
 	LastEventID uint64
+	// Resumes is the AttemptID of the request that brought the first event of the stream that
+	// this one resumes; empty if not stated.
+	Resumes string
 	// PromptTokens is the size of the prompt and OutputTokens the expected size of the
 	// response; zero if not stated.
 	PromptTokens, OutputTokens int
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -141,7 +141,7 @@
 		pr.stats.unsentAttempts++ // or it would be placed there again and again until its deadline
 		return attemptResult{failure: resultcode.Fail(resultcode.NoTarget, "target %s is gone", id)}
 	}
-	pr.stats.target = id
+	pr.stats.target, pr.stats.version = id, entry.Version
 	var r attemptResult
 	ended := false
 	defer func() {
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/rand"
+	"crypto/sha256"
 	"encoding/hex"
 )
 
@@ -22,6 +23,23 @@
 // Zone identifies an availability zone.
 type Zone string
 
+// Version identifies the software version of a target. Versions have no order. The empty
+// Version means that a target states none; it equals no other version.
+type Version string
+
+// maxVersionLength is the length in bytes up to which a Version is the text itself, so that it
+// is a valid name on the links between daemons.
+const maxVersionLength = 64
+
+// NewVersion returns the Version for a text. A long text is represented by its hash.
+func NewVersion(text string) Version {
+	if len(text) <= maxVersionLength {
+		return Version(text)
+	}
+	sum := sha256.Sum256([]byte(text))
+	return Version(hex.EncodeToString(sum[:]))
+}
+
 // Request identifies a request of a caller for as long as a daemon holds it.
 type Request string
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,6 +40,8 @@
 	// Address is IP:PORT.
 	Address string
 	Zone    ident.Zone
+	// Version is the version of the target's software; empty means unspecified.
+	Version ident.Version
 	// Slots is how many requests the target runs concurrently; zero means unspecified.
 	Slots int
 	// Draining reports that the target accepts no new requests.
