Streams go on at the software version that began them

What callers saw: streams that they took up again, or that a daemon continued within a response, hold events of two software versions, which do not fit together. Cause: the version of a target was read by nothing. A return with a last event ID was placed like a new request, and a retry within a response at any target. The class: what belongs to a stream was kept with one connection, while the stream outlives connections, daemons and targets. Ruled out: the end of a daemon as a condition (joined at the daemon that began the stream, too); addresses used again (Expect-Instance names the target). Change: a stream has an origin, service and version (package origin). It is fixed with the first event; later attempts, in the response or over the caller's returns, may use targets of that version only, and of that service on a route with several. A daemon that does not know an origin asks others: records go, batched over the fleet's links, to one keeper in the zone and one in another while a route's streams may have several origins, all of them at a planned stop. Without a record the origin is known if the route had only one for longer than streams live; a row in the store tells a fleet that starts anew, and a view that the store has not confirmed for three seconds counts for nothing. What is not known is refused as not run (2012, 2013). Two Resumes headers or one of over 200 bytes: 400. Weighed against: asking all daemons (forgets with the one that died, 295 questions a request), a row a stream in the store (its rates), a version by hash (binds new streams, wrong once versions change); see docs/design/stream-origins.md.

--- a/internal/booking/candidates.go
+++ b/internal/booking/candidates.go
@@ -114,6 +114,7 @@
 	var available, avoided []*engine
 	for _, e := range s.sortedEngines {
 		switch {
+		case !r.mayUse(e):
 		case slices.Contains(r.Avoid, e.Name):
 			avoided = append(avoided, e)
 		case e.suspended(now):
@@ -128,6 +129,11 @@
 	return available
 }
 
+// mayUse reports whether a target has the version that the request needs.
+func (r *request) mayUse(e *engine) bool {
+	return !r.Pinned || r.Version != "" && e.Version == r.Version
+}
+
 // sharedPrefix returns the ID of the last part that a prompt shares with others, which selects
 // its home targets, and the number of tokens up to the end of that part.
 func sharedPrefix(parts []PromptPart) (id uint64, tokens int) {
--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -198,7 +198,7 @@
 		if e == nil {
 			e = newEngine(s, spec)
 		}
-		if e.Generation != spec.Generation {
+		if e.Generation != spec.Generation || e.Version != spec.Version {
 			c.dropRuns(e)
 			e.resetAfterRestart()
 		}
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -20,7 +20,11 @@
 	r := &request{Request: spec, contacted: spec.OwnerContacted}
 	r.candidates = c.candidates(now, s, r)
 	if len(r.candidates) == 0 {
-		c.refuse(spec.ID, resultcode.Fail(resultcode.NoTarget, "service %s", spec.Service))
+		code := resultcode.NoTarget
+		if spec.Pinned {
+			code = resultcode.StreamVersionGone
+		}
+		c.refuse(spec.ID, resultcode.Fail(code, "service %s", spec.Service))
 		return
 	}
 	c.requests[spec.ID] = r
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -35,6 +35,10 @@
 	// OwnerContacted reports that an owner has received this request before, in a placement
 	// that failed because the target could not be reached.
 	OwnerContacted bool
+	// Pinned reports that the request continues a stream, so that only targets of Version may be
+	// used; none if Version is empty.
+	Pinned  bool
+	Version ident.Version
 }
 
 // Cost is what a request counts against its workspace's share: tokens, with a generated one
@@ -69,6 +73,8 @@
 	Memory int
 	// Generation distinguishes a restarted target from its predecessor.
 	Generation int64
+	// Version is the version of its software; empty if it states none.
+	Version ident.Version
 }
 
 // Service holds what placement decisions need to know about a service.
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -6,15 +6,18 @@
 
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/origin"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/turn"
 )
 
-// BookingActions carries out the decisions of package booking. Its methods are called from
+// BookingActions carries out the decisions of packages booking and origin. Its methods are called from
 // the control goroutine and must not block.
 type BookingActions interface {
 	// SendBookingMessage sends a message to another daemon.
 	SendBookingMessage(to ident.Daemon, m booking.Message)
+	// SendOriginMessage sends a message about the origins of streams to another daemon.
+	SendOriginMessage(to ident.Daemon, m origin.Message)
 }
 
 // Placement is the result of the search for a target: a target or a failure.
@@ -24,31 +27,36 @@
 	Failure *resultcode.Failure
 }
 
-// BookingLoop owns a booking.Core.
+// BookingLoop owns a booking.Core and an origin.Core.
 type BookingLoop struct {
 	mailbox
 	cfg     Config
 	core    *booking.Core
+	origins *origin.Core
 	actions BookingActions
 	waiters waiters[Placement]
+	finders waiters[origin.Finding]
 	// overdueAt is when overdue replies were found that are given up once the goroutines that read
 	// replies have run; zero if there are none.
 	overdueAt time.Time
 }
 
-// NewBookingLoop returns a loop around core. The loop does nothing until Run is called.
-func NewBookingLoop(cfg Config, core *booking.Core, actions BookingActions) *BookingLoop {
+// NewBookingLoop returns a loop around core and origins. The loop does nothing until Run is
+// called.
+func NewBookingLoop(cfg Config, core *booking.Core, origins *origin.Core, actions BookingActions) *BookingLoop {
 	cfg = cfg.withDefaults()
 	return &BookingLoop{
-		mailbox: newMailbox(cfg), cfg: cfg, core: core, actions: actions,
-		waiters: waiters[Placement]{},
+		mailbox: newMailbox(cfg), cfg: cfg, core: core, origins: origins, actions: actions,
+		waiters: waiters[Placement]{}, finders: waiters[origin.Finding]{},
 	}
 }
 
 // Run handles events until ctx ends. Requests that still wait then are refused as not run.
 func (b *BookingLoop) Run(ctx context.Context) {
-	b.run(ctx, b.core.NextTick, b.tick, b.applyEffects)
+	untilTick := func(now time.Time) time.Duration { return min(b.core.NextTick(now), b.origins.NextTick(now)) }
+	b.run(ctx, untilTick, b.tick, b.applyEffects)
 	b.waiters.deliverAll(stoppedPlacement)
+	b.finders.deliverAll(func() origin.Finding { return origin.Finding{} })
 }
 
 // maxReplyDelay bounds how long the goroutines that read replies are waited for.
@@ -58,6 +66,7 @@
 // replies have run: on a daemon that is short of processor time, timers run before them, so that
 // all owners would seem silent although their replies have arrived. Nothing else waits meanwhile.
 func (b *BookingLoop) tick(now time.Time) {
+	b.origins.Tick(now)
 	b.core.TickExceptReplies(now)
 	switch {
 	case !b.overdueAt.IsZero():
@@ -83,6 +92,7 @@
 }
 
 func (b *BookingLoop) applyEffects() {
+	b.applyOriginEffects()
 	for _, effect := range b.core.TakeEffects() {
 		switch e := effect.(type) {
 		case booking.Dispatch:
@@ -147,21 +157,41 @@
 
 // SetPeers replaces the list of other live daemons.
 func (b *BookingLoop) SetPeers(peers []booking.Peer) {
-	b.post(func(now time.Time) { b.core.SetPeers(now, peers) })
+	var members []origin.Member
+	for _, p := range peers {
+		if !p.Leaving {
+			members = append(members, origin.Member{ID: p.ID, Zone: p.Zone})
+		}
+	}
+	b.post(func(now time.Time) {
+		b.core.SetPeers(now, peers)
+		b.origins.SetMembers(now, members)
+	})
 }
 
 // LinkUp reports that a link to a peer is up.
 func (b *BookingLoop) LinkUp(id ident.Daemon) {
-	b.post(func(now time.Time) { b.core.LinkUp(now, id) })
+	b.post(func(now time.Time) {
+		b.core.LinkUp(now, id)
+		b.origins.LinkUp(now, id)
+	})
 }
 
 // LinkLost reports that messages to or from a peer may have been lost.
 func (b *BookingLoop) LinkLost(id ident.Daemon) {
-	b.post(func(now time.Time) { b.core.LinkLost(now, id) })
+	b.post(func(now time.Time) {
+		b.core.LinkLost(now, id)
+		b.origins.LinkLost(now, id)
+	})
 }
 
 // Leave begins a graceful shutdown.
-func (b *BookingLoop) Leave() { b.post(func(now time.Time) { b.core.Leave(now) }) }
+func (b *BookingLoop) Leave() {
+	b.post(func(now time.Time) {
+		b.core.Leave(now)
+		b.origins.Leave(now)
+	})
+}
 
 // Inspect runs f on the control goroutine and waits for it; f must not change any state.
 func (b *BookingLoop) Inspect(f func(*booking.Core)) bool {
--- a/internal/control/bookings_test.go
+++ b/internal/control/bookings_test.go
@@ -12,6 +12,7 @@
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/origin"
 )
 
 // outgoing collects the messages of a loop.
@@ -23,6 +24,8 @@
 	}
 }
 
+func (o outgoing) SendOriginMessage(ident.Daemon, origin.Message) {}
+
 // Guards against requests that are refused although targets have admitted them: on a daemon that is
 // short of processor time the timer of the loop runs before the goroutine that has a reply to read,
 // and all owners seem silent.
@@ -32,7 +35,7 @@
 	defer runtime.GOMAXPROCS(previous)
 	core := booking.New(booking.Config{Self: "a", Incarnation: 1, Zone: "z"}, rand.New(rand.NewPCG(1, 1)))
 	sent := make(outgoing, 1)
-	loop := control.NewBookingLoop(control.Config{}, core, sent)
+	loop := control.NewBookingLoop(control.Config{}, core, origin.New(origin.Config{Self: "a", Zone: "z"}, time.Now()), sent)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go loop.Run(ctx)
--- a/internal/control/deferredtick_test.go
+++ b/internal/control/deferredtick_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/origin"
 )
 
 // sentMessages collects the messages of a loop.
@@ -16,6 +17,8 @@
 
 func (s *sentMessages) SendBookingMessage(_ ident.Daemon, m booking.Message) { *s = append(*s, m) }
 
+func (s *sentMessages) SendOriginMessage(ident.Daemon, origin.Message) {}
+
 // loopWithPeer returns a loop that is not running, whose only target is owned by a peer. The time
 // is an argument of what the test calls in its place.
 func loopWithPeer(now time.Time) (*BookingLoop, *sentMessages) {
@@ -26,7 +29,7 @@
 		Targets: []booking.Target{{Name: "t", Zone: "y", Slots: 8, Memory: 100000}},
 	}})
 	sent := &sentMessages{}
-	loop := NewBookingLoop(Config{}, core, sent)
+	loop := NewBookingLoop(Config{}, core, origin.New(origin.Config{Self: "a", Zone: "z"}, time.Now()), sent)
 	loop.tick(now) // the first publication
 	loop.applyEffects()
 	return loop, sent
--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -66,8 +66,11 @@
 		store: s, targetStates: map[ident.Target]string{},
 		usable: map[ident.Target]bool{}, everUsable: map[ident.Target]bool{}, departed: map[ident.Target]bool{},
 	}
+	bridge := newRoutedBridge(id, nil, nil)
+	loop := newRoutedLoop(id, set, bridge)
+	tasks.Go(func() { loop.Run(ctx) })
 	d.storeSync = newStoreSync(routedDependencies{
-		Settings: set, Log: log, Load: newLoadMonitor(set), Routes: &route.Holder{}, Metrics: metrics, Identity: id,
+		Loop: loop, Bridge: bridge, Settings: set, Log: log, Load: newLoadMonitor(set), Routes: &route.Holder{}, Metrics: metrics, Identity: id,
 		Relay: relay.New(relay.Config{Self: id.Daemon, Zone: id.Zone, Store: s, Peers: peers, HeartbeatTable: heartbeatTable, Logger: log}),
 	})
 	d.storeSync.rows = s
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -16,6 +16,7 @@
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/gateway"
+	"github.com/savorystall/savorystall/internal/origin"
 	store "github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/retry"
@@ -70,10 +71,11 @@
 
 func newPool() *targetconn.Pool { return targetconn.New(targetconn.Config{}) }
 
-func newRoutedLoop(id identity, b *routedBridge) *control.BookingLoop {
+func newRoutedLoop(id identity, s settings.Settings, b *routedBridge) *control.BookingLoop {
 	core := booking.New(booking.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone},
 		rand.New(rand.NewPCG(id.Incarnation, rand.Uint64())))
-	b.loop = control.NewBookingLoop(control.Config{}, core, b)
+	origins := origin.New(origin.Config{Self: id.Daemon, Zone: id.Zone, MaxViewAge: s.Routing.InTouch}, time.Now())
+	b.loop = control.NewBookingLoop(control.Config{}, core, origins, b)
 	return b.loop
 }
 
@@ -95,7 +97,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Pool: pool, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Origins: loop, Pool: pool, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/booking"
@@ -13,6 +14,7 @@
 	"github.com/savorystall/savorystall/internal/gateway"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/membership"
+	"github.com/savorystall/savorystall/internal/origin"
 	store "github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/scheduler"
@@ -28,8 +30,11 @@
 	loop    *control.BookingLoop
 	gateway *gateway.Server
 	relay   *relay.Feed
+	self    ident.Daemon
 	zone    ident.Zone
 	load    *loadMonitor
+	// leads reports that this daemon writes what only one daemon of the fleet has to write.
+	leads atomic.Bool
 	// forwarder forwards connections to the neighbours in the availability zone.
 	forwarder *connForwarder
 }
@@ -37,7 +42,9 @@
 var _ fleet.Handler = (*routedBridge)(nil)
 
 func newRoutedBridge(id identity, load *loadMonitor, h *connForwarder) *routedBridge {
-	return &routedBridge{load: load, zone: id.Zone, forwarder: h}
+	b := &routedBridge{load: load, self: id.Daemon, zone: id.Zone, forwarder: h}
+	b.leads.Store(true) // until others are known
+	return b
 }
 
 // SendBookingMessage implements control.BookingActions.
@@ -45,6 +52,11 @@
 	b.node.Send(to, scheduler.Message{Bookings: m})
 }
 
+// SendOriginMessage implements control.BookingActions.
+func (b *routedBridge) SendOriginMessage(to ident.Daemon, m origin.Message) {
+	b.node.Send(to, scheduler.Message{Origins: m})
+}
+
 // Peers implements fleet.Handler.
 func (b *routedBridge) Peers(peers []scheduler.Peer) {
 	bookingPeers := make([]booking.Peer, len(peers))
@@ -60,6 +72,7 @@
 		}
 	}
 	b.loop.SetPeers(bookingPeers)
+	b.leads.Store(leads(b.self, peers))
 	b.relay.Elect(members)
 	b.load.zoneDaemons.Store(int64(len(neighbours)) + 1)
 	b.forwarder.setNeighbours(neighbours, live)
@@ -76,6 +89,9 @@
 func (b *routedBridge) Receive(from ident.Daemon, m scheduler.Message) {
 	m.Bookings.Incarnation = m.Incarnation
 	b.loop.Receive(from, m.Bookings)
+	if !m.Origins.Empty() {
+		b.loop.ReceiveOrigins(from, m.Origins)
+	}
 }
 
 // Head implements fleet.Handler. It does nothing: each daemon follows the store itself.
--- a/internal/daemon/storeoutage_test.go
+++ b/internal/daemon/storeoutage_test.go
@@ -130,8 +130,10 @@
 	log := slog.New(slog.DiscardHandler)
 	s, err := settings.Parse(nil, func(s *settings.Settings) { s.Daemon, s.Zone, s.Platform.URL = "d", "a", "http://127.0.0.1:9" })
 	is.New(t).NoErr(err)
+	id := identity{Daemon: "d", Zone: "a"}
+	loop := newRoutedLoop(id, s, newRoutedBridge(id, nil, nil))
 	f := &testStoreSync{storeSync: newStoreSync(routedDependencies{
-		Settings: s, Log: log, Routes: &route.Holder{}, Load: newLoadMonitor(s), Relay: relay.New(relay.Config{Self: "d", Zone: "a", Store: feed, HeartbeatTable: heartbeatTable, Logger: log}),
+		Loop: loop, Settings: s, Log: log, Routes: &route.Holder{}, Load: newLoadMonitor(s), Relay: relay.New(relay.Config{Self: "d", Zone: "a", Store: feed, HeartbeatTable: heartbeatTable, Logger: log}),
 	}), inTouch: s.Routing.InTouch}
 	f.view.install = f.recordView
 	ctx, cancel := context.WithCancel(context.Background())
@@ -141,7 +143,7 @@
 	}}
 	var tasks sync.WaitGroup
 	for _, run := range []func(context.Context){
-		f.followRoutes(group), f.follow(group, platform.TableTargets, longPollWait, targetCoalesceDelay, targets), f.expire,
+		loop.Run, f.followRoutes(group), f.follow(group, platform.TableTargets, longPollWait, targetCoalesceDelay, targets), f.expire,
 	} {
 		tasks.Go(func() { run(ctx) })
 	}
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -35,6 +35,8 @@
 	ownRow *ownRow
 	// rows writes this daemon's row.
 	rows store.RowWriter
+	// versions keeps the record of the versions in use.
+	versions *versionKeeper
 }
 
 // routingView is the content of the store at one time, as far as this daemon has read it.
@@ -47,6 +49,7 @@
 
 func newStoreSync(p routedDependencies) *storeSync {
 	s := &storeSync{deps: p, registry: registry.New(registry.Config{CatchUpTime: p.Settings.Routing.InTouch}), targetsUpdated: make(chan struct{}, 1), ownRow: newOwnRow(), rows: p.Calls}
+	s.versions = newVersionKeeper(p)
 	s.view = viewApplier[routingView]{snapshot: s.snapshot, install: s.install}
 	return s
 }
@@ -77,8 +80,10 @@
 		s.followRoutes(group),
 		s.followTargets(group),
 		s.followDaemons(group),
+		s.followVersions(group),
 		s.announce,
 		s.expire,
+		s.versions.maintain,
 		s.report,
 		func(ctx context.Context) { s.deps.Load.run(ctx, s.deps.Log, s.deps.Servers.connections) },
 	}
@@ -103,10 +108,17 @@
 	}
 }
 
+func (s *storeSync) followVersions(group *store.FeedGroup) func(context.Context) {
+	return s.follow(group, platform.TableVersions, longPollWait, 0, s.versions)
+}
+
 func (s *storeSync) follow(group *store.FeedGroup, table string, wait, coalesceDelay time.Duration, subscriber store.Subscriber) func(context.Context) {
 	cfg := store.FollowerConfig{Feed: s.deps.Relay, Table: table, Wait: wait, CoalesceDelay: coalesceDelay, Group: group, Logger: s.deps.Log}
 	if table == heartbeatTable {
-		cfg.Heartbeat, cfg.OnAnswer = true, s.deps.Load.confirmRoutes
+		cfg.Heartbeat, cfg.OnAnswer = true, func() {
+			s.deps.Load.confirmRoutes()
+			s.deps.Loop.ConfirmOrigins()
+		}
 	}
 	return store.NewFollower(cfg, subscriber).Run
 }
@@ -135,6 +147,9 @@
 		return
 	}
 	s.deps.Loop.Configure(routedServices(v.table, v.targets))
+	if v.targetsRead {
+		s.deps.Loop.ObserveOrigins(originView(v.table, v.targets))
+	}
 	if v.targetsRead && s.deps.Life.applyTrigger(triggerConfigured) {
 		event.DaemonReady.Log(s.deps.Log, "routes_version", v.table.Version, "targets", len(v.targets))
 	}
@@ -164,7 +179,7 @@
 				slots = max(spec.Slots, defaultSlots)
 			}
 			service.Targets = append(service.Targets, booking.Target{
-				Name: e.Identity, Zone: e.Zone, Slots: slots, Memory: spec.Memory, Generation: e.StartedAtMillis,
+				Name: e.Identity, Zone: e.Zone, Slots: slots, Memory: spec.Memory, Generation: e.StartedAtMillis, Version: e.Version,
 			})
 		}
 		services = append(services, service)
@@ -308,6 +323,7 @@
 			s.deps.Servers.connections.ends.logReport()
 			s.deps.Servers.limitedListener.logReport(s.deps.Log)
 			s.deps.Gateway.LogDroppedLines()
+			s.deps.Gateway.LogStreams()
 			logStoreCalls(s.deps.Calls, s.deps.Log)
 		case <-sharing.C:
 			s.logSharing()
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -40,4 +40,6 @@
 	ConnectionUnanswered = define(206, slog.LevelWarn, "a connection was closed without a complete response to its request although its caller had not disconnected", "none if a target failed or the request is unread; otherwise report a defect with the line")
 
 	ConnectionsUnanswered = define(207, slog.LevelInfo, "connections were closed without a complete response to their requests, counted by cause, by how far the requests had got, and for connections kept after an earlier response", "none; see event 206 for those whose callers had not disconnected")
+	// StreamsResumed has the streams that callers began and took up again since the last line.
+	StreamsResumed = define(208, slog.LevelInfo, "callers have taken up streams again", "none, unless few are resumed of those asked for: see docs/operations/explain-a-request.md")
 )
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -53,7 +53,7 @@
 	return byCode
 }()
 
-// pair is a service combined with one of its workspaces or targets.
+// pair is a service combined with one of its workspaces, targets or versions.
 type pair struct {
 	service ident.Service
 	name    string
@@ -118,6 +118,7 @@
 		f.PreemptStep = encodeDeltas(m.PreemptGrants)
 	}
 	f.Bookings = e.bookings(f, &m.Bookings)
+	f.Origins = e.origins(f, &m.Origins)
 }
 
 func (e *encoder) demand(f *fleetv1.Frame, rows []scheduler.Demand) {
@@ -233,7 +234,7 @@
 		return m, false, err
 	}
 	for _, decodeRows := range []func(*fleetv1.Frame, *scheduler.Message) error{
-		d.demand, d.grants, d.releases, d.servedTotals, d.limits, d.healthUpdates, d.bookings,
+		d.demand, d.grants, d.releases, d.servedTotals, d.limits, d.healthUpdates, d.bookings, d.origins,
 	} {
 		if err := decodeRows(f, &m); err != nil {
 			return m, false, err
@@ -244,7 +245,7 @@
 		m.HeldGrants = decodeDeltas(h.GetGrantStep())
 	}
 	m.PreemptGrants = decodeDeltas(f.GetPreemptStep())
-	ok = m.HeldGrantsValid || !m.Bookings.Empty() || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.ServedTotals)+len(m.Aggregates)+len(m.Limits)+len(m.HealthUpdates)+len(m.PreemptGrants) > 0
+	ok = m.HeldGrantsValid || !m.Bookings.Empty() || !m.Origins.Empty() || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.ServedTotals)+len(m.Aggregates)+len(m.Limits)+len(m.HealthUpdates)+len(m.PreemptGrants) > 0
 	return m, ok, nil
 }
 
--- a/internal/fleet/codec_test.go
+++ b/internal/fleet/codec_test.go
@@ -14,6 +14,7 @@
 	fleetv1 "github.com/savorystall/savorystall/api/fleet/v1"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/limit"
+	"github.com/savorystall/savorystall/internal/origin"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	_ "github.com/savorystall/savorystall/test/fixedseed" // reproducible property tests
 )
@@ -61,6 +62,10 @@
 			},
 		})
 		m.HealthUpdates = append(m.HealthUpdates, scheduler.TargetHealthUpdate{Service: service.Draw(t, "s"), Target: target.Draw(t, "t"), Health: health.Draw(t, "health")})
+		o := origin.Origin{Service: service.Draw(t, "s"), Version: rapid.SampledFrom([]ident.Version{"", "v1", "lm-pool"}).Draw(t, "version")}
+		m.Origins.Records = append(m.Origins.Records, origin.Record{Key: origin.Key(rapid.Uint64().Draw(t, "key")), Origin: o})
+		m.Origins.Questions = append(m.Origins.Questions, origin.Question{ID: grant.Draw(t, "id"), Key: origin.Key(rapid.Uint64().Draw(t, "key")), Route: rapid.SampledFrom([]string{"", "r1"}).Draw(t, "route")})
+		m.Origins.Answers = append(m.Origins.Answers, origin.Answer{ID: grant.Draw(t, "id"), Status: origin.Recorded, Origin: o}, origin.Answer{ID: grant.Draw(t, "id"), Status: origin.Several})
 		m.HeldGrants = append(m.HeldGrants, grant.Draw(t, "held"))
 		m.PreemptGrants = append(m.PreemptGrants, grant.Draw(t, "preempt"))
 	}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -12,6 +12,7 @@
 
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/origin"
 	"github.com/savorystall/savorystall/internal/patience"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/route"
@@ -29,7 +30,7 @@
 	route     *route.Route
 	service   route.Service
 	workspace ident.Workspace
-	version   uint64
+	table     *route.Table
 	arrived   time.Time
 	// deadline is when the caller's or the operator's time limit ends.
 	deadline time.Time
@@ -46,7 +47,11 @@
 	status int
 	// events tracks the event stream that has been received so far.
 	events eventFilter
-	stats  requestStats
+	// resumed describes the stream that the caller takes up again. Once origin is set, the
+	// request may only be sent to targets of this service and version.
+	resumed resumedStream
+	origin  *origin.Origin
+	stats   requestStats
 }
 
 // requestStats holds what is logged about a request.
@@ -76,6 +81,14 @@
 	defaultTimeout = time.Minute
 )
 
+// TimeLimit returns the longest time that a request of a route may take.
+func TimeLimit(r *route.Route) time.Duration {
+	if r.Timeout > 0 {
+		return r.Timeout
+	}
+	return defaultTimeout
+}
+
 // accept does all checks that need no target. The returned request is nil on failure.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*proxyRequest, *resultcode.Failure) {
 	arrived := s.arrivalTime(r)
@@ -92,13 +105,16 @@
 		return nil, s.rejectUnknown(resultcode.Fail(resultcode.NotFound, "no route for %s%s", r.Host, path))
 	}
 	info := s.Dialect.ParseRequest(r.Header)
+	if info.Malformed != "" {
+		return nil, resultcode.Fail(resultcode.BadRequest, "%s", info.Malformed)
+	}
 	workspace, failure := table.Identify(matched, info.Key)
 	if failure != nil {
 		return nil, s.rejectUnknown(failure)
 	}
 	pr := &proxyRequest{
 		w: w, id: ident.NewRequest(), inbound: r, info: info,
-		route: matched, workspace: workspace, version: table.Version, arrived: arrived,
+		route: matched, workspace: workspace, table: table, arrived: arrived,
 		events: eventFilter{lastID: info.LastEventID},
 	}
 	if s.pending.Add(1) > maxPending {
@@ -113,6 +129,7 @@
 		return nil, failure
 	}
 	s.planRequest(pr, table)
+	s.streams.countAsked(pr)
 	return pr, nil
 }
 
@@ -155,10 +172,7 @@
 // planRequest selects the service and sets the deadline and the wait plan.
 func (s *Server) planRequest(pr *proxyRequest, table *route.Table) {
 	pr.service = s.chooseService(pr.route, table)
-	limit := defaultTimeout
-	if pr.route.Timeout > 0 {
-		limit = pr.route.Timeout
-	}
+	limit := TimeLimit(pr.route)
 	remaining := limit
 	if pr.info.Remaining > 0 {
 		remaining = min(remaining, pr.info.Remaining)
@@ -166,7 +180,7 @@
 	pr.deadline = pr.arrived.Add(remaining)
 	pr.plan = patience.Decide(patience.Request{
 		Arrived: pr.arrived, Remaining: remaining, MaxWait: limit, Objective: pr.route.Objective,
-		Resumed: pr.info.LastEventID > 0,
+		Resumed: pr.takesUpStream(),
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/logging"
+	"github.com/savorystall/savorystall/internal/origin"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/retry"
@@ -46,6 +47,8 @@
 	// Resumes is the AttemptID of the request that brought the first event of the stream that
 	// this one resumes; empty if not stated.
 	Resumes string
+	// Malformed describes the first header that must be refused; empty if there is none.
+	Malformed string
 	// PromptTokens is the size of the prompt and OutputTokens the expected size of the
 	// response; zero if not stated.
 	PromptTokens, OutputTokens int
@@ -96,6 +99,15 @@
 	RecordShed(service ident.Service, workspace ident.Workspace, cost float64)
 }
 
+// Origins remembers which service and software version began each stream.
+type Origins interface {
+	// Began records that the first event of a stream, or the first one after it was taken up
+	// again, has been received from a target of this origin.
+	Began(key origin.Key, o origin.Origin)
+	// FindOrigin searches for the origin of a stream of a route.
+	FindOrigin(ctx context.Context, id ident.Request, key origin.Key, route string) origin.Finding
+}
+
 // Config holds the limits of the gateway.
 type Config struct {
 	// RetryBudget is the fleet-wide retry budget of each service.
@@ -118,6 +130,7 @@
 	Routes  *route.Holder
 	Dialect Dialect
 	Placer  Placer
+	Origins Origins
 	Pool    *targetconn.Pool
 	// CallerGone reports whether the caller of the request with this context has
 	// disconnected.
@@ -169,6 +182,7 @@
 	// pending counts the requests that are being read or placed.
 	pending    atomic.Int64
 	logBudgets logBudgets
+	streams    streamCounts
 
 	mu           sync.Mutex
 	retryBudgets map[ident.Service]*retry.Window
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -184,13 +184,13 @@
 	} else {
 		args = []any{
 			"request", pr.info.AttemptID, "route", pr.route.Name, "service", pr.service.Name, "workspace", pr.workspace,
-			"routes_version", pr.version, "target", pr.stats.target, "version", pr.stats.version, "first_target", pr.stats.firstTarget, "first_version", pr.stats.firstVersion, "by", pr.stats.basis.SelectedBy, "asked", pr.stats.basis.OwnersAsked,
+			"routes_version", pr.table.Version, "target", pr.stats.target, "version", pr.stats.version, "first_target", pr.stats.firstTarget, "first_version", pr.stats.firstVersion, "by", pr.stats.basis.SelectedBy, "asked", pr.stats.basis.OwnersAsked,
 			"expected_ms", pr.stats.basis.Expected.Milliseconds(), "late", pr.plan.Late, "back", pr.stats.basis.CallerRetry, "source", pr.stats.basis.FetchSource, "held", pr.stats.basis.Held,
 			"limit", pr.stats.basis.Limit.String(), "share_used", math.Round(100*pr.stats.basis.ShareUsed) / 100, "alone_ms", pr.stats.basis.UnloadedWait.Milliseconds(),
 			"tokens", pr.info.PromptTokens, "due_ms", pr.plan.Due.Sub(pr.arrived).Milliseconds(),
 			"waited_ms", pr.stats.placementTime.Milliseconds(), "first_ms", pr.stats.firstByteTime.Milliseconds(),
 			"total_ms", time.Since(pr.arrived).Milliseconds(), "left_ms", time.Until(pr.deadline).Milliseconds(), "caller", r.RemoteAddr, "sends", pr.stats.attempts, "runs", pr.stats.runs,
-			"events", pr.events.count, "last_event", pr.events.lastID, "resumed_after", pr.info.LastEventID, "resumes", pr.info.Resumes, "status", pr.status,
+			"events", pr.events.count, "last_event", pr.events.lastID, "resumed_after", pr.info.LastEventID, "resumes", pr.info.Resumes, "origin", pr.origin, "origin_by", pr.resumed.finding.Status.String(), "origin_asked", pr.resumed.finding.Asked, "origin_silent", pr.resumed.finding.Silent, "status", pr.status,
 		}
 	}
 	if f != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -71,6 +71,9 @@
 	s.creditRetryBudget(pr.service.Name, pr.arrived)
 	defer s.releasePending(pr)
 	outcome := resultcode.NotRun
+	if failure := s.findOrigin(ctx, pr); failure != nil {
+		return s.placementFailure(ctx, pr, failure, outcome)
+	}
 	for {
 		placement, dispatched := s.place(ctx, pr)
 		s.releasePending(pr)
@@ -115,7 +118,11 @@
 	start := time.Now()
 	request := booking.Request{
 		ID: pr.id, Service: pr.service.Name, Workspace: pr.workspace,
-		Deadline: pr.plan.Due, Late: pr.plan.Late, PreviouslyPlaced: pr.stats.attempts > 0, OwnerContacted: pr.stats.attempts+pr.stats.unsentAttempts > 0, Avoid: pr.stats.avoid,
+		Deadline: pr.plan.Due, Late: pr.plan.Late, PreviouslyPlaced: pr.stats.attempts > 0,
+		OwnerContacted: pr.stats.attempts+pr.stats.unsentAttempts > 0 || pr.takesUpStream(), Avoid: pr.stats.avoid,
+	}
+	if pr.origin != nil {
+		request.Pinned, request.Version = true, pr.origin.Version
 	}
 	if pr.service.ServesModel {
 		request.Prompt, request.Output, request.Parts = pr.info.PromptTokens, pr.info.OutputTokens, pr.info.Parts
@@ -136,7 +143,7 @@
 // attempt sends the request to one target and releases the slot afterwards.
 func (s *Server) attempt(ctx context.Context, pr *proxyRequest, id ident.Target, dispatched time.Time) attemptResult {
 	entry, known := s.targets.Load().ByIdentity[id]
-	if !known || entry.Draining || entry.Service != pr.service.Name {
+	if !known || entry.Draining || entry.Service != pr.service.Name || !pr.mayUse(entry) {
 		s.Placer.Finish(pr.id, booking.Result{NotRun: true})
 		pr.stats.unsentAttempts++ // or it would be placed there again and again until its deadline
 		return attemptResult{failure: resultcode.Fail(resultcode.NoTarget, "target %s is gone", id)}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,6 +38,7 @@
 		if len(complete) > 0 {
 			if r.firstByteTime == 0 {
 				r.firstByteTime = time.Since(dispatched)
+				s.recordOrigin(pr)
 				s.Placer.FirstByte(pr.id, r.firstByteTime)
 			}
 			if failure := pr.writeEvents(x, complete, flusher); failure != nil {
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -80,6 +80,8 @@
 	Stopping           = define(Code{2008, "stopping", http.StatusServiceUnavailable, NotRun, "this daemon is stopping", time.Second})
 	DaemonBusy         = define(Code{2010, "daemon_busy", http.StatusServiceUnavailable, NotRun, "this daemon has too little processor time; another one may serve the request at once", 0})
 	ObjectiveUnmet     = define(Code{2011, "objective_unmet", http.StatusServiceUnavailable, NotRun, "the prompt alone takes longer than its objective", 2 * time.Second})
+	StreamUnknown      = define(Code{2012, "stream_unknown", http.StatusServiceUnavailable, NotRun, "it is not known which software version began the stream; begin it anew", 0})
+	StreamVersionGone  = define(Code{2013, "stream_version_gone", http.StatusServiceUnavailable, NotRun, "no target of the software version that began the stream is left; begin it anew", 0})
 	TargetRefused      = define(Code{2009, "target_refused", http.StatusServiceUnavailable, NotRun, "no target accepted the request", time.Second})
 )
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -16,6 +16,7 @@
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/limit"
+	"github.com/savorystall/savorystall/internal/origin"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -216,6 +217,8 @@
 	// Bookings carries the messages of package booking where bookings replace
 	// grants.
 	Bookings booking.Message
+	// Origins carries the messages of package origin, which accompany bookings.
+	Origins origin.Message
 }
 
 // Effect is an action that the caller of the Core has to perform.
