Streams that have begun get room at the targets of their version

What callers saw: a stream that broke and could go on was refused far more often than new streams were. Cause: a return counted as late, so that it got spare capacity only; and a continuation that found the targets of its version full ended at once, although others than the stream's may be idle and one slot is free a moment later. Ruled out: an unknown origin (of 24 returns 8 were refused with 2004, limit spare, at a daemon that knew it). Change: a return is due in its caller's remaining time and not late; with a record of its stream it is placed like a retry, as its work is counted and lost if refused. Without a record a workspace's returns are believed up to a credit that its streams earn, so that nobody gets past the shares by stating a last event. A stream that has begun asks again for room for up to a second.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,6 +183,8 @@
 	pending    atomic.Int64
 	logBudgets logBudgets
 	streams    streamCounts
+	// resumeCredits bounds what callers gain by stating that they take up a stream.
+	resumeCredits resumeCredits
 
 	mu           sync.Mutex
 	retryBudgets map[ident.Service]*retry.Window
@@ -197,7 +199,7 @@
 
 // New returns a Server that knows no targets yet and no other daemon.
 func New(deps Deps) *Server {
-	s := &Server{Deps: deps, retryBudgets: map[ident.Service]*retry.Window{}}
+	s := &Server{Deps: deps, resumeCredits: resumeCredits{byWorkspace: map[ident.Workspace]float64{}}, retryBudgets: map[ident.Service]*retry.Window{}}
 	s.logBudgets = logBudgets{
 		failed: logging.NewRateLimiter(failedLogRate), refused: logging.NewRateLimiter(refusedLogRate), served: logging.NewRateLimiter(servedLogRate),
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/origin"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
@@ -15,6 +18,9 @@
 // resumedStream describes the stream that a caller takes up again.
 type resumedStream struct {
 	finding origin.Finding
+	// trusted reports that the stream is believed to have begun, so that the work done for it is
+	// lost if it is refused now.
+	trusted bool
 }
 
 // takesUpStream reports whether the caller already has events of a stream, which this request is
@@ -43,8 +49,39 @@
 	// undecidedRetryDelay is the delay after which the origin of a stream may be known although
 	// it was not found now.
 	undecidedRetryDelay = 400 * time.Millisecond
+	// roomInterval is how often a stream that has begun asks again for room at full targets, and
+	// maxRoomWait how long it does so. A refusal would cost its caller what it already has.
+	roomInterval = 50 * time.Millisecond
+	maxRoomWait  = time.Second
 )
 
+// placeOrWait has a target assigned to the request. A stream that has begun can use the targets
+// of one version only, so that it waits for a moment if these are full.
+func (s *Server) placeOrWait(ctx context.Context, pr *proxyRequest) (control.Placement, time.Time) {
+	end := time.Now().Add(min(maxRoomWait, time.Until(pr.deadline)/2))
+	for {
+		placement, dispatched := s.place(ctx, pr)
+		if !pr.hasBegun() || placement.Failure == nil || placement.Failure.Code != resultcode.FleetFull || time.Now().After(end) {
+			return placement, dispatched
+		}
+		s.releasePending(pr)
+		select {
+		case <-ctx.Done():
+			return placement, dispatched
+		case <-time.After(roomInterval):
+		}
+		if s.CallerGone(ctx) {
+			return placement, dispatched
+		}
+	}
+}
+
+// hasBegun reports whether the caller has events of the stream, which a refusal would make
+// worthless.
+func (pr *proxyRequest) hasBegun() bool {
+	return pr.responseStarted && pr.route.Resumable || pr.resumed.trusted
+}
+
 // findOrigin finds out which service and version began the stream that the caller takes up, and
 // selects that service. It does nothing for a request that begins a stream.
 func (s *Server) findOrigin(ctx context.Context, pr *proxyRequest) *resultcode.Failure {
@@ -66,6 +103,7 @@
 		return resultcode.Fail(resultcode.StreamVersionGone, "the route does not lead to service %s any more", f.Origin.Service)
 	}
 	pr.origin = &f.Origin
+	pr.resumed.trusted = f.Status == origin.Recorded || s.resumeCredits.take(pr.workspace)
 	pr.service = route.Service{Name: f.Origin.Service}
 	if known, ok := pr.table.Service(f.Origin.Service); ok {
 		pr.service = *known
@@ -91,11 +129,57 @@
 		pr.origin = &origin.Origin{Service: pr.service.Name, Version: pr.stats.version}
 	}
 	s.streams.countBegun(pr)
+	s.resumeCredits.earn(pr.workspace)
 	if pr.route.Resumable {
 		s.Origins.Began(pr.streamKey(), *pr.origin)
 	}
 }
 
+const (
+	// creditPerStream is how many returns a stream of a workspace allows. A few break, and their
+	// callers return to any daemon.
+	creditPerStream = 0.5
+	// maxResumeCredit bounds the returns at once, as after the end of a daemon; a workspace starts
+	// with startResumeCredit.
+	maxResumeCredit   = 50
+	startResumeCredit = 5
+)
+
+// resumeCredits bounds the returns of each workspace that are believed without a record of their
+// stream. It guards the shares of the others: a caller that stated a last event with every request
+// would have all of them placed as work that is in progress.
+type resumeCredits struct {
+	mu          sync.Mutex
+	byWorkspace map[ident.Workspace]float64
+}
+
+// earn adds the credit for one stream.
+func (c *resumeCredits) earn(workspace ident.Workspace) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byWorkspace[workspace] = min(maxResumeCredit, c.balance(workspace)+creditPerStream)
+}
+
+// take uses the credit for one return and reports whether there was any.
+func (c *resumeCredits) take(workspace ident.Workspace) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	balance := c.balance(workspace)
+	if balance < 1 {
+		return false
+	}
+	c.byWorkspace[workspace] = balance - 1
+	return true
+}
+
+// balance returns the credit of a workspace. The caller holds the lock.
+func (c *resumeCredits) balance(workspace ident.Workspace) float64 {
+	if balance, known := c.byWorkspace[workspace]; known {
+		return balance
+	}
+	return startResumeCredit
+}
+
 // streamCounts counts the streams that callers begin and take up again, since the last report.
 type streamCounts struct {
 	// asked counts requests, begun those of which at least one event has arrived.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -75,7 +75,7 @@
 		return s.placementFailure(ctx, pr, failure, outcome)
 	}
 	for {
-		placement, dispatched := s.place(ctx, pr)
+		placement, dispatched := s.placeOrWait(ctx, pr)
 		s.releasePending(pr)
 		if placement.Failure != nil {
 			return s.placementFailure(ctx, pr, placement.Failure, outcome)
@@ -118,7 +118,7 @@
 	start := time.Now()
 	request := booking.Request{
 		ID: pr.id, Service: pr.service.Name, Workspace: pr.workspace,
-		Deadline: pr.plan.Due, Late: pr.plan.Late, PreviouslyPlaced: pr.stats.attempts > 0,
+		Deadline: pr.plan.Due, Late: pr.plan.Late, PreviouslyPlaced: pr.stats.attempts > 0 || pr.resumed.trusted,
 		OwnerContacted: pr.stats.attempts+pr.stats.unsentAttempts > 0 || pr.takesUpStream(), Avoid: pr.stats.avoid,
 	}
 	if pr.origin != nil {
--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -55,7 +55,11 @@
 	switch {
 	case r.Objective <= 0:
 		return Plan{Due: r.Arrived.Add(r.Remaining)}
-	case float64(elapsed) > retryFraction*float64(r.MaxWait) || r.Resumed:
+	case r.Resumed:
+		// Its time has passed with the events that the caller has, not with waiting. Were it late,
+		// it would get spare capacity only, and most streams that break would end there.
+		return Plan{Due: r.Arrived.Add(r.Remaining)}
+	case float64(elapsed) > retryFraction*float64(r.MaxWait):
 		return Plan{Due: r.Arrived.Add(r.Remaining), Late: true}
 	}
 	return Plan{Due: r.Arrived.Add(min(r.Remaining, r.Objective-responseTransit))}
