--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -132,9 +132,9 @@
 	limit        Limit
 	shareUsed    float64
 	unloadedWait time.Duration
-	// source is the target with the longest cached prefix according to the owners, and
+	// fetchSource is the target with the longest cached prefix according to the owners, and
 	// sourceTokens the length of that prefix.
-	source       *engine
+	fetchSource  ident.Target
 	sourceTokens int
 	// targetTokens is the length of the prefix that the target that replied last has cached.
 	targetTokens int
--- a/internal/booking/fetch.go
+++ b/internal/booking/fetch.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		if cached := home.engine.cache.hitTokens(r.Parts); cached > r.sourceTokens {
-			r.source, r.sourceTokens = home.engine, cached
+			r.fetchSource, r.sourceTokens = home.engine.Name, cached
 		}
 	}
 }
@@ -70,17 +70,8 @@
 // an empty name if nothing is copied.
 func (c *Core) fetchSource(r *request) ident.Target {
 	s := c.services[r.Service]
-	if s == nil || s.fetchPerToken <= 0 || r.tokensElsewhere()-r.targetTokens < minFetchTokens || r.source == r.current.engine {
+	if s == nil || s.fetchPerToken <= 0 || r.sourceTokens-r.targetTokens < minFetchTokens || r.fetchSource == r.current.engine.Name {
 		return ""
 	}
-	return r.source.Name
-}
-
-// tokensElsewhere returns how many tokens of the prompt's prefix the current target can copy from
-// another one: only a target of the same software version is sure to read what that one holds.
-func (r *request) tokensElsewhere() int {
-	if r.source == nil || r.source.Version != r.current.engine.Version {
-		return 0
-	}
-	return r.sourceTokens
+	return r.fetchSource
 }
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -112,7 +112,7 @@
 	}
 	r.targetTokens = reply.CachedTokens
 	if reply.CachedTokens > r.sourceTokens && !reply.OK {
-		r.source, r.sourceTokens = r.current.engine, reply.CachedTokens
+		r.fetchSource, r.sourceTokens = r.current.engine.Name, reply.CachedTokens
 	}
 }
 
@@ -131,7 +131,7 @@
 	return Reservation{
 		ID: r.runID, Service: r.Service, Target: r.current.engine.Name, Workspace: r.Workspace,
 		Prompt: r.Prompt, Output: r.Output, Parts: r.Parts, Remaining: r.Deadline.Sub(now), Late: r.Late, PreviouslyPlaced: r.PreviouslyPlaced,
-		CachedHint: r.current.engine.cache.hitTokens(r.Parts), CachedElsewhere: r.tokensElsewhere(),
+		CachedHint: r.current.engine.cache.hitTokens(r.Parts), CachedElsewhere: r.sourceTokens,
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -105,7 +105,7 @@
 		return ""
 	}
 	entry, known := s.targets.Load().ByIdentity[id]
-	if !known || entry.Service != destination.Service || entry.Version != destination.Version {
+	if !known || entry.Service != destination.Service {
 		return ""
 	}
 	return entry.Address
