Records of streams reach a keeper in a fleet whose zones have one daemon each

Cause: where neither the own zone nor more than one other had a further daemon, the fallback replaced the one keeper that there was by none. Ruled out: the outage in which it was seen: records were queued and sent, to nobody. Change: keepers are the first daemons of the own zone's and the other zones' groups, then second ones.

--- a/internal/origin/directory.go
+++ b/internal/origin/directory.go
@@ -115,19 +115,20 @@
 }
 
 // keepersOf returns the daemons to which this one sends a record: one of its group, and one of
-// the matching group of another zone. A zone without other daemons is replaced by a further zone,
-// and at last by a second daemon of the own group.
+// the matching group of another zone. Where a zone has none, a further zone replaces it, and at
+// last a second daemon of the same group.
 func (d *directory) keepersOf(key Key) []ident.Daemon {
-	out := d.best(d.group(d.zone), key, 1)
-	for _, zone := range d.otherZones {
-		if len(out) < copies {
-			out = append(out, d.best(d.group(zone), key, 1)...)
+	var first, second []ident.Daemon
+	for _, zone := range append([]ident.Zone{d.zone}, d.otherZones...) {
+		ranked := d.best(d.group(zone), key, copies)
+		first = append(first, ranked[:min(1, len(ranked))]...)
+		second = append(second, ranked[min(1, len(ranked)):]...)
+		if len(first) == copies {
+			return first
 		}
 	}
-	if len(out) < copies {
-		out = d.best(d.group(d.zone), key, copies)
-	}
-	return out
+	first = append(first, second...)
+	return first[:min(copies, len(first))]
 }
 
 // group returns the group of a zone that corresponds to this daemon's; it is empty if the zone
