--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -11,8 +11,8 @@
 	"github.com/savorystall/savorystall/internal/turn"
 )
 
-// BookingActions carries out the decisions of packages booking and origin. Its methods are called from
-// the control goroutine and must not block.
+// BookingActions carries out the decisions of packages booking and origin. Its methods are
+// called from the control goroutine and must not block.
 type BookingActions interface {
 	// SendBookingMessage sends a message to another daemon.
 	SendBookingMessage(to ident.Daemon, m booking.Message)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -46,9 +46,9 @@
 }
 
 const (
-	// undecidedRetryDelay is the delay after which the origin of a stream may be known although
+	// unknownRetryDelay is the delay after which the origin of a stream may be known although
 	// it was not found now.
-	undecidedRetryDelay = 400 * time.Millisecond
+	unknownRetryDelay = 400 * time.Millisecond
 	// roomInterval is how often a stream that has begun asks again for room at full targets, and
 	// maxRoomWait how long it does so. A refusal would cost its caller what it already has.
 	roomInterval = 50 * time.Millisecond
@@ -61,6 +61,9 @@
 	end := time.Now().Add(min(maxRoomWait, time.Until(pr.deadline)/2))
 	for {
 		placement, dispatched := s.place(ctx, pr)
+		if placement.Failure != nil && placement.Failure.Code == resultcode.StreamVersionGone {
+			s.streams.gone.Add(1)
+		}
 		if !pr.hasBegun() || placement.Failure == nil || placement.Failure.Code != resultcode.FleetFull || time.Now().After(end) {
 			return placement, dispatched
 		}
@@ -94,7 +97,7 @@
 		s.streams.unknown.Add(1)
 		failure := resultcode.Fail(resultcode.StreamUnknown, "%d daemons asked, %d did not answer", f.Asked, f.Silent)
 		if f.Status != origin.Recorded {
-			failure.RetryAfter = undecidedRetryDelay // its record may still be on its way
+			failure.RetryAfter = unknownRetryDelay // its record may still be on its way
 		}
 		return failure
 	}
@@ -185,7 +188,8 @@
 	// asked counts requests, begun those of which at least one event has arrived.
 	asked, begun                          atomic.Int64
 	resumeAsked, resumed, resumedByRecord atomic.Int64
-	// unknown counts those whose origin is not known, gone those whose version has no target.
+	// unknown counts those whose origin is not known, gone those whose service or version has no
+	// target left.
 	unknown, gone atomic.Int64
 }
 
--- a/internal/origin/core.go
+++ b/internal/origin/core.go
@@ -28,8 +28,8 @@
 	// updateInterval is how often a Core checks whether what it knows without records is still
 	// reliable.
 	updateInterval = time.Second
-	// maxQuestions bounds the searches in progress.
-	maxQuestions = 1 << 10
+	// maxSearches bounds the searches in progress.
+	maxSearches = 1 << 10
 )
 
 // Record tells a keeper the origin of a stream.
--- a/internal/origin/search.go
+++ b/internal/origin/search.go
@@ -31,7 +31,7 @@
 		c.emitFound(request, Finding{Status: Recorded, Origin: r.origin.Value()})
 		return
 	}
-	if len(c.searches) >= maxQuestions {
+	if len(c.searches) >= maxSearches {
 		c.emitFound(request, Finding{Silent: 1})
 		return
 	}
--- a/internal/origin/sim_test.go
+++ b/internal/origin/sim_test.go
@@ -31,11 +31,10 @@
 	attempt string
 	zone    ident.Zone
 	origin  origin.Origin
-	// returnsAt is when its caller takes it up again, last when that happened at the latest.
+	// returnsAt is when its caller takes it up again.
 	returnsAt time.Time
-	// beganUnsent reports that the daemon that began it was killed before its first batch.
+	// request is the search in progress at daemon; empty if there is none.
 	request ident.Request
-	askedAt time.Time
 	daemon  ident.Daemon
 }
 
@@ -261,7 +260,7 @@
 		if d == nil {
 			continue
 		}
-		s.request, s.askedAt, s.daemon = ident.Request(fmt.Sprintf("%s-%d-%d", s.attempt, f.now.UnixNano(), i)), f.now, d.id
+		s.request, s.daemon = ident.Request(fmt.Sprintf("%s-%d-%d", s.attempt, f.now.UnixNano(), i)), d.id
 		d.core.Find(f.now, s.request, origin.NewKey("w", s.attempt), "r")
 		f.takeEffects(d)
 	}
@@ -270,7 +269,7 @@
 	})
 }
 
-// run lets the fleet run for a while with random disruptions, of which kills are optional.
+// run lets the fleet run for a while with random disruptions.
 func (f *simFleet) run(d time.Duration, disrupt func()) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		if f.rng.IntN(150) == 0 {
