--- a/internal/origin/core.go
+++ b/internal/origin/core.go
@@ -285,10 +285,8 @@
 	if len(c.unsent) > 0 && !now.Before(c.nextBatch) {
 		c.sendBatch()
 	}
-	for _, n := range slices.Sorted(maps.Keys(c.searches)) {
-		if s := c.searches[n]; !now.Before(s.deadline) {
-			c.giveUpRound(now, s)
-		}
+	if len(c.searches) > 0 {
+		c.giveUpRounds(now)
 	}
 }
 
@@ -308,6 +306,9 @@
 
 // TakeEffects returns the effects since the last call and clears them.
 func (c *Core) TakeEffects() []Effect {
+	if len(c.outbox)+len(c.effects) == 0 {
+		return nil
+	}
 	for _, id := range slices.Sorted(maps.Keys(c.outbox)) {
 		c.effects = append(c.effects, Send{To: id, Message: *c.outbox[id]})
 	}
--- a/internal/origin/search.go
+++ b/internal/origin/search.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
@@ -92,6 +94,15 @@
 	}
 }
 
+// giveUpRounds ends the wait for answers that are overdue.
+func (c *Core) giveUpRounds(now time.Time) {
+	for _, n := range slices.Sorted(maps.Keys(c.searches)) {
+		if s := c.searches[n]; !now.Before(s.deadline) {
+			c.giveUpRound(now, s)
+		}
+	}
+}
+
 // giveUpRound ends the wait for the answers of a round.
 func (c *Core) giveUpRound(now time.Time, s *search) {
 	s.silent += len(s.pending)
