--- a/internal/origin/core_test.go
+++ b/internal/origin/core_test.go
@@ -35,6 +35,7 @@
 	}
 	n.updateMembers()
 	n.observe("v1")
+	n.pass(2 * time.Second) // until nothing needs a record
 	return n
 }
 
@@ -137,6 +138,27 @@
 	is.Equal(f.Origin, firstV1)
 }
 
+// Guards against streams that cannot go on although only planned stops followed the end of the daemon
+// that began them.
+func TestPlannedStopHandsOnRecordsOfOthers(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 1)
+	n.observe("v1", "v2")
+	n.cores["z0-0"].Began(n.now, key, firstV1)
+	n.pass(time.Second)
+	n.end("z0-0")
+	n.cores["z3-0"] = origin.New(origin.Config{Self: "z3-0", Zone: "z3", MaxViewAge: simViewAge}, n.now)
+	n.zones["z3-0"] = "z3"
+	n.updateMembers()
+	for _, id := range []ident.Daemon{"z1-0", "z2-0"} {
+		n.cores[id].Leave(n.now)
+		n.pass(time.Second)
+		n.end(id)
+	}
+	n.observe("v1", "v2")
+	is.Equal(n.find("z3-0", key).Status, origin.Recorded)
+}
+
 // Guards against records that are lost although the daemons that hold them are killed one after the
 // other, with time between.
 func TestRecordsMoveToNewKeepers(t *testing.T) {
