Origins: changes of the members are gathered before records move

A fleet of hundreds that starts has hundreds of changes in its first second. Change: the keepers are built when they are next needed, and records that have to move are sent a quarter of a second after the first change.

--- a/internal/origin/core.go
+++ b/internal/origin/core.go
@@ -28,6 +28,9 @@
 	// updateInterval is how often a Core checks whether what it knows without records is still
 	// reliable.
 	updateInterval = time.Second
+	// memberChangeDelay is how long changes of the members are gathered: a fleet that starts has
+	// hundreds of them.
+	memberChangeDelay = 250 * time.Millisecond
 	// maxSearches bounds the searches in progress.
 	maxSearches = 1 << 10
 )
@@ -91,8 +94,11 @@
 	history     *History
 	confirmedAt time.Time
 	records     *records
-	directory   *directory
-	leaving     bool
+	// members are the live daemons; directory is nil until it is needed after they have changed.
+	members        []Member
+	directory      *directory
+	membersChanged bool
+	leaving        bool
 	// view is what new streams can begin at. ambiguous holds the services of routes whose streams
 	// may have several origins, or of which that is not known.
 	view      View
@@ -113,7 +119,7 @@
 // New returns a Core that knows nothing yet.
 func New(cfg Config, now time.Time) *Core {
 	return &Core{
-		cfg: cfg, history: NewHistory(now), records: newRecords(now), directory: newDirectory(cfg.Self, cfg.Zone, nil),
+		cfg: cfg, history: NewHistory(now), records: newRecords(now),
 		ambiguous: map[ident.Service]bool{}, unsent: map[Key]struct{}{}, unreachable: map[ident.Daemon]bool{}, searches: map[uint64]*search{}, outbox: map[ident.Daemon]*Message{},
 	}
 }
@@ -167,17 +173,28 @@
 // SetMembers replaces the list of other live daemons, without those that are about to leave. A
 // record whose keepers change is sent to the new ones.
 func (c *Core) SetMembers(now time.Time, others []Member) {
-	c.directory = newDirectory(c.cfg.Self, c.cfg.Zone, append(slices.Clone(others), Member{c.cfg.Self, c.cfg.Zone}))
+	c.members = append(slices.Clone(others), Member{c.cfg.Self, c.cfg.Zone})
+	c.directory, c.membersChanged = nil, true
+	if due := now.Add(memberChangeDelay); due.Before(c.nextUpdate) {
+		c.nextUpdate = due
+	}
 	maps.DeleteFunc(c.unreachable, func(id ident.Daemon, _ bool) bool {
 		return !slices.ContainsFunc(others, func(m Member) bool { return m.ID == id })
 	})
-	c.sendMissing(now)
+}
+
+// keepers returns the directory of the present members.
+func (c *Core) keepers() *directory {
+	if c.directory == nil {
+		c.directory = newDirectory(c.cfg.Self, c.cfg.Zone, c.members)
+	}
+	return c.directory
 }
 
 // sendMissing sends the records of own streams that their keepers do not have yet.
 func (c *Core) sendMissing(now time.Time) {
 	c.records.each(func(key Key, r record) {
-		if r.own && c.mustSend(r.origin.Value().Service) && !slices.Equal(r.keepers, c.directory.keepersOf(key)) {
+		if r.own && c.mustSend(r.origin.Value().Service) && !slices.Equal(r.keepers, c.keepers().keepersOf(key)) {
 			c.queue(now, key)
 		}
 	})
@@ -235,8 +252,18 @@
 	c.unsent[key] = struct{}{}
 }
 
+// update checks what has changed since the last time.
+func (c *Core) update(now time.Time) {
+	c.nextUpdate = now.Add(updateInterval)
+	c.updateAmbiguous(now)
+	if c.membersChanged {
+		c.membersChanged = false
+		c.sendMissing(now)
+	}
+}
+
 func (c *Core) batchInterval() time.Duration {
-	if len(c.directory.zones[c.cfg.Zone]) > 1 {
+	if len(c.keepers().zones[c.cfg.Zone]) > 1 {
 		return largeBatchInterval
 	}
 	return batchInterval
@@ -249,7 +276,7 @@
 		if !known {
 			continue
 		}
-		keepers := c.directory.keepersOf(key)
+		keepers := c.keepers().keepersOf(key)
 		for _, id := range keepers {
 			m := c.messageTo(id)
 			m.Records = append(m.Records, Record{key, r.origin.Value()})
@@ -279,8 +306,7 @@
 		c.records.rotate(now, c.history.lifetime)
 	}
 	if !now.Before(c.nextUpdate) {
-		c.nextUpdate = now.Add(updateInterval)
-		c.updateAmbiguous(now)
+		c.update(now)
 	}
 	if len(c.unsent) > 0 && !now.Before(c.nextBatch) {
 		c.sendBatch()
--- a/internal/origin/search.go
+++ b/internal/origin/search.go
@@ -41,7 +41,7 @@
 	s := &search{id: c.lastSearch, request: request, key: key, route: route, pending: map[ident.Daemon]bool{}, soles: map[Origin]bool{}}
 	c.searches[s.id] = s
 	s.add(c.sharedKnowledge(now, route))
-	near, far := c.directory.candidates(key)
+	near, far := c.keepers().candidates(key)
 	s.far = far
 	c.ask(now, s, near)
 	c.proceed(now, s)
