A daemon that has restarted does not rely on what it sees alone

Cause, suspected: the lines of that daemon are gone. A daemon that restarts took a missing row of the versions in use for 'none before', although the fleet writes it three seconds after its start at the earliest and a restore takes it away; with the one version that it saw this made a sole origin, and before its links were up nobody was asked. Ruled out: the search itself (simulations, eleven mutants); a view that is not confirmed. Change: a missing row tells nothing unless the store held no row of a daemon at the start; a daemon that has not run for a stream's lifetime, and found others registered, needs one of them to agree. The first confirmation of a view is no interruption. Test: TestRestartedDaemonDoesNotTrustWhatItSeesAlone: each of its two refusals was a continuation before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,9 @@
 	Daemon      ident.Daemon
 	Zone        ident.Zone
 	Incarnation uint64
+	// firstStart reports that the store held no row of a daemon at the start, peersExpected that it
+	// held those of others or could not be read.
+	firstStart, peersExpected bool
 }
 
 func newIdentity(s settings.Settings) identity {
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -74,7 +74,9 @@
 func newRoutedLoop(id identity, s settings.Settings, b *routedBridge) *control.BookingLoop {
 	core := booking.New(booking.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone},
 		rand.New(rand.NewPCG(id.Incarnation, rand.Uint64())))
-	origins := origin.New(origin.Config{Self: id.Daemon, Zone: id.Zone, MaxViewAge: s.Routing.InTouch}, time.Now())
+	origins := origin.New(origin.Config{
+		Self: id.Daemon, Zone: id.Zone, MaxViewAge: s.Routing.InTouch, FirstStart: id.firstStart, PeersExpected: id.peersExpected,
+	}, time.Now())
 	b.loop = control.NewBookingLoop(control.Config{}, core, origins, b)
 	return b.loop
 }
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -146,9 +146,12 @@
 	rows, _, err := calls.ReadTable(ctx, platform.TableDaemons)
 	if err != nil {
 		event.FeedUnreachable.Log(log, "table", platform.TableDaemons, "error", err)
+		id.peersExpected = true
 		return id
 	}
+	id.firstStart = len(rows) == 0
 	for _, row := range rows {
+		id.peersExpected = id.peersExpected || row.Key != string(id.Daemon)
 		var previous daemonRow
 		if row.Key == string(id.Daemon) && json.Unmarshal(row.Value, &previous) == nil {
 			id.Incarnation = max(id.Incarnation, previous.Incarnation+1)
--- a/internal/origin/core.go
+++ b/internal/origin/core.go
@@ -15,6 +15,10 @@
 	// MaxViewAge is how long ago the store must have confirmed the view for it to count as
 	// complete: a daemon that cannot follow the store may not know the newest version.
 	MaxViewAge time.Duration
+	// FirstStart reports that no daemon of the fleet has run before, PeersExpected that others
+	// were registered when this one started: until it has run for the lifetime of a stream, it
+	// relies on what it sees only if one of them agrees.
+	FirstStart, PeersExpected bool
 }
 
 const (
@@ -90,10 +94,11 @@
 // Core is what one daemon knows of the origins of streams. It is not safe for concurrent use: the
 // daemon's control goroutine owns it.
 type Core struct {
-	cfg         Config
-	history     *History
-	confirmedAt time.Time
-	records     *records
+	cfg     Config
+	history *History
+	// startedAt is when the daemon started, confirmedAt when the store last confirmed the view.
+	startedAt, confirmedAt time.Time
+	records                *records
 	// members are the live daemons; directory is nil until it is needed after they have changed.
 	members        []Member
 	directory      *directory
@@ -119,7 +124,7 @@
 // New returns a Core that knows nothing yet.
 func New(cfg Config, now time.Time) *Core {
 	return &Core{
-		cfg: cfg, history: NewHistory(now), records: newRecords(now),
+		cfg: cfg, startedAt: now, history: NewHistory(now, cfg.FirstStart), records: newRecords(now),
 		ambiguous: map[ident.Service]bool{}, unsent: map[Key]struct{}{}, unreachable: map[ident.Daemon]bool{}, searches: map[uint64]*search{}, outbox: map[ident.Daemon]*Message{},
 	}
 }
@@ -151,7 +156,7 @@
 // Confirm records that the store has just confirmed the view. If it had not for long, versions
 // may have come and gone unseen.
 func (c *Core) Confirm(now time.Time) {
-	if !c.isConfirmed(now) {
+	if !c.confirmedAt.IsZero() && !c.isConfirmed(now) {
 		c.history.Interrupt(now)
 	}
 	c.confirmedAt = now
--- a/internal/origin/core_test.go
+++ b/internal/origin/core_test.go
@@ -29,8 +29,7 @@
 		for i := range perZone {
 			id := ident.Daemon(fmt.Sprintf("z%d-%d", z, i))
 			n.zones[id] = ident.Zone(fmt.Sprintf("z%d", z))
-			n.cores[id] = origin.New(origin.Config{Self: id, Zone: n.zones[id], MaxViewAge: simViewAge}, n.now)
-			n.cores[id].Recall(n.now, nil)
+			n.cores[id] = origin.New(origin.Config{Self: id, Zone: n.zones[id], MaxViewAge: simViewAge, FirstStart: true}, n.now)
 		}
 	}
 	n.updateMembers()
@@ -123,6 +122,36 @@
 	is.Equal(n.find("z0-0", key).Known(), false)
 }
 
+// Guards against a daemon that has restarted and takes the only version that it sees for the only one
+// there was: before its links are up, or when no row tells what was in use.
+func TestRestartedDaemonDoesNotTrustWhatItSeesAlone(t *testing.T) {
+	is := is.New(t)
+	restarted := func(past map[ident.Service][]ident.Version, others ...origin.Member) origin.Finding {
+		c := origin.New(origin.Config{Self: "z0-0", Zone: "z0", MaxViewAge: simViewAge, PeersExpected: true}, start)
+		c.Recall(start, past)
+		c.Observe(start, view("v1"))
+		c.Confirm(start)
+		c.SetMembers(start, others)
+		c.Find(start, "r", key, "r")
+		for _, e := range c.TakeEffects() {
+			if send, ok := e.(origin.Send); ok {
+				c.Receive(start, send.To, origin.Message{Answers: []origin.Answer{{ID: send.Message.Questions[0].ID, Status: origin.Sole, Origin: firstV1}}})
+			}
+		}
+		for _, e := range c.TakeEffects() {
+			if found, ok := e.(origin.Found); ok {
+				return found.Finding
+			}
+		}
+		return origin.Finding{}
+	}
+	known := map[ident.Service][]ident.Version{"pool": {"v1"}}
+	is.Equal(restarted(known).Known(), false)
+	is.Equal(restarted(nil).Known(), false)
+	is.Equal(restarted(known, origin.Member{ID: "z0-1", Zone: "z0"}).Status, origin.Sole)
+	is.Equal(restarted(nil, origin.Member{ID: "z0-1", Zone: "z0"}).Status, origin.Sole) // the other one knows
+}
+
 // Guards against streams that cannot go on after a planned stop: their records were not sent while
 // there was only one version, and a second one comes after the stop.
 func TestPlannedStopHandsOnRecords(t *testing.T) {
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -24,15 +24,20 @@
 	// completeSince is from when on nothing can have been in use unseen; recalledAt is when the
 	// fleet's own record of that was last read, zero if never.
 	completeSince, recalledAt time.Time
-	lifetime                  time.Duration
+	// recalled holds the services of which it is known what was in use before completeSince.
+	// nothingBefore reports that no daemon ran before.
+	recalled      map[ident.Service]bool
+	nothingBefore bool
+	lifetime      time.Duration
 	// routes and versions hold when each was last in use; zero means now.
 	routes   map[string]map[ident.Service]time.Time
 	versions map[ident.Service]map[ident.Version]time.Time
 }
 
-// NewHistory returns the history of a daemon that starts now.
-func NewHistory(now time.Time) *History {
-	return &History{completeSince: now, routes: map[string]map[ident.Service]time.Time{}, versions: map[ident.Service]map[ident.Version]time.Time{}}
+// NewHistory returns the history of a daemon that starts now. NothingBefore reports that no daemon
+// of the fleet has run before.
+func NewHistory(now time.Time, nothingBefore bool) *History {
+	return &History{completeSince: now, nothingBefore: nothingBefore, recalled: map[ident.Service]bool{}, routes: map[string]map[ident.Service]time.Time{}, versions: map[ident.Service]map[ident.Version]time.Time{}}
 }
 
 // Observe replaces the view. The lifetime never decreases: streams that began under a longer one
@@ -89,23 +94,26 @@
 // read anew after the same interruption are not read at the same moment.
 const recallValidity = 5 * time.Second
 
-// Recall adds the versions that the fleet has had in use, as read from the store. The history is
-// complete with them.
+// Recall adds the versions that the fleet has had in use, as read from the store. The history of
+// these services is complete with them. Of others nothing is known: a fleet that has just started
+// may not have written what it used.
 func (h *History) Recall(now time.Time, past map[ident.Service][]ident.Version) {
 	for service, versions := range past {
+		h.recalled[service] = true
 		for _, v := range versions {
 			if _, known := h.versions[service][v]; !known {
 				mark(h.versions, service, []ident.Version{v}, now)
 			}
 		}
 	}
-	h.recalledAt, h.completeSince = now, time.Time{}
+	h.recalledAt = now
 }
 
 // Interrupt records that versions may have come and gone unseen.
 func (h *History) Interrupt(now time.Time) {
 	if h.recalledAt.IsZero() || now.Sub(h.recalledAt) > recallValidity {
-		h.completeSince = now
+		h.completeSince, h.nothingBefore = now, false
+		clear(h.recalled)
 	}
 }
 
@@ -125,11 +133,13 @@
 func (h *History) Of(now time.Time, route string) (Status, Origin) {
 	since := now.Add(-h.lifetime)
 	var sole Origin
-	n := 0
+	n, complete := 0, h.nothingBefore || now.Sub(h.completeSince) >= h.lifetime
+	recalled := true
 	for service, usedAt := range h.routes[route] {
 		if !usedSince(usedAt, since) {
 			continue
 		}
+		recalled = recalled && h.recalled[service]
 		for version, seenAt := range h.versions[service] {
 			if usedSince(seenAt, since) {
 				sole = Origin{service, version}
@@ -140,7 +150,7 @@
 	switch {
 	case n > 1:
 		return Several, Origin{}
-	case n == 0 || sole.Version == "" || now.Sub(h.completeSince) < h.lifetime:
+	case n == 0 || sole.Version == "" || !complete && !recalled:
 		return Unsure, Origin{}
 	}
 	return Sole, sole
--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -26,8 +26,7 @@
 // serves now, although another one served when it began.
 func TestHistoryRemembersVersionsThatStreamsMayHaveBegunAt(t *testing.T) {
 	is := is.New(t)
-	h := origin.NewHistory(start)
-	h.Recall(start, nil)
+	h := origin.NewHistory(start, true)
 	h.Observe(start, view("v1"))
 	status, o := h.Of(start, "r")
 	is.Equal(status, origin.Sole)
@@ -45,8 +44,7 @@
 // Guards against the same for a route that was moved to another service.
 func TestHistoryRemembersServicesOfRoute(t *testing.T) {
 	is := is.New(t)
-	h := origin.NewHistory(start)
-	h.Recall(start, nil)
+	h := origin.NewHistory(start, true)
 	both := map[ident.Service][]ident.Version{"old": {"v1"}, "new": {"v1"}}
 	h.Observe(start, origin.View{Routes: map[string][]ident.Service{"r": {"old"}}, Versions: both, Lifetime: lifetime})
 	h.Observe(start.Add(time.Minute), origin.View{Routes: map[string][]ident.Service{"r": {"new"}}, Versions: both, Lifetime: lifetime})
@@ -60,13 +58,14 @@
 // while, or whose targets state no version.
 func TestHistoryIsUnsureOfWhatItDidNotSee(t *testing.T) {
 	is := is.New(t)
-	h := origin.NewHistory(start)
+	h := origin.NewHistory(start, false)
 	h.Observe(start, view("v2"))
 	status, _ := h.Of(start.Add(lifetime-time.Second), "r")
 	is.Equal(status, origin.Unsure)
 	status, _ = h.Of(start.Add(lifetime), "r")
 	is.Equal(status, origin.Sole)
 
+	h.Recall(start, nil) // a row that was not written yet tells nothing
 	h.Interrupt(start.Add(time.Minute))
 	status, _ = h.Of(start.Add(time.Minute), "r")
 	is.Equal(status, origin.Unsure)
@@ -88,8 +87,7 @@
 // had begun.
 func TestLifetimeNeverDecreases(t *testing.T) {
 	is := is.New(t)
-	h := origin.NewHistory(start)
-	h.Recall(start, nil)
+	h := origin.NewHistory(start, true)
 	h.Observe(start, view("v1"))
 	shorter := view("v2")
 	shorter.Lifetime = time.Second
--- a/internal/origin/search.go
+++ b/internal/origin/search.go
@@ -22,9 +22,11 @@
 	far      []ident.Daemon
 	deadline time.Time
 	// several and soles collect what is known without a record of the stream.
-	several       bool
-	soles         map[Origin]bool
-	asked, silent int
+	several bool
+	// needsPeer reports that another daemon has to agree, agreed that one does.
+	needsPeer, agreed bool
+	soles             map[Origin]bool
+	asked, silent     int
 }
 
 // Find begins the search for the origin of a stream that a caller takes up; Found follows.
@@ -39,6 +41,7 @@
 	}
 	c.lastSearch++
 	s := &search{id: c.lastSearch, request: request, key: key, route: route, pending: map[ident.Daemon]bool{}, soles: map[Origin]bool{}}
+	s.needsPeer = c.cfg.PeersExpected && now.Sub(c.startedAt) < c.history.lifetime
 	c.searches[s.id] = s
 	s.add(c.sharedKnowledge(now, route))
 	near, far := c.keepers().candidates(key)
@@ -111,7 +114,9 @@
 }
 
 // settled reports whether the origin is known without a record of the stream.
-func (s *search) settled() bool { return !s.several && len(s.soles) == 1 }
+func (s *search) settled() bool {
+	return !s.several && len(s.soles) == 1 && (s.agreed || !s.needsPeer)
+}
 
 func (s *search) conclusion() Finding {
 	f := Finding{Asked: s.asked, Silent: s.silent}
@@ -155,6 +160,7 @@
 		return
 	}
 	s.add(a.Status, a.Origin)
+	s.agreed = s.agreed || a.Status == Sole
 	delete(s.pending, from)
 	c.proceed(now, s)
 }
--- a/internal/origin/sim_test.go
+++ b/internal/origin/sim_test.go
@@ -75,7 +75,7 @@
 
 func (f *simFleet) startDaemon(id ident.Daemon) {
 	zone := f.names[id]
-	f.daemons[id] = &simDaemon{id: id, zone: zone, core: origin.New(origin.Config{Self: id, Zone: zone, MaxViewAge: simViewAge}, f.now)}
+	f.daemons[id] = &simDaemon{id: id, zone: zone, core: origin.New(origin.Config{Self: id, Zone: zone, MaxViewAge: simViewAge, FirstStart: f.now.Equal(start), PeersExpected: f.now.After(start)}, f.now)}
 	f.updateMembers()
 	for _, other := range f.sortedNames() {
 		if d := f.daemons[other]; d != nil && other != id && f.connected(zone, d.zone) {
