Tests: the test of a restarted daemon sees the ends of its searches

Ruled out: a fault of the code. Change: one loop takes all effects. Conclusion: product code unchanged.

--- a/internal/origin/core_test.go
+++ b/internal/origin/core_test.go
@@ -133,17 +133,18 @@
 		c.Confirm(start)
 		c.SetMembers(start, others)
 		c.Find(start, "r", key, "r")
-		for _, e := range c.TakeEffects() {
-			if send, ok := e.(origin.Send); ok {
-				c.Receive(start, send.To, origin.Message{Answers: []origin.Answer{{ID: send.Message.Questions[0].ID, Status: origin.Sole, Origin: firstV1}}})
-			}
-		}
-		for _, e := range c.TakeEffects() {
-			if found, ok := e.(origin.Found); ok {
-				return found.Finding
+		for {
+			effects := c.TakeEffects()
+			is.True(len(effects) > 0)
+			for _, e := range effects {
+				switch e := e.(type) {
+				case origin.Found:
+					return e.Finding
+				case origin.Send:
+					c.Receive(start, e.To, origin.Message{Answers: []origin.Answer{{ID: e.Message.Questions[0].ID, Status: origin.Sole, Origin: firstV1}}})
+				}
 			}
 		}
-		return origin.Finding{}
 	}
 	known := map[ident.Service][]ident.Version{"pool": {"v1"}}
 	is.Equal(restarted(known).Known(), false)
