Readers of the store: one bound for how old the store's word may be, whoever passes it on

Cause: each bound was one hop's and one reader's. A daemon gave its reader 1.4 s, an election in that time interrupted the call and began another 1.4 s at the next reader, and a reader's answer counted as the store's word of that moment, though its own call to the store may have failed for 1.5 s already or been read late. Class: bounds per hop that add up, an age that begins anew at each hop. Change: an answer carries how long ago the store confirmed it (FollowReply.age_ms; an older daemon sends none, as before). A daemon shortens its wait at a reader such that the confirmation gets no older than two seconds, counts an answer by when the store can have given it, and asks the store itself beyond.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -37,6 +38,7 @@
 	answer := platform.FeedAnswer{
 		Revision: platform.NewRevision(reply.GetEra(), reply.GetRevision()),
 		Rows:     make([]platform.FeedRow, 0, len(reply.GetRows())),
+		Age:      time.Duration(reply.GetAgeMs()) * time.Millisecond,
 	}
 	for _, row := range reply.GetRows() {
 		answer.Rows = append(answer.Rows, platform.FeedRow{
@@ -60,7 +62,7 @@
 	case err != nil:
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	reply := &fleetv1.FollowReply{Revision: answer.Revision.Number(), Era: answer.Revision.Era()}
+	reply := &fleetv1.FollowReply{Revision: answer.Revision.Number(), Era: answer.Revision.Era(), AgeMs: encodeAge(answer.Age)}
 	for _, row := range answer.Rows {
 		reply.Rows = append(reply.Rows, &fleetv1.Row{
 			Key: row.Key, Value: row.Value, Revision: row.Revision.Number(), Deleted: row.Deleted,
@@ -68,3 +70,8 @@
 	}
 	return reply, nil
 }
+
+// encodeAge returns an age in milliseconds, rounded up.
+func encodeAge(age time.Duration) uint32 {
+	return uint32(min(math.MaxUint32, max(0, (age+time.Millisecond-1)/time.Millisecond)))
+}
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -243,7 +243,7 @@
 	is := is.New(t)
 	a, ra := startNode(t, fleet.Config{Self: "a"})
 	b, rb := startNode(t, fleet.Config{Self: "b"})
-	want := platform.FeedAnswer{Revision: platform.NewRevision(2, 9), Rows: []platform.FeedRow{
+	want := platform.FeedAnswer{Revision: platform.NewRevision(2, 9), Age: 700 * time.Millisecond, Rows: []platform.FeedRow{
 		{Key: "k", Value: []byte("v"), Revision: platform.NewRevision(2, 7)}, {Key: "gone", Revision: platform.NewRevision(2, 9), Deleted: true},
 	}}
 	rb.onFollow = func(q platform.FeedQuery) (platform.FeedAnswer, error) {
@@ -257,6 +257,7 @@
 	got, err := a.Follow(t.Context(), "b", platform.FeedQuery{Table: "t", After: platform.NewRevision(1, 5), Wait: time.Second})
 	is.NoErr(err)
 	is.Equal(got.Revision, want.Revision)
+	is.Equal(got.Age, want.Age)
 	is.Equal(len(got.Rows), 2)
 	is.Equal(string(got.Rows[0].Value), "v")
 	is.Equal(got.Rows[0].Revision, want.Rows[0].Revision)
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -55,6 +55,9 @@
 	// Revision is the revision of the store up to which the answer is complete. The
 	// revisions of the rows are of its era.
 	Revision Revision
+	// Age is how long ago the store confirmed to the daemon that answers that it knew all changes
+	// of the table whose calls show that the store is reachable.
+	Age time.Duration
 }
 
 // RowWriter writes single rows, each of which only one daemon writes.
--- /dev/null
+++ b/internal/relay/confirmation.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/savorystall/savorystall/internal/platform"
+)
+
+const (
+	// maxConfirmationAge is how long ago the store may have confirmed what a reader answers.
+	// It covers the waits of a reader's and of a follower's call one after the other.
+	maxConfirmationAge = 2 * time.Second
+	// minReaderWait is the shortest wait of a heartbeat call to a reader. Without it a reader
+	// whose confirmation is almost too old would be asked over and over again.
+	minReaderWait = 200 * time.Millisecond
+)
+
+// ConfirmedAt returns the time up to which this daemon knows all changes of the heartbeat table;
+// zero if the store has confirmed none yet.
+func (f *Feed) ConfirmedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmedAt
+}
+
+// confirm records that all changes of a table up to a time are known.
+func (f *Feed) confirm(table string, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if table == f.cfg.HeartbeatTable && at.After(f.confirmedAt) {
+		f.confirmedAt = at
+	}
+}
+
+// storeAnsweredAt returns when a call to the store that waits for changes was answered at the
+// earliest. A daemon that is short of processor time reads an answer much later than it arrived: a
+// call without a change was answered when its wait had passed, one with a change at any time since
+// it began.
+func storeAnsweredAt(now, started time.Time, wait time.Duration, rows []platform.FeedRow) time.Time {
+	if len(rows) > 0 {
+		return started
+	}
+	return earlier(now, started.Add(wait))
+}
+
+// readerConfirmedAt returns when the store confirmed the answer of a reader, at the earliest.
+func readerConfirmedAt(now, started time.Time, wait time.Duration, answer platform.FeedAnswer) time.Time {
+	if len(answer.Rows) == 0 {
+		now = earlier(now, started.Add(wait))
+	}
+	return now.Add(-answer.Age)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// isOutdated reports whether an answer that the store confirmed at the given time is too old to
+// rely on, and no better than what this daemon knows.
+func (f *Feed) isOutdated(table string, confirmedAt time.Time) bool {
+	return table == f.cfg.HeartbeatTable && time.Since(confirmedAt) > maxConfirmationAge && !f.hasProbed(time.Now())
+}
+
+// limitReaderWait shortens the wait of a heartbeat call to a reader such that the store's
+// confirmation does not become older than maxConfirmationAge. Each election begins a new call, and
+// without the limit readers that fail one after the other would each take the whole time. It is
+// not limited during an outage of the store, of which the reader detects the end.
+func (f *Feed) limitReaderWait(now time.Time, wait time.Duration) (limited, timeout time.Duration) {
+	if !f.hasProbed(now) {
+		left := maxConfirmationAge - now.Sub(f.ConfirmedAt())
+		wait = min(wait, max(minReaderWait, left-readerTimeoutMargin))
+	}
+	return wait, wait + readerTimeoutMargin
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,9 +11,10 @@
 // the calls that they would otherwise make to the store. Revisions are those of the store,
 // so either can answer the next call. A reader answers only while its own calls to the store
 // succeed. A follower whose reader does not respond, refuses or is behind calls the store
-// itself at once, so that a daemon that can reach the store never depends on another daemon
-// for longer than followerHeartbeatWait plus readerTimeoutMargin. That is less than two
-// seconds, of the two to three within which a configuration has to take effect.
+// itself at once. Each answer carries how long ago the store confirmed it, so that a daemon that
+// can reach the store never depends on others for longer than maxConfirmationAge plus
+// minReaderWait and readerTimeoutMargin, however many readers it is given one after the other. That is less than
+// the three seconds within which a configuration has to take effect in a zone with a reader.
 package relay
 
 import (
@@ -85,6 +86,9 @@
 	// storeAnswered is not nil from a failure of the reader until the store has answered a
 	// heartbeat call of this daemon, or the reader has answered again, and is then closed.
 	storeAnswered chan struct{}
+	// confirmedAt is when the store, as far as this daemon knows by its own calls or those of its
+	// readers, last held nothing newer in the heartbeat table than this daemon.
+	confirmedAt time.Time
 	// nextProbe is when this daemon may call the store next, after both its reader and the
 	// store have failed.
 	nextProbe time.Time
@@ -156,11 +160,13 @@
 	if err := f.awaitStore(ctx, table); err != nil {
 		return nil, platform.Revision{}, err
 	}
+	started := time.Now()
 	rows, revision, err := f.cfg.Store.ReadTable(ctx, table)
 	if err != nil {
 		f.recordStoreFailure(table)
 		return nil, platform.Revision{}, err
 	}
+	f.confirm(table, started)
 	f.cache.replaceTable(table, rows, revision, true)
 	f.recordStoreSuccess(table, revision)
 	return rows, revision, nil
@@ -169,6 +175,7 @@
 // readFromReader reads a table from the reader: only what has changed if this daemon knows the
 // table already.
 func (f *Feed) readFromReader(ctx context.Context, reader ident.Daemon, table string) ([]platform.FeedRow, platform.Revision, error) {
+	started := time.Now()
 	q := platform.FeedQuery{Table: table, FullTable: true}
 	if after, known := f.cache.revision(table); known {
 		q = platform.FeedQuery{Table: table, After: after}
@@ -184,6 +191,7 @@
 	if err != nil {
 		return nil, platform.Revision{}, err
 	}
+	f.confirm(table, started.Add(-answer.Age))
 	f.recordReaderSuccess(table, answer.Revision)
 	if q.FullTable {
 		f.cache.replaceTable(table, answer.Rows, answer.Revision, false)
@@ -213,6 +221,7 @@
 		callCtx, cancel = turn.WithTimeout(callCtx, wait+storeTimeoutMargin)
 		defer cancel()
 	}
+	started := time.Now()
 	rows, revision, err := f.cfg.Store.Changes(callCtx, table, after, wait)
 	switch {
 	case err != nil && errors.Is(context.Cause(callCtx), errSourceChanged) && ctx.Err() == nil:
@@ -225,6 +234,7 @@
 		f.recordStoreFailure(table)
 		return nil, platform.Revision{}, err
 	}
+	f.confirm(table, storeAnsweredAt(time.Now(), started, wait, rows))
 	f.cache.applyChanges(table, rows, revision, true)
 	f.recordStoreSuccess(table, revision)
 	return rows, revision, nil
@@ -245,15 +255,19 @@
 // changesFromReader queries the reader. If the reader fails, it returns no changes, and the
 // next call goes to the store.
 func (f *Feed) changesFromReader(callCtx, ctx context.Context, reader ident.Daemon, q platform.FeedQuery) ([]platform.FeedRow, platform.Revision, error) {
+	timeout := q.Wait + readerTimeoutMargin
 	if q.Table == f.cfg.HeartbeatTable {
-		q.Wait = min(q.Wait, followerHeartbeatWait)
+		q.Wait, timeout = f.limitReaderWait(time.Now(), min(q.Wait, followerHeartbeatWait))
 	}
-	answer, err := f.queryNewReader(callCtx, reader, q)
-	if err == nil && answer.Revision.OlderEra(q.After) {
+	started := time.Now()
+	answer, err := f.queryNewReader(callCtx, reader, q, timeout)
+	confirmedAt := readerConfirmedAt(time.Now(), started, q.Wait, answer)
+	if err == nil && (answer.Revision.OlderEra(q.After) || f.isOutdated(q.Table, confirmedAt)) {
 		err = errReaderStale
 	}
 	switch {
 	case err == nil:
+		f.confirm(q.Table, confirmedAt)
 		f.recordReaderSuccess(q.Table, answer.Revision)
 		f.cache.applyChanges(q.Table, answer.Rows, answer.Revision, false)
 		return answer.Rows, platform.Later(q.After, answer.Revision), nil
@@ -271,9 +285,11 @@
 }
 
 // queryNewReader queries the reader, and a new one again while it is not current.
-func (f *Feed) queryNewReader(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
+func (f *Feed) queryNewReader(ctx context.Context, reader ident.Daemon, q platform.FeedQuery, timeout time.Duration) (platform.FeedAnswer, error) {
+	ctx, cancel := turn.WithTimeout(ctx, timeout)
+	defer cancel()
 	for {
-		answer, err := f.queryReader(ctx, reader, q)
+		answer, err := f.cfg.Peers.Follow(ctx, reader, q)
 		if err == nil || !errors.Is(err, platform.ErrReaderNotCurrent) || !f.isNewReader(time.Now()) || ctx.Err() != nil {
 			return answer, err
 		}
@@ -289,7 +305,9 @@
 
 // ServeQuery answers a follower's query.
 func (f *Feed) ServeQuery(ctx context.Context, q platform.FeedQuery) (platform.FeedAnswer, error) {
-	return f.cache.query(ctx, q)
+	answer, err := f.cache.query(ctx, q)
+	answer.Age = time.Since(f.ConfirmedAt())
+	return answer, err
 }
 
 // errSourceChanged is the cancellation cause of a call that has to be restarted at another
