Routes count as confirmed once they are in force

Cause: a follower reported an answer of the store before it passed the rows on, so that routesStale counted from then, while the daemon still decoded and applied the routes of that answer, on a flooded VM for up to seconds. Ruled out: the decision itself (older routes never replace newer ones). Change: the report follows the rows. Test: TestTableCountsAsCurrentOnceItsRowsAreApplied; before, the first report came with no rows and the second with the older one. Conclusion: the order is right now; how often it mattered was not measured.

--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -115,7 +115,7 @@
 func (s *storeSync) follow(group *store.FeedGroup, table string, wait, coalesceDelay time.Duration, subscriber store.Subscriber) func(context.Context) {
 	cfg := store.FollowerConfig{Feed: s.deps.Relay, Table: table, Wait: wait, CoalesceDelay: coalesceDelay, Group: group, Logger: s.deps.Log}
 	if table == heartbeatTable {
-		cfg.Heartbeat, cfg.OnAnswer = true, func() {
+		cfg.Heartbeat, cfg.OnCurrent = true, func() {
 			s.deps.Load.confirmRoutes()
 			s.deps.Loop.ConfirmOrigins()
 		}
--- a/internal/platform/feed_test.go
+++ b/internal/platform/feed_test.go
@@ -425,3 +425,26 @@
 		}
 	}
 }
+
+// Guards against a table that counts as current while the rows that make it so are still being
+// applied: a daemon short of processor time then refuses what these rows allow.
+func TestTableCountsAsCurrentOnceItsRowsAreApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		feed, subscriber := newFakeFeed(), &recordingSubscriber{}
+		feed.put("k", "read", false)
+		ctx, cancel := context.WithCancel(t.Context())
+		var seen []string
+		f := platform.NewFollower(platform.FollowerConfig{
+			Feed: feed, Table: "t", Heartbeat: true, Logger: slog.New(slog.DiscardHandler),
+			OnCurrent: func() { seen = append(seen, subscriber.String()) },
+		}, subscriber)
+		go f.Run(ctx)
+		time.Sleep(500 * time.Millisecond)
+		feed.put("k", "changed", false)
+		time.Sleep(100 * time.Millisecond)
+		cancel()
+		synctest.Wait()
+		is.Equal(seen, []string{fmt.Sprint(map[string]string{"k": "read"}, false), fmt.Sprint(map[string]string{"k": "changed"}, false)})
+	})
+}
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -34,9 +34,9 @@
 	// than a loaded store takes to answer, and together with Wait shorter than the 3 s
 	// after which a daemon counts as connected to the store again.
 	TimeoutMargin time.Duration
-	// OnAnswer is called for each answer before its rows are passed to the subscriber; it
-	// may be nil.
-	OnAnswer func()
+	// OnCurrent is called for each answer after its rows, if any, have been passed to the
+	// subscriber: what it has is then what the store had. It may be nil.
+	OnCurrent func()
 	Logger   *slog.Logger
 }
 
@@ -182,6 +182,7 @@
 		f.subscriber.Change(rows)
 	}
 	f.revision = Later(f.revision, revision)
+	f.reportCurrent()
 	return len(rows) > 0, nil
 }
 
@@ -207,9 +208,16 @@
 	}
 	f.subscriber.Replace(rows, revision)
 	f.synced, f.everSynced, f.revision = true, true, Later(f.revision, revision)
+	f.reportCurrent()
 	return nil
 }
 
+func (f *Follower) reportCurrent() {
+	if f.cfg.OnCurrent != nil {
+		f.cfg.OnCurrent()
+	}
+}
+
 // notifyRestored reports to the subscriber that the store was restored from a backup.
 func (f *Follower) notifyRestored(first Revision) {
 	notBefore := f.cfg.Group.previousEraEnd()
@@ -241,9 +249,6 @@
 }
 
 func (f *Follower) handleAnswer() {
-	if f.cfg.OnAnswer != nil {
-		f.cfg.OnAnswer()
-	}
 	if f.cfg.Heartbeat {
 		f.cfg.Group.setUnreachable(false)
 	}
