The view of the store is as old as the word of the reader

Cause: a daemon took its reader's answer for the store's word of this moment. The reader's own call may have been answered 0.8 s before, or may hang and fail after 1.5 s. Where it counted: whether an unknown route or key may be refused for good while processor time is short (routesStale, one second), and whether the view of the versions in use is complete (origin, three seconds). Change: both get the time as of which the store has confirmed the routes. Ruled out: that the three seconds become too short: with a reader that answers, the age is 1.8 s at most before the next answer. Test: TestRoutesAreAsOldAsTheWordOfTheReader; before, routes with a word 1.1 s old count as new. Conclusion: one age, end to end.

--- a/internal/control/origins.go
+++ b/internal/control/origins.go
@@ -37,9 +37,9 @@
 	b.post(func(now time.Time) { b.origins.Observe(now, v) })
 }
 
-// ConfirmOrigins reports that the store has just confirmed the view.
-func (b *BookingLoop) ConfirmOrigins() {
-	b.post(func(now time.Time) { b.origins.Confirm(now) })
+// ConfirmOrigins reports that the store has confirmed the view as of the given time.
+func (b *BookingLoop) ConfirmOrigins(at time.Time) {
+	b.post(func(now time.Time) { b.origins.Confirm(now, at) })
 }
 
 // RecallOrigins adds the versions that the fleet has had in use, as read from the store.
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -40,7 +40,7 @@
 	// probeStart is when the current measurement began, in nanoseconds since started, or
 	// zero if none is in progress. lastLatency is the result of the last measurement.
 	probeStart, lastLatency atomic.Int64
-	// routesConfirmedAt is when the store last reported which routes are in force, in
+	// routesConfirmedAt is the time as of which the store last confirmed the routes in force, in
 	// nanoseconds since started; zero if it has not yet.
 	routesConfirmedAt atomic.Int64
 	// balancerLag is how long the balancer takes to notice that the daemon is not ready.
@@ -84,8 +84,10 @@
 // shedScale is the scale of loadMonitor.shedPermille.
 const shedScale = 1000
 
-// confirmRoutes records that the store has just reported which routes are in force.
-func (l *loadMonitor) confirmRoutes() { l.routesConfirmedAt.Store(int64(time.Since(l.started))) }
+// confirmRoutes records that the store has confirmed the routes in force as of the given time.
+func (l *loadMonitor) confirmRoutes(at time.Time) {
+	l.routesConfirmedAt.Store(int64(at.Sub(l.started)))
+}
 
 // maxRoutesAge is how long a daemon without processor time may use its known routes without
 // a confirmation. Including the time until a new version is read, it stays within two
--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -7,13 +7,19 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"golang.org/x/time/rate"
 
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
+	store "github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/settings"
+	"github.com/savorystall/savorystall/internal/telemetry"
 )
 
 // A daemon short of processor time refuses new connections first, and therefore has to
@@ -72,3 +78,39 @@
 	<-monitorDone
 	is.True(took < latency/2)
 }
+
+// agedReader answers queries at the end of their wait with what the store confirmed some time ago.
+type agedReader struct{ age time.Duration }
+
+// Follow implements relay.Peers.
+func (r agedReader) Follow(_ context.Context, _ ident.Daemon, q store.FeedQuery) (store.FeedAnswer, error) {
+	time.Sleep(q.Wait)
+	return store.FeedAnswer{Revision: q.After, Age: r.age}, nil
+}
+
+// Guards against a daemon short of processor time that refuses what newer routes allow, because it
+// takes its reader's word for the store's of this moment.
+func TestRoutesAreAsOldAsTheWordOfTheReader(t *testing.T) {
+	metrics := telemetry.NewMetrics()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks sync.WaitGroup
+		d, err := newSimulation(ctx, newRestorableStore(false), identity{Daemon: "d", Zone: "a", Incarnation: 7}, agedReader{maxRoutesAge + 100*time.Millisecond}, metrics, &tasks)
+		is.NoErr(err)
+		var others []membership.Member
+		for _, id := range []ident.Daemon{"r1", "r2", "r3", "r4", "r5", "r6", "r7"} {
+			others = append(others, membership.Member{ID: id, Zone: "a"})
+		}
+		d.storeSync.deps.Relay.Elect(others)
+		load := d.storeSync.deps.Load
+		load.shedPermille.Store(shedScale / 10)
+		time.Sleep(5 * time.Second)
+		for range 40 {
+			is.True(load.routesStale())
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		tasks.Wait()
+	})
+}
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -116,8 +116,9 @@
 	cfg := store.FollowerConfig{Feed: s.deps.Relay, Table: table, Wait: wait, CoalesceDelay: coalesceDelay, Group: group, Logger: s.deps.Log}
 	if table == heartbeatTable {
 		cfg.Heartbeat, cfg.OnCurrent = true, func() {
-			s.deps.Load.confirmRoutes()
-			s.deps.Loop.ConfirmOrigins()
+			at := s.deps.Relay.ConfirmedAt()
+			s.deps.Load.confirmRoutes(at)
+			s.deps.Loop.ConfirmOrigins(at)
 		}
 	}
 	return store.NewFollower(cfg, subscriber).Run
--- a/internal/fleet/origins_test.go
+++ b/internal/fleet/origins_test.go
@@ -101,7 +101,7 @@
 	for elapsed := time.Duration(0); elapsed < seconds*time.Second; elapsed += step {
 		f.now = f.now.Add(step)
 		for id, c := range f.cores {
-			c.Confirm(f.now)
+			c.Confirm(f.now, f.now)
 			begun++
 			key := origin.NewKey("w", fmt.Sprint(begun))
 			c.Began(f.now, key, origin.Origin{Service: "pool", Version: "v1"})
--- a/internal/origin/bench_test.go
+++ b/internal/origin/bench_test.go
@@ -21,7 +21,7 @@
 	for _, versions := range [][]ident.Version{{"v1"}, {"v1", "v2"}} {
 		b.Run(fmt.Sprintf("versions=%d", len(versions)), func(b *testing.B) {
 			c := origin.New(origin.Config{Self: "edge-self", Zone: "zone-0", MaxViewAge: simViewAge, FirstStart: true}, start)
-			c.Confirm(start)
+			c.Confirm(start, start)
 			c.Observe(start, view(versions...))
 			for i := range streams {
 				c.Began(start, origin.NewKey("w", fmt.Sprint(i)), firstV1)
--- a/internal/origin/core.go
+++ b/internal/origin/core.go
@@ -96,7 +96,8 @@
 type Core struct {
 	cfg     Config
 	history *History
-	// startedAt is when the daemon started, confirmedAt when the store last confirmed the view.
+	// startedAt is when the daemon started, confirmedAt the time as of
+	// which the store last confirmed the view.
 	startedAt, confirmedAt time.Time
 	records                *records
 	// members are the live daemons; directory is nil until it is needed after they have changed.
@@ -153,13 +154,13 @@
 	}
 }
 
-// Confirm records that the store has just confirmed the view. If it had not for long, versions
-// may have come and gone unseen.
-func (c *Core) Confirm(now time.Time) {
+// Confirm records that the store has confirmed the view as of the time at. If it had not for long,
+// versions may have come and gone unseen.
+func (c *Core) Confirm(now, at time.Time) {
 	if !c.confirmedAt.IsZero() && !c.isConfirmed(now) {
 		c.history.Interrupt(now)
 	}
-	c.confirmedAt = now
+	c.confirmedAt = at
 }
 
 func (c *Core) isConfirmed(now time.Time) bool { return now.Sub(c.confirmedAt) <= c.cfg.MaxViewAge }
--- a/internal/origin/core_test.go
+++ b/internal/origin/core_test.go
@@ -56,7 +56,7 @@
 func (n *network) observe(versions ...ident.Version) {
 	for _, id := range n.names() {
 		n.cores[id].Observe(n.now, view(versions...))
-		n.cores[id].Confirm(n.now)
+		n.cores[id].Confirm(n.now, n.now)
 	}
 }
 
@@ -74,7 +74,7 @@
 	for end := n.now.Add(d); n.now.Before(end); {
 		n.now = n.now.Add(50 * time.Millisecond)
 		for _, id := range n.names() {
-			n.cores[id].Confirm(n.now)
+			n.cores[id].Confirm(n.now, n.now)
 			n.cores[id].Tick(n.now)
 		}
 		n.deliver()
@@ -130,7 +130,7 @@
 		c := origin.New(origin.Config{Self: "z0-0", Zone: "z0", MaxViewAge: simViewAge, PeersExpected: true}, start)
 		c.Recall(start, past)
 		c.Observe(start, view("v1"))
-		c.Confirm(start)
+		c.Confirm(start, start)
 		c.SetMembers(start, others)
 		c.Find(start, "r", key, "r")
 		for {
--- a/internal/origin/sim_test.go
+++ b/internal/origin/sim_test.go
@@ -151,7 +151,7 @@
 		d.recalled = true
 	}
 	d.core.Observe(f.now, view(f.versions...))
-	d.core.Confirm(f.now)
+	d.core.Confirm(f.now, f.now)
 	if first {
 		f.row = d.core.Versions(f.now)["pool"]
 	}
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -37,7 +37,7 @@
 	// OnCurrent is called for each answer after its rows, if any, have been passed to the
 	// subscriber: what it has is then what the store had. It may be nil.
 	OnCurrent func()
-	Logger   *slog.Logger
+	Logger    *slog.Logger
 }
 
 // Defaults of FollowerConfig and bounds of the backoff after a failed call. The backoff
