Requests that end the targets that run them are held back

Cause: blame went to the target, never to what it ran. booking judges targets, retry one attempt and one service; each return of the request was placed like a new one. Ruled out: repeats within one attempt alone (the cases shown have one send each); they are a second way, closed by the same check. Change: package poison. A daemon whose request broke off at a target that accepts no connection any more reports it to two keepers by the request's fingerprint; these add up, clear what runs to its end, and have all daemons hold the request from a blame of three on; a row in the store outlasts all daemons (docs/design/poison-requests.md). Observability: lines of requests that broke off have the fingerprint, without which two lines could not be told to be of one request.

--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -2,22 +2,29 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/origin"
+	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/turn"
 )
 
-// BookingActions carries out the decisions of packages booking and origin. Its methods are
+// BookingActions carries out the decisions of packages booking, origin and poison. Its methods are
 // called from the control goroutine and must not block.
 type BookingActions interface {
 	// SendBookingMessage sends a message to another daemon.
 	SendBookingMessage(to ident.Daemon, m booking.Message)
 	// SendOriginMessage sends a message about the origins of streams to another daemon.
 	SendOriginMessage(to ident.Daemon, m origin.Message)
+	// SendPoisonMessage sends a message about requests that end targets to another daemon.
+	SendPoisonMessage(to ident.Daemon, m poison.Message)
+	// PoisonEffect reports what has changed about such requests: a poison.Suspected, HoldBegan or
+	// HoldEnded.
+	PoisonEffect(effect poison.Effect)
 }
 
 // Placement is the result of the search for a target: a target or a failure.
@@ -27,33 +34,37 @@
 	Failure *resultcode.Failure
 }
 
-// BookingLoop owns a booking.Core and an origin.Core.
+// BookingLoop owns a booking.Core, an origin.Core and a poison.Core.
 type BookingLoop struct {
 	mailbox
 	cfg     Config
 	core    *booking.Core
 	origins *origin.Core
-	actions BookingActions
-	waiters waiters[Placement]
-	finders waiters[origin.Finding]
+	poison  *poison.Core
+	// poisonTable is the table of poison as of its last change.
+	poisonTable atomic.Pointer[poison.Table]
+	actions     BookingActions
+	waiters     waiters[Placement]
+	finders     waiters[origin.Finding]
 	// overdueAt is when overdue replies were found that are given up once the goroutines that read
 	// replies have run; zero if there are none.
 	overdueAt time.Time
 }
 
-// NewBookingLoop returns a loop around core and origins. The loop does nothing until Run is
-// called.
-func NewBookingLoop(cfg Config, core *booking.Core, origins *origin.Core, actions BookingActions) *BookingLoop {
+// NewBookingLoop returns a loop around the cores. The loop does nothing until Run is called.
+func NewBookingLoop(cfg Config, core *booking.Core, origins *origin.Core, poisoned *poison.Core, actions BookingActions) *BookingLoop {
 	cfg = cfg.withDefaults()
 	return &BookingLoop{
-		mailbox: newMailbox(cfg), cfg: cfg, core: core, origins: origins, actions: actions,
+		mailbox: newMailbox(cfg), cfg: cfg, core: core, origins: origins, poison: poisoned, actions: actions,
 		waiters: waiters[Placement]{}, finders: waiters[origin.Finding]{},
 	}
 }
 
 // Run handles events until ctx ends. Requests that still wait then are refused as not run.
 func (b *BookingLoop) Run(ctx context.Context) {
-	untilTick := func(now time.Time) time.Duration { return min(b.core.NextTick(now), b.origins.NextTick(now)) }
+	untilTick := func(now time.Time) time.Duration {
+		return min(b.core.NextTick(now), b.origins.NextTick(now), b.poison.NextTick(now))
+	}
 	b.run(ctx, untilTick, b.tick, b.applyEffects)
 	b.waiters.deliverAll(stoppedPlacement)
 	b.finders.deliverAll(func() origin.Finding { return origin.Finding{} })
@@ -67,6 +78,7 @@
 // all owners would seem silent although their replies have arrived. Nothing else waits meanwhile.
 func (b *BookingLoop) tick(now time.Time) {
 	b.origins.Tick(now)
+	b.poison.Tick(now)
 	b.core.TickExceptReplies(now)
 	switch {
 	case !b.overdueAt.IsZero():
@@ -93,6 +105,7 @@
 
 func (b *BookingLoop) applyEffects() {
 	b.applyOriginEffects()
+	b.applyPoisonEffects()
 	for _, effect := range b.core.TakeEffects() {
 		switch e := effect.(type) {
 		case booking.Dispatch:
@@ -158,14 +171,17 @@
 // SetPeers replaces the list of other live daemons.
 func (b *BookingLoop) SetPeers(peers []booking.Peer) {
 	var members []origin.Member
+	var names []ident.Daemon
 	for _, p := range peers {
 		if !p.Leaving {
 			members = append(members, origin.Member{ID: p.ID, Zone: p.Zone})
+			names = append(names, p.ID)
 		}
 	}
 	b.post(func(now time.Time) {
 		b.core.SetPeers(now, peers)
 		b.origins.SetMembers(now, members)
+		b.poison.SetMembers(now, names)
 	})
 }
 
@@ -174,6 +190,7 @@
 	b.post(func(now time.Time) {
 		b.core.LinkUp(now, id)
 		b.origins.LinkUp(now, id)
+		b.poison.LinkUp(now, id)
 	})
 }
 
--- a/internal/control/bookings_test.go
+++ b/internal/control/bookings_test.go
@@ -13,6 +13,7 @@
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/origin"
+	"github.com/savorystall/savorystall/internal/poison"
 )
 
 // outgoing collects the messages of a loop.
@@ -26,6 +27,12 @@
 
 func (o outgoing) SendOriginMessage(ident.Daemon, origin.Message) {}
 
+// SendPoisonMessage implements control.BookingActions.
+func (outgoing) SendPoisonMessage(ident.Daemon, poison.Message) {}
+
+// PoisonEffect implements control.BookingActions.
+func (outgoing) PoisonEffect(poison.Effect) {}
+
 // Guards against requests that are refused although targets have admitted them: on a daemon that is
 // short of processor time the timer of the loop runs before the goroutine that has a reply to read,
 // and all owners seem silent.
@@ -35,7 +42,7 @@
 	defer runtime.GOMAXPROCS(previous)
 	core := booking.New(booking.Config{Self: "a", Incarnation: 1, Zone: "z"}, rand.New(rand.NewPCG(1, 1)))
 	sent := make(outgoing, 1)
-	loop := control.NewBookingLoop(control.Config{}, core, origin.New(origin.Config{Self: "a", Zone: "z"}, time.Now()), sent)
+	loop := control.NewBookingLoop(control.Config{}, core, origin.New(origin.Config{Self: "a", Zone: "z"}, time.Now()), poison.New("a"), sent)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go loop.Run(ctx)
--- a/internal/control/deferredtick_test.go
+++ b/internal/control/deferredtick_test.go
@@ -10,6 +10,7 @@
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/origin"
+	"github.com/savorystall/savorystall/internal/poison"
 )
 
 // sentMessages collects the messages of a loop.
@@ -19,6 +20,12 @@
 
 func (s *sentMessages) SendOriginMessage(ident.Daemon, origin.Message) {}
 
+// SendPoisonMessage implements control.BookingActions.
+func (s *sentMessages) SendPoisonMessage(ident.Daemon, poison.Message) {}
+
+// PoisonEffect implements control.BookingActions.
+func (s *sentMessages) PoisonEffect(poison.Effect) {}
+
 // loopWithPeer returns a loop that is not running, whose only target is owned by a peer. The time
 // is an argument of what the test calls in its place.
 func loopWithPeer(now time.Time) (*BookingLoop, *sentMessages) {
@@ -29,7 +36,7 @@
 		Targets: []booking.Target{{Name: "t", Zone: "y", Slots: 8, Memory: 100000}},
 	}})
 	sent := &sentMessages{}
-	loop := NewBookingLoop(Config{}, core, origin.New(origin.Config{Self: "a", Zone: "z"}, time.Now()), sent)
+	loop := NewBookingLoop(Config{}, core, origin.New(origin.Config{Self: "a", Zone: "z"}, time.Now()), poison.New("a"), sent)
 	loop.tick(now) // the first publication
 	loop.applyEffects()
 	return loop, sent
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -18,6 +18,7 @@
 	"github.com/savorystall/savorystall/internal/gateway"
 	"github.com/savorystall/savorystall/internal/origin"
 	store "github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
@@ -44,6 +45,7 @@
 		newDisconnectWatcher,
 		newRoutedBridge,
 		newRelay,
+		newRoutedHolds,
 		newRoutedLoop,
 		newRoutedNode,
 		newPool,
@@ -69,6 +71,12 @@
 	return b.relay
 }
 
+// newRoutedHolds also sets the keeper of the bridge, before the loop has anything to report.
+func newRoutedHolds(calls *store.CallCounter, b *routedBridge, loop *control.BookingLoop, log *slog.Logger) *holdKeeper {
+	b.holds = newHoldKeeper(calls, loop.RecallHolds, log)
+	return b.holds
+}
+
 func newPool() *targetconn.Pool { return targetconn.New(targetconn.Config{}) }
 
 func newRoutedLoop(id identity, s settings.Settings, b *routedBridge) *control.BookingLoop {
@@ -77,7 +85,7 @@
 	origins := origin.New(origin.Config{
 		Self: id.Daemon, Zone: id.Zone, MaxViewAge: s.Routing.InTouch, FirstStart: id.firstStart, PeersExpected: id.peersExpected,
 	}, time.Now())
-	b.loop = control.NewBookingLoop(control.Config{}, core, origins, b)
+	b.loop = control.NewBookingLoop(control.Config{}, core, origins, poison.New(id.Daemon), b)
 	return b.loop
 }
 
@@ -99,7 +107,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Origins: loop, Pool: pool, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Origins: loop, Poison: loop, Pool: pool, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
@@ -130,6 +138,7 @@
 	Store     *platform.Store
 	Calls     *store.CallCounter
 	Relay     *relay.Feed
+	Holds     *holdKeeper
 	Pool      *targetconn.Pool
 	Gateway   *gateway.Server
 	Servers   *routedServers
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -16,6 +16,7 @@
 	"github.com/savorystall/savorystall/internal/membership"
 	"github.com/savorystall/savorystall/internal/origin"
 	store "github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/internal/settings"
@@ -35,6 +36,8 @@
 	load    *loadMonitor
 	// leads reports that this daemon writes what only one daemon of the fleet has to write.
 	leads atomic.Bool
+	// holds keeps the requests that are held back in the store.
+	holds *holdKeeper
 	// forwarder forwards connections to the neighbours in the availability zone.
 	forwarder *connForwarder
 }
@@ -57,6 +60,14 @@
 	b.node.Send(to, scheduler.Message{Origins: m})
 }
 
+// SendPoisonMessage implements control.BookingActions.
+func (b *routedBridge) SendPoisonMessage(to ident.Daemon, m poison.Message) {
+	b.node.Send(to, scheduler.Message{Poison: m})
+}
+
+// PoisonEffect implements control.BookingActions.
+func (b *routedBridge) PoisonEffect(effect poison.Effect) { b.holds.apply(effect) }
+
 // Peers implements fleet.Handler.
 func (b *routedBridge) Peers(peers []scheduler.Peer) {
 	bookingPeers := make([]booking.Peer, len(peers))
@@ -92,6 +103,9 @@
 	if !m.Origins.Empty() {
 		b.loop.ReceiveOrigins(from, m.Origins)
 	}
+	if !m.Poison.Empty() {
+		b.loop.ReceivePoison(from, m.Poison)
+	}
 }
 
 // Head implements fleet.Handler. It does nothing: each daemon follows the store itself.
--- a/internal/daemon/routedoperators.go
+++ b/internal/daemon/routedoperators.go
@@ -1,12 +1,17 @@
 package daemon
 
 import (
+	"encoding/json"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/gorilla/mux"
 
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/control"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/telemetry"
 )
 
@@ -22,10 +27,45 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/healthz", o.healthy).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", o.ready).Methods(http.MethodGet)
+	r.HandleFunc("/holds", o.listHolds).Methods(http.MethodGet)
+	r.HandleFunc("/holds/{fingerprint}", o.releaseHold).Methods(http.MethodDelete)
 	r.Handle("/metrics", o.metrics.Handler()).Methods(http.MethodGet)
 	return r
 }
 
+// holdView is a request that is held back, as operators see it.
+type holdView struct {
+	Fingerprint string          `json:"fingerprint"`
+	Workspace   ident.Workspace `json:"workspace"`
+	Route       string          `json:"route"`
+	Targets     []ident.Target  `json:"targets"`
+}
+
+// listHolds lists the requests that are held back.
+func (o *routedOperators) listHolds(w http.ResponseWriter, _ *http.Request) {
+	views := []holdView{}
+	for _, h := range o.loop.PoisonTable().Holds() {
+		views = append(views, holdView{h.Fingerprint.String(), h.Workspace, h.Route, h.Targets})
+	}
+	slices.SortFunc(views, func(a, b holdView) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	w.Header().Set("Content-Type", "application/json")
+	// A write error means that the operator has disconnected.
+	_ = json.NewEncoder(w).Encode(views)
+}
+
+// releaseHold lets a request go that is held back, in the whole fleet.
+func (o *routedOperators) releaseHold(w http.ResponseWriter, r *http.Request) {
+	fingerprint, err := poison.ParseFingerprint(mux.Vars(r)["fingerprint"])
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case !o.loop.ReleaseHold(fingerprint):
+		http.Error(w, "no request with this fingerprint is held back", http.StatusNotFound)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
 func (o *routedOperators) healthy(w http.ResponseWriter, _ *http.Request) {
 	writeHealth(w, o.loop.Inspect(func(*booking.Core) {}))
 }
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -84,6 +84,8 @@
 		s.announce,
 		s.expire,
 		s.versions.maintain,
+		func(ctx context.Context) { s.deps.Holds.readAll(ctx, s.view.apply) },
+		s.deps.Holds.write,
 		s.report,
 		func(ctx context.Context) { s.deps.Load.run(ctx, s.deps.Log, s.deps.Servers.connections) },
 	}
@@ -151,7 +153,7 @@
 	if v.targetsRead {
 		s.deps.Loop.ObserveOrigins(originView(v.table, v.targets))
 	}
-	if v.targetsRead && s.deps.Life.applyTrigger(triggerConfigured) {
+	if v.targetsRead && s.deps.Holds.read.Load() && s.deps.Life.applyTrigger(triggerConfigured) {
 		event.DaemonReady.Log(s.deps.Log, "routes_version", v.table.Version, "targets", len(v.targets))
 	}
 }
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -119,6 +119,7 @@
 	}
 	f.Bookings = e.bookings(f, &m.Bookings)
 	f.Origins = e.origins(f, &m.Origins)
+	f.Poison = encodePoison(&m.Poison)
 }
 
 func (e *encoder) demand(f *fleetv1.Frame, rows []scheduler.Demand) {
@@ -234,7 +235,7 @@
 		return m, false, err
 	}
 	for _, decodeRows := range []func(*fleetv1.Frame, *scheduler.Message) error{
-		d.demand, d.grants, d.releases, d.servedTotals, d.limits, d.healthUpdates, d.bookings, d.origins,
+		d.demand, d.grants, d.releases, d.servedTotals, d.limits, d.healthUpdates, d.bookings, d.origins, decodePoison,
 	} {
 		if err := decodeRows(f, &m); err != nil {
 			return m, false, err
@@ -245,7 +246,7 @@
 		m.HeldGrants = decodeDeltas(h.GetGrantStep())
 	}
 	m.PreemptGrants = decodeDeltas(f.GetPreemptStep())
-	ok = m.HeldGrantsValid || !m.Bookings.Empty() || !m.Origins.Empty() || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.ServedTotals)+len(m.Aggregates)+len(m.Limits)+len(m.HealthUpdates)+len(m.PreemptGrants) > 0
+	ok = m.HeldGrantsValid || !m.Bookings.Empty() || !m.Origins.Empty() || !m.Poison.Empty() || len(m.Demand)+len(m.Grants)+len(m.Releases)+len(m.ServedTotals)+len(m.Aggregates)+len(m.Limits)+len(m.HealthUpdates)+len(m.PreemptGrants) > 0
 	return m, ok, nil
 }
 
--- a/internal/fleet/codec_test.go
+++ b/internal/fleet/codec_test.go
@@ -15,6 +15,7 @@
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/limit"
 	"github.com/savorystall/savorystall/internal/origin"
+	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	_ "github.com/savorystall/savorystall/test/fixedseed" // reproducible property tests
 )
@@ -66,6 +67,13 @@
 		m.Origins.Records = append(m.Origins.Records, origin.Record{Key: origin.Key(rapid.Uint64().Draw(t, "key")), Origin: o})
 		m.Origins.Questions = append(m.Origins.Questions, origin.Question{ID: grant.Draw(t, "id"), Key: origin.Key(rapid.Uint64().Draw(t, "key")), Route: rapid.SampledFrom([]string{"", "r1"}).Draw(t, "route")})
 		m.Origins.Answers = append(m.Origins.Answers, origin.Answer{ID: grant.Draw(t, "id"), Status: origin.Recorded, Origin: o}, origin.Answer{ID: grant.Draw(t, "id"), Status: origin.Several})
+		fingerprint := poison.NewFingerprint("club", "POST", "h", "/x", rapid.SliceOf(rapid.Byte()).Draw(t, "body"))
+		subject := poison.Subject{Fingerprint: fingerprint, Filter: poison.Filter(rapid.Uint64().Draw(t, "filter")), Workspace: "club", Route: "r1"}
+		m.Poison = poison.Message{
+			Crashes:   []poison.Crash{{Subject: subject, Target: "t1", Early: rapid.Bool().Draw(t, "early"), Ago: 20 * time.Millisecond}},
+			Completed: []poison.Fingerprint{fingerprint}, Released: []poison.Fingerprint{fingerprint},
+			Watched: []poison.Subject{subject}, Held: []poison.Hold{{Subject: subject, Targets: []ident.Target{"t1", "t2"}}},
+		}
 		m.HeldGrants = append(m.HeldGrants, grant.Draw(t, "held"))
 		m.PreemptGrants = append(m.PreemptGrants, grant.Draw(t, "preempt"))
 	}
@@ -111,6 +119,7 @@
 		"uneven releases":       {&fleetv1.Frame{Releases: &fleetv1.Releases{GrantStep: []int64{1}}}, errColumnLength},
 		"uneven limits":         {&fleetv1.Frame{Limits: &fleetv1.Limits{Accepted: []uint64{1}}}, errColumnLength},
 		"uneven health updates": {&fleetv1.Frame{News: &fleetv1.News{Pair: []uint32{0}}}, errColumnLength},
+		"short fingerprint":     {&fleetv1.Frame{Poison: &fleetv1.Poison{Held: []*fleetv1.PoisonHold{{Subject: &fleetv1.PoisonSubject{Fingerprint: []byte{1}}}}}}, errFingerprintLength},
 		"name of 257 bytes":     {&fleetv1.Frame{Names: []string{long}}, errTableTooLarge},
 	}
 	for name, c := range cases {
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -57,7 +57,7 @@
 		return false
 	}
 	o.merge(m)
-	o.signal(m.Origins.Urgent() || len(m.Grants)+len(m.PreemptGrants)+len(m.Bookings.Reservations)+len(m.Bookings.Replies) > 0)
+	o.signal(m.Origins.Urgent() || !m.Poison.Empty() || len(m.Grants)+len(m.PreemptGrants)+len(m.Bookings.Reservations)+len(m.Bookings.Replies) > 0)
 	return true
 }
 
@@ -90,6 +90,7 @@
 	q.PreemptGrants = append(q.PreemptGrants, m.PreemptGrants...)
 	o.mergeBookings(&m.Bookings)
 	o.mergeOrigins(&m.Origins)
+	o.mergePoison(&m.Poison)
 	if m.HeldGrantsValid {
 		q.HeldGrants, q.HeldGrantsSeen, q.HeldGrantsValid = m.HeldGrants, m.HeldGrantsSeen, true
 	}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -14,6 +14,7 @@
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/origin"
 	"github.com/savorystall/savorystall/internal/patience"
+	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/route"
 )
@@ -51,7 +52,9 @@
 	// request may only be sent to targets of this service and version.
 	resumed resumedStream
 	origin  *origin.Origin
-	stats   requestStats
+	// poisonSubject is set once the body has been hashed.
+	poisonSubject *poison.Subject
+	stats         requestStats
 }
 
 // requestStats holds what is logged about a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,7 +131,9 @@
 	Dialect Dialect
 	Placer  Placer
 	Origins Origins
-	Pool    *targetconn.Pool
+	// Poison may be nil; no request is held back then.
+	Poison Poison
+	Pool   *targetconn.Pool
 	// CallerGone reports whether the caller of the request with this context has
 	// disconnected.
 	CallerGone func(ctx context.Context) bool
@@ -185,6 +187,7 @@
 	streams    streamCounts
 	// resumeCredits bounds what callers gain by stating that they take up a stream.
 	resumeCredits resumeCredits
+	crashChecks   crashChecks
 
 	mu           sync.Mutex
 	retryBudgets map[ident.Service]*retry.Window
@@ -203,6 +206,9 @@
 	s.logBudgets = logBudgets{
 		failed: logging.NewRateLimiter(failedLogRate), refused: logging.NewRateLimiter(refusedLogRate), served: logging.NewRateLimiter(servedLogRate),
 	}
+	if s.Poison == nil {
+		s.Poison = noPoison{}
+	}
 	s.targets.Store(&Targets{})
 	s.daemons.Store(1)
 	return s
--- /dev/null
+++ b/internal/gateway/poison.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/poison"
+	"github.com/savorystall/savorystall/internal/registry"
+	"github.com/savorystall/savorystall/internal/resultcode"
+)
+
+// Poison knows which requests end the targets that run them.
+type Poison interface {
+	PoisonTable() *poison.Table
+	// Crashed reports that a target ended with a request in progress, Completed that a watched
+	// request has run to its end.
+	Crashed(c poison.Crash)
+	Completed(f poison.Fingerprint)
+}
+
+// noPoison holds no request back.
+type noPoison struct{}
+
+func (noPoison) PoisonTable() *poison.Table   { return nil }
+func (noPoison) Crashed(poison.Crash)         {}
+func (noPoison) Completed(poison.Fingerprint) {}
+
+const (
+	// earlyRunTime is how long after its first byte a request is a likely cause of the end of its
+	// target.
+	earlyRunTime = 500 * time.Millisecond
+	// crashCheckDelay is how long after a broken exchange the target is checked: its process may
+	// close its connections before its listener. crashCheckTimeout bounds the check.
+	crashCheckDelay   = 50 * time.Millisecond
+	crashCheckTimeout = 500 * time.Millisecond
+	// crashCheckLifetime is how long the result of a check is valid.
+	crashCheckLifetime = time.Second
+	// maxCrashChecks bounds the results that are kept.
+	maxCrashChecks = 1024
+)
+
+// filter returns the request's filter.
+func (pr *proxyRequest) filter() poison.Filter {
+	return poison.NewFilter(pr.workspace, requestTarget(pr.inbound), len(pr.body))
+}
+
+// subject returns what the request is known as while it is suspected. The body is hashed once.
+func (pr *proxyRequest) subject() poison.Subject {
+	if pr.poisonSubject == nil {
+		pr.poisonSubject = &poison.Subject{
+			Fingerprint: poison.NewFingerprint(pr.workspace, pr.inbound.Method, pr.inbound.Host, requestTarget(pr.inbound), pr.body),
+			Filter:      pr.filter(), Workspace: pr.workspace, Route: pr.route.Name,
+		}
+	}
+	return *pr.poisonSubject
+}
+
+// heldBack returns the failure of a request that is held back, or nil.
+func (s *Server) heldBack(pr *proxyRequest) *resultcode.Failure {
+	table := s.Poison.PoisonTable()
+	if !table.Contains(pr.filter()) {
+		return nil
+	}
+	fingerprint := pr.subject().Fingerprint
+	hold, held := table.Held(fingerprint)
+	if !held {
+		return nil
+	}
+	return resultcode.Fail(resultcode.RequestHeld, "fingerprint %s, %d targets ended", fingerprint, len(hold.Targets))
+}
+
+// observeRun reports how an attempt ended if that tells whether the request ends its targets.
+func (s *Server) observeRun(pr *proxyRequest, entry registry.Entry, r attemptResult, elapsed time.Duration) {
+	switch {
+	case r.failure == nil && pr.status >= http.StatusOK && pr.status < http.StatusMultipleChoices:
+		table := s.Poison.PoisonTable()
+		if table.Contains(pr.filter()) && table.Watched(pr.subject().Fingerprint) {
+			s.Poison.Completed(pr.subject().Fingerprint)
+		}
+	case r.brokeOff():
+		crash := poison.Crash{Subject: pr.subject(), Target: entry.Identity, Early: r.firstByteTime == 0 || elapsed-r.firstByteTime < earlyRunTime}
+		brokeAt := time.Now()
+		go func() {
+			if s.crashChecks.hasEnded(s.targetAccepts, entry) {
+				crash.Ago = time.Since(brokeAt)
+				s.Poison.Crashed(crash)
+			}
+		}()
+	}
+}
+
+// brokeOff reports whether the target's side ended the exchange, as opposed to this daemon, the
+// caller, or a network path on which nothing arrives any more.
+func (r *attemptResult) brokeOff() bool {
+	if !r.sent || !r.targetFailed || r.failure == nil {
+		return false
+	}
+	if r.failure.Code != resultcode.ConnectionLost && r.failure.Code != resultcode.AnswerCut {
+		return false
+	}
+	return !errors.Is(r.failure.Cause, syscall.ETIMEDOUT)
+}
+
+func (s *Server) targetAccepts(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	return s.Pool.Accepts(ctx, address)
+}
+
+// crashChecks finds out whether targets have ended. All requests that broke off at a target share
+// one check. It is safe for concurrent use.
+type crashChecks struct {
+	mu     sync.Mutex
+	checks map[ident.Target]*crashCheck
+}
+
+type crashCheck struct {
+	began time.Time
+	// done is closed when ended is set.
+	done  chan struct{}
+	ended bool
+}
+
+// hasEnded reports whether a target at which a request has just broken off has ended: it does not
+// accept connections any more. One that is reached at its address again within crashCheckDelay
+// counts as not ended.
+func (c *crashChecks) hasEnded(accepts func(address string) bool, entry registry.Entry) bool {
+	check, first := c.begin(entry.Identity)
+	if first {
+		time.Sleep(crashCheckDelay)
+		check.ended = !accepts(entry.Address)
+		close(check.done)
+	}
+	<-check.done
+	return check.ended
+}
+
+// begin returns the check of a target, and whether the caller has to carry it out.
+func (c *crashChecks) begin(target ident.Target) (check *crashCheck, first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if known := c.checks[target]; known != nil && now.Sub(known.began) < crashCheckLifetime {
+		return known, false
+	}
+	if c.checks == nil || len(c.checks) >= maxCrashChecks {
+		c.checks = map[ident.Target]*crashCheck{}
+	}
+	check = &crashCheck{began: now, done: make(chan struct{})}
+	c.checks[target] = check
+	return check, true
+}
--- /dev/null
+++ b/internal/gateway/poison_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/savorystall/savorystall/internal/registry"
+	"github.com/savorystall/savorystall/internal/resultcode"
+)
+
+// Guards against requests that are suspected because their connections broke: only a target that
+// accepts no connections any more has ended.
+func TestTargetThatAcceptsConnectionsHasNotEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var checks crashChecks
+		is.True(!checks.hasEnded(func(string) bool { return true }, registry.Entry{Identity: "alive"}))
+		is.True(checks.hasEnded(func(string) bool { return false }, registry.Entry{Identity: "ended"}))
+	})
+}
+
+// Guards against a connection to a target for each request that broke off there.
+func TestRequestsThatBreakOffTogetherShareOneCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var checks crashChecks
+		var dials atomic.Int64
+		var ended atomic.Int64
+		var requests sync.WaitGroup
+		for range 50 {
+			requests.Go(func() {
+				if checks.hasEnded(func(string) bool { dials.Add(1); return false }, registry.Entry{Identity: "t"}) {
+					ended.Add(1)
+				}
+			})
+		}
+		requests.Wait()
+		is := is.New(t)
+		is.Equal(dials.Load(), int64(1))
+		is.Equal(ended.Load(), int64(50))
+	})
+}
+
+// Only what the target's side ended may have ended the target.
+func TestWhichAttemptsBrokeOff(t *testing.T) {
+	eof := errors.New("unexpected EOF")
+	for _, c := range []struct {
+		name   string
+		result attemptResult
+		want   bool
+	}{
+		{"whole", attemptResult{sent: true}, false},
+		{"cut", attemptResult{sent: true, targetFailed: true, failure: resultcode.Fail(resultcode.AnswerCut, "").WithCause(eof)}, true},
+		{"lost", attemptResult{sent: true, targetFailed: true, failure: resultcode.Fail(resultcode.ConnectionLost, "").WithCause(eof)}, true},
+		{"silent", attemptResult{sent: true, targetFailed: true, failure: resultcode.Fail(resultcode.ConnectionLost, "").WithCause(syscall.ETIMEDOUT)}, false},
+		{"never sent", attemptResult{targetFailed: true, failure: resultcode.Fail(resultcode.TargetRefused, "").WithCause(eof)}, false},
+		{"caller gone", attemptResult{sent: true, failure: resultcode.Fail(resultcode.CallerGone, "")}, false},
+		{"error of the target", attemptResult{sent: true, targetFailed: true, failure: resultcode.Fail(resultcode.TargetError, "")}, false},
+	} {
+		is.New(t).Equal(c.result.brokeOff(), c.want) // c.name
+	}
+}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -193,6 +193,9 @@
 			"events", pr.events.count, "last_event", pr.events.lastID, "resumed_after", pr.info.LastEventID, "resumes", pr.info.Resumes, "origin", pr.origin, "origin_by", pr.resumed.finding.Status.String(), "origin_asked", pr.resumed.finding.Asked, "origin_silent", pr.resumed.finding.Silent, "status", pr.status,
 		}
 	}
+	if pr != nil && pr.poisonSubject != nil {
+		args = append(args, "fingerprint", pr.poisonSubject.Fingerprint.String())
+	}
 	if f != nil {
 		args = append(args, "code", f.Code.Number, "run", f.Code.Outcome, "reason", f.Error())
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -75,6 +75,9 @@
 		return s.placementFailure(ctx, pr, failure, outcome)
 	}
 	for {
+		if failure := s.heldBack(pr); failure != nil {
+			return correctOutcome(failure, outcome)
+		}
 		placement, dispatched := s.placeOrWait(ctx, pr)
 		s.releasePending(pr)
 		if placement.Failure != nil {
@@ -161,7 +164,9 @@
 	r = s.exchange(ctx, pr, entry, dispatched)
 	span.End()
 	ended = true
-	s.reportAttempt(pr, entry, r, time.Since(dispatched))
+	elapsed := time.Since(dispatched)
+	s.reportAttempt(pr, entry, r, elapsed)
+	s.observeRun(pr, entry, r, elapsed)
 	return r
 }
 
--- /dev/null
+++ b/internal/poison/poison.go
@@ -0,0 +1,161 @@
+// Package poison finds requests that end the targets that run them, and holds them back. It does no
+// I/O; times are arguments.
+//
+// The failure it guards against: a request crashes each target that begins to run it, its caller
+// sends it again, and it is placed at the next target, since only the target is blamed. Whatever
+// else those targets run ends with them.
+//
+// A daemon whose request broke off at a target that then refuses connections reports a Crash to the
+// keepers of the request: daemons chosen by rendezvous hashing of its Fingerprint. A keeper adds up
+// the crashes of all daemons. All that a target ran is under suspicion each time; what clears a
+// request is that it runs to its end, so that the daemons watch for that as soon as a request is
+// suspected. A request whose blame reaches maxBlame is held: all daemons are told, and a row in the
+// store tells those that start later.
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
+
+// Fingerprint identifies a request by what a target runs of it: the workspace, the method, the host,
+// the path with its query, and the body. Headers are left out, since a caller's next try may have
+// others. It is a cryptographic hash, so that no caller can have the request of another one held
+// back by finding one with the same fingerprint; and no two workspaces share one.
+type Fingerprint [16]byte
+
+// NewFingerprint returns the fingerprint of a request.
+func NewFingerprint(workspace ident.Workspace, method, host, requestTarget string, body []byte) Fingerprint {
+	h := sha256.New()
+	for _, field := range []string{string(workspace), method, host, requestTarget} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		h.Write(length[:])
+		h.Write([]byte(field))
+	}
+	h.Write(body)
+	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
+}
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ErrFingerprint is returned for a text that is no fingerprint.
+var ErrFingerprint = merry.New("a fingerprint has 32 hexadecimal digits")
+
+// ParseFingerprint decodes the result of Fingerprint.String.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(Fingerprint{}) {
+		return Fingerprint{}, ErrFingerprint
+	}
+	return Fingerprint(raw), nil
+}
+
+// Filter is a cheap hash of a request. Requests with the same fingerprint have the same filter, so
+// that bodies are hashed only where a request may be one of those in the table.
+type Filter uint64
+
+// NewFilter returns the filter of a request.
+func NewFilter(workspace ident.Workspace, requestTarget string, bodyBytes int) Filter {
+	var d xxhash.Digest
+	d.Reset()
+	// A hash never returns an error. The zero byte separates the two texts.
+	_, _ = d.WriteString(string(workspace))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(requestTarget)
+	return Filter(d.Sum64() + uint64(bodyBytes))
+}
+
+// Subject is a request that is suspected or held.
+type Subject struct {
+	Fingerprint Fingerprint
+	Filter      Filter
+	Workspace   ident.Workspace
+	// Route is the name of the route on which it came.
+	Route string
+}
+
+// Crash reports that a target ended while it ran a request, or while the request waited there.
+type Crash struct {
+	Subject
+	Target ident.Target
+	// Early reports that the target ended before or soon after it began to respond. A request that
+	// had run for long is less likely to be the cause.
+	Early bool
+	// Ago is how long ago the target ended.
+	Ago time.Duration
+}
+
+// Hold is a request that is held back.
+type Hold struct {
+	Subject
+	// Targets are those that ended while they ran it.
+	Targets []ident.Target
+}
+
+// Message carries everything that one Core sends to another at a time.
+type Message struct {
+	// Crashes and Completed are for the keepers of the requests: what has ended targets, and what
+	// has run to its end.
+	Crashes   []Crash
+	Completed []Fingerprint
+	// Watched and Held are for all daemons: requests whose ends are to be reported, and requests to
+	// hold back.
+	Watched []Subject
+	Held    []Hold
+	// Released is for all daemons: requests that are neither suspected nor held any more.
+	Released []Fingerprint
+}
+
+// Empty reports whether the message has no content.
+func (m *Message) Empty() bool {
+	return len(m.Crashes)+len(m.Completed)+len(m.Watched)+len(m.Held)+len(m.Released) == 0
+}
+
+// Table is an immutable snapshot of what requests are compared with. A nil Table is empty.
+type Table struct {
+	filters map[Filter]bool
+	held    map[Fingerprint]Hold
+	watched map[Fingerprint]bool
+}
+
+// Contains reports whether a request with this filter may be held or watched.
+func (t *Table) Contains(f Filter) bool { return t != nil && t.filters[f] }
+
+// Held returns the hold of a request.
+func (t *Table) Held(f Fingerprint) (Hold, bool) {
+	if t == nil {
+		return Hold{}, false
+	}
+	h, ok := t.held[f]
+	return h, ok
+}
+
+// Watched reports whether the end of a request is to be reported. That includes held ones: they may
+// have been in progress.
+func (t *Table) Watched(f Fingerprint) bool {
+	if t == nil {
+		return false
+	}
+	_, held := t.held[f]
+	return held || t.watched[f]
+}
+
+// Holds returns the held requests in no order.
+func (t *Table) Holds() []Hold {
+	var out []Hold
+	if t != nil {
+		for _, h := range t.held {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -17,6 +17,7 @@
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/limit"
 	"github.com/savorystall/savorystall/internal/origin"
+	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -219,6 +220,8 @@
 	Bookings booking.Message
 	// Origins carries the messages of package origin, which accompany bookings.
 	Origins origin.Message
+	// Poison carries the messages of package poison, which accompany bookings.
+	Poison poison.Message
 }
 
 // Effect is an action that the caller of the Core has to perform.
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -287,3 +287,14 @@
 	idleTimeout -= min(p.cfg.IdleMargin, idleTimeout/2)
 	return p.cfg.Now().Add(idleTimeout), idleTimeout > 0
 }
+
+// Accepts reports whether a target accepts connections. It opens one and closes it at once; the
+// connection does not count against any limit of the pool.
+func (p *Pool) Accepts(ctx context.Context, address string) bool {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
