Requests that have lately run to their end are not blamed; holds end and begin again

Cause: three targets of a service ended within a third of a second, of two requests that end them and of cut links. Ruled out: the lines name code 2014 for that request, no other reason. Change: a daemon remembers the filters of what has run to its end within the last minute or two, and does not blame it, as reporter, as keeper, or when it is told to watch. The filter covers the body now. A hold ends after ten minutes and begins again with one crash, for twice as long each time: targets that end whatever they run, as after a faulty release, may have requests held that do no harm.

--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -41,6 +41,8 @@
 	core    *booking.Core
 	origins *origin.Core
 	poison  *poison.Core
+	// recent is what the poison core knows to have lately run to its end.
+	recent *poison.Recent
 	// poisonTable is the table of poison as of its last change.
 	poisonTable atomic.Pointer[poison.Table]
 	actions     BookingActions
@@ -51,11 +53,12 @@
 	overdueAt time.Time
 }
 
-// NewBookingLoop returns a loop around the cores. The loop does nothing until Run is called.
-func NewBookingLoop(cfg Config, core *booking.Core, origins *origin.Core, poisoned *poison.Core, actions BookingActions) *BookingLoop {
+// NewBookingLoop returns a loop around the cores, and a core of package poison of its own. The loop does nothing until Run is called.
+func NewBookingLoop(cfg Config, core *booking.Core, origins *origin.Core, self ident.Daemon, actions BookingActions) *BookingLoop {
+	recent := poison.NewRecent()
 	cfg = cfg.withDefaults()
 	return &BookingLoop{
-		mailbox: newMailbox(cfg), cfg: cfg, core: core, origins: origins, poison: poisoned, actions: actions,
+		mailbox: newMailbox(cfg), cfg: cfg, core: core, origins: origins, poison: poison.New(self, recent), recent: recent, actions: actions,
 		waiters: waiters[Placement]{}, finders: waiters[origin.Finding]{},
 	}
 }
--- a/internal/control/poison.go
+++ b/internal/control/poison.go
@@ -10,6 +10,9 @@
 // PoisonTable returns the table that requests are compared with. It takes no lock.
 func (b *BookingLoop) PoisonTable() *poison.Table { return b.poisonTable.Load() }
 
+// RecentlyCompleted returns where to record each request that has run to its end.
+func (b *BookingLoop) RecentlyCompleted() *poison.Recent { return b.recent }
+
 // Crashed reports that a target ended with a request of this daemon in progress.
 func (b *BookingLoop) Crashed(c poison.Crash) {
 	b.post(func(now time.Time) { b.poison.Crashed(now, c) })
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -18,7 +18,6 @@
 	"github.com/savorystall/savorystall/internal/gateway"
 	"github.com/savorystall/savorystall/internal/origin"
 	store "github.com/savorystall/savorystall/internal/platform"
-	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
@@ -85,7 +84,7 @@
 	origins := origin.New(origin.Config{
 		Self: id.Daemon, Zone: id.Zone, MaxViewAge: s.Routing.InTouch, FirstStart: id.firstStart, PeersExpected: id.peersExpected,
 	}, time.Now())
-	b.loop = control.NewBookingLoop(control.Config{}, core, origins, poison.New(id.Daemon), b)
+	b.loop = control.NewBookingLoop(control.Config{}, core, origins, id.Daemon, b)
 	return b.loop
 }
 
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -52,7 +52,9 @@
 	// request may only be sent to targets of this service and version.
 	resumed resumedStream
 	origin  *origin.Origin
-	// poisonSubject is set once the body has been hashed.
+	// poisonFilter is valid if hasFilter is set. poisonSubject is set once it was needed.
+	hasFilter     bool
+	poisonFilter  poison.Filter
 	poisonSubject *poison.Subject
 	stats         requestStats
 }
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -21,14 +21,17 @@
 	// request has run to its end.
 	Crashed(c poison.Crash)
 	Completed(f poison.Fingerprint)
+	// RecentlyCompleted returns where to record each request that has run to its end.
+	RecentlyCompleted() *poison.Recent
 }
 
 // noPoison holds no request back.
 type noPoison struct{}
 
-func (noPoison) PoisonTable() *poison.Table   { return nil }
-func (noPoison) Crashed(poison.Crash)         {}
-func (noPoison) Completed(poison.Fingerprint) {}
+func (noPoison) PoisonTable() *poison.Table        { return nil }
+func (noPoison) Crashed(poison.Crash)              {}
+func (noPoison) Completed(poison.Fingerprint)      {}
+func (noPoison) RecentlyCompleted() *poison.Recent { return poison.NewRecent() }
 
 const (
 	// earlyRunTime is how long after its first byte a request is a likely cause of the end of its
@@ -44,9 +47,13 @@
 	maxCrashChecks = 1024
 )
 
-// filter returns the request's filter.
+// filter returns the request's filter. The body is hashed once.
 func (pr *proxyRequest) filter() poison.Filter {
-	return poison.NewFilter(pr.workspace, requestTarget(pr.inbound), len(pr.body))
+	if !pr.hasFilter {
+		pr.hasFilter = true
+		pr.poisonFilter = poison.NewFilter(pr.workspace, pr.inbound.Method, pr.inbound.Host, requestTarget(pr.inbound), pr.body)
+	}
+	return pr.poisonFilter
 }
 
 // subject returns what the request is known as while it is suspected. The body is hashed once.
@@ -63,7 +70,7 @@
 // heldBack returns the failure of a request that is held back, or nil.
 func (s *Server) heldBack(pr *proxyRequest) *resultcode.Failure {
 	table := s.Poison.PoisonTable()
-	if !table.Contains(pr.filter()) {
+	if table.Empty() || !table.Contains(pr.filter()) {
 		return nil
 	}
 	fingerprint := pr.subject().Fingerprint
@@ -78,8 +85,9 @@
 func (s *Server) observeRun(pr *proxyRequest, entry registry.Entry, r attemptResult, elapsed time.Duration) {
 	switch {
 	case r.failure == nil && pr.status >= http.StatusOK && pr.status < http.StatusMultipleChoices:
+		s.Poison.RecentlyCompleted().Add(time.Now(), pr.filter())
 		table := s.Poison.PoisonTable()
-		if table.Contains(pr.filter()) && table.Watched(pr.subject().Fingerprint) {
+		if !table.Empty() && table.Contains(pr.filter()) && table.Watched(pr.subject().Fingerprint) {
 			s.Poison.Completed(pr.subject().Fingerprint)
 		}
 	case r.brokeOff():
--- a/internal/poison/core.go
+++ b/internal/poison/core.go
@@ -14,12 +14,19 @@
 const (
 	// copies is the number of keepers of a suspect.
 	copies = 2
-	// holdLifetime is how long a request is held back.
-	holdLifetime = 24 * time.Hour
+	// firstHoldLifetime is how long a request is held back for the first time. The time doubles up
+	// to maxHoldLifetime each time that the request ends a target right after it. Targets that end
+	// whatever they run, as after a faulty release, have many requests held that do no harm.
+	firstHoldLifetime = 10 * time.Minute
+	maxHoldLifetime   = 24 * time.Hour
 	// maxHolds bounds the requests that are held; the oldest are dropped first.
 	maxHolds = 4096
 	// expiryInterval is how often a Core looks for what has expired.
 	expiryInterval = 10 * time.Second
+	// maxDoublings bounds the doublings of a hold's lifetime, maxExpired the requests of which they
+	// are known.
+	maxDoublings = 8
+	maxExpired   = 4096
 	// maxExplained bounds the targets that are known to have ended for a held request.
 	maxExplained = 4096
 )
@@ -64,7 +71,7 @@
 
 type heldRequest struct {
 	Hold
-	since time.Time
+	until time.Time
 }
 
 type member struct {
@@ -75,7 +82,9 @@
 // Core is what one daemon knows of requests that end targets. It is not safe for concurrent use: the
 // daemon's control goroutine owns it.
 type Core struct {
-	self    ident.Daemon
+	self ident.Daemon
+	// recent holds what has lately run to its end at this daemon.
+	recent  *Recent
 	members []member
 	// own holds what this daemon has reported, to be reported again if the keepers change.
 	own suspects
@@ -84,6 +93,9 @@
 	// watched are the requests whose ends are to be reported, by the time of the last request to do so.
 	watched map[Fingerprint]watch
 	held    map[Fingerprint]heldRequest
+	// expired counts for how many times a request was held until the hold expired. One crash is
+	// enough to hold it again.
+	expired map[Fingerprint]int
 	// explained are targets that have ended for a held request.
 	explained    map[ident.Target]bool
 	nextExpiry   time.Time
@@ -98,10 +110,10 @@
 }
 
 // New returns a Core that knows nothing yet.
-func New(self ident.Daemon) *Core {
+func New(self ident.Daemon, recent *Recent) *Core {
 	c := &Core{
-		self: self, own: suspects{}, suspects: suspects{}, watched: map[Fingerprint]watch{}, held: map[Fingerprint]heldRequest{},
-		explained: map[ident.Target]bool{}, outbox: map[ident.Daemon]*Message{},
+		self: self, recent: recent, own: suspects{}, suspects: suspects{}, watched: map[Fingerprint]watch{}, held: map[Fingerprint]heldRequest{},
+		expired: map[Fingerprint]int{}, explained: map[ident.Target]bool{}, outbox: map[ident.Daemon]*Message{},
 	}
 	c.setMembers(nil)
 	return c
@@ -173,6 +185,9 @@
 		c.explain(crash.Target)
 		return
 	}
+	if c.recent.Contains(now, crash.Filter) {
+		return
+	}
 	if !c.own.get(crash.Subject).add(c.newRecord(now, crash)) {
 		return
 	}
@@ -202,11 +217,14 @@
 		c.explain(crash.Target)
 		return
 	}
+	if c.recent.Contains(now, crash.Filter) {
+		return
+	}
 	s := c.suspects.get(crash.Subject)
 	if !s.add(c.newRecord(now, crash)) {
 		return
 	}
-	if s.mustHold() {
+	if s.mustHold() || c.expired[crash.Fingerprint] > 0 {
 		c.hold(now, Hold{Subject: s.Subject, Targets: s.targets()}, true)
 		return
 	}
@@ -235,7 +253,8 @@
 	if len(c.held) >= maxHolds {
 		c.dropOldestHold()
 	}
-	c.held[h.Fingerprint] = heldRequest{h, now}
+	lifetime := min(maxHoldLifetime, firstHoldLifetime<<min(c.expired[h.Fingerprint], maxDoublings))
+	c.held[h.Fingerprint] = heldRequest{h, now.Add(lifetime)}
 	c.forgetSuspect(h.Fingerprint)
 	for _, target := range h.Targets {
 		c.explain(target)
@@ -260,10 +279,23 @@
 }
 
 func (c *Core) dropOldestHold() {
-	oldest := slices.MinFunc(slices.Collect(maps.Values(c.held)), func(a, b heldRequest) int { return a.since.Compare(b.since) })
-	c.endHold(oldest, true)
+	oldest := slices.MinFunc(slices.Collect(maps.Values(c.held)), func(a, b heldRequest) int { return a.until.Compare(b.until) })
+	c.endHold(oldest, c.keeps(oldest.Fingerprint))
+}
+
+// expireHold ends a hold whose time is over. Each daemon does so by itself; a keeper deletes it from
+// the store.
+func (c *Core) expireHold(now time.Time, h heldRequest) {
+	if len(c.expired) >= maxExpired {
+		clear(c.expired)
+	}
+	c.expired[h.Fingerprint]++
+	c.watch(now, h.Subject) // a run to its end clears it for good
+	c.endHold(h, c.keeps(h.Fingerprint))
 }
 
+func (c *Core) keeps(f Fingerprint) bool { return slices.Contains(c.keepersOf(f), c.self) }
+
 func (c *Core) endHold(h heldRequest, forget bool) {
 	delete(c.held, h.Fingerprint)
 	c.tableChanged = true
@@ -289,6 +321,7 @@
 	if _, watched := c.watched[f]; !watched {
 		return
 	}
+	delete(c.expired, f)
 	c.forgetSuspectUnlessKept(f)
 	for _, id := range c.keepersOf(f) {
 		if id == c.self {
@@ -312,12 +345,13 @@
 
 // clear drops a suspect that this daemon keeps, and tells those that watch it.
 func (c *Core) clear(f Fingerprint) {
-	s := c.suspects[f]
-	if s == nil {
+	s, expired := c.suspects[f], c.expired[f] > 0
+	if s == nil && !expired {
 		return
 	}
+	delete(c.expired, f)
 	c.forgetSuspect(f)
-	if s.watched {
+	if expired || s.watched {
 		c.broadcast(func(m *Message) { m.Released = append(m.Released, f) })
 	}
 }
@@ -328,6 +362,7 @@
 	if held {
 		c.endHold(h, true)
 	}
+	delete(c.expired, f)
 	c.forgetSuspect(f)
 	c.broadcast(func(m *Message) { m.Released = append(m.Released, f) })
 	return held
@@ -353,8 +388,12 @@
 		c.clear(f)
 	}
 	for _, s := range m.Watched {
-		if _, held := c.held[s.Fingerprint]; !held {
-			c.watch(now, s)
+		if _, held := c.held[s.Fingerprint]; held {
+			continue
+		}
+		c.watch(now, s)
+		if c.recent.Contains(now, s.Filter) {
+			c.Completed(now, s.Fingerprint)
 		}
 	}
 	for _, h := range m.Held {
@@ -364,6 +403,7 @@
 		if h, held := c.held[f]; held {
 			c.endHold(h, false)
 		}
+		delete(c.expired, f)
 		c.forgetSuspect(f)
 	}
 }
@@ -386,8 +426,8 @@
 		}
 	}
 	for _, h := range c.held {
-		if now.Sub(h.since) > holdLifetime {
-			c.endHold(h, true)
+		if now.After(h.until) {
+			c.expireHold(now, h)
 		}
 	}
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -8,8 +8,8 @@
 // A daemon whose request broke off at a target that then refuses connections reports a Crash to the
 // keepers of the request: daemons chosen by rendezvous hashing of its Fingerprint. A keeper adds up
 // the crashes of all daemons. All that a target ran is under suspicion each time; what clears a
-// request is that it runs to its end, so that the daemons watch for that as soon as a request is
-// suspected. A request whose blame reaches maxBlame is held: all daemons are told, and a row in the
+// request is that it runs to its end, lately at one of these daemons (Recent), or at any daemon once
+// it is suspected. A request whose blame reaches maxBlame is held: all daemons are told, and a row in the
 // store tells those that start later.
 package poison
 
@@ -59,19 +59,22 @@
 	return Fingerprint(raw), nil
 }
 
-// Filter is a cheap hash of a request. Requests with the same fingerprint have the same filter, so
-// that bodies are hashed only where a request may be one of those in the table.
+// Filter is a cheap hash of the same fields as a Fingerprint. Only where a request's filter is in the
+// table is its fingerprint needed. Since a caller can find requests with the same filter, nothing is
+// held back by it.
 type Filter uint64
 
 // NewFilter returns the filter of a request.
-func NewFilter(workspace ident.Workspace, requestTarget string, bodyBytes int) Filter {
+func NewFilter(workspace ident.Workspace, method, host, requestTarget string, body []byte) Filter {
 	var d xxhash.Digest
 	d.Reset()
-	// A hash never returns an error. The zero byte separates the two texts.
-	_, _ = d.WriteString(string(workspace))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(requestTarget)
-	return Filter(d.Sum64() + uint64(bodyBytes))
+	for _, field := range []string{string(workspace), method, host, requestTarget} {
+		// A hash never returns an error. The zero byte separates the fields.
+		_, _ = d.WriteString(field)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return Filter(d.Sum64())
 }
 
 // Subject is a request that is suspected or held.
@@ -127,6 +130,9 @@
 	watched map[Fingerprint]bool
 }
 
+// Empty reports whether there is nothing to compare requests with.
+func (t *Table) Empty() bool { return t == nil || len(t.filters) == 0 }
+
 // Contains reports whether a request with this filter may be held or watched.
 func (t *Table) Contains(f Filter) bool { return t != nil && t.filters[f] }
 
