--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -368,3 +368,18 @@
 	is.New(t).Equal(len(runSimulation(t, steps, false, metrics)), 0)
 	is.New(t).NoErr(metrics.Close())
 }
+
+// Guards against a target that is not used any more since the store was restored from a backup right
+// after the target had registered.
+func TestTargetThatRegisteredRightBeforeARestoreIsUsed(t *testing.T) {
+	metrics := telemetry.NewMetrics()
+	for range 60 {
+		violations := runSimulation(t, []simulationStep{
+			{Kind: stepDelay, Size: 3}, {Kind: stepJoin, Pause: 1}, {Kind: stepJoin, Size: 2063, Pause: 88},
+			{Kind: stepRestore, Size: 3146, Pause: 12}, {Kind: stepOutage, Size: 2850, Pause: 2},
+		}, false, metrics)
+		if len(violations) > 0 {
+			t.Fatal(violations)
+		}
+	}
+}
--- a/internal/relay/confirmation.go
+++ b/internal/relay/confirmation.go
@@ -58,8 +58,8 @@
 	return a
 }
 
-// isOutdated reports whether an answer that the store confirmed at the given time is too old to
-// rely on, and no better than what this daemon knows.
+// isOutdated reports whether a reader's answer that the store confirmed at the given time is too old
+// to rely on. During an outage of the store it is not: the store would not answer this daemon either.
 func (f *Feed) isOutdated(table string, confirmedAt time.Time) bool {
 	return table == f.cfg.HeartbeatTable && time.Since(confirmedAt) > maxConfirmationAge && !f.hasProbed(time.Now())
 }
