--- a/internal/platform/feed_test.go
+++ b/internal/platform/feed_test.go
@@ -126,6 +126,12 @@
 	}
 }
 
+func (f *fakeFeed) callCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
 // recordingSubscriber is a subscriber that records what it receives.
 type recordingSubscriber struct {
 	mu          sync.Mutex
@@ -203,6 +209,36 @@
 	return subscriber, cancel
 }
 
+// followerPair is a group of two followers: one with a short wait, which detects outages, and one
+// with a long wait. Each has a feed of its own.
+type followerPair struct {
+	shortFeed, longFeed *fakeFeed
+	short, long         *recordingSubscriber
+}
+
+// setFault sets the fault of both feeds.
+func (p *followerPair) setFault(err error, hangs bool) {
+	p.shortFeed.setFault(err, hangs)
+	p.longFeed.setFault(err, hangs)
+}
+
+// runFollowerPair runs a test in simulated time on two followers that have read their tables.
+func runFollowerPair(t *testing.T, f func(is *is.I, p *followerPair)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := &followerPair{shortFeed: newFakeFeed(), longFeed: newFakeFeed()}
+		group := platform.NewFeedGroup()
+		var stopShort, stopLong context.CancelFunc
+		p.short, stopShort = follow(p.shortFeed, 1800*time.Millisecond, group)
+		p.long, stopLong = follow(p.longFeed, longWait, group)
+		time.Sleep(5 * time.Second)
+		f(is.New(t), p)
+		stopShort()
+		stopLong()
+		synctest.Wait()
+	})
+}
+
 // Rows are changed and deleted while the history is truncated and the store refuses calls
 // in between. Three seconds after the last step, the subscriber must have the same rows as
 // the table.
@@ -246,28 +282,17 @@
 // wait must detect it for the one with the long wait as well; three seconds after the
 // recovery both must have the changes made during the outage.
 func TestUnresponsiveStoreIsDetectedForAllFollowers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		group := platform.NewFeedGroup()
-		short, long := newFakeFeed(), newFakeFeed()
-		a, stopA := follow(short, 1800*time.Millisecond, group)
-		b, stopB := follow(long, 25*time.Second, group)
-		time.Sleep(5 * time.Second)
-		for _, feed := range []*fakeFeed{short, long} {
-			feed.setFault(nil, true)
-		}
+	runFollowerPair(t, func(is *is.I, p *followerPair) {
+		p.setFault(nil, true)
 		time.Sleep(4 * time.Second)
-		is.Equal(a.String(), "map[] true")
-		for _, feed := range []*fakeFeed{short, long} {
+		is.Equal(p.short.String(), "map[] true")
+		for _, feed := range []*fakeFeed{p.shortFeed, p.longFeed} {
 			feed.put("k", "new", false)
 			feed.setFault(nil, false)
 		}
 		time.Sleep(3 * time.Second)
-		is.Equal(a.String(), "map[k:new] false")
-		is.Equal(b.String(), "map[k:new] false")
-		stopA()
-		stopB()
-		synctest.Wait()
+		is.Equal(p.short.String(), "map[k:new] false")
+		is.Equal(p.long.String(), "map[k:new] false")
 	})
 }
 
@@ -275,27 +300,15 @@
 // follower with the long wait began while the store did not respond and never gets an
 // answer; the follower must not wait for it after the other one has reached the store.
 func TestNoFollowerWaitsOnAConnectionOfTheOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		group := platform.NewFeedGroup()
-		short, long := newFakeFeed(), newFakeFeed()
-		_, stopA := follow(short, 1800*time.Millisecond, group)
-		b, stopB := follow(long, 25*time.Second, group)
-		time.Sleep(5 * time.Second)
-		for _, feed := range []*fakeFeed{short, long} {
-			feed.setFault(nil, true)
-		}
+	runFollowerPair(t, func(is *is.I, p *followerPair) {
+		p.setFault(nil, true)
 		time.Sleep(2 * time.Second) // the call of the long follower hangs from here on
-		short.setFault(errors.New("refused"), false)
+		p.shortFeed.setFault(errors.New("refused"), false)
 		time.Sleep(4 * time.Second)
-		long.put("k", "new", false)
-		short.setFault(nil, false)
-		long.setFault(nil, false)
+		p.longFeed.put("k", "new", false)
+		p.setFault(nil, false)
 		time.Sleep(3 * time.Second)
-		is.Equal(b.String(), "map[k:new] false")
-		stopA()
-		stopB()
-		synctest.Wait()
+		is.Equal(p.long.String(), "map[k:new] false")
 	})
 }
 
@@ -304,26 +317,13 @@
 // had expired during the outage, and got requests for another two and a half seconds.
 // The recovery must be reported when it happens.
 func TestRecoveryIsReportedImmediately(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		group := platform.NewFeedGroup()
-		short, long := newFakeFeed(), newFakeFeed()
-		_, stopA := follow(short, 1800*time.Millisecond, group)
-		b, stopB := follow(long, 25*time.Second, group)
-		time.Sleep(5 * time.Second)
-		for _, feed := range []*fakeFeed{short, long} {
-			feed.setFault(errors.New("refused"), false)
-		}
+	runFollowerPair(t, func(is *is.I, p *followerPair) {
+		p.setFault(errors.New("refused"), false)
 		time.Sleep(30 * time.Second)
-		is.Equal(b.String(), "map[] true")
-		for _, feed := range []*fakeFeed{short, long} {
-			feed.setFault(nil, false)
-		}
+		is.Equal(p.long.String(), "map[] true")
+		p.setFault(nil, false)
 		time.Sleep(3 * time.Second)
-		is.Equal(b.String(), "map[] false")
-		stopA()
-		stopB()
-		synctest.Wait()
+		is.Equal(p.long.String(), "map[] false")
 	})
 }
 
@@ -353,35 +353,21 @@
 // more, so they are made only every two seconds. When the store recovers, both tables must
 // be followed again at once.
 func TestOnlyHeartbeatTableIsRetriedDuringOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		group := platform.NewFeedGroup()
-		heartbeat, other := newFakeFeed(), newFakeFeed()
-		_, stopA := follow(heartbeat, 1800*time.Millisecond, group)
-		b, stopB := follow(other, 25*time.Second, group)
-		time.Sleep(5 * time.Second)
-		refused := errors.New("refused")
-		heartbeat.setFault(refused, false)
-		other.setFault(refused, false)
+	runFollowerPair(t, func(is *is.I, p *followerPair) {
+		other := p.longFeed
+		p.setFault(errors.New("refused"), false)
 		other.put("wakes", "its call", false)
 		time.Sleep(2 * time.Second) // both have found the store unreachable
-		other.mu.Lock()
-		before := other.calls
-		other.mu.Unlock()
+		before := other.callCount()
 		time.Sleep(6 * time.Second)
-		other.mu.Lock()
-		made := other.calls - before
-		other.mu.Unlock()
+		made := other.callCount() - before
 		t.Logf("%d calls of the other table", made)
 		is.True(made <= 4)
 		other.put("k", "new", false)
 		other.setFault(nil, false)
-		heartbeat.setFault(nil, false)
+		p.shortFeed.setFault(nil, false)
 		time.Sleep(1600 * time.Millisecond) // the longest backoff, and the call
-		is.Equal(b.String(), "map[k:new wakes:its call] false")
-		stopA()
-		stopB()
-		synctest.Wait()
+		is.Equal(p.long.String(), "map[k:new wakes:its call] false")
 	})
 }
 
