Lines of requests that broke off name the shared parts of their prompts

Ruled out: that the fingerprints tell it (180 in 182 lines). Change: event 201 and others that carry a fingerprint carry the IDs of the first eight parts, without the last one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,12 @@
 	Parts []booking.PromptPart
 }
 
+// sharedParts returns the parts of the prompt without the last one, which belongs to the request
+// itself or to its session.
+func (i *RequestInfo) sharedParts() []booking.PromptPart {
+	return i.Parts[:max(0, len(i.Parts)-1)]
+}
+
 // ForwardInfo is what a target is told in addition to the caller's own headers.
 type ForwardInfo struct {
 	// Identity is the target that must run the request; any other target refuses it.
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
@@ -46,6 +47,14 @@
 	})
 }
 
+// Guards against lines of requests that broke off that do not tell what these have in common.
+func TestLineOfBrokenRequestNamesSharedParts(t *testing.T) {
+	pr := &proxyRequest{info: RequestInfo{Parts: []booking.PromptPart{{ID: 0xa}, {ID: 0xb2}, {ID: 0xc}}}}
+	is := is.New(t)
+	is.Equal(sharedPartIDs(pr), []string{"a", "b2"}) // the last part is the request's own
+	is.Equal(sharedPartIDs(&proxyRequest{}), []string{})
+}
+
 // Only what the target's side ended may have ended the target.
 func TestWhichAttemptsBrokeOff(t *testing.T) {
 	eof := errors.New("unexpected EOF")
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -194,7 +194,7 @@
 		}
 	}
 	if pr != nil && pr.poisonSubject != nil {
-		args = append(args, "fingerprint", pr.poisonSubject.Fingerprint.String())
+		args = append(args, "fingerprint", pr.poisonSubject.Fingerprint.String(), "parts", sharedPartIDs(pr))
 	}
 	if f != nil {
 		args = append(args, "code", f.Code.Number, "run", f.Code.Outcome, "reason", f.Error())
@@ -202,6 +202,21 @@
 	return args
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// sharedPartIDs returns the hexadecimal IDs of the parts of the request's prompt that other requests
+// may have, too.
+func sharedPartIDs(pr *proxyRequest) []string {
+	parts := pr.info.sharedParts()
+	parts = parts[:min(len(parts), maxLoggedParts)]
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = strconv.FormatUint(p.ID, 16)
+	}
+	return ids
+}
+
 // recoverPanic logs a panic of the handler and aborts the connection.
 func (s *Server) recoverPanic(r *http.Request) {
 	cause := recover()
