Targets that end right after a check whether they had are checked again

What callers saw: nothing by itself; a request that ends targets is held later. Cause: whether a target has ended was checked once a second at most. Where a request had broken off at a target that was alive (a response that it broke off itself), a crash within the next second was taken for another such response, and nothing that ran there was suspected. Ruled out: that a check may be shared without bound: it holds only for requests that broke off before its connection was opened, or once the target is known to have ended. Change: a check is shared for the 50 ms before it connects; its result for a second only if the target had ended.

--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -43,7 +43,7 @@
 	// close its connections before its listener. crashCheckTimeout bounds the check.
 	crashCheckDelay   = 50 * time.Millisecond
 	crashCheckTimeout = 500 * time.Millisecond
-	// crashCheckLifetime is how long the result of a check is valid.
+	// crashCheckLifetime is how long a target counts as ended after a check.
 	crashCheckLifetime = time.Second
 	// maxCrashChecks bounds the results that are kept.
 	maxCrashChecks = 1024
@@ -200,6 +200,21 @@
 	ended bool
 }
 
+// isValidAt reports whether the check holds for a request that breaks off at a time: its connection
+// is opened later than that, or the target had ended before.
+func (c *crashCheck) isValidAt(now time.Time) bool {
+	age := now.Sub(c.began)
+	if age < crashCheckDelay {
+		return true
+	}
+	select {
+	case <-c.done:
+		return c.ended && age < crashCheckLifetime
+	default:
+		return false
+	}
+}
+
 // hasEnded reports whether a target at which a request has just broken off has ended: it does not
 // accept connections any more. One that is reached at its address again within crashCheckDelay
 // counts as not ended.
@@ -219,7 +234,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if known := c.checks[target]; known != nil && now.Sub(known.began) < crashCheckLifetime {
+	if known := c.checks[target]; known != nil && known.isValidAt(now) {
 		return known, false
 	}
 	if c.checks == nil || len(c.checks) >= maxCrashChecks {
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -47,6 +48,20 @@
 	})
 }
 
+// Guards against a crash that is not seen because the target was alive when another request had
+// broken off there, right before.
+func TestTargetThatEndsRightAfterACheckIsCheckedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var checks crashChecks
+		entry := registry.Entry{Identity: "t"}
+		is.True(!checks.hasEnded(func(string) bool { return true }, entry))
+		time.Sleep(300 * time.Millisecond)
+		is.True(checks.hasEnded(func(string) bool { return false }, entry))
+		is.True(checks.hasEnded(func(string) bool { t.Error("checked again"); return true }, entry)) // its end is known
+	})
+}
+
 // Guards against lines of requests that broke off that do not tell what these have in common.
 func TestLineOfBrokenRequestNamesSharedParts(t *testing.T) {
 	pr := &proxyRequest{info: RequestInfo{Parts: []booking.PromptPart{{ID: 0xa}, {ID: 0xb2}, {ID: 0xc}}}}
