A stream that ends with its connection is complete only if its target is still there

What callers saw: a stream that looks whole although events are missing, where its engine ended between two events of a response with neither length nor chunks. And a part that ends its engines so was never held: each crash counted as a run to its end and cleared it. Cause: the end of a connection is either the end of such a response or of the engine. finishStream judged the event, and nothing asked whether the engine was still there. Ruled out: streams that end inside an event, which are broken off already (scenario "response ends inside an event", green before), and chunked ones, whose end is marked. If it has ended, the response is cut: resumed at another target where it may be, else broken off.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,7 +41,7 @@
 	case x.Response.StatusCode >= http.StatusBadRequest:
 		return s.handleErrorStatus(ctx, x, pr, r, dispatched)
 	case pr.route.Retry == route.Stream && isEventStream(x.Response.Header):
-		return s.relayStream(ctx, x, pr, r, dispatched)
+		return s.relayStream(ctx, x, pr, entry, r, dispatched)
 	}
 	return s.relayResponse(ctx, x, pr, r, dispatched)
 }
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -14,6 +14,7 @@
 	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/targetconn"
 )
 
 // Poison knows which requests, and parts of prompts, end the targets that run them.
@@ -180,6 +181,12 @@
 	return !errors.Is(r.failure.Cause, syscall.ETIMEDOUT)
 }
 
+// endedWithTarget reports whether a response that has ended with its connection did so because its
+// target has ended.
+func (s *Server) endedWithTarget(x *targetconn.Exchange, entry registry.Entry) bool {
+	return x.EndsWithConnection() && s.crashChecks.hasEnded(s.targetAccepts, entry)
+}
+
 func (s *Server) targetAccepts(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/targetconn"
 )
@@ -21,13 +22,17 @@
 	tokensPerEvent = 8
 )
 
-// errTruncatedEvent reports that a stream ended within an event.
-var errTruncatedEvent = errors.New("the stream ended in the middle of an event")
+var (
+	// errTruncatedEvent reports that a stream ended within an event.
+	errTruncatedEvent = errors.New("the stream ended in the middle of an event")
+	// errTargetEnded reports that a response without a length ended together with its target.
+	errTargetEnded = errors.New("the response has no length, and its target has ended")
+)
 
 // relayStream relays events as they arrive. Only complete events are sent to the caller: an
 // event that is cut off when a target fails is dropped, and the target that continues the
 // stream sends it again from its start.
-func (s *Server) relayStream(ctx context.Context, x *targetconn.Exchange, pr *proxyRequest, r attemptResult, dispatched time.Time) attemptResult {
+func (s *Server) relayStream(ctx context.Context, x *targetconn.Exchange, pr *proxyRequest, entry registry.Entry, r attemptResult, dispatched time.Time) attemptResult {
 	pr.events.startAttempt()
 	countBefore := pr.events.count
 	buffer := make([]byte, readSize)
@@ -47,7 +52,7 @@
 			}
 		}
 		if err == io.EOF {
-			r.failure = pr.finishStream(x)
+			r.failure = s.finishStream(pr, x, entry)
 			break
 		}
 		if err != nil {
@@ -63,11 +68,15 @@
 	return r
 }
 
-// finishStream checks that a stream whose body has ended did not end within an event.
-func (pr *proxyRequest) finishStream(x *targetconn.Exchange) *resultcode.Failure {
+// finishStream checks that a stream whose body has ended did not end within an event, or with its
+// target.
+func (s *Server) finishStream(pr *proxyRequest, x *targetconn.Exchange, entry registry.Entry) *resultcode.Failure {
 	if pr.events.hasPartialEvent() {
 		return resultcode.Fail(resultcode.AnswerCut, "").WithCause(errTruncatedEvent)
 	}
+	if s.endedWithTarget(x, entry) {
+		return resultcode.Fail(resultcode.AnswerCut, "").WithCause(errTargetEnded)
+	}
 	if !pr.responseStarted {
 		pr.writeHeader(x.Response.StatusCode, x.Response.Header, -1)
 	}
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -235,6 +235,12 @@
 	}
 }
 
+// EndsWithConnection reports whether the response has neither a length nor chunks, so that its end
+// looks like the end of its target.
+func (x *Exchange) EndsWithConnection() bool {
+	return x.Response.Close && x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+}
+
 // Read reads the body of the response. It returns io.EOF only at the actual end: if
 // the connection is reset within a body of unknown length, it returns that error.
 func (x *Exchange) Read(p []byte) (int, error) {
