A body that ends with its connection is complete only if its target is still there

What callers saw: status 200 and the beginning of a body, where its engine ended in the middle of a response with neither length nor chunks; such a request counted as run to its end. Cause: as for streams: the end of the connection was taken for that of the body. Ruled out: that such a connection is used again: it never was (TestWhichResponsesEndWithTheirConnection, green before); that a reset is taken for the end (TestResetIsNotEndOfBody). Change: such a body is passed on after the check whether the target accepts connections. The same for error responses.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,11 +39,11 @@
 	case answer.NotRun:
 		return s.handleRefusal(x, r)
 	case x.Response.StatusCode >= http.StatusBadRequest:
-		return s.handleErrorStatus(ctx, x, pr, r, dispatched)
+		return s.handleErrorStatus(ctx, x, pr, entry, r, dispatched)
 	case pr.route.Retry == route.Stream && isEventStream(x.Response.Header):
 		return s.relayStream(ctx, x, pr, entry, r, dispatched)
 	}
-	return s.relayResponse(ctx, x, pr, r, dispatched)
+	return s.relayResponse(ctx, x, pr, entry, r, dispatched)
 }
 
 func isEventStream(h http.Header) bool {
@@ -146,9 +146,9 @@
 
 // handleErrorStatus handles an error response of the target itself. It is relayed unchanged
 // unless its status implies that the request was not run, which this target did not confirm.
-func (s *Server) handleErrorStatus(ctx context.Context, x *targetconn.Exchange, pr *proxyRequest, r attemptResult, dispatched time.Time) attemptResult {
+func (s *Server) handleErrorStatus(ctx context.Context, x *targetconn.Exchange, pr *proxyRequest, entry registry.Entry, r attemptResult, dispatched time.Time) attemptResult {
 	r.firstByteTime = time.Since(dispatched)
-	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBody))
+	body, err := s.readWhole(x, entry)
 	if err != nil {
 		r.targetFailed = !callerGone(ctx, pr)
 		r.failure = resultcode.Fail(resultcode.AnswerCut, "").WithCause(err)
@@ -172,9 +172,18 @@
 	return false
 }
 
+// readWhole reads a response up to maxBufferedBody. It fails if the response has ended with its target.
+func (s *Server) readWhole(x *targetconn.Exchange, entry registry.Entry) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBody))
+	if err == nil && len(body) < maxBufferedBody && s.endedWithTarget(x, entry) {
+		return nil, errTargetEnded
+	}
+	return body, err
+}
+
 // relayResponse relays a response that is not an event stream.
-func (s *Server) relayResponse(ctx context.Context, x *targetconn.Exchange, pr *proxyRequest, r attemptResult, dispatched time.Time) attemptResult {
-	prefix, err := io.ReadAll(io.LimitReader(x, maxBufferedBody))
+func (s *Server) relayResponse(ctx context.Context, x *targetconn.Exchange, pr *proxyRequest, entry registry.Entry, r attemptResult, dispatched time.Time) attemptResult {
+	prefix, err := s.readWhole(x, entry)
 	r.firstByteTime = time.Since(dispatched)
 	r.cost = float64(r.firstByteTime.Milliseconds())
 	if err != nil {
@@ -190,7 +199,11 @@
 	if len(prefix) < maxBufferedBody {
 		return r
 	}
-	if _, err := io.Copy(pr.w, x); err != nil {
+	_, err = io.Copy(pr.w, x)
+	if err == nil && s.endedWithTarget(x, entry) {
+		r.targetFailed, err = true, errTargetEnded
+	}
+	if err != nil {
 		r.failure = resultcode.Fail(resultcode.AnswerCut, "").WithCause(err)
 	}
 	return r
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -238,6 +238,41 @@
 	is.Equal(<-bodies, len("hello"))
 }
 
+// Guards against a connection that is used again although its end is that of the response, and
+// against responses of other kinds that are taken for such ones.
+func TestWhichResponsesEndWithTheirConnection(t *testing.T) {
+	for _, c := range []struct {
+		name, head, body string
+		want             bool
+	}{
+		{"neither", "", "text", true},
+		{"length", "Content-Length: 4\r\n", "text", false},
+		{"length and close", "Content-Length: 4\r\nConnection: close\r\n", "text", false},
+		{"chunks", "Transfer-Encoding: chunked\r\n", "4\r\ntext\r\n0\r\n\r\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tg := serve(t, func(conn *net.TCPConn, in *bufio.Reader, _ int) {
+				name, _, err := read(in)
+				if err == nil {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", nameHeader, name, c.head, c.body)
+				}
+			})
+			p := targetconn.New(targetconn.Config{})
+			defer p.Close()
+			x, err := p.Do(t.Context(), tg.address, request("a"))
+			is.NoErr(err)
+			is.Equal(x.EndsWithConnection(), c.want)
+			text, err := io.ReadAll(x)
+			is.NoErr(err)
+			is.Equal(string(text), "text")
+			if c.want {
+				is.Equal(p.ConnectionCount(tg.address), 0)
+			}
+		})
+	}
+}
+
 // A response without a length ends when the connection is closed. A connection reset
 // must be reported as an error.
 func TestResetIsNotEndOfBody(t *testing.T) {
