Responses of targets that leave end as before, whether or not they accept connections

Cause: a target that accepts no connections counts as ended; one that leaves may complete its responses after it has closed its listener. Ruled out: that it is known by its connections: the check opens a new one. Change: the end of a response with neither length nor chunks is trusted where the target is registered as draining, or not any more. Figures: TestUnframedStreamOfLeavingEngineIsComplete fails without this (status 0, 200 wanted), passes with it. Conclusion: a crash of a target that leaves, between two events of such a stream, is not told from its end.

--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -182,9 +182,14 @@
 }
 
 // endedWithTarget reports whether a response that has ended with its connection did so because its
-// target has ended.
+// target has ended. One that leaves may accept no connections while it completes its responses.
 func (s *Server) endedWithTarget(x *targetconn.Exchange, entry registry.Entry) bool {
-	return x.EndsWithConnection() && s.crashChecks.hasEnded(s.targetAccepts, entry)
+	if !x.EndsWithConnection() {
+		return false
+	}
+	current, known := s.targets.Load().ByIdentity[entry.Identity]
+	leaves := !known || current.Draining
+	return !leaves && s.crashChecks.hasEnded(s.targetAccepts, entry)
 }
 
 func (s *Server) targetAccepts(address string) bool {
