A request that is held back while it waits for a target is not sent

What callers saw: further targets ended by requests that had come before the hold and waited for a slot. Cause: what is held was looked up before a request was placed, and not again once it had a target. Ruled out: requests that wait in the system elsewhere: connections are handed over unread, and an attempt looks it up anew. Change: the second look, right before the attempt; its slot is given back as not run. Figures: TestRequestThatIsHeldWhileItWaitsIsNotSent fails on the code before (status 200, sent) and passes now. Conclusion: what is at a target by then cannot be called back.

--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,8 +15,13 @@
 	"github.com/matryer/is"
 
 	"github.com/savorystall/savorystall/internal/booking"
+	"github.com/savorystall/savorystall/internal/control"
+	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/targetconn"
 )
 
 // Guards against requests that are suspected because their connections broke: only a target that
@@ -70,6 +78,54 @@
 	is.Equal(sharedPartIDs(&proxyRequest{}), []string{})
 }
 
+// fakePoison holds back what its table says.
+type fakePoison struct {
+	noPoison
+	table *poison.Table
+}
+
+func (f *fakePoison) PoisonTable() *poison.Table { return f.table }
+
+// holdTable returns a table that holds a request back.
+func holdTable(t *testing.T, request poison.Subject) *poison.Table {
+	t.Helper()
+	core := poison.New("d", poison.NewRecent())
+	core.Recall(time.Now(), []poison.Hold{{Subject: request}})
+	for _, effect := range core.TakeEffects() {
+		if changed, ok := effect.(poison.TableChanged); ok {
+			return changed.Table
+		}
+	}
+	t.Fatal("no table")
+	return nil
+}
+
+// Guards against a request that is sent although it was held back while it waited for a target.
+func TestRequestThatIsHeldWhileItWaitsIsNotSent(t *testing.T) {
+	is := is.New(t)
+	held := &fakePoison{}
+	placer := &fakePlacer{placeFunc: func() control.Placement {
+		held.table = holdTable(t, poison.Subject{
+			Fingerprint: poison.NewFingerprint("club", "POST", "h.example", "/a/x", []byte("body")),
+			Filter:      poison.NewFilter("club", "POST", "h.example", "/a/x", []byte("body")),
+		})
+		return control.Placement{Target: "t"}
+	}}
+	s := newTestServer(t, route.Service{Name: "app"}, true, placer)
+	s.Poison, s.Pool = held, targetconn.New(targetconn.Config{})
+	var sent atomic.Int64
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { sent.Add(1) }))
+	defer target.Close()
+	s.SetTargets(&Targets{ByIdentity: map[ident.Target]registry.Entry{
+		"t": {Identity: "t", Service: "app", Address: target.Listener.Addr().String()},
+	}})
+	w := post(s, "/a/x", "key")
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.True(strings.Contains(w.Body.String(), "request_held"))
+	is.Equal(sent.Load(), int64(0))
+	is.Equal(placer.finishCalls, 1) // its place is free again
+}
+
 // Only what the target's side ended may have ended the target.
 func TestWhichAttemptsBrokeOff(t *testing.T) {
 	eof := errors.New("unexpected EOF")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -87,6 +87,10 @@
 			s.Placer.Finish(pr.id, booking.Result{})
 			return resultcode.Fail(resultcode.CallerGone, "")
 		}
+		if failure := s.heldBack(pr); failure != nil { // it was not, when it began to wait
+			s.Placer.Finish(pr.id, booking.Result{NotRun: true})
+			return correctOutcome(failure, outcome)
+		}
 		if s.waitedTooLong(pr) {
 			s.Placer.Finish(pr.id, booking.Result{})
 			return busyFailure()
