A target that starts again under its identity and ends again counts again

What callers saw: a part that ends its targets goes on doing so where these start again under the identity that they had. Cause: crashes were told apart by identity alone: the second end of a target was taken for another report of the first. What it explains, and the check whether it had ended, went by identity, too. Ruled out: that the start time alone will do: a daemon may not know of the new one yet, or the store is away. Two ends of one process more than three seconds apart are two. Change: a process is an identity with its registered start time, on the wire, in the row of a hold and in a keeper's records; peers and rows of earlier releases have none. Conclusion: within three seconds, and as long as the daemon does not know the new start time, a second end is not counted.

--- a/internal/daemon/holds.go
+++ b/internal/daemon/holds.go
@@ -20,6 +20,8 @@
 	Workspace ident.Workspace `json:"workspace"`
 	Route     string          `json:"route"`
 	Targets   []ident.Target  `json:"targets"`
+	// Started holds the start times of the targets in Unix milliseconds.
+	Started []int64 `json:"started,omitempty"`
 	// Service and Parts are those of a hold of parts.
 	Service ident.Service `json:"service,omitempty"`
 	Parts   []uint64      `json:"parts,omitempty"`
@@ -66,7 +68,7 @@
 func (k *holdKeeper) apply(effect poison.Effect) {
 	switch e := effect.(type) {
 	case poison.Suspected:
-		event.RequestSuspected.Log(k.log, holdFields(poison.Hold{Subject: e.Subject, Targets: e.Targets})...)
+		event.RequestSuspected.Log(k.log, holdFields(poison.Hold{Subject: e.Subject, Ended: e.Ended})...)
 	case poison.HoldBegan:
 		event.RequestHeld.Log(k.log, append(holdFields(e.Hold), "decided", e.Persist)...)
 		if e.Persist {
@@ -81,7 +83,7 @@
 }
 
 func holdFields(h poison.Hold) []any {
-	return []any{"fingerprint", h.Key().String(), "workspace", h.Workspace, "route", h.Route, "parts", partIDs(h), "targets", h.Targets}
+	return []any{"fingerprint", h.Key().String(), "workspace", h.Workspace, "route", h.Route, "parts", partIDs(h), "targets", h.Targets()}
 }
 
 // queue drops the row if too many wait: a hold that the store lacks is lost only if all daemons end.
@@ -94,11 +96,27 @@
 }
 
 func encodeHold(h poison.Hold) []byte {
+	row := holdRow{Filter: uint64(h.Filter), Workspace: h.Workspace, Route: h.Route, Targets: h.Targets(), Service: h.Part.Service, Parts: h.Parts()}
+	for _, p := range h.Ended {
+		row.Started = append(row.Started, p.StartedAtMillis)
+	}
 	// Marshalling cannot fail for texts and numbers.
-	value, _ := json.Marshal(holdRow{Filter: uint64(h.Filter), Workspace: h.Workspace, Route: h.Route, Targets: h.Targets, Service: h.Part.Service, Parts: h.Parts()})
+	value, _ := json.Marshal(row)
 	return value
 }
 
+// ended returns the processes that ended. Rows of earlier releases have no start times.
+func (r *holdRow) ended() []poison.Process {
+	out := make([]poison.Process, len(r.Targets))
+	for i, target := range r.Targets {
+		out[i].Target = target
+		if i < len(r.Started) {
+			out[i].StartedAtMillis = r.Started[i]
+		}
+	}
+	return out
+}
+
 func decodeHold(row store.FeedRow) (poison.Hold, error) {
 	fingerprint, err := poison.ParseFingerprint(row.Key)
 	if err != nil {
@@ -109,11 +127,11 @@
 		return poison.Hold{}, err
 	}
 	if len(decoded.Parts) > 0 {
-		return poison.NewPartsHold(decoded.Workspace, decoded.Route, decoded.Service, poison.NewPartSet(decoded.Parts...), decoded.Targets), nil
+		return poison.NewPartsHold(decoded.Workspace, decoded.Route, decoded.Service, poison.NewPartSet(decoded.Parts...), decoded.ended()), nil
 	}
 	return poison.Hold{
 		Subject: poison.Subject{Fingerprint: fingerprint, Filter: poison.Filter(decoded.Filter), Workspace: decoded.Workspace, Route: decoded.Route},
-		Targets: decoded.Targets,
+		Ended:   decoded.ended(),
 	}, nil
 }
 
--- a/internal/daemon/holds_test.go
+++ b/internal/daemon/holds_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/savorystall/savorystall/internal/ident"
 	store "github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/poison"
 )
@@ -64,14 +63,14 @@
 func testHold() poison.Hold {
 	return poison.Hold{
 		Subject: poison.Subject{Fingerprint: poison.NewFingerprint("club", "POST", "h", "/x", nil), Filter: 7, Workspace: "club", Route: "r"},
-		Targets: []ident.Target{"t1", "t2", "t3"},
+		Ended:   []poison.Process{{Target: "t1"}, {Target: "t2", StartedAtMillis: 5}, {Target: "t3"}},
 	}
 }
 
 // Guards against a row that holds other requests back than the daemon that wrote it.
 func TestRowsOfHoldsRoundTrip(t *testing.T) {
 	is := is.New(t)
-	parts := poison.NewPartsHold("club", "r", "pool", poison.NewPartSet(3, 1<<63, 2), []ident.Target{"t1"})
+	parts := poison.NewPartsHold("club", "r", "pool", poison.NewPartSet(3, 1<<63, 2), []poison.Process{{Target: "t1", StartedAtMillis: 3}})
 	for _, h := range []poison.Hold{testHold(), parts} {
 		decoded, err := decodeHold(store.FeedRow{Key: h.Key().String(), Value: encodeHold(h)})
 		is.NoErr(err)
--- a/internal/daemon/routedoperators.go
+++ b/internal/daemon/routedoperators.go
@@ -48,7 +48,7 @@
 func (o *routedOperators) listHolds(w http.ResponseWriter, _ *http.Request) {
 	views := []holdView{}
 	for _, h := range o.loop.PoisonTable().Holds() {
-		views = append(views, holdView{h.Key().String(), partIDs(h), h.Workspace, h.Route, h.Targets})
+		views = append(views, holdView{h.Key().String(), partIDs(h), h.Workspace, h.Route, h.Targets()})
 	}
 	slices.SortFunc(views, func(a, b holdView) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/daemon/routedoperators_test.go
+++ b/internal/daemon/routedoperators_test.go
@@ -50,7 +50,7 @@
 	hold := testHold()
 	loop.RecallHolds([]poison.Hold{hold})
 	loop.ReleaseHold(poison.Fingerprint{}) // by then the table has been published
-	is.Equal(list(), []holdView{{hold.Fingerprint.String(), nil, "club", "r", hold.Targets}})
+	is.Equal(list(), []holdView{{hold.Fingerprint.String(), nil, "club", "r", hold.Targets()}})
 
 	for path, want := range map[string]int{
 		"/holds/zz": http.StatusBadRequest,
--- a/internal/fleet/codec_test.go
+++ b/internal/fleet/codec_test.go
@@ -70,15 +70,15 @@
 		fingerprint := poison.NewFingerprint("club", "POST", "h", "/x", rapid.SliceOf(rapid.Byte()).Draw(t, "body"))
 		subject := poison.Subject{Fingerprint: fingerprint, Filter: poison.Filter(rapid.Uint64().Draw(t, "filter")), Workspace: "club", Route: "r1"}
 		m.Poison = poison.Message{
-			Crashes:   []poison.Crash{{Subject: subject, Target: "t1", Early: rapid.Bool().Draw(t, "early"), Ago: 20 * time.Millisecond}},
+			Crashes:   []poison.Crash{{Subject: subject, Process: poison.Process{Target: "t1", StartedAtMillis: 7}, Early: rapid.Bool().Draw(t, "early"), Ago: 20 * time.Millisecond}},
 			Completed: []poison.Fingerprint{fingerprint}, Released: []poison.Fingerprint{fingerprint},
-			Watched: []poison.Subject{subject}, Held: []poison.Hold{{Subject: subject, Targets: []ident.Target{"t1", "t2"}}},
+			Watched: []poison.Subject{subject}, Held: []poison.Hold{{Subject: subject, Ended: []poison.Process{{Target: "t1", StartedAtMillis: 3}, {Target: "t2"}}}},
 		}
 		part := poison.NewPartSubject("club", "r1", poison.Part{Service: "pool", ID: rapid.Uint64().Draw(t, "part")})
 		beside := poison.NewPartSet(rapid.SliceOfN(rapid.Uint64(), 0, 3).Draw(t, "beside")...)
-		m.Poison.Crashes = append(m.Poison.Crashes, poison.Crash{Subject: part, Target: "t1", Request: 7, Beside: beside})
+		m.Poison.Crashes = append(m.Poison.Crashes, poison.Crash{Subject: part, Process: poison.Process{Target: "t1"}, Request: 7, Beside: beside})
 		m.Poison.Watched = append(m.Poison.Watched, part)
-		m.Poison.Held = append(m.Poison.Held, poison.Hold{Subject: part, Beside: beside, Targets: []ident.Target{"t1"}})
+		m.Poison.Held = append(m.Poison.Held, poison.Hold{Subject: part, Beside: beside, Ended: []poison.Process{{Target: "t1"}}})
 		m.HeldGrants = append(m.HeldGrants, grant.Draw(t, "held"))
 		m.PreemptGrants = append(m.PreemptGrants, grant.Draw(t, "preempt"))
 	}
--- a/internal/fleet/poison.go
+++ b/internal/fleet/poison.go
@@ -30,7 +30,7 @@
 	out := &fleetv1.Poison{Completed: encodePoisonKeys(m.Completed), Released: encodePoisonKeys(m.Released)}
 	for _, c := range m.Crashes {
 		out.Crashes = append(out.Crashes, &fleetv1.PoisonCrash{
-			Subject: encodeSubject(c.Subject), Target: string(c.Target), Early: c.Early, AgoMs: encodeAge(c.Ago),
+			Subject: encodeSubject(c.Subject), Target: string(c.Process.Target), StartedAtMs: c.Process.StartedAtMillis, Early: c.Early, AgoMs: encodeAge(c.Ago),
 			RequestFilter: uint64(c.Request), Beside: c.Beside,
 		})
 	}
@@ -39,8 +39,9 @@
 	}
 	for _, h := range m.Held {
 		hold := &fleetv1.PoisonHold{Subject: encodeSubject(h.Subject), Beside: h.Beside}
-		for _, target := range h.Targets {
-			hold.Targets = append(hold.Targets, string(target))
+		for _, p := range h.Ended {
+			hold.Targets = append(hold.Targets, string(p.Target))
+			hold.StartedAtMs = append(hold.StartedAtMs, p.StartedAtMillis)
 		}
 		out.Held = append(out.Held, hold)
 	}
@@ -78,7 +79,7 @@
 			return err
 		}
 		out.Crashes = append(out.Crashes, poison.Crash{
-			Subject: subject, Target: ident.Target(c.GetTarget()), Early: c.GetEarly(), Ago: time.Duration(c.GetAgoMs()) * time.Millisecond,
+			Subject: subject, Process: poison.Process{Target: ident.Target(c.GetTarget()), StartedAtMillis: c.GetStartedAtMs()}, Early: c.GetEarly(), Ago: time.Duration(c.GetAgoMs()) * time.Millisecond,
 			Request: poison.Filter(c.GetRequestFilter()), Beside: poison.NewPartSet(c.GetBeside()...),
 		})
 	}
@@ -95,8 +96,12 @@
 			return err
 		}
 		hold := poison.Hold{Subject: subject, Beside: poison.NewPartSet(h.GetBeside()...)}
-		for _, target := range h.GetTargets() {
-			hold.Targets = append(hold.Targets, ident.Target(target))
+		for i, target := range h.GetTargets() {
+			p := poison.Process{Target: ident.Target(target)}
+			if i < len(h.GetStartedAtMs()) { // earlier releases send none
+				p.StartedAtMillis = h.GetStartedAtMs()[i]
+			}
+			hold.Ended = append(hold.Ended, p)
 		}
 		out.Held = append(out.Held, hold)
 	}
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/booking"
-	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/poison"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
@@ -95,6 +94,11 @@
 	return out
 }
 
+// processOf returns the process of a target that a registration is of.
+func processOf(entry registry.Entry) poison.Process {
+	return poison.Process{Target: entry.Identity, StartedAtMillis: entry.StartedAtMillis}
+}
+
 // heldBack returns the failure of a request that is held back, or nil.
 func (s *Server) heldBack(pr *proxyRequest) *resultcode.Failure {
 	table := s.Poison.PoisonTable()
@@ -102,7 +106,7 @@
 		return nil
 	}
 	if hold, held := heldParts(table, pr); held {
-		return resultcode.Fail(resultcode.RequestHeld, "fingerprint %s, for parts of its prompt, %d targets ended", hold.Key(), len(hold.Targets))
+		return resultcode.Fail(resultcode.RequestHeld, "fingerprint %s, for parts of its prompt, %d targets ended", hold.Key(), len(hold.Ended))
 	}
 	if !table.Contains(pr.filter()) {
 		return nil
@@ -112,7 +116,7 @@
 	if !held {
 		return nil
 	}
-	return resultcode.Fail(resultcode.RequestHeld, "fingerprint %s, %d targets ended", fingerprint, len(hold.Targets))
+	return resultcode.Fail(resultcode.RequestHeld, "fingerprint %s, %d targets ended", fingerprint, len(hold.Ended))
 }
 
 // heldParts returns the hold of parts that the request has.
@@ -135,7 +139,7 @@
 		s.recordCompletion(pr)
 	case r.brokeOff():
 		run := poison.Run{
-			Request: pr.subject(), Parts: pr.partSubjects(), Target: entry.Identity,
+			Request: pr.subject(), Parts: pr.partSubjects(), Process: processOf(entry),
 			Early: r.firstByteTime == 0 || elapsed-r.firstByteTime < earlyRunTime,
 		}
 		brokeAt := time.Now()
@@ -202,7 +206,7 @@
 // one check. It is safe for concurrent use.
 type crashChecks struct {
 	mu     sync.Mutex
-	checks map[ident.Target]*crashCheck
+	checks map[poison.Process]*crashCheck
 }
 
 type crashCheck struct {
@@ -231,7 +235,7 @@
 // accept connections any more. One that is reached at its address again within crashCheckDelay
 // counts as not ended.
 func (c *crashChecks) hasEnded(accepts func(address string) bool, entry registry.Entry) bool {
-	check, first := c.begin(entry.Identity)
+	check, first := c.begin(processOf(entry))
 	if first {
 		time.Sleep(crashCheckDelay)
 		check.ended = !accepts(entry.Address)
@@ -242,7 +246,7 @@
 }
 
 // begin returns the check of a target, and whether the caller has to carry it out.
-func (c *crashChecks) begin(target ident.Target) (check *crashCheck, first bool) {
+func (c *crashChecks) begin(target poison.Process) (check *crashCheck, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -250,7 +254,7 @@
 		return known, false
 	}
 	if c.checks == nil || len(c.checks) >= maxCrashChecks {
-		c.checks = map[ident.Target]*crashCheck{}
+		c.checks = map[poison.Process]*crashCheck{}
 	}
 	check = &crashCheck{began: now, done: make(chan struct{})}
 	c.checks[target] = check
--- a/internal/poison/core.go
+++ b/internal/poison/core.go
@@ -17,7 +17,7 @@
 	maxParts = 16
 	// expiryInterval is how often a Core looks for what has expired.
 	expiryInterval = 10 * time.Second
-	// maxExplained bounds the targets that are known to have ended for a held request, and those that
+	// maxExplained bounds the processes that are known to have ended for a held request, and those that
 	// are known to have ended at all.
 	maxExplained = 4096
 	// decisionDelay is how long a keeper waits before it holds parts: all daemons report the requests
@@ -40,7 +40,7 @@
 // Suspected reports that this daemon, as a keeper, has a subject watched.
 type Suspected struct {
 	Subject Subject
-	Targets []ident.Target
+	Ended   []Process
 }
 
 // HoldBegan reports what is held from now on. Persist reports that this daemon decided so
@@ -87,10 +87,10 @@
 	// held and expired are the holds by their keys.
 	held    map[Fingerprint]activeHold
 	expired map[Fingerprint]expiredHold
-	// explained are targets that have ended for a held request.
-	explained map[ident.Target]bool
-	// ended are the targets that are known to have ended, with the times of that.
-	ended map[ident.Target]time.Time
+	// explained are processes that have ended for a held request.
+	explained map[Process]bool
+	// ended are the processes that are known to have ended, with the times of that.
+	ended map[Process]time.Time
 	// undecided are the parts that are to be held unless what arrives before decideAt changes that.
 	undecided    map[Fingerprint]bool
 	decideAt     time.Time
@@ -109,7 +109,7 @@
 func New(self ident.Daemon, recent *Recent) *Core {
 	c := &Core{
 		self: self, recent: recent, own: suspects{}, suspects: suspects{}, watched: map[Fingerprint]watch{}, held: map[Fingerprint]activeHold{},
-		expired: map[Fingerprint]expiredHold{}, explained: map[ident.Target]bool{}, ended: map[ident.Target]time.Time{}, undecided: map[Fingerprint]bool{}, outbox: map[ident.Daemon]*Message{},
+		expired: map[Fingerprint]expiredHold{}, explained: map[Process]bool{}, ended: map[Process]time.Time{}, undecided: map[Fingerprint]bool{}, outbox: map[ident.Daemon]*Message{},
 	}
 	c.setMembers(nil)
 	return c
@@ -189,10 +189,10 @@
 // Crashed handles the end of a target with a request of this daemon in progress.
 func (c *Core) Crashed(now time.Time, run Run) {
 	if c.holdsRun(&run) {
-		c.explain(run.Target)
+		c.explain(run.Process)
 		return
 	}
-	crash := Crash{Subject: run.Request, Request: run.Request.Filter, Target: run.Target, Early: run.Early, Ago: run.Ago}
+	crash := Crash{Subject: run.Request, Request: run.Request.Filter, Process: run.Process, Early: run.Early, Ago: run.Ago}
 	c.suspectCrash(now, crash)
 	parts := c.suspectParts(now, run.Parts)
 	for _, p := range parts {
@@ -229,10 +229,10 @@
 	if len(c.ended) >= maxExplained {
 		clear(c.ended)
 	}
-	c.ended[crash.Target] = now.Add(-crash.Ago)
+	c.ended[crash.Process] = now.Add(-crash.Ago)
 	return crashRecord{
-		target: crash.Target, at: now.Add(-crash.Ago), early: crash.Early,
-		prompts: []prompt{{crash.Request, crash.Beside}}, explained: c.explained[crash.Target],
+		process: crash.Process, at: now.Add(-crash.Ago), early: crash.Early,
+		prompts: []prompt{{crash.Request, crash.Beside}}, explained: c.explained[crash.Process],
 	}
 }
 
@@ -251,7 +251,7 @@
 // keep adds a crash to what this daemon knows as a keeper.
 func (c *Core) keep(now time.Time, crash Crash) {
 	if c.holdsCrash(&crash) {
-		c.explain(crash.Target)
+		c.explain(crash.Process)
 		return
 	}
 	if c.recent.Contains(now, crash.Subject) {
@@ -273,7 +273,7 @@
 		s.watched = true
 		c.watch(now, s.Subject)
 		c.broadcast(func(m *Message) { m.Watched = append(m.Watched, s.Subject) })
-		c.effects = append(c.effects, Suspected{s.Subject, s.targets()})
+		c.effects = append(c.effects, Suspected{s.Subject, s.processes()})
 	}
 }
 
@@ -284,8 +284,8 @@
 		since = first
 	}
 	ended := 0
-	for target, at := range c.ended {
-		if !at.Before(since) && !c.explained[target] {
+	for process, at := range c.ended {
+		if !at.Before(since) && !c.explained[process] {
 			ended++
 		}
 	}
@@ -325,11 +325,11 @@
 	c.tableChanged = true
 }
 
-func (c *Core) explain(target ident.Target) {
+func (c *Core) explain(p Process) {
 	if len(c.explained) >= maxExplained {
 		clear(c.explained)
 	}
-	c.explained[target] = true
+	c.explained[p] = true
 }
 
 func (c *Core) keeps(f Fingerprint) bool { return slices.Contains(c.keepersOf(f), c.self) }
@@ -446,7 +446,7 @@
 	c.nextExpiry = now.Add(expiryInterval)
 	c.suspects.expire(now)
 	c.own.expire(now)
-	maps.DeleteFunc(c.ended, func(_ ident.Target, at time.Time) bool { return now.Sub(at) > suspectLifetime })
+	maps.DeleteFunc(c.ended, func(_ Process, at time.Time) bool { return now.Sub(at) > suspectLifetime })
 	for f, w := range c.watched {
 		if now.Sub(w.at) > suspectLifetime {
 			delete(c.watched, f)
--- a/internal/poison/core_test.go
+++ b/internal/poison/core_test.go
@@ -104,7 +104,7 @@
 func (n *network) crash(target string, early bool, running map[ident.Daemon]poison.Subject) {
 	for _, id := range n.names() {
 		if s, ok := running[id]; ok {
-			n.cores[id].Crashed(n.now, poison.Run{Request: s, Target: ident.Target(target), Early: early})
+			n.cores[id].Crashed(n.now, poison.Run{Request: s, Process: poison.Process{Target: ident.Target(target)}, Early: early})
 		}
 	}
 	n.deliver()
@@ -138,7 +138,7 @@
 	}
 	is.Equal(n.heldBy(s), 6)
 	is.Equal(len(n.stored), 1)
-	is.Equal(n.stored[s.Fingerprint].Targets, []ident.Target{"t0", "t1", "t2"})
+	is.Equal(n.stored[s.Fingerprint].Ended, []poison.Process{{Target: "t0"}, {Target: "t1"}, {Target: "t2"}})
 }
 
 // Guards against a request that ends its targets only after it has run for a while, and is never
@@ -198,7 +198,7 @@
 			n.recent[id].Add(n.now, s.Filter)
 		}
 		for i := range 3 {
-			n.cores["d0"].Crashed(n.now, poison.Run{Request: s, Target: ident.Target(fmt.Sprint("t", i)), Early: true, Ago: time.Duration(i) * time.Second})
+			n.cores["d0"].Crashed(n.now, poison.Run{Request: s, Process: poison.Process{Target: ident.Target(fmt.Sprint("t", i))}, Early: true, Ago: time.Duration(i) * time.Second})
 		}
 		n.deliver()
 		is.Equal(n.decided, 0)
@@ -232,7 +232,7 @@
 	is := is.New(t)
 	n, s := newNetwork(6), subject("innocent")
 	for i := range 8 {
-		n.cores["d0"].Crashed(n.now, poison.Run{Request: s, Target: ident.Target(fmt.Sprint("t", i)), Early: true, Ago: time.Duration(i) * time.Millisecond})
+		n.cores["d0"].Crashed(n.now, poison.Run{Request: s, Process: poison.Process{Target: ident.Target(fmt.Sprint("t", i))}, Early: true, Ago: time.Duration(i) * time.Millisecond})
 		n.deliver()
 	}
 	is.Equal(n.heldBy(s), 0)
@@ -342,7 +342,7 @@
 	n.crash("t0", true, map[ident.Daemon]poison.Subject{"d0": s})
 	n.crash("t1", true, map[ident.Daemon]poison.Subject{"d0": s})
 	for i := range 6000 {
-		n.cores["d0"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint(i)), Target: ident.Target(fmt.Sprint("other", i)), Early: true})
+		n.cores["d0"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint(i)), Process: poison.Process{Target: ident.Target(fmt.Sprint("other", i))}, Early: true})
 	}
 	n.now = n.now.Add(time.Second)
 	n.crash("t2", true, map[ident.Daemon]poison.Subject{"d0": s})
--- a/internal/poison/hold.go
+++ b/internal/poison/hold.go
@@ -12,15 +12,24 @@
 	Subject
 	// Beside are the other parts that a request must have to be held back.
 	Beside PartSet
-	// Targets are those that ended while they ran it.
-	Targets []ident.Target
+	// Ended are the processes that ended while they ran it.
+	Ended []Process
 }
 
 // NewPartsHold returns the hold of requests that have all the given parts, of which there is one at
 // least.
-func NewPartsHold(workspace ident.Workspace, route string, service ident.Service, parts PartSet, targets []ident.Target) Hold {
+func NewPartsHold(workspace ident.Workspace, route string, service ident.Service, parts PartSet, ended []Process) Hold {
 	first := NewPartSubject(workspace, route, Part{service, parts[0]})
-	return Hold{Subject: first, Beside: parts[1:], Targets: targets}
+	return Hold{Subject: first, Beside: parts[1:], Ended: ended}
+}
+
+// Targets returns the identities of the processes that ended.
+func (h *Hold) Targets() []ident.Target {
+	out := make([]ident.Target, len(h.Ended))
+	for i, p := range h.Ended {
+		out[i] = p.Target
+	}
+	return out
 }
 
 // Key identifies what is held: the fingerprint of the request or part, or of several parts together.
@@ -64,7 +73,7 @@
 	if i < 0 || len(members) == 1 {
 		return Hold{}, false
 	}
-	return NewPartsHold(h.Workspace, h.Route, h.Part.Service, h.Parts().without(members[i].Part.ID), h.Targets), true
+	return NewPartsHold(h.Workspace, h.Route, h.Part.Service, h.Parts().without(members[i].Part.ID), h.Ended), true
 }
 
 // matches reports whether a crash is one of a request that is held.
--- a/internal/poison/holds.go
+++ b/internal/poison/holds.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/savorystall/savorystall/internal/ident"
 )
 
 const (
@@ -121,20 +119,20 @@
 	if len(h.Beside) == 0 {
 		c.forgetSuspect(h.Fingerprint)
 	}
-	c.explainAll(h.Targets)
+	c.explainAll(h.Ended)
 	c.tableChanged = true
 	c.effects = append(c.effects, HoldBegan{Hold: h, Persist: persist})
 	return true
 }
 
-// explainAll records which targets have ended for a held request.
-func (c *Core) explainAll(targets []ident.Target) {
-	for _, target := range targets {
-		c.explain(target)
+// explainAll records which processes have ended for a held request.
+func (c *Core) explainAll(ended []Process) {
+	for _, p := range ended {
+		c.explain(p)
 	}
 	for _, table := range []suspects{c.suspects, c.own} {
 		for _, s := range table {
-			s.explain(targets)
+			s.explain(ended)
 		}
 	}
 }
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -34,7 +34,7 @@
 func (n *network) crashParts(daemon ident.Daemon, ids ...uint64) {
 	n.crashes++
 	n.cores[daemon].Crashed(n.now, poison.Run{
-		Request: subject(fmt.Sprint("request ", n.crashes)), Parts: promptParts(ids...), Target: ident.Target(fmt.Sprint("t", n.crashes)), Early: true,
+		Request: subject(fmt.Sprint("request ", n.crashes)), Parts: promptParts(ids...), Process: poison.Process{Target: ident.Target(fmt.Sprint("t", n.crashes))}, Early: true,
 	})
 	n.deliver()
 	n.pass(time.Second)
@@ -118,7 +118,7 @@
 	n := newNetwork(3)
 	s := subject("poison")
 	for i := range 3 {
-		n.cores["d0"].Crashed(n.now, poison.Run{Request: s, Parts: promptParts(1, 2), Target: ident.Target(fmt.Sprint("t", i)), Early: true})
+		n.cores["d0"].Crashed(n.now, poison.Run{Request: s, Parts: promptParts(1, 2), Process: poison.Process{Target: ident.Target(fmt.Sprint("t", i))}, Early: true})
 		n.deliver()
 		n.pass(time.Second)
 	}
@@ -132,8 +132,8 @@
 	n := newNetwork(3)
 	for i := range 3 {
 		target := ident.Target(fmt.Sprint("t", i))
-		n.cores["d1"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint("victim", i)), Parts: promptParts(1), Target: target, Early: true})
-		n.cores["d0"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint("fatal", i)), Parts: promptParts(1, fatalPart), Target: target, Early: true})
+		n.cores["d1"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint("victim", i)), Parts: promptParts(1), Process: poison.Process{Target: target}, Early: true})
+		n.cores["d0"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint("fatal", i)), Parts: promptParts(1, fatalPart), Process: poison.Process{Target: target}, Early: true})
 		n.deliver()
 		n.pass(time.Second)
 	}
@@ -212,6 +212,31 @@
 	is.True(r.Contains(start, part(1)))
 }
 
+// Guards against a target that ends again and again and counts once, since it starts again under the
+// identity that it had.
+func TestTargetThatStartsAgainUnderItsIdentityCountsAgain(t *testing.T) {
+	for name, started := range map[string]func(i int64) int64{
+		"known start time":         func(i int64) int64 { return i },
+		"start time not known yet": func(int64) int64 { return 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork(3)
+			for i := range int64(3) {
+				is.Equal(n.partsHeldBy(fatalPart), 0)
+				for _, id := range []ident.Daemon{"d0", "d1"} { // both tell of the same end
+					n.cores[id].Crashed(n.now, poison.Run{
+						Request: subject(fmt.Sprint(id, i)), Parts: promptParts(fatalPart), Process: poison.Process{Target: "t", StartedAtMillis: started(i)}, Early: true,
+					})
+				}
+				n.deliver()
+				n.pass(4 * time.Second)
+			}
+			is.Equal(n.partsHeldBy(fatalPart), 3)
+		})
+	}
+}
+
 // simSessions is the number of sessions of a simulation. Each has a part of its own in its prompts,
 // behind one of simPreambles that they share.
 const simSessions, simPreambles = 300, 3
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -94,12 +94,20 @@
 // IsPart reports whether the subject is a part of prompts.
 func (s Subject) IsPart() bool { return s.Part != Part{} }
 
+// Process is one process of a target. A target that starts again may keep its identity.
+type Process struct {
+	Target ident.Target
+	// StartedAtMillis is its start time in Unix milliseconds as it was registered; zero means
+	// unspecified.
+	StartedAtMillis int64
+}
+
 // Run is a request that was in progress at a target when the target ended.
 type Run struct {
 	Request Subject
 	// Parts are the parts of its prompt that other requests may have, too.
-	Parts  []Subject
-	Target ident.Target
+	Parts   []Subject
+	Process Process
 	// Early reports that the target ended before or soon after it began to respond. A request that
 	// had run for long is less likely to be the cause.
 	Early bool
@@ -114,7 +122,7 @@
 	// cause.
 	Request Filter
 	Beside  PartSet
-	Target  ident.Target
+	Process Process
 	// Early and Ago are those of the Run.
 	Early bool
 	Ago   time.Duration
--- a/internal/poison/sim_test.go
+++ b/internal/poison/sim_test.go
@@ -95,7 +95,7 @@
 			left = append(left, r)
 			continue
 		}
-		s.cores[r.daemon].Crashed(s.now, poison.Run{Request: r.subject, Parts: r.parts, Target: name, Early: s.now.Sub(r.began) < simPrefill+500*time.Millisecond})
+		s.cores[r.daemon].Crashed(s.now, poison.Run{Request: r.subject, Parts: r.parts, Process: poison.Process{Target: name}, Early: s.now.Sub(r.began) < simPrefill+500*time.Millisecond})
 		if r.returns == 0 && !r.endsTarget {
 			r.returns++
 			s.waiting = append(s.waiting, r)
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/savorystall/savorystall/internal/ident"
 )
 
 const (
@@ -27,6 +25,8 @@
 	// commonCauseInterval is the time within which crashes count as one: targets that end in the
 	// same moment have ended for a common cause, such as the loss of a rack or of a network path.
 	commonCauseInterval = 30 * time.Millisecond
+	// sameEndInterval is the time within which reports tell of the same end of a process.
+	sameEndInterval = 3 * time.Second
 	// suspectLifetime is how long after its last crash a request is suspected.
 	suspectLifetime = 10 * time.Minute
 	// maxSuspects bounds the suspects of a keeper; the ones with the least blame are dropped first.
@@ -48,9 +48,9 @@
 
 // crashRecord is one end of a target with the request in progress.
 type crashRecord struct {
-	target ident.Target
-	at     time.Time
-	early  bool
+	process Process
+	at      time.Time
+	early   bool
 	// prompts are those with the suspect that were in progress there. One of them is to blame, not
 	// all of them.
 	prompts []prompt
@@ -79,7 +79,7 @@
 
 // add records a crash and reports whether anything about it was new.
 func (s *suspect) add(r crashRecord) bool {
-	known := slices.IndexFunc(s.crashes, func(c crashRecord) bool { return c.target == r.target })
+	known := slices.IndexFunc(s.crashes, r.isSameEnd)
 	if known >= 0 {
 		return s.crashes[known].merge(r)
 	}
@@ -91,6 +91,12 @@
 	return true
 }
 
+// isSameEnd reports whether another daemon, or another request, tells of the same end of a process. A
+// process that ends again has been started again, though its registration may not tell yet.
+func (c *crashRecord) isSameEnd(other crashRecord) bool {
+	return c.process == other.process && c.at.Sub(other.at).Abs() < sameEndInterval
+}
+
 // merge adds what another request tells of the same crash, and reports whether that was new.
 func (c *crashRecord) merge(other crashRecord) (changed bool) {
 	if other.early && !c.early {
@@ -146,15 +152,15 @@
 // toHold returns what to hold back.
 func (s *suspect) toHold() Hold {
 	if !s.IsPart() {
-		return Hold{Subject: s.Subject, Targets: s.targets()}
+		return Hold{Subject: s.Subject, Ended: s.processes()}
 	}
-	return NewPartsHold(s.Workspace, s.Route, s.Part.Service, s.commonParts().with(s.Part.ID), s.targets())
+	return NewPartsHold(s.Workspace, s.Route, s.Part.Service, s.commonParts().with(s.Part.ID), s.processes())
 }
 
-// explain records which targets have ended for another request.
-func (s *suspect) explain(targets []ident.Target) {
+// explain records which processes have ended for another request.
+func (s *suspect) explain(ended []Process) {
 	for i := range s.crashes {
-		s.crashes[i].explained = s.crashes[i].explained || slices.Contains(targets, s.crashes[i].target)
+		s.crashes[i].explained = s.crashes[i].explained || slices.Contains(ended, s.crashes[i].process)
 	}
 }
 
@@ -212,10 +218,10 @@
 	return s.crashes[len(s.crashes)-1].at
 }
 
-func (s *suspect) targets() []ident.Target {
-	out := make([]ident.Target, len(s.crashes))
+func (s *suspect) processes() []Process {
+	out := make([]Process, len(s.crashes))
 	for i, c := range s.crashes {
-		out[i] = c.target
+		out[i] = c.process
 	}
 	return out
 }
@@ -223,7 +229,7 @@
 // reports returns the crashes as they are reported to a keeper.
 func (s *suspect) reports(now time.Time) (out []Crash) {
 	for _, r := range s.crashes {
-		crash := Crash{Subject: s.Subject, Target: r.target, Early: r.early, Ago: now.Sub(r.at)}
+		crash := Crash{Subject: s.Subject, Process: r.process, Early: r.early, Ago: now.Sub(r.at)}
 		for _, p := range r.prompts {
 			crash.Request, crash.Beside = p.request, p.beside
 			out = append(out, crash)
