A target whose listener outlives it has ended once the next process is registered at its address

What callers saw: requests that end their targets are never held where something else holds the listener (a supervisor), or a target is back within 50 ms: its address accepts connections, so that it counts as alive. Cause: whether a target has ended was asked of its address only. Ruled out: that a new connection which is closed at once tells it: a target at its limit of connections does the same, and whatever runs there would be suspected in an overload. Conclusion: it is known as late as the registration of the next process, and not at all while the store is away.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,6 +194,7 @@
 	// resumeCredits bounds what callers gain by stating that they take up a stream.
 	resumeCredits resumeCredits
 	crashChecks   crashChecks
+	unproven      unprovenCrashes
 
 	mu           sync.Mutex
 	retryBudgets map[ident.Service]*retry.Window
@@ -229,7 +230,10 @@
 }
 
 // SetTargets replaces the set of targets.
-func (s *Server) SetTargets(t *Targets) { s.targets.Store(t) }
+func (s *Server) SetTargets(t *Targets) {
+	s.targets.Store(t)
+	s.reportProvenCrashes()
+}
 
 // SetDaemons sets how many daemons serve callers, this one included.
 func (s *Server) SetDaemons(n int) { s.daemons.Store(int64(n)) }
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -147,7 +147,10 @@
 			if s.crashChecks.hasEnded(s.targetAccepts, entry) {
 				run.Ago = time.Since(brokeAt)
 				s.Poison.Crashed(run)
+				return
 			}
+			s.unproven.add(unprovenCrash{run, entry.Address, brokeAt})
+			s.reportProvenCrashes() // the next process may be registered already
 		}()
 	}
 }
