--- a/internal/poison/holds.go
+++ b/internal/poison/holds.go
@@ -7,17 +7,17 @@
 )
 
 const (
-	// firstHoldLifetime is how long a hold lasts for the first time. The time doubles up to
-	// maxHoldLifetime each time that a target ends right after it. Targets that end
-	// whatever they run, as after a faulty release, have many requests held that do no harm.
+	// firstHoldLifetime is how long a hold lasts for the first time. The time grows by the factor
+	// holdGrowth up to maxHoldLifetime each time that a target ends right after it: three times in
+	// the first day. Targets that end whatever they run, as after a faulty release, have many
+	// requests held that do no harm.
 	firstHoldLifetime = 10 * time.Minute
+	holdGrowth        = 8
 	maxHoldLifetime   = 24 * time.Hour
 	// maxHolds bounds the holds; the oldest are dropped first.
 	maxHolds = 4096
-	// maxDoublings bounds the doublings of a hold's lifetime, maxExpired the holds of which they
-	// are known.
-	maxDoublings = 8
-	maxExpired   = 4096
+	// maxExpired bounds the expired holds that are known.
+	maxExpired = 4096
 )
 
 // activeHold is a hold until it expires.
@@ -114,8 +114,7 @@
 	if len(c.held) >= maxHolds {
 		c.dropOldestHold()
 	}
-	lifetime := min(maxHoldLifetime, firstHoldLifetime<<min(c.expired[key].times, maxDoublings))
-	c.held[key] = activeHold{h, now.Add(lifetime)}
+	c.held[key] = activeHold{h, now.Add(holdLifetime(c.expired[key].times))}
 	if len(h.Beside) == 0 {
 		c.forgetSuspect(h.Fingerprint)
 	}
@@ -125,6 +124,15 @@
 	return true
 }
 
+// holdLifetime returns how long a hold lasts that has expired that often before.
+func holdLifetime(expired int) time.Duration {
+	lifetime := firstHoldLifetime
+	for range expired {
+		lifetime = min(maxHoldLifetime, holdGrowth*lifetime)
+	}
+	return lifetime
+}
+
 // explainAll records which processes have ended for a held request.
 func (c *Core) explainAll(ended []Process) {
 	for _, p := range ended {
