--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -141,6 +141,27 @@
 	is.Equal(n.partsHeldBy(1, 2), 0)
 }
 
+// Guards against a part that is held by itself since what came beside it was lost among the other
+// prompts that a target ran.
+func TestPromptToBlameIsKnownAmongMany(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(40)
+	for i := range 3 {
+		p := poison.Process{Target: ident.Target(fmt.Sprint("t", i))}
+		for j := range 64 {
+			id := uint64(1000*i + j + 10)
+			if j == 63 {
+				id = fatalPart
+			}
+			n.cores[ident.Daemon(fmt.Sprint("d", j%40))].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint(i, j)), Parts: promptParts(1, id), Process: p, Early: true})
+		}
+		n.deliver()
+		n.pass(time.Second)
+	}
+	is.Equal(n.partsHeldBy(1, fatalPart), 40)
+	is.Equal(n.partsHeldBy(1, 2), 0)
+}
+
 // Guards against a workspace that has another's requests held back by naming their parts.
 func TestPartsOfAnotherWorkspaceAreNotHeld(t *testing.T) {
 	is := is.New(t)
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -31,8 +31,9 @@
 	suspectLifetime = 10 * time.Minute
 	// maxSuspects bounds the suspects of a keeper; the ones with the least blame are dropped first.
 	maxSuspects = 4096
-	// maxPrompts bounds the prompts with a part that are known of one crash.
-	maxPrompts = 8
+	// maxPrompts bounds the prompts with a part that are known of one crash. The one to blame has to be
+	// among them.
+	maxPrompts = 128
 )
 
 // prompt is the request in which a suspect came, and the other parts of its prompt that may be to
