Runs to the end of what is held are told to its keepers, and rows are deleted by who wrote them

What callers saw: nothing yet; found in review. At 360 daemons, some 130,000 messages in a moment where a popular part is held together with another. Cause: a daemon at which something held ran to its end told all others. Where a part that all daemons run is held together with one at fault, each of them does so at once. Told to the keepers only, these may strip two parts of one hold at the same time, and each leaves a row in the store of what the other one ended. Ruled out: that the keepers learn of it later than a hop: a run to the end of what is only suspected takes the same way. Change: the keepers are told, and tell all others once; a daemon deletes the rows that it has written, whoever ends the hold.

--- a/internal/poison/core.go
+++ b/internal/poison/core.go
@@ -197,16 +197,15 @@
 }
 
 // Completed handles a watched subject: a request with it has run to its end at this daemon, which
-// proves that it does not end its target.
+// proves that it does not end its target. The keepers tell all others.
 func (c *Core) Completed(now time.Time, f Fingerprint) {
-	if c.holds(f) {
-		c.Release(now, f)
+	held := c.holds(f)
+	if _, watched := c.watched[f]; !watched && !held {
 		return
 	}
-	if _, watched := c.watched[f]; !watched {
-		return
+	if !held {
+		c.forgetSuspectUnlessKept(f)
 	}
-	c.forgetSuspectUnlessKept(f)
 	c.reportCompleted(now, f)
 }
 
--- a/internal/poison/core_test.go
+++ b/internal/poison/core_test.go
@@ -26,6 +26,8 @@
 	stored map[poison.Fingerprint]poison.Hold
 	// decided counts the decisions to hold a request.
 	decided int
+	// sent counts the messages.
+	sent int
 	// crashes counts the targets that crashParts has ended.
 	crashes int
 }
@@ -83,6 +85,7 @@
 func (n *network) apply(from ident.Daemon, effect poison.Effect) {
 	switch e := effect.(type) {
 	case poison.Send:
+		n.sent++
 		if n.cores[e.To] != nil && !n.cut[from] && !n.cut[e.To] {
 			n.cores[e.To].Receive(n.now, e.Message)
 		}
--- a/internal/poison/holds.go
+++ b/internal/poison/holds.go
@@ -24,6 +24,8 @@
 type activeHold struct {
 	Hold
 	until time.Time
+	// stored reports that this daemon has written it to the store, and has to delete it there.
+	stored bool
 }
 
 // expiredHold is a hold that has expired; times is how often. One crash is enough to begin it again.
@@ -114,7 +116,7 @@
 	if len(c.held) >= maxHolds {
 		c.dropOldestHold()
 	}
-	c.held[key] = activeHold{h, now.Add(holdLifetime(c.expired[key].times))}
+	c.held[key] = activeHold{h, now.Add(holdLifetime(c.expired[key].times)), persist}
 	if len(h.Beside) == 0 {
 		c.forgetSuspect(h.Fingerprint)
 	}
@@ -186,7 +188,7 @@
 	h := c.held[key]
 	delete(c.held, key)
 	c.tableChanged = true
-	c.effects = append(c.effects, HoldEnded{Hold: h.Hold, Forget: forget})
+	c.effects = append(c.effects, HoldEnded{Hold: h.Hold, Forget: forget || h.stored})
 }
 
 // release ends the hold with the given key, and those of a subject: parts that were held together
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -232,6 +232,26 @@
 	}
 }
 
+// Guards against a message of each daemon to each other one where a part that all of them run is held
+// together with another.
+func TestRunsToTheEndOfAPopularPartAreToldToKeepersOnly(t *testing.T) {
+	const daemons = 60
+	is := is.New(t)
+	n := newNetwork(daemons)
+	for range 3 {
+		n.crashParts("d0", 1, fatalPart)
+	}
+	is.Equal(n.partsHeldBy(1, fatalPart), daemons)
+	n.sent = 0
+	for _, id := range n.names() {
+		n.cores[id].Completed(n.now, part(1).Fingerprint)
+	}
+	n.deliver()
+	is.Equal(n.partsHeldBy(fatalPart, 2), daemons)
+	is.Equal(n.partsHeldBy(1, 2), 0)
+	is.True(n.sent <= 8*daemons)
+}
+
 // Guards against the loss of what runs to its end often, where a caller makes many parts.
 func TestManyPartsDoNotDisplaceThoseThatRunOften(t *testing.T) {
 	is := is.New(t)
