--- a/internal/gateway/latecrash_test.go
+++ b/internal/gateway/latecrash_test.go
@@ -27,6 +27,7 @@
 		{"still there", []registry.Entry{target}, time.Second, 0},
 		{"gone", nil, time.Second, 0},
 		{"leaves", []registry.Entry{draining}, time.Second, 0},
+		{"leaves, and its address is in use again", []registry.Entry{draining, other}, time.Second, 0},
 		{"another identity", []registry.Entry{other}, time.Second, 1},
 		{"started again", []registry.Entry{restarted}, time.Second, 1},
 		{"too late", []registry.Entry{other}, lateProofTime + time.Second, 0},
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -100,15 +100,20 @@
 
 // Guards against a part that ends targets again and again since it came beside another one at first.
 func TestHoldOfPartsWidensAfterFurtherCrashes(t *testing.T) {
+	t.Run("lower ID", func(t *testing.T) { testHoldOfPartsWidens(t, 1) })
+	t.Run("higher ID", func(t *testing.T) { testHoldOfPartsWidens(t, fatalPart+1) })
+}
+
+func testHoldOfPartsWidens(t *testing.T, other uint64) {
 	is := is.New(t)
 	n := newNetwork(6)
 	for range 3 {
-		n.crashParts("d0", 1, fatalPart)
+		n.crashParts("d0", other, fatalPart)
 	}
-	n.crashParts("d1", 2, fatalPart)
-	n.crashParts("d2", 3, fatalPart)
+	n.crashParts("d1", other+1, fatalPart)
+	n.crashParts("d2", other+2, fatalPart)
 	is.Equal(n.partsHeldBy(fatalPart), 6)
-	is.Equal(n.partsHeldBy(1), 0)
+	is.Equal(n.partsHeldBy(other), 0)
 	is.Equal(len(n.stored), 1) // the wider hold replaces the other one
 }
 
@@ -133,6 +138,8 @@
 	for i := range 3 {
 		target := ident.Target(fmt.Sprint("t", i))
 		n.cores["d1"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint("victim", i)), Parts: promptParts(1), Process: poison.Process{Target: target}, Early: true})
+		n.deliver()
+		n.pass(20 * time.Millisecond) // the other daemon is slower
 		n.cores["d0"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint("fatal", i)), Parts: promptParts(1, fatalPart), Process: poison.Process{Target: target}, Early: true})
 		n.deliver()
 		n.pass(time.Second)
@@ -162,6 +169,111 @@
 	is.Equal(n.partsHeldBy(1, 2), 0)
 }
 
+// Guards against a part that is held where the hold of the one request to blame is late.
+func TestPartOfOneRequestIsNotHeldByAKeeperWithoutItsHold(t *testing.T) {
+	for name, request := range map[string]func(i int) poison.Filter{
+		"one request":        func(int) poison.Filter { return 7 },
+		"different requests": func(i int) poison.Filter { return poison.Filter(i) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork(1)
+			for i := range 3 {
+				p := poison.Process{Target: ident.Target(fmt.Sprint("t", i))}
+				n.cores["d0"].Receive(n.now, poison.Message{Crashes: []poison.Crash{{Subject: part(fatalPart), Request: request(i), Process: p, Early: true}}})
+				n.pass(time.Second)
+			}
+			is.Equal(n.partsHeldBy(fatalPart) > 0, name == "different requests")
+		})
+	}
+}
+
+// Guards against a part that is held since it was in progress at a few of many targets that have
+// ended, and against one at fault that is not held beside these.
+func TestPartOfFewOfTheEndsNeedsMoreOfThem(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3)
+	for i := range 6 {
+		for j := range uint64(4) {
+			n.crashParts("d0", 100+10*uint64(i)+j) // others end for no request
+		}
+		is.Equal(n.partsHeldBy(fatalPart), 0)
+		n.crashParts("d1", fatalPart)
+	}
+	is.Equal(n.partsHeldBy(fatalPart), 3)
+}
+
+// Guards against a crash that counts little since the first request that told of it had run for long.
+func TestCrashIsEarlyIfAnyRequestWithThePartWas(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3)
+	for i := range 3 {
+		p := poison.Process{Target: ident.Target(fmt.Sprint("t", i))}
+		n.cores["d0"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint("late", i)), Parts: promptParts(fatalPart), Process: p})
+		n.cores["d1"].Crashed(n.now, poison.Run{Request: subject(fmt.Sprint("early", i)), Parts: promptParts(fatalPart), Process: p, Early: true})
+		n.deliver()
+		n.pass(time.Second)
+	}
+	is.Equal(n.partsHeldBy(fatalPart), 3)
+}
+
+// Guards against a workspace for which a part at fault is not learned since another's is held, and
+// against one that clears another's by running its own part of the same ID.
+func TestWorkspacesLearnApart(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3)
+	otherPart := func(id uint64) poison.Subject {
+		return poison.NewPartSubject("other", "r", poison.Part{Service: simService, ID: id})
+	}
+	crashOther := func() {
+		n.crashes++
+		n.cores["d0"].Crashed(n.now, poison.Run{
+			Request: poison.Subject{Fingerprint: poison.NewFingerprint("other", "POST", "h", "/x", []byte{byte(n.crashes)}), Filter: poison.Filter(n.crashes), Workspace: "other"},
+			Parts:   []poison.Subject{otherPart(1), otherPart(fatalPart)}, Process: poison.Process{Target: ident.Target(fmt.Sprint("t", n.crashes))}, Early: true,
+		})
+		n.deliver()
+		n.pass(time.Second)
+	}
+	heldForOther := func(ids ...uint64) (count int) {
+		for _, table := range n.tables {
+			if _, held := table.HeldParts("other", simService, poison.NewPartSet(ids...)); held {
+				count++
+			}
+		}
+		return count
+	}
+	for range 3 {
+		n.crashParts("d1", 1, fatalPart)
+	}
+	crashOther()
+	crashOther()
+	n.completeParts("d2", 1, 2)
+	crashOther()
+	is.Equal(heldForOther(1, fatalPart), 3)
+	is.Equal(heldForOther(fatalPart), 0) // its own first part has not run to its end
+	is.Equal(n.partsHeldBy(fatalPart), 3)
+}
+
+// Guards against a daemon that was cut off while a part was watched, and does not tell that the part
+// has run to its end there.
+func TestDaemonThatReturnsClearsWhatItHasRun(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(6)
+	n.completeParts("d5", 1, 2)
+	n.cut["d5"] = true
+	n.setMembers()
+	for range 3 {
+		n.crashParts("d0", 1, fatalPart)
+	}
+	is.Equal(n.partsHeldBy(2, fatalPart), 0)
+	n.cut["d5"] = false
+	n.setMembers()
+	n.cores["d0"].LinkUp(n.now, "d5")
+	n.deliver()
+	is.Equal(n.partsHeldBy(2, fatalPart), 6)
+	is.Equal(n.partsHeldBy(1, 2), 0)
+}
+
 // Guards against a workspace that has another's requests held back by naming their parts.
 func TestPartsOfAnotherWorkspaceAreNotHeld(t *testing.T) {
 	is := is.New(t)
@@ -263,27 +375,32 @@
 		}
 	}
 	is.True(r.Contains(start, part(1)))
+	is.True(!r.Contains(start, part(1000))) // its memory is bounded
 }
 
 // Guards against a target that ends again and again and counts once, since it starts again under the
 // identity that it had.
 func TestTargetThatStartsAgainUnderItsIdentityCountsAgain(t *testing.T) {
-	for name, started := range map[string]func(i int64) int64{
-		"known start time":         func(i int64) int64 { return i },
-		"start time not known yet": func(int64) int64 { return 1 },
+	for _, c := range []struct {
+		name     string
+		started  func(i int64) int64
+		interval time.Duration
+	}{
+		{"known start time", func(i int64) int64 { return i }, time.Second},
+		{"start time not known yet", func(int64) int64 { return 1 }, 4 * time.Second},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			n := newNetwork(3)
 			for i := range int64(3) {
 				is.Equal(n.partsHeldBy(fatalPart), 0)
 				for _, id := range []ident.Daemon{"d0", "d1"} { // both tell of the same end
 					n.cores[id].Crashed(n.now, poison.Run{
-						Request: subject(fmt.Sprint(id, i)), Parts: promptParts(fatalPart), Process: poison.Process{Target: "t", StartedAtMillis: started(i)}, Early: true,
+						Request: subject(fmt.Sprint(id, i)), Parts: promptParts(fatalPart), Process: poison.Process{Target: "t", StartedAtMillis: c.started(i)}, Early: true,
 					})
 				}
 				n.deliver()
-				n.pass(4 * time.Second)
+				n.pass(c.interval)
 			}
 			is.Equal(n.partsHeldBy(fatalPart), 3)
 		})
