Poison: a full table of suspects drops many at once

What callers saw: nothing yet; found by measuring what a caller costs that makes thousands of parts. The goroutine that owns the control state would be busy for most of a second at the end of one target with 64 such requests. Cause: each new suspect looked at all 4,096 for the one with the least blame, now up to 17 times a request and twice where the daemon is its own keeper. Ruled out: the building of the table that requests are compared with (3 in 100 of the time). Change: 256 of the least are dropped at once.

--- a/internal/poison/bench_test.go
+++ b/internal/poison/bench_test.go
@@ -1,6 +1,7 @@
 package poison_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,3 +46,26 @@
 		n.tables["d0"].HeldParts(simWorkspace, simService, poison.NewPartSet(1, 2, 3))
 	}
 }
+
+// BenchmarkCrashOfNewParts is what a request costs that broke off at a target which ended, where all
+// parts of its prompt are new and the tables are full.
+func BenchmarkCrashOfNewParts(b *testing.B) {
+	c := poison.New("d", poison.NewRecent())
+	next := uint64(0)
+	crash := func() {
+		var ids []uint64
+		for range 16 {
+			next++
+			ids = append(ids, next)
+		}
+		process := poison.Process{Target: "t", StartedAtMillis: int64(next) / 1000}
+		c.Crashed(start, poison.Run{Request: subject(fmt.Sprint(next)), Parts: promptParts(ids...), Process: process, Early: true})
+		c.TakeEffects()
+	}
+	for range 500 {
+		crash()
+	}
+	for b.Loop() {
+		crash()
+	}
+}
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -29,8 +30,10 @@
 	sameEndInterval = 3 * time.Second
 	// suspectLifetime is how long after its last crash a request is suspected.
 	suspectLifetime = 10 * time.Minute
-	// maxSuspects bounds the suspects of a keeper; the ones with the least blame are dropped first.
-	maxSuspects = 4096
+	// maxSuspects bounds the suspects of a keeper; the ones with the least blame are dropped first,
+	// droppedSuspects at a time.
+	maxSuspects     = 4096
+	droppedSuspects = 256
 	// maxPrompts bounds the prompts with a part that are known of one crash. The one to blame has to be
 	// among them.
 	maxPrompts = 128
@@ -242,8 +245,8 @@
 // suspects holds suspects by their fingerprints.
 type suspects map[Fingerprint]*suspect
 
-// get returns the suspect of a subject. A full table drops the one with the least blame, of several
-// the one whose last crash is longest ago.
+// get returns the suspect of a subject. A full table drops those with the least blame, of equal ones
+// those whose last crash is longest ago.
 func (t suspects) get(subject Subject) *suspect {
 	if s := t[subject.Fingerprint]; s != nil {
 		return s
@@ -256,16 +259,24 @@
 	return s
 }
 
+// dropLeast drops droppedSuspects at once: to look for the least ones costs time.
 func (t suspects) dropLeast() {
-	var least *suspect
-	leastBlame := 0.0
-	for _, s := range t {
+	type ranked struct {
+		fingerprint Fingerprint
+		blame       float64
+		lastCrash   time.Time
+	}
+	all := make([]ranked, 0, len(t))
+	for fingerprint, s := range t {
 		blame, _ := s.blame()
-		if least == nil || blame < leastBlame || blame == leastBlame && s.lastCrash().Before(least.lastCrash()) {
-			least, leastBlame = s, blame
-		}
+		all = append(all, ranked{fingerprint, blame, s.lastCrash()})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.blame, b.blame), a.lastCrash.Compare(b.lastCrash))
+	})
+	for _, r := range all[:min(droppedSuspects, len(all))] {
+		delete(t, r.fingerprint)
 	}
-	delete(t, least.Fingerprint)
 }
 
 // expire drops the suspects whose last crash is long ago.
