Tests: a suspended process runs no more when Suspend returns

SIGSTOP returns at once, and each thread stops only when it comes to handle the signal. Seen by itself: of 200 processes with eight busy threads, 184 were not stopped when kill had returned; the last thread ran on for up to 33 ms (a program of its own, in a scratch folder, at the same load). No check was changed.

--- a/test/process/process.go
+++ b/test/process/process.go
@@ -12,6 +12,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -135,8 +136,40 @@
 	}
 }
 
-// Suspend suspends the process until Resume.
-func (c *Child) Suspend() { c.signal(syscall.SIGSTOP) }
+// Suspend suspends the process until Resume. When it returns, no thread of the process runs any more:
+// the kernel stops each of them only when it comes to handle the signal.
+func (c *Child) Suspend() {
+	c.t.Helper()
+	c.signal(syscall.SIGSTOP)
+	for end := time.Now().Add(suspendTimeout); !c.isSuspended(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("the process is not suspended after %s", suspendTimeout)
+		}
+	}
+}
+
+// suspendTimeout is how long the threads of a process may take to stop on a busy machine.
+const suspendTimeout = 5 * time.Second
+
+// isSuspended reports whether all threads of the process are stopped, by proc_pid_stat(5).
+func (c *Child) isSuspended() bool {
+	c.t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", c.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		c.t.Fatalf("no threads of process %d: %v", c.cmd.Process.Pid, err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return false // the thread has ended; the next look has others
+		}
+		_, state, _ := strings.Cut(string(text), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // Resume resumes a suspended process.
 func (c *Child) Resume() { c.signal(syscall.SIGCONT) }
