Known red: sessions of a fleet that starts amid crashes are held though they are sound

The simulation of parts was first written without a warm-up, failed its bound of one in a thousand, and was then given five seconds before the first crash. Ruled out: that the case is allowed: such sessions are refused for ten minutes, and nothing clears them. The simulation without the warm-up is a test of its own with the same bound, listed as known red; the one with it stays.

--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -421,4 +421,12 @@
 
 // Guards against sessions whose requests are refused on days on which many targets end, with a part
 // that ends them and without, and against a part that ends many before it is held.
-func TestOnlyThePartThatEndsTargetsIsHeld(t *testing.T) { checkSimulations(t, 8, sessionParts) }
+func TestOnlyThePartThatEndsTargetsIsHeld(t *testing.T) {
+	checkSimulations(t, 8, simWarmUp, sessionParts)
+}
+
+// Guards against sessions whose requests are refused in a fleet that starts while many targets end:
+// nothing of theirs has run to its end yet.
+func TestSessionsOfAFleetThatStartsAmidCrashesAreNotHeld(t *testing.T) {
+	checkSimulations(t, 8, 0, sessionParts)
+}
--- a/internal/poison/sim_test.go
+++ b/internal/poison/sim_test.go
@@ -178,12 +178,10 @@
 	}
 }
 
-func simulateCrashes(seed uint64, poisonInterval, crashInterval time.Duration, parts func(*rand.Rand, bool) []poison.Subject) *crashSimulation {
+func simulateCrashes(seed uint64, warmUp, poisonInterval, crashInterval time.Duration, parts func(*rand.Rand, bool) []poison.Subject) *crashSimulation {
 	s := &crashSimulation{network: newNetwork(simDaemons), rng: rand.New(rand.NewPCG(seed, 9)), parts: parts}
-	if parts != nil {
-		for range simWarmUp / simStep {
-			s.step(0, 0)
-		}
+	for range warmUp / simStep {
+		s.step(0, 0)
 	}
 	for range simDuration / simStep {
 		s.step(poisonInterval, crashInterval)
@@ -193,7 +191,7 @@
 
 // checkSimulations checks how many targets end because of what ends them, and how many others are
 // refused, on days on which many targets end and on others.
-func checkSimulations(t *testing.T, maxEnded int, parts func(*rand.Rand, bool) []poison.Subject) {
+func checkSimulations(t *testing.T, maxEnded int, warmUp time.Duration, parts func(*rand.Rand, bool) []poison.Subject) {
 	t.Helper()
 	const maxRefusedFraction = 0.001
 	for _, c := range []struct {
@@ -208,7 +206,7 @@
 	} {
 		ended, asked, refused := 0, 0, 0
 		for seed := range uint64(4) {
-			s := simulateCrashes(seed, c.poisonInterval, c.crashInterval, parts)
+			s := simulateCrashes(seed, warmUp, c.poisonInterval, c.crashInterval, parts)
 			ended, asked, refused = max(ended, s.ended), asked+s.asked, refused+s.refused
 		}
 		t.Logf("%s: %d targets ended at most, %d of %d others refused", c.name, ended, refused, asked)
@@ -220,4 +218,4 @@
 
 // Guards against innocent requests that are held back on days on which many targets end, with a
 // request that ends them and without, and against a request that ends many before it is held.
-func TestOnlyTheRequestThatEndsTargetsIsHeld(t *testing.T) { checkSimulations(t, 6, nil) }
+func TestOnlyTheRequestThatEndsTargetsIsHeld(t *testing.T) { checkSimulations(t, 6, 0, nil) }
