Age of the store's word: in the line of each version, of a failed reader, as a gauge, and once it is too old

Cause: of a report that a change came late nothing told how old a daemon's knowledge was, nor the age that its reader gave, so that a bad reader, a refused call and a hung one look alike. Change: lines 424 and 428 have the age and the reader's, 439 and 440 mark the time in which the routes are older than a daemon in touch may have them; gauge routes_age. No decision depends on it.

--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -40,6 +40,8 @@
 	rows store.RowWriter
 	// versions keeps the record of the versions in use.
 	versions *versionKeeper
+	// routesAge reports how recent the routes are. Only report uses it.
+	routesAge routesAgeReporter
 }
 
 // routingView is the content of the store at one time, as far as this daemon has read it.
@@ -54,6 +56,7 @@
 func newStoreSync(p routedDependencies) *storeSync {
 	s := &storeSync{deps: p, registry: registry.New(registry.Config{CatchUpTime: p.Settings.Routing.InTouch}), targetsUpdated: make(chan struct{}, 1), ownRow: newOwnRow(), rows: p.Calls}
 	s.versions = newVersionKeeper(p)
+	s.routesAge.max = p.Settings.Routing.InTouch
 	s.evacuations = newEvacuations(p.Settings.Regions, p.Metrics, p.Log)
 	s.view = viewApplier[routingView]{snapshot: s.snapshot, install: s.install}
 	return s
@@ -369,6 +372,7 @@
 			logStoreCalls(s.deps.Calls, s.deps.Log)
 		case <-sharing.C:
 			s.logSharing()
+			s.routesAge.observe(s.deps.Relay.Knowledge(time.Now()), s.deps.Metrics, s.deps.Log)
 		}
 	}
 }
--- a/internal/daemon/subscribers.go
+++ b/internal/daemon/subscribers.go
@@ -87,8 +87,9 @@
 		return false
 	}
 	o.document = row.Value
+	known := o.storeSync.deps.Relay.Knowledge(time.Now())
 	event.RoutesInForce.Log(log, "version", table.Version, "revision", row.Revision,
-		"routes", len(table.Routes), "services", len(table.Services), "workspaces", len(table.Workspaces))
+		"reader", known.Reader, "unconfirmed_ms", known.PreviousAge.Milliseconds(), "reader_age_ms", known.ReaderAge.Milliseconds(), "routes", len(table.Routes), "services", len(table.Services), "workspaces", len(table.Workspaces))
 	o.storeSync.view.apply()
 	return true
 }
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -36,5 +36,7 @@
 	ZoneReturned             = define(436, slog.LevelInfo, "an availability zone is no longer evacuated; its targets count as cold for as long as after a start", "none")
 	EvacuationUnreadable     = define(437, slog.LevelWarn, "a row that evacuates an availability zone names an unknown one or holds no object; it is ignored", "write the row again; compare its zone with regions in the settings")
 	ColdTimeMalformed        = define(438, slog.LevelWarn, "a target's registration states no sensible time for which it stays cold; what was known stays in force", "check the target that the line names")
+	RoutesUnconfirmed        = define(439, slog.LevelWarn, "the store has not confirmed the routes in force for longer than a change may take", "if the store serves other daemons, compare the reader and the ages that the line names")
+	RoutesConfirmed          = define(440, slog.LevelInfo, "the store has confirmed the routes in force again", "none")
 	RowNotWritten            = define(426, slog.LevelWarn, "this daemon could not write its own row; it retries", "see docs/OPERATIONS.md, a store outage")
 )
--- a/internal/relay/confirmation.go
+++ b/internal/relay/confirmation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/platform"
 )
 
@@ -28,7 +29,44 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if table == f.cfg.HeartbeatTable && at.After(f.confirmedAt) {
-		f.confirmedAt = at
+		f.previousConfirmedAt, f.confirmedAt = f.confirmedAt, at
+	}
+}
+
+// Knowledge describes how recent the heartbeat table is at this daemon, for the log and the metrics.
+type Knowledge struct {
+	// Reader is the daemon that is queried; empty if this one reads the store itself.
+	Reader ident.Daemon
+	// Age is how long ago the store confirmed what is known, PreviousAge the same without the latest
+	// answer. Both are zero as long as there was no such answer.
+	Age, PreviousAge time.Duration
+	// ReaderAge is the age that the last answer of a reader stated.
+	ReaderAge time.Duration
+}
+
+// Knowledge returns how recent the heartbeat table is.
+func (f *Feed) Knowledge(now time.Time) Knowledge {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := Knowledge{Reader: f.reader, ReaderAge: f.readerAge}
+	if now.Before(f.backoffUntil) {
+		k.Reader = ""
+	}
+	if !f.confirmedAt.IsZero() {
+		k.Age = now.Sub(f.confirmedAt)
+	}
+	if !f.previousConfirmedAt.IsZero() {
+		k.PreviousAge = now.Sub(f.previousConfirmedAt)
+	}
+	return k
+}
+
+// recordReaderAge records the age that an answer of a reader states.
+func (f *Feed) recordReaderAge(table string, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if table == f.cfg.HeartbeatTable {
+		f.readerAge = age
 	}
 }
 
--- a/internal/relay/fallback.go
+++ b/internal/relay/fallback.go
@@ -30,7 +30,8 @@
 	if reader != f.reader || now.Before(f.backoffUntil) {
 		return // another call has reported the failure
 	}
-	event.StoreReaderFailed.Log(f.cfg.Logger, "reader", reader, "table", table, "rest", f.backoff, "error", err)
+	event.StoreReaderFailed.Log(f.cfg.Logger, "reader", reader, "table", table, "rest", f.backoff,
+		"age_ms", now.Sub(f.confirmedAt).Milliseconds(), "reader_age_ms", f.readerAge.Milliseconds(), "error", err)
 	f.backoffUntil = now.Add(f.backoff)
 	f.backoff = min(2*f.backoff, backoffMax)
 	if f.storeAnswered == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -89,6 +89,10 @@
 	// confirmedAt is when the store, as far as this daemon knows by its own calls or those of its
 	// readers, last held nothing newer in the heartbeat table than this daemon.
 	confirmedAt time.Time
+	// previousConfirmedAt is confirmedAt before the answer that was received last, readerAge the age
+	// that the last answer of a reader stated.
+	previousConfirmedAt time.Time
+	readerAge           time.Duration
 	// nextProbe is when this daemon may call the store next, after both its reader and the
 	// store have failed.
 	nextProbe time.Time
@@ -262,6 +266,9 @@
 	started := time.Now()
 	answer, err := f.queryNewReader(callCtx, reader, q, timeout)
 	confirmedAt := readerConfirmedAt(time.Now(), started, q.Wait, answer)
+	if err == nil {
+		f.recordReaderAge(q.Table, answer.Age)
+	}
 	if err == nil && (answer.Revision.OlderEra(q.After) || f.isOutdated(q.Table, confirmedAt)) {
 		err = errReaderStale
 	}
