Relay: one failed call of a daemon is no outage; its calls to the store are paced from 200 ms on

What callers saw: a request handled by an older version longer than three seconds after the newer one was confirmed (grown fleets). Cause: one failed heartbeat call of a daemon counted as an outage of the store for three seconds. In that time any age of its reader's answers was accepted and did not bound the wait there, the backoff against the reader was taken back, so that the daemon waited for the reader that had failed it, and the store was not called. A hung read of the whole table took two seconds, and the follower's own pause up to 1.5 s on top. Change: after a failure the store is called again 200 and 400 ms after the start of the failed call, then each second if the reader is silent, and each three seconds only if it reports that it has lost the store, too. A call is due regardless of the reader. Old answers are applied but end nothing. A read of the whole table has one second while probing; the follower does not slow down where the relay paces.

--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -49,6 +49,9 @@
 	feedBackoffBase          = 100 * time.Millisecond
 	feedBackoffCap           = 1500 * time.Millisecond
 	defaultFeedCoalesceDelay = 150 * time.Millisecond
+	// readerRetryDelay is the pause before a daemon that is queried instead of the store, and
+	// does not keep up with it, is queried again.
+	readerRetryDelay = 150 * time.Millisecond
 	// feedReadTimeout bounds the read of a full table.
 	feedReadTimeout = 2 * time.Second
 	// unreachableRetryInterval is how long a follower whose group has found the store
@@ -120,6 +123,10 @@
 		case errors.Is(err, ErrHistoryLost):
 			event.FeedHistoryLost.Log(f.cfg.Logger, "table", f.cfg.Table, "revision", f.revision)
 			f.synced = false
+		case f.cfg.Heartbeat && errors.Is(err, ErrReaderNotCurrent):
+			// The feed paces the calls to the store itself, and a longer pause would delay them.
+			f.handleFailure(err)
+			clock.Sleep(ctx, clock.Real, readerRetryDelay)
 		case err != nil:
 			f.handleFailure(err)
 			// A call that timed out has already taken long enough: a further delay
--- a/internal/relay/confirmation.go
+++ b/internal/relay/confirmation.go
@@ -96,20 +96,17 @@
 	return a
 }
 
-// isOutdated reports whether a reader's answer that the store confirmed at the given time is too old
-// to rely on. During an outage of the store it is not: the store would not answer this daemon either.
-func (f *Feed) isOutdated(table string, confirmedAt time.Time) bool {
-	return table == f.cfg.HeartbeatTable && time.Since(confirmedAt) > maxConfirmationAge && !f.hasProbed(time.Now())
-}
-
 // limitReaderWait shortens the wait of a heartbeat call to a reader such that the store's
 // confirmation does not become older than maxConfirmationAge. Each election begins a new call, and
-// without the limit readers that fail one after the other would each take the whole time. It is
-// not limited during an outage of the store, of which the reader detects the end.
+// without the limit readers that fail one after the other would each take the whole time. A daemon
+// that is probing calls the store when the next probe is due.
 func (f *Feed) limitReaderWait(now time.Time, wait time.Duration) (limited, timeout time.Duration) {
-	if !f.hasProbed(now) {
-		left := maxConfirmationAge - now.Sub(f.ConfirmedAt())
-		wait = min(wait, max(minReaderWait, left-readerTimeoutMargin))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := maxConfirmationAge - now.Sub(f.confirmedAt)
+	if f.probing.active() {
+		left = f.probing.next.Sub(now)
 	}
+	wait = min(wait, max(minReaderWait, left-readerTimeoutMargin))
 	return wait, wait + readerTimeoutMargin
 }
--- a/internal/relay/election.go
+++ b/internal/relay/election.go
@@ -88,7 +88,7 @@
 	event.StoreReaderChanged.Log(f.cfg.Logger, "reader", e.reader, "serves", e.isReader)
 	f.reader, f.isReader, f.electedAt = e.reader, e.isReader, time.Now()
 	f.backoff, f.backoffUntil = backoffBase, time.Time{}
-	f.nextProbe = time.Time{}
+	f.probing = probing{}
 	f.endCheck()
 	f.cache.setReader(e.isReader)
 	f.interruptCalls()
--- a/internal/relay/fallback.go
+++ b/internal/relay/fallback.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/event"
@@ -15,12 +17,50 @@
 	// keeps failing and recovering does not disrupt its followers each time.
 	backoffBase = 3 * time.Second
 	backoffMax  = 30 * time.Second
-	// probeInterval is the pause between calls to the store by a follower whose reader has
-	// lost the store, too. During an outage the readers find out when it ends; if each
-	// daemon did, an outage of seconds would take more calls than a day without one.
-	probeInterval = 3 * time.Second
+	// outageProbeInterval is the pause between calls to the store by a follower whose reader
+	// reports that it has lost the store, too. During an outage the readers find out when it
+	// ends; if each daemon did, an outage of seconds would take more calls than a day without
+	// one. silentProbeInterval is the pause if the reader reports nothing, which is no sign of
+	// an outage.
+	outageProbeInterval = 3 * time.Second
+	silentProbeInterval = time.Second
+	// probeReadTimeout bounds the read of a whole table in such a call.
+	probeReadTimeout = time.Second
 )
 
+// firstProbeIntervals are the pauses after the first calls to the store that fail. One that is refused,
+// or whose answer is lost, is no sign of an outage either.
+var firstProbeIntervals = [...]time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
+
+// probing is the state of a follower whose reader and whose own call to the store have failed. It
+// queries the reader, and the store again whenever next has passed, until one of them has answered.
+type probing struct {
+	// next is when the store may be called; zero if the daemon is not probing.
+	next time.Time
+	// failures counts the calls to the store that have failed in a row.
+	failures int
+	// readerLostStore reports that the reader has said that it does not keep up with the store.
+	readerLostStore bool
+}
+
+func (p *probing) active() bool { return !p.next.IsZero() }
+
+func (p *probing) isDue(now time.Time) bool { return p.active() && !now.Before(p.next) }
+
+// recordFailure records that the store has not answered a call. The pause counts from the start of the
+// call: one whose answer is lost has already taken long enough.
+func (p *probing) recordFailure(started, now time.Time) {
+	interval := silentProbeInterval
+	if p.readerLostStore {
+		interval = outageProbeInterval
+	}
+	if p.failures < len(firstProbeIntervals) && now.Sub(started) < firstProbeIntervals[p.failures] {
+		interval = firstProbeIntervals[p.failures]
+	}
+	p.failures++
+	p.next = started.Add(interval)
+}
+
 // recordReaderFailure records that a reader did not answer usefully, so that all calls go to
 // the store during the backoff.
 func (f *Feed) recordReaderFailure(reader ident.Daemon, table string, err error) {
@@ -34,6 +74,7 @@
 		"age_ms", now.Sub(f.confirmedAt).Milliseconds(), "reader_age_ms", f.readerAge.Milliseconds(), "error", err)
 	f.backoffUntil = now.Add(f.backoff)
 	f.backoff = min(2*f.backoff, backoffMax)
+	f.probing.readerLostStore = errors.Is(err, platform.ErrReaderNotCurrent)
 	if f.storeAnswered == nil {
 		f.storeAnswered = make(chan struct{})
 	}
@@ -49,15 +90,28 @@
 	}
 }
 
-// recordReaderSuccess records that a reader answered, which resets the backoff.
-func (f *Feed) recordReaderSuccess(table string, revision platform.Revision) {
+// recordReaderAnswer records that a reader answered. If the answer is recent, the reader keeps up with
+// the store, which resets the backoff.
+func (f *Feed) recordReaderAnswer(table string, revision platform.Revision, recent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.updateLatest(table, revision)
-	f.backoff, f.nextProbe = backoffBase, time.Time{}
+	if !recent {
+		return
+	}
+	f.backoff, f.probing = backoffBase, probing{}
 	f.endCheck()
 }
 
+// recordProbingFailure records that the reader of a daemon that is probing has failed again. It returns
+// the error for the caller, which does not have to slow down: the calls to the store are paced here.
+func (f *Feed) recordProbingFailure(err error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.probing.readerLostStore = errors.Is(err, platform.ErrReaderNotCurrent)
+	return fmt.Errorf("%w: %w", platform.ErrReaderNotCurrent, err)
+}
+
 // awaitStore waits, if the reader of this daemon has failed, until the store has answered a
 // heartbeat call, so that during an outage only one of a daemon's tables calls the store.
 func (f *Feed) awaitStore(ctx context.Context, table string) error {
@@ -79,21 +133,23 @@
 	}
 }
 
-// hasProbed reports whether the store has failed to answer this daemon a short time ago, too.
-func (f *Feed) hasProbed(now time.Time) bool {
+// isProbing reports whether both the reader and the store have failed to answer this daemon since one
+// of them last did.
+func (f *Feed) isProbing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Before(f.nextProbe)
+	return f.probing.active()
 }
 
-// recordStoreFailure records that a call to the store failed. If the reader has lost the
-// store as well, it is queried again, and the store only after probeInterval.
-func (f *Feed) recordStoreFailure(table string) {
+// recordStoreFailure records that a call to the store failed. The reader is then queried again, and
+// the store when the next probe is due.
+func (f *Feed) recordStoreFailure(table string, started time.Time) {
 	f.cache.recordFailure(table)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.reader != "" && table == f.cfg.HeartbeatTable {
-		f.nextProbe, f.backoffUntil = time.Now().Add(probeInterval), time.Time{}
+		f.probing.recordFailure(started, time.Now())
+		f.backoffUntil = time.Time{}
 	}
 }
 
@@ -103,7 +159,7 @@
 	defer f.mu.Unlock()
 	f.updateLatest(table, revision)
 	if table == f.cfg.HeartbeatTable {
-		f.nextProbe = time.Time{}
+		f.probing = probing{}
 		f.endCheck()
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -93,9 +93,7 @@
 	// that the last answer of a reader stated.
 	previousConfirmedAt time.Time
 	readerAge           time.Duration
-	// nextProbe is when this daemon may call the store next, after both its reader and the
-	// store have failed.
-	nextProbe time.Time
+	probing             probing
 	// others is the number of other live daemons in all zones.
 	others int
 	// pending is the election that takes effect when electionTimer fires; nil means none.
@@ -123,12 +121,12 @@
 	f.sourceChanged = make(chan struct{})
 }
 
-// source returns the daemon to query, empty for the store, and the channel whose closing ends
-// the call.
-func (f *Feed) source(now time.Time) (reader ident.Daemon, isReader bool, sourceChanged <-chan struct{}) {
+// source returns the daemon to query for a table, empty for the store, and the channel whose
+// closing ends the call.
+func (f *Feed) source(now time.Time, table string) (reader ident.Daemon, isReader bool, sourceChanged <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Before(f.backoffUntil) {
+	if now.Before(f.backoffUntil) || table == f.cfg.HeartbeatTable && f.probing.isDue(now) {
 		return "", false, f.sourceChanged
 	}
 	return f.reader, f.isReader, f.sourceChanged
@@ -153,21 +151,29 @@
 
 // ReadTable implements platform.Feed.
 func (f *Feed) ReadTable(ctx context.Context, table string) ([]platform.FeedRow, platform.Revision, error) {
-	reader, _, _ := f.source(time.Now())
+	reader, _, _ := f.source(time.Now(), table)
 	if reader != "" {
 		rows, revision, err := f.readFromReader(ctx, reader, table)
-		if err == nil || f.hasProbed(time.Now()) {
-			return rows, revision, err
+		switch {
+		case err == nil:
+			return rows, revision, nil
+		case f.isProbing():
+			return nil, platform.Revision{}, f.recordProbingFailure(err)
 		}
 		f.recordReaderFailure(reader, table, err)
 	}
 	if err := f.awaitStore(ctx, table); err != nil {
 		return nil, platform.Revision{}, err
 	}
+	if f.isChecking() || f.isProbing() {
+		var cancel context.CancelFunc
+		ctx, cancel = turn.WithTimeout(ctx, probeReadTimeout)
+		defer cancel()
+	}
 	started := time.Now()
 	rows, revision, err := f.cfg.Store.ReadTable(ctx, table)
 	if err != nil {
-		f.recordStoreFailure(table)
+		f.recordStoreFailure(table, started)
 		return nil, platform.Revision{}, err
 	}
 	f.confirm(table, started)
@@ -196,7 +202,7 @@
 		return nil, platform.Revision{}, err
 	}
 	f.confirm(table, started.Add(-answer.Age))
-	f.recordReaderSuccess(table, answer.Revision)
+	f.recordReaderAnswer(table, answer.Revision, answer.Age <= maxConfirmationAge)
 	if q.FullTable {
 		f.cache.replaceTable(table, answer.Rows, answer.Revision, false)
 		return answer.Rows, answer.Revision, nil
@@ -210,7 +216,7 @@
 // passed.
 func (f *Feed) Changes(ctx context.Context, table string, after platform.Revision, wait time.Duration) ([]platform.FeedRow, platform.Revision, error) {
 	wait = f.awaitFirstElection(ctx, wait)
-	reader, isReader, sourceChanged := f.source(time.Now())
+	reader, isReader, sourceChanged := f.source(time.Now(), table)
 	callCtx, stop := withInterrupt(ctx, sourceChanged)
 	defer stop()
 	if reader != "" {
@@ -235,7 +241,7 @@
 		f.cache.recordFailure(table)
 		return nil, platform.Revision{}, err
 	case err != nil:
-		f.recordStoreFailure(table)
+		f.recordStoreFailure(table, started)
 		return nil, platform.Revision{}, err
 	}
 	f.confirm(table, storeAnsweredAt(time.Now(), started, wait, rows))
@@ -269,13 +275,14 @@
 	if err == nil {
 		f.recordReaderAge(q.Table, answer.Age)
 	}
-	if err == nil && (answer.Revision.OlderEra(q.After) || f.isOutdated(q.Table, confirmedAt)) {
+	recent := time.Since(confirmedAt) <= maxConfirmationAge
+	if err == nil && (answer.Revision.OlderEra(q.After) || q.Table == f.cfg.HeartbeatTable && !recent && !f.isProbing()) {
 		err = errReaderStale
 	}
 	switch {
 	case err == nil:
 		f.confirm(q.Table, confirmedAt)
-		f.recordReaderSuccess(q.Table, answer.Revision)
+		f.recordReaderAnswer(q.Table, answer.Revision, recent)
 		f.cache.applyChanges(q.Table, answer.Rows, answer.Revision, false)
 		return answer.Rows, platform.Later(q.After, answer.Revision), nil
 	case errors.Is(err, platform.ErrHistoryLost):
@@ -283,8 +290,8 @@
 	case ctx.Err() != nil:
 		return nil, platform.Revision{}, ctx.Err()
 	case errors.Is(context.Cause(callCtx), errSourceChanged):
-	case f.hasProbed(time.Now()):
-		return nil, platform.Revision{}, err
+	case f.isProbing():
+		return nil, platform.Revision{}, f.recordProbingFailure(err)
 	default:
 		f.recordReaderFailure(reader, q.Table, err)
 	}
