Relay: a daemon that both its reader and the store fail asks other daemons for the routes

Cause, of what remained: a daemon whose calls were refused three times in a row, or that the store turned away, beside a reader that had failed too, learned of a change from nobody although other daemons of its zone, and the readers of all other zones, read the store. Ruled out: a version in all messages between daemons. It costs bytes at rest on every link and tells only that there is something newer; a query costs something only while a daemon has no other source. Change: while probing, a daemon queries by turns the readers of the other zones and the daemons of its own; one that is not the reader answers for the table of the routes only, while the store has confirmed it in the last four seconds, with its age. Answers of alternates are applied, and end neither the probing nor the reader's backoff. A store that answered this daemon while its reader had lost it makes what the reader says no sign of an outage. The first probes come 100 and 200 ms after the failed call. Calls in an outage: the tests of them are unchanged, one each three seconds.

--- a/internal/relay/confirmation.go
+++ b/internal/relay/confirmation.go
@@ -11,6 +11,10 @@
 	// maxConfirmationAge is how long ago the store may have confirmed what a reader answers.
 	// It covers the waits of a reader's and of a follower's call one after the other.
 	maxConfirmationAge = 2 * time.Second
+	// maxAlternateAge is how long ago the store may have confirmed what a daemon that is not the
+	// reader answers. It covers the longest wait of its own calls, in which it learns of changes at
+	// once.
+	maxAlternateAge = 4 * time.Second
 	// minReaderWait is the shortest wait of a heartbeat call to a reader. Without it a reader
 	// whose confirmation is almost too old would be asked over and over again.
 	minReaderWait = 200 * time.Millisecond
@@ -89,6 +93,13 @@
 	return now.Add(-answer.Age)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/relay/election.go
+++ b/internal/relay/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/event"
@@ -47,10 +48,30 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.others = len(others)
+	f.others, f.alternates = len(others), f.findAlternates(others)
 	f.scheduleElection(e)
 }
 
+// findAlternates returns the daemons that may know the heartbeat table when both the reader of this zone
+// and the store fail this daemon: the readers of the other zones first, then the other daemons of the
+// zone, which read the store themselves if their reader has failed. Each daemon begins at another one.
+func (f *Feed) findAlternates(others []membership.Member) []ident.Daemon {
+	var list []ident.Daemon
+	owners, zones := membership.NewOwners(others), map[ident.Zone]bool{f.cfg.Zone: true}
+	var own []ident.Daemon
+	for _, m := range others {
+		if m.Zone == f.cfg.Zone {
+			own = append(own, m.ID)
+		}
+		if !zones[m.Zone] {
+			zones[m.Zone] = true
+			list = append(list, owners.Lookup("", "store", m.Zone))
+		}
+	}
+	first, _ := slices.BinarySearch(own, f.cfg.Self)
+	return slices.Concat(list, own[first:], own[:first])
+}
+
 // election is the result of choosing a reader: the daemon to query, or that this daemon is
 // the reader.
 type election struct {
--- a/internal/relay/fallback.go
+++ b/internal/relay/fallback.go
@@ -24,13 +24,22 @@
 	// an outage.
 	outageProbeInterval = 3 * time.Second
 	silentProbeInterval = time.Second
+	// firstProbeInterval is the pause after the first call that fails.
+	firstProbeInterval = 100 * time.Millisecond
 	// probeReadTimeout bounds the read of a whole table in such a call.
 	probeReadTimeout = time.Second
 )
 
 // firstProbeIntervals are the pauses after the first calls to the store that fail. One that is refused,
 // or whose answer is lost, is no sign of an outage either.
-var firstProbeIntervals = [...]time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
+var firstProbeIntervals = [...]time.Duration{firstProbeInterval, 2 * firstProbeInterval}
+
+const (
+	// minPeerTime is the least time for queries to other daemons between two calls to the store.
+	minPeerTime = 600 * time.Millisecond
+	// queriesPerReaderQuery is how many of these queries there are for one to the reader.
+	queriesPerReaderQuery = 3
+)
 
 // probing is the state of a follower whose reader and whose own call to the store have failed. It
 // queries the reader, and the store again whenever next has passed, until one of them has answered.
@@ -41,24 +50,42 @@
 	failures int
 	// readerLostStore reports that the reader has said that it does not keep up with the store.
 	readerLostStore bool
+	// storeOutlivedReader reports that the store answered this daemon while the reader had lost it,
+	// so that what the reader says is no sign of an outage.
+	storeOutlivedReader bool
+	// peerQueries counts the queries to other daemons.
+	peerQueries int
 }
 
 func (p *probing) active() bool { return !p.next.IsZero() }
 
+// nextPeer returns the daemon to query next: the others by turns, and between them the reader, which
+// tells when the store is back.
+func (p *probing) nextPeer(reader ident.Daemon, alternates []ident.Daemon) ident.Daemon {
+	p.peerQueries++
+	if p.peerQueries%queriesPerReaderQuery == 0 || len(alternates) == 0 {
+		return reader
+	}
+	return alternates[p.peerQueries%len(alternates)]
+}
+
 func (p *probing) isDue(now time.Time) bool { return p.active() && !now.Before(p.next) }
 
 // recordFailure records that the store has not answered a call. The pause counts from the start of the
 // call: one whose answer is lost has already taken long enough.
 func (p *probing) recordFailure(started, now time.Time) {
 	interval := silentProbeInterval
-	if p.readerLostStore {
+	if p.readerLostStore && !p.storeOutlivedReader {
 		interval = outageProbeInterval
 	}
-	if p.failures < len(firstProbeIntervals) && now.Sub(started) < firstProbeIntervals[p.failures] {
-		interval = firstProbeIntervals[p.failures]
+	p.next = started.Add(interval)
+	switch {
+	case p.failures < len(firstProbeIntervals) && now.Sub(started) < firstProbeIntervals[p.failures]:
+		p.next = started.Add(firstProbeIntervals[p.failures])
+	case p.failures > 0:
+		p.next = later(p.next, now.Add(minPeerTime))
 	}
 	p.failures++
-	p.next = started.Add(interval)
 }
 
 // recordReaderFailure records that a reader did not answer usefully, so that all calls go to
@@ -90,25 +117,27 @@
 	}
 }
 
-// recordReaderAnswer records that a reader answered. If the answer is recent, the reader keeps up with
-// the store, which resets the backoff.
-func (f *Feed) recordReaderAnswer(table string, revision platform.Revision, recent bool) {
+// recordReaderAnswer records that a daemon answered in place of the store. If it is the reader and the
+// answer is recent, it keeps up with the store, which resets the backoff.
+func (f *Feed) recordReaderAnswer(peer ident.Daemon, table string, revision platform.Revision, recent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.updateLatest(table, revision)
-	if !recent {
+	if !recent || peer != f.reader {
 		return
 	}
 	f.backoff, f.probing = backoffBase, probing{}
 	f.endCheck()
 }
 
-// recordProbingFailure records that the reader of a daemon that is probing has failed again. It returns
-// the error for the caller, which does not have to slow down: the calls to the store are paced here.
-func (f *Feed) recordProbingFailure(err error) error {
+// recordProbingFailure records that a query by a daemon that is probing has failed. It returns the error
+// for the caller, which does not have to slow down: the calls to the store are paced here.
+func (f *Feed) recordProbingFailure(peer ident.Daemon, err error) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.probing.readerLostStore = errors.Is(err, platform.ErrReaderNotCurrent)
+	if peer == f.reader {
+		f.probing.readerLostStore = errors.Is(err, platform.ErrReaderNotCurrent)
+	}
 	return fmt.Errorf("%w: %w", platform.ErrReaderNotCurrent, err)
 }
 
@@ -159,14 +188,15 @@
 	defer f.mu.Unlock()
 	f.updateLatest(table, revision)
 	if table == f.cfg.HeartbeatTable {
-		f.probing = probing{}
+		f.probing = probing{storeOutlivedReader: f.probing.active() || time.Now().Before(f.backoffUntil)}
 		f.endCheck()
 	}
 }
 
-// isChecking reports whether the store has not answered this daemon since its reader failed.
+// isChecking reports whether the store has still to show that it answers this daemon: it has not since
+// the reader failed, or a call to it has failed since.
 func (f *Feed) isChecking() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.storeAnswered != nil
+	return f.storeAnswered != nil || f.probing.active()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,6 +94,9 @@
 	previousConfirmedAt time.Time
 	readerAge           time.Duration
 	probing             probing
+	// alternates are the daemons that may be queried in place of the reader while probing: the
+	// readers of other zones, and the other daemons of this zone.
+	alternates []ident.Daemon
 	// others is the number of other live daemons in all zones.
 	others int
 	// pending is the election that takes effect when electionTimer fires; nil means none.
@@ -126,8 +129,12 @@
 func (f *Feed) source(now time.Time, table string) (reader ident.Daemon, isReader bool, sourceChanged <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Before(f.backoffUntil) || table == f.cfg.HeartbeatTable && f.probing.isDue(now) {
+	isHeartbeat := table == f.cfg.HeartbeatTable
+	switch {
+	case now.Before(f.backoffUntil), isHeartbeat && f.probing.isDue(now):
 		return "", false, f.sourceChanged
+	case isHeartbeat && f.probing.active():
+		return f.probing.nextPeer(f.reader, f.alternates), f.isReader, f.sourceChanged
 	}
 	return f.reader, f.isReader, f.sourceChanged
 }
@@ -158,14 +165,14 @@
 		case err == nil:
 			return rows, revision, nil
 		case f.isProbing():
-			return nil, platform.Revision{}, f.recordProbingFailure(err)
+			return nil, platform.Revision{}, f.recordProbingFailure(reader, err)
 		}
 		f.recordReaderFailure(reader, table, err)
 	}
 	if err := f.awaitStore(ctx, table); err != nil {
 		return nil, platform.Revision{}, err
 	}
-	if f.isChecking() || f.isProbing() {
+	if f.isChecking() {
 		var cancel context.CancelFunc
 		ctx, cancel = turn.WithTimeout(ctx, probeReadTimeout)
 		defer cancel()
@@ -202,7 +209,7 @@
 		return nil, platform.Revision{}, err
 	}
 	f.confirm(table, started.Add(-answer.Age))
-	f.recordReaderAnswer(table, answer.Revision, answer.Age <= maxConfirmationAge)
+	f.recordReaderAnswer(reader, table, answer.Revision, answer.Age <= maxConfirmationAge)
 	if q.FullTable {
 		f.cache.replaceTable(table, answer.Rows, answer.Revision, false)
 		return answer.Rows, answer.Revision, nil
@@ -282,7 +289,7 @@
 	switch {
 	case err == nil:
 		f.confirm(q.Table, confirmedAt)
-		f.recordReaderAnswer(q.Table, answer.Revision, recent)
+		f.recordReaderAnswer(reader, q.Table, answer.Revision, recent)
 		f.cache.applyChanges(q.Table, answer.Rows, answer.Revision, false)
 		return answer.Rows, platform.Later(q.After, answer.Revision), nil
 	case errors.Is(err, platform.ErrHistoryLost):
@@ -291,7 +298,7 @@
 		return nil, platform.Revision{}, ctx.Err()
 	case errors.Is(context.Cause(callCtx), errSourceChanged):
 	case f.isProbing():
-		return nil, platform.Revision{}, f.recordProbingFailure(err)
+		return nil, platform.Revision{}, f.recordProbingFailure(reader, err)
 	default:
 		f.recordReaderFailure(reader, q.Table, err)
 	}
@@ -319,11 +326,14 @@
 
 // ServeQuery answers a follower's query.
 func (f *Feed) ServeQuery(ctx context.Context, q platform.FeedQuery) (platform.FeedAnswer, error) {
-	answer, err := f.cache.query(ctx, q)
+	answer, err := f.cache.query(ctx, q, f.isCurrent)
 	answer.Age = time.Since(f.ConfirmedAt())
 	return answer, err
 }
 
+// isCurrent reports whether this daemon learns of changes of the heartbeat table, whoever tells it.
+func (f *Feed) isCurrent() bool { return time.Since(f.ConfirmedAt()) <= maxAlternateAge }
+
 // errSourceChanged is the cancellation cause of a call that has to be restarted at another
 // source.
 var errSourceChanged = errors.New("the source of the table has changed")
--- a/internal/relay/tablecache.go
+++ b/internal/relay/tablecache.go
@@ -16,7 +16,8 @@
 // A reader that has lost its connection to the store, or that does not read it at all, would
 // hold its followers at an old state although the store is reachable for them. The cache
 // therefore answers only while this daemon is the reader, its last call for the heartbeat
-// table succeeded and the last call for no other table failed. After a restore of the store
+// table succeeded and the last call for no other table failed. Any other daemon answers only
+// for the heartbeat table, and while it knows that its rows are recent. After a restore of the store
 // from a backup it answers only once all tables belong to the newest era seen.
 type tableCache struct {
 	mu       sync.Mutex
@@ -249,15 +250,27 @@
 	return true
 }
 
+// canServeTable reports whether this daemon may answer for a table in place of the store. One that is not
+// the reader may for the heartbeat table, if it has recent rows.
+func (c *tableCache) canServeTable(name string, isCurrent bool) bool {
+	if c.isReader || name != c.heartbeatTable {
+		return c.canServe()
+	}
+	t := c.table(name)
+	return t.loaded && t.revision.SameEra(c.latest) && isCurrent
+}
+
 // query returns the rows of a table that changed after a revision, or all rows. It waits for
-// the first change for at most the wait time of the query.
-func (c *tableCache) query(ctx context.Context, q platform.FeedQuery) (platform.FeedAnswer, error) {
+// the first change for at most the wait time of the query. isCurrent reports whether the rows of
+// the heartbeat table are recent.
+func (c *tableCache) query(ctx context.Context, q platform.FeedQuery, isCurrent func() bool) (platform.FeedAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(q.Wait, recoveryWait))
 	defer cancel()
 	var recoveryTimer <-chan time.Time
 	for {
+		current := isCurrent()
 		c.mu.Lock()
-		canServe, changed := c.canServe(), c.changed
+		canServe, changed := c.canServeTable(q.Table, current), c.changed
 		answer, hasResult, err := c.table(q.Table).changesSince(q)
 		c.mu.Unlock()
 		switch {
