A target that says in a response that it leaves gets no more requests from the daemon that got it

What callers saw: nothing yet; the target could have ended under their requests. Cause: the header Server-Leaving was not read. A target was known to leave by its row only, which a slow store took 13 s to acknowledge. The class: what a target says about itself is dropped where it is not in its row. Ruled out: a row that was read late; the store acknowledged it eleven seconds after the requests. Change: package targetnotice keeps the word of a process (identity and start) of a target from the head of any of its responses: success, failure, the head of a stream, one that belongs to another request. The view of the targets marks it as draining, so that placement, the one gate before a send, retries and streams that are taken up again leave it. Nothing takes the word back but another process: no row that says ready, no response without the header, no row that is missing for less than ten minutes. The last target of a service is used for a second more, then requests are refused at once with a time. A response without a length that ends with the connection of such a target is no crash. The header does not go on to callers.

--- a/internal/daemon/disconnects_test.go
+++ b/internal/daemon/disconnects_test.go
@@ -38,6 +38,8 @@
 
 func (noopDialect) ParseRequest(http.Header) gateway.RequestInfo      { return gateway.RequestInfo{} }
 func (noopDialect) SetTargetHeaders(http.Header, gateway.ForwardInfo) {}
+func (noopDialect) RemoveTargetNotices(http.Header)                   {}
+
 func (noopDialect) ParseResponse(int, http.Header) gateway.ResponseInfo {
 	return gateway.ResponseInfo{}
 }
--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -19,6 +19,7 @@
 	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/settings"
+	"github.com/savorystall/savorystall/internal/targetnotice"
 	"github.com/savorystall/savorystall/internal/telemetry"
 	"github.com/savorystall/savorystall/platform"
 )
@@ -71,7 +72,7 @@
 	tasks.Go(func() { loop.Run(ctx) })
 	d.storeSync = newStoreSync(routedDependencies{
 		Loop: loop, Bridge: bridge, Settings: set, Log: log, Load: newLoadMonitor(set), Routes: &route.Holder{}, Metrics: metrics, Identity: id,
-		Relay: relay.New(relay.Config{Self: id.Daemon, Zone: id.Zone, Store: s, Peers: peers, HeartbeatTable: heartbeatTable, Logger: log}),
+		Notices: targetnotice.New(), Relay: relay.New(relay.Config{Self: id.Daemon, Zone: id.Zone, Store: s, Peers: peers, HeartbeatTable: heartbeatTable, Logger: log}),
 	})
 	d.storeSync.rows = s
 	d.storeSync.view.install = d.checkView
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -23,6 +23,7 @@
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/settings"
 	"github.com/savorystall/savorystall/internal/targetconn"
+	"github.com/savorystall/savorystall/internal/targetnotice"
 	"github.com/savorystall/savorystall/internal/telemetry"
 	"github.com/savorystall/savorystall/platform"
 )
@@ -48,6 +49,7 @@
 		newRoutedLoop,
 		newRoutedNode,
 		newPool,
+		targetnotice.New,
 		newGateway,
 		newRoutedServers,
 		newRouted,
@@ -97,7 +99,7 @@
 	return b.node, err
 }
 
-func newGateway(s settings.Settings, routes *route.Holder, loop *control.BookingLoop, pool *targetconn.Pool, b *routedBridge, load *loadMonitor, disconnects *disconnectWatcher,
+func newGateway(s settings.Settings, routes *route.Holder, loop *control.BookingLoop, pool *targetconn.Pool, notices *targetnotice.Table, b *routedBridge, load *loadMonitor, disconnects *disconnectWatcher,
 	metrics *telemetry.Metrics, tracing *telemetry.Tracing, log *slog.Logger) *gateway.Server {
 	b.gateway = gateway.New(gateway.Deps{
 		Config: gateway.Config{
@@ -106,7 +108,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Origins: loop, Poison: loop, Pool: pool, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Origins: loop, Poison: loop, Pool: pool, Notices: notices, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
@@ -139,6 +141,7 @@
 	Relay     *relay.Feed
 	Holds     *holdKeeper
 	Pool      *targetconn.Pool
+	Notices   *targetnotice.Table
 	Gateway   *gateway.Server
 	Servers   *routedServers
 	Forwarder *connForwarder
--- a/internal/daemon/storeoutage_test.go
+++ b/internal/daemon/storeoutage_test.go
@@ -18,6 +18,7 @@
 	"github.com/savorystall/savorystall/internal/relay"
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/settings"
+	"github.com/savorystall/savorystall/internal/targetnotice"
 	"github.com/savorystall/savorystall/platform"
 )
 
@@ -133,7 +134,7 @@
 	id := identity{Daemon: "d", Zone: "a"}
 	loop := newRoutedLoop(id, s, newRoutedBridge(id, nil, nil))
 	f := &testStoreSync{storeSync: newStoreSync(routedDependencies{
-		Loop: loop, Settings: s, Log: log, Routes: &route.Holder{}, Load: newLoadMonitor(s), Relay: relay.New(relay.Config{Self: "d", Zone: "a", Store: feed, HeartbeatTable: heartbeatTable, Logger: log}),
+		Loop: loop, Settings: s, Log: log, Routes: &route.Holder{}, Load: newLoadMonitor(s), Notices: targetnotice.New(), Relay: relay.New(relay.Config{Self: "d", Zone: "a", Store: feed, HeartbeatTable: heartbeatTable, Logger: log}),
 	}), inTouch: s.Routing.InTouch}
 	f.view.install = f.recordView
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -30,6 +30,8 @@
 	registry *registry.Registry
 	// targetsRead reports whether the table of targets has been read at least once.
 	targetsRead bool
+	// nextNotice is when the view changes because of what targets have said; zero if it does not.
+	nextNotice time.Time
 	// targetsUpdated wakes the goroutine that removes expired targets.
 	targetsUpdated chan struct{}
 
@@ -91,6 +93,7 @@
 		s.followVersions(group),
 		s.announce,
 		s.expire,
+		s.applyNotices,
 		s.versions.maintain,
 		func(ctx context.Context) { s.deps.Holds.readAll(ctx, s.view.apply) },
 		s.deps.Holds.write,
@@ -138,7 +141,9 @@
 func (s *storeSync) snapshot() routingView {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return routingView{table: s.deps.Routes.Current(), targets: s.registry.Targets(), targetsRead: s.targetsRead, evacuated: s.evacuations.zones()}
+	targets := s.registry.Targets()
+	s.nextNotice = s.deps.Notices.Apply(time.Now(), targets)
+	return routingView{table: s.deps.Routes.Current(), targets: targets, targetsRead: s.targetsRead, evacuated: s.evacuations.zones()}
 }
 
 // install puts routes and targets into force together.
@@ -254,9 +259,7 @@
 		if len(expired)+len(quarantined) > 0 || returned {
 			s.view.apply()
 		}
-		if next.IsZero() || !nextReturn.IsZero() && nextReturn.Before(next) {
-			next = nextReturn
-		}
+		next = earliest(next, nextReturn)
 		var due <-chan time.Time
 		if !next.IsZero() {
 			due = time.After(time.Until(next))
@@ -270,6 +273,34 @@
 	}
 }
 
+// earliest returns the earlier of two times; a zero one counts as none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// applyNotices applies what targets say about themselves in their responses.
+func (s *storeSync) applyNotices(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		next := s.nextNotice
+		s.mu.Unlock()
+		var due <-chan time.Time
+		if !next.IsZero() {
+			due = time.After(time.Until(next))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.deps.Notices.Changed():
+		case <-due:
+		}
+		s.view.apply()
+	}
+}
+
 const (
 	// announceTimeout bounds one write of this daemon's row. announceRetryDelay is the
 	// delay after a failed write, which is not urgent because peers dial each other as
--- a/internal/daemon/subscribers_test.go
+++ b/internal/daemon/subscribers_test.go
@@ -11,13 +11,14 @@
 	store "github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/targetnotice"
 )
 
 // Guards against a release or a crash of many targets that takes a small VM's processor time,
 // since each of their rows puts a view of all targets in force.
 func TestRowsOfOneAnswerTakeEffectTogether(t *testing.T) {
 	is := is.New(t)
-	s := newStoreSync(routedDependencies{Log: slog.New(slog.DiscardHandler), Routes: &route.Holder{}})
+	s := newStoreSync(routedDependencies{Log: slog.New(slog.DiscardHandler), Notices: targetnotice.New(), Routes: &route.Holder{}})
 	installed, usable := 0, 0
 	s.view.install = func(v routingView) {
 		installed++
--- a/internal/gateway/crashcheck.go
+++ b/internal/gateway/crashcheck.go
@@ -28,7 +28,7 @@
 		return false
 	}
 	current, known := s.targets.Load().ByIdentity[entry.Identity]
-	leaves := !known || current.Draining
+	leaves := !known || current.Draining || s.Notices.Leaves(entry)
 	return !leaves && s.crashChecks.hasEnded(s.targetAccepts, entry)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -74,6 +74,8 @@
 		MaxConnections: connections,
 		MatchesResponse: func(status int, h http.Header) bool {
 			echoed := s.Dialect.ParseResponse(status, h)
+			s.observeNotices(entry, status, echoed)
+			s.Dialect.RemoveTargetNotices(h)
 			return echoed.AttemptID == pr.info.AttemptID || echoed.AttemptID == "" && !echoed.Signed
 		},
 		MaySend: func() error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/targetconn"
+	"github.com/savorystall/savorystall/internal/targetnotice"
 	"github.com/savorystall/savorystall/internal/telemetry"
 )
 
@@ -86,6 +87,8 @@
 	NotRun bool
 	// Signed reports that the response carries the target's signature.
 	Signed bool
+	// Leaving reports that the target says that it leaves.
+	Leaving bool
 }
 
 // Dialect converts between a platform's headers and typed values.
@@ -94,6 +97,8 @@
 	// SetTargetHeaders turns the caller's headers into those for a target.
 	SetTargetHeaders(h http.Header, f ForwardInfo)
 	ParseResponse(status int, h http.Header) ResponseInfo
+	// RemoveTargetNotices removes the headers that targets mean for daemons only.
+	RemoveTargetNotices(h http.Header)
 }
 
 // Placer assigns requests to targets.
@@ -141,6 +146,8 @@
 	// Poison may be nil; no request is held back then.
 	Poison Poison
 	Pool   *targetconn.Pool
+	// Notices learns what targets say about themselves.
+	Notices *targetnotice.Table
 	// CallerGone reports whether the caller of the request with this context has
 	// disconnected.
 	CallerGone func(ctx context.Context) bool
@@ -223,6 +230,9 @@
 	if s.Poison == nil {
 		s.Poison = noPoison{}
 	}
+	if s.Notices == nil {
+		s.Notices = targetnotice.New()
+	}
 	s.targets.Store(&Targets{})
 	s.daemons.Store(1)
 	return s
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -47,7 +47,9 @@
 func (fakeDialect) ParseRequest(h http.Header) RequestInfo {
 	return RequestInfo{Key: h.Get("Key"), PromptTokens: 1000, OutputTokens: 50}
 }
-func (fakeDialect) SetTargetHeaders(http.Header, ForwardInfo)   {}
+func (fakeDialect) SetTargetHeaders(http.Header, ForwardInfo) {}
+func (fakeDialect) RemoveTargetNotices(http.Header)           {}
+
 func (fakeDialect) ParseResponse(int, http.Header) ResponseInfo { return ResponseInfo{} }
 
 // newTestServer returns a server with one route, h.example/a/, to the given service. It serves
