A target that refuses a request and asks for a pause gets nothing from that daemon until its end

What callers saw: refusals and late answers; the target went on refusing. Cause: Retry-After of a target's 503 was not read. The class is that of the leave: what a target says about itself is dropped where it is not in its row. Ruled out: requests placed before the refusal; the half second that is allowed covers those. Change: package targetnotice keeps the end of the pause of a process (the longer one counts, five minutes at most at a time), placement of this daemon leaves it out, and the gate before each send refuses what was placed before. If all targets that suit a request are paused, it is refused at once (2017) with the earliest end, spread by up to 1.2 s. Seconds, fractions and dates are read (a date from that of the response); of two values the longer; one that makes no sense is logged once a process and ignored. Only of a 503: a 429 is about its caller. The pause is of this daemon, as the rule says: a target that is full for one may take others; health, shares and the sums of places are not touched. Tried otherwise: none; an owner that spares all other daemons a refusal each was not built (open).

--- a/internal/booking/candidates.go
+++ b/internal/booking/candidates.go
@@ -129,9 +129,14 @@
 	return available
 }
 
-// mayUse reports whether a request may be sent to a target at all: it is not evacuated, and has the
-// region and version that the request needs.
+// mayUse reports whether a request may be sent to a target now.
 func (r *request) mayUse(e *engine) bool {
+	return r.maySuit(e) && !slices.ContainsFunc(r.Paused, func(p Pause) bool { return p.Target == e.Name })
+}
+
+// maySuit reports whether a request may be sent to a target at all: it is not evacuated, and has the
+// region and version that the request needs.
+func (r *request) maySuit(e *engine) bool {
 	if e.Evacuated || !r.Regions.Allows(e.Region) {
 		return false
 	}
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
@@ -20,13 +21,36 @@
 	r := &request{Request: spec, contacted: spec.OwnerContacted}
 	r.candidates = c.candidates(now, s, r)
 	if len(r.candidates) == 0 {
-		c.refuse(spec.ID, resultcode.Fail(noTargetCode(s, r), "service %s", spec.Service))
+		c.refuse(spec.ID, c.noTarget(now, s, r))
 		return
 	}
 	c.requests[spec.ID] = r
 	c.tryNext(now, r)
 }
 
+// noTarget returns the failure of a request that no target of its service may get.
+func (c *Core) noTarget(now time.Time, s *service, r *request) *resultcode.Failure {
+	end := firstPauseEnd(s, r)
+	if end.IsZero() {
+		return resultcode.Fail(noTargetCode(s, r), "service %s", s.name)
+	}
+	f := resultcode.Fail(resultcode.TargetsPaused, "service %s", s.name)
+	f.RetryAfter = max(0, end.Sub(now)) + c.retrySpread()
+	return f
+}
+
+// firstPauseEnd returns when the first target that suits a request may get requests again; zero if
+// none that suits it is paused.
+func firstPauseEnd(s *service, r *request) (end time.Time) {
+	for _, p := range r.Paused {
+		suits := slices.ContainsFunc(s.sortedEngines, func(e *engine) bool { return e.Name == p.Target && r.maySuit(e) })
+		if suits && (end.IsZero() || p.Until.Before(end)) {
+			end = p.Until
+		}
+	}
+	return end
+}
+
 // noTargetCode says why a service has no target that the request may be sent to.
 func noTargetCode(s *service, r *request) resultcode.Code {
 	inRegion, inUse := 0, 0
@@ -326,5 +350,9 @@
 )
 
 func (c *Core) retryAfter(r *request) time.Duration {
-	return max(minRetryAfter, r.shortestWait) + time.Duration(c.rng.Float64()*float64(retryAfterSpread))
+	return max(minRetryAfter, r.shortestWait) + c.retrySpread()
+}
+
+func (c *Core) retrySpread() time.Duration {
+	return time.Duration(c.rng.Float64() * float64(retryAfterSpread))
 }
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -38,12 +38,20 @@
 	OwnerContacted bool
 	// Regions are those whose targets may run the request.
 	Regions region.Set
+	// Paused lists targets to which this daemon may send nothing at present.
+	Paused []Pause
 	// Pinned reports that the request continues a stream, so that only targets of Version may be
 	// used; none if Version is empty.
 	Pinned  bool
 	Version ident.Version
 }
 
+// Pause is the time until which a target has asked a daemon for no requests.
+type Pause struct {
+	Target ident.Target
+	Until  time.Time
+}
+
 // Cost is what a request counts against its workspace's share: tokens, with a generated one
 // counting twice; 1 for a plain service.
 func (r *Request) Cost() float64 {
--- a/internal/event/target.go
+++ b/internal/event/target.go
@@ -15,5 +15,7 @@
 	TargetsChanged     = define(310, slog.LevelInfo, "the registered targets of a service have changed", "none")
 	ResponseMismatched = define(311, slog.LevelWarn, "a target sent a response that belongs to another request; the response is discarded", "check the target that the line names")
 	ResponseMalformed  = define(312, slog.LevelWarn, "a target sent bytes that are not a valid response; its connection is closed", "check the target that the line names")
+	TargetPaused       = define(314, slog.LevelInfo, "a target has refused a request and asked for a pause; this daemon sends it nothing until then", "none; if it recurs, the service has too few targets")
+	PauseMalformed     = define(315, slog.LevelWarn, "a target states no sensible time for the pause that it asks for; it gets none", "check the target that the line names")
 	VersionsChanged    = define(313, slog.LevelInfo, "the software versions of a service at which streams may have begun have changed", "none")
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,10 @@
 	Signed bool
 	// Leaving reports that the target says that it leaves.
 	Leaving bool
+	// Pause is how long the target, which refuses the request, wants no requests; zero if it does
+	// not say. PauseMalformed is what it says instead of a time; empty if nothing.
+	Pause          time.Duration
+	PauseMalformed string
 }
 
 // Dialect converts between a platform's headers and typed values.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -126,7 +126,7 @@
 	request := booking.Request{
 		ID: pr.id, Service: pr.service.Name, Workspace: pr.workspace,
 		Deadline: pr.plan.Due, Late: pr.plan.Late, PreviouslyPlaced: pr.stats.attempts > 0 || pr.resumed.trusted,
-		OwnerContacted: pr.stats.attempts+pr.stats.unsentAttempts > 0 || pr.takesUpStream(), Avoid: pr.stats.avoid, Regions: pr.regions,
+		OwnerContacted: pr.stats.attempts+pr.stats.unsentAttempts > 0 || pr.takesUpStream(), Avoid: pr.stats.avoid, Regions: pr.regions, Paused: s.pauses(),
 	}
 	if pr.origin != nil {
 		request.Pinned, request.Version = true, pr.origin.Version
--- a/internal/gateway/sendgate.go
+++ b/internal/gateway/sendgate.go
@@ -22,6 +22,8 @@
 	switch {
 	case !known || entry.Draining || entry.Service != pr.service.Name || !pr.mayUse(entry):
 		return resultcode.Fail(resultcode.NoTarget, "target %s is gone", id)
+	case s.Notices.IsPaused(time.Now(), entry):
+		return resultcode.Fail(resultcode.TargetsPaused, "target %s", id)
 	case targets.Evacuated.Contains(entry.Zone):
 		return resultcode.Fail(resultcode.ZonesEvacuated, "target %s", id)
 	case !pr.regions.Allows(targets.Regions[entry.Zone]):
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -85,6 +85,7 @@
 	RequestHeld        = define(Code{2014, "request_held", http.StatusServiceUnavailable, NotRun, "targets have ended each time that they ran this request, or others with the same parts; it is held back", 5 * time.Minute})
 	ZonesEvacuated     = define(Code{2015, "zones_evacuated", http.StatusServiceUnavailable, NotRun, "all targets that may run the request are in evacuated availability zones", 2 * time.Second})
 	RegionNotAllowed   = define(Code{2016, "region_not_allowed", http.StatusServiceUnavailable, NotRun, "the service has no target in a region that the route and the workspace allow", 2 * time.Second})
+	TargetsPaused      = define(Code{2017, "targets_paused", http.StatusServiceUnavailable, NotRun, "all targets that may run the request have asked this daemon for a pause", time.Second})
 	TargetRefused      = define(Code{2009, "target_refused", http.StatusServiceUnavailable, NotRun, "no target accepted the request", time.Second})
 )
 
--- a/internal/targetnotice/targetnotice_test.go
+++ b/internal/targetnotice/targetnotice_test.go
@@ -78,3 +78,47 @@
 	is.True(table.Apply(next, list).IsZero())
 	is.True(list[0].Draining)
 }
+
+// Guards against a pause that a later, shorter one or a late response of an older process ends.
+func TestLongerPauseCounts(t *testing.T) {
+	is := is.New(t)
+	table := New()
+	e := entry("a", 5)
+	is.True(table.Pause(start, e, 3*time.Second))
+	is.True(!table.Pause(start.Add(time.Second), e, time.Second))
+	is.True(table.IsPaused(start.Add(2900*time.Millisecond), e))
+	is.True(!table.Pause(start.Add(2*time.Second), e, 3*time.Second)) // goes on
+	is.True(!table.Pause(start.Add(2*time.Second), entry("a", 4), time.Hour))
+	is.True(table.IsPaused(start.Add(4900*time.Millisecond), e))
+	is.True(!table.IsPaused(start.Add(5*time.Second), e))
+	is.True(!table.IsPaused(start, entry("a", 6))) // another process
+	is.True(!table.Pause(start, e, 0))
+}
+
+// Guards against a target that a nonsensical value takes out of service for good, and against pauses
+// that are kept for ever.
+func TestPausesAreBoundedAndForgotten(t *testing.T) {
+	is := is.New(t)
+	table := New()
+	e := entry("a", 5)
+	table.Pause(start, e, 1000*time.Hour)
+	registered := map[ident.Target]registry.Entry{"a": e}
+	is.Equal(table.Pauses(start, registered), []Pause{{"a", start.Add(maxPause)}})
+	is.Equal(len(table.Pauses(start, nil)), 0) // not registered at present
+	is.Equal(len(table.Pauses(start.Add(maxPause), registered)), 0)
+	is.Equal(len(table.pauses), 0)
+	table.Pause(start, e, time.Second)
+	is.Equal(len(table.Pauses(start, map[ident.Target]registry.Entry{"a": entry("a", 6)})), 0)
+	is.Equal(len(table.pauses), 0)
+}
+
+// Guards against a log line for each response of a target with a malformed notice.
+func TestMalformedNoticeIsNewOnceAProcess(t *testing.T) {
+	is := is.New(t)
+	table := New()
+	is.True(table.Malformed(entry("a", 5)))
+	is.True(!table.Malformed(entry("a", 5)))
+	is.True(table.Malformed(entry("a", 6)))
+	table.Apply(start, nil)
+	is.Equal(len(table.malformed), 0)
+}
