Responses without end: heads, interim responses and events of streams are bounded

Cause: a head (status line, header lines, interim responses) and an event of a stream are kept in memory until they end, and nothing bounded them but the deadline of the request. Ruled out by the test: chunk extensions, trailers and bodies (bounded by the reader, or not kept). Change: 256 KiB for the head of a response with all interim ones before it, 1 MiB for an event; the connection is closed and the request fails as a broken one. Answers of the store were bounded before (8 MiB, and its client's bound of a head).

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -23,6 +23,12 @@
 	f.partialEvent = f.partialEvent[:0]
 }
 
+// maxEventBytes bounds one event, which is kept until it is complete.
+const maxEventBytes = 1 << 20
+
+// isTooLong reports whether an event has not ended within maxEventBytes.
+func (f *eventFilter) isTooLong() bool { return len(f.partialEvent) > maxEventBytes }
+
 // hasPartialEvent reports whether the stream has stopped within an event.
 func (f *eventFilter) hasPartialEvent() bool { return len(bytes.TrimSpace(f.partialEvent)) > 0 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,6 +25,8 @@
 var (
 	// errTruncatedEvent reports that a stream ended within an event.
 	errTruncatedEvent = errors.New("the stream ended in the middle of an event")
+	// errEventTooLong reports that an event of a stream does not end.
+	errEventTooLong = errors.New("an event of the stream is too long")
 	// errTargetEnded reports that a response without a length ended together with its target.
 	errTargetEnded = errors.New("the response has no length, and its target has ended")
 )
@@ -51,6 +53,10 @@
 				break
 			}
 		}
+		if pr.events.isTooLong() {
+			r.failure = resultcode.Fail(resultcode.AnswerCut, "").WithCause(errEventTooLong)
+			break
+		}
 		if err == io.EOF {
 			r.failure = s.finishStream(pr, x, entry)
 			break
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -235,6 +235,8 @@
 // readFinalHeader reads the header of one response and skips informational (1xx)
 // responses.
 func (x *Exchange) readFinalHeader(request *http.Request) (*http.Response, error) {
+	x.conn.limit.allowance = maxHeadBytes
+	defer func() { x.conn.limit.allowance = unlimited }()
 	for {
 		response, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -98,6 +98,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// limit bounds what reader reads.
+	limit *limitedReader
 	// reuseDeadline is the time from which on the connection must not be used for a
 	// new request.
 	reuseDeadline time.Time
@@ -265,7 +267,8 @@
 		p.release(address)
 		return nil, &UnsentError{Cause: err}
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	bounded := &limitedReader{raw, unlimited}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded}, nil
 }
 
 // reuseDeadline returns the time until which a connection may be reused according
