--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -17,7 +17,6 @@
 	store "github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/route"
-	"github.com/savorystall/savorystall/internal/settings"
 	"github.com/savorystall/savorystall/platform"
 )
 
@@ -171,136 +170,12 @@
 	}
 }
 
-// defaultSlots is the least number of slots assumed for a target that specifies none.
-const defaultSlots = 4
-
-// routedServices extracts from routes and targets what the booking core needs.
-func routedServices(v routingView, set settings.Settings) []booking.Service {
-	table := v.table
-	workspaces := []booking.Workspace{{Name: route.Anonymous, Weight: 1}}
-	for _, w := range table.Workspaces {
-		workspaces = append(workspaces, booking.Workspace{Name: w.Name, Weight: 1})
-	}
-	var services []booking.Service
-	for _, spec := range table.Services {
-		service := booking.Service{Name: spec.Name, ServesModel: spec.ServesModel, FetchPerToken: spec.FetchPerToken, Workspaces: workspaces}
-		service.ColdLimit = coldLimit(spec, set.Routing)
-		if spec.ServesModel {
-			service.Rate = table.Limits.TokensPerSecond
-		}
-		for _, e := range v.targets {
-			if e.Service != spec.Name || e.Draining {
-				continue
-			}
-			slots := e.Slots
-			if slots <= 0 {
-				slots = max(spec.Slots, defaultSlots)
-			}
-			service.Targets = append(service.Targets, booking.Target{
-				Name: e.Identity, Zone: e.Zone, Slots: slots, Memory: spec.Memory, Generation: e.StartedAtMillis, Version: e.Version,
-				Region: set.Regions[e.Zone], Evacuated: v.evacuated.Contains(e.Zone), ColdUntil: coldUntil(e, spec, v.evacuated),
-			})
-		}
-		services = append(services, service)
-	}
-	return services
-}
-
-// coldLimit returns how many requests all daemons together may send to a cold target of a service in
-// one second; zero means that there is no limit.
-func coldLimit(spec route.Service, set settings.Routing) int {
-	if spec.ColdRate <= 0 {
-		return 0
-	}
-	return max(1, int(spec.ColdRate*max(1, set.ColdFactor)+set.ColdBurst))
-}
-
-// coldUntil returns when a target is warm at the latest. The targets of a zone may turn cold right
-// before its evacuation ends, and their registrations tell that only later.
-func coldUntil(e registry.Entry, spec route.Service, evacuated evacuation.Zones) time.Time {
-	if returned := evacuated.EndedAt(e.Zone); !returned.IsZero() {
-		if until := returned.Add(spec.Warmup); until.After(e.ColdUntil) {
-			return until
-		}
-	}
-	return e.ColdUntil
-}
-
 func (s *storeSync) applyTargetChange(args ...any) {
 	event.TargetsChanged.Log(s.deps.Log, args...)
 	s.view.apply()
 	s.wakeExpiry()
 }
 
-// wakeExpiry makes expire look again at what is due when.
-func (s *storeSync) wakeExpiry() {
-	select {
-	case s.targetsUpdated <- struct{}{}:
-	default: // a wake-up is already pending
-	}
-}
-
-// expire removes targets whose entries lapsed during an outage of the store and were not
-// registered again. It also accepts the entries of a restored backup that the store still
-// holds when their quarantine ends.
-func (s *storeSync) expire(ctx context.Context) {
-	for {
-		s.mu.Lock()
-		returned, nextReturn := s.evacuations.expire(time.Now())
-		quarantined := s.registry.Quarantined()
-		expired, next := s.registry.Expire(time.Now())
-		if len(s.registry.Quarantined()) > 0 {
-			quarantined = nil
-		}
-		s.mu.Unlock()
-		if len(expired)+len(quarantined) > 0 {
-			event.TargetsChanged.Log(s.deps.Log, "lapsed", expired, "believed", quarantined)
-		}
-		if len(expired)+len(quarantined) > 0 || returned {
-			s.view.apply()
-		}
-		next = earliest(next, nextReturn)
-		var due <-chan time.Time
-		if !next.IsZero() {
-			due = time.After(time.Until(next))
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.targetsUpdated:
-		case <-due:
-		}
-	}
-}
-
-// earliest returns the earlier of two times; a zero one counts as none.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
-// applyNotices applies what targets say about themselves in their responses.
-func (s *storeSync) applyNotices(ctx context.Context) {
-	for {
-		s.mu.Lock()
-		next := s.nextNotice
-		s.mu.Unlock()
-		var due <-chan time.Time
-		if !next.IsZero() {
-			due = time.After(time.Until(next))
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.deps.Notices.Changed():
-		case <-due:
-		}
-		s.view.apply()
-	}
-}
-
 const (
 	// announceTimeout bounds one write of this daemon's row. announceRetryDelay is the
 	// delay after a failed write, which is not urgent because peers dial each other as
