--- a/internal/relay/fallback.go
+++ b/internal/relay/fallback.go
@@ -30,8 +30,8 @@
 	probeReadTimeout = time.Second
 )
 
-// firstProbeIntervals are the pauses after the first calls to the store that fail. One that is refused,
-// or whose answer is lost, is no sign of an outage either.
+// firstProbeIntervals are the pauses after the first calls to the store that fail: one that is refused
+// is no sign of an outage either.
 var firstProbeIntervals = [...]time.Duration{firstProbeInterval, 2 * firstProbeInterval}
 
 const (
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,10 +11,12 @@
 // the calls that they would otherwise make to the store. Revisions are those of the store,
 // so either can answer the next call. A reader answers only while its own calls to the store
 // succeed. A follower whose reader does not respond, refuses or is behind calls the store
-// itself at once. Each answer carries how long ago the store confirmed it, so that a daemon that
-// can reach the store never depends on others for longer than maxConfirmationAge plus
-// minReaderWait and readerTimeoutMargin, however many readers it is given one after the other. That is less than
-// the three seconds within which a configuration has to take effect in a zone with a reader.
+// itself at once; if that fails as well, it is probing: it calls the store again soon, and
+// queries other daemons for the heartbeat table meanwhile. Each answer carries how long ago the
+// store confirmed it, so that a daemon that can reach the store never depends on others for
+// longer than maxConfirmationAge plus minReaderWait and readerTimeoutMargin, however many readers
+// it is given one after the other. That is less than the three seconds within which a
+// configuration has to take effect in a zone with a reader.
 package relay
 
 import (
@@ -93,7 +95,8 @@
 	// that the last answer of a reader stated.
 	previousConfirmedAt time.Time
 	readerAge           time.Duration
-	probing             probing
+	// probing is set while both the reader and the store fail this daemon.
+	probing probing
 	// alternates are the daemons that may be queried in place of the reader while probing: the
 	// readers of other zones, and the other daemons of this zone.
 	alternates []ident.Daemon
