Lines about unconfirmed routes tell how busy the VM is

Cause: 439 and 440 told that routes were unconfirmed for 26 s, but not whether the processor, the link or one call's deadline held them back. Change: scheduling latency, bytes received from callers in the last second and their connections in 439, and again each two seconds (441). Ruled out: logging each call, which costs processor time on the VM that has none.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +47,8 @@
 	// unreadConns counts those of them that are still pending.
 	recentPending []*pendingConn
 	unreadConns   int
+	// received counts the bytes read from callers.
+	received atomic.Int64
 	// openedConns counts the connections that callers opened since the last
 	// takeOpenedConns.
 	openedConns int
@@ -90,6 +93,7 @@
 		}
 		if ok {
 			tracked.recordEndTo(c.ends)
+			tracked.received = &c.received
 		}
 		c.addPending(conn, time.Now())
 		if c.overLimit() {
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -278,11 +278,20 @@
 			logStoreCalls(s.deps.Calls, s.deps.Log)
 		case <-sharing.C:
 			s.logSharing()
-			s.routesAge.observe(s.deps.Relay.Knowledge(time.Now()), s.deps.Metrics, s.deps.Log)
+			s.routesAge.observe(s.deps.Relay.Knowledge(time.Now()), s.vmUsage(), s.deps.Metrics, s.deps.Log)
 		}
 	}
 }
 
+// vmUsage returns how busy this VM is.
+func (s *storeSync) vmUsage() vmUsage {
+	load, conns := s.deps.Load, s.deps.Servers.connections
+	return vmUsage{
+		SchedLatency: max(time.Duration(load.lastLatency.Load()), load.pendingLatency()),
+		Received:     conns.received.Load(), Callers: conns.countOpen(),
+	}
+}
+
 // logStoreCalls logs the calls to the store since the last report, if there were any.
 func logStoreCalls(calls *store.CallCounter, log *slog.Logger) {
 	total, byKind := 0, map[string]int{}
--- a/internal/daemon/trackedconn.go
+++ b/internal/daemon/trackedconn.go
@@ -46,6 +46,8 @@
 	// it serves one.
 	readAhead atomic.Bool
 
+	// received counts the bytes that are read from callers; nil if they are not to be counted.
+	received *atomic.Int64
 	// ends records the end of the connection; nil if it is not to be recorded.
 	ends *endRecorder
 	// request is the state of the current request, and answered the number of those that
@@ -83,6 +85,9 @@
 			if len(b) == readAheadSize {
 				c.readAhead.Store(true)
 			}
+			if c.received != nil {
+				c.received.Add(int64(n))
+			}
 			c.onRequestData()
 			return n, err
 		case !errors.Is(err, os.ErrDeadlineExceeded) || !c.hasWaitingRequest():
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -38,5 +38,6 @@
 	ColdTimeMalformed        = define(438, slog.LevelWarn, "a target's registration states no sensible time for which it stays cold; what was known stays in force", "check the target that the line names")
 	RoutesUnconfirmed        = define(439, slog.LevelWarn, "the store has not confirmed the routes in force for longer than a change may take", "if the store serves other daemons, compare the reader and the ages that the line names")
 	RoutesConfirmed          = define(440, slog.LevelInfo, "the store has confirmed the routes in force again", "none")
+	RoutesStillUnconfirmed   = define(441, slog.LevelWarn, "the store has still not confirmed the routes in force; the line tells how busy this VM is", "if latency_ms is high, the VM lacks processor time; if received_kb is near what its link carries, its link is full")
 	RowNotWritten            = define(426, slog.LevelWarn, "this daemon could not write its own row; it retries", "see docs/OPERATIONS.md, a store outage")
 )
