Calls to the store go on when their caller stops waiting, and late answers are used

Cause: each call to the store or to a reader had 0.4 to 1.4 s; one whose answer takes longer was given up and begun anew, on a new connection that was given up in turn (dial 0.5 s). A fixed deadline under a steady delay never succeeds. All four tables did so, up to ten calls each in 5 s. Ruled out: the store or the reader refusing (no status in the errors), the processor (scheduling latency 0, nothing shed). Change: while the store has still to show that it answers, a heartbeat call goes on for up to ten seconds beside the next ones; its answer is applied to the cache and handed to the follower. Rows never go back (revision per row). A daemon that gets late answers is slow: its other tables go to the store, one read a table at a time, that is joined and not begun anew; their calls are spread. The zone's reader, and a daemon without one, asks other daemons too. Connections to the store may take longer than one call waits.

--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -104,6 +104,7 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	ctx = withLifetime(ctx)
 	for ctx.Err() == nil {
 		changed, err := f.poll(ctx)
 		switch {
--- a/internal/relay/fallback.go
+++ b/internal/relay/fallback.go
@@ -127,6 +127,7 @@
 		return
 	}
 	f.backoff, f.probing = backoffBase, probing{}
+	f.slowUntil = time.Time{}
 	f.endCheck()
 }
 
@@ -145,9 +146,9 @@
 // heartbeat call, so that during an outage only one of a daemon's tables calls the store.
 func (f *Feed) awaitStore(ctx context.Context, table string) error {
 	f.mu.Lock()
-	answered, until := f.storeAnswered, f.backoffUntil
+	answered, until, slow := f.storeAnswered, f.backoffUntil, time.Now().Before(f.slowUntil)
 	f.mu.Unlock()
-	if answered == nil || table == f.cfg.HeartbeatTable {
+	if answered == nil || slow || table == f.cfg.HeartbeatTable {
 		return nil
 	}
 	timer := time.NewTimer(time.Until(until))
@@ -176,10 +177,15 @@
 	f.cache.recordFailure(table)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.reader != "" && table == f.cfg.HeartbeatTable {
-		f.probing.recordFailure(started, time.Now())
-		f.backoffUntil = time.Time{}
+	if table != f.cfg.HeartbeatTable || f.reader == "" && len(f.alternates) == 0 {
+		return
+	}
+	now := time.Now()
+	f.probing.recordFailure(started, now)
+	if now.Before(f.slowUntil) {
+		f.probing.next = later(f.probing.next, started.Add(slowProbeInterval))
 	}
+	f.backoffUntil = time.Time{}
 }
 
 // recordStoreSuccess records an answer of the store.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,8 +105,18 @@
 	// pending is the election that takes effect when electionTimer fires; nil means none.
 	pending       *election
 	electionTimer *time.Timer
-	// sourceChanged is closed when calls in progress have to be restarted at another source.
-	sourceChanged chan struct{}
+	// sourceChanged is closed when calls in progress have to be restarted at another source,
+	// heartbeatInterrupt also when a late answer for the heartbeat table has come.
+	sourceChanged, heartbeatInterrupt chan struct{}
+	// slowUntil is until when the store counts as answering this daemon later than a call waits,
+	// troubledUntil until when calls for tables other than the heartbeat table are spread.
+	slowUntil, troubledUntil time.Time
+	// unread are the tables for which a late answer has been applied to the cache only.
+	unread map[string]bool
+	// reads are the reads of tables in progress that may be joined.
+	reads map[string]*storeCall
+	// lastStoreCalls is when the last call to the store began, by table.
+	lastStoreCalls map[string]time.Time
 	// startedAt is when the feed was created. electedAt is when the last election took
 	// effect; zero if none has.
 	startedAt, electedAt time.Time
@@ -118,13 +128,20 @@
 
 // New returns a Feed that reads the store itself until Elect chooses a reader.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, cache: newTableCache(cfg.HeartbeatTable), sourceChanged: make(chan struct{}), startedAt: time.Now(), latestByTable: map[string]platform.Revision{}, backoff: backoffBase}
+	return &Feed{cfg: cfg, cache: newTableCache(cfg.HeartbeatTable), sourceChanged: make(chan struct{}), heartbeatInterrupt: make(chan struct{}), unread: map[string]bool{}, reads: map[string]*storeCall{}, lastStoreCalls: map[string]time.Time{}, startedAt: time.Now(), latestByTable: map[string]platform.Revision{}, backoff: backoffBase}
 }
 
 // interruptCalls ends the calls in progress. The caller holds the lock.
 func (f *Feed) interruptCalls() {
 	close(f.sourceChanged)
 	f.sourceChanged = make(chan struct{})
+	f.interruptHeartbeat()
+}
+
+// interruptHeartbeat ends the calls in progress for the heartbeat table. The caller holds the lock.
+func (f *Feed) interruptHeartbeat() {
+	close(f.heartbeatInterrupt)
+	f.heartbeatInterrupt = make(chan struct{})
 }
 
 // source returns the daemon to query for a table, empty for the store, and the channel whose
@@ -132,14 +149,17 @@
 func (f *Feed) source(now time.Time, table string) (reader ident.Daemon, isReader bool, sourceChanged <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	isHeartbeat := table == f.cfg.HeartbeatTable
+	isHeartbeat, interrupt := table == f.cfg.HeartbeatTable, f.sourceChanged
+	if isHeartbeat {
+		interrupt = f.heartbeatInterrupt
+	}
 	switch {
-	case now.Before(f.backoffUntil), isHeartbeat && f.probing.isDue(now):
-		return "", false, f.sourceChanged
+	case now.Before(f.backoffUntil), isHeartbeat && f.probing.isDue(now), !isHeartbeat && now.Before(f.slowUntil):
+		return "", false, interrupt
 	case isHeartbeat && f.probing.active():
-		return f.probing.nextPeer(f.reader, f.alternates), f.isReader, f.sourceChanged
+		return f.probing.nextPeer(f.reader, f.alternates), f.isReader, interrupt
 	}
-	return f.reader, f.isReader, f.sourceChanged
+	return f.reader, f.isReader, interrupt
 }
 
 // updateLatest records a returned revision. The caller holds the lock.
@@ -161,6 +181,9 @@
 
 // ReadTable implements platform.Feed.
 func (f *Feed) ReadTable(ctx context.Context, table string) ([]platform.FeedRow, platform.Revision, error) {
+	if rows, revision, ok := f.takeLateTable(table); ok {
+		return rows, revision, nil
+	}
 	reader, _, _ := f.source(time.Now(), table)
 	if reader != "" {
 		rows, revision, err := f.readFromReader(ctx, reader, table)
@@ -181,15 +204,24 @@
 		defer cancel()
 	}
 	started := time.Now()
-	rows, revision, err := f.cfg.Store.ReadTable(ctx, table)
-	if err != nil {
+	answer := f.readTableFromStore(ctx, table)
+	if answer.err != nil {
 		f.recordStoreFailure(table, started)
-		return nil, platform.Revision{}, err
+		return nil, platform.Revision{}, answer.err
 	}
-	f.confirm(table, started)
-	f.cache.replaceTable(table, rows, revision, true)
-	f.recordStoreSuccess(table, revision)
-	return rows, revision, nil
+	f.confirm(table, answer.confirmedAt)
+	f.cache.replaceTable(table, answer.rows, answer.revision, true)
+	f.recordStoreSuccess(table, answer.revision)
+	return answer.rows, answer.revision, nil
+}
+
+// readTableFromStore reads a table from the store. Reads of the heartbeat table overlap, so that one
+// whose connection has died does not delay the next; of any other table there is one at a time.
+func (f *Feed) readTableFromStore(ctx context.Context, table string) storeAnswer {
+	if table != f.cfg.HeartbeatTable {
+		return f.joinRead(ctx, table)
+	}
+	return f.callStore(ctx, table, func(ctx context.Context) storeAnswer { return f.readStore(ctx, table) })
 }
 
 // readFromReader reads a table from the reader: only what has changed if this daemon knows the
@@ -226,6 +258,9 @@
 // passed.
 func (f *Feed) Changes(ctx context.Context, table string, after platform.Revision, wait time.Duration) ([]platform.FeedRow, platform.Revision, error) {
 	wait = f.awaitFirstElection(ctx, wait)
+	if rows, revision, ok := f.takeLate(table, after); ok {
+		return rows, revision, nil
+	}
 	reader, isReader, sourceChanged := f.source(time.Now(), table)
 	callCtx, stop := withInterrupt(ctx, sourceChanged)
 	defer stop()
@@ -238,26 +273,41 @@
 	if table == f.cfg.HeartbeatTable {
 		wait = min(wait, f.heartbeatWait(isReader, wait))
 		var cancel context.CancelFunc
-		callCtx, cancel = turn.WithTimeout(callCtx, wait+storeTimeoutMargin)
+		callCtx, cancel = turn.WithTimeout(callCtx, wait+f.storeMargin())
 		defer cancel()
 	}
 	started := time.Now()
-	rows, revision, err := f.cfg.Store.Changes(callCtx, table, after, wait)
+	answer := f.followStore(callCtx, table, after, wait)
 	switch {
-	case err != nil && errors.Is(context.Cause(callCtx), errSourceChanged) && ctx.Err() == nil:
+	case answer.err != nil && errors.Is(context.Cause(callCtx), errSourceChanged) && ctx.Err() == nil:
 		return nil, after, nil
-	case errors.Is(err, platform.ErrHistoryLost):
+	case errors.Is(answer.err, platform.ErrHistoryLost):
 		f.recordStoreSuccess(table, platform.Revision{})
 		f.cache.recordFailure(table)
-		return nil, platform.Revision{}, err
-	case err != nil:
+		return nil, platform.Revision{}, answer.err
+	case answer.err != nil:
 		f.recordStoreFailure(table, started)
-		return nil, platform.Revision{}, err
+		if table == f.cfg.HeartbeatTable && f.isSlow(time.Now()) {
+			return f.idle(ctx, after)
+		}
+		return nil, platform.Revision{}, answer.err
 	}
-	f.confirm(table, storeAnsweredAt(time.Now(), started, wait, rows))
-	f.cache.applyChanges(table, rows, revision, true)
-	f.recordStoreSuccess(table, revision)
-	return rows, revision, nil
+	f.confirm(table, answer.confirmedAt)
+	f.cache.applyChanges(table, answer.rows, answer.revision, true)
+	f.recordStoreSuccess(table, answer.revision)
+	return answer.rows, answer.revision, nil
+}
+
+// followStore waits for changes of a table at the store.
+func (f *Feed) followStore(ctx context.Context, table string, after platform.Revision, wait time.Duration) storeAnswer {
+	if err := f.awaitTurn(ctx, table); err != nil {
+		return storeAnswer{err: err}
+	}
+	call := func(ctx context.Context) storeAnswer { return f.changesFromStore(ctx, table, after, wait) }
+	if table != f.cfg.HeartbeatTable || !f.isChecking() {
+		return call(ctx)
+	}
+	return f.callStore(ctx, table, call)
 }
 
 // heartbeatWait returns how long a heartbeat call to the store waits at most: a short time if
@@ -301,7 +351,11 @@
 		return nil, platform.Revision{}, ctx.Err()
 	case errors.Is(context.Cause(callCtx), errSourceChanged):
 	case f.isProbing():
-		return nil, platform.Revision{}, f.recordProbingFailure(reader, err)
+		err = f.recordProbingFailure(reader, err)
+		if f.isSlow(time.Now()) {
+			return f.idle(ctx, q.After)
+		}
+		return nil, platform.Revision{}, err
 	default:
 		f.recordReaderFailure(reader, q.Table, err)
 	}
--- a/internal/relay/tablecache.go
+++ b/internal/relay/tablecache.go
@@ -144,6 +144,14 @@
 	return answer.Rows, t.revision
 }
 
+// changes returns the rows of a table that changed after a revision.
+func (c *tableCache) changes(q platform.FeedQuery) (platform.FeedAnswer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer, _, err := c.table(q.Table).changesSince(q)
+	return answer, err
+}
+
 // reset replaces the rows and forgets all changes before.
 func (t *cachedTable) reset(rows []platform.FeedRow, revision platform.Revision) {
 	t.rows = make(map[string]platform.FeedRow, len(rows))
@@ -218,7 +226,11 @@
 	}
 }
 
+// apply applies a row unless a newer one is known: answers that come late may overtake each other.
 func (t *cachedTable) apply(row platform.FeedRow) {
+	if known, ok := t.rows[row.Key]; ok && known.Revision.SameEra(row.Revision) && row.Revision.Before(known.Revision) {
+		return
+	}
 	if t.rows[row.Key].Deleted {
 		t.tombstones--
 	}
