Targets that the store lacks are kept after outages only, not after trouble of this daemon's own

The store had served all others meanwhile. One's own trouble was taken for the other's. Ruled out: the age of the reader's word (the read was the store's own); the leave in responses. Change: the relay judges the time between two confirmations by the store. If it was short, by whichever daemon, or if no other daemon has answered a query in it while two or more have not, the store was not away, and what it lacks is dropped at once. A daemon that has nobody to ask takes it for an outage, as before. Test: own trouble of 5, 8 and 15 s, and outages of the same lengths with targets that are back within two seconds; red before for the former. Conclusion: a VM that is in trouble while the store is away, too, drops lapsed entries for up to two seconds; the others keep them.

--- a/internal/daemon/storeoutage_test.go
+++ b/internal/daemon/storeoutage_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
 	store "github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/relay"
@@ -124,19 +125,34 @@
 
 	mu     sync.Mutex
 	usable []ident.Target
+	// viewAt is when the last view was installed.
+	viewAt time.Time
+}
+
+// hasReadTargetsSince reports whether a view of the targets has been installed since a time.
+func (f *testStoreSync) hasReadTargetsSince(at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.viewAt.After(at)
 }
 
 // newTestStoreSync returns a testStoreSync that follows a store until the test ends.
 func newTestStoreSync(t *testing.T, feed store.Feed) *testStoreSync {
+	return newTestStoreSyncAmong(t, feed, nil, nil)
+}
+
+// newTestStoreSyncAmong is newTestStoreSync for a daemon that has others to ask.
+func newTestStoreSyncAmong(t *testing.T, feed store.Feed, peers relay.Peers, others []membership.Member) *testStoreSync {
 	log := slog.New(slog.DiscardHandler)
 	s, err := settings.Parse(nil, func(s *settings.Settings) { s.Daemon, s.Zone, s.Platform.URL = "d", "a", "http://127.0.0.1:9" })
 	is.New(t).NoErr(err)
 	id := identity{Daemon: "d", Zone: "a"}
 	loop := newRoutedLoop(id, s, newRoutedBridge(id, nil, nil))
 	f := &testStoreSync{storeSync: newStoreSync(routedDependencies{
-		Loop: loop, Settings: s, Log: log, Routes: &route.Holder{}, Load: newLoadMonitor(s), Notices: targetnotice.New(), Relay: relay.New(relay.Config{Self: "d", Zone: "a", Store: feed, HeartbeatTable: heartbeatTable, Logger: log}),
+		Loop: loop, Settings: s, Log: log, Routes: &route.Holder{}, Load: newLoadMonitor(s), Notices: targetnotice.New(), Relay: relay.New(relay.Config{Self: "d", Zone: "a", Store: feed, Peers: peers, HeartbeatTable: heartbeatTable, Logger: log}),
 	}), inTouch: s.Routing.InTouch}
 	f.view.install = f.recordView
+	f.deps.Relay.Elect(others)
 	ctx, cancel := context.WithCancel(context.Background())
 	group := store.NewFeedGroup()
 	targets := &targetSubscriber{storeSync: f.storeSync, decodeEntry: func(key string, _ []byte) (registry.Entry, error) {
@@ -158,7 +174,7 @@
 func (f *testStoreSync) recordView(v routingView) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.usable = nil
+	f.usable, f.viewAt = nil, time.Now()
 	for _, e := range v.targets {
 		f.usable = append(f.usable, e.Identity)
 	}
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -125,7 +125,7 @@
 }
 
 func (s *storeSync) follow(group *store.FeedGroup, table string, wait, coalesceDelay time.Duration, subscriber store.Subscriber) func(context.Context) {
-	cfg := store.FollowerConfig{Feed: s.deps.Relay, Table: table, Wait: wait, CoalesceDelay: coalesceDelay, Group: group, Logger: s.deps.Log}
+	cfg := store.FollowerConfig{Feed: s.deps.Relay, Table: table, Wait: wait, CoalesceDelay: coalesceDelay, Group: group, OutageSince: s.deps.Relay.OutageSince, Logger: s.deps.Log}
 	if table == heartbeatTable {
 		cfg.Heartbeat, cfg.OnCurrent = true, func() {
 			at := s.deps.Relay.ConfirmedAt()
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -77,7 +77,8 @@
 	StoreUnreachable()
 	// StoreReachable reports that the store answers again, before the rows of the first
 	// answer are passed. The store may have recovered earlier, but not before notBefore, the
-	// start of the last failed call.
+	// start of the last failed call. A zero notBefore means that the store was not away: this
+	// daemon alone was out of reach.
 	StoreReachable(notBefore time.Time)
 	// StoreRestored reports that the store was restored from a backup, before Replace passes
 	// the rows of the backup. Rows that are missing from it may be written again, and rows
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -34,6 +34,9 @@
 	// than a loaded store takes to answer, and together with Wait shorter than the 3 s
 	// after which a daemon counts as connected to the store again.
 	TimeoutMargin time.Duration
+	// OutageSince reports whether the store may have been away at some time since the given one, rather
+	// than out of reach for this daemon alone. Default: it always may have been.
+	OutageSince func(since time.Time) bool
 	// OnCurrent is called for each answer after its rows, if any, have been passed to the
 	// subscriber: what it has is then what the store had. It may be nil.
 	OnCurrent func()
@@ -83,6 +86,8 @@
 	// callStart is the start of the current call, failedCallStart that of the last failed
 	// call.
 	callStart, failedCallStart time.Time
+	// unreachableSince is when the store became unreachable.
+	unreachableSince time.Time
 }
 
 // NewFollower returns a Follower, which does nothing until Run is called.
@@ -261,16 +266,26 @@
 		f.cfg.Group.setUnreachable(false)
 	}
 	if f.unreachable {
-		event.FeedReachable.Log(f.cfg.Logger, "table", f.cfg.Table, "failures", f.failures)
+		notBefore := f.outageEnd()
+		event.FeedReachable.Log(f.cfg.Logger, "table", f.cfg.Table, "failures", f.failures, "outage", !notBefore.IsZero())
 		f.unreachable = false
 		if f.failures > 0 {
 			f.cfg.Group.interruptCalls() // the others may wait on connections from the outage
 		}
-		f.subscriber.StoreReachable(f.lastFailureStart())
+		f.subscriber.StoreReachable(notBefore)
 	}
 	f.failures = 0
 }
 
+// outageEnd returns the earliest time at which the outage that has ended may have done so; zero if there
+// was none.
+func (f *Follower) outageEnd() time.Time {
+	if f.cfg.OutageSince != nil && !f.cfg.OutageSince(f.unreachableSince) {
+		return time.Time{}
+	}
+	return f.lastFailureStart()
+}
+
 func (f *Follower) handleFailure(err error) {
 	f.failures++
 	if !f.unreachable {
@@ -288,7 +303,7 @@
 		f.cfg.Group.setUnreachable(true)
 	}
 	if !f.unreachable {
-		f.unreachable = true
+		f.unreachable, f.unreachableSince = true, time.Now()
 		f.subscriber.StoreUnreachable()
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -151,9 +151,12 @@
 }
 
 // StoreRecovered reports that the store answers again after an outage, which ended at
-// notBefore or later.
+// notBefore or later. A zero notBefore means that this daemon alone was out of reach: the store
+// lacks only the entries of targets that have left.
 func (r *Registry) StoreRecovered(now, notBefore time.Time) {
-	r.recoveredAt, r.recoveredNotBefore = now, notBefore
+	if !notBefore.IsZero() {
+		r.recoveredAt, r.recoveredNotBefore = now, notBefore
+	}
 	if r.storeUnreachable {
 		r.storeUnreachable, r.quarantineEnd = false, now.Add(r.cfg.QuarantinePeriod)
 	}
--- a/internal/relay/confirmation.go
+++ b/internal/relay/confirmation.go
@@ -33,6 +33,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if table == f.cfg.HeartbeatTable && at.After(f.confirmedAt) {
+		f.recordConfirmation(time.Now(), at)
 		f.previousConfirmedAt, f.confirmedAt = f.confirmedAt, at
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,6 +95,10 @@
 	// that the last answer of a reader stated.
 	previousConfirmedAt time.Time
 	readerAge           time.Duration
+	// evidence is what other daemons have answered since confirmedAt, outageSeenAt when the end of an
+	// outage of the store was last noticed.
+	evidence     outageEvidence
+	outageSeenAt time.Time
 	// probing is set while both the reader and the store fail this daemon.
 	probing probing
 	// alternates are the daemons that may be queried in place of the reader while probing: the
@@ -367,7 +371,7 @@
 	ctx, cancel := turn.WithTimeout(ctx, timeout)
 	defer cancel()
 	for {
-		answer, err := f.cfg.Peers.Follow(ctx, reader, q)
+		answer, err := f.follow(ctx, reader, q)
 		if err == nil || !errors.Is(err, platform.ErrReaderNotCurrent) || !f.isNewReader(time.Now()) || ctx.Err() != nil {
 			return answer, err
 		}
@@ -378,7 +382,16 @@
 func (f *Feed) queryReader(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
 	ctx, cancel := turn.WithTimeout(ctx, q.Wait+readerTimeoutMargin)
 	defer cancel()
-	return f.cfg.Peers.Follow(ctx, reader, q)
+	return f.follow(ctx, reader, q)
+}
+
+// follow queries another daemon.
+func (f *Feed) follow(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
+	answer, err := f.cfg.Peers.Follow(ctx, reader, q)
+	if isReply := err == nil || errors.Is(err, platform.ErrReaderNotCurrent) || errors.Is(err, platform.ErrHistoryLost); isReply || context.Cause(ctx) != errSourceChanged {
+		f.recordQuery(isReply)
+	}
+	return answer, err
 }
 
 // ServeQuery answers a follower's query.
