Requests are limited while the link of the VM is full

What callers saw: on VMs of linz-a and hall-a requests that waited for seconds, and then 404 or runs by old routes. Cause: the VM's link carries 1.18 MB/s in, and all of it is bodies (edge-linz-a-3: in 1,130 to 1,185 KB a second, out to targets 0 to 90, 320 connections of callers, scheduling latency 0; counters in a scratch copy). The daemon's own messages wait in the same queue, 1.2 to more than 5 s: no grant, no change, no answer comes in time, so that it refuses nearly all that it has brought in, and the callers bring it in again at once. It measured its processor only. Change: while callers send much, two daemons of the own zone and two others are asked for nothing, once a second; if the nearest of three or more is 250 ms away, the link is full. Requests beyond a limit, halved at most once in a round trip and growing by half a second, are refused unread, at once, with two to four seconds to come back; the balancer is told; kept connections are closed after their response. What else its zone could do is open.

--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -47,8 +47,8 @@
 	// unreadConns counts those of them that are still pending.
 	recentPending []*pendingConn
 	unreadConns   int
-	// received counts the bytes read from callers.
-	received atomic.Int64
+	// received counts the bytes read from callers, opened the connections that they opened.
+	received, opened atomic.Int64
 	// openedConns counts the connections that callers opened since the last
 	// takeOpenedConns.
 	openedConns int
@@ -90,6 +90,7 @@
 		tracked, ok := conn.(*trackedConn)
 		if !ok || !tracked.forwarded {
 			c.openedConns++
+			c.opened.Add(1)
 		}
 		if ok {
 			tracked.recordEndTo(c.ends)
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -45,6 +45,8 @@
 	routesConfirmedAt atomic.Int64
 	// balancerLag is how long the balancer takes to notice that the daemon is not ready.
 	balancerLag time.Duration
+	// link measures whether the link of the VM is full.
+	link *linkMonitor
 	// zoneDaemons is the number of daemons in the availability zone.
 	zoneDaemons atomic.Int64
 }
@@ -54,15 +56,18 @@
 const minZoneDaemonsForHold = 4
 
 func newLoadMonitor(s settings.Settings) *loadMonitor {
-	return &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag}
+	return &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag, link: newLinkMonitor()}
 }
 
-// overloaded reports whether the daemon has too little processor time.
-func (l *loadMonitor) overloaded() bool { return l.overloadedNow.Load() }
+// overloaded reports whether the VM has too little processor time or a full link.
+func (l *loadMonitor) overloaded() bool { return l.overloadedNow.Load() || l.link.limited() }
 
 // shouldShed reports whether the new request with the given context is to be refused at
 // once.
 func (l *loadMonitor) shouldShed(ctx context.Context) bool {
+	if l.link.mustRefuse() {
+		return true
+	}
 	fraction := l.shedFraction()
 	if conn := trackedConnOf(ctx); conn != nil && isFirstRequest(ctx) && (conn.mustServe || conn.mustRefuse) {
 		return conn.mustRefuse
@@ -108,11 +113,13 @@
 
 // acceptRate returns how many new connections to accept per second; zero means no limit.
 func (l *loadMonitor) acceptRate() rate.Limit {
-	measured, current := l.measuredAcceptRate.Load(), int64(overload.AcceptRate(l.pendingLatency()))
-	if measured == 0 || current > 0 && current < measured {
-		return rate.Limit(current)
+	lowest := 0.0 // none
+	for _, limit := range []float64{float64(l.measuredAcceptRate.Load()), overload.AcceptRate(l.pendingLatency())} {
+		if limit > 0 && (lowest == 0 || limit < lowest) {
+			lowest = limit
+		}
 	}
-	return rate.Limit(measured)
+	return rate.Limit(lowest)
 }
 
 // slowLatency is the scheduling latency from which on it counts as high.
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -96,6 +96,9 @@
 		return nil, err
 	}
 	b.node, err = fleet.New(cfg, b)
+	if err == nil {
+		b.load.link.ping = b.node.Ping
+	}
 	return b.node, err
 }
 
@@ -108,7 +111,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Origins: loop, Poison: loop, Pool: pool, Notices: notices, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Origins: loop, Poison: loop, Pool: pool, Notices: notices, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, LinkFull: load.link.limited, RoutesMayBeStale: load.routesStale, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -72,7 +72,7 @@
 func (b *routedBridge) Peers(peers []scheduler.Peer) {
 	bookingPeers := make([]booking.Peer, len(peers))
 	members := make([]membership.Member, len(peers))
-	var neighbours []ident.Daemon
+	var neighbours, others []ident.Daemon
 	live := make(map[ident.Daemon]bool, len(peers))
 	for i, p := range peers {
 		live[p.ID] = true
@@ -80,12 +80,15 @@
 		members[i] = membership.Member{ID: p.ID, Zone: p.Zone, Incarnation: p.Incarnation, Leaving: p.Leaving}
 		if p.Zone == b.zone && !p.Leaving {
 			neighbours = append(neighbours, p.ID)
+		} else if !p.Leaving {
+			others = append(others, p.ID)
 		}
 	}
 	b.loop.SetPeers(bookingPeers)
 	b.leads.Store(leads(b.self, peers))
 	b.relay.Elect(members)
 	b.load.zoneDaemons.Store(int64(len(neighbours)) + 1)
+	b.load.link.setPeers(neighbours, others)
 	b.forwarder.setNeighbours(neighbours, live)
 	b.gateway.SetDaemons(len(peers) + 1)
 }
--- a/internal/daemon/routedservers.go
+++ b/internal/daemon/routedservers.go
@@ -37,6 +37,7 @@
 	r := &routedServers{connections: newConnTracker(maxCallerConnections(s.Memory))}
 	r.connections.ends = newEndRecorder(metrics, log)
 	h.unreadConns = r.connections.countUnread
+	load.link.conns = r.connections
 	h.routesVersion = routesVersion(routes)
 	var err error
 	if r.callersListener, err = listenDrainable(s.Callers.Listen); err != nil {
@@ -60,7 +61,7 @@
 	r.callers = &http.Server{
 		ConnState:         func(c net.Conn, state http.ConnState) { r.connections.track(c, state); watcher.pollIfDue(c, state) },
 		ConnContext:       withConn,
-		Handler:           withConnectionHeaders(s.Callers.IdleTimeout, r.connections.nearLimit, closeWhenStopping(life, countRequests(trackRequests(g)))),
+		Handler:           withConnectionHeaders(s.Callers.IdleTimeout, func() bool { return r.connections.nearLimit() || load.link.limited() }, closeWhenStopping(life, countRequests(trackRequests(g)))),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
 		MaxHeaderBytes:    s.Callers.HeaderBytes,
 		IdleTimeout:       s.Callers.IdleTimeout,
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -97,6 +97,7 @@
 		func(ctx context.Context) { s.deps.Holds.readAll(ctx, s.view.apply) },
 		s.deps.Holds.write,
 		s.report,
+		func(ctx context.Context) { s.deps.Load.link.run(ctx, s.deps.Log) },
 		func(ctx context.Context) { s.deps.Load.run(ctx, s.deps.Log, s.deps.Servers.connections) },
 	}
 }
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -39,5 +39,7 @@
 	RoutesUnconfirmed        = define(439, slog.LevelWarn, "the store has not confirmed the routes in force for longer than a change may take", "if the store serves other daemons, compare the reader and the ages that the line names")
 	RoutesConfirmed          = define(440, slog.LevelInfo, "the store has confirmed the routes in force again", "none")
 	RoutesStillUnconfirmed   = define(441, slog.LevelWarn, "the store has still not confirmed the routes in force; the line tells how busy this VM is", "if latency_ms is high, the VM lacks processor time; if received_kb is near what its link carries, its link is full")
+	LinkFull                 = define(442, slog.LevelWarn, "the network link of this VM is full: this daemon's own messages are late; it refuses requests beyond a limit and asks the balancer for no connections", "if it recurs, give the VM a faster link or its availability zone more VMs")
+	LinkFree                 = define(443, slog.LevelInfo, "this daemon takes requests without a limit again", "none")
 	RowNotWritten            = define(426, slog.LevelWarn, "this daemon could not write its own row; it retries", "see docs/OPERATIONS.md, a store outage")
 )
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -76,6 +77,19 @@
 	return entries, nil
 }
 
+// Ping makes the smallest possible call to a peer: one for the entries after the last possible revision,
+// which every peer answers at once and without any.
+func (n *Node) Ping(ctx context.Context, peer ident.Daemon) error {
+	c, err := n.client(peer)
+	if err != nil {
+		return err
+	}
+	if _, err := c.Entries(ctx, &fleetv1.EntriesRequest{After: math.MaxInt64}); err != nil {
+		return merry.Prependf(err, "ping %s", peer)
+	}
+	return nil
+}
+
 var claimStateByCode = map[fleetv1.ClaimState]ClaimState{
 	fleetv1.ClaimState_CLAIM_STATE_FINISHED: ClaimFinished,
 	fleetv1.ClaimState_CLAIM_STATE_RUNNING:  ClaimRunning,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,6 +165,8 @@
 	// ShouldShed reports whether the new request with this context is to be refused for lack
 	// of processor time.
 	ShouldShed func(ctx context.Context) bool
+	// LinkFull reports whether the network link of this VM is full, or was lately. May be nil.
+	LinkFull func() bool
 	// Shedding reports whether a fraction of the new requests is currently shed.
 	Shedding func() bool
 	// RoutesMayBeStale reports whether the routes may have changed while the daemon had no
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -41,9 +42,22 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
+	if s.linkFull() && f.Code.Outcome == resultcode.NotRun {
+		f.RetryAfter = max(f.RetryAfter, time.Duration((1+rand.Float64())*float64(linkRetryDelay)))
+	}
 	s.writeFailure(w, pr, f)
 }
 
+// linkRetryDelay is the shortest retry delay of a request that is refused while the link of this VM is
+// full. Each retry brings the whole body over the link of some VM again:
+// callers that come back at once keep the links full when the flood is over.
+const linkRetryDelay = 2 * time.Second
+
+// linkFull reports whether the link of this VM keeps this daemon from its work.
+func (s *Server) linkFull() bool {
+	return s.LinkFull != nil && s.LinkFull()
+}
+
 // AbortedRequest describes a request that gets no complete response.
 type AbortedRequest struct {
 	AttemptID string
@@ -71,6 +85,11 @@
 // shed refuses a request for lack of processor time.
 func (s *Server) shed(w http.ResponseWriter, r *http.Request) {
 	s.recordShedDemand(r)
+	if s.linkFull() {
+		w.Header().Set("Connection", "close") // the rest of the body is not read, and a new connection reaches another daemon
+		s.finish(w, r, nil, busyFailure())
+		return
+	}
 	discardBody(r)
 	if s.OutOfRotation() {
 		w.Header().Set("Connection", "close") // a new connection reaches another daemon
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -156,6 +157,25 @@
 	}
 }
 
+// Guards against requests that a full link refuses, but whose bodies it brings in all the same, and
+// which come back at once.
+func TestRequestRefusedForAFullLinkIsNotRead(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, route.Service{Name: "app"}, true, &fakePlacer{})
+	s.ShouldShed = func(context.Context) bool { return true }
+	s.LinkFull = func() bool { return true }
+	body := strings.NewReader("a body")
+	r := httptest.NewRequest(http.MethodPost, "/a/x", body)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get("Connection"), "close")
+	is.Equal(body.Len(), len("a body"))
+	seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(seconds >= linkRetryDelay.Seconds())
+}
+
 // All callers of a workspace reach one daemon, which already reads and places as many requests as
 // its memory allows. What it refuses counts as demand of the workspace: otherwise its share would go
 // to other workspaces, as with requests that are shed.
