A daemon is out of touch only if daemons of its own zone do not answer it either

Cause: two unanswered queries to other zones' readers were enough for a daemon to take itself for the one in trouble; in a zone that is cut off that holds for every daemon. Ruled out: asking the zone's daemons first only, which leaves a daemon with nobody that has a path to the store. Change: the own zone's daemons and the other zones' readers are asked by turns, and at least one of the own zone has to have left a query unanswered; a zone with one daemon cannot tell and goes on. Other tables are read each eight seconds while the store does not answer at all.

--- a/internal/daemon/owntrouble_test.go
+++ b/internal/daemon/owntrouble_test.go
@@ -11,6 +11,7 @@
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/membership"
 	store "github.com/savorystall/savorystall/internal/platform"
+	"github.com/savorystall/savorystall/internal/relay"
 )
 
 // unhelpfulPeers are daemons that know nothing of the store, and say so unless they cannot be reached.
@@ -59,3 +60,39 @@
 		}
 	}
 }
+
+// cutZonePeers are the other daemons as a zone that is cut off reaches them: those of other zones do not
+// answer, those of its own have lost the store as well.
+type cutZonePeers struct{}
+
+// Follow implements relay.Peers.
+func (cutZonePeers) Follow(ctx context.Context, peer ident.Daemon, q store.FeedQuery) (store.FeedAnswer, error) {
+	return unhelpfulPeers{unreachable: peer[0] != 'e'}.Follow(ctx, peer, q)
+}
+
+// Guards against a zone that stops serving when it is cut off, because each of its daemons takes that for
+// trouble of its own, and against a daemon that does not notice that it alone is out of touch.
+func TestDaemonOfAZoneThatIsCutOffIsNotOutOfTouch(t *testing.T) {
+	others := []membership.Member{{ID: "e1", Zone: "a"}, {ID: "e2", Zone: "a"}, {ID: "f1", Zone: "b"}, {ID: "g1", Zone: "c"}}
+	for _, zoneIsCut := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			feed := newFakeTargetFeed()
+			feed.hangs = true
+			feed.put("lives", false)
+			peers := map[bool]relay.Peers{true: cutZonePeers{}, false: unhelpfulPeers{unreachable: true}}[zoneIsCut]
+			s := newTestStoreSyncAmong(t, feed, peers, others)
+			time.Sleep(4 * time.Second)
+			is.True(!s.deps.Relay.OutOfTouch())
+			feed.setUnreachable(true)
+			time.Sleep(5 * time.Second)
+			for range 100 {
+				is.Equal(s.deps.Relay.OutOfTouch(), !zoneIsCut)
+				time.Sleep(100 * time.Millisecond)
+			}
+			feed.setUnreachable(false)
+			time.Sleep(3 * time.Second)
+			is.True(!s.deps.Relay.OutOfTouch())
+		})
+	}
+}
--- a/internal/relay/election.go
+++ b/internal/relay/election.go
@@ -49,12 +49,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.others, f.alternates = len(others), f.findAlternates(others)
+	for _, m := range members {
+		f.inZone[m.ID] = true
+	}
 	f.scheduleElection(e)
 }
 
 // findAlternates returns the daemons that may know the heartbeat table when both the reader of this zone
-// and the store fail this daemon: the readers of the other zones first, then the other daemons of the
-// zone, which read the store themselves if their reader has failed. Each daemon begins at another one.
+// and the store fail this daemon: by turns the readers of the other zones, and the other daemons of the
+// zone, which read the store themselves if their reader has failed. Each daemon begins at another one of
+// these.
 func (f *Feed) findAlternates(others []membership.Member) []ident.Daemon {
 	var list []ident.Daemon
 	owners, zones := membership.NewOwners(others), map[ident.Zone]bool{f.cfg.Zone: true}
@@ -69,7 +73,20 @@
 		}
 	}
 	first, _ := slices.BinarySearch(own, f.cfg.Self)
-	return slices.Concat(list, own[first:], own[:first])
+	return alternate(slices.Concat(own[first:], own[:first]), list)
+}
+
+// alternate returns the elements of two lists by turns.
+func alternate(a, b []ident.Daemon) (merged []ident.Daemon) {
+	for i := range max(len(a), len(b)) {
+		if i < len(a) {
+			merged = append(merged, a[i])
+		}
+		if i < len(b) {
+			merged = append(merged, b[i])
+		}
+	}
+	return merged
 }
 
 // election is the result of choosing a reader: the daemon to query, or that this daemon is
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -282,10 +282,10 @@
 	defer f.mu.Unlock()
 	interval := time.Duration(0)
 	switch {
+	case f.probing.active() && !now.Before(f.slowUntil):
+		interval = unansweredCallInterval
 	case now.Before(f.troubledUntil):
 		interval = slowCallInterval
-	case f.probing.active():
-		interval = unansweredCallInterval
 	}
 	wait = f.lastStoreCalls[table].Add(interval).Sub(now)
 	if wait <= 0 {
--- a/internal/relay/outage.go
+++ b/internal/relay/outage.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/savorystall/savorystall/internal/ident"
+)
 
 // A daemon that gets no answer from the store does not know whether the store is away or whether it is
 // cut off itself, and the two ask for opposite decisions: after an outage, entries that the store lacks
@@ -19,24 +23,38 @@
 // outageEvidence is what a daemon has heard from others since the store was confirmed last.
 type outageEvidence struct {
 	// unanswered counts the queries that got no answer in time, answered those that got one, whatever
-	// it was.
-	unanswered, answered int
+	// it was. unansweredInZone counts those of unanswered to daemons of the same zone.
+	unanswered, answered, unansweredInZone int
 }
 
-// isOwnTrouble reports whether the daemon itself, rather than the store, has been out of reach.
-func (e outageEvidence) isOwnTrouble() bool { return e.answered == 0 && e.unanswered >= minUnanswered }
+// isOwnTrouble reports whether the daemon itself, rather than the store, has been out of reach. If only
+// daemons of other zones do not answer, its zone may be cut off.
+func (e outageEvidence) isOwnTrouble() bool {
+	return e.answered == 0 && e.unanswered >= minUnanswered && e.unansweredInZone > 0
+}
 
 // recordQuery records whether another daemon has answered a query in time.
-func (f *Feed) recordQuery(answered bool) {
+func (f *Feed) recordQuery(peer ident.Daemon, answered bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if answered {
 		f.evidence.answered++
-	} else {
-		f.evidence.unanswered++
+		return
+	}
+	f.evidence.unanswered++
+	if f.inZone[peer] {
+		f.evidence.unansweredInZone++
 	}
 }
 
+// OutOfTouch reports whether this daemon cannot rely on what it knows of the store, for reasons of its
+// own: it hears from nobody, or later than a call waits.
+func (f *Feed) OutOfTouch() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evidence.isOwnTrouble() || time.Now().Before(f.slowUntil)
+}
+
 // recordConfirmation judges the time since the last confirmation when the next one comes. The caller
 // holds the lock.
 func (f *Feed) recordConfirmation(now, at time.Time) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -104,6 +104,9 @@
 	// alternates are the daemons that may be queried in place of the reader while probing: the
 	// readers of other zones, and the other daemons of this zone.
 	alternates []ident.Daemon
+	// inZone are the other daemons of this zone. Those that are no longer live stay: if all are gone at
+	// once, this daemon may be the one that is cut off.
+	inZone map[ident.Daemon]bool
 	// others is the number of other live daemons in all zones.
 	others int
 	// pending is the election that takes effect when electionTimer fires; nil means none.
@@ -132,7 +135,7 @@
 
 // New returns a Feed that reads the store itself until Elect chooses a reader.
 func New(cfg Config) *Feed {
-	return &Feed{cfg: cfg, cache: newTableCache(cfg.HeartbeatTable), sourceChanged: make(chan struct{}), heartbeatInterrupt: make(chan struct{}), unread: map[string]bool{}, reads: map[string]*storeCall{}, lastStoreCalls: map[string]time.Time{}, startedAt: time.Now(), latestByTable: map[string]platform.Revision{}, backoff: backoffBase}
+	return &Feed{cfg: cfg, cache: newTableCache(cfg.HeartbeatTable), sourceChanged: make(chan struct{}), heartbeatInterrupt: make(chan struct{}), inZone: map[ident.Daemon]bool{}, unread: map[string]bool{}, reads: map[string]*storeCall{}, lastStoreCalls: map[string]time.Time{}, startedAt: time.Now(), latestByTable: map[string]platform.Revision{}, backoff: backoffBase}
 }
 
 // interruptCalls ends the calls in progress. The caller holds the lock.
@@ -389,7 +392,7 @@
 func (f *Feed) follow(ctx context.Context, reader ident.Daemon, q platform.FeedQuery) (platform.FeedAnswer, error) {
 	answer, err := f.cfg.Peers.Follow(ctx, reader, q)
 	if isReply := err == nil || errors.Is(err, platform.ErrReaderNotCurrent) || errors.Is(err, platform.ErrHistoryLost); isReply || context.Cause(ctx) != errSourceChanged {
-		f.recordQuery(isReply)
+		f.recordQuery(reader, isReply)
 	}
 	return answer, err
 }
