A daemon that is behind, for reasons of its own, takes no request

Cause: only a daemon that shed for want of processor time said 'busy' in place of 404, and none refused to run by old routes. Ruled out: refusing whenever the routes are unconfirmed: in an outage of the store, or in a zone that is cut off, they are the best that anyone has. A daemon whose store is away serves on. Errors weighed: a daemon that is cut off from all others and takes callers refuses though it might serve; its callers reach others, which know more.

--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -43,6 +43,11 @@
 	// routesConfirmedAt is the time as of which the store last confirmed the routes in force, in
 	// nanoseconds since started; zero if it has not yet.
 	routesConfirmedAt atomic.Int64
+	// applyWithin is the time within which a change of the routes is to be in force.
+	applyWithin time.Duration
+	// storeOutOfTouch reports whether this daemon hears of the store late or not at all for reasons of
+	// its own; nil if that is not known.
+	storeOutOfTouch func() bool
 	// balancerLag is how long the balancer takes to notice that the daemon is not ready.
 	balancerLag time.Duration
 	// link measures whether the link of the VM is full.
@@ -56,11 +61,14 @@
 const minZoneDaemonsForHold = 4
 
 func newLoadMonitor(s settings.Settings) *loadMonitor {
-	return &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag, link: newLinkMonitor()}
+	return &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag, applyWithin: s.Routing.ApplyWithin, link: newLinkMonitor()}
 }
 
-// overloaded reports whether the VM has too little processor time or a full link.
-func (l *loadMonitor) overloaded() bool { return l.overloadedNow.Load() || l.link.limited() }
+// overloaded reports whether the VM has too little processor time or a full link, or does not know the
+// routes that are in force.
+func (l *loadMonitor) overloaded() bool {
+	return l.overloadedNow.Load() || l.link.limited() || l.routesBehind()
+}
 
 // shouldShed reports whether the new request with the given context is to be refused at
 // once.
@@ -102,7 +110,28 @@
 // routesStale reports whether the routes may have changed without this daemon having read
 // the change. A daemon that keeps up is notified of a change as it happens.
 func (l *loadMonitor) routesStale() bool {
-	return l.shedding() && time.Since(l.started)-time.Duration(l.routesConfirmedAt.Load()) > maxRoutesAge
+	return (l.shedding() || l.outOfTouch()) && l.routesAge() > maxRoutesAge
+}
+
+// routesAge returns how long ago the store confirmed the routes in force.
+func (l *loadMonitor) routesAge() time.Duration {
+	return time.Since(l.started) - time.Duration(l.routesConfirmedAt.Load())
+}
+
+// behindMargin is by how much the routes of a daemon that still serves are younger than those that a
+// change has to have replaced.
+const behindMargin = 500 * time.Millisecond
+
+// routesBehind reports whether this daemon is to take no request, since it would be handled by routes
+// that are no longer in force elsewhere: it has not heard of the store for too long, and for reasons of
+// its own. If the store is away, or the whole zone is cut off, the routes are the best that anyone has.
+func (l *loadMonitor) routesBehind() bool {
+	return l.routesConfirmedAt.Load() != 0 && l.outOfTouch() && l.routesAge() > l.applyWithin-behindMargin
+}
+
+// outOfTouch reports whether the daemon's own messages are late or get no answer.
+func (l *loadMonitor) outOfTouch() bool {
+	return l.link.congested.Load() || l.storeOutOfTouch != nil && l.storeOutOfTouch()
 }
 
 // balancerNoticed reports whether the balancer has noticed that the daemon is overloaded.
--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -114,3 +114,28 @@
 		tasks.Wait()
 	})
 }
+
+// Guards against two errors: a daemon whose link is full handles requests by routes that are no longer in
+// force, and one whose zone is cut off from a store that is away stops serving.
+func TestRoutesAreBehindOnlyInTroubleOfOnesOwn(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.Parse(nil, func(s *settings.Settings) { s.Daemon, s.Zone, s.Platform.URL = "d", "a", "http://127.0.0.1:9" })
+	is.NoErr(err)
+	load := newLoadMonitor(s)
+	outOfTouch := false
+	load.storeOutOfTouch = func() bool { return outOfTouch }
+	load.started = time.Now().Add(-time.Minute)
+	is.True(!load.routesBehind()) // no routes yet
+	load.confirmRoutes(time.Now().Add(-10 * time.Second))
+	is.True(!load.routesBehind() && !load.routesStale() && !load.overloaded()) // the store is away
+	outOfTouch = true
+	is.True(load.routesBehind() && load.routesStale() && load.overloaded())
+	load.confirmRoutes(time.Now().Add(-2 * time.Second))
+	is.True(!load.routesBehind() && load.routesStale()) // a 404 may be wrong already
+	load.confirmRoutes(time.Now())
+	is.True(!load.routesBehind() && !load.routesStale() && !load.overloaded())
+	outOfTouch = false
+	load.confirmRoutes(time.Now().Add(-10 * time.Second))
+	load.link.congested.Store(true)
+	is.True(load.routesBehind())
+}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -109,6 +109,11 @@
 	if table == nil {
 		return nil, resultcode.Fail(resultcode.ConfigurationAbsent, "")
 	}
+	if s.RoutesBehind != nil && s.RoutesBehind() {
+		s.recordShedDemand(r)
+		w.Header().Set("Connection", "close") // a new connection reaches another daemon
+		return nil, busyFailure()
+	}
 	path, _, _ := strings.Cut(requestTarget(r), "?")
 	matched, ok := table.Find(r.Host, path)
 	if !ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,6 +172,9 @@
 	// RoutesMayBeStale reports whether the routes may have changed while the daemon had no
 	// processor time to read them. May be nil.
 	RoutesMayBeStale func() bool
+	// RoutesBehind reports whether newer routes than those known here may be in force elsewhere, so that
+	// no request can be handled. May be nil.
+	RoutesBehind func() bool
 	// ReadDelay returns how long ago the request with this context, which is read now,
 	// arrived. May be nil.
 	ReadDelay func(ctx context.Context) time.Duration
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -49,13 +49,13 @@
 }
 
 // linkRetryDelay is the shortest retry delay of a request that is refused while the link of this VM is
-// full. Each retry brings the whole body over the link of some VM again:
+// full, or while this daemon is behind. Each retry brings the whole body over the link of some VM again:
 // callers that come back at once keep the links full when the flood is over.
 const linkRetryDelay = 2 * time.Second
 
 // linkFull reports whether the link of this VM keeps this daemon from its work.
 func (s *Server) linkFull() bool {
-	return s.LinkFull != nil && s.LinkFull()
+	return s.LinkFull != nil && s.LinkFull() || s.RoutesBehind != nil && s.RoutesBehind()
 }
 
 // AbortedRequest describes a request that gets no complete response.
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -157,6 +157,20 @@
 	}
 }
 
+// Guards against a daemon that cannot know the routes in force and runs or rejects requests by old ones.
+func TestNoRequestIsHandledByRoutesThatAreBehind(t *testing.T) {
+	is := is.New(t)
+	placer := &fakePlacer{}
+	s := newTestServer(t, route.Service{Name: "app"}, true, placer)
+	s.RoutesBehind = func() bool { return true }
+	for _, w := range []*httptest.ResponseRecorder{post(s, "/a/x", "key"), post(s, "/b/x", "key"), post(s, "/a/x", "other")} {
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.Equal(w.Header().Get("Connection"), "close")
+		is.True(strings.Contains(w.Body.String(), `"run":"not_run"`))
+	}
+	is.Equal(placer.placeCalls, 0)
+}
+
 // Guards against requests that a full link refuses, but whose bodies it brings in all the same, and
 // which come back at once.
 func TestRequestRefusedForAFullLinkIsNotRead(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,6 +88,9 @@
 	// InTouch is the time within which a daemon must follow the store again after
 	// an outage of the store. Default 3s.
 	InTouch time.Duration `yaml:"in_touch" validate:"min=1000000000"`
+	// ApplyWithin is the time within which a change of the routes is in force on every daemon. One that
+	// cannot know of a change in time, for reasons of its own, refuses requests. Default 3s.
+	ApplyWithin time.Duration `yaml:"apply_within" validate:"min=1000000000"`
 	// ConnectionShare is how many daemons may open connections to one target: each
 	// of them uses one part in ConnectionShare of the connections that the target
 	// accepts. Default 8.
@@ -239,7 +242,7 @@
 		},
 		Operators: Listener{Listen: "127.0.0.1:8081"},
 		Fleet:     Fleet{Listen: "127.0.0.1:8082", Heartbeat: time.Second},
-		Routing:   Routing{RepeatRatio: 0.1, RepeatBurst: 20, RepeatWindow: 10 * time.Second, InTouch: 3 * time.Second, ConnectionShare: 8, ColdFactor: 1},
+		Routing:   Routing{RepeatRatio: 0.1, RepeatBurst: 20, RepeatWindow: 10 * time.Second, InTouch: 3 * time.Second, ApplyWithin: 3 * time.Second, ConnectionShare: 8, ColdFactor: 1},
 		Platform:  Platform{Binding: BindingDocuments, ConfigPoll: time.Second, VMPoll: time.Second, Timeout: 2 * time.Second},
 		Stop:      Stop{BalancerLag: 5 * time.Second, WarnAfter: time.Minute},
 		Claims:    Claims{Wait: 5 * time.Second},
