Connections that fail while this daemon's own messages are late tell nothing about their targets

What callers saw: refusals as if their targets were failing ('limit: failing') beside a flood of another workspace. Cause: a daemon whose link is full cannot open connections to targets within 0.4 s, or sees them time out after one second, and reported the targets as failing; their owners then kept all daemons away from healthy targets. Its own trouble was taken for the other's. Ruled out: leaving such reports out for good; a target that responds with an error is still reported. Change: without a response, a failure is not reported as the target's while the daemon's own messages are late or get no answer. Besides, the age of the routes is looked at before anything that takes a lock.

--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -110,7 +110,7 @@
 // routesStale reports whether the routes may have changed without this daemon having read
 // the change. A daemon that keeps up is notified of a change as it happens.
 func (l *loadMonitor) routesStale() bool {
-	return (l.shedding() || l.outOfTouch()) && l.routesAge() > maxRoutesAge
+	return l.routesAge() > maxRoutesAge && (l.shedding() || l.outOfTouch())
 }
 
 // routesAge returns how long ago the store confirmed the routes in force.
@@ -126,7 +126,7 @@
 // that are no longer in force elsewhere: it has not heard of the store for too long, and for reasons of
 // its own. If the store is away, or the whole zone is cut off, the routes are the best that anyone has.
 func (l *loadMonitor) routesBehind() bool {
-	return l.routesConfirmedAt.Load() != 0 && l.outOfTouch() && l.routesAge() > l.applyWithin-behindMargin
+	return l.routesConfirmedAt.Load() != 0 && l.routesAge() > l.applyWithin-behindMargin && l.outOfTouch()
 }
 
 // outOfTouch reports whether the daemon's own messages are late or get no answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,6 +167,8 @@
 	ShouldShed func(ctx context.Context) bool
 	// LinkFull reports whether the network link of this VM is full, or was lately. May be nil.
 	LinkFull func() bool
+	// OutOfTouch reports whether this daemon's own messages are late or get no answer. May be nil.
+	OutOfTouch func() bool
 	// Shedding reports whether a fraction of the new requests is currently shed.
 	Shedding func() bool
 	// RoutesMayBeStale reports whether the routes may have changed while the daemon had no
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -177,7 +177,10 @@
 // reportAttempt passes the result of an attempt to the scheduler and the metrics.
 func (s *Server) reportAttempt(pr *proxyRequest, entry registry.Entry, r attemptResult, elapsed time.Duration) {
 	notRun := r.failure != nil && r.failure.Code.Outcome == resultcode.NotRun
-	s.Placer.Finish(pr.id, booking.Result{Elapsed: elapsed, Failed: r.targetFailed, NotRun: notRun, EventInterval: r.eventInterval(elapsed)})
+	// While this daemon's own messages are late, a connection that fails or times out tells nothing about
+	// the target; its owner would keep all other daemons away from it. A response does.
+	failed := r.targetFailed && (r.status != 0 || s.OutOfTouch == nil || !s.OutOfTouch())
+	s.Placer.Finish(pr.id, booking.Result{Elapsed: elapsed, Failed: failed, NotRun: notRun, EventInterval: r.eventInterval(elapsed)})
 	if r.sent {
 		pr.stats.attempts++
 		if !notRun {
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -15,6 +15,7 @@
 	"github.com/savorystall/savorystall/internal/booking"
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/settings"
@@ -27,6 +28,8 @@
 	// placeFunc, if set, provides the placement instead.
 	placeFunc func() control.Placement
 	shedCost  map[ident.Workspace]float64
+	// lastResult is the result that was reported last.
+	lastResult booking.Result
 }
 
 func (p *fakePlacer) Place(context.Context, booking.Request) control.Placement {
@@ -37,7 +40,10 @@
 	return control.Placement{Failure: resultcode.Fail(resultcode.FleetFull, "")}
 }
 func (p *fakePlacer) FirstByte(ident.Request, time.Duration) {}
-func (p *fakePlacer) Finish(ident.Request, booking.Result)   { p.finishCalls++ }
+func (p *fakePlacer) Finish(_ ident.Request, result booking.Result) {
+	p.finishCalls++
+	p.lastResult = result
+}
 func (p *fakePlacer) RecordShed(_ ident.Service, w ident.Workspace, cost float64) {
 	p.shedCost[w] += cost
 }
@@ -190,6 +196,26 @@
 	is.True(seconds >= linkRetryDelay.Seconds())
 }
 
+// Guards against a daemon with a full link that reports targets as failing that it cannot reach itself, so
+// that their owner keeps all other daemons away from them.
+func TestOwnTroubleIsNotReportedAsFailureOfTargets(t *testing.T) {
+	is := is.New(t)
+	placer := &fakePlacer{}
+	s := newTestServer(t, route.Service{Name: "app"}, true, placer)
+	outOfTouch := false
+	s.OutOfTouch = func() bool { return outOfTouch }
+	lost := attemptResult{sent: true, targetFailed: true, failure: resultcode.Fail(resultcode.ConnectionLost, "")}
+	answered := attemptResult{sent: true, targetFailed: true, status: http.StatusInternalServerError, failure: resultcode.Fail(resultcode.TargetError, "")}
+	for _, c := range []struct {
+		outOfTouch, failed bool
+		result             attemptResult
+	}{{false, true, lost}, {true, false, lost}, {true, true, answered}} {
+		outOfTouch = c.outOfTouch
+		s.reportAttempt(&proxyRequest{route: &route.Route{}}, registry.Entry{}, c.result, time.Second)
+		is.Equal(placer.lastResult.Failed, c.failed)
+	}
+}
+
 // All callers of a workspace reach one daemon, which already reads and places as many requests as
 // its memory allows. What it refuses counts as demand of the workspace: otherwise its share would go
 // to other workspaces, as with requests that are shed.
