Late answers that bring nothing new end no call

Ruled out: the follower's pauses (each call was answered). Change: only an answer with rows newer than those known ends the call.

--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/clock"
@@ -102,6 +103,7 @@
 	if answer.err != nil || f.isStale(table, answer.revision) {
 		return
 	}
+	known, _ := f.cache.revision(table)
 	if answer.full {
 		f.cache.replaceTable(table, answer.rows, answer.revision, true)
 	} else {
@@ -122,7 +124,14 @@
 		f.interruptCalls() // calls for other tables go to the store from now on
 		return
 	}
-	f.interruptHeartbeat()
+	if answer.hasNewer(known) {
+		f.interruptHeartbeat()
+	}
+}
+
+// hasNewer reports whether an answer has rows that changed after a revision.
+func (a *storeAnswer) hasNewer(known platform.Revision) bool {
+	return slices.ContainsFunc(a.rows, func(row platform.FeedRow) bool { return known.Before(row.Revision) })
 }
 
 // takeLate returns, once, the rows of a late answer that changed after a revision.
