A read that was overtaken is not used; the link is measured each 0.6 s

Cause (found by reading the change): a read of a table that was joined late could replace rows that were learnt from another daemon meanwhile, while the follower's revision stays at the newer one, so that the changes between the two are lost. Ruled out: the heartbeat table, whose late answers are checked already. Change: such an answer is an error, and the table is read again.

--- a/internal/daemon/linkmonitor.go
+++ b/internal/daemon/linkmonitor.go
@@ -20,7 +20,7 @@
 	// linkLookInterval is how often the delay of this daemon's own messages is looked at, and
 	// linkProbeInterval how often it is measured while callers send much.
 	linkLookInterval  = 300 * time.Millisecond
-	linkProbeInterval = time.Second
+	linkProbeInterval = 600 * time.Millisecond
 	// linkProbeTimeout ends a probe that gets no answer.
 	linkProbeTimeout = 10 * time.Second
 	// minProbedBytes is how many bytes callers have to send in linkProbeInterval before probes are sent.
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -186,8 +187,20 @@
 }
 
 // joinRead reads a table other than the heartbeat table from the store. A read that is in progress is
-// joined rather than begun anew.
+// joined rather than begun anew. Its answer is an error if the table has been read from elsewhere since
+// and is known to have changed: the follower would lose the changes between the two.
 func (f *Feed) joinRead(ctx context.Context, table string) storeAnswer {
+	answer := f.joinOrBeginRead(ctx, table)
+	if answer.err == nil && f.isStale(table, answer.revision) {
+		return storeAnswer{err: errReadOvertaken}
+	}
+	return answer
+}
+
+// errReadOvertaken is the error of a read whose rows are older than what this daemon knows.
+var errReadOvertaken = errors.New("the rows that were read are older than what this daemon knows")
+
+func (f *Feed) joinOrBeginRead(ctx context.Context, table string) storeAnswer {
 	if c := f.joinableRead(time.Now(), table); c != nil {
 		return f.rejoin(ctx, c)
 	}
