--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -115,6 +115,33 @@
 	})
 }
 
+// Guards against a daemon that is short of processor time, reads the answers to its own messages late, and
+// takes that for a full link.
+func TestLackOfProcessorTimeIsNotTakenForAFullLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, err := settings.Parse(nil, func(s *settings.Settings) { s.Daemon, s.Zone, s.Platform.URL = "d", "a", "http://127.0.0.1:9" })
+		is.NoErr(err)
+		load := newLoadMonitor(s)
+		load.lastLatency.Store(int64(400 * time.Millisecond))
+		load.link.conns = newConnTracker(0)
+		load.link.ping = func(context.Context, ident.Daemon) error {
+			time.Sleep(400 * time.Millisecond)
+			return nil
+		}
+		load.link.setPeers([]ident.Daemon{"own1", "own2"}, []ident.Daemon{"far1", "far2"})
+		ctx, cancel := context.WithCancel(t.Context())
+		go load.link.run(ctx, slog.New(slog.DiscardHandler))
+		for range 50 {
+			load.link.conns.received.Add(10 << 10)
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(!load.link.limited())
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against two errors: a daemon whose link is full handles requests by routes that are no longer in
 // force, and one whose zone is cut off from a store that is away stops serving.
 func TestRoutesAreBehindOnlyInTroubleOfOnesOwn(t *testing.T) {
