--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -133,7 +133,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go load.link.run(ctx, slog.New(slog.DiscardHandler))
 		for range 50 {
-			load.link.conns.received.Add(10 << 10)
+			load.link.conns.received.Add(50 << 10)
 			time.Sleep(100 * time.Millisecond)
 		}
 		is.True(!load.link.limited())
