Only a read that was joined can be overtaken

Cause: the check of the commit before the freeze held for each read; in a store without eras, one that was restored has lower revisions, and the table would not have been read until they had caught up. Ruled out: load. Change: the check is made of reads that were joined only, which began before what has overtaken them. TestLateReadThatWasOvertakenIsNotUsed is red without it.

--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -187,10 +187,14 @@
 }
 
 // joinRead reads a table other than the heartbeat table from the store. A read that is in progress is
-// joined rather than begun anew. Its answer is an error if the table has been read from elsewhere since
-// and is known to have changed: the follower would lose the changes between the two.
+// joined rather than begun anew. Its answer is then an error if the table has been read from elsewhere
+// since and is known to have changed: the follower would lose the changes between the two.
 func (f *Feed) joinRead(ctx context.Context, table string) storeAnswer {
-	answer := f.joinOrBeginRead(ctx, table)
+	c := f.joinableRead(time.Now(), table)
+	if c == nil {
+		return f.beginRead(ctx, table)
+	}
+	answer := f.rejoin(ctx, c)
 	if answer.err == nil && f.isStale(table, answer.revision) {
 		return storeAnswer{err: errReadOvertaken}
 	}
@@ -200,10 +204,8 @@
 // errReadOvertaken is the error of a read whose rows are older than what this daemon knows.
 var errReadOvertaken = errors.New("the rows that were read are older than what this daemon knows")
 
-func (f *Feed) joinOrBeginRead(ctx context.Context, table string) storeAnswer {
-	if c := f.joinableRead(time.Now(), table); c != nil {
-		return f.rejoin(ctx, c)
-	}
+// beginRead begins a read that may be joined, and waits for its answer until ctx ends.
+func (f *Feed) beginRead(ctx context.Context, table string) storeAnswer {
 	if err := f.awaitTurn(ctx, table); err != nil {
 		return storeAnswer{err: err}
 	}
