Cached prefixes are copied from targets that are draining

Cause: a draining target leaves the placement core at once, so that the sessions whose home it was have their prefixes computed again, although it serves for seconds. Ruled out: copies ahead of requests (they move prefixes that nobody uses again), and the ingress' own memory alone (few requests of a session pass one ingress of a large fleet). Change: routing.copy_from_draining (default off) keeps draining targets as sources; the owner of a prefix's former home is asked first, admits nothing, and states what is cached.

--- a/internal/booking/candidates.go
+++ b/internal/booking/candidates.go
@@ -41,7 +41,31 @@
 		n = spareHomesPerPrefix
 	}
 	r.tryLeastLoaded = !spareOnly && (shared < longPrefixTokens || float64(shared) < longPrefixShare*float64(r.Prompt))
-	return homeCandidates(prefix, usable, n)
+	homes := homeCandidates(prefix, usable, n)
+	if source := c.drainingHome(now, s, r, prefix, homes); source != nil {
+		return append([]candidate{{source, "draining home"}}, homes...)
+	}
+	return homes
+}
+
+// drainingHome returns the draining target that was the home of a prefix before it began to drain;
+// nil if there is none from which the prefix may be copied.
+//
+// Load pattern: the targets of a service are replaced one after the other while sessions go on. A
+// draining target gets no requests, but keeps its cache for seconds. Its owner is asked first, so that
+// the new home copies the prefix instead of computing it again.
+func (c *Core) drainingHome(now time.Time, s *service, r *request, prefix uint64, homes []candidate) (home *engine) {
+	if s.fetchPerToken <= 0 || len(homes) == 0 {
+		return nil
+	}
+	highest := rendezvousWeight(prefix, homes[0].engine.Name)
+	for _, e := range s.drainingEngines {
+		weight := rendezvousWeight(prefix, e.Name)
+		if weight > highest && r.maySuit(e) && !e.suspended(now) && !c.ownerSilent(now, e) {
+			home, highest = e, weight
+		}
+	}
+	return home
 }
 
 // homeCandidates returns the n home targets of a prefix by rendezvous hashing.
@@ -131,7 +155,7 @@
 
 // mayUse reports whether a request may be sent to a target now.
 func (r *request) mayUse(e *engine) bool {
-	return r.maySuit(e) && !slices.ContainsFunc(r.Paused, func(p Pause) bool { return p.Target == e.Name })
+	return r.maySuit(e) && !e.Draining && !slices.ContainsFunc(r.Paused, func(p Pause) bool { return p.Target == e.Name })
 }
 
 // maySuit reports whether a request may be sent to a target at all: it is not evacuated, and has the
--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -86,7 +86,10 @@
 	// sortedEngines lists the engines by name, so that no decision depends on map iteration
 	// order.
 	sortedEngines []*engine
-	shares        shares
+	// drainingEngines are the engines of targets that are draining, by name. They are in engines,
+	// but not in sortedEngines.
+	drainingEngines []*engine
+	shares          shares
 	// capacity is the observed capacity of its targets.
 	capacity capacity
 	// slowdown is the learned effect of prefill on running streams.
@@ -199,7 +202,7 @@
 
 func (c *Core) configureTargets(s *service, targets []Target) {
 	engines := make(map[ident.Target]*engine, len(targets))
-	s.sortedEngines = s.sortedEngines[:0]
+	s.sortedEngines, s.drainingEngines = s.sortedEngines[:0], s.drainingEngines[:0]
 	for _, spec := range targets {
 		e := s.engines[spec.Name]
 		if e == nil {
@@ -211,9 +214,15 @@
 		}
 		e.Target = spec
 		engines[spec.Name] = e
+		if spec.Draining {
+			s.drainingEngines = append(s.drainingEngines, e)
+			continue
+		}
 		s.sortedEngines = append(s.sortedEngines, e)
 	}
-	sort.Slice(s.sortedEngines, func(i, j int) bool { return s.sortedEngines[i].Name < s.sortedEngines[j].Name })
+	for _, list := range [][]*engine{s.sortedEngines, s.drainingEngines} {
+		sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	}
 	s.engines = engines
 }
 
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -147,12 +147,21 @@
 // recordReply records what an owner replied: the wait at the target that admits the request, or
 // the shortest wait among those that refuse it.
 func (r *request) recordReply(reply Reply) {
+	if reply.Limit == LimitDraining {
+		r.recordCached(reply)
+		return
+	}
 	r.anyReply = true
-	r.callerRetry = r.callerRetry || reply.CallerRetry
-	r.Late = r.Late || reply.CallerRetry
 	if reply.OK || r.shortestWait == 0 || reply.Wait < r.shortestWait {
 		r.shortestWait, r.limit, r.shareUsed, r.unloadedWait = reply.Wait, reply.Limit, reply.ShareUsed, reply.UnloadedWait
 	}
+	r.recordCached(reply)
+}
+
+// recordCached records what a target has cached, for the case that another one takes the request.
+func (r *request) recordCached(reply Reply) {
+	r.callerRetry = r.callerRetry || reply.CallerRetry
+	r.Late = r.Late || reply.CallerRetry
 	r.targetTokens = reply.CachedTokens
 	if reply.CachedTokens > r.sourceTokens && !reply.OK {
 		r.fetchSource, r.sourceTokens = r.current.engine.Name, reply.CachedTokens
--- a/internal/booking/limit.go
+++ b/internal/booking/limit.go
@@ -28,9 +28,11 @@
 	// LimitCold: a cold target would get more requests in a second than it tolerates, or one that
 	// may turn cold unnoticed would.
 	LimitCold
+	// LimitDraining: the target gets no requests, and was only asked what it has cached.
+	LimitDraining
 )
 
-var limitNames = [...]string{"", "failing", "memory", "slots", "spare", "share", "time", "prompt", "evacuated", "cold"}
+var limitNames = [...]string{"", "failing", "memory", "slots", "spare", "share", "time", "prompt", "evacuated", "cold", "draining"}
 
 // String returns the name of the limit in logs.
 func (l Limit) String() string {
--- a/internal/booking/members.go
+++ b/internal/booking/members.go
@@ -59,20 +59,7 @@
 	for _, s := range c.services {
 		owned, inUse := 0, 0
 		for _, e := range s.sortedEngines {
-			owner := c.owners.Lookup(s.name, e.Name, e.Zone)
-			if e.owned && owner != c.cfg.Self {
-				c.dropRuns(e)
-				e.runs, e.unsharedMemory = nil, 0
-				e.cache.releaseAll()
-			}
-			if e.owner != owner {
-				if e.owner != "" {
-					e.newOwnerUntil = now.Add(newOwnerTime)
-				}
-				e.owner = owner
-				e.owned, e.ownedSince = owner == c.cfg.Self, now
-				c.notifyNewOwner(now, e)
-			}
+			c.assignOwner(now, e)
 			if e.Evacuated {
 				continue
 			}
@@ -82,6 +69,27 @@
 			}
 		}
 		s.shares.setOwned(owned, inUse)
+		for _, e := range s.drainingEngines {
+			c.assignOwner(now, e)
+		}
+	}
+}
+
+// assignOwner determines the owner of a target.
+func (c *Core) assignOwner(now time.Time, e *engine) {
+	owner := c.owners.Lookup(e.service.name, e.Name, e.Zone)
+	if e.owned && owner != c.cfg.Self {
+		c.dropRuns(e)
+		e.runs, e.unsharedMemory = nil, 0
+		e.cache.releaseAll()
+	}
+	if e.owner != owner {
+		if e.owner != "" {
+			e.newOwnerUntil = now.Add(newOwnerTime)
+		}
+		e.owner = owner
+		e.owned, e.ownedSince = owner == c.cfg.Self, now
+		c.notifyNewOwner(now, e)
 	}
 }
 
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -145,6 +145,8 @@
 func (c *Core) admissionLimit(now time.Time, e *engine, res Reservation, r *run) Limit {
 	headroom := c.headroom(now, e, res)
 	switch {
+	case e.Draining:
+		return LimitDraining
 	case e.Evacuated:
 		return LimitEvacuated
 	case !c.withinColdLimit(now, e):
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -92,6 +92,9 @@
 	Evacuated bool
 	// ColdUntil is when the target is warm at the latest; zero if it is warm.
 	ColdUntil time.Time
+	// Draining reports that the target gets no requests. Other targets may still copy cached
+	// prefixes from it.
+	Draining bool
 }
 
 // Service holds what placement decisions need to know about a service.
--- a/internal/daemon/routedservices.go
+++ b/internal/daemon/routedservices.go
@@ -28,7 +28,7 @@
 			service.Rate = table.Limits.TokensPerSecond
 		}
 		for _, e := range v.targets {
-			if e.Service != spec.Name || e.Draining {
+			if e.Service != spec.Name || e.Draining && !set.Routing.CopyFromDraining {
 				continue
 			}
 			slots := e.Slots
@@ -37,7 +37,7 @@
 			}
 			service.Targets = append(service.Targets, booking.Target{
 				Name: e.Identity, Zone: e.Zone, Slots: slots, Memory: spec.Memory, Generation: e.StartedAtMillis, Version: e.Version,
-				Region: set.Regions[e.Zone], Evacuated: v.evacuated.Contains(e.Zone), ColdUntil: coldUntil(e, spec, v.evacuated),
+				Region: set.Regions[e.Zone], Evacuated: v.evacuated.Contains(e.Zone), ColdUntil: coldUntil(e, spec, v.evacuated), Draining: e.Draining,
 			})
 		}
 		services = append(services, service)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,6 +99,9 @@
 	// second: ColdFactor times the rate that it tolerates plus ColdBurst. Defaults 1 and 0.
 	ColdFactor float64 `yaml:"cold_factor" validate:"min=0"`
 	ColdBurst  float64 `yaml:"cold_burst" validate:"min=0"`
+	// CopyFromDraining lets targets copy cached prefixes of prompts from targets that are draining.
+	// Default false.
+	CopyFromDraining bool `yaml:"copy_from_draining"`
 }
 
 // Memory holds the resource limits of the process.
