Warm targets: the owner proves by health checks that a busy target is warm

Cause: the owner of a target admits at most 24 of 27 requests per second to a warm target, since the target may turn cold unnoticed.

Change: with routing.warmth_checks the owner has the target's health checked when the admissions that count reach half of the limit, at most five times a second. After a proof only admissions that may be sent later than the check count. A stated cold time makes the target cold at once. Requests are sent within 100 ms of their admission or placed again.

--- a/internal/booking/cold.go
+++ b/internal/booking/cold.go
@@ -14,7 +14,8 @@
 //   - To a warm target, its owner admits what the limit leaves besides a small part, which a new owner
 //     may admit: it does not know what the previous one has just admitted. A daemon that has just
 //     started counts as a new owner of a cold target, and of a warm one while it knows no others. No
-//     ingress decides alone.
+//     ingress decides alone. A proof that the target is warm shortens the time in which admissions
+//     count (warmproof.go).
 
 const (
 	// MaxColdSendDelay is how long after the start of its placement a request may be sent to a cold
@@ -31,7 +32,7 @@
 
 // isCold reports whether the target may be cold.
 func (e *engine) isCold(now time.Time) bool {
-	return e.service.coldLimit > 0 && now.Before(e.ColdUntil)
+	return e.service.coldLimit > 0 && now.Before(laterOf(e.ColdUntil, e.warmth.coldUntil))
 }
 
 // withinColdLimit reports whether this daemon, as its owner, may admit another request to the target.
@@ -50,7 +51,7 @@
 	case isNew:
 		return e.admissions.countSince(now.Add(-time.Second)) < small
 	}
-	return e.admissions.countSince(now.Add(-time.Second)) < max(1, limit-small)
+	return e.admissions.countSince(e.warmWindow(now)) < e.maxWarmAdmissions(limit)
 }
 
 // smallLimit is the number of requests in a second that smallPart of a limit allows.
--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -46,6 +46,7 @@
 	requests          map[ident.Request]*request
 	pending           map[uint64]*request
 	lastReservationID uint64
+	lastCheckID       uint64
 	// sentReservations are the reservations that may still be unanswered, in the order in which
 	// they were sent, so that a tick looks only at those that are due.
 	sentReservations []sentReservation
@@ -79,6 +80,8 @@
 	rate        float64
 	// coldLimit is Service.ColdLimit.
 	coldLimit int
+	// checksWarmth is Service.ChecksWarmth.
+	checksWarmth bool
 	// fetchPerToken is the time to copy one cached token between targets; zero means that
 	// copying is not possible.
 	fetchPerToken time.Duration
@@ -186,6 +189,7 @@
 			s = &service{name: spec.Name, engines: map[ident.Target]*engine{}, shares: newShares(), pace: newPrefillPace()}
 		}
 		s.servesModel, s.rate, s.fetchPerToken, s.coldLimit = spec.ServesModel, spec.Rate, spec.FetchPerToken, spec.ColdLimit
+		s.checksWarmth = spec.ChecksWarmth
 		s.shares.configure(spec.Workspaces)
 		c.configureTargets(s, spec.Targets)
 		kept[spec.Name] = s
--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -49,6 +49,8 @@
 	runs []*run
 	// admissions are the last requests that this daemon admitted as the target's owner.
 	admissions admissionLog
+	// warmth is what health checks have shown.
+	warmth warmthState
 	// unsharedMemory is the memory, in tokens, that the runs will fill beyond their shared
 	// prefixes when they have ended.
 	unsharedMemory int
@@ -84,7 +86,7 @@
 // resetAfterRestart discards the state of a previous process of the target.
 func (e *engine) resetAfterRestart() {
 	e.runs, e.unsharedMemory, e.prefillFreeAt = nil, 0, time.Time{}
-	e.admissions = admissionLog{}
+	e.admissions, e.warmth = admissionLog{}, warmthState{}
 	e.cache = newPrefixCache()
 	e.health = health{}
 }
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -246,6 +246,11 @@
 	}
 	basis := r.decisionBasis()
 	basis.FetchSource, basis.Held = c.fetchSource(r), hold > 0
+	asked := r.sentAt
+	if owner == c.cfg.Self {
+		asked = now
+	}
+	basis.SendBy = e.service.sendBy(asked, hold)
 	r.dispatch = Dispatch{Request: r.ID, Target: r.current.engine.Name, Basis: basis}
 	if hold > 0 {
 		c.holdRequest(now, r, hold)
--- a/internal/booking/members.go
+++ b/internal/booking/members.go
@@ -70,6 +70,7 @@
 					e.newOwnerUntil = now.Add(newOwnerTime)
 				}
 				e.owner = owner
+				e.warmth.forgetProof()
 				e.owned, e.ownedSince = owner == c.cfg.Self, now
 				c.notifyNewOwner(now, e)
 			}
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -90,6 +90,7 @@
 	r.prefillWork, r.fetchTime = e.service.prefillCost(res.Prompt, cached, res.CachedElsewhere)
 	if !res.Running {
 		reply.Limit = c.admissionLimit(now, e, res, r)
+		c.checkWarmth(now, e)
 		e.service.shares.account(res.Workspace).tally.record(res, reply.Limit)
 	}
 	if reply.Limit != LimitNone {
@@ -104,7 +105,7 @@
 		reply.Hold = e.holdFor(now, &res, r)
 	}
 	if !res.Running {
-		e.admissions.add(now, e.service.coldLimit)
+		e.recordAdmission(now, reply.Hold)
 	}
 	c.addRun(now, e, res, r)
 	reply.OK, reply.Wait = true, r.expected.Sub(now)
--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -47,6 +47,10 @@
 	onSent func(target ident.Target)
 	// onSend, if set, is called for each message between daemons.
 	onSend func(m booking.Message)
+	// sendDelay, if set, returns the time between a dispatch and the sending of the request.
+	sendDelay func() time.Duration
+	// onCheck, if set, handles the health checks of targets.
+	onCheck func(d *daemon, check booking.CheckWarmth)
 	// onRefuse, if set, logs each refusal.
 	onRefuse func(format string, args ...any)
 	// onOutcome, if set, is called for each request that is refused, and for each first byte.
@@ -239,7 +243,7 @@
 				s.onDispatch(j)
 			}
 			j.source = e.Basis.FetchSource
-			s.dispatch(d, j, e.Target)
+			s.dispatchLater(d, j, e)
 		case booking.Refuse:
 			j := d.jobs[e.Request]
 			j.basis = e.Basis
@@ -252,6 +256,10 @@
 			if s.onRefuse != nil {
 				s.onRefuse("%s %s refused %d tokens: %s", s.now.Sub(time.Unix(1000, 0)), j.Workspace, j.Prompt, e.Failure)
 			}
+		case booking.CheckWarmth:
+			if s.onCheck != nil {
+				s.onCheck(d, e)
+			}
 		case booking.Send:
 			s.send(d, e)
 		}
@@ -278,6 +286,21 @@
 	}
 }
 
+// dispatchLater sends a request after its send delay, or ends it as not run if it is too late then.
+func (s *sim) dispatchLater(d *daemon, j *job, e booking.Dispatch) {
+	if s.sendDelay == nil {
+		s.dispatch(d, j, e.Target)
+		return
+	}
+	s.schedule(s.sendDelay(), func() {
+		if !e.Basis.SendBy.IsZero() && s.now.After(e.Basis.SendBy) {
+			s.finish(d, j, booking.Result{NotRun: true}, false)
+			return
+		}
+		s.dispatch(d, j, e.Target)
+	})
+}
+
 func (s *sim) dispatch(d *daemon, j *job, target ident.Target) {
 	e := s.engines[target]
 	j.target, j.dispatchedAt = target, s.now
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -107,6 +107,8 @@
 	// ColdLimit is how many requests all daemons together may send to a cold target in one second;
 	// zero means that there is no limit.
 	ColdLimit int
+	// ChecksWarmth reports that the owner of a target asks for health checks of the target.
+	ChecksWarmth bool
 	// Rate is the total capacity of the targets, in units of Cost per second; zero means that
 	// it is unknown and workspaces are not limited to shares.
 	Rate float64
@@ -283,6 +285,8 @@
 	// FetchSource is the target from which the prompt's prefix is copied; empty if there is
 	// none.
 	FetchSource ident.Target
+	// SendBy is until when the request may be sent; zero if there is no limit.
+	SendBy time.Time
 	// Held reports that the request was held back until the target had completed the prefill of
 	// the prefix that it shares with another request.
 	Held bool
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -18,6 +18,8 @@
 type BookingActions interface {
 	// SendBookingMessage sends a message to another daemon.
 	SendBookingMessage(to ident.Daemon, m booking.Message)
+	// CheckWarmth checks the health of a target. The result is passed to BookingLoop.RecordWarmth.
+	CheckWarmth(check booking.CheckWarmth)
 	// SendOriginMessage sends a message about the origins of streams to another daemon.
 	SendOriginMessage(to ident.Daemon, m origin.Message)
 	// SendPoisonMessage sends a message about requests that end targets to another daemon.
@@ -118,6 +120,8 @@
 			b.waiters.deliver(e.Request, Placement{Failure: e.Failure, Basis: e.Basis})
 		case booking.Send:
 			b.actions.SendBookingMessage(e.To, e.Message)
+		case booking.CheckWarmth:
+			b.actions.CheckWarmth(e)
 		}
 	}
 }
@@ -162,6 +166,11 @@
 	b.post(func(now time.Time) { b.core.RecordShed(now, service, workspace, cost) })
 }
 
+// RecordWarmth records the result of a health check.
+func (b *BookingLoop) RecordWarmth(check booking.CheckWarmth, result booking.Warmth) {
+	b.post(func(now time.Time) { b.core.RecordWarmth(now, check, result) })
+}
+
 // Configure replaces the services.
 func (b *BookingLoop) Configure(services []booking.Service) {
 	b.post(func(now time.Time) { b.core.Configure(now, services) })
--- a/internal/control/bookings_test.go
+++ b/internal/control/bookings_test.go
@@ -25,6 +25,7 @@
 	}
 }
 
+func (outgoing) CheckWarmth(booking.CheckWarmth)                  {}
 func (o outgoing) SendOriginMessage(ident.Daemon, origin.Message) {}
 
 // SendPoisonMessage implements control.BookingActions.
--- a/internal/control/deferredtick_test.go
+++ b/internal/control/deferredtick_test.go
@@ -18,6 +18,7 @@
 
 func (s *sentMessages) SendBookingMessage(_ ident.Daemon, m booking.Message) { *s = append(*s, m) }
 
+func (*sentMessages) CheckWarmth(booking.CheckWarmth)                  {}
 func (s *sentMessages) SendOriginMessage(ident.Daemon, origin.Message) {}
 
 // SendPoisonMessage implements control.BookingActions.
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -55,6 +55,11 @@
 	b.node.Send(to, scheduler.Message{Bookings: m})
 }
 
+// CheckWarmth implements control.BookingActions.
+func (b *routedBridge) CheckWarmth(check booking.CheckWarmth) {
+	go func() { b.loop.RecordWarmth(check, b.gateway.CheckWarmth(context.Background(), check)) }()
+}
+
 // SendOriginMessage implements control.BookingActions.
 func (b *routedBridge) SendOriginMessage(to ident.Daemon, m origin.Message) {
 	b.node.Send(to, scheduler.Message{Origins: m})
--- a/internal/daemon/routedoperators_test.go
+++ b/internal/daemon/routedoperators_test.go
@@ -22,6 +22,7 @@
 type noActions struct{}
 
 func (noActions) SendBookingMessage(ident.Daemon, booking.Message) {}
+func (noActions) CheckWarmth(booking.CheckWarmth)                  {}
 func (noActions) SendOriginMessage(ident.Daemon, origin.Message)   {}
 func (noActions) SendPoisonMessage(ident.Daemon, poison.Message)   {}
 func (noActions) PoisonEffect(poison.Effect)                       {}
--- a/internal/daemon/routedservices.go
+++ b/internal/daemon/routedservices.go
@@ -24,6 +24,7 @@
 	for _, spec := range table.Services {
 		service := booking.Service{Name: spec.Name, ServesModel: spec.ServesModel, FetchPerToken: spec.FetchPerToken, Workspaces: workspaces}
 		service.ColdLimit = coldLimit(spec, set.Routing)
+		service.ChecksWarmth = set.Routing.WarmthChecks && service.ColdLimit > 0 && spec.HealthPath != ""
 		if spec.ServesModel {
 			service.Rate = table.Limits.TokensPerSecond
 		}
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -41,5 +41,6 @@
 	RoutesStillUnconfirmed   = define(441, slog.LevelWarn, "the store has still not confirmed the routes in force; the line tells how busy this VM is", "if latency_ms is high, the VM lacks processor time; if received_kb is near what its link carries, its link is full")
 	LinkFull                 = define(442, slog.LevelWarn, "the network link of this VM is full: this daemon's own messages are late; it refuses requests beyond a limit and asks the balancer for no connections", "if it recurs, give the VM a faster link or its availability zone more VMs")
 	LinkFree                 = define(443, slog.LevelInfo, "this daemon takes requests without a limit again", "none")
+	TargetColdByCheck        = define(444, slog.LevelInfo, "a target has stated in a health check that it is cold; it gets as few requests as a cold one", "if it recurs, find out why the target that the line names turns cold")
 	RowNotWritten            = define(426, slog.LevelWarn, "this daemon could not write its own row; it retries", "see docs/OPERATIONS.md, a store outage")
 )
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -59,10 +59,6 @@
 
 // targetRequest converts the caller's request to one for a target.
 func (s *Server) targetRequest(ctx context.Context, pr *proxyRequest, entry registry.Entry, dispatched time.Time) targetconn.Request {
-	connections := 0
-	if pr.service.MaxConnections > 0 {
-		connections = max(1, pr.service.MaxConnections/max(1, s.Config.ConnectionShare))
-	}
 	return targetconn.Request{
 		Method: pr.inbound.Method, RequestTarget: requestTarget(pr.inbound), Host: pr.inbound.Host, Header: endToEndHeaders(pr.inbound.Header), Body: pr.body,
 		SetHeaders: func(h http.Header) {
@@ -71,7 +67,7 @@
 				Remaining: time.Until(pr.deadline), LastEventID: pr.events.lastID, PrefixSource: s.prefixSource(pr, entry),
 			})
 		},
-		MaxConnections: connections,
+		MaxConnections: s.connectionLimit(pr.service.MaxConnections),
 		MatchesResponse: func(status int, h http.Header) bool {
 			echoed := s.Dialect.ParseResponse(status, h)
 			s.observeNotices(entry, status, echoed)
@@ -90,6 +86,15 @@
 	}
 }
 
+// connectionLimit returns how many connections to a target this daemon may use, of those that all may
+// use; zero means no limit.
+func (s *Server) connectionLimit(all int) int {
+	if all <= 0 {
+		return 0
+	}
+	return max(1, all/max(1, s.Config.ConnectionShare))
+}
+
 // watchCaller returns a function that aborts an exchange as soon as its caller disconnects,
 // or nil if the daemon does not report disconnects.
 func (s *Server) watchCaller(ctx context.Context, pr *proxyRequest) func(end func()) (stop func() bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,6 +150,8 @@
 	// Poison may be nil; no request is held back then.
 	Poison Poison
 	Pool   *targetconn.Pool
+	// Health converts the headers of health checks. May be nil if CheckWarmth is not called.
+	Health HealthDialect
 	// Notices learns what targets say about themselves.
 	Notices *targetnotice.Table
 	// CallerGone reports whether the caller of the request with this context has
--- a/internal/gateway/sendgate.go
+++ b/internal/gateway/sendgate.go
@@ -30,6 +30,8 @@
 		return resultcode.Fail(resultcode.RegionNotAllowed, "target %s", id)
 	case pr.service.ColdRate > 0 && time.Now().Before(entry.ColdUntil) && time.Since(pr.placementStart) > booking.MaxColdSendDelay:
 		return resultcode.Fail(resultcode.NoTarget, "target %s is cold, and its admission is too old", id)
+	case !pr.stats.basis.SendBy.IsZero() && time.Now().After(pr.stats.basis.SendBy):
+		return resultcode.Fail(resultcode.NoTarget, "target %s may have turned cold since its admission", id)
 	}
 	return nil
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -81,6 +81,8 @@
 	// MaxConnections bounds the connections of all callers together to one target; zero
 	// means no bound.
 	MaxConnections int
+	// HealthPath is the path of a target's health check; empty if there is none.
+	HealthPath string
 	// Warmup is how long a target is cold after its start.
 	Warmup time.Duration
 	// ColdRate is how many requests a second a target tolerates while it is cold; zero means that
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,6 +99,10 @@
 	// second: ColdFactor times the rate that it tolerates plus ColdBurst. Defaults 1 and 0.
 	ColdFactor float64 `yaml:"cold_factor" validate:"min=0"`
 	ColdBurst  float64 `yaml:"cold_burst" validate:"min=0"`
+	// WarmthChecks makes the owner of a busy target check the target's health a few times a second: a
+	// response without cold time proves that more requests may be sent to it. Only targets of services
+	// that state a rate for cold targets and a health path are checked. Default false.
+	WarmthChecks bool `yaml:"warmth_checks"`
 }
 
 // Memory holds the resource limits of the process.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -69,6 +69,7 @@
 	metricUnanswered           = define("connections_unanswered", Counter, "connections", "cause, progress, kept", "Connections of callers that were closed without a complete response to their request, by why, how far the request had got, and whether a request was answered on them before; where routes are served.")
 	metricStoreCalls           = define("store_calls", Counter, "calls", "table, kind, failed", "Calls to the platform's store, by table and what they are for (read, follow, write); where routes are served.")
 	metricRoutesAge            = define("routes_age", Gauge, "seconds", "", "How long ago the store confirmed the routes in force, where routes are served.")
+	metricWarmthChecks         = define("warmth_checks", Counter, "checks", "service, result", "Health checks of busy targets that this daemon owns, by result (warm, cold, rejected, failed, unsent); where routes are served.")
 	metricConfigHead           = define("config_head", Gauge, "revision", "", "Highest configuration revision in force.")
 )
 
@@ -171,6 +172,11 @@
 	m.counter(metricRetries, string(service), "", "").Inc(1)
 }
 
+// WarmthCheck counts a health check of a target by its result.
+func (m *Metrics) WarmthCheck(service ident.Service, result string) {
+	m.counter(metricWarmthChecks, string(service), "result", result).Inc(1)
+}
+
 // ConnectionForwarded counts a connection that a neighbour took over.
 func (m *Metrics) ConnectionForwarded() { m.scope.Counter(metricForwardedConnections).Inc(1) }
 
