--- a/internal/booking/members.go
+++ b/internal/booking/members.go
@@ -88,6 +88,7 @@
 			e.newOwnerUntil = now.Add(newOwnerTime)
 		}
 		e.owner = owner
+		e.warmth.forgetProof()
 		e.owned, e.ownedSince = owner == c.cfg.Self, now
 		c.notifyNewOwner(now, e)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,10 @@
 	// CopyFromDraining lets targets copy cached prefixes of prompts from targets that are draining.
 	// Default false.
 	CopyFromDraining bool `yaml:"copy_from_draining"`
+	// WarmthChecks makes the owner of a busy target check the target's health a few times a second: a
+	// response without cold time proves that more requests may be sent to it. Only targets of services
+	// that state a rate for cold targets and a health path are checked. Default false.
+	WarmthChecks bool `yaml:"warmth_checks"`
 }
 
 // Memory holds the resource limits of the process.
