Booking: speeds of targets are estimated from responses, reported and used

Cause: targets of one service run at 0.7, 0.7 and 1.7 of the nominal speed. Homes were drawn with equal weights, fallbacks ordered by slots plus seconds, and the capacity extrapolated from the unweighted mean utilization. Ruled out: a report relative to the mean of the service. An owner knows one or two targets and no mean, so that reports are on an absolute scale and receivers divide by the median.

--- a/internal/booking/candidates.go
+++ b/internal/booking/candidates.go
@@ -30,6 +30,7 @@
 // or the least loaded targets if there is none. Targets that are to be avoided are used only if
 // no others are left.
 func (c *Core) candidates(now time.Time, s *service, r *request) []candidate {
+	s.refreshWeights(now)
 	usable := c.usableTargets(now, s, r)
 	prefix, shared := sharedPrefix(r.Parts)
 	if shared == 0 {
@@ -41,6 +42,9 @@
 		n = spareHomesPerPrefix
 	}
 	r.tryLeastLoaded = !spareOnly && (shared < longPrefixTokens || float64(shared) < longPrefixShare*float64(r.Prompt))
+	if s.weights.uneven {
+		return weightedHomes(prefix, usable, n)
+	}
 	return homeCandidates(prefix, usable, n)
 }
 
@@ -160,13 +164,13 @@
 const maxLoadAge = 2 * time.Second
 
 // loadScore orders targets by their known load: the fraction of slots in use plus the prefill
-// backlog in seconds.
+// backlog in seconds; if targets have uneven speeds, by the rate that they have left.
 func (c *Core) loadScore(now time.Time, e *engine) float64 {
 	if e.owned {
-		return e.occupancy() + e.backlog(now).Seconds()
+		return e.loadScore(e.occupancy() + e.backlog(now).Seconds())
 	}
 	if now.Sub(e.reportedAt) > maxLoadAge {
-		return 0
+		return e.loadScore(0)
 	}
-	return e.reported.SlotUtilization + e.reported.Wait.Seconds()
+	return e.loadScore(e.reported.SlotUtilization + e.reported.Wait.Seconds())
 }
--- a/internal/booking/capacity.go
+++ b/internal/booking/capacity.go
@@ -73,27 +73,28 @@
 	return e.recentPrefill.now(now) / decayTime.Seconds()
 }
 
-// utilization is the mean utilization of the targets whose state is known, or 1 if there are
-// none.
+// utilization is the mean utilization of the targets whose state is known, weighted by their
+// speeds, or 1 if there are none.
 func (s *service) utilization(now time.Time) float64 {
-	sum, n := 0.0, 0
+	s.refreshWeights(now)
+	sum, weights := 0.0, 0.0
 	for _, e := range s.sortedEngines {
 		switch {
 		case e.Evacuated:
 			continue
 		case e.owned:
-			sum += e.utilization(now)
+			sum += e.weight * e.utilization(now)
 		case now.Sub(e.reportedAt) <= maxLoadAge:
-			sum += e.reported.Utilization
+			sum += e.weight * e.reported.Utilization
 		default:
 			continue
 		}
-		n++
+		weights += e.weight
 	}
-	if n == 0 {
+	if weights == 0 {
 		return 1
 	}
-	return sum / float64(n)
+	return sum / weights
 }
 
 // shareUsed is the fraction of its fair share that a workspace has used recently: 1 is all of
--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -93,6 +93,8 @@
 	slowdown decodeSlowdown
 	// pace is the prefill speed learned from all its targets that this daemon owns.
 	pace prefillPace
+	// weights describes the relative speeds of the targets.
+	weights speedWeights
 }
 
 // peer is the state kept about another daemon.
@@ -187,6 +189,7 @@
 		}
 		s.servesModel, s.rate, s.fetchPerToken, s.coldLimit = spec.ServesModel, spec.Rate, spec.FetchPerToken, spec.ColdLimit
 		s.shares.configure(spec.Workspaces)
+		s.weights.configure(spec.LearnSpeeds, s.sortedEngines)
 		c.configureTargets(s, spec.Targets)
 		kept[spec.Name] = s
 	}
--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -75,10 +75,16 @@
 	// arrival.
 	reported   Load
 	reportedAt time.Time
+	// speed is what this daemon knows about the speed as the owner, and weight the speed relative
+	// to the other targets of the service.
+	speed  targetSpeed
+	weight float64
 }
 
 func newEngine(s *service, spec Target) *engine {
-	return &engine{Target: spec, service: s, pace: s.pace.forNewTarget(), overhead: initialOverhead, serviceTime: initialServiceTime, cache: newPrefixCache()}
+	e := &engine{Target: spec, service: s, pace: s.pace.forNewTarget(), overhead: initialOverhead, serviceTime: initialServiceTime, cache: newPrefixCache(), weight: 1}
+	e.startPace()
+	return e
 }
 
 // resetAfterRestart discards the state of a previous process of the target.
@@ -87,6 +93,8 @@
 	e.admissions = admissionLog{}
 	e.cache = newPrefixCache()
 	e.health = health{}
+	e.speed, e.reported.Speed, e.weight = targetSpeed{}, 0, 1
+	e.startPace()
 }
 
 // prefillWork returns the prefill cost of a prompt of which the given number of tokens is
@@ -153,7 +161,7 @@
 
 // addRun records a request that is sent to the target now.
 func (e *engine) addRun(now time.Time, r *run) {
-	r.target, r.addedAt = e, now
+	r.target, r.addedAt, r.excess = e, now, len(e.runs)+1-e.Slots
 	r.expected = e.expectedFirstByte(now, r)
 	if e.service.servesModel && !r.prefillDone {
 		// While a prefix is copied the engine continues the prefill of other requests.
@@ -204,6 +212,7 @@
 		e.overhead += time.Duration(fastLearningRate * float64(took-e.overhead))
 	case r.prefillWork >= minPaceWork && prefill > 0:
 		e.pace.observe(r.prefillWork, prefill)
+		e.observePrefill(now, r.prefillWork, prefill)
 		e.service.pace.observe(r.prefillWork, prefill)
 	case !queued:
 		expected := e.prefillTime(r)
@@ -243,7 +252,7 @@
 		e.cache.addOwn(now, r.ownPart, e.Memory-e.unsharedMemory)
 	}
 	if !e.service.servesModel {
-		if elapsed > 0 && elapsed < time.Second {
+		if elapsed > 0 && elapsed < time.Second && e.speed.estimator.count < minSpeedBuckets {
 			e.serviceTime += time.Duration(learningRate * float64(elapsed-e.serviceTime))
 		}
 		return
--- a/internal/booking/exchange.go
+++ b/internal/booking/exchange.go
@@ -216,12 +216,14 @@
 func (c *Core) loads(now time.Time, scope Scope) []Load {
 	var list []Load
 	for _, s := range c.services {
+		s.refreshWeights(now)
 		for _, e := range s.sortedEngines {
 			switch {
 			case e.owned:
 				list = append(list, Load{
 					Service: s.name, Target: e.Name,
 					Wait: e.backlog(now), SlotUtilization: e.occupancy(), FailureRate: e.health.failureRate(now), Utilization: e.utilization(now),
+					Speed: e.reportedSpeed(now),
 				})
 			case c.forwards(now, e, scope):
 				list = append(list, e.reported)
--- a/internal/booking/members.go
+++ b/internal/booking/members.go
@@ -62,6 +62,7 @@
 			owner := c.owners.Lookup(s.name, e.Name, e.Zone)
 			if e.owned && owner != c.cfg.Self {
 				c.dropRuns(e)
+				e.speed = targetSpeed{}
 				e.runs, e.unsharedMemory = nil, 0
 				e.cache.releaseAll()
 			}
@@ -71,6 +72,9 @@
 				}
 				e.owner = owner
 				e.owned, e.ownedSince = owner == c.cfg.Self, now
+				if e.owned {
+					e.inheritSpeed(now)
+				}
 				c.notifyNewOwner(now, e)
 			}
 			if e.Evacuated {
--- a/internal/booking/run.go
+++ b/internal/booking/run.go
@@ -24,6 +24,8 @@
 	// end.
 	ownPart PromptPart
 	addedAt time.Time
+	// excess is how many requests more than slots the target had with this one; it may be negative.
+	excess int
 	// expected is when the first byte should arrive.
 	expected    time.Time
 	prefillDone bool
--- a/internal/booking/slowdown.go
+++ b/internal/booking/slowdown.go
@@ -85,10 +85,15 @@
 
 // recordStream records the event rate of a stream that has ended.
 func (e *engine) recordStream(now time.Time, r *run, release Release) {
+	if !e.service.servesModel && !release.Failed && !release.NotRun {
+		e.observeService(now, release.Elapsed, r.excess)
+	}
 	if release.EventInterval <= 0 || r.firstByteAt.IsZero() || !now.After(r.firstByteAt) {
 		return
 	}
 	duration := now.Sub(r.firstByteAt)
 	prefillShare := (e.totalPrefill - r.prefillBefore).Seconds() / duration.Seconds()
-	e.service.slowdown.observe(prefillShare, release.EventInterval)
+	// Targets of one model differ in speed, not in the ratio of the two rates.
+	e.service.slowdown.observe(prefillShare, time.Duration(e.weight*float64(release.EventInterval)))
+	e.observeEvents(now, duration, prefillShare, release.EventInterval)
 }
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -110,6 +110,9 @@
 	// Rate is the total capacity of the targets, in units of Cost per second; zero means that
 	// it is unknown and workspaces are not limited to shares.
 	Rate float64
+	// LearnSpeeds reports that the speeds of the targets are estimated, and that targets get
+	// requests in proportion.
+	LearnSpeeds bool
 }
 
 // Peer is another live daemon.
@@ -217,6 +220,9 @@
 	// Utilization is the use of the target's most heavily used resource relative to its desired
 	// use, which is 1.
 	Utilization float64
+	// Speed is the estimated speed of the target, where 1 is the speed that is assumed of a target
+	// before any was measured; zero means unknown.
+	Speed float64
 }
 
 // Message carries everything that one Core sends to another at a time. Incarnation is that of
--- a/internal/daemon/routedservices.go
+++ b/internal/daemon/routedservices.go
@@ -22,7 +22,7 @@
 	}
 	var services []booking.Service
 	for _, spec := range table.Services {
-		service := booking.Service{Name: spec.Name, ServesModel: spec.ServesModel, FetchPerToken: spec.FetchPerToken, Workspaces: workspaces}
+		service := booking.Service{Name: spec.Name, ServesModel: spec.ServesModel, FetchPerToken: spec.FetchPerToken, Workspaces: workspaces, LearnSpeeds: set.Routing.TargetSpeeds}
 		service.ColdLimit = coldLimit(spec, set.Routing)
 		if spec.ServesModel {
 			service.Rate = table.Limits.TokensPerSecond
--- a/internal/fleet/bookings.go
+++ b/internal/fleet/bookings.go
@@ -63,7 +63,7 @@
 		out.Loads = append(out.Loads, &fleetv1.BookingLoad{
 			Target: e.pairIndex(f, l.Service, string(l.Target)), Wait: encodeDuration(l.Wait),
 			Taken: uint32(math.Round(shareScale * l.SlotUtilization)), Failures: uint32(math.Round(shareScale * l.FailureRate)),
-			Use: uint32(math.Round(shareScale * l.Utilization)),
+			Use: uint32(math.Round(shareScale * l.Utilization)), Speed: uint32(math.Round(shareScale * l.Speed)),
 		})
 	}
 	return out
@@ -133,7 +133,7 @@
 		out.Loads = append(out.Loads, booking.Load{
 			Service: p.service, Target: ident.Target(p.name), Wait: decodeDuration(l.GetWait()),
 			SlotUtilization: float64(l.GetTaken()) / shareScale, FailureRate: float64(l.GetFailures()) / shareScale,
-			Utilization: float64(l.GetUse()) / shareScale,
+			Utilization: float64(l.GetUse()) / shareScale, Speed: float64(l.GetSpeed()) / shareScale,
 		})
 	}
 	return nil
--- a/internal/fleet/bookings_test.go
+++ b/internal/fleet/bookings_test.go
@@ -27,7 +27,7 @@
 		Releases:   []booking.Release{{ID: 3, Elapsed: time.Second, Failed: true, EventInterval: 20 * time.Millisecond}, {ID: 5, NotRun: true}},
 		Scope:      booking.ScopeZone,
 		Usage:      []booking.Usage{{Service: "pool", Workspace: "club", Asked: 12345, Shed: 2345, Granted: 6789}},
-		Loads:      []booking.Load{{Service: "pool", Target: "e1", Wait: 20 * time.Millisecond, SlotUtilization: 0.5, FailureRate: 0.125, Utilization: 1.25}},
+		Loads:      []booking.Load{{Service: "pool", Target: "e1", Wait: 20 * time.Millisecond, SlotUtilization: 0.5, FailureRate: 0.125, Utilization: 1.25, Speed: 2.358}},
 		Ready:      []uint64{3, 9},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,6 +99,10 @@
 	// second: ColdFactor times the rate that it tolerates plus ColdBurst. Defaults 1 and 0.
 	ColdFactor float64 `yaml:"cold_factor" validate:"min=0"`
 	ColdBurst  float64 `yaml:"cold_burst" validate:"min=0"`
+	// TargetSpeeds enables the estimation of the speeds of targets. Targets that differ from the median
+	// of their service by more than a third then get requests in proportion to their speed. Default
+	// false.
+	TargetSpeeds bool `yaml:"target_speeds"`
 }
 
 // Memory holds the resource limits of the process.
