--- a/internal/booking/candidates.go
+++ b/internal/booking/candidates.go
@@ -30,6 +30,7 @@
 // or the least loaded targets if there is none. Targets that are to be avoided are used only if
 // no others are left.
 func (c *Core) candidates(now time.Time, s *service, r *request) []candidate {
+	s.refreshWeights(now)
 	usable := c.usableTargets(now, s, r)
 	prefix, shared := sharedPrefix(r.Parts)
 	if shared == 0 {
@@ -41,7 +42,11 @@
 		n = spareHomesPerPrefix
 	}
 	r.tryLeastLoaded = !spareOnly && (shared < longPrefixTokens || float64(shared) < longPrefixShare*float64(r.Prompt))
-	homes := homeCandidates(prefix, usable, n)
+	homesOf := homeCandidates
+	if s.weights.uneven {
+		homesOf = weightedHomes
+	}
+	homes := homesOf(prefix, usable, n)
 	if source := c.drainingHome(now, s, r, prefix, homes); source != nil {
 		return append([]candidate{{source, "draining home"}}, homes...)
 	}
@@ -58,11 +63,11 @@
 	if s.fetchPerToken <= 0 || len(homes) == 0 {
 		return nil
 	}
-	highest := rendezvousWeight(prefix, homes[0].engine.Name)
+	highest := homeScore(prefix, homes[0].engine)
 	for _, e := range s.drainingEngines {
-		weight := rendezvousWeight(prefix, e.Name)
-		if weight > highest && r.maySuit(e) && !e.suspended(now) && !c.ownerSilent(now, e) {
-			home, highest = e, weight
+		score := homeScore(prefix, e)
+		if score > highest && r.maySuit(e) && !e.suspended(now) && !c.ownerSilent(now, e) {
+			home, highest = e, score
 		}
 	}
 	return home
@@ -184,13 +189,13 @@
 const maxLoadAge = 2 * time.Second
 
 // loadScore orders targets by their known load: the fraction of slots in use plus the prefill
-// backlog in seconds.
+// backlog in seconds; if targets have uneven speeds, by the rate that they have left.
 func (c *Core) loadScore(now time.Time, e *engine) float64 {
 	if e.owned {
-		return e.occupancy() + e.backlog(now).Seconds()
+		return e.loadScore(e.occupancy() + e.backlog(now).Seconds())
 	}
 	if now.Sub(e.reportedAt) > maxLoadAge {
-		return 0
+		return e.loadScore(0)
 	}
-	return e.reported.SlotUtilization + e.reported.Wait.Seconds()
+	return e.loadScore(e.reported.SlotUtilization + e.reported.Wait.Seconds())
 }
--- a/internal/booking/members.go
+++ b/internal/booking/members.go
@@ -80,6 +80,7 @@
 	owner := c.owners.Lookup(e.service.name, e.Name, e.Zone)
 	if e.owned && owner != c.cfg.Self {
 		c.dropRuns(e)
+		e.speed = targetSpeed{}
 		e.runs, e.unsharedMemory = nil, 0
 		e.cache.releaseAll()
 	}
@@ -90,6 +91,9 @@
 		e.owner = owner
 		e.warmth.forgetProof()
 		e.owned, e.ownedSince = owner == c.cfg.Self, now
+		if e.owned {
+			e.inheritSpeed(now)
+		}
 		c.notifyNewOwner(now, e)
 	}
 }
--- a/internal/fleet/bookings_test.go
+++ b/internal/fleet/bookings_test.go
@@ -27,7 +27,7 @@
 		Releases:   []booking.Release{{ID: 3, Elapsed: time.Second, Failed: true, EventInterval: 20 * time.Millisecond}, {ID: 5, NotRun: true}},
 		Scope:      booking.ScopeZone,
 		Usage:      []booking.Usage{{Service: "pool", Workspace: "club", Asked: 12345, Shed: 2345, Granted: 6789}},
-		Loads:      []booking.Load{{Service: "pool", Target: "e1", Wait: 20 * time.Millisecond, SlotUtilization: 0.5, FailureRate: 0.125, Utilization: 1.25}},
+		Loads:      []booking.Load{{Service: "pool", Target: "e1", Wait: 20 * time.Millisecond, SlotUtilization: 0.5, FailureRate: 0.125, Utilization: 1.25, Speed: 2.358}},
 		Ready:      []uint64{3, 9},
 	}
 }
@@ -120,3 +120,24 @@
 		})
 	}
 }
+
+// BenchmarkLoadBytes reports the bytes of a load report without and with the speed of the target.
+func BenchmarkLoadBytes(b *testing.B) {
+	for _, speed := range []float64{0, 0.7, 2.358} {
+		b.Run(fmt.Sprint("speed=", speed), func(b *testing.B) {
+			var m booking.Message
+			for i := range 100 {
+				m.Loads = append(m.Loads, booking.Load{Service: "pool", Target: ident.Target(fmt.Sprint("t", i)), Wait: 50 * time.Millisecond, SlotUtilization: 0.5, Utilization: 0.8, Speed: speed})
+			}
+			size := 0
+			for b.Loop() {
+				enc := newEncoder()
+				enc.encode(&fleetv1.Frame{}, &scheduler.Message{Bookings: m})
+				f := &fleetv1.Frame{}
+				enc.encode(f, &scheduler.Message{Bookings: m})
+				size = proto.Size(f)
+			}
+			b.ReportMetric(float64(size)/100, "B/load")
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -106,6 +106,10 @@
 	// response without cold time proves that more requests may be sent to it. Only targets of services
 	// that state a rate for cold targets and a health path are checked. Default false.
 	WarmthChecks bool `yaml:"warmth_checks"`
+	// TargetSpeeds enables the estimation of the speeds of targets. Targets that differ from the median
+	// of their service by more than a third then get requests in proportion to their speed. Default
+	// false.
+	TargetSpeeds bool `yaml:"target_speeds"`
 }
 
 // Memory holds the resource limits of the process.
