Booking: a request may wait at the owner of its target for a slot or memory

Cause: an owner refuses a request at once if it finds no slot or no memory. A target with 48 slots frees one every 50 ms at full load, one with 12 every 100 to 200 ms, and the objectives leave several hundred ms.

Change: a refusal for want of a slot or memory states how long the request might wait there (Reply.SlotWait). If none of the owners asked has room, the ingress asks the one with the earliest expected first byte to let it wait (Reservation.MayWait). The ingress gives up after the stated time; a late grant is released.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -17,6 +17,9 @@
 	Self        ident.Daemon
 	Incarnation uint64
 	Zone        ident.Zone
+	// MaxSlotWait is the longest time for which a request may wait for a slot or memory of a target;
+	// zero means that it is refused at once.
+	MaxSlotWait time.Duration
 }
 
 // Timeouts.
@@ -52,8 +55,16 @@
 	runs             map[runKey]*run
 	// held are the placed requests of this ingress that are held back, by the IDs of their
 	// runs; holds lists when each hold ends, in order.
-	held          map[uint64]*request
-	holds         []holdDeadline
+	held  map[uint64]*request
+	holds []holdDeadline
+	// waiting are the requests that wait at targets that this daemon owns, and waitOutcomes the ends
+	// of waits that their ingresses are still to be told.
+	waiting      map[runKey]*waiting
+	waitOutcomes []waitOutcome
+	// awaitingSlot are the requests of this ingress that wait at owners, by the IDs of their
+	// reservations; slotWaits lists when each wait is given up, in order.
+	awaitingSlot  map[uint64]*request
+	slotWaits     []holdDeadline
 	callerRetries callerRetries
 	effects       []Effect
 	outbox        map[ident.Daemon]*Message
@@ -151,6 +162,14 @@
 	runID    uint64
 	// dispatch is the effect to emit when the request goes to its target.
 	dispatch Dispatch
+	// waitOffers are the targets at which the request may wait for a slot, and mayWait is set once
+	// it asks for that.
+	waitOffers []waitOffer
+	mayWait    bool
+	// waitingSince is when the present wait for a slot began, and slotWait the time of those that
+	// have ended.
+	waitingSince time.Time
+	slotWait     time.Duration
 }
 
 type candidate struct {
@@ -169,6 +188,8 @@
 		pending:       map[uint64]*request{},
 		runs:          map[runKey]*run{},
 		held:          map[uint64]*request{},
+		waiting:       map[runKey]*waiting{},
+		awaitingSlot:  map[uint64]*request{},
 		callerRetries: callerRetries{},
 		outbox:        map[ident.Daemon]*Message{},
 	}
@@ -195,6 +216,8 @@
 		return target == hubRole || c.engine(service, target) != nil
 	})
 	c.assignOwners(now)
+	c.withdrawGoneWaits(now)
+	c.serveAllWaiting(now)
 }
 
 func (c *Core) configureTargets(s *service, targets []Target) {
@@ -248,11 +271,20 @@
 	if at, ok := c.nextHoldExpiry(); ok && at.Before(next) {
 		next = at
 	}
+	if at, ok := c.nextWaitExpiry(); ok && at.Before(next) {
+		next = at
+	}
+	if at, ok := c.nextSlotWaitEnd(); ok && at.Before(next) {
+		next = at
+	}
 	return max(minTickInterval, next.Sub(now))
 }
 
 // RepliesOverdue reports whether Tick would give up waiting for the reply of an owner.
 func (c *Core) RepliesOverdue(now time.Time) bool {
+	if at, ok := c.nextSlotWaitEnd(); ok && !now.Before(at) {
+		return true
+	}
 	for _, sent := range c.sentReservations {
 		if now.Sub(sent.at) < replyTimeout {
 			return false
@@ -282,6 +314,7 @@
 		c.lastPublish, c.nextPublish = now, now.Add(c.publishInterval())
 		c.publish(now)
 	}
+	c.serveAllWaiting(now)
 }
 
 // GiveUpReplies proceeds with the requests whose owners' replies were overdue at a time and have
@@ -299,6 +332,8 @@
 		}
 		c.handleNoReply(now, r)
 	}
+	c.giveUpSlotWaits(now, overdueAt)
+	c.tellWaitOutcomes(now)
 }
 
 func (c *Core) expireRuns(now time.Time) {
--- a/internal/booking/core_test.go
+++ b/internal/booking/core_test.go
@@ -15,6 +15,10 @@
 // newIngressAndOwner returns two Cores that are peers and share one target: the ingress and the
 // owner of the target.
 func newIngressAndOwner(now time.Time) (ingress, owner *booking.Core, ownerID ident.Daemon) {
+	return newConfiguredIngressAndOwner(now, booking.Config{Incarnation: 1, Zone: "z"})
+}
+
+func newConfiguredIngressAndOwner(now time.Time, cfg booking.Config) (ingress, owner *booking.Core, ownerID ident.Daemon) {
 	cores := map[ident.Daemon]*booking.Core{}
 	service := booking.Service{
 		Name: "pool", ServesModel: true, Workspaces: []booking.Workspace{{Name: "w", Weight: 1}},
@@ -22,7 +26,8 @@
 	}
 	for _, id := range []ident.Daemon{"a", "b"} {
 		other := map[ident.Daemon]ident.Daemon{"a": "b", "b": "a"}[id]
-		c := booking.New(booking.Config{Self: id, Incarnation: 1, Zone: "z"}, rand.New(rand.NewPCG(1, 1)))
+		cfg.Self = id
+		c := booking.New(cfg, rand.New(rand.NewPCG(1, 1)))
 		c.SetPeers(now, []booking.Peer{{ID: other, Incarnation: 1, Zone: "z"}})
 		c.Configure(now, []booking.Service{service})
 		cores[id] = c
--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -75,6 +75,8 @@
 	// arrival.
 	reported   Load
 	reportedAt time.Time
+	// waitlist are the requests that wait for a slot or memory; only owners maintain it.
+	waitlist waitlist
 }
 
 func newEngine(s *service, spec Target) *engine {
@@ -87,6 +89,7 @@
 	e.admissions = admissionLog{}
 	e.cache = newPrefixCache()
 	e.health = health{}
+	e.waitlist.departures = decayingSum{}
 }
 
 // prefillWork returns the prefill cost of a prompt of which the given number of tokens is
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -105,6 +105,7 @@
 				c.place(now, r, c.cfg.Self, reply.Hold)
 				return
 			}
+			r.recordWaitOffer(reply)
 			continue
 		}
 		if c.ownerSilent(now, e) {
@@ -114,6 +115,9 @@
 		c.sendReservation(now, r, e)
 		return
 	}
+	if c.askToWait(now, r) {
+		return
+	}
 	if !r.anyReply && c.placeUnconfirmed(now, r) {
 		return
 	}
@@ -124,7 +128,7 @@
 
 // decisionBasis returns the basis of the present decision about a request.
 func (r *request) decisionBasis() Basis {
-	return Basis{SelectedBy: r.current.selectedBy, Expected: r.shortestWait, OwnersAsked: r.ownersAsked, Limit: r.limit, ShareUsed: r.shareUsed, UnloadedWait: r.unloadedWait, CallerRetry: r.callerRetry}
+	return Basis{SelectedBy: r.current.selectedBy, Expected: r.shortestWait, OwnersAsked: r.ownersAsked, Limit: r.limit, ShareUsed: r.shareUsed, UnloadedWait: r.unloadedWait, CallerRetry: r.callerRetry, SlotWait: r.slotWait}
 }
 
 // ownerSilent reports whether the owner of a target is another daemon that does not reply.
@@ -159,6 +163,13 @@
 	}
 }
 
+// recordWaitOffer records that a request may wait at the target whose owner has replied.
+func (r *request) recordWaitOffer(reply Reply) {
+	if reply.SlotWait > 0 && !r.mayWait {
+		r.waitOffers = append(r.waitOffers, waitOffer{r.current, reply.Wait})
+	}
+}
+
 // nextReservation returns a reservation with a new ID for the current candidate.
 func (c *Core) nextReservation(now time.Time, r *request) Reservation {
 	c.lastReservationID++
@@ -175,6 +186,7 @@
 		ID: r.runID, Service: r.Service, Target: r.current.engine.Name, Workspace: r.Workspace,
 		Prompt: r.Prompt, Output: r.Output, Parts: r.Parts, Remaining: r.Deadline.Sub(now), Late: r.Late, PreviouslyPlaced: r.PreviouslyPlaced,
 		CachedHint: r.current.engine.cache.hitTokens(r.Parts), CachedElsewhere: r.sourceTokens,
+		MayWait: r.mayWait,
 	}
 }
 
@@ -190,31 +202,37 @@
 // handleReply processes an owner's reply.
 func (c *Core) handleReply(now time.Time, from ident.Daemon, reply Reply) {
 	r := c.pending[reply.ID]
+	if r == nil {
+		r = c.awaitingSlot[reply.ID]
+	}
 	if r == nil || r.pendingID != reply.ID {
 		// The request was placed elsewhere meanwhile, or its caller has left: release the slot.
 		if reply.OK {
-			m := c.messageTo(from)
-			m.Releases = append(m.Releases, Release{ID: reply.ID})
+			c.releaseAt(now, from, Release{ID: reply.ID})
 		}
 		return
 	}
 	delete(c.pending, r.pendingID)
+	if !reply.OK && reply.SlotWait > 0 && r.mayWait && c.awaitingSlot[r.pendingID] == nil {
+		r.recordReply(reply)
+		c.awaitSlot(now, r, reply)
+		return
+	}
+	c.endSlotWait(now, r)
 	r.pendingID = 0
 	r.recordReply(reply)
 	if reply.OK {
 		c.place(now, r, from, reply.Hold)
 		return
 	}
+	r.recordWaitOffer(reply)
 	c.tryNext(now, r)
 }
 
 // handleNoReply proceeds without an owner's reply. The owner is sent a release in case it has
 // admitted the request.
 func (c *Core) handleNoReply(now time.Time, r *request) {
-	m := c.messageTo(r.pendingOwner)
-	m.Releases = append(m.Releases, Release{ID: r.pendingID})
-	delete(c.pending, r.pendingID)
-	r.pendingID = 0
+	c.withdraw(now, r)
 	r.deferUnresponsive()
 	c.tryNext(now, r)
 }
@@ -301,9 +319,8 @@
 	}
 	delete(c.requests, id)
 	if r.pendingID != 0 {
-		delete(c.pending, r.pendingID)
-		m := c.messageTo(r.pendingOwner)
-		m.Releases = append(m.Releases, Release{ID: r.pendingID})
+		c.withdraw(now, r)
+		c.tellWaitOutcomes(now)
 		return
 	}
 	if !r.running {
@@ -313,6 +330,7 @@
 	r.current.engine.ingressRuns--
 	r.current.engine.recordOutcome(now, result)
 	c.sendRelease(now, r, Release{ID: r.runID, Elapsed: result.Elapsed, Failed: result.Failed, NotRun: result.NotRun, EventInterval: result.EventInterval})
+	c.tellWaitOutcomes(now)
 }
 
 // sendRelease tells the daemon that records a run that the request has left its target.
--- a/internal/booking/members.go
+++ b/internal/booking/members.go
@@ -27,6 +27,7 @@
 	}
 	c.peers = present
 	c.assignOwners(now)
+	c.serveAllWaiting(now)
 }
 
 // dropPeerRuns drops the runs reported by a daemon that is gone: its requests have lost their
@@ -38,6 +39,11 @@
 			delete(c.runs, key)
 		}
 	}
+	for key := range c.waiting {
+		if key.ingress == id {
+			c.dropWaiting(key)
+		}
+	}
 }
 
 // Leave begins a planned stop: from now on the daemon owns no target unless no other daemon is
@@ -45,6 +51,7 @@
 func (c *Core) Leave(now time.Time) {
 	c.leaving = true
 	c.assignOwners(now)
+	c.serveAllWaiting(now)
 }
 
 // assignOwners determines which targets this daemon owns. A new owner starts with what its
@@ -126,4 +133,5 @@
 			c.notifyOwner(now, r, r.current.engine)
 		}
 	}
+	c.serveAllWaiting(now)
 }
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -49,6 +49,7 @@
 	for _, id := range m.Ready {
 		c.dispatchHeld(id)
 	}
+	c.tellWaitOutcomes(now)
 }
 
 // handleReservation processes a reservation and replies to it.
@@ -78,16 +79,10 @@
 	if res.FirstContact {
 		reply.CallerRetry = c.recordDemand(now, e.service, &res)
 	}
-	cached := e.cachedTokens(now, &res)
+	r, cached := c.newRun(now, e, from, &res)
 	if !e.suspended(now) {
 		reply.CachedTokens = cached // nothing is copied from a failing target
 	}
-	r := &run{ingress: from, id: res.ID, expiresAt: now.Add(runTTL)}
-	r.shared, r.memory = memoryNeeds(&res)
-	if n := len(res.Parts); n > 0 {
-		r.ownPart = PromptPart{ID: res.Parts[n-1].ID, Tokens: r.memory}
-	}
-	r.prefillWork, r.fetchTime = e.service.prefillCost(res.Prompt, cached, res.CachedElsewhere)
 	if !res.Running {
 		reply.Limit = c.admissionLimit(now, e, res, r)
 		e.service.shares.account(res.Workspace).tally.record(res, reply.Limit)
@@ -98,8 +93,27 @@
 		if reply.Limit == LimitPrompt {
 			reply.UnloadedWait = e.isolatedFirstByte(r)
 		}
+		c.offerWait(now, e, from, &res, r, &reply)
 		return reply
 	}
+	c.grant(now, e, res, r, &reply)
+	return reply
+}
+
+// newRun returns the run of a reservation, and how many tokens of its prefix the target has cached.
+func (c *Core) newRun(now time.Time, e *engine, from ident.Daemon, res *Reservation) (r *run, cached int) {
+	cached = e.cachedTokens(now, res)
+	r = &run{ingress: from, id: res.ID, expiresAt: now.Add(runTTL)}
+	r.shared, r.memory = memoryNeeds(res)
+	if n := len(res.Parts); n > 0 {
+		r.ownPart = PromptPart{ID: res.Parts[n-1].ID, Tokens: r.memory}
+	}
+	r.prefillWork, r.fetchTime = e.service.prefillCost(res.Prompt, cached, res.CachedElsewhere)
+	return r, cached
+}
+
+// grant records a request that a target admits, and completes the reply to it.
+func (c *Core) grant(now time.Time, e *engine, res Reservation, r *run, reply *Reply) {
 	if !e.isCold(now) {
 		reply.Hold = e.holdFor(now, &res, r)
 	}
@@ -108,7 +122,6 @@
 	}
 	c.addRun(now, e, res, r)
 	reply.OK, reply.Wait = true, r.expected.Sub(now)
-	return reply
 }
 
 // recordDemand processes the first reservation of a request, and reports whether the caller has
@@ -265,12 +278,15 @@
 
 // hasSlot reports whether the target has a free slot beside the given part of its headroom. A plain
 // target may have a few requests queued, since its answers are short.
-func (e *engine) hasSlot(headroom float64) bool {
-	maxRuns := float64(e.Slots) * (1 - slotReserve - headroom*maxSlotHeadroom)
+func (e *engine) hasSlot(headroom float64) bool { return float64(len(e.runs)) < e.maxRuns(headroom) }
+
+// maxRuns is the number of requests below which the target has a free slot beside the given part of
+// its headroom.
+func (e *engine) maxRuns(headroom float64) float64 {
 	if !e.service.servesModel {
-		maxRuns = float64(e.Slots) * (1 + plainQueueRatio)
+		return float64(e.Slots) * (1 + plainQueueRatio)
 	}
-	return float64(len(e.runs)) < maxRuns
+	return float64(e.Slots) * (1 - slotReserve - headroom*maxSlotHeadroom)
 }
 
 // handleFirstByte records that the first byte of an answer has arrived.
@@ -286,6 +302,7 @@
 	key := runKey{from, release.ID}
 	r := c.runs[key]
 	if r == nil {
+		c.dropWaiting(key)
 		return
 	}
 	delete(c.runs, key)
@@ -297,7 +314,9 @@
 	c.releaseHeld(now, r)
 	if release.Elapsed > 0 {
 		r.target.health.record(now, release.Failed)
+		r.target.waitlist.departures.add(now, 1)
 	}
+	c.serveWaiting(now, r.target)
 }
 
 // recordOutcome records at the ingress how an attempt ended, so that a target that refuses
--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -68,6 +68,10 @@
 	// heavily used resource relative to its desired use.
 	SlotUtilization float64 `json:"taken"`
 	Utilization     float64 `json:"use"`
+	// Waiting is how many requests wait for slots or memory, Waits how waits have ended since the
+	// previous report.
+	Waiting int        `json:"waiting"`
+	Waits   WaitCounts `json:"waits"`
 }
 
 // WorkspaceDemand is the recent demand of a workspace, the part of it that daemons refused for
@@ -124,6 +128,9 @@
 			u.Owned++
 			u.SlotUtilization += e.occupancy()
 			u.Utilization += e.utilization(now)
+			u.Waiting += len(e.waitlist.entries)
+			u.Waits.add(e.waitlist.counts)
+			e.waitlist.counts = WaitCounts{}
 		}
 	}
 	if u.Owned > 0 {
--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -35,6 +35,8 @@
 	leaving map[ident.Daemon]bool
 	// policy, if set, places requests instead of the Cores; an empty target refuses.
 	policy func(s *sim, j *job) ident.Target
+	// strayDispatches counts requests that were to be sent after they had been refused or had ended.
+	strayDispatches int
 	// retryDelay, if set, returns the time after which a refused caller retries, once.
 	retryDelay func() time.Duration
 	// cacheAfterPrefill is set if engines cache a part when its prefill ends, and not when it
@@ -128,6 +130,11 @@
 
 // newZonedSim distributes the daemons and engines over availability zones.
 func newZonedSim(seed uint64, zones []ident.Zone, daemons, engines int, workspaces ...ident.Workspace) *sim {
+	return newConfiguredSim(seed, booking.Config{Incarnation: 1}, zones, daemons, engines, workspaces...)
+}
+
+// newConfiguredSim makes daemons with a given configuration besides their names and zones.
+func newConfiguredSim(seed uint64, cfg booking.Config, zones []ident.Zone, daemons, engines int, workspaces ...ident.Workspace) *sim {
 	s := &sim{
 		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		engines: map[ident.Target]*engine{}, peerDelay: time.Millisecond, engineDelay: time.Millisecond,
@@ -146,9 +153,10 @@
 	}
 	for i := range daemons {
 		id, zone := ident.Daemon(fmt.Sprintf("d%d", i)), zones[i%len(zones)]
+		cfg.Self, cfg.Zone = id, zone
 		s.daemons = append(s.daemons, &daemon{
 			id: id, zone: zone, jobs: map[ident.Request]*job{},
-			core: booking.New(booking.Config{Self: id, Incarnation: 1, Zone: zone}, rand.New(rand.NewPCG(seed, uint64(i)))),
+			core: booking.New(cfg, rand.New(rand.NewPCG(seed, uint64(i)))),
 		})
 	}
 	s.updatePeers()
@@ -234,6 +242,10 @@
 		switch e := effect.(type) {
 		case booking.Dispatch:
 			j := d.jobs[e.Request]
+			if j == nil {
+				s.strayDispatches++
+				continue
+			}
 			j.basis = e.Basis
 			if s.onDispatch != nil {
 				s.onDispatch(j)
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -149,6 +149,8 @@
 	// CachedElsewhere is how many tokens of the prompt's prefix another target has cached, from
 	// which they can be copied.
 	CachedElsewhere int
+	// MayWait asks the owner to let the request wait for a slot or memory if there is none.
+	MayWait bool
 }
 
 // Reply answers a reservation.
@@ -172,6 +174,10 @@
 	// Hold is the longest time to hold the request back while waiting for the owner's signal to
 	// proceed; zero means to dispatch it at once.
 	Hold time.Duration
+	// SlotWait is set in a refusal for want of a slot or memory: the longest time for which the
+	// request could wait there or, if its reservation asked for that, does wait; zero means that it
+	// may not. In the latter case another reply follows.
+	SlotWait time.Duration
 }
 
 // FirstByteNotice tells the owner that the first byte of an answer has arrived.
@@ -286,6 +292,8 @@
 	// Held reports that the request was held back until the target had completed the prefill of
 	// the prefix that it shares with another request.
 	Held bool
+	// SlotWait is how long the request has waited at owners for a slot or memory.
+	SlotWait time.Duration
 }
 
 // Refuse gives a request its final answer.
--- a/internal/fleet/bookings.go
+++ b/internal/fleet/bookings.go
@@ -45,7 +45,7 @@
 		out.Asks = append(out.Asks, e.reservation(f, a))
 	}
 	for _, r := range m.Replies {
-		out.Replies = append(out.Replies, &fleetv1.BookingReply{Id: r.ID, Ok: r.OK, Wait: encodeDuration(r.Wait), Back: r.CallerRetry, Kept: uint32(r.CachedTokens), Hold: encodeDuration(r.Hold), Limit: uint32(r.Limit), Used: uint32(math.Round(shareScale * min(r.ShareUsed, maxShareUsed))), Alone: encodeDuration(r.UnloadedWait)})
+		out.Replies = append(out.Replies, &fleetv1.BookingReply{Id: r.ID, Ok: r.OK, Wait: encodeDuration(r.Wait), Back: r.CallerRetry, Kept: uint32(r.CachedTokens), Hold: encodeDuration(r.Hold), Limit: uint32(r.Limit), Used: uint32(math.Round(shareScale * min(r.ShareUsed, maxShareUsed))), Alone: encodeDuration(r.UnloadedWait), SlotWait: encodeDuration(r.SlotWait)})
 	}
 	for _, k := range m.FirstBytes {
 		out.Marks = append(out.Marks, &fleetv1.BookingMark{Id: k.ID, First: encodeDuration(k.Elapsed)})
@@ -77,6 +77,7 @@
 		Id: a.ID, Target: e.pairIndex(f, a.Service, string(a.Target)), Workspace: e.nameIndex(f, string(a.Workspace)),
 		Prompt: uint32(a.Prompt), Output: uint32(a.Output),
 		Left: int64(a.Remaining / durationUnit), Late: a.Late, Taken: a.Running, Begun: a.PreviouslyPlaced, Read: a.PrefillDone, First: a.FirstContact, Here: uint32(a.CachedHint), Elsewhere: uint32(a.CachedElsewhere),
+		MayWait: a.MayWait,
 	}
 	for _, p := range a.Parts {
 		out.Parts = append(out.Parts, p.ID)
@@ -101,7 +102,7 @@
 		out.Reservations = append(out.Reservations, reservation)
 	}
 	for _, r := range in.GetReplies() {
-		out.Replies = append(out.Replies, booking.Reply{ID: r.GetId(), OK: r.GetOk(), Wait: decodeDuration(r.GetWait()), CallerRetry: r.GetBack(), CachedTokens: int(r.GetKept()), Hold: decodeDuration(r.GetHold()), Limit: booking.Limit(min(r.GetLimit(), math.MaxUint8)), ShareUsed: float64(r.GetUsed()) / shareScale, UnloadedWait: decodeDuration(r.GetAlone())})
+		out.Replies = append(out.Replies, booking.Reply{ID: r.GetId(), OK: r.GetOk(), Wait: decodeDuration(r.GetWait()), CallerRetry: r.GetBack(), CachedTokens: int(r.GetKept()), Hold: decodeDuration(r.GetHold()), Limit: booking.Limit(min(r.GetLimit(), math.MaxUint8)), ShareUsed: float64(r.GetUsed()) / shareScale, UnloadedWait: decodeDuration(r.GetAlone()), SlotWait: decodeDuration(r.GetSlotWait())})
 	}
 	for _, k := range in.GetMarks() {
 		out.FirstBytes = append(out.FirstBytes, booking.FirstByteNotice{ID: k.GetId(), Elapsed: decodeDuration(k.GetFirst())})
@@ -155,7 +156,7 @@
 		Workspace: ident.Workspace(d.names[a.GetWorkspace()]),
 		Prompt:    int(a.GetPrompt()), Output: int(a.GetOutput()),
 		Remaining: time.Duration(a.GetLeft()) * durationUnit, Late: a.GetLate(), Running: a.GetTaken(), PreviouslyPlaced: a.GetBegun(), PrefillDone: a.GetRead(), FirstContact: a.GetFirst(),
-		CachedHint: int(a.GetHere()), CachedElsewhere: int(a.GetElsewhere()),
+		CachedHint: int(a.GetHere()), CachedElsewhere: int(a.GetElsewhere()), MayWait: a.GetMayWait(),
 	}
 	for i, id := range a.GetParts() {
 		out.Parts = append(out.Parts, booking.PromptPart{ID: id, Tokens: int(a.GetPartTokens()[i])})
--- a/internal/fleet/bookings_test.go
+++ b/internal/fleet/bookings_test.go
@@ -19,10 +19,10 @@
 		Reservations: []booking.Reservation{
 			{ID: 7, Service: "pool", Target: "e1", Workspace: "club", Prompt: 6000, Output: 300,
 				Parts: []booking.PromptPart{{ID: 0xabcdef01, Tokens: 500}, {ID: 2, Tokens: 5500}}, Remaining: 250 * time.Millisecond, Late: true, FirstContact: true,
-				CachedHint: 500, CachedElsewhere: 450},
+				CachedHint: 500, CachedElsewhere: 450, MayWait: true},
 			{ID: 8, Service: "app", Target: "a1", Workspace: "club", Remaining: -time.Second, Running: true, PrefillDone: true, PreviouslyPlaced: true},
 		},
-		Replies:    []booking.Reply{{ID: 3, OK: true, Wait: 70 * time.Millisecond, CachedTokens: 500, Hold: 45 * time.Millisecond}, {ID: 4, CallerRetry: true, Limit: booking.LimitSpare, ShareUsed: 1.25}},
+		Replies:    []booking.Reply{{ID: 3, OK: true, Wait: 70 * time.Millisecond, CachedTokens: 500, Hold: 45 * time.Millisecond}, {ID: 4, CallerRetry: true, Limit: booking.LimitSpare, ShareUsed: 1.25, SlotWait: 180 * time.Millisecond}},
 		FirstBytes: []booking.FirstByteNotice{{ID: 3, Elapsed: 71 * time.Millisecond}},
 		Releases:   []booking.Release{{ID: 3, Elapsed: time.Second, Failed: true, EventInterval: 20 * time.Millisecond}, {ID: 5, NotRun: true}},
 		Scope:      booking.ScopeZone,
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -204,7 +204,7 @@
 		args = []any{
 			"request", pr.info.AttemptID, "route", pr.route.Name, "service", pr.service.Name, "workspace", pr.workspace,
 			"routes_version", pr.table.Version, "target", pr.stats.target, "version", pr.stats.version, "first_target", pr.stats.firstTarget, "first_version", pr.stats.firstVersion, "by", pr.stats.basis.SelectedBy, "asked", pr.stats.basis.OwnersAsked,
-			"expected_ms", pr.stats.basis.Expected.Milliseconds(), "late", pr.plan.Late, "back", pr.stats.basis.CallerRetry, "source", pr.stats.basis.FetchSource, "held", pr.stats.basis.Held,
+			"expected_ms", pr.stats.basis.Expected.Milliseconds(), "late", pr.plan.Late, "back", pr.stats.basis.CallerRetry, "source", pr.stats.basis.FetchSource, "held", pr.stats.basis.Held, "slot_wait_ms", pr.stats.basis.SlotWait.Milliseconds(),
 			"limit", pr.stats.basis.Limit.String(), "share_used", math.Round(100*pr.stats.basis.ShareUsed) / 100, "alone_ms", pr.stats.basis.UnloadedWait.Milliseconds(),
 			"tokens", pr.info.PromptTokens, "due_ms", pr.plan.Due.Sub(pr.arrived).Milliseconds(),
 			"waited_ms", pr.stats.placementTime.Milliseconds(), "first_ms", pr.stats.firstByteTime.Milliseconds(),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,6 +99,9 @@
 	// second: ColdFactor times the rate that it tolerates plus ColdBurst. Defaults 1 and 0.
 	ColdFactor float64 `yaml:"cold_factor" validate:"min=0"`
 	ColdBurst  float64 `yaml:"cold_burst" validate:"min=0"`
+	// SlotWait is the longest time for which a request may wait for a slot or memory of a target
+	// if it can then still be in time; 0 refuses it at once. Default 0.
+	SlotWait time.Duration `yaml:"slot_wait" validate:"min=0,max=2000000000"`
 }
 
 // Memory holds the resource limits of the process.
