--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -83,6 +83,8 @@
 	weight float64
 	// weightLogged is the weight at the last call of SpeedReports.
 	weightLogged float64
+	// waitlist are the requests that wait for a slot or memory; only owners maintain it.
+	waitlist waitlist
 }
 
 func newEngine(s *service, spec Target) *engine {
@@ -99,6 +101,7 @@
 	e.health = health{}
 	e.speed, e.reported.Speed, e.weight = targetSpeed{}, 0, 1
 	e.startPace()
+	e.waitlist.departures = decayingSum{}
 }
 
 // prefillWork returns the prefill cost of a prompt of which the given number of tokens is
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,6 +110,9 @@
 	// of their service by more than a third then get requests in proportion to their speed. Default
 	// false.
 	TargetSpeeds bool `yaml:"target_speeds"`
+	// SlotWait is the longest time for which a request may wait for a slot or memory of a target
+	// if it can then still be in time; 0 refuses it at once. Default 0.
+	SlotWait time.Duration `yaml:"slot_wait" validate:"min=0,max=2000000000"`
 }
 
 // Memory holds the resource limits of the process.
