Link monitor: scheduling latency of the daemon itself is no delay of its link

Ruled out: not judging at all while the latency is high, since a VM that lacks both would take every request of a flood that its link cannot carry. Change: a probe's round trip counts less four times the highest scheduling latency since the probe was sent (sent, written, read, delivered). A link whose queue is shorter than four times the latency plus 250 ms is not found on a starved VM; there the requests are refused for lack of processor time.

--- a/internal/daemon/linkmonitor.go
+++ b/internal/daemon/linkmonitor.go
@@ -39,6 +39,8 @@
 	// ping asks another daemon for nothing.
 	ping  func(ctx context.Context, to ident.Daemon) error
 	conns *connTracker
+	// schedLatency returns the highest scheduling latency since its last call.
+	schedLatency func() time.Duration
 	// tokens bounds the requests that are not refused.
 	tokens *rate.Limiter
 	// limit is the rate of requests that are not refused, in thousandths per second; zero means no limit.
@@ -59,7 +61,7 @@
 }
 
 func newLinkMonitor() *linkMonitor {
-	return &linkMonitor{monitor: linkload.NewMonitor(), tokens: rate.NewLimiter(rate.Inf, limitedBurst)}
+	return &linkMonitor{monitor: linkload.NewMonitor(), schedLatency: func() time.Duration { return 0 }, tokens: rate.NewLimiter(rate.Inf, limitedBurst)}
 }
 
 // setPeers chooses the daemons to probe. It keeps those that are still live, so that connections last.
@@ -122,6 +124,7 @@
 		l.accepted += acceptedWeight * (float64(opened-l.openedBefore)/now.Sub(l.lookedAt).Seconds() - l.accepted)
 	}
 	l.openedBefore, l.lookedAt = opened, now
+	l.monitor.ObserveLatency(l.schedLatency())
 	delay := l.monitor.Delay(now)
 	l.apply(l.limiter.Observe(now, delay, l.accepted), delay, log)
 	if now.Sub(l.probedAt) < linkProbeInterval {
@@ -163,6 +166,7 @@
 	_ = l.ping(probeCtx, peer) // an error has taken its time as well, and a daemon that is gone is no longer probed
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.monitor.ObserveLatency(l.schedLatency())
 	l.monitor.Answered(time.Now(), peer)
 }
 
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -40,6 +40,8 @@
 	// probeStart is when the current measurement began, in nanoseconds since started, or
 	// zero if none is in progress. lastLatency is the result of the last measurement.
 	probeStart, lastLatency atomic.Int64
+	// peakLatency is the highest result since the last takePeakLatency.
+	peakLatency atomic.Int64
 	// routesConfirmedAt is the time as of which the store last confirmed the routes in force, in
 	// nanoseconds since started; zero if it has not yet.
 	routesConfirmedAt atomic.Int64
@@ -61,7 +63,9 @@
 const minZoneDaemonsForHold = 4
 
 func newLoadMonitor(s settings.Settings) *loadMonitor {
-	return &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag, applyWithin: s.Routing.ApplyWithin, link: newLinkMonitor()}
+	l := &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag, applyWithin: s.Routing.ApplyWithin, link: newLinkMonitor()}
+	l.link.schedLatency = l.takePeakLatency
+	return l
 }
 
 // overloaded reports whether the VM has too little processor time or a full link, or does not know the
@@ -206,10 +210,17 @@
 	now = time.Now()
 	latency = now.Sub(before)
 	l.lastLatency.Store(int64(latency))
+	l.peakLatency.Store(max(l.peakLatency.Load(), int64(latency)))
 	l.probeStart.Store(0)
 	return now, latency
 }
 
+// takePeakLatency returns the highest scheduling latency since its last call, including the measurement
+// in progress.
+func (l *loadMonitor) takePeakLatency() time.Duration {
+	return max(time.Duration(l.peakLatency.Swap(0)), time.Duration(l.lastLatency.Load()), l.pendingLatency())
+}
+
 func (l *loadMonitor) run(ctx context.Context, log *slog.Logger, conns *connTracker) {
 	ticker := time.NewTicker(latencyProbeInterval)
 	defer ticker.Stop()
--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -118,15 +118,26 @@
 // Guards against a daemon that is short of processor time, reads the answers to its own messages late, and
 // takes that for a full link.
 func TestLackOfProcessorTimeIsNotTakenForAFullLink(t *testing.T) {
+	requireLinkLimited(t, 400*time.Millisecond, 400*time.Millisecond, false)
+}
+
+// Guards against a full link that is not found on a VM that is also short of processor time.
+func TestFullLinkIsFoundDespiteLackOfProcessorTime(t *testing.T) {
+	requireLinkLimited(t, 100*time.Millisecond, 2*time.Second, true)
+}
+
+// requireLinkLimited requires that requests are limited, or not, after five seconds of the given scheduling
+// latency and round trip to all other daemons.
+func requireLinkLimited(t *testing.T, latency, roundTrip time.Duration, limited bool) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s, err := settings.Parse(nil, func(s *settings.Settings) { s.Daemon, s.Zone, s.Platform.URL = "d", "a", "http://127.0.0.1:9" })
 		is.NoErr(err)
 		load := newLoadMonitor(s)
-		load.lastLatency.Store(int64(400 * time.Millisecond))
+		load.lastLatency.Store(int64(latency))
 		load.link.conns = newConnTracker(0)
 		load.link.ping = func(context.Context, ident.Daemon) error {
-			time.Sleep(400 * time.Millisecond)
+			time.Sleep(roundTrip)
 			return nil
 		}
 		load.link.setPeers([]ident.Daemon{"own1", "own2"}, []ident.Daemon{"far1", "far2"})
@@ -136,7 +147,7 @@
 			load.link.conns.received.Add(50 << 10)
 			time.Sleep(100 * time.Millisecond)
 		}
-		is.True(!load.link.limited())
+		is.Equal(load.link.limited(), limited)
 		cancel()
 		synctest.Wait()
 	})
--- a/internal/linkload/linkload.go
+++ b/internal/linkload/linkload.go
@@ -26,6 +26,9 @@
 	connectDelay = 3 * CongestedDelay
 	// probeLifetime is how long an answered probe counts.
 	probeLifetime = 3 * time.Second
+	// scheduledSteps is how often a round trip waits on this daemon for processor time at most: to be
+	// sent, written, read and delivered.
+	scheduledSteps = 4
 )
 
 // Monitor derives the delay of the daemon's own messages from round trips to other daemons. It is not
@@ -41,6 +44,9 @@
 	// delay is the round trip of the last answered probe, answeredAt when its answer came.
 	delay      time.Duration
 	answeredAt time.Time
+	// schedLatency is the highest scheduling latency of this daemon since the probe in progress was
+	// sent.
+	schedLatency time.Duration
 }
 
 // NewMonitor returns a Monitor without probes.
@@ -56,14 +62,25 @@
 	if !p.sentAt.IsZero() {
 		return false
 	}
-	p.sentAt = now
+	p.sentAt, p.schedLatency = now, 0
 	return true
 }
 
+// ObserveLatency records the scheduling latency of this daemon. The part of a round trip that it explains
+// does not count as delay: a daemon that is short of processor time reads the answers late, whereas its
+// link may be idle.
+func (m *Monitor) ObserveLatency(latency time.Duration) {
+	for _, p := range m.probes {
+		if !p.sentAt.IsZero() {
+			p.schedLatency = max(p.schedLatency, latency)
+		}
+	}
+}
+
 // Answered records that a daemon has answered.
 func (m *Monitor) Answered(now time.Time, from ident.Daemon) {
 	if p := m.probes[from]; p != nil && !p.sentAt.IsZero() {
-		p.delay, p.answeredAt, p.sentAt = now.Sub(p.sentAt), now, time.Time{}
+		p.delay, p.answeredAt, p.sentAt = p.pending(now), now, time.Time{}
 	}
 }
 
@@ -94,7 +111,7 @@
 	if p.sentAt.IsZero() {
 		return p.delay, known
 	}
-	pending := now.Sub(p.sentAt)
+	pending := p.pending(now)
 	switch {
 	case known:
 		return max(p.delay, pending), true
@@ -104,6 +121,12 @@
 	return pending, true
 }
 
+// pending returns how long the probe in progress has taken so far, less what the scheduling latency
+// explains.
+func (p *probe) pending(now time.Time) time.Duration {
+	return max(0, now.Sub(p.sentAt)-scheduledSteps*p.schedLatency)
+}
+
 const (
 	// cutInterval is the least time between two reductions of the rate.
 	cutInterval = time.Second
--- a/internal/linkload/linkload_test.go
+++ b/internal/linkload/linkload_test.go
@@ -35,6 +35,25 @@
 	is.Equal(m.Delay(at(2.5)), 125*time.Millisecond)
 }
 
+// Guards against probes that are late for lack of processor time and count as delay of the link, and
+// against a latency that counts for probes sent later.
+func TestSchedulingLatencyIsNotDelay(t *testing.T) {
+	is := is.New(t)
+	m := linkload.NewMonitor()
+	for _, id := range []ident.Daemon{"a", "b", "c"} {
+		m.Sent(at(0), id)
+	}
+	m.ObserveLatency(125 * time.Millisecond)
+	m.ObserveLatency(time.Millisecond)
+	m.Answered(at(0.5), "a")
+	m.Answered(at(2), "b")
+	m.Answered(at(2), "c")
+	is.Equal(m.Delay(at(2)), time.Duration(0))
+	m.Sent(at(2), "a")
+	m.Answered(at(4), "a")
+	is.Equal(m.Delay(at(4)), 1500*time.Millisecond)
+}
+
 // Guards against a decision that rests on too few daemons, or on answers of long ago.
 func TestDelayIsUnknownWithoutRecentProbes(t *testing.T) {
 	is := is.New(t)
