Handover: spread the callers of a VM over its zone before it refuses any

Cause: a VM forwards connections only when it refuses some or sixteen are unread, at most a sixteenth of its caller connections at a time, to the neighbour with fewest of its connections. A small VM that all callers of a workspace reach refuses them while its zone is idle, leaves rotation, and the next VM is flooded. A latency reported in the reply is no better than the time of the reply, and needs a message that older daemons do not read. VMs still leave rotation for floods that their zone carries.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -58,8 +58,10 @@
 	// until its first bytes were sent to a neighbour.
 	sendDelays waitStats
 
-	mu         sync.Mutex
-	picker     *handover.Picker
+	mu     sync.Mutex
+	picker *handover.Picker
+	// bound limits what is forwarded at a time; nil if the limit is fixed.
+	bound      *handover.Bound
 	rng        *rand.Rand
 	neighbours []ident.Daemon
 	addresses  map[ident.Daemon]string
@@ -68,13 +70,20 @@
 }
 
 func newConnForwarder(s settings.Settings, monitor *loadMonitor, disconnects *disconnectWatcher, metrics *telemetry.Metrics, log *slog.Logger) *connForwarder {
-	return &connForwarder{
+	h := &connForwarder{
 		monitor: monitor, disconnects: disconnects, unreadConns: func(time.Time) int { return 0 }, routesVersion: func() uint64 { return 0 }, log: log, metrics: metrics,
 		returned: newReturnedListener(),
 		picker:   handover.NewPicker(maxForwardedConns(s.Memory)),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		proxies:  map[ident.Daemon]map[*connProxy]bool{},
 	}
+	if s.Fleet.Spread {
+		h.picker.Spread()
+		if base := maxForwardedConns(s.Memory); base > 0 {
+			h.bound = handover.NewBound(base)
+		}
+	}
+	return h
 }
 
 // setNeighbours replaces the daemons of the availability zone that may accept forwarded
@@ -119,6 +128,9 @@
 // whether it did.
 func (h *connForwarder) tryForward(caller *trackedConn) bool {
 	load := h.currentLoad()
+	if load.Spread && h.crowded() {
+		load.Spread, load.EarlyFraction = false, 0
+	}
 	if load.ForwardFraction() == 0 {
 		return false
 	}
@@ -142,17 +154,28 @@
 
 // currentLoad returns the current load of this daemon.
 func (h *connForwarder) currentLoad() handover.Load {
-	return handover.Load{ShedFraction: h.monitor.shedFraction(), UnreadConns: h.unreadConns(time.Now())}
+	return handover.Load{
+		ShedFraction: h.monitor.shedFraction(), UnreadConns: h.unreadConns(time.Now()),
+		EarlyFraction: h.monitor.earlyFraction(), Spread: h.monitor.spread,
+	}
+}
+
+// crowded reports whether the neighbours are short of processor time as well.
+func (h *connForwarder) crowded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.picker.Crowded(time.Now())
 }
 
 // forward offers a connection to neighbours and proxies it until it ends. It hands the
 // connection back to this daemon if no neighbour accepts it.
 func (h *connForwarder) forward(p *connProxy, to handover.Neighbour) {
 	for attempt := 1; ; attempt++ {
+		offeredAt := time.Now()
 		conn, err := offerConn(to.Address, h.routesVersion())
 		if err == nil {
 			p.neighbour = conn
-			h.proxy(p, to)
+			h.proxy(p, to, time.Since(offeredAt))
 			return
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -168,9 +191,9 @@
 	}
 }
 
-// proxy serves a connection that a neighbour has accepted.
-func (h *connForwarder) proxy(p *connProxy, to handover.Neighbour) {
-	h.proxyStarted(to.ID, p)
+// proxy serves a connection that a neighbour has accepted after the given delay.
+func (h *connForwarder) proxy(p *connProxy, to handover.Neighbour, replyDelay time.Duration) {
+	h.proxyStarted(to.ID, p, replyDelay)
 	defer h.proxyEnded(to.ID, p)
 	if peerClosed(p.caller) {
 		_, _ = p.neighbour.Close(), p.caller.Close() // the caller has disconnected
@@ -189,7 +212,11 @@
 func (h *connForwarder) route(fraction float64) (handover.Neighbour, handover.Choice) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.picker.Route(time.Now(), h.rng, fraction)
+	now := time.Now()
+	if h.bound != nil {
+		h.picker.SetMaxOpen(h.bound.Observe(now, time.Duration(h.monitor.meanLatency.Load()), h.picker.Open()))
+	}
+	return h.picker.Route(now, h.rng, fraction)
 }
 
 // nextNeighbour records that a neighbour did not accept a connection, and chooses the next
@@ -205,10 +232,10 @@
 	return h.picker.Pick(now, h.rng)
 }
 
-func (h *connForwarder) proxyStarted(id ident.Daemon, p *connProxy) {
+func (h *connForwarder) proxyStarted(id ident.Daemon, p *connProxy, replyDelay time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.picker.OfferAnswered()
+	h.picker.Accepted(time.Now(), id, replyDelay)
 	if h.proxies[id] == nil {
 		h.proxies[id] = map[*connProxy]bool{}
 	}
@@ -231,10 +258,17 @@
 	meanDelay, maxDelay := h.sendDelays.collect()
 	if forwarded+refused+timedOut > 0 {
 		event.HandoverSummary.Log(h.log, "passed_on", forwarded, "refused", refused, "unheard", timedOut, "lost", lost, "open", h.active.Load(),
-			"sent_ms", meanDelay.Milliseconds(), "longest_ms", maxDelay.Milliseconds())
+			"limit", h.maxOpen(), "early", h.monitor.earlyFraction(), "sent_ms", meanDelay.Milliseconds(), "longest_ms", maxDelay.Milliseconds())
 	}
 }
 
+// maxOpen returns how many connections may be forwarded at a time; zero means no limit.
+func (h *connForwarder) maxOpen() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.picker.MaxOpen()
+}
+
 // wait waits until no connection is being forwarded or ctx ends.
 func (h *connForwarder) wait(ctx context.Context) {
 	ticker := time.NewTicker(drainPollInterval)
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -19,6 +19,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/time/rate"
 
+	"github.com/savorystall/savorystall/internal/handover"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/settings"
 	"github.com/savorystall/savorystall/internal/telemetry"
@@ -463,3 +464,67 @@
 	is.NoErr(err)
 	is.Equal(answer, "local")
 }
+
+// Guards against a daemon that forwards nothing before it refuses requests although its settings ask for
+// it, against one that does so although they do not, and against one that does in a zone whose daemons
+// are all short of processor time.
+func TestConnectionsAreForwardedEarlyWhereTheyAreSpread(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		spread, early, unread bool
+		refusals              int
+		answer                string
+	}{
+		{name: "not spread", early: true, unread: true, answer: "local"},
+		{name: "latency", spread: true, early: true, answer: "POST /a%2Fb?c x"},
+		{name: "unread connections", spread: true, unread: true, answer: "POST /a%2Fb?c x"},
+		{name: "idle", spread: true, answer: "local"},
+		{name: "crowded", spread: true, early: true, unread: true, refusals: 1, answer: "local"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			vm := settings.Defaults()
+			vm.Fleet.Spread = c.spread
+			s := newOverloadedVM(t, vm, newTestNeighbour(t, echo).address, newTestNeighbour(t, echo).address)
+			s.monitor.shedPermille.Store(0)
+			if c.early && c.spread {
+				s.monitor.earlyPermille.Store(shedScale)
+			}
+			if c.unread {
+				s.unreadConns.Store(5)
+			}
+			for range c.refusals {
+				_, choice := s.forwarder.route(1)
+				is.Equal(choice, handover.Forward)
+				_, _ = s.forwarder.nextNeighbour("n0", maxForwardAttempts)
+			}
+			status, answer, err := s.post("x")
+			is.NoErr(err)
+			is.Equal(status, 200)
+			is.Equal(answer, c.answer)
+		})
+	}
+}
+
+// Guards against a neighbour that dies after it has accepted a connection that was forwarded early, and
+// whose caller gets no answer, or whose connection counts for good.
+func TestCallerGetsAnswerWhenNeighbourDiesAfterEarlyForwarding(t *testing.T) {
+	is := is.New(t)
+	var n *testNeighbour
+	n = newTestNeighbour(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		go func() { _ = n.server.Close() }()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	})
+	vm := settings.Defaults()
+	vm.Fleet.Spread = true
+	s := newOverloadedVM(t, vm, n.address)
+	s.monitor.shedPermille.Store(0)
+	s.monitor.earlyPermille.Store(shedScale)
+	status, _, err := s.post("x")
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway)
+	s.forwarder.wait(t.Context())
+	is.Equal(s.forwarder.picker.Open(), 0)
+}
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -33,6 +33,12 @@
 	measuredAcceptRate atomic.Int64
 	// shedPermille is the fraction of new requests to refuse, in thousandths.
 	shedPermille atomic.Int64
+	// spread is set if connections are forwarded before any are refused. earlyPermille is the
+	// fraction to forward then, in thousandths.
+	spread        bool
+	earlyPermille atomic.Int64
+	// meanLatency is the moving average of the scheduling latency.
+	meanLatency atomic.Int64
 	// overloadedSince is when the daemon became overloaded, in nanoseconds since started;
 	// zero if it is not overloaded.
 	overloadedSince atomic.Int64
@@ -63,7 +69,7 @@
 const minZoneDaemonsForHold = 4
 
 func newLoadMonitor(s settings.Settings) *loadMonitor {
-	l := &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag, applyWithin: s.Routing.ApplyWithin, link: newLinkMonitor()}
+	l := &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag, applyWithin: s.Routing.ApplyWithin, spread: s.Fleet.Spread, link: newLinkMonitor()}
 	l.link.schedLatency = l.takePeakLatency
 	return l
 }
@@ -95,6 +101,9 @@
 	return max(float64(l.shedPermille.Load())/shedScale, overload.PendingShedFraction(l.pendingLatency()))
 }
 
+// earlyFraction returns the fraction of new connections to forward before any are refused.
+func (l *loadMonitor) earlyFraction() float64 { return float64(l.earlyPermille.Load()) / shedScale }
+
 // shedding reports whether a fraction of new requests is refused.
 func (l *loadMonitor) shedding() bool { return l.shedFraction() > 0 }
 
@@ -226,6 +235,7 @@
 	defer ticker.Stop()
 	var detector overload.Detector
 	var shedder overload.Shedder
+	early := overload.NewEarlyShedder()
 	for {
 		select {
 		case <-ctx.Done():
@@ -236,6 +246,10 @@
 		shedFraction := shedder.Observe(now, latency)
 		l.measuredAcceptRate.Store(int64(overload.AcceptRate(detector.MeanLatency())))
 		l.shedPermille.Store(int64(shedScale * shedFraction))
+		l.meanLatency.Store(int64(detector.MeanLatency()))
+		if l.spread {
+			l.earlyPermille.Store(int64(shedScale * early.Observe(now, latency)))
+		}
 		overloaded := detector.Observe(now, overload.Observation{
 			SchedLatency: latency, ShedFraction: shedFraction, Idle: conns.countOpen() == 0, MayHold: l.zoneDaemons.Load() >= minZoneDaemonsForHold, NewConns: conns.takeOpenedConns(),
 		})
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -11,6 +11,10 @@
 // Of two neighbours drawn at random, the one with fewer connections from this daemon is
 // chosen: a slow or busy neighbour keeps connections for longer, so that no load needs to
 // be reported. A neighbour that refused a connection is skipped for a short time.
+//
+// Where connections are spread (Picker.Spread), the time that neighbours take to reply to
+// offers counts as well, connections are forwarded before any are refused, and their number
+// is bounded by the latency that forwarding them causes (Bound).
 package handover
 
 import (
@@ -30,6 +34,12 @@
 	// shed fraction below which a daemon accepts forwarded connections.
 	acceptUnreadLimit = 8
 	acceptShedLimit   = 0.3
+	// spreadUnreadLimit replaces unreadLimit while connections are spread. A VM that is throttled by
+	// its CPU quota finds several connections unread when it resumes, long before it refuses any.
+	spreadUnreadLimit = 4
+	// acceptEarlyLimit is the fraction forwarded early below which a daemon accepts forwarded
+	// connections: above it, it cannot serve its own callers.
+	acceptEarlyLimit = 0.5
 )
 
 // Load describes a daemon's own load.
@@ -38,6 +48,11 @@
 	ShedFraction float64
 	// UnreadConns is the number of callers' connections from which nothing has been read.
 	UnreadConns int
+	// EarlyFraction is the fraction of new connections to forward before any are refused;
+	// zero unless connections are spread.
+	EarlyFraction float64
+	// Spread is set if connections are spread.
+	Spread bool
 }
 
 // ForwardFraction returns the fraction of new connections to forward.
@@ -45,7 +60,10 @@
 	if l.UnreadConns >= unreadLimit {
 		return 1
 	}
-	return overload.ShedFractionFor(l.ShedFraction, true)
+	if l.Spread && l.UnreadConns >= spreadUnreadLimit {
+		return 1
+	}
+	return max(l.EarlyFraction, overload.ShedFractionFor(l.ShedFraction, true))
 }
 
 // Saturated reports whether to refuse connections that no neighbour accepts because they
@@ -55,7 +73,7 @@
 
 // AcceptsForwarded reports whether to accept connections forwarded by neighbours.
 func (l Load) AcceptsForwarded() bool {
-	return l.ShedFraction < acceptShedLimit && l.UnreadConns < acceptUnreadLimit
+	return l.ShedFraction < acceptShedLimit && l.EarlyFraction < acceptEarlyLimit && l.UnreadConns < acceptUnreadLimit
 }
 
 // refusalBackoff is how long a neighbour that refused a connection is skipped.
@@ -83,12 +101,17 @@
 	pendingOffers int
 	neighbours    []Neighbour
 	states        map[ident.Daemon]*neighbourState
+	// spread is set if neighbours are chosen by how fast they reply to offers.
+	spread bool
 }
 
 // neighbourState tracks one neighbour.
 type neighbourState struct {
 	open       int
 	avoidUntil time.Time
+	// replyDelay is how long the neighbour took to accept a connection at repliedAt.
+	replyDelay time.Duration
+	repliedAt  time.Time
 }
 
 // NewPicker returns a Picker without neighbours. maxOpen bounds the connections that are
@@ -160,8 +183,10 @@
 		return Neighbour{}, false
 	}
 	n = available[rng.IntN(len(available))]
-	if other := available[rng.IntN(len(available))]; p.states[other.ID].open < p.states[n.ID].open {
-		n = other
+	for range p.draws() - 1 {
+		if other := available[rng.IntN(len(available))]; p.cost(now, other.ID) < p.cost(now, n.ID) {
+			n = other
+		}
 	}
 	p.states[n.ID].open++
 	p.open++
@@ -169,6 +194,74 @@
 	return n, true
 }
 
+// spreadDraws is the number of neighbours drawn for a connection that is spread. In a zone of
+// many small and few large VMs, two are often both small.
+const spreadDraws = 3
+
+// draws returns how many neighbours are drawn for a connection.
+func (p *Picker) draws() int {
+	if p.spread {
+		return spreadDraws
+	}
+	return 2
+}
+
+const (
+	// replyDelayUnit is the reply delay that doubles the cost of a neighbour.
+	replyDelayUnit = time.Millisecond
+	// maxReplyAge is the age at which a reply delay no longer counts.
+	maxReplyAge = 2 * time.Second
+)
+
+// cost orders neighbours: the one with the lowest cost is preferred. A neighbour of which nothing is
+// known counts as idle. The open connections count as well, so that daemons which know the same reply
+// delays, or old ones, do not all choose the same neighbour.
+func (p *Picker) cost(now time.Time, id ident.Daemon) float64 {
+	s := p.states[id]
+	if !p.spread {
+		return float64(s.open)
+	}
+	weight := max(0, 1-now.Sub(s.repliedAt).Seconds()/maxReplyAge.Seconds())
+	return float64(s.open+1) * (1 + weight*float64(s.replyDelay)/float64(replyDelayUnit))
+}
+
+// Crowded reports whether many neighbours have refused a connection lately. Most of the zone is then
+// as short of processor time as this daemon, and what is forwarded early costs more than it saves.
+func (p *Picker) Crowded(now time.Time) bool {
+	refused := 0
+	for _, n := range p.neighbours {
+		if now.Before(p.states[n.ID].avoidUntil) {
+			refused++
+		}
+	}
+	return refused > len(p.neighbours)/crowdedDivisor
+}
+
+// crowdedDivisor is the part of the neighbours that must have refused for a zone to be crowded.
+const crowdedDivisor = 4
+
+// Spread makes the picker choose neighbours by how fast they reply to offers.
+func (p *Picker) Spread() { p.spread = true }
+
+// SetMaxOpen replaces the limit on connections that are forwarded at a time.
+func (p *Picker) SetMaxOpen(n int) { p.maxOpen = n }
+
+// MaxOpen returns the limit on connections that are forwarded at a time; zero means no limit.
+func (p *Picker) MaxOpen() int { return p.maxOpen }
+
+// Open returns the number of connections that are being forwarded or offered.
+func (p *Picker) Open() int { return p.open }
+
+// Accepted records that a neighbour has accepted a connection, and how long its reply took. The
+// delay contains the time for which the neighbour waits for its processor: it is the same measure
+// on VMs of any size, and it rises before a VM refuses anything.
+func (p *Picker) Accepted(now time.Time, id ident.Daemon, replyDelay time.Duration) {
+	p.OfferAnswered()
+	if s := p.states[id]; s != nil {
+		s.replyDelay, s.repliedAt = replyDelay, now
+	}
+}
+
 func (p *Picker) full() bool { return p.maxOpen > 0 && p.open >= p.maxOpen }
 
 // Refused records that a neighbour did not accept a connection.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -131,3 +131,81 @@
 	is.True(!handover.Load{ShedFraction: 0.3}.AcceptsForwarded())
 	is.True(handover.Load{ShedFraction: 0.1}.ForwardFraction() > 0)
 }
+
+// Guards against a neighbour that is short of processor time and gets as many connections as the
+// others, and against one that is avoided for a reply of long ago.
+func TestSlowReplyMakesNeighbourLessPreferred(t *testing.T) {
+	is := is.New(t)
+	p, rng := handover.NewPicker(0), newRand(3)
+	p.SetNeighbours(neighbours(4))
+	p.Spread()
+	first, _ := p.Pick(testStart, rng)
+	p.Accepted(testStart, "d00", 50*time.Millisecond)
+	p.Closed(first.ID)
+	picked := func(now time.Time) (n int) {
+		for range 400 {
+			to, _ := p.Pick(now, rng)
+			if to.ID == "d00" {
+				n++
+			}
+			p.OfferAnswered()
+			p.Closed(to.ID)
+		}
+		return n
+	}
+	is.True(picked(testStart) < 20)
+	is.True(picked(testStart.Add(3*time.Second)) > 60)
+}
+
+// Guards against a neighbour that stops after it has accepted connections, and whose open connections
+// are forgotten, or count for good.
+func TestConnectionsOfRemovedNeighbourCountUntilTheyEnd(t *testing.T) {
+	is := is.New(t)
+	p := handover.NewPicker(1)
+	p.Spread()
+	p.SetNeighbours(neighbours(1))
+	to, ok := p.Pick(testStart, newRand(4))
+	is.True(ok)
+	p.SetNeighbours(nil)
+	p.Accepted(testStart, to.ID, time.Millisecond)
+	is.Equal(p.Open(), 1)
+	p.Closed(to.ID)
+	is.Equal(p.Open(), 0)
+}
+
+// Guards against daemons that forward early in a zone that is full as a whole.
+func TestZoneIsCrowdedWhileNeighboursRefuse(t *testing.T) {
+	is := is.New(t)
+	p := handover.NewPicker(0)
+	p.SetNeighbours(neighbours(4))
+	for range 2 {
+		is.True(!p.Crowded(testStart))
+		to, _ := p.Pick(testStart, newRand(5))
+		p.Refused(testStart, to.ID)
+	}
+	is.True(p.Crowded(testStart))
+	is.True(!p.Crowded(testStart.Add(time.Second)))
+}
+
+// Guards against a limit that keeps a VM with processor time to spare from forwarding, and against one
+// that lets forwarding delay all events of a VM.
+func TestBoundFollowsTheLatency(t *testing.T) {
+	is := is.New(t)
+	b, now, limit := handover.NewBound(36), testStart, 0
+	observe := func(latency time.Duration, full bool) {
+		for range 100 {
+			now = now.Add(20 * time.Millisecond)
+			open := 0
+			if full {
+				open = limit
+			}
+			limit = b.Observe(now, latency, open)
+		}
+	}
+	observe(time.Millisecond, false)
+	is.Equal(limit, 36) // not reached
+	observe(time.Millisecond, true)
+	is.Equal(limit, 8*36)
+	observe(100*time.Millisecond, true)
+	is.Equal(limit, 36)
+}
--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -25,6 +26,9 @@
 // shortest latency objectives (100 ms). At five times the target the fraction rises from
 // zero to nearly one in an eighth of a second; falling back takes half a second.
 type Shedder struct {
+	// target is the scheduling latency at which the fraction neither rises nor falls; zero
+	// means targetLatency.
+	target    time.Duration
 	latencies [medianWindow]time.Duration
 	next      int
 	fraction  float64
@@ -51,6 +55,14 @@
 // refused together.
 const ImmediateRetryDelay = 20 * time.Millisecond
 
+// earlyLatency is the target of a Shedder that decides what to forward. It is a sixth of
+// targetLatency, so that nothing is refused while neighbours accept connections.
+const earlyLatency = 500 * time.Microsecond
+
+// NewEarlyShedder returns a Shedder whose fraction is that of new connections to forward to
+// neighbours before any are refused.
+func NewEarlyShedder() *Shedder { return &Shedder{target: earlyLatency} }
+
 // Observe records one sample of the scheduling latency and returns the fraction of new
 // requests to refuse.
 func (s *Shedder) Observe(now time.Time, latency time.Duration) float64 {
@@ -58,7 +70,7 @@
 	s.next++
 	step := min(now.Sub(s.lastTime), maxStep)
 	s.lastTime = now
-	excess := min(float64(s.median())/float64(targetLatency)-1, maxExcess)
+	excess := min(float64(s.median())/float64(cmp.Or(s.target, targetLatency))-1, maxExcess)
 	s.fraction += shedGain * excess * step.Seconds()
 	s.fraction = min(max(0, s.fraction), maxShedFraction)
 	return s.fraction
--- a/internal/overload/smallzone_handover_test.go
+++ b/internal/overload/smallzone_handover_test.go
@@ -15,6 +15,11 @@
 	pickers []*handover.Picker
 	// openConns holds, by VM, how many connections its Picker counts as open at each VM.
 	openConns [][]int
+	// reported is set if neighbours report their mean latency in place of what the time of their reply
+	// tells, and late if what is known of them is a second old.
+	reported, late bool
+	// bounds limit what each VM forwards; nil if they are fixed.
+	bounds []*handover.Bound
 }
 
 // enableForwarding makes the VMs of a zone forward connections.
@@ -47,18 +52,25 @@
 			p.Closed(daemonID(j))
 		}
 	}
-	fraction := handover.Load{ShedFraction: shedFraction, UnreadConns: h.unreadConns(vm)}.ForwardFraction()
+	load := handover.Load{ShedFraction: shedFraction, UnreadConns: h.unreadConns(vm)}
+	if v := h.zone.vms[vm]; v.early != nil && !p.Crowded(h.zone.now()) {
+		load.EarlyFraction, load.Spread = v.earlyFraction, true
+	}
+	fraction := load.ForwardFraction()
 	if fraction == 0 {
 		return vm
 	}
+	if h.bounds != nil {
+		p.SetMaxOpen(h.bounds[vm].Observe(h.zone.now(), h.zone.vms[vm].detector.MeanLatency(), p.Open()))
+	}
 	to, choice := p.Route(h.zone.now(), rng, fraction)
 	for tries, ok := 1, choice == handover.Forward; ok; tries++ {
 		j := 0
 		if _, err := fmt.Sscan(to.Address, &j); err != nil {
 			panic(err)
 		}
-		if (handover.Load{ShedFraction: h.zone.vms[j].shedFraction, UnreadConns: h.unreadConns(j)}).AcceptsForwarded() {
-			p.OfferAnswered()
+		if (handover.Load{ShedFraction: h.zone.vms[j].shedFraction, EarlyFraction: h.zone.vms[j].earlyFraction, UnreadConns: h.unreadConns(j)}).AcceptsForwarded() {
+			p.Accepted(h.zone.now(), to.ID, h.latency(vm, j))
 			openConns[j]++
 			return j
 		}
--- a/internal/overload/smallzone_test.go
+++ b/internal/overload/smallzone_test.go
@@ -86,6 +86,15 @@
 	shedder      overload.Shedder
 	detector     overload.Detector
 	shedFraction float64
+	// early decides what to forward before anything is refused; nil if nothing is.
+	early         *overload.Shedder
+	earlyFraction float64
+	// overloads counts how often the VM became overloaded, and sheds the calls that it refused.
+	overloads, sheds int
+	// used is the processor time that it has used.
+	used time.Duration
+	// oldLatency is what others learned of it a second ago.
+	oldLatency time.Duration
 	// probeDue reports that a measurement of the scheduling latency is due.
 	probeDue     bool
 	newConns     int
@@ -123,6 +132,7 @@
 		j.remaining -= slice
 		v.stepLeft -= slice
 		v.quotaLeft -= slice
+		v.used += slice
 		if j.remaining > 0 {
 			v.runQueue = append(v.runQueue, j)
 			continue
@@ -150,7 +160,14 @@
 func (v *simVM) observe(now time.Time, periodLeft time.Duration) {
 	latency := v.schedLatency(periodLeft)
 	v.shedFraction = v.shedder.Observe(now, latency)
+	if v.early != nil {
+		v.earlyFraction = v.early.Observe(now, latency)
+	}
+	before := v.overloaded
 	v.overloaded = v.detector.Observe(now, overload.Observation{SchedLatency: latency, ShedFraction: v.shedFraction, MayHold: true, NewConns: v.newConns})
+	if v.overloaded && !before {
+		v.overloads++
+	}
 	v.newConns, v.probeDue = 0, false
 }
 
@@ -192,6 +209,12 @@
 	scheduled  map[time.Duration][]func()
 	// acceptBacklog bounds the connections that wait in the kernel of a VM.
 	acceptBacklog int
+	// events is how many events a served call has; zero means that it ends when dispatched.
+	events int
+	// lateEvents counts the events that were late at the caller, sentEvents all of them.
+	lateEvents, sentEvents int
+	// forwardedConns counts the connections that were forwarded.
+	forwardedConns int
 }
 
 var simStart = time.Unix(1000, 0)
@@ -366,6 +389,9 @@
 	to := z.placer.place(v.index, v.shedFraction, v.forwarded, z.rng)
 	c.conn = &simConn{acceptedBy: v, servedBy: z.vms[to]}
 	v.forwarded[to]++
+	if to != v.index {
+		z.forwardedConns++
+	}
 	return z.handleCall(c)
 }
 
@@ -384,6 +410,9 @@
 // used up its rate, or serves it.
 func (z *simZone) serveOrRefuse(c *simCall) (work time.Duration, done func()) {
 	shed := c.deadline <= z.elapsed || z.rng.Float64() < overload.ShedFractionFor(c.conn.servedBy.shedFraction, c.conn.requests == 0)
+	if shed {
+		c.conn.servedBy.sheds++
+	}
 	if shed || !c.workspace.limiter.AllowN(z.now(), 1) {
 		return refuseTime, func() { z.fail(c) }
 	}
@@ -403,6 +432,10 @@
 		c.workspace.inTime++
 	}
 	c.conn.requests++
+	if z.events > 0 {
+		z.stream(c, z.events)
+		return
+	}
 	if kept := z.rng.Float64() < keepAliveFraction; kept && c.conn.acceptedBy == c.conn.servedBy {
 		c.workspace.idleConns = append(c.workspace.idleConns, c.conn)
 		return
