--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -33,6 +33,12 @@
 	measuredAcceptRate atomic.Int64
 	// shedPermille is the fraction of new requests to refuse, in thousandths.
 	shedPermille atomic.Int64
+	// spread is set if connections are forwarded before any are refused. earlyPermille is the
+	// fraction to forward then, in thousandths.
+	spread        bool
+	earlyPermille atomic.Int64
+	// meanLatency is the moving average of the scheduling latency.
+	meanLatency atomic.Int64
 	// overloadedSince is when the daemon became overloaded, in nanoseconds since started;
 	// zero if it is not overloaded.
 	overloadedSince atomic.Int64
@@ -40,6 +46,8 @@
 	// probeStart is when the current measurement began, in nanoseconds since started, or
 	// zero if none is in progress. lastLatency is the result of the last measurement.
 	probeStart, lastLatency atomic.Int64
+	// peakLatency is the highest result since the last takePeakLatency.
+	peakLatency atomic.Int64
 	// routesConfirmedAt is the time as of which the store last confirmed the routes in force, in
 	// nanoseconds since started; zero if it has not yet.
 	routesConfirmedAt atomic.Int64
@@ -61,7 +69,9 @@
 const minZoneDaemonsForHold = 4
 
 func newLoadMonitor(s settings.Settings) *loadMonitor {
-	return &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag, applyWithin: s.Routing.ApplyWithin, link: newLinkMonitor()}
+	l := &loadMonitor{started: time.Now(), balancerLag: s.Stop.BalancerLag, applyWithin: s.Routing.ApplyWithin, spread: s.Fleet.Spread, link: newLinkMonitor()}
+	l.link.schedLatency = l.takePeakLatency
+	return l
 }
 
 // overloaded reports whether the VM has too little processor time or a full link, or does not know the
@@ -91,6 +101,9 @@
 	return max(float64(l.shedPermille.Load())/shedScale, overload.PendingShedFraction(l.pendingLatency()))
 }
 
+// earlyFraction returns the fraction of new connections to forward before any are refused.
+func (l *loadMonitor) earlyFraction() float64 { return float64(l.earlyPermille.Load()) / shedScale }
+
 // shedding reports whether a fraction of new requests is refused.
 func (l *loadMonitor) shedding() bool { return l.shedFraction() > 0 }
 
@@ -206,15 +219,23 @@
 	now = time.Now()
 	latency = now.Sub(before)
 	l.lastLatency.Store(int64(latency))
+	l.peakLatency.Store(max(l.peakLatency.Load(), int64(latency)))
 	l.probeStart.Store(0)
 	return now, latency
 }
 
+// takePeakLatency returns the highest scheduling latency since its last call, including the measurement
+// in progress.
+func (l *loadMonitor) takePeakLatency() time.Duration {
+	return max(time.Duration(l.peakLatency.Swap(0)), time.Duration(l.lastLatency.Load()), l.pendingLatency())
+}
+
 func (l *loadMonitor) run(ctx context.Context, log *slog.Logger, conns *connTracker) {
 	ticker := time.NewTicker(latencyProbeInterval)
 	defer ticker.Stop()
 	var detector overload.Detector
 	var shedder overload.Shedder
+	early := overload.NewEarlyShedder()
 	for {
 		select {
 		case <-ctx.Done():
@@ -225,6 +246,10 @@
 		shedFraction := shedder.Observe(now, latency)
 		l.measuredAcceptRate.Store(int64(overload.AcceptRate(detector.MeanLatency())))
 		l.shedPermille.Store(int64(shedScale * shedFraction))
+		l.meanLatency.Store(int64(detector.MeanLatency()))
+		if l.spread {
+			l.earlyPermille.Store(int64(shedScale * early.Observe(now, latency)))
+		}
 		overloaded := detector.Observe(now, overload.Observation{
 			SchedLatency: latency, ShedFraction: shedFraction, Idle: conns.countOpen() == 0, MayHold: l.zoneDaemons.Load() >= minZoneDaemonsForHold, NewConns: conns.takeOpenedConns(),
 		})
