A target's own 421 does not state that a request has not run

Cause: every 421 counted as a refusal of a request meant for another target. A 421 of the target's application, after it ran the request, was reported to the caller of an unrepeatable request as 503, and sent the request to a target again. Ruled out: requiring Not-Executed; targets refuse a request meant for another one with their Instance-Id only. Change: a 421 is a refusal if its Instance-Id names another target than the one that was asked.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,7 +36,7 @@
 	answer := s.Dialect.ParseResponse(x.Response.StatusCode, x.Response.Header)
 	r := attemptResult{sent: true, status: x.Response.StatusCode}
 	switch {
-	case answer.NotRun:
+	case answer.refusedBy(entry.Identity):
 		return s.handleRefusal(x, r)
 	case x.Response.StatusCode >= http.StatusBadRequest:
 		return s.handleErrorStatus(ctx, x, pr, entry, r, dispatched)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,9 @@
 	AttemptID string
 	// NotRun reports that the target has not run the request and will not run it.
 	NotRun bool
+	// MisdirectedTo is the identity that a target states when it refuses a request that is meant for
+	// another target; empty if it states none.
+	MisdirectedTo ident.Target
 	// Signed reports that the response carries the target's signature.
 	Signed bool
 	// Leaving reports that the target says that it leaves.
@@ -95,6 +98,13 @@
 	PauseMalformed string
 }
 
+// refusedBy reports whether the response states that the request, which is meant for the target of this
+// identity, has not run. A target's own status 421 without another identity does not: its application may
+// have run the request.
+func (i *ResponseInfo) refusedBy(id ident.Target) bool {
+	return i.NotRun || i.MisdirectedTo != "" && i.MisdirectedTo != id
+}
+
 // Dialect converts between a platform's headers and typed values.
 type Dialect interface {
 	ParseRequest(h http.Header) RequestInfo
