Connections to the previous process of a target are not used again

Cause: a target that starts again under its identity and address kept its idle connections in the pool. If its VM lost power, only the reset that answers the next request shows that they are dead; that request may then have run as far as this daemon knows. Ruled out: closing idle connections only; one that is in use when the registration arrives returned to the pool (seen in the test). Change: when born changes, idle connections to the address are closed and those in use are closed after their exchange.

--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -39,6 +39,9 @@
 	ownRow      *ownRow
 	// rows writes this daemon's row.
 	rows store.RowWriter
+	// startedAt holds the start time, in Unix milliseconds, of the target at each address in the installed
+	// view. Only install uses it.
+	startedAt map[string]int64
 	// versions keeps the record of the versions in use.
 	versions *versionKeeper
 	// routesAge reports how recent the routes are. Only report uses it.
@@ -149,16 +152,22 @@
 // install puts routes and targets into force together.
 func (s *storeSync) install(v routingView) {
 	targets := &gateway.Targets{ByIdentity: map[ident.Target]registry.Entry{}, Usable: map[ident.Service]bool{}, Evacuated: v.evacuated, Regions: s.deps.Settings.Regions}
-	addresses := map[string]bool{}
+	addresses, startedAt := map[string]bool{}, make(map[string]int64, len(v.targets))
 	for _, e := range v.targets {
 		targets.ByIdentity[e.Identity] = e
-		addresses[e.Address] = true
+		addresses[e.Address], startedAt[e.Address] = true, e.StartedAtMillis
 		if !e.Draining && !v.evacuated.Contains(e.Zone) {
 			targets.Usable[e.Service] = true
 		}
 	}
 	s.deps.Gateway.SetTargets(targets)
 	s.deps.Pool.CloseIdleExcept(addresses)
+	for address, startedAt := range startedAt {
+		if before, known := s.startedAt[address]; known && before != startedAt {
+			s.deps.Pool.TargetRestarted(address)
+		}
+	}
+	s.startedAt = startedAt
 	if v.table == nil {
 		return
 	}
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -91,6 +91,8 @@
 	idle []*conn
 	// open is the number of connections, idle or in use.
 	open int
+	// restartedAt is when a new process was known at the address. Older connections are not reused.
+	restartedAt time.Time
 }
 
 // conn is one connection to a target.
@@ -103,6 +105,7 @@
 	// reuseDeadline is the time from which on the connection must not be used for a
 	// new request.
 	reuseDeadline time.Time
+	openedAt      time.Time
 }
 
 // ErrConnectionLimit is the cause of the error if the address has reached its
@@ -175,6 +178,17 @@
 	closeAll(drop)
 }
 
+// TargetRestarted closes the idle connections to an address at which another process runs now, and closes
+// those in use once their exchanges end.
+func (p *Pool) TargetRestarted(address string) {
+	p.mu.Lock()
+	if t := p.targets[address]; t != nil {
+		t.restartedAt = p.cfg.Now()
+	}
+	p.mu.Unlock()
+	p.CloseIdle(address)
+}
+
 func closeAll(conns []*conn) {
 	for _, c := range conns {
 		_ = c.Conn.Close() // an idle connection has no data to lose
@@ -235,7 +249,7 @@
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	t := p.targets[c.address]
-	if p.closed || t == nil {
+	if p.closed || t == nil || c.openedAt.Before(t.restartedAt) {
 		p.mu.Unlock()
 		_ = c.Conn.Close() // it is idle
 		p.release(c.address)
@@ -262,13 +276,14 @@
 	if c != nil {
 		return c, nil
 	}
+	openedAt := p.cfg.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
 		return nil, &UnsentError{Cause: err}
 	}
 	bounded := &limitedReader{raw, unlimited}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded}, nil
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded, openedAt: openedAt}, nil
 }
 
 // reuseDeadline returns the time until which a connection may be reused according
