Memory under slow readers is bounded per connection, workspace and VM

Cause: a caller that does not read lets the kernel grow the buffers of its connection and of that to its target to several MB each. Ruled out: buffering responses in the process (moves the bytes to the heap), a deadline per write (no bound by memory). Not measured: the kernel's own reservation (skmem), which ss does not show here.

--- a/internal/daemon/ends.go
+++ b/internal/daemon/ends.go
@@ -177,12 +177,25 @@
 }
 
 // Write implements net.Conn.
+//
+// Large writes are divided, so that a caller that reads steadily at 8 kB/s is not taken for one that has stopped.
 func (c *trackedConn) Write(b []byte) (int, error) {
-	n, err := c.tcpConn.Write(b)
-	if n > 0 {
-		c.responseStarted.Store(true)
+	written := 0
+	for {
+		part := b[written:min(len(b), written+maxWrite)]
+		begun := c.use.beginWrite()
+		n, err := c.tcpConn.Write(part)
+		if !c.use.endWrite(begun) {
+			err = errReadTooSlowly // also if the write completed meanwhile: the next one would fail
+		}
+		written += n
+		if n > 0 {
+			c.responseStarted.Store(true)
+		}
+		if err != nil || written >= len(b) {
+			return written, err
+		}
 	}
-	return n, err
 }
 
 // recordEndTo sets the recorder of the connection's end.
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -22,6 +22,7 @@
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/settings"
+	"github.com/savorystall/savorystall/internal/slowreader"
 	"github.com/savorystall/savorystall/internal/targetconn"
 	"github.com/savorystall/savorystall/internal/targetnotice"
 	"github.com/savorystall/savorystall/internal/telemetry"
@@ -79,7 +80,13 @@
 	return b.holds
 }
 
-func newPool() *targetconn.Pool { return targetconn.New(targetconn.Config{}) }
+func newPool(s settings.Settings) *targetconn.Pool {
+	cfg := targetconn.Config{}
+	if s.Memory.SlowCallers > 0 {
+		cfg.ReceiveBuffer = slowreader.TargetReceiveBuffer
+	}
+	return targetconn.New(cfg)
+}
 
 func newRoutedLoop(id identity, s settings.Settings, b *routedBridge) *control.BookingLoop {
 	core := booking.New(booking.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone},
@@ -112,7 +119,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Origins: loop, Poison: loop, Pool: pool, Notices: notices, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, ShouldShed: load.shouldShed, Shedding: load.shedding, LinkFull: load.link.limited, OutOfTouch: load.outOfTouch, RoutesMayBeStale: load.routesStale, RoutesBehind: load.routesBehind, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
+		Routes: routes, Dialect: platform.Dialect{}, Placer: loop, Origins: loop, Poison: loop, Pool: pool, Notices: notices, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, OnBody: recordBody, ShouldShed: load.shouldShed, Shedding: load.shedding, LinkFull: load.link.limited, OutOfTouch: load.outOfTouch, RoutesMayBeStale: load.routesStale, RoutesBehind: load.routesBehind, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
@@ -175,6 +182,9 @@
 	for _, run := range storeSync.tasks() {
 		d.tasks.Go(func() { run(taskCtx) })
 	}
+	if slow := newSlowCallers(d.deps); slow.limits.Enabled() {
+		d.tasks.Go(func() { slow.run(taskCtx) })
+	}
 	d.accepting.callers = d.serve(d.deps.Servers.callers, d.deps.Servers.limitedListener)
 	d.accepting.returned = d.serve(d.deps.Servers.callers, d.deps.Forwarder.returned)
 	if d.deps.Servers.forwardedListener != nil {
--- a/internal/daemon/routedservers.go
+++ b/internal/daemon/routedservers.go
@@ -43,6 +43,11 @@
 	if r.callersListener, err = listenDrainable(s.Callers.Listen); err != nil {
 		return nil, merry.Prepend(err, "callers' listener")
 	}
+	if s.Memory.SlowCallers > 0 {
+		if err = boundBuffers(r.callersListener.TCPListener); err != nil {
+			return nil, merry.Prepend(err, "callers' listener")
+		}
+	}
 	r.limitedListener = newRateLimitedListener(r.callersListener, load.acceptRate, h.tryForward)
 	if r.operatorsListener, err = net.Listen("tcp", s.Operators.Listen); err != nil {
 		return nil, merry.Prepend(err, "operators' listener")
@@ -58,6 +63,11 @@
 			return nil, merry.Prepend(err, "handover listener")
 		}
 	}
+	if s.Memory.SlowCallers > 0 && r.forwardedListener != nil {
+		if err = boundBuffers(r.forwardedListener.TCPListener); err != nil {
+			return nil, merry.Prepend(err, "handover listener")
+		}
+	}
 	r.callers = &http.Server{
 		ConnState:         func(c net.Conn, state http.ConnState) { r.connections.track(c, state); watcher.pollIfDue(c, state) },
 		ConnContext:       withConn,
--- a/internal/daemon/trackedconn.go
+++ b/internal/daemon/trackedconn.go
@@ -48,6 +48,9 @@
 
 	// received counts the bytes that are read from callers; nil if they are not to be counted.
 	received *atomic.Int64
+	// use is what the connection occupies for its current request.
+	use callerUse
+
 	// ends records the end of the connection; nil if it is not to be recorded.
 	ends *endRecorder
 	// request is the state of the current request, and answered the number of those that
@@ -143,4 +146,5 @@
 	c.requestStarted, c.closeReason, c.request = false, "", requestState{}
 	c.responseStarted.Store(false)
 	c.readAhead.Store(false)
+	c.use.reset()
 }
--- a/internal/dialing/dialing.go
+++ b/internal/dialing/dialing.go
@@ -28,6 +28,9 @@
 	// consecutive probes that may stay unanswered. A KeepAliveIdle of zero disables probes.
 	KeepAliveIdle, KeepAliveInterval time.Duration
 	KeepAliveCount                   int
+	// ReceiveBuffer is the size of the socket's receive buffer, of which the kernel reserves twice as much;
+	// zero leaves it to the kernel.
+	ReceiveBuffer int
 }
 
 // Dialer opens connections. It is safe for concurrent use.
@@ -42,7 +45,10 @@
 		KeepAlive:       -1, // overridden by KeepAliveConfig if it is enabled
 		KeepAliveConfig: net.KeepAliveConfig{Enable: cfg.KeepAliveIdle > 0, Idle: cfg.KeepAliveIdle, Interval: cfg.KeepAliveInterval, Count: cfg.KeepAliveCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw, cfg.UserTimeout)
+			if err := setUserTimeout(raw, cfg.UserTimeout); err != nil || cfg.ReceiveBuffer == 0 {
+				return err
+			}
+			return setReceiveBuffer(raw, cfg.ReceiveBuffer)
 		},
 	}}
 }
@@ -59,6 +65,15 @@
 	return conn, err
 }
 
+func setReceiveBuffer(raw syscall.RawConn, size int) error {
+	var sockErr error
+	err := raw.Control(func(fd uintptr) { sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+	if err != nil {
+		return err
+	}
+	return sockErr
+}
+
 func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -61,7 +61,9 @@
 	hasFilter     bool
 	poisonFilter  poison.Filter
 	poisonSubject *poison.Subject
-	stats         requestStats
+	// bodyFingerprint is set once it was needed, or the body was released.
+	bodyFingerprint *poison.Fingerprint
+	stats           requestStats
 }
 
 // requestStats holds what is logged about a request.
@@ -140,7 +142,7 @@
 		return nil, resultcode.Fail(resultcode.FleetFull, "this daemon has %d requests to place", maxPending)
 	}
 	pr.isPending = true
-	if pr.body, failure = readBody(w, r, table.Limits); failure != nil {
+	if pr.body, failure = s.readBody(w, pr, table.Limits); failure != nil {
 		s.releasePending(pr)
 		return nil, failure
 	}
@@ -231,7 +233,15 @@
 	return r.URL.RequestURI() // absolute form or asterisk form
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limits route.Limits) ([]byte, *resultcode.Failure) {
+// onBody reports how many bytes the body of a request occupies.
+func (s *Server) onBody(pr *proxyRequest, bytes int, receiving bool) {
+	if s.OnBody != nil {
+		s.OnBody(pr.inbound.Context(), pr.workspace, bytes, receiving)
+	}
+}
+
+func (s *Server) readBody(w http.ResponseWriter, pr *proxyRequest, limits route.Limits) (body []byte, failure *resultcode.Failure) {
+	r := pr.inbound
 	maxBytes := limits.MaxBodyBytes
 	if maxBytes == 0 {
 		maxBytes = defaultMaxBodyBytes
@@ -240,12 +250,15 @@
 		return nil, resultcode.Fail(resultcode.BodyTooLarge, "the limit is %d bytes", maxBytes)
 	}
 	if r.ContentLength == 0 {
+		s.onBody(pr, 0, false)
 		return nil, nil
 	}
 	controller := http.NewResponseController(w)
 	// Without support for read deadlines the body is read without one.
 	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := readAll(io.LimitReader(r.Body, maxBytes+1), r.ContentLength)
+	s.onBody(pr, 0, true)
+	defer func() { s.onBody(pr, len(body), false) }()
+	body, err := readAll(io.LimitReader(r.Body, maxBytes+1), r.ContentLength, func(size int) { s.onBody(pr, size, true) })
 	_ = controller.SetReadDeadline(time.Time{})
 	var timeout net.Error
 	switch {
@@ -259,12 +272,26 @@
 	return body, nil
 }
 
-// readAll reads a body of the given length, or until EOF if length is negative.
-func readAll(from io.Reader, length int64) ([]byte, error) {
+// maxUnreceivedBody is how much memory is allocated for a body before any of it has arrived. Nearly all bodies
+// are smaller and are read into one allocation; a caller that announces 4 MB and sends nothing occupies no more.
+const maxUnreceivedBody = 256 << 10
+
+// readAll reads a body of the given length, or until EOF if length is negative. It calls grown with each size of
+// its buffer.
+func readAll(from io.Reader, length int64, grown func(size int)) ([]byte, error) {
 	if length < 0 {
 		return io.ReadAll(from)
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(from, body)
-	return body, err
+	body, received := make([]byte, min(length, maxUnreceivedBody)), 0
+	for {
+		grown(len(body))
+		n, err := io.ReadFull(from, body[received:])
+		received += n
+		if err != nil || int64(received) == length {
+			return body, err
+		}
+		larger := make([]byte, min(length, 2*int64(len(body))))
+		copy(larger, body)
+		body = larger
+	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -202,7 +202,7 @@
 		r.failure = resultcode.Fail(resultcode.AnswerCut, "").WithCause(err)
 		return r
 	}
-	pr.writeHeader(x.Response.StatusCode, x.Response.Header, x.Response.ContentLength)
+	s.writeHeader(pr, x.Response.StatusCode, x.Response.Header, x.Response.ContentLength)
 	if _, err := pr.w.Write(prefix); err != nil {
 		r.failure = resultcode.Fail(resultcode.CallerGone, "").WithCause(err)
 		return r
@@ -222,13 +222,28 @@
 
 // writeBuffered sends a buffered response to the caller.
 func (s *Server) writeBuffered(pr *proxyRequest, response *bufferedResponse) {
-	pr.writeHeader(response.status, response.header, int64(len(response.body)))
+	s.writeHeader(pr, response.status, response.header, int64(len(response.body)))
 	// A write error means that the caller has disconnected.
 	_, _ = pr.w.Write(response.body)
 }
 
+// releaseBody frees the body of a request that cannot be sent again. Its hashes are taken first.
+func (s *Server) releaseBody(pr *proxyRequest) {
+	if s.OnBody == nil || len(pr.body) < minReleasedBody {
+		return
+	}
+	pr.filter()
+	pr.fingerprint()
+	pr.body = nil
+	s.onBody(pr, 0, false)
+}
+
+// minReleasedBody is the size from which on a body is released before its request ends. Hashing it takes 1 ms of
+// processor time per MB, which is more than the memory of a small one is worth.
+const minReleasedBody = 16 << 10
+
 // writeHeader sends the header of the response to the caller.
-func (pr *proxyRequest) writeHeader(status int, h http.Header, length int64) {
+func (s *Server) writeHeader(pr *proxyRequest, status int, h http.Header, length int64) {
 	out := pr.w.Header()
 	maps.Copy(out, endToEndHeaders(h))
 	if length >= 0 {
@@ -243,6 +258,9 @@
 		out["Date"] = nil
 	}
 	pr.responseStarted, pr.status = true, status
+	if !(pr.route.Retry == route.Stream && pr.route.Resumable) {
+		s.releaseBody(pr)
+	}
 	pr.stats.firstTarget, pr.stats.firstVersion = pr.stats.target, pr.stats.version
 	pr.w.WriteHeader(status)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,6 +169,9 @@
 	// disconnects, unless stop is called first; stop reports whether it prevented the call.
 	// May be nil.
 	OnCallerGone func(ctx context.Context, end func()) (stop func() bool)
+	// OnBody is called when the memory that the request with this context occupies with its body changes.
+	// Receiving is set while the body is being received. May be nil.
+	OnBody func(ctx context.Context, workspace ident.Workspace, bytes int, receiving bool)
 	// OnAbort is called before the connection of the request with this context is aborted
 	// because the request gets no complete response. May be nil.
 	OnAbort func(ctx context.Context, a AbortedRequest)
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -51,13 +51,22 @@
 func (pr *proxyRequest) subject() poison.Subject {
 	if pr.poisonSubject == nil {
 		pr.poisonSubject = &poison.Subject{
-			Fingerprint: poison.NewFingerprint(pr.workspace, pr.inbound.Method, pr.inbound.Host, requestTarget(pr.inbound), pr.body),
+			Fingerprint: pr.fingerprint(),
 			Filter:      pr.filter(), Workspace: pr.workspace, Route: pr.route.Name,
 		}
 	}
 	return *pr.poisonSubject
 }
 
+// fingerprint returns the request's fingerprint. The body is hashed once.
+func (pr *proxyRequest) fingerprint() poison.Fingerprint {
+	if pr.bodyFingerprint == nil {
+		f := poison.NewFingerprint(pr.workspace, pr.inbound.Method, pr.inbound.Host, requestTarget(pr.inbound), pr.body)
+		pr.bodyFingerprint = &f
+	}
+	return *pr.bodyFingerprint
+}
+
 // part returns a part of the request's prompt as it is known to the hold of requests.
 func (pr *proxyRequest) part(p booking.PromptPart) poison.Part {
 	return poison.Part{Service: pr.service.Name, ID: p.ID}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,7 +48,7 @@
 				s.recordOrigin(pr)
 				s.Placer.FirstByte(pr.id, r.firstByteTime)
 			}
-			if failure := pr.writeEvents(x, complete, flusher); failure != nil {
+			if failure := s.writeEvents(pr, x, complete, flusher); failure != nil {
 				r.failure = failure
 				break
 			}
@@ -84,15 +84,15 @@
 		return resultcode.Fail(resultcode.AnswerCut, "").WithCause(errTargetEnded)
 	}
 	if !pr.responseStarted {
-		pr.writeHeader(x.Response.StatusCode, x.Response.Header, -1)
+		s.writeHeader(pr, x.Response.StatusCode, x.Response.Header, -1)
 	}
 	return nil
 }
 
 // writeEvents sends complete events to the caller.
-func (pr *proxyRequest) writeEvents(x *targetconn.Exchange, events []byte, flusher *http.ResponseController) *resultcode.Failure {
+func (s *Server) writeEvents(pr *proxyRequest, x *targetconn.Exchange, events []byte, flusher *http.ResponseController) *resultcode.Failure {
 	if !pr.responseStarted {
-		pr.writeHeader(x.Response.StatusCode, x.Response.Header, -1)
+		s.writeHeader(pr, x.Response.StatusCode, x.Response.Header, -1)
 	}
 	if _, err := pr.w.Write(events); err != nil {
 		return resultcode.Fail(resultcode.CallerGone, "").WithCause(err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,6 +113,12 @@
 	// limit. The garbage collector runs more often as usage approaches the limit.
 	// Default 0.
 	Limit int `yaml:"limit" validate:"min=0"`
+	// SlowCallers is the fraction of Limit that callers which read or send slowly may
+	// occupy when serving routes, socket buffers included. Above it, those that are slowest
+	// are disconnected, first those of the workspace that occupies most, of which each may
+	// occupy half of it. Socket buffers then have fixed sizes. Zero means no limit.
+	// Default 0.
+	SlowCallers float64 `yaml:"slow_callers" validate:"min=0,max=1"`
 }
 
 // Callers is the listener for callers and the limits on their requests.
@@ -128,6 +134,10 @@
 	// IdleTimeout is how long an idle connection is kept open when serving routes;
 	// a slightly shorter time is announced to callers. Default 5s.
 	IdleTimeout time.Duration `yaml:"idle_timeout" validate:"min=1000000000"`
+	// StallTimeout is how long a caller may take none of its response when serving routes
+	// before it is disconnected. It is to be shorter than the time after which targets cut
+	// off an unread response. Zero means no limit. Default 0.
+	StallTimeout time.Duration `yaml:"stall_timeout" validate:"omitempty,min=500000000"`
 }
 
 // Fleet configures the listener for other daemons and the links to them.
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -38,6 +38,9 @@
 	// closed, so that no request is sent while the target closes it. Default:
 	// 500 ms.
 	IdleMargin time.Duration
+	// ReceiveBuffer is the size of the receive buffer of a connection, of which the kernel reserves twice as
+	// much. Default: the kernel's, which grows to several MB while a response is not read.
+	ReceiveBuffer int
 	// Now returns the time. Default: time.Now.
 	Now func() time.Time
 }
@@ -128,7 +131,7 @@
 		cfg: cfg,
 		dialer: dialing.New(dialing.Config{
 			ConnectTimeout: cfg.ConnectTimeout, UserTimeout: cfg.UserTimeout,
-			KeepAliveIdle: keepaliveIdle, KeepAliveInterval: keepaliveInterval, KeepAliveCount: keepaliveCount,
+			KeepAliveIdle: keepaliveIdle, KeepAliveInterval: keepaliveInterval, KeepAliveCount: keepaliveCount, ReceiveBuffer: cfg.ReceiveBuffer,
 		}),
 		targets: map[string]*target{},
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -69,6 +69,8 @@
 	metricUnanswered           = define("connections_unanswered", Counter, "connections", "cause, progress, kept", "Connections of callers that were closed without a complete response to their request, by why, how far the request had got, and whether a request was answered on them before; where routes are served.")
 	metricStoreCalls           = define("store_calls", Counter, "calls", "table, kind, failed", "Calls to the platform's store, by table and what they are for (read, follow, write); where routes are served.")
 	metricRoutesAge            = define("routes_age", Gauge, "seconds", "", "How long ago the store confirmed the routes in force, where routes are served.")
+	metricSlowCallerBytes      = define("slow_caller_bytes", Gauge, "bytes", "", "Memory that callers occupy which read or send slowly, socket buffers included; where routes are served.")
+	metricSlowCallersEnded     = define("slow_callers_ended", Counter, "callers", "reason", "Callers disconnected because they read or sent too slowly: for longer than the limit (stalled), or beyond the memory of a workspace or of the VM; where routes are served.")
 	metricConfigHead           = define("config_head", Gauge, "revision", "", "Highest configuration revision in force.")
 )
 
@@ -201,6 +203,16 @@
 // RoutesAge sets how long ago the store confirmed the routes in force.
 func (m *Metrics) RoutesAge(age time.Duration) { m.scope.Gauge(metricRoutesAge).Update(age.Seconds()) }
 
+// SlowCallerBytes reports the memory that slow callers occupy.
+func (m *Metrics) SlowCallerBytes(bytes int64) {
+	m.scope.Gauge(metricSlowCallerBytes).Update(float64(bytes))
+}
+
+// SlowCallerEnded counts a caller that was disconnected because it was too slow.
+func (m *Metrics) SlowCallerEnded(reason string) {
+	m.cachedCounter(seriesKey{metricSlowCallersEnded, reason, ""}, func() map[string]string { return map[string]string{"reason": reason} }).Inc(1)
+}
+
 // StoreRestored counts a restore of the platform's store from a backup.
 func (m *Metrics) StoreRestored() { m.scope.Counter(metricStoreRestores).Inc(1) }
 
