--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -38,6 +38,9 @@
 	// closed, so that no request is sent while the target closes it. Default:
 	// 500 ms.
 	IdleMargin time.Duration
+	// ReceiveBuffer is the size of the receive buffer of a connection, of which the kernel reserves twice as
+	// much. Default: the kernel's, which grows to several MB while a response is not read.
+	ReceiveBuffer int
 	// Now returns the time. Default: time.Now.
 	Now func() time.Time
 }
@@ -91,6 +94,8 @@
 	idle []*conn
 	// open is the number of connections, idle or in use.
 	open int
+	// restartedAt is when a new process was known at the address. Older connections are not reused.
+	restartedAt time.Time
 }
 
 // conn is one connection to a target.
@@ -103,6 +108,7 @@
 	// reuseDeadline is the time from which on the connection must not be used for a
 	// new request.
 	reuseDeadline time.Time
+	openedAt      time.Time
 }
 
 // ErrConnectionLimit is the cause of the error if the address has reached its
@@ -125,7 +131,7 @@
 		cfg: cfg,
 		dialer: dialing.New(dialing.Config{
 			ConnectTimeout: cfg.ConnectTimeout, UserTimeout: cfg.UserTimeout,
-			KeepAliveIdle: keepaliveIdle, KeepAliveInterval: keepaliveInterval, KeepAliveCount: keepaliveCount,
+			KeepAliveIdle: keepaliveIdle, KeepAliveInterval: keepaliveInterval, KeepAliveCount: keepaliveCount, ReceiveBuffer: cfg.ReceiveBuffer,
 		}),
 		targets: map[string]*target{},
 	}
@@ -175,6 +181,17 @@
 	closeAll(drop)
 }
 
+// TargetRestarted closes the idle connections to an address at which another process runs now, and closes
+// those in use once their exchanges end.
+func (p *Pool) TargetRestarted(address string) {
+	p.mu.Lock()
+	if t := p.targets[address]; t != nil {
+		t.restartedAt = p.cfg.Now()
+	}
+	p.mu.Unlock()
+	p.CloseIdle(address)
+}
+
 func closeAll(conns []*conn) {
 	for _, c := range conns {
 		_ = c.Conn.Close() // an idle connection has no data to lose
@@ -235,7 +252,7 @@
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	t := p.targets[c.address]
-	if p.closed || t == nil {
+	if p.closed || t == nil || c.openedAt.Before(t.restartedAt) {
 		p.mu.Unlock()
 		_ = c.Conn.Close() // it is idle
 		p.release(c.address)
@@ -262,13 +279,14 @@
 	if c != nil {
 		return c, nil
 	}
+	openedAt := p.cfg.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
 		return nil, &UnsentError{Cause: err}
 	}
 	bounded := &limitedReader{raw, unlimited}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded}, nil
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded, openedAt: openedAt}, nil
 }
 
 // reuseDeadline returns the time until which a connection may be reused according
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -71,6 +71,8 @@
 	metricTargetWeight         = define("target_weight", Gauge, "ratio to the median", "service, bound", "Least and greatest weight of the service's targets by their estimated speeds, as this daemon sees them (bound: min, max); where routes are served and speeds are estimated.")
 	metricRoutesAge            = define("routes_age", Gauge, "seconds", "", "How long ago the store confirmed the routes in force, where routes are served.")
 	metricWarmthChecks         = define("warmth_checks", Counter, "checks", "service, result", "Health checks of busy targets that this daemon owns, by result (warm, cold, rejected, failed, unsent); where routes are served.")
+	metricSlowCallerBytes      = define("slow_caller_bytes", Gauge, "bytes", "", "Memory that callers occupy which read or send slowly, socket buffers included; where routes are served.")
+	metricSlowCallersEnded     = define("slow_callers_ended", Counter, "callers", "reason", "Callers disconnected because they read or sent too slowly: for longer than the limit (stalled), or beyond the memory of a workspace or of the VM; where routes are served.")
 	metricConfigHead           = define("config_head", Gauge, "revision", "", "Highest configuration revision in force.")
 )
 
@@ -215,6 +217,16 @@
 	}
 }
 
+// SlowCallerBytes reports the memory that slow callers occupy.
+func (m *Metrics) SlowCallerBytes(bytes int64) {
+	m.scope.Gauge(metricSlowCallerBytes).Update(float64(bytes))
+}
+
+// SlowCallerEnded counts a caller that was disconnected because it was too slow.
+func (m *Metrics) SlowCallerEnded(reason string) {
+	m.cachedCounter(seriesKey{metricSlowCallersEnded, reason, ""}, func() map[string]string { return map[string]string{"reason": reason} }).Inc(1)
+}
+
 // StoreRestored counts a restore of the platform's store from a backup.
 func (m *Metrics) StoreRestored() { m.scope.Counter(metricStoreRestores).Inc(1) }
 
