--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -79,6 +79,9 @@
 	// to the other targets of the service.
 	speed  targetSpeed
 	weight float64
+	// level is the level that weight was computed from, valid if levelKnown is set.
+	level      int
+	levelKnown bool
 	// weightLogged is the weight at the last call of SpeedReports.
 	weightLogged float64
 }
--- a/internal/booking/weights.go
+++ b/internal/booking/weights.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// weightInterval is how long computed weights are used: each computation visits every target.
-const weightInterval = 100 * time.Millisecond
+// weightInterval is how long computed weights are used: each computation visits every target, and
+// daemons report every 500 ms.
+const weightInterval = 250 * time.Millisecond
 
 // speedWeights is the state of a service from which the weights of its targets follow.
 type speedWeights struct {
@@ -89,10 +90,10 @@
 
 // speedLevel returns the level of a target as of its owner's last report.
 func (e *engine) speedLevel(now time.Time) (level int, ok bool) {
-	if e.owned {
-		return e.speed.decayed(now, e.service.weights.reference), e.speed.known
-	}
-	if now.Sub(e.reportedAt) > maxLoadAge {
+	switch {
+	case e.owned && e.speed.known:
+		return e.speed.decayed(now, e.service.weights.reference), true
+	case e.owned || e.reported.Speed <= 0 || now.Sub(e.reportedAt) > maxLoadAge:
 		return 0, false
 	}
 	return speedLevel(e.reported.Speed)
@@ -120,8 +121,9 @@
 		if e.owned {
 			e.speed.refresh(now)
 		}
-		if level, ok := e.speedLevel(now); ok && !e.Evacuated {
-			histogram[min(max(level, -maxSpeedLevel), maxSpeedLevel)+maxSpeedLevel]++
+		e.level, e.levelKnown = e.speedLevel(now)
+		if e.levelKnown && !e.Evacuated {
+			histogram[min(max(e.level, -maxSpeedLevel), maxSpeedLevel)+maxSpeedLevel]++
 			n++
 		}
 	}
@@ -134,8 +136,8 @@
 	}
 	for _, e := range s.sortedEngines {
 		e.weight = 1
-		if level, ok := e.speedLevel(now); ok {
-			e.weight = levelWeight(level - w.reference)
+		if e.levelKnown {
+			e.weight = levelWeight(e.level - w.reference)
 		}
 		w.uneven = w.uneven || e.weight != 1
 	}
@@ -154,11 +156,15 @@
 
 // homeScore ranks targets of uneven weights for a shared part (weighted rendezvous hashing): each is
 // the home of a fraction of all parts that is proportional to its weight, and a change of a weight
-// moves only parts to or from that target.
-func homeScore(part uint64, e *engine) float64 {
+// moves only parts to or from that target. The score is not above atLeast if ok is false: a logarithm
+// for each of 3,100 targets would double the cost of a choice.
+func homeScore(part uint64, e *engine, atLeast float64) (score float64, ok bool) {
 	// The 53 upper bits, plus a half, are never 0 or 1 as a fraction.
 	u := (float64(rendezvousWeight(part, e.Name)>>11) + 0.5) / (1 << 53)
-	return -e.weight / math.Log(u)
+	if e.weight <= atLeast*(1-u) { // -log(u) is at least 1-u
+		return 0, false
+	}
+	return -e.weight / math.Log(u), true
 }
 
 // weightedHomes returns the n home targets of a prefix among targets of uneven weights.
@@ -166,8 +172,11 @@
 	var best [homesPerPrefix]*engine
 	var scores [homesPerPrefix]float64
 	for _, e := range usable {
-		score := homeScore(prefix, e)
+		score, ok := homeScore(prefix, e, scores[n-1])
 		for i := range n {
+			if !ok {
+				break
+			}
 			if best[i] == nil || score > scores[i] {
 				copy(best[i+1:n], best[i:n-1])
 				copy(scores[i+1:n], scores[i:n-1])
