--- a/internal/booking/doc.go
+++ b/internal/booking/doc.go
@@ -35,6 +35,9 @@
 // has used its share leaves headroom on full targets to those that have had less. Whether a
 // workspace is underserved is judged by its present demand (presentdemand.go).
 //
+// Where targets differ in speed, their owners estimate it (speed.go), and homes, fallbacks and
+// capacity are weighted by it (weights.go).
+//
 // Prefill speed is learned from the times to first byte (pace.go), target failures from the
 // outcomes of requests (health.go).
 //
