--- a/internal/gateway/sendgate_test.go
+++ b/internal/gateway/sendgate_test.go
@@ -30,6 +30,8 @@
 	old, elsewhere, pinned := request(), request(), request()
 	old.placementStart = now.Add(-2 * booking.MaxColdSendDelay)
 	elsewhere.regions = region.NewSet([]ident.Region{"south"})
+	delayed := request()
+	delayed.stats.basis.SendBy = now.Add(-time.Millisecond)
 	pinned.origin = &origin.Origin{Service: "app", Version: "v2"}
 	for _, c := range []struct {
 		name    string
@@ -42,6 +44,7 @@
 		{"nothing has changed at a warm target for long", []registry.Entry{ready}, evacuation.Zones{}, old, ""},
 		{"a cold target, placed just now", []registry.Entry{cold}, evacuation.Zones{}, request(), ""},
 		{"a cold target, placed long ago", []registry.Entry{cold}, evacuation.Zones{}, old, "no_target"},
+		{"a warm target that may have turned cold since its proof", []registry.Entry{ready}, evacuation.Zones{}, delayed, "no_target"},
 		{"evacuated", []registry.Entry{ready}, evacuated.Zones(), request(), "zones_evacuated"},
 		{"gone", nil, evacuation.Zones{}, request(), "no_target"},
 		{"draining", []registry.Entry{draining}, evacuation.Zones{}, request(), "no_target"},
