savorystall where: tell where a request would go now, and why

Cause: placement could be explained only afterwards, from log lines.

Change: a read-only forecast of the booking core, a query on the operators' port of a daemon that serves routes, and the command with table and JSON output.

Ruled out: asking the owners, which would cost messages and could not be told from requests in their logs.

Conclusion: the command shows the decision of targets that the daemon owns and what it knows of the others.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -106,6 +106,7 @@
 		Hash keyHash `command:"hash" description:"print the digest of the bearer key on standard input"`
 	} `command:"key" description:"bearer keys"`
 	Status     statusCommand     `command:"status" description:"show the daemons"`
+	Where      whereCommand      `command:"where" description:"tell where a request would go now, and why, where routes are served"`
 	Watch      watchCommand      `command:"watch" description:"show the daemons again and again"`
 	Explain    explainCommand    `command:"explain" description:"tell from daemons' log lines what became of a request"`
 	Emulate    emulateCommand    `command:"emulate" description:"run stand-ins of the platform and of targets on this machine"`
--- a/internal/daemon/routedoperators.go
+++ b/internal/daemon/routedoperators.go
@@ -15,6 +15,7 @@
 	"github.com/savorystall/savorystall/internal/evacuation"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/poison"
+	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/telemetry"
 )
 
@@ -26,6 +27,7 @@
 	metrics *telemetry.Metrics
 	// evacuated returns the evacuated availability zones.
 	evacuated func() evacuation.Zones
+	routes    *route.Holder
 }
 
 func (o *routedOperators) handler() http.Handler {
@@ -35,6 +37,7 @@
 	r.HandleFunc("/holds", o.listHolds).Methods(http.MethodGet)
 	r.HandleFunc("/holds/{fingerprint}", o.releaseHold).Methods(http.MethodDelete)
 	r.HandleFunc(admin.EvacuationsPath, o.listEvacuations).Methods(http.MethodGet)
+	r.HandleFunc(admin.WherePath, o.where).Methods(http.MethodPost)
 	r.Handle("/metrics", o.metrics.Handler()).Methods(http.MethodGet)
 	return r
 }
--- a/internal/daemon/routedservers.go
+++ b/internal/daemon/routedservers.go
@@ -33,7 +33,7 @@
 
 func newRoutedServers(s settings.Settings, g *gateway.Server, life *Lifecycle, loop *control.BookingLoop, load *loadMonitor, h *connForwarder, watcher *disconnectWatcher,
 	routes *route.Holder, metrics *telemetry.Metrics, log *slog.Logger) (*routedServers, error) {
-	ops := &routedOperators{life: life, loop: loop, load: load, metrics: metrics, evacuated: g.Evacuated}
+	ops := &routedOperators{life: life, loop: loop, load: load, metrics: metrics, evacuated: g.Evacuated, routes: routes}
 	r := &routedServers{connections: newConnTracker(maxCallerConnections(s.Memory))}
 	r.connections.ends = newEndRecorder(metrics, log)
 	h.unreadConns = r.connections.countUnread
