Overload: a daemon whose neighbours accept what it forwards stays in rotation

Cause: a VM that forwards a flood sheds on paper (its fraction reaches 0.2, although its first requests go to neighbours) and is throttled now and then, so that it leaves rotation for 10 s and its callers flood the next VM. Change: while connections are spread, a neighbour has accepted one in the last second, at most a quarter of them refuse and the limit is not reached, overload begins at a mean latency of 40 ms or a fraction of 0.9, and there is no hold. A flood beyond what one VM can carry still moves it out of rotation.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -79,6 +79,7 @@
 	}
 	if s.Fleet.Spread {
 		h.picker.Spread()
+		monitor.neighboursAccept = h.neighboursAccept
 		if base := maxForwardedConns(s.Memory); base > 0 {
 			h.bound = handover.NewBound(base)
 		}
@@ -167,6 +168,13 @@
 	return h.picker.Crowded(time.Now())
 }
 
+// neighboursAccept reports whether neighbours accept the connections that are forwarded.
+func (h *connForwarder) neighboursAccept() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.picker.Forwards(time.Now())
+}
+
 // forward offers a connection to neighbours and proxies it until it ends. It hands the
 // connection back to this daemon if no neighbour accepts it.
 func (h *connForwarder) forward(p *connProxy, to handover.Neighbour) {
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -502,6 +502,7 @@
 			is.NoErr(err)
 			is.Equal(status, 200)
 			is.Equal(answer, c.answer)
+			is.Equal(s.forwarder.neighboursAccept(), c.answer != "local")
 		})
 	}
 }
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -37,6 +37,9 @@
 	// fraction to forward then, in thousandths.
 	spread        bool
 	earlyPermille atomic.Int64
+	// neighboursAccept reports whether neighbours accept the connections that are forwarded; nil if
+	// connections are not spread.
+	neighboursAccept func() bool
 	// meanLatency is the moving average of the scheduling latency.
 	meanLatency atomic.Int64
 	// overloadedSince is when the daemon became overloaded, in nanoseconds since started;
@@ -252,6 +255,7 @@
 		}
 		overloaded := detector.Observe(now, overload.Observation{
 			SchedLatency: latency, ShedFraction: shedFraction, Idle: conns.countOpen() == 0, MayHold: l.zoneDaemons.Load() >= minZoneDaemonsForHold, NewConns: conns.takeOpenedConns(),
+			Forwards: l.neighboursAccept != nil && l.neighboursAccept(),
 		})
 		if l.overloadedNow.Swap(overloaded) == overloaded {
 			continue
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -101,6 +101,8 @@
 	pendingOffers int
 	neighbours    []Neighbour
 	states        map[ident.Daemon]*neighbourState
+	// acceptedAt is when a neighbour last accepted a connection.
+	acceptedAt time.Time
 	// spread is set if neighbours are chosen by how fast they reply to offers.
 	spread bool
 }
@@ -252,11 +254,21 @@
 // Open returns the number of connections that are being forwarded or offered.
 func (p *Picker) Open() int { return p.open }
 
+// maxAcceptAge is how long an accepted connection shows that neighbours accept more.
+const maxAcceptAge = time.Second
+
+// Forwards reports whether connections are spread and neighbours accept what is forwarded: one has
+// done so lately, few have refused, and more may be forwarded.
+func (p *Picker) Forwards(now time.Time) bool {
+	return p.spread && now.Sub(p.acceptedAt) < maxAcceptAge && !p.full() && !p.Crowded(now)
+}
+
 // Accepted records that a neighbour has accepted a connection, and how long its reply took. The
 // delay contains the time for which the neighbour waits for its processor: it is the same measure
 // on VMs of any size, and it rises before a VM refuses anything.
 func (p *Picker) Accepted(now time.Time, id ident.Daemon, replyDelay time.Duration) {
 	p.OfferAnswered()
+	p.acceptedAt = now
 	if s := p.states[id]; s != nil {
 		s.replyDelay, s.repliedAt = replyDelay, now
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -28,6 +28,11 @@
 	// enterShedFraction is the fraction of new requests shed for lack of processor time
 	// at which a daemon counts as overloaded too, because shedding keeps the latency low.
 	enterShedFraction = 0.2
+	// enterLatencyForwarding and enterShedForwarding replace enterLatency and enterShedFraction
+	// while neighbours accept what the daemon forwards: it then refuses few requests, although
+	// carrying the others uses most of its processor time.
+	enterLatencyForwarding = 40 * time.Millisecond
+	enterShedForwarding    = 0.9
 	// minHold and maxHold bound the minimum time out of rotation, which applies in a zone
 	// with other daemons unless the balancer ignores the readiness. The time doubles when
 	// overload returns within relapseWindow of its end: the caller that caused the
@@ -81,6 +86,9 @@
 	// NewConns is the number of connections that callers have opened since the previous
 	// observation.
 	NewConns int
+	// Forwards reports that neighbours accept the connections that the daemon forwards. Its zone
+	// can then carry the flood, and callers that leave it would flood the next daemon.
+	Forwards bool
 }
 
 // Observe records an observation and reports whether the daemon is overloaded.
@@ -88,8 +96,8 @@
 	sample := min(max(0, o.SchedLatency), maxSample)
 	d.meanLatency += time.Duration(ewmaWeight * float64(sample-d.meanLatency))
 	switch {
-	case !o.Idle && (d.meanLatency >= enterLatency || o.ShedFraction >= enterShedFraction):
-		d.enter(now, o.MayHold)
+	case !o.Idle && o.exceeds(d.meanLatency):
+		d.enter(now, o.MayHold && !o.Forwards)
 		d.lowSince, d.newConns = time.Time{}, 0
 	case d.meanLatency > exitLatency || o.ShedFraction > 0:
 		d.lowSince, d.newConns = time.Time{}, 0
@@ -108,6 +116,14 @@
 	return d.overloaded
 }
 
+// exceeds reports whether overload begins at the given mean latency.
+func (o Observation) exceeds(meanLatency time.Duration) bool {
+	if o.Forwards {
+		return meanLatency >= enterLatencyForwarding || o.ShedFraction >= enterShedForwarding
+	}
+	return meanLatency >= enterLatency || o.ShedFraction >= enterShedFraction
+}
+
 // mustHold reports whether a daemon whose load is low again must stay out of rotation.
 //
 // It guards against a zone whose daemons go out of rotation one after the other, each for
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -144,3 +144,30 @@
 	}
 	is.Equal(d.Observe(now.Add(tick), overload.Observation{SchedLatency: 50 * time.Millisecond, MayHold: true}), true) // with callers it is
 }
+
+// Guards against a daemon that leaves rotation although its neighbours serve what it forwards, and against
+// one that stays although they do not, or although its events are late.
+func TestDaemonWhoseNeighboursAcceptStaysInRotation(t *testing.T) {
+	is := is.New(t)
+	observe := func(latency time.Duration, shedFraction float64, forwards bool) (overloaded bool, hold time.Duration) {
+		var d overload.Detector
+		for i := range 100 {
+			overloaded = d.Observe(time.Unix(1000, 0).Add(time.Duration(i)*tick), overload.Observation{SchedLatency: latency, ShedFraction: shedFraction, MayHold: true, Forwards: forwards})
+		}
+		return overloaded, d.Hold()
+	}
+	for _, c := range []struct {
+		latency              time.Duration
+		shedFraction         float64
+		forwards, overloaded bool
+	}{
+		{20 * time.Millisecond, 0.5, true, false},
+		{20 * time.Millisecond, 0.5, false, true},
+		{0, 0.95, true, true},
+		{100 * time.Millisecond, 0, true, true},
+	} {
+		overloaded, hold := observe(c.latency, c.shedFraction, c.forwards)
+		is.Equal(overloaded, c.overloaded)
+		is.Equal(hold > 0, c.overloaded && !c.forwards)
+	}
+}
--- a/internal/overload/smallzone_spread_test.go
+++ b/internal/overload/smallzone_spread_test.go
@@ -92,12 +92,17 @@
 type spreadDesign struct {
 	name                                 string
 	spread, reported, late, early, bound bool
+	// stays is set if VMs whose neighbours accept connections stay in rotation.
+	stays bool
 }
 
 // use makes the VMs of a zone forward connections in the given way.
 func (z *simZone) use(d spreadDesign) {
 	z.enableForwarding()
 	h := z.placer.(*forwardingPlacer)
+	if d.stays {
+		z.forwards = func(v *simVM) bool { return h.pickers[v.index].Forwards(z.now()) }
+	}
 	h.reported, h.late = d.reported, d.late
 	for i, v := range z.vms {
 		maxOpen := int(maxForwarded * min(float64(v.quota)/float64(quotaPeriod)/smallVMCores, 3)) // memory grows less than processor time
@@ -148,14 +153,16 @@
 
 var (
 	today    = spreadDesign{name: "fewest connections, fixed bound"}
-	chosen   = spreadDesign{name: "reply time, early, bound by latency", spread: true, early: true, bound: true}
+	leaves   = spreadDesign{name: "reply time, early, bound by latency", spread: true, early: true, bound: true}
+	chosen   = spreadDesign{name: "reply time, early, bound by latency, in rotation", spread: true, early: true, bound: true, stays: true}
 	variants = []spreadDesign{
 		today,
 		{name: "fewest connections, bound by latency", bound: true},
 		{name: "fewest connections, early", early: true},
 		{name: "fewest connections, early, bound by latency", early: true, bound: true},
+		leaves,
 		chosen,
-		{name: "reply time a second late, early, bound by latency", spread: true, late: true, early: true, bound: true},
+		{name: "reply time a second late, early, bound by latency, in rotation", spread: true, late: true, early: true, bound: true, stays: true},
 		{name: "reported latency, early, bound by latency", spread: true, reported: true, early: true, bound: true},
 	}
 )
@@ -174,6 +181,7 @@
 			is := is.New(t)
 			is.True(r.inTime > 0.98)
 			is.True(float64(r.sheds) < 0.02*r.offered)
+			is.True(r.overloads <= vms/50)
 		}
 	}
 }
--- a/internal/overload/smallzone_test.go
+++ b/internal/overload/smallzone_test.go
@@ -157,14 +157,14 @@
 
 // observe measures the scheduling latency and updates the overload state, as a daemon
 // does.
-func (v *simVM) observe(now time.Time, periodLeft time.Duration) {
+func (v *simVM) observe(now time.Time, periodLeft time.Duration, forwards bool) {
 	latency := v.schedLatency(periodLeft)
 	v.shedFraction = v.shedder.Observe(now, latency)
 	if v.early != nil {
 		v.earlyFraction = v.early.Observe(now, latency)
 	}
 	before := v.overloaded
-	v.overloaded = v.detector.Observe(now, overload.Observation{SchedLatency: latency, ShedFraction: v.shedFraction, MayHold: true, NewConns: v.newConns})
+	v.overloaded = v.detector.Observe(now, overload.Observation{SchedLatency: latency, ShedFraction: v.shedFraction, MayHold: true, NewConns: v.newConns, Forwards: forwards})
 	if v.overloaded && !before {
 		v.overloads++
 	}
@@ -213,6 +213,8 @@
 	events int
 	// lateEvents counts the events that were late at the caller, sentEvents all of them.
 	lateEvents, sentEvents int
+	// forwards reports whether neighbours accept what a VM forwards; nil if that has no effect.
+	forwards func(*simVM) bool
 	// forwardedConns counts the connections that were forwarded.
 	forwardedConns int
 }
@@ -350,7 +352,7 @@
 	}
 	v.probeDue = v.probeDue || ms%int(tick/simStep) == 0
 	if v.probeDue && v.quotaLeft > 0 {
-		v.observe(z.now(), time.Duration(period-ms%period)*simStep)
+		v.observe(z.now(), time.Duration(period-ms%period)*simStep, z.forwards != nil && z.forwards(v))
 	}
 	if ms%int(time.Second/simStep) == 0 {
 		v.failedProbes++
