A refusal waits for the body for an eighth of the objective at most

Cause: a request that is refused for lack of processor time, or beyond the pending ones, was answered only after its whole body (up to 4 MB) had arrived, without a time limit. When the callers of a cut-off zone come at once, bodies queue, and refusals are as late as the bodies. Ruled out: closing at once with the body unread; the reset may discard the response. Connection: close alone is not enough either, as bytes that arrive after the close cause a reset. Change: the body is read until an eighth of the objective after the arrival (5 ms at least); then the response is sent, and the rest of the body is read for 500 ms more before the close. Routes without an objective are served as before. Before: no response within 2 s to a request whose body does not arrive (TestRefusalDoesNotWaitForTheBody, both cases). Partial: requests that are read for placement still have their body read before the placement, as the decision needs a slot to be taken.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -138,7 +139,7 @@
 	if s.pending.Add(1) > maxPending {
 		s.pending.Add(-1)
 		s.recordShedDemand(r)
-		discardBody(r)
+		s.discardBody(w, r, matched)
 		return nil, resultcode.Fail(resultcode.FleetFull, "this daemon has %d requests to place", maxPending)
 	}
 	pr.isPending = true
@@ -180,11 +181,43 @@
 	}
 }
 
-// discardBody reads a short body and drops it: closing a connection with unread bytes would
-// reset it, and the caller might not receive the response.
-func discardBody(r *http.Request) {
-	// An error means that the caller has disconnected.
-	_, _ = io.CopyN(io.Discard, r.Body, defaultMaxBodyBytes)
+const (
+	// refusalFraction is the part of a route's objective within which a request that is not served is refused. The
+	// caller then has time for an attempt at another daemon.
+	refusalFraction = 1.0 / 8
+	// minDiscardTime is enough to read a body that has arrived with its header.
+	minDiscardTime = 5 * time.Millisecond
+	// lateBodyTime is how long the rest of a body is still read after the response, so that the caller reads the
+	// response before the connection is reset.
+	lateBodyTime = 500 * time.Millisecond
+)
+
+// discardBody reads a short body of a request of a route, which may be nil, and drops it: closing a connection with
+// unread bytes would reset it, and the caller might not receive the response. If the body arrives too slowly for
+// a refusal in time, the response is sent first and the connection closed after it.
+func (s *Server) discardBody(w http.ResponseWriter, r *http.Request, matched *route.Route) {
+	if r.ContentLength == 0 {
+		return
+	}
+	controller := http.NewResponseController(w)
+	limited := matched != nil && matched.Objective > 0
+	if limited {
+		until := s.arrivalTime(r).Add(time.Duration(refusalFraction * float64(matched.Objective)))
+		if least := time.Now().Add(minDiscardTime); until.Before(least) {
+			until = least
+		}
+		limited = controller.SetReadDeadline(until) == nil
+	}
+	// Another error means that the caller has disconnected.
+	_, err := io.CopyN(io.Discard, r.Body, defaultMaxBodyBytes)
+	switch {
+	case !limited:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		_ = controller.SetReadDeadline(time.Now().Add(lateBodyTime))
+	default:
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 }
 
 // planRequest selects the service and sets the deadline and the wait plan.
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -29,6 +32,42 @@
 	is.Equal(largest, size)
 }
 
+// Guards against a refusal that waits for the body of the request: when the callers of another zone come at once, bodies
+// queue on the link, and the caller has no time left for another attempt.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	for name, prepare := range map[string]func(*Server){
+		"pending": func(s *Server) { s.pending.Store(maxPending) },
+		"shed":    func(s *Server) { s.ShouldShed = func(context.Context) bool { return true } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestServer(t, route.Service{Name: "app"}, true, &fakePlacer{})
+			prepare(s)
+			server := httptest.NewServer(s)
+			defer server.Close()
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			began := time.Now()
+			_, err = io.WriteString(conn, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nKey: key\r\nContent-Length: 100000\r\n\r\nbegin")
+			is.NoErr(err)
+			is.NoErr(conn.SetReadDeadline(began.Add(2 * time.Second)))
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			is.True(time.Since(began) < 400*time.Millisecond) // the objective is 10 ms, the machine may be busy
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.True(response.Close)
+			_, err = io.Copy(io.Discard, response.Body)
+			is.NoErr(err)
+			_, err = io.WriteString(conn, strings.Repeat("x", 100000-len("begin"))) // what is sent meanwhile causes no reset
+			is.NoErr(err)
+			_, err = reader.ReadByte()
+			is.Equal(err, io.EOF)
+		})
+	}
+}
+
 // Guards against bodies that are kept while a response is relayed although they cannot be sent again, and
 // against a fingerprint that changes with the release.
 func TestBodyThatCannotBeSentAgainIsReleased(t *testing.T) {
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -15,6 +15,7 @@
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/overload"
 	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/route"
 )
 
 // errorBody is the JSON body of all refusals and failures.
@@ -84,13 +85,13 @@
 
 // shed refuses a request for lack of processor time.
 func (s *Server) shed(w http.ResponseWriter, r *http.Request) {
-	s.recordShedDemand(r)
+	matched := s.recordShedDemand(r)
 	if s.linkFull() {
 		w.Header().Set("Connection", "close") // the rest of the body is not read, and a new connection reaches another daemon
 		s.finish(w, r, nil, busyFailure())
 		return
 	}
-	discardBody(r)
+	s.discardBody(w, r, matched)
 	if s.OutOfRotation() {
 		w.Header().Set("Connection", "close") // a new connection reaches another daemon
 	}
@@ -107,25 +108,27 @@
 // recordShedDemand counts a shed request in the demand of its workspace. Otherwise a
 // workspace whose callers all reach one overloaded daemon would appear to have no demand,
 // and its share would go to workspaces that already have more.
-func (s *Server) recordShedDemand(r *http.Request) {
+// It returns the request's route, or nil if there is none.
+func (s *Server) recordShedDemand(r *http.Request) *route.Route {
 	table := s.Routes.Current()
 	if table == nil {
-		return
+		return nil
 	}
 	path, _, _ := strings.Cut(requestTarget(r), "?")
 	matched, ok := table.Find(r.Host, path)
 	if !ok {
-		return
+		return nil
 	}
 	info := s.Dialect.ParseRequest(r.Header)
 	workspace, failure := table.Identify(matched, info.Key)
 	if failure != nil {
-		return
+		return matched
 	}
 	service := s.chooseService(matched, table)
 	if service.ServesModel {
 		s.Placer.RecordShed(service.Name, workspace, booking.Tokens(info.PromptTokens, info.OutputTokens))
 	}
+	return matched
 }
 
 // httpStatus returns the HTTP status of a failure. Callers take 503 to mean that the request
