Booking: Retry-After derived from the capacity that will be available

Cause: refused callers were told to retry after 0.4 to 1.6 s, whatever the load.

Change: an owner states in refusals when it expects spare capacity for the workspace (Reply.FreeIn, free_in = 11): the time for which the target has been without it, at least the drain time and the time in which the workspace's sum decays to its share, at most 4 s. The ingress takes the least and spreads the returns over 1.2 s or half of the time.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -20,6 +20,9 @@
 	// MaxSlotWait is the longest time for which a request may wait for a slot or memory of a target;
 	// zero means that it is refused at once.
 	MaxSlotWait time.Duration
+	// DerivedRetryAfter is set if refused callers are told to retry when targets are expected to have
+	// spare capacity.
+	DerivedRetryAfter bool
 }
 
 // Timeouts.
@@ -170,6 +173,8 @@
 	// have ended.
 	waitingSince time.Time
 	slotWait     time.Duration
+	// freeIn is the shortest time until a target has spare capacity for the request.
+	freeIn time.Duration
 }
 
 type candidate struct {
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -151,6 +151,9 @@
 // recordReply records what an owner replied: the wait at the target that admits the request, or
 // the shortest wait among those that refuse it.
 func (r *request) recordReply(reply Reply) {
+	if reply.FreeIn > 0 && (r.freeIn == 0 || reply.FreeIn < r.freeIn) {
+		r.freeIn = reply.FreeIn
+	}
 	r.anyReply = true
 	r.callerRetry = r.callerRetry || reply.CallerRetry
 	r.Late = r.Late || reply.CallerRetry
@@ -368,6 +371,9 @@
 )
 
 func (c *Core) retryAfter(r *request) time.Duration {
+	if r.freeIn > 0 {
+		return derivedRetryAfter(r.freeIn, c.rng.Float64())
+	}
 	return max(minRetryAfter, r.shortestWait) + c.retrySpread()
 }
 
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -94,6 +94,7 @@
 			reply.UnloadedWait = e.isolatedFirstByte(r)
 		}
 		c.offerWait(now, e, from, &res, r, &reply)
+		reply.FreeIn = c.freeIn(now, e, reply.ShareUsed)
 		return reply
 	}
 	c.grant(now, e, res, r, &reply)
@@ -121,6 +122,7 @@
 		e.admissions.add(now, e.service.coldLimit)
 	}
 	c.addRun(now, e, res, r)
+	e.noteSpare(now)
 	reply.OK, reply.Wait = true, r.expected.Sub(now)
 }
 
@@ -316,6 +318,7 @@
 		r.target.health.record(now, release.Failed)
 		r.target.waitlist.departures.add(now, 1)
 	}
+	r.target.noteSpare(now)
 	c.serveWaiting(now, r.target)
 }
 
--- a/internal/booking/sim_load_test.go
+++ b/internal/booking/sim_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -17,6 +18,18 @@
 	objective  time.Duration
 	// newRequest returns one request.
 	newRequest func(rng *rand.Rand) booking.Request
+	// amplitude and period describe a wave of the rate, as a fraction of its mean; zero means none.
+	amplitude float64
+	period    time.Duration
+}
+
+// rateAt returns the rate at a time.
+func (l *workload) rateAt(now time.Time) float64 {
+	if l.period == 0 {
+		return l.perSecond
+	}
+	at := now.Sub(time.Unix(1000, 0))
+	return l.perSecond * (1 + l.amplitude*math.Sin(2*math.Pi*at.Seconds()/l.period.Seconds()))
 }
 
 func (s *sim) offer(l workload) {
@@ -28,7 +41,7 @@
 		r := l.newRequest(s.rng)
 		r.Workspace = l.workspace
 		s.submit(s.daemons[s.rng.IntN(len(s.daemons))], r, l.objective)
-		s.schedule(time.Duration(s.rng.ExpFloat64()/l.perSecond*float64(time.Second)), next)
+		s.schedule(time.Duration(s.rng.ExpFloat64()/l.rateAt(s.now)*float64(time.Second)), next)
 	}
 	s.schedule(l.start, next)
 }
@@ -47,13 +60,19 @@
 
 // scheduleRetry submits a refused request again, to a random daemon and under a new ID, as if
 // it were new.
-func (s *sim) scheduleRetry(j *job) {
-	if s.retryDelay == nil || j.retry {
+func (s *sim) scheduleRetry(j *job, retryAfter time.Duration) {
+	if s.retryDelay == nil && s.honored == nil || j.retry {
 		return
 	}
+	delay := retryAfter
+	if s.honored != nil {
+		delay = s.honored(j, retryAfter)
+	} else {
+		delay = s.retryDelay()
+	}
 	retry := &job{Request: j.Request, retry: true}
 	patience := j.Deadline.Sub(j.arrivedAt)
-	s.schedule(s.retryDelay(), func() {
+	s.schedule(delay, func() {
 		s.serial++
 		retry.ID = ident.Request(fmt.Sprintf("r%07d", s.serial))
 		retry.arrivedAt, retry.Deadline = s.now, s.now.Add(patience)
--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -53,6 +53,9 @@
 	onRefuse func(format string, args ...any)
 	// onOutcome, if set, is called for each request that is refused, and for each first byte.
 	onOutcome func(j *job, late bool)
+	// honored, if set, returns the time after which a refused caller that was told to retry after a
+	// given time does so, once; it takes the place of retryDelay.
+	honored func(j *job, retryAfter time.Duration) time.Duration
 	// retryDaemon, if set, returns the daemon that a refused caller returns to.
 	retryDaemon func(j *job) *daemon
 	// stepTime, if set, returns the time between two tokens of an answer that begins on an
@@ -260,7 +263,7 @@
 			if s.onOutcome != nil {
 				s.onOutcome(j, true)
 			}
-			s.scheduleRetry(j)
+			s.scheduleRetry(j, e.Failure.RetryAfter)
 			if s.onRefuse != nil {
 				s.onRefuse("%s %s refused %d tokens: %s", s.now.Sub(time.Unix(1000, 0)), j.Workspace, j.Prompt, e.Failure)
 			}
--- a/internal/booking/slotwait_test.go
+++ b/internal/booking/slotwait_test.go
@@ -27,6 +27,13 @@
 	outputs    [3]int
 	// stated is the rate of a target in tokens per second.
 	stated float64
+	// amplitude and period describe the wave of the demand. If retries is set, refused callers return
+	// after the time that they are told, but at most after a third of the time that they have left;
+	// deadlines are these times by kind.
+	amplitude float64
+	period    time.Duration
+	retries   bool
+	deadlines [3]time.Duration
 }
 
 var kinds = [3]string{"long", "chat", "tag"}
@@ -36,11 +43,13 @@
 		slots: 48, memory: 667211, daemons: 5, engines: 5, rate: 125, step: 3270 * time.Microsecond, stepPerRequest: 80 * time.Microsecond,
 		rates: [3]float64{6.1, 14, 12.3}, objectives: [3]time.Duration{600 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond},
 		outputs: [3]int{384, 288, 24}, stated: 127000,
+		deadlines: [3]time.Duration{12 * time.Second, 12 * time.Second, 3 * time.Second},
 	}
 	contended12 = contended{
 		slots: 12, memory: 478910, daemons: 5, engines: 14, rate: 112, step: 3410 * time.Microsecond, stepPerRequest: 100 * time.Microsecond,
 		rates: [3]float64{3.56, 3, 8.2}, objectives: [3]time.Duration{600 * time.Millisecond, 600 * time.Millisecond, time.Second},
 		outputs: [3]int{378, 288, 27}, stated: 69500,
+		deadlines: [3]time.Duration{12 * time.Second, 10 * time.Second, 2500 * time.Millisecond},
 	}
 )
 
@@ -122,12 +131,15 @@
 			}
 		}
 	}
+	if f.retries {
+		s.honored = func(j *job, retryAfter time.Duration) time.Duration { return min(retryAfter, f.deadlines[kindOf(j)]/3) }
+	}
 	const end = 14 * time.Second
 	for i, w := range names {
 		part := [...]float64{0.22, 0.2, 0.16, 0.12, 0.1, 0.08, 0.07, 0.05}[i]
 		for k := range kinds {
 			perSecond := f.rates[k] * load * part * float64(f.engines)
-			l := workload{workspace: w, perSecond: perSecond, end: end, objective: f.objectives[k], newRequest: f.requests(uint64(100000*(i+1)+10000*k), k)}
+			l := workload{workspace: w, perSecond: perSecond, end: end, objective: f.objectives[k], newRequest: f.requests(uint64(100000*(i+1)+10000*k), k), amplitude: f.amplitude, period: f.period}
 			s.offer(l)
 			if i == 3 {
 				l.perSecond, l.start, l.end = 5*perSecond, 4*time.Second, 10*time.Second
--- a/internal/booking/waitlist.go
+++ b/internal/booking/waitlist.go
@@ -54,6 +54,8 @@
 	// departures is the decaying number of requests that have left the target.
 	departures decayingSum
 	counts     WaitCounts
+	// spareAt is when the target last had spare capacity.
+	spareAt time.Time
 }
 
 // WaitCounts counts the requests that have waited for slots, by how their waits ended.
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -82,7 +82,7 @@
 func newPool() *targetconn.Pool { return targetconn.New(targetconn.Config{}) }
 
 func newRoutedLoop(id identity, s settings.Settings, b *routedBridge) *control.BookingLoop {
-	core := booking.New(booking.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone, MaxSlotWait: s.Routing.SlotWait},
+	core := booking.New(booking.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone, MaxSlotWait: s.Routing.SlotWait, DerivedRetryAfter: s.Routing.DerivedRetryAfter},
 		rand.New(rand.NewPCG(id.Incarnation, rand.Uint64())))
 	origins := origin.New(origin.Config{
 		Self: id.Daemon, Zone: id.Zone, MaxViewAge: s.Routing.InTouch, FirstStart: id.firstStart, PeersExpected: id.peersExpected,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,9 @@
 	// SlotWait is the longest time for which a request may wait for a slot or memory of a target
 	// if it can then still be in time; 0 refuses it at once. Default 0.
 	SlotWait time.Duration `yaml:"slot_wait" validate:"min=0,max=2000000000"`
+	// DerivedRetryAfter tells refused callers to retry when targets are expected to have spare
+	// capacity, and not within 0.4 to 1.6 s. Default false.
+	DerivedRetryAfter bool `yaml:"derived_retry_after"`
 }
 
 // Memory holds the resource limits of the process.
