--- a/internal/booking/candidates.go
+++ b/internal/booking/candidates.go
@@ -63,10 +63,10 @@
 	if s.fetchPerToken <= 0 || len(homes) == 0 {
 		return nil
 	}
-	highest := homeScore(prefix, homes[0].engine)
+	highest, _ := homeScore(prefix, homes[0].engine, 0)
 	for _, e := range s.drainingEngines {
-		score := homeScore(prefix, e)
-		if score > highest && r.maySuit(e) && !e.suspended(now) && !c.ownerSilent(now, e) {
+		score, ok := homeScore(prefix, e, highest)
+		if ok && score > highest && r.maySuit(e) && !e.suspended(now) && !c.ownerSilent(now, e) {
 			home, highest = e, score
 		}
 	}
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -155,6 +155,9 @@
 		r.recordCached(reply)
 		return
 	}
+	if reply.FreeIn > 0 && (r.freeIn == 0 || reply.FreeIn < r.freeIn) {
+		r.freeIn = reply.FreeIn
+	}
 	r.anyReply = true
 	if reply.OK || r.shortestWait == 0 || reply.Wait < r.shortestWait {
 		r.shortestWait, r.limit, r.shareUsed, r.unloadedWait = reply.Wait, reply.Limit, reply.ShareUsed, reply.UnloadedWait
@@ -382,6 +385,9 @@
 )
 
 func (c *Core) retryAfter(r *request) time.Duration {
+	if r.freeIn > 0 {
+		return derivedRetryAfter(r.freeIn, c.rng.Float64())
+	}
 	return max(minRetryAfter, r.shortestWait) + c.retrySpread()
 }
 
