--- a/internal/booking/slotwait.go
+++ b/internal/booking/slotwait.go
@@ -109,7 +109,7 @@
 }
 
 func (c *Core) serveOneWaiting(now time.Time, e *engine, w *waiting) {
-	if !e.owned || e.Evacuated {
+	if !e.owned || e.Evacuated || c.leaving {
 		e.waitlist.counts.Refused++
 		c.endWait(w, Reply{Limit: LimitEvacuated})
 		return
