where: shows the weights by which homes are drawn

Cause: the command was written before targets had weights. Ruled out: nothing. Change: a column and a JSON field, and the weights of the last decision stay in force while the command looks. Conclusion: its tests pass with the new column.

--- a/internal/admin/where.go
+++ b/internal/admin/where.go
@@ -54,6 +54,8 @@
 	Owner  ident.Daemon `json:"owner"`
 	// SelectedBy is the reason for the target: a home with its number, or emptiest.
 	SelectedBy string `json:"selected_by"`
+	// Weight is the speed of the target relative to the median of its service.
+	Weight float64 `json:"weight"`
 	// Decision is admits, the limit by which this daemon would refuse as the owner, or owner decides or
 	// owner silent for a target of another one.
 	Decision string `json:"decision"`
--- a/internal/booking/forecast.go
+++ b/internal/booking/forecast.go
@@ -25,6 +25,9 @@
 	Owner  ident.Daemon
 	// SelectedBy is that of Basis.
 	SelectedBy string
+	// Weight is the speed of the target relative to the median of its service, as homes are drawn by it;
+	// 1 where targets are alike or speeds are not estimated.
+	Weight float64
 	// Owned reports that this daemon is the owner, so that Admits and Limit are known. Limit is why it
 	// would refuse the request.
 	Owned, Admits bool
@@ -66,7 +69,7 @@
 	e := r.current.engine
 	res := r.newReservation(now)
 	t := TargetForecast{
-		Target: e.Name, Zone: e.Zone, Owner: e.owner, SelectedBy: r.current.selectedBy, Owned: e.owned,
+		Target: e.Name, Zone: e.Zone, Owner: e.owner, SelectedBy: r.current.selectedBy, Weight: e.weight, Owned: e.owned,
 		OwnerSilent: c.ownerSilent(now, e), Suspended: e.suspended(now), Cold: e.isCold(now), CachedTokens: e.cachedTokens(now, &res),
 	}
 	if !e.owned {
@@ -89,15 +92,15 @@
 // capacity are those of the last decision, probes of failing targets are not used up, and no random number
 // is drawn from the Core's own source.
 func (c *Core) preserve(now time.Time, s *service) (restore func()) {
-	rng, levelAt, capacityAt := c.rng, s.shares.levelAt, s.capacity.at
+	rng, levelAt, capacityAt, weightsAt := c.rng, s.shares.levelAt, s.capacity.at, s.weights.at
 	probes := make([]time.Time, len(s.sortedEngines))
 	for i, e := range s.sortedEngines {
 		probes[i] = e.health.lastProbe
 	}
 	c.rng = rand.New(rand.NewPCG(0, 0))
-	s.shares.levelAt, s.capacity.at = now, now
+	s.shares.levelAt, s.capacity.at, s.weights.at = now, now, now
 	return func() {
-		c.rng, s.shares.levelAt, s.capacity.at = rng, levelAt, capacityAt
+		c.rng, s.shares.levelAt, s.capacity.at, s.weights.at = rng, levelAt, capacityAt, weightsAt
 		for i, e := range s.sortedEngines {
 			e.health.lastProbe = probes[i]
 		}
--- a/internal/cli/where.go
+++ b/internal/cli/where.go
@@ -42,13 +42,13 @@
 	if err != nil {
 		return err
 	}
-	t := newTable("SERVICE", "SHARE USED", "TARGET", "ZONE", "SELECTED BY", "OWNER", "DECISION", "CACHED", "WAIT", "SLOTS USED", "FAILURES", "AGE", "STATE")
+	t := newTable("SERVICE", "SHARE USED", "TARGET", "ZONE", "SELECTED BY", "WEIGHT", "OWNER", "DECISION", "CACHED", "WAIT", "SLOTS USED", "FAILURES", "AGE", "STATE")
 	for _, s := range where.Services {
 		if len(s.Targets) == 0 {
-			t.addRow(s.Service, fraction(s.ShareUsed), "-", "-", "-", "-", s.Refusal, "-", "-", "-", "-", "-", "-")
+			t.addRow(s.Service, fraction(s.ShareUsed), "-", "-", "-", "-", "-", s.Refusal, "-", "-", "-", "-", "-", "-")
 		}
 		for _, target := range s.Targets {
-			t.addRow(s.Service, fraction(s.ShareUsed), target.Target, target.Zone, target.SelectedBy, target.Owner, target.Decision, target.CachedTokens,
+			t.addRow(s.Service, fraction(s.ShareUsed), target.Target, target.Zone, target.SelectedBy, fraction(target.Weight), target.Owner, target.Decision, target.CachedTokens,
 				fmt.Sprintf("%d ms", target.WaitMillis), fraction(target.SlotUtilization), fraction(target.FailureRate), whereAge(target.AgeMillis), whereState(target))
 		}
 	}
--- a/internal/cli/where_test.go
+++ b/internal/cli/where_test.go
@@ -18,7 +18,7 @@
 // codes other than those of the related commands.
 func TestWhereShowsWhatTheDaemonWouldDecide(t *testing.T) {
 	answer := admin.Where{Route: "chat", Workspace: "club", Services: []admin.WhereService{
-		{Service: "pool", Weight: 1, ShareUsed: 0.5, Targets: []admin.WhereTarget{{Target: "t-1", Zone: "z", Owner: "a", SelectedBy: "home 1", Decision: "slots", CachedTokens: 20, WaitMillis: 7, AgeMillis: -1}}},
+		{Service: "pool", Weight: 1, ShareUsed: 0.5, Targets: []admin.WhereTarget{{Target: "t-1", Zone: "z", Owner: "a", SelectedBy: "home 1", Weight: 1.46, Decision: "slots", CachedTokens: 20, WaitMillis: 7, AgeMillis: -1}}},
 		{Service: "other", Refusal: "zones_evacuated"},
 	}}
 	status := http.StatusOK
@@ -44,7 +44,7 @@
 	lines := strings.Split(strings.TrimSpace(out), "\n")
 	is.Equal(len(lines), 4)
 	is.Equal(lines[0], "route chat, workspace club")
-	is.Equal(strings.Fields(lines[2]), strings.Fields("pool 0.50 t-1 z home 1 a slots 20 7 ms 0.00 0.00 unknown usable"))
+	is.Equal(strings.Fields(lines[2]), strings.Fields("pool 0.50 t-1 z home 1 1.46 a slots 20 7 ms 0.00 0.00 unknown usable"))
 	is.True(strings.Contains(lines[3], "zones_evacuated"))
 
 	code, out = run("", "--daemon", address, "--workspace", "club", "--output", "json")
--- a/internal/daemon/where.go
+++ b/internal/daemon/where.go
@@ -108,7 +108,7 @@
 			age = -1
 		}
 		view.Targets = append(view.Targets, admin.WhereTarget{
-			Target: t.Target, Zone: t.Zone, Owner: t.Owner, SelectedBy: t.SelectedBy, Decision: whereDecision(t), CachedTokens: t.CachedTokens,
+			Target: t.Target, Zone: t.Zone, Owner: t.Owner, SelectedBy: t.SelectedBy, Weight: t.Weight, Decision: whereDecision(t), CachedTokens: t.CachedTokens,
 			WaitMillis: t.Load.Wait.Milliseconds(), SlotUtilization: t.Load.SlotUtilization, FailureRate: t.Load.FailureRate, AgeMillis: age,
 			Suspended: t.Suspended, Cold: t.Cold,
 		})
