--- a/internal/booking/slotwaitfaults_test.go
+++ b/internal/booking/slotwaitfaults_test.go
@@ -246,6 +246,9 @@
 // Guards against late requests, which get spare capacity only, that wait beside those in time.
 func TestLateRequestsDoNotWait(t *testing.T) {
 	f := newWaitFixture(t, 2*time.Second)
+	f.is.Equal(f.end(), "waits")
+	f.ingress.Finish(f.now, "waits", booking.Result{}) // another one would wait in its place
+	f.exchange()
 	f.ingress.Submit(f.now, booking.Request{
 		ID: "late", Service: "pool", Workspace: "w", Prompt: 100, Output: 10, Deadline: f.now.Add(time.Second), Late: true,
 		Parts: []booking.PromptPart{{ID: 1, Tokens: 50}, {ID: 2, Tokens: 50}},
