Faults and wording found by a reader of the whole change

Change: bodies of unknown length count as they arrive; a read deadline is not set after a body is complete; idle connections of a restarted target are taken in one step; no request waits at a draining target; a peak of the latency cannot come back; comparisons of equal speeds; comments and names. The test of growing bodies now counts both buffers that exist together, and bodies of unknown length.

--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -151,6 +151,8 @@
 // recordReply records what an owner replied: the wait at the target that admits the request, or
 // the shortest wait among those that refuse it.
 func (r *request) recordReply(reply Reply) {
+	r.callerRetry = r.callerRetry || reply.CallerRetry
+	r.Late = r.Late || reply.CallerRetry
 	if reply.Limit == LimitDraining {
 		r.recordCached(reply)
 		return
@@ -165,10 +167,8 @@
 	r.recordCached(reply)
 }
 
-// recordCached records what a target has cached, for the case that another one takes the request.
+// recordCached records what the current target has cached, so that another target can copy it.
 func (r *request) recordCached(reply Reply) {
-	r.callerRetry = r.callerRetry || reply.CallerRetry
-	r.Late = r.Late || reply.CallerRetry
 	r.targetTokens = reply.CachedTokens
 	if reply.CachedTokens > r.sourceTokens && !reply.OK {
 		r.fetchSource, r.sourceTokens = r.current.engine.Name, reply.CachedTokens
--- a/internal/booking/report.go
+++ b/internal/booking/report.go
@@ -70,8 +70,8 @@
 	Utilization     float64 `json:"use"`
 	// Waiting is how many requests wait for slots or memory, Waits how waits have ended since the
 	// previous report.
-	Waiting int        `json:"waiting"`
-	Waits   WaitCounts `json:"waits"`
+	Waiting int        `json:"waiting,omitempty"`
+	Waits   WaitCounts `json:"waits,omitzero"`
 }
 
 // WorkspaceDemand is the recent demand of a workspace, the part of it that daemons refused for
--- a/internal/booking/slotwait.go
+++ b/internal/booking/slotwait.go
@@ -116,7 +116,7 @@
 }
 
 func (c *Core) serveOneWaiting(now time.Time, e *engine, w *waiting) {
-	if !e.owned || e.Evacuated || c.leaving {
+	if !e.owned || e.Evacuated || e.Draining || c.leaving {
 		e.waitlist.counts.Refused++
 		c.endWait(w, Reply{Limit: LimitEvacuated})
 		return
@@ -143,6 +143,7 @@
 		c.grant(now, e, res, r, &reply)
 		c.endWait(w, reply)
 	case LimitCold:
+		// It keeps waiting: admissions of the last second stop counting soon.
 	case LimitTime:
 		if !e.expectedFirstByte(now, r).After(w.due) {
 			return // the part of the time that it leaves to others becomes smaller
@@ -309,7 +310,7 @@
 		if r == nil || c.awaitingSlot[r.pendingID] != r {
 			continue
 		}
-		if e := r.current.engine; c.engine(r.Service, e.Name) != e || !r.maySuit(e) {
+		if e := r.current.engine; c.engine(r.Service, e.Name) != e || !r.maySuit(e) || e.Draining {
 			c.withdraw(now, r)
 			c.tryNext(now, r)
 		}
--- a/internal/booking/speed.go
+++ b/internal/booking/speed.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -111,12 +112,7 @@
 		return 0, false
 	}
 	list := recent[:n]
-	slices.SortFunc(list, func(a, b speedObservation) int {
-		if a.logSpeed < b.logSpeed {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b speedObservation) int { return cmp.Compare(a.logSpeed, b.logSpeed) })
 	below := 0.0
 	for _, b := range list {
 		if below += b.weight; below >= q*total {
--- a/internal/booking/weights.go
+++ b/internal/booking/weights.go
@@ -33,10 +33,9 @@
 	minEventOffsetWeight = 10
 	// minPrefillsForOffset is the weight of the prefill observations from which a target contributes.
 	minPrefillsForOffset = 1
-	// presentStream is the duration up to which the mean event interval of a stream has the weight 1:
-	// a slow spell. Nothing but the engine is in it, and prompts of all lengths have one. That of a
-	// longer stream describes the past, and its weight falls with the square.
-	presentStream = 600 * time.Millisecond
+	// maxFullWeightStream is the duration up to which the mean event interval of a stream has the weight 1.
+	// A longer stream also averages over past speeds, so that its weight falls with the square of its duration.
+	maxFullWeightStream = 600 * time.Millisecond
 )
 
 // observePrefill records the time that an amount of prefill work took. Its weight falls with the square
@@ -68,8 +67,8 @@
 		w.eventOffset += (logSpeed - logRate - w.eventOffset) / w.eventOffsetWeight
 	}
 	if w.eventOffsetWeight >= minEventOffsetWeight {
-		age := max(1, duration.Seconds()/presentStream.Seconds())
-		e.speed.estimator.observe(now, logRate+w.eventOffset, 1/(age*age))
+		relativeDuration := max(1, duration.Seconds()/maxFullWeightStream.Seconds())
+		e.speed.estimator.observe(now, logRate+w.eventOffset, 1/(relativeDuration*relativeDuration))
 	}
 }
 
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -222,7 +222,9 @@
 	now = time.Now()
 	latency = now.Sub(before)
 	l.lastLatency.Store(int64(latency))
-	l.peakLatency.Store(max(l.peakLatency.Load(), int64(latency)))
+	for peak := l.peakLatency.Load(); int64(latency) > peak && !l.peakLatency.CompareAndSwap(peak, int64(latency)); {
+		peak = l.peakLatency.Load()
+	}
 	l.probeStart.Store(0)
 	return now, latency
 }
--- a/internal/daemon/slowcallers.go
+++ b/internal/daemon/slowcallers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,9 @@
 
 // callerUse is what a caller's connection occupies for its current request. It is safe for concurrent use.
 type callerUse struct {
+	// bodyMu is held while the receipt of a body is ended, by its completion or because it is slow: a read
+	// deadline that is set after the body is complete would end the request.
+	bodyMu sync.Mutex
 	// writeBegun is when the current write to the caller began, and bodyBegun when the receipt of the request
 	// body began, in nanoseconds since processStart; zero if there is none.
 	writeBegun, bodyBegun atomic.Int64
@@ -66,7 +70,9 @@
 	conn.use.workspace.Store(&workspace)
 	conn.use.bodyBytes.Store(int64(bytes))
 	if !receiving {
+		conn.use.bodyMu.Lock()
 		conn.use.bodyBegun.Store(0)
+		conn.use.bodyMu.Unlock()
 		return
 	}
 	conn.use.bodyBegun.CompareAndSwap(0, int64(time.Since(processStart)))
@@ -97,6 +103,8 @@
 func (c *trackedConn) endSlow(r slowreader.Reader, begun int64) bool {
 	past := time.Unix(1, 0)
 	if r.Receiving {
+		c.use.bodyMu.Lock()
+		defer c.use.bodyMu.Unlock()
 		return c.use.bodyBegun.CompareAndSwap(begun, 0) && c.SetReadDeadline(past) == nil
 	}
 	if !c.use.writeBegun.CompareAndSwap(begun, writeEnded) {
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -162,8 +162,8 @@
 	}
 	s.deps.Gateway.SetTargets(targets)
 	s.deps.Pool.CloseIdleExcept(addresses)
-	for address, startedAt := range startedAt {
-		if before, known := s.startedAt[address]; known && before != startedAt {
+	for address, started := range startedAt {
+		if before, known := s.startedAt[address]; known && before != started {
 			s.deps.Pool.TargetRestarted(address)
 		}
 	}
--- a/internal/daemon/where.go
+++ b/internal/daemon/where.go
@@ -55,7 +55,7 @@
 		}
 	})
 	if !ok {
-		http.Error(w, "the daemon stops", http.StatusServiceUnavailable)
+		http.Error(w, "the daemon is stopping", http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -47,7 +47,7 @@
 	RequestHeld      = define(210, slog.LevelWarn, "a request, or all with certain parts in their prompts, is held back, since targets ended each time that they ran it", "see docs/operations/request-held-back.md")
 	RequestReleased  = define(211, slog.LevelInfo, "a request, or all with certain parts in their prompts, is not held back any more", "none")
 	// HoldNotWritten means that the hold is lost if all daemons end.
-	SlowCallersEnded = define(213, slog.LevelWarn, "callers of a workspace were disconnected because they read or sent too slowly; their responses are incomplete", "tell the workspace that its clients do not read their responses; if many workspaces are named, give the VM more memory")
-
 	HoldNotWritten = define(212, slog.LevelWarn, "the row of a hold could not be read or written; the daemon retries", "see docs/OPERATIONS.md, a store outage")
+
+	SlowCallersEnded = define(213, slog.LevelWarn, "callers of a workspace were disconnected because they read or sent too slowly; their responses are incomplete", "tell the workspace that its clients do not read their responses; if many workspaces are named, give the VM more memory")
 )
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -290,8 +290,8 @@
 	// Without support for read deadlines the body is read without one.
 	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	s.onBody(pr, 0, true)
-	defer func() { s.onBody(pr, len(body), false) }()
 	body, err := readAll(io.LimitReader(r.Body, maxBytes+1), r.ContentLength, func(size int) { s.onBody(pr, size, true) })
+	s.onBody(pr, len(body), false) // before the deadline is cleared, which a slow body's end may set
 	_ = controller.SetReadDeadline(time.Time{})
 	var timeout net.Error
 	switch {
@@ -312,19 +312,30 @@
 // readAll reads a body of the given length, or until EOF if length is negative. It calls grown with each size of
 // its buffer.
 func readAll(from io.Reader, length int64, grown func(size int)) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(from)
+	known := length >= 0
+	size := int64(maxUnreceivedBody)
+	if known {
+		size = min(length, size)
 	}
-	body, received := make([]byte, min(length, maxUnreceivedBody)), 0
+	body, received := make([]byte, size), 0
+	grown(len(body))
 	for {
-		grown(len(body))
 		n, err := io.ReadFull(from, body[received:])
 		received += n
-		if err != nil || int64(received) == length {
-			return body, err
+		switch {
+		case !known && (err == io.EOF || err == io.ErrUnexpectedEOF):
+			return body[:received], nil
+		case err != nil || known && int64(received) == length:
+			return body[:received], err
+		}
+		size = 2 * int64(len(body))
+		if known {
+			size = min(length, size)
 		}
-		larger := make([]byte, min(length, 2*int64(len(body))))
+		larger := make([]byte, size)
+		grown(len(body) + len(larger))
 		copy(larger, body)
 		body = larger
+		grown(len(body))
 	}
 }
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -26,10 +26,14 @@
 	is.Equal(err, io.ErrUnexpectedEOF)
 	is.Equal(largest, maxUnreceivedBody)
 	whole := strings.Repeat("0123456789", size/10+1)[:size]
-	body, err := readAll(strings.NewReader(whole), size, func(n int) { largest = max(largest, n) })
-	is.NoErr(err)
-	is.Equal(string(body), whole)
-	is.Equal(largest, size)
+	for _, length := range []int64{size, -1} {
+		last := 0
+		body, err := readAll(strings.NewReader(whole), length, func(n int) { largest, last = max(largest, n), n })
+		is.NoErr(err)
+		is.Equal(string(body), whole)
+		is.True(last >= size) // a body of unknown length counts as well
+		is.True(length < 0 || last == size && largest == 2<<20+size) // the last two buffers exist together
+	}
 }
 
 // Guards against a refusal that waits for the body of the request: when the callers of another zone come at once, bodies
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -236,11 +236,11 @@
 			refused++
 		}
 	}
-	return refused > len(p.neighbours)/crowdedDivisor
+	return float64(refused) > crowdedFraction*float64(len(p.neighbours))
 }
 
-// crowdedDivisor is the part of the neighbours that must have refused for a zone to be crowded.
-const crowdedDivisor = 4
+// crowdedFraction is the fraction of the neighbours above which a zone is crowded if they have refused.
+const crowdedFraction = 0.25
 
 // Spread makes the picker choose neighbours by how fast they reply to offers.
 func (p *Picker) Spread() { p.spread = true }
--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -64,7 +64,7 @@
 func NewEarlyShedder() *Shedder { return &Shedder{target: earlyLatency} }
 
 // Observe records one sample of the scheduling latency and returns the fraction of new
-// requests to refuse.
+// requests to refuse, or, for NewEarlyShedder, of new connections to forward.
 func (s *Shedder) Observe(now time.Time, latency time.Duration) float64 {
 	s.latencies[s.next%medianWindow] = latency
 	s.next++
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -173,9 +173,7 @@
 	p.mu.Lock()
 	var drop []*conn
 	if t := p.targets[address]; t != nil {
-		drop = t.idle
-		t.open -= len(drop)
-		t.idle = nil
+		drop = t.takeIdle()
 	}
 	p.mu.Unlock()
 	closeAll(drop)
@@ -185,11 +183,21 @@
 // those in use once their exchanges end.
 func (p *Pool) TargetRestarted(address string) {
 	p.mu.Lock()
+	var drop []*conn
 	if t := p.targets[address]; t != nil {
 		t.restartedAt = p.cfg.Now()
+		drop = t.takeIdle()
 	}
 	p.mu.Unlock()
-	p.CloseIdle(address)
+	closeAll(drop)
+}
+
+// takeIdle removes and returns the idle connections. The caller holds the lock of the pool.
+func (t *target) takeIdle() []*conn {
+	idle := t.idle
+	t.open -= len(idle)
+	t.idle = nil
+	return idle
 }
 
 func closeAll(conns []*conn) {
