Signals that end holds are sent to other daemons

Cause: the outbox of a link combines messages and left out booking.Message.Ready, so that a request that was held back until a shared prefix is cached always waited for the whole hold if its owner is another daemon. Found while waits for slots were built. Ruled out: a loss on the way (TestBookingsRoundTrip has the field). Change: the signals are kept, count against the queue's limit, and are sent at once. TestOutboxKeepsSignalsThatEndHolds failed before and passes after.

--- a/internal/fleet/bookings.go
+++ b/internal/fleet/bookings.go
@@ -25,6 +25,7 @@
 	q.Replies = append(q.Replies, m.Replies...)
 	q.FirstBytes = append(q.FirstBytes, m.FirstBytes...)
 	q.Releases = append(q.Releases, m.Releases...)
+	q.Ready = append(q.Ready, m.Ready...)
 	if len(m.Usage)+len(m.Loads) > 0 {
 		q.Scope = m.Scope
 	}
--- a/internal/fleet/bookings_test.go
+++ b/internal/fleet/bookings_test.go
@@ -141,3 +141,16 @@
 		})
 	}
 }
+
+// Guards against requests that are held back to the end of their hold, because the signal that ends it
+// is lost when messages to a daemon are combined.
+func TestOutboxKeepsSignalsThatEndHolds(t *testing.T) {
+	is := is.New(t)
+	o := newOutbox(100)
+	for id := range uint64(3) {
+		is.True(o.enqueue(&scheduler.Message{Bookings: booking.Message{Incarnation: 7, Ready: []uint64{id}}}))
+	}
+	is.Equal(o.queued.Bookings.Ready, []uint64{0, 1, 2})
+	is.Equal(len(o.urgent), 1)
+	is.Equal(reliableRows(&o.queued), 3)
+}
--- a/internal/fleet/outbox.go
+++ b/internal/fleet/outbox.go
@@ -57,7 +57,7 @@
 		return false
 	}
 	o.merge(m)
-	o.signal(m.Origins.Urgent() || !m.Poison.Empty() || len(m.Grants)+len(m.PreemptGrants)+len(m.Bookings.Reservations)+len(m.Bookings.Replies) > 0)
+	o.signal(m.Origins.Urgent() || !m.Poison.Empty() || len(m.Grants)+len(m.PreemptGrants)+len(m.Bookings.Reservations)+len(m.Bookings.Replies)+len(m.Bookings.Ready) > 0)
 	return true
 }
 
@@ -65,7 +65,7 @@
 // against the limit.
 func reliableRows(m *scheduler.Message) int {
 	b := &m.Bookings
-	return len(m.Grants) + len(m.Releases) + len(b.Reservations) + len(b.Replies) + len(b.FirstBytes) + len(b.Releases)
+	return len(m.Grants) + len(m.Releases) + len(b.Reservations) + len(b.Replies) + len(b.FirstBytes) + len(b.Releases) + len(b.Ready)
 }
 
 func (o *outbox) merge(m *scheduler.Message) {
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -31,7 +31,7 @@
 		body, err := readAll(strings.NewReader(whole), length, func(n int) { largest, last = max(largest, n), n })
 		is.NoErr(err)
 		is.Equal(string(body), whole)
-		is.True(last >= size) // a body of unknown length counts as well
+		is.True(last >= size)                                        // a body of unknown length counts as well
 		is.True(length < 0 || last == size && largest == 2<<20+size) // the last two buffers exist together
 	}
 }
