--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -181,8 +181,8 @@
 	// have ended.
 	waitingSince time.Time
 	slotWait     time.Duration
-	// freeIn is the shortest time until a target has spare capacity for the request.
-	freeIn time.Duration
+	// expectedSpareWait is the shortest time until a target has spare capacity for the request.
+	expectedSpareWait time.Duration
 }
 
 type candidate struct {
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -157,8 +157,8 @@
 		r.recordCached(reply)
 		return
 	}
-	if reply.FreeIn > 0 && (r.freeIn == 0 || reply.FreeIn < r.freeIn) {
-		r.freeIn = reply.FreeIn
+	if reply.ExpectedSpareWait > 0 && (r.expectedSpareWait == 0 || reply.ExpectedSpareWait < r.expectedSpareWait) {
+		r.expectedSpareWait = reply.ExpectedSpareWait
 	}
 	r.anyReply = true
 	if reply.OK || r.shortestWait == 0 || reply.Wait < r.shortestWait {
@@ -385,8 +385,8 @@
 )
 
 func (c *Core) retryAfter(r *request) time.Duration {
-	if r.freeIn > 0 {
-		return derivedRetryAfter(r.freeIn, c.rng.Float64())
+	if r.expectedSpareWait > 0 {
+		return derivedRetryAfter(r.expectedSpareWait, c.rng.Float64())
 	}
 	return max(minRetryAfter, r.shortestWait) + c.retrySpread()
 }
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -95,7 +95,7 @@
 			reply.UnloadedWait = e.isolatedFirstByte(r)
 		}
 		c.offerWait(now, e, from, &res, r, &reply)
-		reply.FreeIn = c.freeIn(now, e, reply.ShareUsed)
+		reply.ExpectedSpareWait = c.expectedSpareWait(now, e, reply.ShareUsed)
 		return reply
 	}
 	c.grant(now, e, res, r, &reply)
@@ -123,7 +123,7 @@
 		e.recordAdmission(now, reply.Hold)
 	}
 	c.addRun(now, e, res, r)
-	e.noteSpare(now)
+	e.recordSpareCapacity(now)
 	reply.OK, reply.Wait = true, r.expected.Sub(now)
 }
 
@@ -321,7 +321,7 @@
 		r.target.health.record(now, release.Failed)
 		r.target.waitlist.departures.add(now, 1)
 	}
-	r.target.noteSpare(now)
+	r.target.recordSpareCapacity(now)
 	c.serveWaiting(now, r.target)
 }
 
--- a/internal/booking/retryafter.go
+++ b/internal/booking/retryafter.go
@@ -17,8 +17,8 @@
 // workspace that has received less returns sooner.
 
 const (
-	// maxFreeIn bounds the estimate: callers with a deadline of 12 s honor no more than a third of it.
-	maxFreeIn = 4 * time.Second
+	// maxSpareWait bounds the estimate: callers with a deadline of 12 s honor no more than a third of it.
+	maxSpareWait = 4 * time.Second
 	// retrySpreadFraction is the spread of the returns as a fraction of the estimate, if that is more
 	// than retryAfterSpread.
 	retrySpreadFraction = 0.5
@@ -37,35 +37,35 @@
 	return float64(len(e.runs)) < e.spareSlots() && (!e.service.servesModel || e.backlog(now) <= maxSpareBacklog)
 }
 
-// noteSpare records that a target has spare capacity, if it has.
-func (e *engine) noteSpare(now time.Time) {
+// recordSpareCapacity records that a target has spare capacity, if it has.
+func (e *engine) recordSpareCapacity(now time.Time) {
 	if e.hasSpare(now) {
-		e.waitlist.spareAt = now
+		e.waitlist.lastSpareAt = now
 	}
 }
 
-// freeIn returns the expected time until a target has spare capacity for a workspace that has used a
+// expectedSpareWait returns the expected time until a target has spare capacity for a workspace that has used a
 // given part of its share; zero if the setting is off.
-func (c *Core) freeIn(now time.Time, e *engine, shareUsed float64) (wait time.Duration) {
+func (c *Core) expectedSpareWait(now time.Time, e *engine, shareUsed float64) (wait time.Duration) {
 	if !c.cfg.DerivedRetryAfter {
 		return 0
 	}
 	if shareUsed > 1 {
-		wait = time.Duration(min(math.Log(shareUsed)*float64(decayTime), float64(maxFreeIn)))
+		wait = time.Duration(min(math.Log(shareUsed)*float64(decayTime), float64(maxSpareWait)))
 	}
 	if !e.hasSpare(now) {
-		wait = max(wait, now.Sub(laterOf(e.waitlist.spareAt, e.ownedSince)))
+		wait = max(wait, now.Sub(laterOf(e.waitlist.lastSpareAt, e.ownedSince)))
 		if departures := e.waitlist.departures.now(now); departures >= minDepartures {
 			excess := max(0, float64(len(e.runs))-e.spareSlots()) + 1
 			wait = max(wait, time.Duration(excess/departures*float64(decayTime)))
 		}
 	}
-	return min(wait, maxFreeIn)
+	return min(wait, maxSpareWait)
 }
 
 // derivedRetryAfter returns when to retry a request for which capacity is expected after a given time.
 // Random is between 0 and 1.
-func derivedRetryAfter(freeIn time.Duration, random float64) time.Duration {
-	spread := max(float64(retryAfterSpread), retrySpreadFraction*float64(freeIn))
-	return max(minRetryAfter, freeIn) + time.Duration(random*spread)
+func derivedRetryAfter(expectedSpareWait time.Duration, random float64) time.Duration {
+	spread := max(float64(retryAfterSpread), retrySpreadFraction*float64(expectedSpareWait))
+	return max(minRetryAfter, expectedSpareWait) + time.Duration(random*spread)
 }
--- a/internal/booking/slotwait.go
+++ b/internal/booking/slotwait.go
@@ -93,7 +93,7 @@
 	}
 	w := &waiting{
 		ingress: from, target: e, res: *res, queuedAt: now, due: now.Add(res.Remaining), sendBy: now.Add(wait),
-		ownTime: e.ownFirstByte(r),
+		unqueuedFirstByte: e.ownFirstByte(r),
 	}
 	if e.service.servesModel {
 		w.prefill = e.prefillTime(r)
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -186,9 +186,9 @@
 	// request could wait there or, if its reservation asked for that, does wait; zero means that it
 	// may not. In the latter case another reply follows.
 	SlotWait time.Duration
-	// FreeIn is set in a refusal: the expected time until the target has spare capacity for the
+	// ExpectedSpareWait is set in a refusal: the expected time until the target has spare capacity for the
 	// workspace.
-	FreeIn time.Duration
+	ExpectedSpareWait time.Duration
 }
 
 // FirstByteNotice tells the owner that the first byte of an answer has arrived.
--- a/internal/booking/waitlist.go
+++ b/internal/booking/waitlist.go
@@ -1,7 +1,6 @@
 package booking
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -20,10 +19,10 @@
 // that is sent later.
 
 const (
-	// waitingPerSlot and minWaiting bound the requests that wait at a target, as a fraction of its
+	// maxWaitingSlotFraction and minWaitlistLimit bound the requests that wait at a target, as a fraction of its
 	// slots and at least: with more of them, the last ones wait longer than objectives allow.
-	waitingPerSlot = 0.25
-	minWaiting     = 2
+	maxWaitingSlotFraction = 0.25
+	minWaitlistLimit       = 2
 	// waitMargin is the time that a waiting request leaves for the message that grants its slot.
 	waitMargin = 15 * time.Millisecond
 	// minDepartures is the decaying number of requests that must have left a target for the rate at
@@ -42,8 +41,8 @@
 	// queuedAt is when it began to wait, due when its first byte is due, and sendBy the end of its
 	// wait.
 	queuedAt, due, sendBy time.Time
-	// prefill is its prefill time, and ownTime the time to its first byte after it was sent.
-	prefill, ownTime time.Duration
+	// prefill is its prefill time, and unqueuedFirstByte the time to its first byte after it was sent.
+	prefill, unqueuedFirstByte time.Duration
 	// shareUsed is how much of its share its workspace has used, as of the last ordering.
 	shareUsed float64
 }
@@ -54,8 +53,8 @@
 	// departures is the decaying number of requests that have left the target.
 	departures decayingSum
 	counts     WaitCounts
-	// spareAt is when the target last had spare capacity.
-	spareAt time.Time
+	// lastSpareAt is when the target last had spare capacity.
+	lastSpareAt time.Time
 }
 
 // WaitCounts counts the requests that have waited for slots, by how their waits ended.
@@ -83,7 +82,7 @@
 // leave the target before the first one that leaves for a waiting request.
 func (l *waitlist) expectedWait(now time.Time, slots int, excess float64) (time.Duration, bool) {
 	departures := l.departures.now(now)
-	if len(l.entries) >= max(minWaiting, int(waitingPerSlot*float64(slots))) || departures < minDepartures {
+	if len(l.entries) >= max(minWaitlistLimit, int(maxWaitingSlotFraction*float64(slots))) || departures < minDepartures {
 		return 0, false
 	}
 	return time.Duration((excess + float64(len(l.entries)+1)) / departures * float64(decayTime)), true
@@ -96,8 +95,11 @@
 		w.shareUsed = shareUsed(w)
 	}
 	slices.SortStableFunc(l.entries, func(a, b *waiting) int {
-		if above := cmp.Compare(above(a), above(b)); above != 0 {
-			return above
+		switch {
+		case a.exceedsShare() && !b.exceedsShare():
+			return 1
+		case !a.exceedsShare() && b.exceedsShare():
+			return -1
 		}
 		return a.sendBy.Compare(b.sendBy)
 	})
@@ -111,22 +113,17 @@
 	}
 }
 
-// above returns 1 if the workspace of a request has used up its share, otherwise 0.
-func above(w *waiting) int {
-	if w.shareUsed >= 1 {
-		return 1
-	}
-	return 0
-}
+// exceedsShare reports whether the workspace of the request has used up its share.
+func (w *waiting) exceedsShare() bool { return w.shareUsed >= 1 }
 
 // lastDelayed returns the position of the last request that becomes late if the one at position i is
 // sent now, whose prefill then starts at a given time; i if few become late.
 func (l *waitlist) lastDelayed(i int, start time.Time) int {
 	last, delayed := i, 0
 	free := start.Add(l.entries[i].prefill)
-	for j := i + 1; j < len(l.entries) && above(l.entries[j]) == above(l.entries[i]); j++ {
+	for j := i + 1; j < len(l.entries) && l.entries[j].exceedsShare() == l.entries[i].exceedsShare(); j++ {
 		w := l.entries[j]
-		if free.Add(w.ownTime).After(w.due) && !start.Add(w.ownTime).After(w.due) {
+		if free.Add(w.unqueuedFirstByte).After(w.due) && !start.Add(w.unqueuedFirstByte).After(w.due) {
 			last, delayed = j, delayed+1
 		}
 	}
--- a/internal/booking/waitlist_test.go
+++ b/internal/booking/waitlist_test.go
@@ -15,7 +15,7 @@
 	l := &waitlist{entries: entries}
 	for _, w := range entries {
 		w.due = now.Add(time.Duration(w.res.Remaining))
-		w.sendBy = w.due.Add(-w.ownTime)
+		w.sendBy = w.due.Add(-w.unqueuedFirstByte)
 	}
 	l.order(now, now, func(w *waiting) float64 { return w.res.shareForTest() })
 	for _, w := range l.entries {
@@ -33,7 +33,7 @@
 }
 
 func waitingFor(ws ident.Workspace, remaining, prefill time.Duration) *waiting {
-	return &waiting{res: Reservation{Workspace: ws, Remaining: remaining}, prefill: prefill, ownTime: prefill + 40*time.Millisecond}
+	return &waiting{res: Reservation{Workspace: ws, Remaining: remaining}, prefill: prefill, unqueuedFirstByte: prefill + 40*time.Millisecond}
 }
 
 // Guards against a workspace above its share that waits ahead of one below it, and against requests
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -61,7 +61,7 @@
 	mu     sync.Mutex
 	picker *handover.Picker
 	// bound limits what is forwarded at a time; nil if the limit is fixed.
-	bound      *handover.Bound
+	bound      *handover.ForwardLimiter
 	rng        *rand.Rand
 	neighbours []ident.Daemon
 	addresses  map[ident.Daemon]string
@@ -81,7 +81,7 @@
 		h.picker.Spread()
 		monitor.neighboursAccept = h.neighboursAccept
 		if base := maxForwardedConns(s.Memory); base > 0 {
-			h.bound = handover.NewBound(base)
+			h.bound = handover.NewForwardLimiter(base)
 		}
 	}
 	return h
--- a/internal/fleet/bookings.go
+++ b/internal/fleet/bookings.go
@@ -46,7 +46,7 @@
 		out.Asks = append(out.Asks, e.reservation(f, a))
 	}
 	for _, r := range m.Replies {
-		out.Replies = append(out.Replies, &fleetv1.BookingReply{Id: r.ID, Ok: r.OK, Wait: encodeDuration(r.Wait), Back: r.CallerRetry, Kept: uint32(r.CachedTokens), Hold: encodeDuration(r.Hold), Limit: uint32(r.Limit), Used: uint32(math.Round(shareScale * min(r.ShareUsed, maxShareUsed))), Alone: encodeDuration(r.UnloadedWait), SlotWait: encodeDuration(r.SlotWait), FreeIn: encodeDuration(r.FreeIn)})
+		out.Replies = append(out.Replies, &fleetv1.BookingReply{Id: r.ID, Ok: r.OK, Wait: encodeDuration(r.Wait), Back: r.CallerRetry, Kept: uint32(r.CachedTokens), Hold: encodeDuration(r.Hold), Limit: uint32(r.Limit), Used: uint32(math.Round(shareScale * min(r.ShareUsed, maxShareUsed))), Alone: encodeDuration(r.UnloadedWait), SlotWait: encodeDuration(r.SlotWait), FreeIn: encodeDuration(r.ExpectedSpareWait)})
 	}
 	for _, k := range m.FirstBytes {
 		out.Marks = append(out.Marks, &fleetv1.BookingMark{Id: k.ID, First: encodeDuration(k.Elapsed)})
@@ -103,7 +103,7 @@
 		out.Reservations = append(out.Reservations, reservation)
 	}
 	for _, r := range in.GetReplies() {
-		out.Replies = append(out.Replies, booking.Reply{ID: r.GetId(), OK: r.GetOk(), Wait: decodeDuration(r.GetWait()), CallerRetry: r.GetBack(), CachedTokens: int(r.GetKept()), Hold: decodeDuration(r.GetHold()), Limit: booking.Limit(min(r.GetLimit(), math.MaxUint8)), ShareUsed: float64(r.GetUsed()) / shareScale, UnloadedWait: decodeDuration(r.GetAlone()), SlotWait: decodeDuration(r.GetSlotWait()), FreeIn: decodeDuration(r.GetFreeIn())})
+		out.Replies = append(out.Replies, booking.Reply{ID: r.GetId(), OK: r.GetOk(), Wait: decodeDuration(r.GetWait()), CallerRetry: r.GetBack(), CachedTokens: int(r.GetKept()), Hold: decodeDuration(r.GetHold()), Limit: booking.Limit(min(r.GetLimit(), math.MaxUint8)), ShareUsed: float64(r.GetUsed()) / shareScale, UnloadedWait: decodeDuration(r.GetAlone()), SlotWait: decodeDuration(r.GetSlotWait()), ExpectedSpareWait: decodeDuration(r.GetFreeIn())})
 	}
 	for _, k := range in.GetMarks() {
 		out.FirstBytes = append(out.FirstBytes, booking.FirstByteNotice{ID: k.GetId(), Elapsed: decodeDuration(k.GetFirst())})
--- a/internal/fleet/bookings_test.go
+++ b/internal/fleet/bookings_test.go
@@ -22,7 +22,7 @@
 				CachedHint: 500, CachedElsewhere: 450, MayWait: true},
 			{ID: 8, Service: "app", Target: "a1", Workspace: "club", Remaining: -time.Second, Running: true, PrefillDone: true, PreviouslyPlaced: true},
 		},
-		Replies:    []booking.Reply{{ID: 3, OK: true, Wait: 70 * time.Millisecond, CachedTokens: 500, Hold: 45 * time.Millisecond}, {ID: 4, CallerRetry: true, Limit: booking.LimitSpare, ShareUsed: 1.25, SlotWait: 180 * time.Millisecond, FreeIn: 2 * time.Second}},
+		Replies:    []booking.Reply{{ID: 3, OK: true, Wait: 70 * time.Millisecond, CachedTokens: 500, Hold: 45 * time.Millisecond}, {ID: 4, CallerRetry: true, Limit: booking.LimitSpare, ShareUsed: 1.25, SlotWait: 180 * time.Millisecond, ExpectedSpareWait: 2 * time.Second}},
 		FirstBytes: []booking.FirstByteNotice{{ID: 3, Elapsed: 71 * time.Millisecond}},
 		Releases:   []booking.Release{{ID: 3, Elapsed: time.Second, Failed: true, EventInterval: 20 * time.Millisecond}, {ID: 5, NotRun: true}},
 		Scope:      booking.ScopeZone,
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -14,7 +14,7 @@
 //
 // Where connections are spread (Picker.Spread), the time that neighbours take to reply to
 // offers counts as well, connections are forwarded before any are refused, and their number
-// is bounded by the latency that forwarding them causes (Bound).
+// is bounded by the latency that forwarding them causes (ForwardLimiter).
 package handover
 
 import (
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -191,7 +191,7 @@
 // that lets forwarding delay all events of a VM.
 func TestBoundFollowsTheLatency(t *testing.T) {
 	is := is.New(t)
-	b, now, limit := handover.NewBound(36), testStart, 0
+	b, now, limit := handover.NewForwardLimiter(36), testStart, 0
 	observe := func(latency time.Duration, full bool) {
 		for range 100 {
 			now = now.Add(20 * time.Millisecond)
--- a/internal/overload/smallzone_handover_test.go
+++ b/internal/overload/smallzone_handover_test.go
@@ -19,7 +19,7 @@
 	// tells, and late if what is known of them is a second old.
 	reported, late bool
 	// bounds limit what each VM forwards; nil if they are fixed.
-	bounds []*handover.Bound
+	bounds []*handover.ForwardLimiter
 }
 
 // enableForwarding makes the VMs of a zone forward connections.
--- a/internal/overload/smallzone_spread_test.go
+++ b/internal/overload/smallzone_spread_test.go
@@ -114,7 +114,7 @@
 			v.early = overload.NewEarlyShedder()
 		}
 		if d.bound {
-			h.bounds = append(h.bounds, handover.NewBound(maxOpen))
+			h.bounds = append(h.bounds, handover.NewForwardLimiter(maxOpen))
 		}
 	}
 }
