Event 111 tells each second why connections were not offered to neighbours

Cause: a flooded daemon writes one line in five seconds, with what it passed on. That as many are passed on as may be, that offers wait, and that each neighbour has refused look alike, and the FAIR rule speaks of six seconds. Ruled out: deriving it from open and limit, which are those of the moment of the line. Change: Route tells LimitReached and OffersPending from NoNeighbour; event 111 counts each (at_limit, pending, nobody), once a second. No decision changes. The test of the limit expects LimitReached in place of NoNeighbour, which is stricter.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -54,6 +54,9 @@
 	// that a neighbour accepted, offers that it refused, offers that it did not answer in
 	// time, and accepted connections that it closed without an answer.
 	forwarded, refused, timedOut, lost atomic.Int64
+	// notOffered counts the connections since the last report that were to be forwarded and were
+	// offered to nobody.
+	notOffered notOffered
 	// sendDelays are the delays since the last report from the acceptance of a connection
 	// until its first bytes were sent to a neighbour.
 	sendDelays waitStats
@@ -140,7 +143,8 @@
 	case handover.Local:
 		caller.mustServe = true
 		return false
-	case handover.NoNeighbour:
+	case handover.NoNeighbour, handover.LimitReached, handover.OffersPending:
+		h.notOffered.count(choice)
 		caller.mustRefuse = load.Saturated()
 		return false
 	}
@@ -260,13 +264,29 @@
 	}
 }
 
-// logReport logs what was forwarded since the last report, if anything.
+// notOffered counts connections that were offered to no neighbour, by the reason. It is safe for
+// concurrent use.
+type notOffered struct{ atLimit, pending, noNeighbour atomic.Int64 }
+
+func (n *notOffered) count(reason handover.Choice) {
+	switch reason {
+	case handover.LimitReached:
+		n.atLimit.Add(1)
+	case handover.OffersPending:
+		n.pending.Add(1)
+	case handover.NoNeighbour:
+		n.noNeighbour.Add(1)
+	}
+}
+
+// logReport logs what was forwarded since the last report, or was to be, if anything.
 func (h *connForwarder) logReport() {
 	forwarded, refused, timedOut, lost := h.forwarded.Swap(0), h.refused.Swap(0), h.timedOut.Swap(0), h.lost.Swap(0)
+	atLimit, pending, noNeighbour := h.notOffered.atLimit.Swap(0), h.notOffered.pending.Swap(0), h.notOffered.noNeighbour.Swap(0)
 	meanDelay, maxDelay := h.sendDelays.collect()
-	if forwarded+refused+timedOut > 0 {
+	if forwarded+refused+timedOut+atLimit+pending+noNeighbour > 0 {
 		event.HandoverSummary.Log(h.log, "passed_on", forwarded, "refused", refused, "unheard", timedOut, "lost", lost, "open", h.active.Load(),
-			"limit", h.maxOpen(), "early", h.monitor.earlyFraction(), "sent_ms", meanDelay.Milliseconds(), "longest_ms", maxDelay.Milliseconds())
+			"limit", h.maxOpen(), "at_limit", atLimit, "pending", pending, "nobody", noNeighbour, "early", h.monitor.earlyFraction(), "sent_ms", meanDelay.Milliseconds(), "longest_ms", maxDelay.Milliseconds())
 	}
 }
 
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -465,6 +466,25 @@
 	is.Equal(answer, "local")
 }
 
+// Guards against a flooded daemon whose log does not tell why its neighbours got no more connections.
+func TestHandoverLineTellsWhyConnectionsWereNotOffered(t *testing.T) {
+	is := is.New(t)
+	s := newOverloadedDaemon(t) // without neighbours
+	var log bytes.Buffer
+	s.forwarder.log = slog.New(slog.NewJSONHandler(&log, nil))
+	_, answer, err := s.post("x")
+	is.NoErr(err)
+	is.Equal(answer, "local")
+	s.forwarder.notOffered.count(handover.LimitReached)
+	s.forwarder.notOffered.count(handover.LimitReached)
+	s.forwarder.logReport()
+	is.True(strings.Contains(log.String(), `"passed_on":0`))
+	is.True(strings.Contains(log.String(), `"at_limit":2,"pending":0,"nobody":1`))
+	log.Reset()
+	s.forwarder.logReport() // nothing since
+	is.Equal(log.Len(), 0)
+}
+
 // Guards against a daemon that forwards nothing before it refuses requests although its settings ask for
 // it, against one that does so although they do not, and against one that does in a zone whose daemons
 // are all short of processor time.
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -264,8 +264,8 @@
 // log lines is logged.
 const reportInterval = 5 * time.Second
 
-// sharingInterval is the interval of the log lines about fair sharing. Each covers the
-// decisions since the previous one, so that the figures of several daemons can be added up
+// sharingInterval is the interval of the log lines about fair sharing and about forwarded
+// connections. Each covers the decisions since the previous one, so that the figures of several daemons can be added up
 // second by second.
 const sharingInterval = time.Second
 
@@ -281,7 +281,6 @@
 		case <-ticker.C:
 			s.updateGauges()
 			s.reportSpeeds()
-			s.deps.Forwarder.logReport()
 			s.deps.Servers.connections.ends.logReport()
 			s.deps.Servers.limitedListener.logReport(s.deps.Log)
 			s.deps.Gateway.LogDroppedLines()
@@ -289,6 +288,7 @@
 			logStoreCalls(s.deps.Calls, s.deps.Log)
 		case <-sharing.C:
 			s.logSharing()
+			s.deps.Forwarder.logReport()
 			s.routesAge.observe(s.deps.Relay.Knowledge(time.Now()), s.vmUsage(), s.deps.Metrics, s.deps.Log)
 		}
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -144,8 +144,13 @@
 type Choice uint8
 
 const (
-	// NoNeighbour means that no neighbour can accept the connection.
+	// NoNeighbour means that there is no neighbour, or that each one has refused a connection
+	// lately.
 	NoNeighbour Choice = iota
+	// LimitReached means that as many connections are being forwarded as may be.
+	LimitReached
+	// OffersPending means that as many offers wait for an answer as may.
+	OffersPending
 	// Local means that this daemon is to serve the connection although a neighbour could
 	// accept it.
 	Local
@@ -157,8 +162,11 @@
 // is to be forwarded. After Forward the caller must call Refused, or OfferAnswered and
 // later Closed.
 func (p *Picker) Route(now time.Time, rng *rand.Rand, fraction float64) (Neighbour, Choice) {
-	if p.pendingOffers >= maxPendingOffers {
-		return Neighbour{}, NoNeighbour
+	switch {
+	case p.pendingOffers >= maxPendingOffers:
+		return Neighbour{}, OffersPending
+	case p.full():
+		return Neighbour{}, LimitReached
 	}
 	n, ok := p.Pick(now, rng)
 	switch {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -100,11 +100,11 @@
 		last = n
 	}
 	_, choice := p.Route(testStart, rng, 1)
-	is.Equal(choice, handover.NoNeighbour)
+	is.Equal(choice, handover.LimitReached)
 	p.SetNeighbours(nil) // open connections still count
 	p.SetNeighbours(neighbours(4))
 	_, choice = p.Route(testStart, rng, 1)
-	is.Equal(choice, handover.NoNeighbour)
+	is.Equal(choice, handover.LimitReached)
 	p.OfferAnswered()
 	p.Closed(last.ID)
 	_, choice = p.Route(testStart, rng, 1)
