A failing test: a workspace of streams behind one small VM lacks beside idle neighbours

Cause: the simulated zone had requests that end with their dispatch, so that 46 connections at a time were hundreds a second. A connection that is forwarded lasts as long as its stream. It also bounds late events, which a limit that is too high brings.

--- a/internal/overload/smallzone_share_test.go
+++ b/internal/overload/smallzone_share_test.go
@@ -70,3 +70,29 @@
 		})
 	}
 }
+
+// Guards against a small VM that forwards few connections at a time, each of which lasts as long as its
+// stream, and refuses the callers of a workspace although its neighbours have processor time to spare.
+func TestWorkspaceOfStreamsBehindOneSmallVMGetsItsShare(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			z := newSimZone(seed, 13, 2, localPlacer{})
+			z.events, z.forwardTime, z.carryTime = 20, refuseTime, eventTime
+			z.enableForwarding()
+			hot := &simWorkspace{rate: 920, limiter: streamLimiter(), vmOrders: [][]int{z.vmOrder(), z.vmOrder()}}
+			spread := &simWorkspace{rate: spreadRate, limiter: streamLimiter()}
+			normal := &simWorkspace{rate: 225, limiter: rate.NewLimiter(rate.Inf, 0)}
+			z.workspaces = []*simWorkspace{hot, spread, normal}
+			z.run(simSeconds)
+			ratio, second := minShareRatio(hot, spread)
+			late := float64(z.lateEvents) / float64(z.sentEvents)
+			t.Logf("from second %d: served %.2f of the entitlement; late events %.4f; of normal callers in time %.3f", second, ratio, late, normal.inTime/simSeconds/normal.rate)
+			is := is.New(t)
+			is.True(ratio >= 1)
+			is.True(late < 0.01) // what is forwarded must not delay the streams that a VM carries
+		})
+	}
+}
+
+// streamLimiter limits a workspace to what targets accept of it where responses are streams.
+func streamLimiter() *rate.Limiter { return rate.NewLimiter(240, 48) }
--- a/internal/overload/smallzone_spread_test.go
+++ b/internal/overload/smallzone_spread_test.go
@@ -29,7 +29,7 @@
 		c.conn.close()
 		return
 	}
-	z.schedule(eventInterval, func() {
+	z.schedule(z.eventInterval, func() {
 		produced := z.elapsed
 		sent := func() {
 			if z.sentEvents++; z.elapsed-produced > lateEvent {
@@ -38,7 +38,7 @@
 		}
 		carry := sent
 		if by := c.conn.acceptedBy; by != c.conn.servedBy {
-			carry = func() { by.enqueueWork(carryTime, sent) }
+			carry = func() { by.enqueueWork(z.carryTime, sent) }
 		}
 		c.conn.servedBy.enqueueWork(eventTime, carry)
 		z.stream(c, left-1)
--- a/internal/overload/smallzone_test.go
+++ b/internal/overload/smallzone_test.go
@@ -213,6 +213,9 @@
 	events int
 	// lateEvents counts the events that were late at the caller, sentEvents all of them.
 	lateEvents, sentEvents int
+	// eventInterval is the time between two events of a call. forwardTime is the cost of forwarding a
+	// request, and carryTime of forwarding an event, at the VM that accepted the connection.
+	eventInterval, forwardTime, carryTime time.Duration
 	// forwards reports whether neighbours accept what a VM forwards; nil if that has no effect.
 	forwards func(*simVM) bool
 	// forwardedConns counts the connections that were forwarded.
@@ -226,7 +229,7 @@
 // newSimZone returns a zone with the given numbers of small and large VMs, in an order
 // derived from the seed.
 func newSimZone(seed uint64, small, large int, p placer) *simZone {
-	z := &simZone{rng: rand.New(rand.NewPCG(seed, 1)), placer: p, acceptBacklog: overload.AcceptBacklog, scheduled: map[time.Duration][]func(){}}
+	z := &simZone{rng: rand.New(rand.NewPCG(seed, 1)), placer: p, acceptBacklog: overload.AcceptBacklog, eventInterval: eventInterval, forwardTime: forwardTime, carryTime: carryTime, scheduled: map[time.Duration][]func(){}}
 	for i, place := range z.rng.Perm(small + large) {
 		cores := smallVMCores
 		if place >= small {
@@ -403,7 +406,7 @@
 	if c.conn.acceptedBy == c.conn.servedBy {
 		return z.serveOrRefuse(c)
 	}
-	return forwardTime, func() {
+	return z.forwardTime, func() {
 		c.conn.servedBy.enqueue(func() (time.Duration, func()) { return z.serveOrRefuse(c) })
 	}
 }
