The limit on forwarded connections follows the latency on every daemon

Cause: at most 46 connections were forwarded at a time by a VM of 184 MB, and each lasts as long as its stream. Class: a fixed number stands for a capacity that is measured. Change: the picker owns the ForwardLimiter, which only fleet.spread had used; nothing else of that setting is taken over. TestSmallVMForwardsFewConnectionsAtATime gives its VM a latency that shows that it hardly keeps up, and expects 46 as before; beside it TestSmallVMForwardsMoreWhileItKeepsUp, and the simulated zone asks for late events below one in a hundred, which is what the fixed bound was for.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -21,16 +21,16 @@
 // maxForwardAttempts is how many neighbours are offered one connection.
 const maxForwardAttempts = 2
 
-// maxForwardedFraction is the number of connections that a daemon may forward at a time, as
-// a fraction of its limit on connections of callers. Each forwarded connection is proxied
-// by the daemon to its end, streams event by event: more than it has processor time for
-// delay each other and all requests that it serves itself.
-const maxForwardedFraction = 1.0 / 16
+// baseForwardedFraction is the number of connections that a daemon may forward at a time
+// whatever its latency, as a fraction of its limit on connections of callers. Each forwarded
+// connection is proxied by the daemon to its end, streams event by event: more than it has
+// processor time for delay each other and all requests that it serves itself.
+const baseForwardedFraction = 1.0 / 16
 
-// maxForwardedConns returns the limit on connections that are forwarded at a time; zero
+// baseForwardedConns returns the lowest limit on connections that are forwarded at a time; zero
 // means no limit.
-func maxForwardedConns(m settings.Memory) int {
-	return int(math.Ceil(maxForwardedFraction * float64(maxCallerConnections(m))))
+func baseForwardedConns(m settings.Memory) int {
+	return int(math.Ceil(baseForwardedFraction * float64(maxCallerConnections(m))))
 }
 
 // connForwarder forwards new connections of callers to neighbours while this daemon is
@@ -61,10 +61,8 @@
 	// until its first bytes were sent to a neighbour.
 	sendDelays waitStats
 
-	mu     sync.Mutex
-	picker *handover.Picker
-	// bound limits what is forwarded at a time; nil if the limit is fixed.
-	bound      *handover.ForwardLimiter
+	mu         sync.Mutex
+	picker     *handover.Picker
 	rng        *rand.Rand
 	neighbours []ident.Daemon
 	addresses  map[ident.Daemon]string
@@ -76,16 +74,13 @@
 	h := &connForwarder{
 		monitor: monitor, disconnects: disconnects, unreadConns: func(time.Time) int { return 0 }, routesVersion: func() uint64 { return 0 }, log: log, metrics: metrics,
 		returned: newReturnedListener(),
-		picker:   handover.NewPicker(maxForwardedConns(s.Memory)),
+		picker:   handover.NewPicker(baseForwardedConns(s.Memory)),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		proxies:  map[ident.Daemon]map[*connProxy]bool{},
 	}
 	if s.Fleet.Spread {
 		h.picker.Spread()
 		monitor.neighboursAccept = h.neighboursAccept
-		if base := maxForwardedConns(s.Memory); base > 0 {
-			h.bound = handover.NewForwardLimiter(base)
-		}
 	}
 	return h
 }
@@ -225,9 +220,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	if h.bound != nil {
-		h.picker.SetMaxOpen(h.bound.Observe(now, time.Duration(h.monitor.meanLatency.Load()), h.picker.Open()))
-	}
+	h.picker.ObserveLatency(now, time.Duration(h.monitor.meanLatency.Load()))
 	return h.picker.Route(now, h.rng, fraction)
 }
 
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -439,7 +439,35 @@
 // delayed.
 func TestSmallVMForwardsFewConnectionsAtATime(t *testing.T) {
 	is := is.New(t)
-	const maxForwarded = 46 // of a VM of 184 MB
+	s, forward := newSmallVM(t)
+	s.monitor.meanLatency.Store(int64(10 * time.Millisecond)) // it hardly keeps up with what it forwards
+	for range smallVMForwards {
+		is.True(forward())
+	}
+	_, answer, err := s.post("x")
+	is.NoErr(err)
+	is.Equal(answer, "local")
+}
+
+// Guards against a small VM that refuses callers, since it proxies a fixed number of streams to neighbours,
+// although it has processor time for more.
+func TestSmallVMForwardsMoreWhileItKeepsUp(t *testing.T) {
+	is := is.New(t)
+	_, forward := newSmallVM(t)
+	for range 2 * smallVMForwards {
+		is.True(forward())
+		time.Sleep(2 * time.Millisecond) // the limit grows with time
+	}
+}
+
+// smallVMForwards is how many connections a VM of 184 MB forwards at a time whatever its latency.
+const smallVMForwards = 46
+
+// newSmallVM returns an overloaded daemon on a small VM. forward opens a connection to it that stays open, and
+// reports whether its neighbour serves it.
+func newSmallVM(t *testing.T) (s *overloadedDaemon, forward func() bool) {
+	t.Helper()
+	is := is.New(t)
 	held := make(chan struct{})
 	var forwarded atomic.Int64
 	n := newTestNeighbour(t, func(http.ResponseWriter, *http.Request) {
@@ -449,21 +477,19 @@
 	t.Cleanup(func() { close(held) })
 	small := settings.Defaults()
 	small.Memory = settings.Memory{Limit: 184, Descriptors: 4100}
-	s := newOverloadedVM(t, small, n.address)
-	for i := range int64(maxForwarded) {
+	s = newOverloadedVM(t, small, n.address)
+	return s, func() bool {
+		before := forwarded.Load()
 		conn, err := net.Dial("tcp", s.address)
 		is.NoErr(err)
 		t.Cleanup(func() { _ = conn.Close() })
 		_, err = io.WriteString(conn, plainRequest)
 		is.NoErr(err)
-		for end := time.Now().Add(5 * time.Second); forwarded.Load() <= i && time.Now().Before(end); {
+		for end := time.Now().Add(5 * time.Second); forwarded.Load() == before && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
 		}
-		is.Equal(forwarded.Load(), i+1)
+		return forwarded.Load() == before+1
 	}
-	_, answer, err := s.post("x")
-	is.NoErr(err)
-	is.Equal(answer, "local")
 }
 
 // Guards against a flooded daemon whose log does not tell why its neighbours got no more connections.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -12,9 +12,12 @@
 // chosen: a slow or busy neighbour keeps connections for longer, so that no load needs to
 // be reported. A neighbour that refused a connection is skipped for a short time.
 //
+// How many connections are forwarded at a time is bounded by the latency that forwarding them
+// causes (ForwardLimiter): each lasts as long as its response, so that a fixed number of streams
+// is far less than the VM can carry.
+//
 // Where connections are spread (Picker.Spread), the time that neighbours take to reply to
-// offers counts as well, connections are forwarded before any are refused, and their number
-// is bounded by the latency that forwarding them causes (ForwardLimiter).
+// offers counts as well, and connections are forwarded before any are refused.
 package handover
 
 import (
@@ -95,6 +98,8 @@
 // Picker chooses neighbours and counts the connections forwarded to each. It is not safe
 // for concurrent use.
 type Picker struct {
+	// limiter adapts maxOpen; nil if there is no limit.
+	limiter *ForwardLimiter
 	// maxOpen bounds the forwarded connections that are open at a time.
 	maxOpen, open int
 	// pendingOffers counts the offered connections that no neighbour has answered yet.
@@ -116,10 +121,22 @@
 	repliedAt  time.Time
 }
 
-// NewPicker returns a Picker without neighbours. maxOpen bounds the connections that are
-// forwarded at a time; zero means no limit.
-func NewPicker(maxOpen int) *Picker {
-	return &Picker{maxOpen: maxOpen, states: map[ident.Daemon]*neighbourState{}}
+// NewPicker returns a Picker without neighbours. baseOpen is the lowest limit on the connections
+// that are forwarded at a time; zero means no limit.
+func NewPicker(baseOpen int) *Picker {
+	p := &Picker{maxOpen: baseOpen, states: map[ident.Daemon]*neighbourState{}}
+	if baseOpen > 0 {
+		p.limiter = NewForwardLimiter(baseOpen)
+	}
+	return p
+}
+
+// ObserveLatency adapts the limit on connections that are forwarded at a time to the mean
+// scheduling latency of this daemon.
+func (p *Picker) ObserveLatency(now time.Time, latency time.Duration) {
+	if p.limiter != nil {
+		p.maxOpen = p.limiter.Observe(now, latency, p.open)
+	}
 }
 
 // SetNeighbours replaces the neighbours. Open connections of removed neighbours still
@@ -253,9 +270,6 @@
 // Spread makes the picker choose neighbours by how fast they reply to offers.
 func (p *Picker) Spread() { p.spread = true }
 
-// SetMaxOpen replaces the limit on connections that are forwarded at a time.
-func (p *Picker) SetMaxOpen(n int) { p.maxOpen = n }
-
 // MaxOpen returns the limit on connections that are forwarded at a time; zero means no limit.
 func (p *Picker) MaxOpen() int { return p.maxOpen }
 
--- a/internal/overload/smallzone_handover_test.go
+++ b/internal/overload/smallzone_handover_test.go
@@ -18,29 +18,35 @@
 	// reported is set if neighbours report their mean latency in place of what the time of their reply
 	// tells, and late if what is known of them is a second old.
 	reported, late bool
-	// bounds limit what each VM forwards; nil if they are fixed.
-	bounds []*handover.ForwardLimiter
+	// fixed is set if the limit on what each VM forwards does not follow its latency.
+	fixed bool
 }
 
 // enableForwarding makes the VMs of a zone forward connections.
 func (z *simZone) enableForwarding() {
 	h := &forwardingPlacer{zone: z}
-	for i := range z.vms {
+	for i, v := range z.vms {
 		var neighbours []handover.Neighbour
 		for j := range z.vms {
 			if j != i {
 				neighbours = append(neighbours, handover.Neighbour{ID: daemonID(j), Address: fmt.Sprint(j)})
 			}
 		}
-		p := handover.NewPicker(maxForwarded)
+		p := handover.NewPicker(v.baseForwarded())
 		p.SetNeighbours(neighbours)
 		h.pickers, h.openConns = append(h.pickers, p), append(h.openConns, make([]int, len(z.vms)))
 	}
 	z.placer = h
 }
 
-// maxForwarded is how many connections a small VM forwards at a time.
-const maxForwarded = 46
+// baseForwarded is how many connections a small VM forwards at a time whatever its latency.
+const baseForwarded = 46
+
+// baseForwarded returns how many connections a VM forwards at a time whatever its latency. It
+// follows the memory of the VM, which differs less than the processor time.
+func (v *simVM) baseForwarded() int {
+	return int(baseForwarded * min(float64(v.quota)/float64(quotaPeriod)/smallVMCores, 3))
+}
 
 func daemonID(i int) ident.Daemon { return ident.Daemon(fmt.Sprint(i)) }
 
@@ -60,8 +66,8 @@
 	if fraction == 0 {
 		return vm
 	}
-	if h.bounds != nil {
-		p.SetMaxOpen(h.bounds[vm].Observe(h.zone.now(), h.zone.vms[vm].detector.MeanLatency(), p.Open()))
+	if !h.fixed {
+		p.ObserveLatency(h.zone.now(), h.zone.vms[vm].detector.MeanLatency())
 	}
 	to, choice := p.Route(h.zone.now(), rng, fraction)
 	for tries, ok := 1, choice == handover.Forward; ok; tries++ {
--- a/internal/overload/smallzone_spread_test.go
+++ b/internal/overload/smallzone_spread_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 	"golang.org/x/time/rate"
 
-	"github.com/savorystall/savorystall/internal/handover"
 	"github.com/savorystall/savorystall/internal/overload"
 )
 
@@ -103,19 +102,14 @@
 	if d.stays {
 		z.forwards = func(v *simVM) bool { return h.pickers[v.index].Forwards(z.now()) }
 	}
-	h.reported, h.late = d.reported, d.late
+	h.reported, h.late, h.fixed = d.reported, d.late, !d.bound
 	for i, v := range z.vms {
-		maxOpen := int(maxForwarded * min(float64(v.quota)/float64(quotaPeriod)/smallVMCores, 3)) // memory grows less than processor time
-		h.pickers[i].SetMaxOpen(maxOpen)
 		if d.spread {
 			h.pickers[i].Spread()
 		}
 		if d.early {
 			v.early = overload.NewEarlyShedder()
 		}
-		if d.bound {
-			h.bounds = append(h.bounds, handover.NewForwardLimiter(maxOpen))
-		}
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -169,11 +169,9 @@
 	// of Listen and the next port, or a free port if that one is in use.
 	Handover string `yaml:"handover" validate:"omitempty,eq=none|hostname_port|tcp_addr"`
 	// Spread makes this daemon forward new connections to neighbours in its availability
-	// zone before it has to refuse any, prefer neighbours that reply fast, and bound the
-	// forwarded connections by the scheduling latency that they cause, when serving
+	// zone before it has to refuse any, and prefer neighbours that reply fast, when serving
 	// routes. It is for zones whose VMs differ in size or get callers unevenly. Default
-	// false: connections are forwarded once some are refused or sixteen are unread, up to
-	// a sixteenth of the limit on callers' connections.
+	// false: connections are forwarded once some are refused or sixteen are unread.
 	Spread bool `yaml:"spread"`
 	// Seeds are daemons to connect to before the VM list has been read for the first
 	// time; a daemon that starts during an outage of the platform obtains the
