While the rate of connections is limited, the newest is served first

Cause: connections waited in the kernel in the order of their arrival, as long as callers wait at most (a second, or a third of their time), so that the VM's time went to callers about to leave. Class: a queue before an overloaded server hands its capacity to those who are about to give up. Change: while the rate is limited, connections are accepted at once and wait in the daemon, at most 512 or an eighth of its descriptors. The newest is served first; what has waited 400 ms is closed unread, if the zone has another daemon, so that its caller may try there. When the limit ends or the daemon stops, what waits is served, oldest first. The simulated zone follows.

--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -136,72 +136,132 @@
 	acceptPollInterval = 5 * time.Millisecond
 )
 
-// rateLimitedListener limits the rate of new connections while the daemon cannot keep up,
-// and then drops those whose callers have disconnected meanwhile (overload.AcceptRate).
-//
-// Connections that are not accepted wait in the kernel, where they cost nothing. Closing
-// them instead makes their callers retry at once, which is worse than the load that it
-// saves.
+// rateLimitedListener limits the rate of new connections while the daemon cannot keep up
+// (overload.AcceptRate). Those beyond it wait here, and the newest is served first
+// (overload.AcceptQueue).
 type rateLimitedListener struct {
 	*drainableListener
-	// acceptRate returns how many connections to accept per second; zero means no limit.
+	// acceptRate returns how many connections to serve per second; zero means no limit.
 	acceptRate func() rate.Limit
 	limiter    *rate.Limiter
 	// tryForward starts forwarding a connection if a neighbour is to serve it, and reports
 	// whether it did. If nil, no connection is forwarded.
 	tryForward func(*trackedConn) bool
+	// othersServe reports whether other daemons serve the callers whose connections this one closes; nil
+	// if none does.
+	othersServe func() bool
+	// queue holds the accepted connections that wait to be served, maxQueue at most.
+	maxQueue int
+	queue    overload.AcceptQueue[*trackedConn]
 	// abandoned counts the connections since the last report whose callers had disconnected
-	// before they were accepted.
-	abandoned atomic.Int64
+	// before they were served, and stale those that had waited for too long.
+	abandoned, stale atomic.Int64
 }
 
 func newRateLimitedListener(l *drainableListener, acceptRate func() rate.Limit, tryForward func(*trackedConn) bool) *rateLimitedListener {
-	return &rateLimitedListener{drainableListener: l, acceptRate: acceptRate, limiter: rate.NewLimiter(rate.Inf, acceptBurst), tryForward: tryForward}
+	return &rateLimitedListener{drainableListener: l, acceptRate: acceptRate, limiter: rate.NewLimiter(rate.Inf, acceptBurst), tryForward: tryForward, maxQueue: overload.MaxAcceptQueue}
 }
 
 // Accept implements net.Listener.
 func (l *rateLimitedListener) Accept() (net.Conn, error) {
 	for {
-		limited := l.waitForToken()
-		conn, err := l.drainableListener.accept()
+		conn, err := l.next()
 		if err != nil {
 			return nil, err
 		}
-		if limited && peerClosed(conn) {
-			l.abandoned.Add(1)
-			_ = conn.Close() // the caller has disconnected; no token is taken for it
-			continue
-		}
-		if limited {
-			l.limiter.Allow()
-		}
 		if l.tryForward == nil || l.draining.Load() || !l.tryForward(conn) {
 			return conn, nil
 		}
 	}
 }
 
-// waitForToken waits until another connection may be accepted, without taking the token for
-// it, and reports whether the rate is limited.
-func (l *rateLimitedListener) waitForToken() bool {
+// next returns the next connection to serve or to forward.
+func (l *rateLimitedListener) next() (*trackedConn, error) {
 	for {
-		limit := l.acceptRate()
-		if limit == 0 || l.draining.Load() {
-			return false
+		limited := l.setLimit()
+		if l.queue.Len() == 0 && (!limited || !l.hasPending()) {
+			conn, err := l.drainableListener.accept()
+			if err != nil || !limited {
+				return conn, err
+			}
+			l.queue.Add(time.Now(), conn)
+		}
+		if !limited {
+			conn, _ := l.queue.Oldest()
+			return conn, nil
 		}
-		l.limiter.SetLimit(limit)
-		if l.limiter.Tokens() >= 1 {
-			return true
+		l.fillQueue()
+		l.closeStale()
+		if conn, ok := l.newest(); ok {
+			return conn, nil
 		}
+	}
+}
+
+// setLimit updates the rate limit, and reports whether the rate is limited.
+func (l *rateLimitedListener) setLimit() bool {
+	limit := l.acceptRate()
+	if limit == 0 || l.draining.Load() {
+		return false
+	}
+	l.limiter.SetLimit(limit)
+	return true
+}
+
+// fillQueue accepts the connections that wait in the kernel.
+func (l *rateLimitedListener) fillQueue() {
+	for l.queue.Len() < l.maxQueue && l.hasPending() {
+		conn, err := l.drainableListener.accept()
+		if err != nil {
+			return // the next call of accept reports it once the queue is empty
+		}
+		l.queue.Add(time.Now(), conn)
+	}
+}
+
+// closeStale closes the connections that have waited for too long. Nothing was read from them, so that
+// their callers may try another daemon.
+func (l *rateLimitedListener) closeStale() {
+	if l.othersServe == nil || !l.othersServe() {
+		return
+	}
+	for conn := range l.queue.Stale(time.Now()) {
+		if peerClosed(conn) {
+			l.abandoned.Add(1)
+		} else {
+			l.stale.Add(1)
+		}
+		_ = conn.Close()
+	}
+}
+
+// newest takes the newest connection whose caller has not disconnected from the queue if another one
+// may be served now. It waits for a moment if not.
+func (l *rateLimitedListener) newest() (conn *trackedConn, ok bool) {
+	if l.limiter.Tokens() < 1 {
 		time.Sleep(acceptPollInterval)
+		return nil, false
+	}
+	for {
+		conn, ok = l.queue.Newest()
+		if !ok {
+			return nil, false
+		}
+		if !peerClosed(conn) {
+			l.limiter.Allow()
+			return conn, true
+		}
+		l.abandoned.Add(1)
+		_ = conn.Close()
 	}
 }
 
-// logReport logs how many callers had disconnected before their connections were accepted since
-// the last report, if any had.
+// logReport logs how many connections were closed since the last report without having been served,
+// if any were.
 func (l *rateLimitedListener) logReport(log *slog.Logger) {
-	if abandoned := l.abandoned.Swap(0); abandoned > 0 {
-		event.ConnectionsAbandoned.Log(log, "abandoned", abandoned)
+	abandoned, stale := l.abandoned.Swap(0), l.stale.Swap(0)
+	if abandoned+stale > 0 {
+		event.ConnectionsAbandoned.Log(log, "abandoned", abandoned, "stale", stale)
 	}
 }
 
--- a/internal/daemon/routedservers.go
+++ b/internal/daemon/routedservers.go
@@ -11,6 +11,7 @@
 
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/gateway"
+	"github.com/savorystall/savorystall/internal/overload"
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/settings"
 	"github.com/savorystall/savorystall/internal/telemetry"
@@ -49,6 +50,8 @@
 		}
 	}
 	r.limitedListener = newRateLimitedListener(r.callersListener, load.acceptRate, h.tryForward)
+	r.limitedListener.maxQueue = maxAcceptQueue(s.Memory)
+	r.limitedListener.othersServe = func() bool { return load.zoneDaemons.Load() > 1 }
 	if r.operatorsListener, err = net.Listen("tcp", s.Operators.Listen); err != nil {
 		return nil, merry.Prepend(err, "operators' listener")
 	}
@@ -107,6 +110,14 @@
 	return limit
 }
 
+// maxAcceptQueue returns how many connections may wait to be served while their rate is limited.
+func maxAcceptQueue(m settings.Memory) int {
+	if m.Descriptors == 0 {
+		return overload.MaxAcceptQueue
+	}
+	return min(overload.MaxAcceptQueue, m.Descriptors/8)
+}
+
 // keepAliveMargin is by how much the idle timeout announced to callers is shorter than the
 // actual one, so that a caller does not send a request while its connection is being
 // closed.
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -282,13 +282,13 @@
 			s.updateGauges()
 			s.reportSpeeds()
 			s.deps.Servers.connections.ends.logReport()
-			s.deps.Servers.limitedListener.logReport(s.deps.Log)
 			s.deps.Gateway.LogDroppedLines()
 			s.deps.Gateway.LogStreams()
 			logStoreCalls(s.deps.Calls, s.deps.Log)
 		case <-sharing.C:
 			s.logSharing()
 			s.deps.Forwarder.logReport()
+			s.deps.Servers.limitedListener.logReport(s.deps.Log)
 			s.routesAge.observe(s.deps.Relay.Knowledge(time.Now()), s.vmUsage(), s.deps.Metrics, s.deps.Log)
 		}
 	}
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -25,7 +25,7 @@
 // Events of connections that are forwarded to neighbours.
 var (
 	HandoverSummary        = define(111, slog.LevelInfo, "new connections were forwarded to neighbours for lack of processor time", "none; give the VM more processor time if it persists")
-	ConnectionsAbandoned   = define(113, slog.LevelWarn, "callers had disconnected before their connections were accepted, for lack of processor time", "give the VM more processor time if it persists; see docs/operations/large-fleet.md")
+	ConnectionsAbandoned   = define(113, slog.LevelWarn, "connections were closed unread for lack of processor time: their callers had disconnected, or had waited for so long that another daemon serves them sooner", "give the VM more processor time if it persists; see docs/operations/large-fleet.md")
 	HandoverConnectionLost = define(112, slog.LevelWarn, "a neighbour closed a connection that it had taken over without sending a response", "check the neighbour that the line names")
 )
 
--- a/internal/overload/smallzone_test.go
+++ b/internal/overload/smallzone_test.go
@@ -29,6 +29,8 @@
 const (
 	serveTime  = 8 * time.Millisecond
 	refuseTime = 1300 * time.Microsecond
+	// closeTime is the cost of accepting a connection and closing it unread.
+	closeTime = 300 * time.Microsecond
 	// forwardTime is the cost of forwarding a request.
 	forwardTime = 600 * time.Microsecond
 	// timeSlice is how long a goroutine runs at a time: a request takes ten time slices.
@@ -207,8 +209,10 @@
 	workspaces []*simWorkspace
 	elapsed    time.Duration
 	scheduled  map[time.Duration][]func()
-	// acceptBacklog bounds the connections that wait in the kernel of a VM.
+	// acceptBacklog bounds the connections that wait for a VM to accept them. While it limits them,
+	// newestFirst makes it accept the newest first and close those that have waited for too long.
 	acceptBacklog int
+	newestFirst   bool
 	// events is how many events a served call has; zero means that it ends when dispatched.
 	events int
 	// lateEvents counts the events that were late at the caller, sentEvents all of them.
@@ -229,7 +233,7 @@
 // newSimZone returns a zone with the given numbers of small and large VMs, in an order
 // derived from the seed.
 func newSimZone(seed uint64, small, large int, p placer) *simZone {
-	z := &simZone{rng: rand.New(rand.NewPCG(seed, 1)), placer: p, acceptBacklog: overload.AcceptBacklog, eventInterval: eventInterval, forwardTime: forwardTime, carryTime: carryTime, scheduled: map[time.Duration][]func(){}}
+	z := &simZone{rng: rand.New(rand.NewPCG(seed, 1)), placer: p, acceptBacklog: overload.AcceptBacklog, newestFirst: true, eventInterval: eventInterval, forwardTime: forwardTime, carryTime: carryTime, scheduled: map[time.Duration][]func(){}}
 	for i, place := range z.rng.Perm(small + large) {
 		cores := smallVMCores
 		if place >= small {
@@ -369,25 +373,45 @@
 	v.run()
 }
 
-// accept accepts queued connections up to the rate limit. A connection whose caller has
-// disconnected costs nothing.
+// accept accepts queued connections up to the rate limit, the newest first while there is one. A
+// connection whose caller has disconnected, or has waited for too long, costs little.
 func (z *simZone) accept(v *simVM) {
+	limited := v.limiter.Limit() != rate.Inf
 	for len(v.acceptQueue) > 0 && v.quotaLeft > 0 {
-		c := v.acceptQueue[0]
-		if c.deadline <= z.elapsed {
+		oldest := v.acceptQueue[0]
+		switch waited := z.elapsed - oldest.since; {
+		case oldest.deadline <= z.elapsed:
 			v.acceptQueue = v.acceptQueue[1:]
-			c.workspace.failed[z.second()]++
+			v.quotaLeft -= toCoreTime(closeTime)
+			oldest.workspace.failed[z.second()]++
+			continue
+		case limited && z.newestFirst && waited > overload.StaleAfter:
+			v.acceptQueue = v.acceptQueue[1:]
+			v.quotaLeft -= toCoreTime(closeTime)
+			z.retry(oldest)
 			continue
 		}
 		if !v.limiter.AllowN(z.now(), 1) {
 			return
 		}
-		v.acceptQueue = v.acceptQueue[1:]
+		c := z.nextConn(v, limited)
 		v.newConns++
 		v.enqueue(func() (time.Duration, func()) { return z.open(v, c) })
 	}
 }
 
+// nextConn takes the connection to serve next from the queue.
+func (z *simZone) nextConn(v *simVM, limited bool) *simCall {
+	if last := len(v.acceptQueue) - 1; limited && z.newestFirst {
+		c := v.acceptQueue[last]
+		v.acceptQueue = v.acceptQueue[:last]
+		return c
+	}
+	c := v.acceptQueue[0]
+	v.acceptQueue = v.acceptQueue[1:]
+	return c
+}
+
 // open decides which VM serves a connection that v has accepted, and handles its first
 // call.
 func (z *simZone) open(v *simVM, c *simCall) (work time.Duration, done func()) {
@@ -451,6 +475,11 @@
 // fail closes a call's connection and lets its caller retry once.
 func (z *simZone) fail(c *simCall) {
 	c.conn.close()
+	z.retry(c)
+}
+
+// retry ends an attempt, and lets its caller retry once.
+func (z *simZone) retry(c *simCall) {
 	c.workspace.failed[z.second()]++
 	if c.try > 0 || c.deadline <= z.elapsed {
 		return
