--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -264,9 +264,9 @@
 // log lines is logged.
 const reportInterval = 5 * time.Second
 
-// sharingInterval is the interval of the log lines about fair sharing and about forwarded
-// connections. Each covers the decisions since the previous one, so that the figures of several daemons can be added up
-// second by second.
+// sharingInterval is the interval of the log lines about fair sharing and about connections of
+// callers. Each covers the decisions since the previous one, so that the figures of several
+// daemons can be added up second by second.
 const sharingInterval = time.Second
 
 func (s *storeSync) report(ctx context.Context) {
