Review case 1: a stray refusal makes a request run twice

A second answer of an engine, a refusal without an Attempt-Id, is taken for the answer to the next request on the connection. Adds the stand-ins of the script cases.

--- /dev/null
+++ b/review/driver/env.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// env is the deployment that a case runs in.
+type env struct {
+	record  *record
+	trouble bool
+	store   *store
+	engines []*engine
+	daemons []*daemonProcess
+	dir     string
+	server  *http.Server
+	url     string
+	// version is that of the last configuration.
+	version int
+	closing sync.Once
+}
+
+// daemonProcess is a daemon that runs as a process of its own.
+type daemonProcess struct {
+	name, callers, readiness string
+	command                  *exec.Cmd
+	exited                   chan struct{}
+}
+
+func newEnv(recordPath string, trouble bool) (*env, error) {
+	r, err := newRecord(recordPath)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &env{record: r, trouble: trouble, store: newStore(), dir: dir, url: "http://" + l.Addr().String()}
+	e.server = &http.Server{Handler: e.store.handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = e.server.Serve(l) }()
+	r.linef("trouble=%t", trouble)
+	return e, nil
+}
+
+// close ends all processes that the case has started.
+func (e *env) close() {
+	e.closing.Do(func() {
+		for _, d := range e.daemons {
+			_ = d.command.Process.Signal(syscall.SIGKILL)
+		}
+		for _, d := range e.daemons {
+			<-d.exited
+		}
+		_ = e.server.Close()
+		_ = os.RemoveAll(e.dir)
+		e.record.close()
+	})
+}
+
+// addEngine starts an engine of a service.
+func (e *env) addEngine(service, zone string, slots int, answer func(*exchange) bool) (*engine, error) {
+	added := &engine{id: fmt.Sprintf("i-%02x%s", len(e.engines)+1, service), service: service, zone: zone, slots: slots, record: e.record, answer: answer}
+	e.engines = append(e.engines, added)
+	return added, added.start(e.store)
+}
+
+// writeConfig writes the next version of the configuration; the answer of the store is the
+// acknowledgement.
+func (e *env) writeConfig(config map[string]any) {
+	e.version += 3
+	config["version"] = e.version
+	config["limits"] = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tokens_per_s": 470000}
+	text, _ := json.Marshal(config)
+	e.store.put("op", "config", text)
+	e.record.linef("config   version %d acknowledged", e.version)
+}
+
+// freePorts returns n addresses that are free now.
+func freePorts(n int) ([]string, error) {
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Files of the deployment, relative to the root of the repository.
+const (
+	daemonProgram    = "target/savorystalld"
+	settingsTemplate = "deploy/settings.yaml"
+)
+
+// placeholders returns the values of the settings template for a machine of kcv-north.
+func (e *env) placeholders(name, zone string, ports []string) map[string]string {
+	port := func(address string) string { return address[strings.LastIndexByte(address, ':')+1:] }
+	return map[string]string{
+		"node_name": name, "zone": zone, "zones|json": `{"hall-a":"nne","hall-b":"nne"}`, "ip": "127.0.0.1",
+		"listen.frontend": ports[0], "listen.readiness": ports[1], "port_range.0": port(ports[2]), "port_range.1": port(ports[3]),
+		"provider.address": strings.TrimPrefix(e.url, "http://"), "bounds.retry_budget_ratio": "0.2", "bounds.retry_slack": "52",
+		"bounds.budget_window_s": "10", "bounds.contact_ms": "3000", "bounds.config_apply_ms": "2000", "bounds.cold_over": "", "bounds.cold_slack": "",
+		"limits.max_fds": "4200", "limits.memory_mb": "284",
+	}
+}
+
+// startDaemon starts a daemon with the command of the deploy file.
+func (e *env) startDaemon(zone string) (*daemonProcess, error) {
+	template, err := os.ReadFile(settingsTemplate)
+	if err != nil {
+		return nil, err
+	}
+	ports, err := freePorts(4)
+	if err != nil {
+		return nil, err
+	}
+	d := &daemonProcess{name: "edge-" + zone + "-" + strconv.Itoa(len(e.daemons)+1), callers: ports[0], readiness: ports[1], exited: make(chan struct{})}
+	settings := string(template)
+	for name, value := range e.placeholders(d.name, zone, ports) {
+		settings = strings.ReplaceAll(settings, "{{"+name+"}}", value)
+	}
+	path := filepath.Join(e.dir, d.name+".yaml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(e.dir, d.name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	d.command = exec.Command(daemonProgram, "--settings", path)
+	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8"}
+	d.command.Stdout, d.command.Stderr = log, log
+	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := d.command.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		_ = d.command.Wait()
+		_ = log.Close()
+		close(d.exited)
+	}()
+	e.daemons = append(e.daemons, d)
+	e.record.linef("daemon   %s started", d.name)
+	return d, nil
+}
+
+// startTimeout bounds the time until a daemon is ready.
+const startTimeout = 15 * time.Second
+
+// startDaemons starts a daemon in each of two zones and waits until all are ready.
+func (e *env) startDaemons() error {
+	for _, zone := range []string{"hall-a", "hall-b"} {
+		if _, err := e.startDaemon(zone); err != nil {
+			return err
+		}
+	}
+	for _, d := range e.daemons {
+		if err := d.awaitReady(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(4 * time.Second) // the daemons find each other, as before traffic starts
+	return nil
+}
+
+func (d *daemonProcess) awaitReady() error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	for {
+		r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.readiness+"/-/readyz", nil)
+		if w, err := http.DefaultClient.Do(r); err == nil {
+			_ = w.Body.Close()
+			if w.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("daemon %s is not ready", d.name)
+		case <-d.exited:
+			return fmt.Errorf("daemon %s has ended", d.name)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// traffic sends requests with n clients for a time, each every interval, and returns the results.
+// Next returns the next request of a client.
+func (e *env) traffic(n int, interval, length time.Duration, next func() request) []result {
+	var mu sync.Mutex
+	var all []result
+	var clients sync.WaitGroup
+	end := time.Now().Add(length)
+	for i := range n {
+		clients.Go(func() {
+			c := &client{record: e.record, address: e.daemons[i%len(e.daemons)].callers}
+			defer c.close()
+			time.Sleep(interval * time.Duration(i) / time.Duration(n))
+			for time.Now().Before(end) {
+				began := time.Now()
+				r := c.send(next())
+				mu.Lock()
+				all = append(all, r)
+				mu.Unlock()
+				time.Sleep(interval - time.Since(began))
+			}
+		})
+	}
+	clients.Wait()
+	return all
+}
