--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -17,6 +17,10 @@
 	id, service, zone, address string
 	slots                      int
 	record                     *record
+	// coldLeft, if set, returns how much longer the engine is cold.
+	coldLeft func(now time.Time) time.Duration
+	// health, if set, waits until a health check gets a slot.
+	health func()
 	// answer runs a request and writes its answer; false closes the connection.
 	answer func(x *exchange) bool
 
@@ -125,7 +129,7 @@
 		return false
 	}
 	if r.URL.Path == "/healthz" {
-		return writeAll(c, "HTTP/1.1 200 OK\r\nInstance-Id: "+e.id+"\r\nContent-Length: 0\r\n\r\n")
+		return e.answerHealth(c)
 	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
 		return writeAll(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: "+e.id+"\r\nContent-Length: 0\r\n\r\n")
@@ -144,6 +148,20 @@
 	return e.answer(x)
 }
 
+// answerHealth answers a health check.
+func (e *engine) answerHealth(c net.Conn) bool {
+	if e.health != nil {
+		e.health()
+	}
+	cold := ""
+	if e.coldLeft != nil {
+		if left := e.coldLeft(time.Now()); left > 0 {
+			cold = fmt.Sprintf("Cold-Ms: %d\r\n", left.Milliseconds())
+		}
+	}
+	return writeAll(c, "HTTP/1.1 200 OK\r\nInstance-Id: "+e.id+"\r\n"+cold+"Content-Length: 0\r\n\r\n")
+}
+
 func writeAll(w io.Writer, text string) bool {
 	_, err := io.WriteString(w, text)
 	return err == nil
--- a/review/driver/env.go
+++ b/review/driver/env.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +31,11 @@
 	url     string
 	// version is that of the last configuration.
 	version int
+	// coldOver and coldSlack are the bounds of these names, empty where a site has none.
+	coldOver, coldSlack string
+	// linked makes the daemons reach each other through links.
+	linked  bool
+	links   []*link
 	closing sync.Once
 }
 
@@ -68,7 +76,9 @@
 			<-d.exited
 		}
 		_ = e.server.Close()
-		_ = os.RemoveAll(e.dir)
+		if os.Getenv("KEEP") == "" {
+			_ = os.RemoveAll(e.dir)
+		}
 		e.record.close()
 	})
 }
@@ -91,24 +101,24 @@
 	e.record.linef("config   version %d acknowledged", e.version)
 }
 
+// The ports that are tried lie below those that the kernel gives to outgoing connections.
+const minPort, maxPort = 20000, 30000
+
 // freePorts returns n addresses that are free now.
 func freePorts(n int) ([]string, error) {
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+	for range 100 * n {
+		address := fmt.Sprintf("127.0.0.1:%d", minPort+2*rand.IntN((maxPort-minPort)/2))
+		l, err := net.Listen("tcp", address)
+		if err != nil || slices.Contains(out, address) {
+			continue
+		}
+		_ = l.Close()
+		if out = append(out, address); len(out) == n {
+			return out, nil
 		}
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().String())
 	}
-	return out, nil
+	return nil, errors.New("no free ports")
 }
 
 // Files of the deployment, relative to the root of the repository.
@@ -124,7 +134,7 @@
 		"node_name": name, "zone": zone, "zones|json": `{"hall-a":"nne","hall-b":"nne"}`, "ip": "127.0.0.1",
 		"listen.frontend": ports[0], "listen.readiness": ports[1], "port_range.0": port(ports[2]), "port_range.1": port(ports[3]),
 		"provider.address": strings.TrimPrefix(e.url, "http://"), "bounds.retry_budget_ratio": "0.2", "bounds.retry_slack": "52",
-		"bounds.budget_window_s": "10", "bounds.contact_ms": "3000", "bounds.config_apply_ms": "2000", "bounds.cold_over": "", "bounds.cold_slack": "",
+		"bounds.budget_window_s": "10", "bounds.contact_ms": "3000", "bounds.config_apply_ms": "2000", "bounds.cold_over": e.coldOver, "bounds.cold_slack": e.coldSlack,
 		"limits.max_fds": "4200", "limits.memory_mb": "284",
 	}
 }
@@ -144,6 +154,14 @@
 	for name, value := range e.placeholders(d.name, zone, ports) {
 		settings = strings.ReplaceAll(settings, "{{"+name+"}}", value)
 	}
+	if e.linked {
+		k, err := newLink(ports[2])
+		if err != nil {
+			return nil, err
+		}
+		e.links = append(e.links, k)
+		settings = strings.Replace(settings, "fleet:\n", "fleet:\n  advertise: \""+k.address()+"\"\n", 1)
+	}
 	path := filepath.Join(e.dir, d.name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
@@ -172,9 +190,32 @@
 // startTimeout bounds the time until a daemon is ready.
 const startTimeout = 15 * time.Second
 
-// startDaemons starts a daemon in each of two zones and waits until all are ready.
-func (e *env) startDaemons() error {
-	for _, zone := range []string{"hall-a", "hall-b"} {
+// setLinks cuts all links between daemons, or restores them.
+func (e *env) setLinks(cut bool) {
+	for _, k := range e.links {
+		if cut {
+			k.cut()
+		} else {
+			k.restore()
+		}
+	}
+}
+
+// translateLinks replaces the addresses of fleet listeners by those of the links before them.
+func (e *env) translateLinks(value []byte) []byte {
+	text := string(value)
+	for _, k := range e.links {
+		text = strings.ReplaceAll(text, `"`+k.target+`"`, `"`+k.address()+`"`)
+	}
+	return []byte(text)
+}
+
+// startDaemons starts a daemon in each of the zones and waits until all are ready.
+func (e *env) startDaemons(zones ...string) error {
+	if e.linked {
+		e.store.translate = e.translateLinks
+	}
+	for _, zone := range zones {
 		if _, err := e.startDaemon(zone); err != nil {
 			return err
 		}
@@ -209,7 +250,7 @@
 	}
 }
 
-// traffic sends requests with n clients for a time, each every interval, and returns the results.
+// traffic sends requests with n clients for a time, each about every interval, and returns the results.
 // Next returns the next request of a client.
 func (e *env) traffic(n int, interval, length time.Duration, next func() request) []result {
 	var mu sync.Mutex
@@ -227,7 +268,7 @@
 				mu.Lock()
 				all = append(all, r)
 				mu.Unlock()
-				time.Sleep(interval - time.Since(began))
+				time.Sleep(time.Duration((0.5+rand.Float64())*float64(interval)) - time.Since(began))
 			}
 		})
 	}
--- a/review/driver/faults.go
+++ b/review/driver/faults.go
@@ -75,7 +75,7 @@
 		}
 	}
 	e.writeConfig(config)
-	return e.startDaemons()
+	return e.startDaemons("hall-a", "hall-b")
 }
 
 func postApp(prefix string) request {
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -37,6 +37,7 @@
 	"long-error":    longError,
 	"first-event":   firstEvent,
 	"public-tenant": publicTenant,
+	"many-owners":   manyOwners,
 }
 
 func main() { os.Exit(run()) }
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -33,6 +33,9 @@
 	ver     uint64
 	changed chan struct{}
 	began   time.Time
+	// translate, if set, translates the addresses in the rows that daemons write about themselves:
+	// the daemons then reach each other through links.
+	translate func(value []byte) []byte
 }
 
 func newStore() *store {
@@ -178,6 +181,11 @@
 			return
 		}
 	}
+	for i, c := range changes {
+		if s.translate != nil && c.Table == "daemons" && !c.Deleted {
+			changes[i].Value = s.translate(c.Value)
+		}
+	}
 	s.apply(changes)
 	s.answer(w, http.StatusOK, map[string]any{}, s.ver)
 }
