--- a/review/driver/faults.go
+++ b/review/driver/faults.go
@@ -226,8 +226,8 @@
 
 // streamEvents and eventGap shape the streams of firstEvent.
 const (
-	streamEvents = 8
-	eventGap     = 150 * time.Millisecond
+	streamEvents = 5
+	eventGap     = 240 * time.Millisecond
 )
 
 // firstEvent: an engine crashes after the first event of a resumable stream, whose id is 0. The
@@ -257,7 +257,7 @@
 		time.AfterFunc(3*time.Second, func() { e.crashFor(e.engines[0], 2*time.Second) })
 	}
 	var turn atomic.Int64
-	results := e.traffic(24, 1300*time.Millisecond, 9*time.Second, func() request {
+	results := e.traffic(80, 1300*time.Millisecond, 9*time.Second, func() request {
 		n := turn.Add(1)
 		return request{method: http.MethodPost, path: "/recap/2f", body: "{}", header: map[string]string{
 			"Deadline-Ms": fmt.Sprint(poolTimeout), "Authorization": "Bearer " + tenantKey, "Model": "m", "Token-Usage": "1460,64",
