--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -17,6 +17,8 @@
 	id, service, zone, address string
 	slots                      int
 	record                     *record
+	// lateBodies leaves the bodies of requests to answer, and makes the receive window small.
+	lateBodies bool
 	// coldLeft, if set, returns how much longer the engine is cold.
 	coldLeft func(now time.Time) time.Duration
 	// health, if set, waits until a health check gets a slot.
@@ -37,6 +39,8 @@
 	conn   net.Conn
 	header http.Header
 	path   string
+	// body is what has not been read of the body.
+	body io.Reader
 	// attempt is the Attempt-Id.
 	attempt string
 	// state is kept for all requests of one connection.
@@ -55,7 +59,11 @@
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
-	l, err := net.Listen("tcp", address)
+	listen := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	if e.lateBodies {
+		listen = listenSmall
+	}
+	l, err := listen(address)
 	if err != nil {
 		return err
 	}
@@ -125,8 +133,10 @@
 	if err != nil {
 		return false
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return false
+	if !e.lateBodies {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return false
+		}
 	}
 	if r.URL.Path == "/healthz" {
 		return e.answerHealth(c)
@@ -140,7 +150,7 @@
 		}
 		state.beforeNext = ""
 	}
-	x := &exchange{engine: e, conn: c, header: r.Header, path: r.URL.Path, attempt: r.Header.Get("Attempt-Id"), state: state}
+	x := &exchange{engine: e, conn: c, body: r.Body, header: r.Header, path: r.URL.Path, attempt: r.Header.Get("Attempt-Id"), state: state}
 	e.mu.Lock()
 	e.runs[x.attempt] = append(e.runs[x.attempt], r.Header)
 	e.mu.Unlock()
--- a/review/driver/env.go
+++ b/review/driver/env.go
@@ -33,6 +33,8 @@
 	version int
 	// coldOver and coldSlack are the bounds of these names, empty where a site has none.
 	coldOver, coldSlack string
+	// lateBodies is that of the engines that are added.
+	lateBodies bool
 	// linked makes the daemons reach each other through links.
 	linked  bool
 	links   []*link
@@ -85,7 +87,7 @@
 
 // addEngine starts an engine of a service.
 func (e *env) addEngine(service, zone string, slots int, answer func(*exchange) bool) (*engine, error) {
-	added := &engine{id: fmt.Sprintf("i-%02x%s", len(e.engines)+1, service), service: service, zone: zone, slots: slots, record: e.record, answer: answer}
+	added := &engine{id: fmt.Sprintf("i-%02x%s", len(e.engines)+1, service), service: service, zone: zone, slots: slots, record: e.record, answer: answer, lateBodies: e.lateBodies}
 	e.engines = append(e.engines, added)
 	return added, added.start(e.store)
 }
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -37,6 +37,7 @@
 	"long-error":    longError,
 	"first-event":   firstEvent,
 	"public-tenant": publicTenant,
+	"late-body":     lateBody,
 	"many-owners":   manyOwners,
 }
 
