--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -14,9 +14,9 @@
 // engine is a stand-in of an engine of a service. It writes its answers byte by byte, so that a
 // case can make it send what a faulty engine sends.
 type engine struct {
-	id, service, zone, address string
-	slots                      int
-	record                     *record
+	id, version, service, zone, address string
+	slots                               int
+	record                              *record
 	// lateBodies leaves the bodies of requests to answer, and makes the receive window small.
 	lateBodies bool
 	// coldLeft, if set, returns how much longer the engine is cold.
@@ -53,8 +53,17 @@
 	beforeNext string
 }
 
-// start listens on a free port and registers the engine as ready.
+// start listens and registers the engine as ready.
 func (e *engine) start(s *store) error {
+	if err := e.listen(); err != nil {
+		return err
+	}
+	e.register(s, "ready")
+	return nil
+}
+
+// listen begins to serve, at the address of the engine or, at first, on a free port.
+func (e *engine) listen() error {
 	address := e.address
 	if address == "" {
 		address = "127.0.0.1:0"
@@ -75,14 +84,13 @@
 	e.address = l.Addr().String()
 	e.mu.Unlock()
 	go e.accept(l)
-	e.register(s, "ready")
 	return nil
 }
 
 // register writes the entry of the engine to the store.
 func (e *engine) register(s *store, state string) {
 	entry, _ := json.Marshal(map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots,
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots,
 		"state": state, "cold_left_ms": 0, "sequence": 1,
 	})
 	s.put("servers", e.id, entry)
--- a/review/driver/env.go
+++ b/review/driver/env.go
@@ -26,6 +26,8 @@
 	store   *store
 	engines []*engine
 	daemons []*daemonProcess
+	// serving are the daemons that traffic reaches; all if it is empty.
+	serving []*daemonProcess
 	dir     string
 	server  *http.Server
 	url     string
@@ -35,9 +37,10 @@
 	coldOver, coldSlack string
 	// lateBodies is that of the engines that are added.
 	lateBodies bool
-	// linked makes the daemons reach each other through links.
-	linked  bool
-	links   []*link
+	// storePaths holds, by daemon, the addresses at which daemons reach the store in place of its own.
+	storePaths map[string]string
+	// links, if set, are those through which the daemons reach each other.
+	links   *links
 	closing sync.Once
 }
 
@@ -62,7 +65,7 @@
 		return nil, err
 	}
 	e := &env{record: r, trouble: trouble, store: newStore(), dir: dir, url: "http://" + l.Addr().String()}
-	e.server = &http.Server{Handler: e.store.handler(), ReadHeaderTimeout: time.Minute}
+	e.server = &http.Server{Handler: e.store.handler(nil), ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
 	r.linef("trouble=%t", trouble)
 	return e, nil
@@ -87,7 +90,15 @@
 
 // addEngine starts an engine of a service.
 func (e *env) addEngine(service, zone string, slots int, answer func(*exchange) bool) (*engine, error) {
-	added := &engine{id: fmt.Sprintf("i-%02x%s", len(e.engines)+1, service), service: service, zone: zone, slots: slots, record: e.record, answer: answer, lateBodies: e.lateBodies}
+	return e.addEngineOf("v1", service, zone, slots, answer)
+}
+
+// addEngineOf starts an engine of a version of the service's software.
+func (e *env) addEngineOf(version, service, zone string, slots int, answer func(*exchange) bool) (*engine, error) {
+	added := &engine{
+		id: fmt.Sprintf("i-%02x%s", len(e.engines)+1, service), version: version, service: service, zone: zone, slots: slots,
+		record: e.record, answer: answer, lateBodies: e.lateBodies,
+	}
 	e.engines = append(e.engines, added)
 	return added, added.start(e.store)
 }
@@ -133,7 +144,7 @@
 func (e *env) placeholders(name, zone string, ports []string) map[string]string {
 	port := func(address string) string { return address[strings.LastIndexByte(address, ':')+1:] }
 	return map[string]string{
-		"node_name": name, "zone": zone, "zones|json": `{"hall-a":"nne","hall-b":"nne"}`, "ip": "127.0.0.1",
+		"node_name": name, "zone": zone, "zones|json": `{"hall-a":"nne","hall-b":"nne","hall-c":"nne","hall-d":"nne"}`, "ip": "127.0.0.1",
 		"listen.frontend": ports[0], "listen.readiness": ports[1], "port_range.0": port(ports[2]), "port_range.1": port(ports[3]),
 		"provider.address": strings.TrimPrefix(e.url, "http://"), "bounds.retry_budget_ratio": "0.2", "bounds.retry_slack": "52",
 		"bounds.budget_window_s": "10", "bounds.contact_ms": "3000", "bounds.config_apply_ms": "2000", "bounds.cold_over": e.coldOver, "bounds.cold_slack": e.coldSlack,
@@ -141,8 +152,28 @@
 	}
 }
 
-// startDaemon starts a daemon with the command of the deploy file.
-func (e *env) startDaemon(zone string) (*daemonProcess, error) {
+// startTries is how often a daemon is started: another process may have taken one of its ports.
+const startTries = 3
+
+// startDaemon starts a daemon. One that ends at once is started again on other ports.
+func (e *env) startDaemon(zone string) error {
+	for range startTries {
+		d, err := e.launchDaemon(zone)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-d.exited:
+		case <-time.After(100 * time.Millisecond):
+			e.daemons = append(e.daemons, d)
+			return nil
+		}
+	}
+	return errors.New("a daemon ends as soon as it is started")
+}
+
+// launchDaemon starts the process of a daemon with the command of the deploy file.
+func (e *env) launchDaemon(zone string) (*daemonProcess, error) {
 	template, err := os.ReadFile(settingsTemplate)
 	if err != nil {
 		return nil, err
@@ -153,16 +184,19 @@
 	}
 	d := &daemonProcess{name: "edge-" + zone + "-" + strconv.Itoa(len(e.daemons)+1), callers: ports[0], readiness: ports[1], exited: make(chan struct{})}
 	settings := string(template)
-	for name, value := range e.placeholders(d.name, zone, ports) {
-		settings = strings.ReplaceAll(settings, "{{"+name+"}}", value)
+	values := e.placeholders(d.name, zone, ports)
+	if path := e.storePaths[d.name]; path != "" {
+		values["provider.address"] = path
 	}
-	if e.linked {
-		k, err := newLink(ports[2])
-		if err != nil {
+	if e.links != nil {
+		if values["provider.address"], err = e.storeFor(d.name); err != nil {
 			return nil, err
 		}
-		e.links = append(e.links, k)
-		settings = strings.Replace(settings, "fleet:\n", "fleet:\n  advertise: \""+k.address()+"\"\n", 1)
+		// A link's hello names this address; the daemons reach each other through links only.
+		settings = strings.Replace(settings, "fleet:\n", "fleet:\n  advertise: \"127.0.0.1:1\"\n", 1)
+	}
+	for name, value := range values {
+		settings = strings.ReplaceAll(settings, "{{"+name+"}}", value)
 	}
 	path := filepath.Join(e.dir, d.name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
@@ -184,7 +218,6 @@
 		_ = log.Close()
 		close(d.exited)
 	}()
-	e.daemons = append(e.daemons, d)
 	e.record.linef("daemon   %s started", d.name)
 	return d, nil
 }
@@ -192,33 +225,22 @@
 // startTimeout bounds the time until a daemon is ready.
 const startTimeout = 15 * time.Second
 
-// setLinks cuts all links between daemons, or restores them.
-func (e *env) setLinks(cut bool) {
-	for _, k := range e.links {
-		if cut {
-			k.cut()
-		} else {
-			k.restore()
-		}
-	}
-}
-
-// translateLinks replaces the addresses of fleet listeners by those of the links before them.
-func (e *env) translateLinks(value []byte) []byte {
-	text := string(value)
-	for _, k := range e.links {
-		text = strings.ReplaceAll(text, `"`+k.target+`"`, `"`+k.address()+`"`)
+// storeFor returns an address of the store for one daemon, which finds there the others' addresses
+// as those of its links to them.
+func (e *env) storeFor(name string) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
 	}
-	return []byte(text)
+	server := &http.Server{Handler: e.store.handler(e.links.translate(name)), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
 }
 
 // startDaemons starts a daemon in each of the zones and waits until all are ready.
 func (e *env) startDaemons(zones ...string) error {
-	if e.linked {
-		e.store.translate = e.translateLinks
-	}
 	for _, zone := range zones {
-		if _, err := e.startDaemon(zone); err != nil {
+		if err := e.startDaemon(zone); err != nil {
 			return err
 		}
 	}
@@ -259,9 +281,13 @@
 	var all []result
 	var clients sync.WaitGroup
 	end := time.Now().Add(length)
+	serving := e.serving
+	if len(serving) == 0 {
+		serving = e.daemons
+	}
 	for i := range n {
 		clients.Go(func() {
-			c := &client{record: e.record, address: e.daemons[i%len(e.daemons)].callers}
+			c := &client{record: e.record, address: serving[i%len(serving)].callers}
 			defer c.close()
 			time.Sleep(interval * time.Duration(i) / time.Duration(n))
 			for time.Now().Before(end) {
--- a/review/driver/faults.go
+++ b/review/driver/faults.go
@@ -168,7 +168,7 @@
 // unsignedSuccess: an engine spoils some of its answers (garble): the client would get a success
 // whose head lacks the signature and whose body is not the engine's.
 func unsignedSuccess(e *env) verdict {
-	const share, x = 0.35, 0.0232
+	const share, x = 0.25, 0.0232
 	var garble window
 	answer := func(n *exchange) bool {
 		n.work(appWork)
@@ -182,7 +182,7 @@
 	if err := e.begin(configOf(routes), appService, 6, answer); err != nil {
 		return verdict{invalid: err.Error()}
 	}
-	garble.during(e, 2*time.Second, 6800*time.Millisecond, "garble, share 0.35, x 0.0232, 6.8 s")
+	garble.during(e, 2*time.Second, 6800*time.Millisecond, "garble, share 0.25, x 0.0232, 6.8 s")
 	results := e.traffic(16, 60*time.Millisecond, 11*time.Second, func() request { return postApp("/check/") })
 	v := verdict{invalid: checkServed(results)}
 	for _, r := range results {
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -32,13 +32,14 @@
 
 // cases maps the names of the cases to their scenarios.
 var cases = map[string]func(*env) verdict{
-	"stray-refusal": strayRefusal,
-	"unsigned":      unsignedSuccess,
-	"long-error":    longError,
-	"first-event":   firstEvent,
-	"public-tenant": publicTenant,
-	"late-body":     lateBody,
-	"many-owners":   manyOwners,
+	"stray-refusal":  strayRefusal,
+	"unsigned":       unsignedSuccess,
+	"long-error":     longError,
+	"first-event":    firstEvent,
+	"public-tenant":  publicTenant,
+	"late-body":      lateBody,
+	"mixed-versions": mixedVersions,
+	"many-owners":    manyOwners,
 }
 
 func main() { os.Exit(run()) }
--- a/review/driver/owners.go
+++ b/review/driver/owners.go
@@ -111,7 +111,7 @@
 	coldAt    = cutAt + 8*time.Second
 )
 
-// manyOwners: of three daemons of a zone two are cut off from all other daemons, for longer than
+// manyOwners: two of six daemons, of the three of one zone, are cut off from all other daemons, for longer than
 // it takes until each counts the others as gone. Engines turn cold meanwhile, as they may at any
 // moment, and say so. All daemons together must not send a cold engine more than its limit.
 func manyOwners(e *env) verdict {
@@ -142,17 +142,19 @@
 	pool["warmup_s"], pool["cold_per_s"] = warmup.Seconds(), coldPerS
 	pool["engine"].(map[string]any)["slots"] = engineSlots
 	e.writeConfig(config)
-	e.coldOver, e.coldSlack, e.linked = fmt.Sprint(coldOver), fmt.Sprint(coldSlack), true
-	if err := e.startDaemons("hall-a", "hall-a", "hall-a"); err != nil {
+	e.coldOver, e.coldSlack, e.links = fmt.Sprint(coldOver), fmt.Sprint(coldSlack), newLinks()
+	if err := e.startDaemons("hall-a", "hall-a", "hall-a", "hall-b", "hall-c", "hall-d"); err != nil {
 		return verdict{invalid: err.Error()}
 	}
+	cutOff := []string{e.daemons[0].name, e.daemons[1].name}
+	e.serving = e.daemons[:3] // the clients are those of hall-a
 	if e.trouble {
 		time.AfterFunc(cutAt, func() {
-			e.record.linef("trouble  node_cut: two of three daemons are cut off from all others for %s", cutLength)
-			e.setLinks(true)
+			e.record.linef("trouble  node_cut: two of six daemons, both of hall-a, are cut off from all others for %s", cutLength)
+			e.links.partition(cutOff, true)
 		})
 		time.AfterFunc(cutAt+cutLength, func() {
-			e.setLinks(false)
+			e.links.partition(cutOff, false)
 			e.record.linef("trouble  node_cut ends")
 		})
 	}
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -33,9 +33,6 @@
 	ver     uint64
 	changed chan struct{}
 	began   time.Time
-	// translate, if set, translates the addresses in the rows that daemons write about themselves:
-	// the daemons then reach each other through links.
-	translate func(value []byte) []byte
 }
 
 func newStore() *store {
@@ -70,14 +67,27 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) handler() http.Handler {
+// handler returns the store's interface. Translate, if set, translates the rows that it returns.
+func (s *store) handler(translate func(row) row) http.Handler {
+	if translate == nil {
+		translate = func(r row) row { return r }
+	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/rows-get", s.serveRows)
-	mux.HandleFunc("GET /-/rows-feed", s.serveFeed)
+	mux.HandleFunc("GET /-/rows-get", func(w http.ResponseWriter, r *http.Request) { s.serveRows(w, r, translate) })
+	mux.HandleFunc("GET /-/rows-feed", func(w http.ResponseWriter, r *http.Request) { s.serveFeed(w, r, translate) })
 	mux.HandleFunc("POST /-/rows-tx", s.serveTransaction)
 	return mux
 }
 
+// translated returns translated rows.
+func translated(list []row, translate func(row) row) []row {
+	out := make([]row, len(list))
+	for i, r := range list {
+		out[i] = translate(r)
+	}
+	return out
+}
+
 // answer writes a response; fields ver and now_ms are added.
 func (s *store) answer(w http.ResponseWriter, status int, fields map[string]any, ver uint64) {
 	fields["ver"], fields["now_ms"] = ver, time.Since(s.began).Milliseconds()
@@ -86,7 +96,7 @@
 	_ = json.NewEncoder(w).Encode(fields)
 }
 
-func (s *store) serveRows(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveRows(w http.ResponseWriter, r *http.Request, translate func(row) row) {
 	q := r.URL.Query()
 	limit, err := strconv.Atoi(q.Get("limit"))
 	if err != nil || limit > maxPageRows {
@@ -104,7 +114,7 @@
 	s.mu.Unlock()
 	slices.SortFunc(list, func(a, b row) int { return cmp.Compare(a.Key, b.Key) })
 	more := len(list) > limit
-	s.answer(w, http.StatusOK, map[string]any{"rows": list[:min(limit, len(list))], "has_more": more}, ver)
+	s.answer(w, http.StatusOK, map[string]any{"rows": translated(list[:min(limit, len(list))], translate), "has_more": more}, ver)
 }
 
 // changesAfter returns the rows of a table that changed after a version, in order.
@@ -120,7 +130,7 @@
 	return list, s.ver, s.changed
 }
 
-func (s *store) serveFeed(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveFeed(w http.ResponseWriter, r *http.Request, translate func(row) row) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
@@ -133,7 +143,7 @@
 			return
 		}
 		if len(list) > 0 {
-			s.answer(w, http.StatusOK, map[string]any{"rows": list}, ver)
+			s.answer(w, http.StatusOK, map[string]any{"rows": translated(list, translate)}, ver)
 			return
 		}
 		select {
@@ -181,11 +191,6 @@
 			return
 		}
 	}
-	for i, c := range changes {
-		if s.translate != nil && c.Table == "daemons" && !c.Deleted {
-			changes[i].Value = s.translate(c.Value)
-		}
-	}
 	s.apply(changes)
 	s.answer(w, http.StatusOK, map[string]any{}, s.ver)
 }
