--- a/review/driver/owners.go
+++ b/review/driver/owners.go
@@ -111,9 +111,9 @@
 	coldAt    = cutAt + 8*time.Second
 )
 
-// manyOwners: two of six daemons, of the three of one zone, are cut off from all other daemons, for longer than
-// it takes until each counts the others as gone. Engines turn cold meanwhile, as they may at any
-// moment, and say so. All daemons together must not send a cold engine more than its limit.
+// manyOwners: two of six daemons, both of one zone of three, are cut off from all others for longer
+// than it takes until each counts the others as gone. Engines turn cold meanwhile, as they may at
+// any moment, and say so. All daemons together must not send a cold engine more than its limit.
 func manyOwners(e *env) verdict {
 	engines := make([]*coldEngine, 4)
 	byID := map[string]*coldEngine{}
