A success that its target has not signed is not passed on

Cause: the gateway read the signature only to match responses to requests. Ruled out: a matching fault. The spoilt responses bear the Attempt-Id of their request, and a strict match would let them through; what bears none got through by the same missing check.

The dialect says whether its targets sign. What fails is 3004 (502), may have run: repeatable requests and resumable streams go elsewhere within attempts and budget, all others get a status that promises nothing. The connection is closed, since it is not known what else comes on it.

The documents' binding has no signature and no change.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -35,9 +35,11 @@
 	defer x.Abort() // no-op after a complete response
 	answer := s.Dialect.ParseResponse(x.Response.StatusCode, x.Response.Header)
 	r := attemptResult{sent: true, status: x.Response.StatusCode}
-	switch {
+	switch cause := s.verifySuccess(x.Response); {
 	case answer.refusedBy(entry.Identity):
 		return s.handleRefusal(x, r)
+	case cause != nil:
+		return rejectSuccess(x, r, cause)
 	case x.Response.StatusCode >= http.StatusBadRequest:
 		return s.handleErrorStatus(ctx, x, pr, entry, r, dispatched)
 	case pr.route.Retry == route.Stream && isEventStream(x.Response.Header):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,8 @@
 	MisdirectedTo ident.Target
 	// Signed reports that the response carries the target's signature.
 	Signed bool
+	// Encoded reports that the body has a content encoding.
+	Encoded bool
 	// Leaving reports that the target says that it leaves.
 	Leaving bool
 	// Pause is how long the target, which refuses the request, wants no requests; zero if it does
@@ -111,6 +113,9 @@
 	// SetTargetHeaders turns the caller's headers into those for a target.
 	SetTargetHeaders(h http.Header, f ForwardInfo)
 	ParseResponse(status int, h http.Header) ResponseInfo
+	// SignsSuccesses reports whether targets sign their responses with a status of 2xx and leave their
+	// bodies unencoded, so that any other one is not theirs.
+	SignsSuccesses() bool
 	// RemoveTargetNotices removes the headers that targets mean for daemons only.
 	RemoveTargetNotices(h http.Header)
 }
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -57,6 +57,7 @@
 func (fakeDialect) SetTargetHeaders(http.Header, ForwardInfo) {}
 func (fakeDialect) RemoveTargetNotices(http.Header)           {}
 
+func (fakeDialect) SignsSuccesses() bool                        { return false }
 func (fakeDialect) ParseResponse(int, http.Header) ResponseInfo { return ResponseInfo{} }
 
 // newTestServer returns a server with one route, h.example/a/, to the given service. It serves
