The limit of cold targets is divided among all daemons that may be alive

Cause: coldOwners = 2 divided the limit by the number of owners that there may be while membership changes. In a fleet that is cut into groups each group owns all targets of the zone, and there may be as many groups as daemons. Admissions to warm targets, which may arrive cold, were not divided at all.

Change: each daemon that may be alive has an equal part of the limit, and an owner admits the parts of those that it hears (booking/coldshare.go), so that the parts of all groups add up to the limit however the fleet is cut. A daemon counts as unreachable one heartbeat before others count it as gone, unless it has left or the store's list lacks it; for ten minutes, or one if it was never heard. The zone's daemons have 15/16 of the limit, others the rest. Beside it, so that callers of warm targets are served in a cut: a daemon that takes over from an unreachable one goes on after a proof, checks come up to every 50 ms, a check that proved its target warm does not count, and what is sent to a checked target is sent within 100 ms, cold or not. A daemon that stood still for three heartbeats is a new owner.

A lease in the store was not tried: each move of an owner would be a call, and an outage of the store would take the cold targets away.

Nothing changes while all are in touch.

--- a/internal/booking/cold.go
+++ b/internal/booking/cold.go
@@ -1,6 +1,9 @@
 package booking
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A target that has just started, or whose availability zone has just been taken back, is cold: it
 // tolerates few requests a second, over all daemons, and ends if it gets many more. It may also turn
@@ -9,13 +12,15 @@
 // The owner of a target therefore bounds what it admits at all times, and the bounds of all that may
 // send at once add up to the limit:
 //
-//   - To a cold target, each of two owners, of which there may be two while membership changes,
-//     admits half of the limit. New owners admit nothing.
+//   - To a cold target, an owner admits half of the limit at most, as there may be two owners while
+//     membership changes. New owners admit nothing.
 //   - To a warm target, its owner admits what the limit leaves besides a small part, which a new owner
 //     may admit: it does not know what the previous one has just admitted. A daemon that has just
 //     started counts as a new owner of a cold target, and of a warm one while it knows no others. No
 //     ingress decides alone. A proof that the target is warm shortens the time in which admissions
 //     count (warmproof.go).
+//   - While daemons that may be alive are not heard, an owner admits its share of these numbers only
+//     (coldshare.go).
 
 const (
 	// MaxColdSendDelay is how long after the start of its placement a request may be sent to a cold
@@ -24,7 +29,8 @@
 	// newOwnerTime is how long an owner counts as new: the daemons of a fleet that starts find each
 	// other, and what the previous owner admitted is sent.
 	newOwnerTime = time.Second + MaxColdSendDelay
-	// coldOwners is the number of daemons that may own a target at the same time.
+	// coldOwners is the number of daemons that may own a target at the same time while all of them hear
+	// one another.
 	coldOwners = 2
 	// smallPart is the part of the limit for a new owner of a warm target.
 	smallPart = 0.125
@@ -41,17 +47,37 @@
 	if limit == 0 {
 		return true
 	}
+	c.noteProgress(now)
 	hasJustStarted := now.Sub(c.startedAt) < newOwnerTime
-	isNew, small := now.Before(e.newOwnerUntil) || hasJustStarted && len(c.peers) == 0, smallLimit(limit)
+	isNew := c.isNewOwner(now, e) || hasJustStarted && len(c.peers) == 0
 	switch {
 	case e.isCold(now) && (isNew || hasJustStarted):
 		return false
 	case e.isCold(now):
-		return e.admissions.countSince(now.Add(-time.Second-MaxColdSendDelay)) < max(1, limit/coldOwners)
-	case isNew:
-		return e.admissions.countSince(now.Add(-time.Second)) < small
+		return e.admissions.countSince(now.Add(-time.Second-e.service.maxSendDelay())) < min(max(1, limit/coldOwners), partOf(limit, c.coldShare(now, e.Zone)))
+	case isNew && !e.provedSinceTakeover():
+		return e.admissions.countSince(now.Add(-time.Second)) < partOf(smallLimit(limit), c.coldShare(now, e.Zone))
+	}
+	return e.admissions.countSince(e.warmWindow(now)) < e.maxWarmAdmissions(limit, c.warmShare(now, e))
+}
+
+// maxSendDelay returns how long after its admission a request may be sent to a cold target.
+func (s *service) maxSendDelay() time.Duration {
+	if s.checksWarmth {
+		return MaxProvenSendDelay
 	}
-	return e.admissions.countSince(e.warmWindow(now)) < e.maxWarmAdmissions(limit)
+	return MaxColdSendDelay
+}
+
+// isNewOwner reports whether another daemon may still be, or already be, the owner of the target.
+func (c *Core) isNewOwner(now time.Time, e *engine) bool {
+	return now.Before(e.newOwnerUntil) || now.Before(c.stoodStillUntil)
+}
+
+// provedSinceTakeover reports that this daemon owns the target in place of one that it does not hear, whose
+// admissions count for that one's share, and that the target has been warm since.
+func (e *engine) provedSinceTakeover() bool {
+	return !e.takenOverAt.IsZero() && e.warmth.provenAt.After(e.takenOverAt.Add(settleTime))
 }
 
 // smallLimit is the number of requests in a second that smallPart of a limit allows.
@@ -76,6 +102,13 @@
 	}
 }
 
+// remove removes an admission.
+func (l *admissionLog) remove(at time.Time) {
+	if i := slices.IndexFunc(l.times, at.Equal); i >= 0 {
+		l.times[i] = time.Time{} // before any time that counts
+	}
+}
+
 // countSince returns how many admissions there were after a time.
 func (l *admissionLog) countSince(after time.Time) (n int) {
 	for _, at := range l.times {
--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -20,6 +20,9 @@
 	// MaxSlotWait is the longest time for which a request may wait for a slot or memory of a target;
 	// zero means that it is refused at once.
 	MaxSlotWait time.Duration
+	// SilentAfter is the time without messages after which daemons no longer rely on one another. Others
+	// own the targets of a silent daemon after twice that at the earliest. Default: 3 s.
+	SilentAfter time.Duration
 	// DerivedRetryAfter is set if refused callers are told to retry when targets are expected to have
 	// spare capacity.
 	DerivedRetryAfter bool
@@ -77,6 +80,10 @@
 	group                    exchangeGroup
 	// startedAt is when the Core was first configured.
 	startedAt time.Time
+	// lastProgress is when the Core was last seen to run. Until stoodStillUntil others may own targets of
+	// which this daemon, which has stood still, believes to be the owner.
+	lastProgress, stoodStillUntil time.Time
+	reach                         reach
 	// nextExpiry is when to look next for requests about which nothing is heard.
 	nextExpiry time.Time
 }
@@ -204,6 +211,7 @@
 		waiting:       map[runKey]*waiting{},
 		awaitingSlot:  map[uint64]*request{},
 		callerRetries: callerRetries{},
+		reach:         newReach(),
 		outbox:        map[ident.Daemon]*Message{},
 	}
 }
@@ -325,6 +333,7 @@
 
 // TickExceptReplies handles everything that has become due by now except overdue replies.
 func (c *Core) TickExceptReplies(now time.Time) {
+	c.noteProgress(now)
 	c.expireHolds(now)
 	if !now.Before(c.nextExpiry) {
 		c.nextExpiry = now.Add(expiryInterval)
--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -45,6 +45,9 @@
 	ownedSince time.Time
 	// newOwnerUntil is until when this daemon is a new owner, which may not be the only one.
 	newOwnerUntil time.Time
+	// takenOverAt is when this daemon became the owner in place of one that it does not hear; zero if its
+	// predecessor was another one.
+	takenOverAt time.Time
 	// runs are the requests on the target in order of arrival; only owners maintain them.
 	runs []*run
 	// admissions are the last requests that this daemon admitted as the target's owner.
@@ -132,6 +135,13 @@
 // prefillTime is how long the engine takes for the prefill of a request.
 func (e *engine) prefillTime(r *run) time.Duration { return e.pace.duration(r.prefillWork) }
 
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/booking/members.go
+++ b/internal/booking/members.go
@@ -26,6 +26,7 @@
 		}
 	}
 	c.peers = present
+	c.reach.forgetShares()
 	c.assignOwners(now)
 	c.serveAllWaiting(now)
 }
@@ -50,6 +51,7 @@
 // left to own it.
 func (c *Core) Leave(now time.Time) {
 	c.leaving = true
+	c.reach.forgetShares()
 	c.assignOwners(now)
 	c.serveAllWaiting(now)
 }
@@ -95,6 +97,10 @@
 		if e.owner != "" {
 			e.newOwnerUntil = now.Add(newOwnerTime)
 		}
+		e.takenOverAt = time.Time{}
+		if _, isSilent := c.reach.unreachable[e.owner]; isSilent {
+			e.takenOverAt = now
+		}
 		e.owner = owner
 		e.warmth.forgetProof()
 		e.owned, e.ownedSince = owner == c.cfg.Self, now
--- a/internal/booking/slotwait.go
+++ b/internal/booking/slotwait.go
@@ -45,7 +45,7 @@
 	switch {
 	case c.cfg.MaxSlotWait <= 0 || c.leaving || !e.owned || limit != LimitSlots && limit != LimitMemory:
 		return 0, 0
-	case now.Before(e.newOwnerUntil) || now.Sub(c.startedAt) < newOwnerTime:
+	case c.isNewOwner(now, e) || now.Sub(c.startedAt) < newOwnerTime:
 		return 0, 0 // what runs on the target is not known yet
 	case res.Late && !res.PreviouslyPlaced || c.spareOnly(now, e, *res):
 		return 0, 0
--- a/internal/booking/warmproof.go
+++ b/internal/booking/warmproof.go
@@ -28,6 +28,8 @@
 	// minCheckInterval is the minimum interval between two checks of a target. A check costs about as
 	// much as a new connection.
 	minCheckInterval = 200 * time.Millisecond
+	// minSharedCheckInterval bounds the interval while daemons that may own the target, too, are not heard.
+	minSharedCheckInterval = 50 * time.Millisecond
 	// checkExpiry is how long the result of a check is awaited. A later proof would change nothing.
 	checkExpiry = time.Second
 	// checkFraction is the part of the limit at which a check is due. The other half is left for the
@@ -89,15 +91,21 @@
 
 // maxWarmAdmissions returns how many admissions may count for a target that seems warm. If the target is
 // checked, one place is left for the check: otherwise requests would take each place that becomes free
-// after a lost check, and no further check would be sent.
-func (e *engine) maxWarmAdmissions(limit int) int {
-	n := max(1, limit-smallLimit(limit))
-	if e.service.checksWarmth {
-		return max(1, n-1)
+// after a lost check, and no further check would be sent. The share is that of coldShare.
+func (e *engine) maxWarmAdmissions(limit int, share float64) int {
+	n := partOf(limit, share) - partOf(smallLimit(limit), share)
+	if e.service.checksWarmth && n > 1 {
+		return n - 1
 	}
 	return n
 }
 
+// checkInterval returns the minimum interval between two checks of a target of which this daemon may
+// admit a share of the limit. With less than the whole, admissions have to stop counting sooner.
+func checkInterval(share float64) time.Duration {
+	return max(minSharedCheckInterval, time.Duration(share*float64(minCheckInterval)))
+}
+
 // recordAdmission counts an admission of a request that is held for at most a time.
 func (e *engine) recordAdmission(now time.Time, hold time.Duration) {
 	size := e.service.coldLimit
@@ -114,14 +122,23 @@
 	switch {
 	case limit == 0 || !e.service.checksWarmth || !e.owned || e.Evacuated || e.isCold(now):
 		return
-	case now.Before(e.newOwnerUntil) || now.Sub(c.startedAt) < newOwnerTime:
-		return // requests of a previous owner may be on their way
-	case now.Sub(w.checkedAt) < minCheckInterval || w.pendingID != 0 && now.Sub(w.checkedAt) < checkExpiry:
+	case now.Before(c.stoodStillUntil) || now.Sub(c.startedAt) < newOwnerTime:
+		return // requests of another owner may be on their way
+	case c.isNewOwner(now, e) && (e.takenOverAt.IsZero() || now.Sub(e.takenOverAt) <= settleTime):
+		return // as above
+	case w.pendingID != 0 && now.Sub(w.checkedAt) < checkExpiry:
+		return
+	}
+	share := c.warmShare(now, e)
+	maxRequests := e.maxWarmAdmissions(limit, share)
+	if maxRequests == 0 || now.Sub(w.checkedAt) < checkInterval(share) {
 		return
 	}
-	maxRequests := e.maxWarmAdmissions(limit)
 	count := e.admissions.countSince(e.warmWindow(now))
-	if float64(count) < checkFraction*float64(maxRequests) || count > maxRequests {
+	isDue := float64(count) >= checkFraction*float64(maxRequests) || c.isNewOwner(now, e)
+	// Far more than that were admitted while the share was larger, and a proof lets them count no longer.
+	isShareSmaller := share < 1 && count > maxRequests+1
+	if !isDue || count > maxRequests && !isShareSmaller {
 		return
 	}
 	c.lastCheckID++
@@ -145,6 +162,7 @@
 		w.coldUntil = laterOf(w.coldUntil, now.Add(result.ColdLeft))
 	default:
 		w.provenAt = laterOf(w.provenAt, result.SentAt)
+		e.admissions.remove(w.checkedAt) // the target was warm
 	}
 }
 
--- a/internal/control/bookings.go
+++ b/internal/control/bookings.go
@@ -198,6 +198,11 @@
 	})
 }
 
+// SetUnreachable replaces the list of daemons that may be alive although they are not heard.
+func (b *BookingLoop) SetUnreachable(list []booking.Unreachable) {
+	b.post(func(now time.Time) { b.core.SetUnreachable(now, list) })
+}
+
 // LinkUp reports that a link to a peer is up.
 func (b *BookingLoop) LinkUp(id ident.Daemon) {
 	b.post(func(now time.Time) {
--- a/internal/daemon/bridge.go
+++ b/internal/daemon/bridge.go
@@ -13,6 +13,7 @@
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
@@ -68,6 +69,9 @@
 	return b.peers
 }
 
+// Unreachable implements fleet.Handler. It does nothing: no service of a document limits what cold targets get.
+func (b *bridge) Unreachable([]membership.Unreachable) {}
+
 // LinkUp implements fleet.Handler.
 func (b *bridge) LinkUp(peer ident.Daemon) { b.loop.ResyncPeer(peer) }
 
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -89,7 +89,7 @@
 }
 
 func newRoutedLoop(id identity, s settings.Settings, b *routedBridge) *control.BookingLoop {
-	core := booking.New(booking.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone, MaxSlotWait: s.Routing.SlotWait, DerivedRetryAfter: s.Routing.DerivedRetryAfter},
+	core := booking.New(booking.Config{Self: id.Daemon, Incarnation: id.Incarnation, Zone: id.Zone, SilentAfter: fleet.SilentAfter(s.Fleet.Heartbeat), MaxSlotWait: s.Routing.SlotWait, DerivedRetryAfter: s.Routing.DerivedRetryAfter},
 		rand.New(rand.NewPCG(id.Incarnation, rand.Uint64())))
 	origins := origin.New(origin.Config{
 		Self: id.Daemon, Zone: id.Zone, MaxViewAge: s.Routing.InTouch, FirstStart: id.firstStart, PeersExpected: id.peersExpected,
--- a/internal/daemon/routedbridge.go
+++ b/internal/daemon/routedbridge.go
@@ -98,6 +98,15 @@
 	b.gateway.SetDaemons(len(peers) + 1)
 }
 
+// Unreachable implements fleet.Handler.
+func (b *routedBridge) Unreachable(daemons []membership.Unreachable) {
+	list := make([]booking.Unreachable, len(daemons))
+	for i, d := range daemons {
+		list[i] = booking.Unreachable(d)
+	}
+	b.loop.SetUnreachable(list)
+}
+
 // LinkUp implements fleet.Handler.
 func (b *routedBridge) LinkUp(peer ident.Daemon) { b.loop.LinkUp(peer) }
 
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -25,6 +25,7 @@
 
 	"github.com/savorystall/savorystall/internal/certs"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
@@ -90,6 +91,9 @@
 	// Peers is called with the live daemons, excluding the node itself, on each
 	// change.
 	Peers(peers []scheduler.Peer)
+	// Unreachable is called before Peers, and whenever the VM list changes, with the daemons that
+	// may be alive although the node does not hear them.
+	Unreachable(daemons []membership.Unreachable)
 	// LinkUp is called when a link has been established: the full state must be
 	// sent once, because messages sent over an earlier link may not have
 	// arrived.
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -82,6 +82,7 @@
 func (v vmList) apply(n *Node, now time.Time) {
 	n.table.SetVMList(now, v)
 	n.updateAddresses(v)
+	n.notifyPeers()
 	n.startDials(now)
 }
 
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -39,6 +39,10 @@
 	ticksPerHeartbeat = 5
 )
 
+// SilentAfter returns the time without messages after which daemons with this heartbeat
+// interval no longer rely on one another.
+func SilentAfter(heartbeat time.Duration) time.Duration { return suspectHeartbeats * heartbeat }
+
 // Node manages all links of a daemon. One goroutine owns the membership table
 // and decides which links are kept; the others transfer frames.
 type Node struct {
@@ -96,7 +100,7 @@
 	table := membership.New(membership.Config{
 		Self:          cfg.Self,
 		Zone:          cfg.Zone,
-		SuspectAfter:  suspectHeartbeats * cfg.Heartbeat,
+		SuspectAfter:  SilentAfter(cfg.Heartbeat),
 		DeadAfter:     deadHeartbeats * cfg.Heartbeat,
 		DialGrace:     2 * cfg.Heartbeat,
 		WatchAllLimit: cfg.WatchAll,
@@ -360,6 +364,7 @@
 		return
 	}
 	n.notifiedVersion = n.table.Version()
+	n.handler.Unreachable(n.table.Unreachable(time.Now()))
 	members := n.table.Members()
 	peers := make([]scheduler.Peer, 0, len(members))
 	for _, m := range members {
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/test/faultlink"
@@ -61,6 +62,8 @@
 	return r.onFollow(q)
 }
 
+func (r *recorder) Unreachable([]membership.Unreachable) {}
+
 func (r *recorder) Peers(peers []scheduler.Peer) {
 	r.withLock(func() {
 		r.peers = map[ident.Daemon]scheduler.Peer{}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -193,8 +193,8 @@
 	return &Table{cfg: cfg.withDefaults(), memberChart: memberChart, random: random, entries: map[ident.Daemon]*entry{}}
 }
 
-// Version returns a number that changes whenever the result of Members may have
-// changed.
+// Version returns a number that changes whenever the result of Members or, other than by
+// the passing of time, that of Unreachable may have changed.
 func (t *Table) Version() uint64 { return t.version }
 
 // Members returns the daemons that are live, suspect or leaving, sorted by name.
@@ -258,7 +258,9 @@
 // adds daemons to connect to and marks daemons that should leave; it never
 // removes a daemon whose heartbeats still arrive.
 func (t *Table) SetVMList(now time.Time, list []ListedVM) {
+	listed := make(map[ident.Daemon]bool, len(t.entries))
 	for _, e := range t.entries {
+		listed[e.id] = e.listed
 		e.listed, e.listedLeaving = false, false
 	}
 	for _, vm := range list {
@@ -276,6 +278,9 @@
 	}
 	for _, e := range t.entries {
 		t.updateLeaving(e)
+		if e.listed != listed[e.id] {
+			t.version++ // Unreachable has changed
+		}
 	}
 	t.selection.assignedAt = time.Time{}
 	t.removeForgotten(now)
@@ -345,6 +350,10 @@
 
 func (t *Table) markAlive(now time.Time, e *entry) {
 	e.lastHeard, e.silenceHandled = now, false
+	if e.mayActAlone {
+		e.mayActAlone = false
+		t.version++
+	}
 	t.fireIfAccepted(e, triggerHeard)
 	t.updateLeaving(e)
 }
--- a/internal/membership/silence.go
+++ b/internal/membership/silence.go
@@ -29,6 +29,7 @@
 	t.updateWatched(now)
 	for _, e := range t.entries {
 		silence := e.silence(now)
+		t.noteSilence(e, silence)
 		if silence >= t.cfg.SuspectAfter {
 			t.fireIfAccepted(e, triggerSilent)
 			t.reportSilence(now, e)
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -64,6 +64,9 @@
 	// silenceHandled reports that the current silence has already been processed
 	// by reportSilence.
 	silenceHandled bool
+	// mayActAlone reports that the daemon has been silent for so long that it may soon count this one as
+	// dead.
+	mayActAlone bool
 	// createdAt is when the entry was created.
 	createdAt time.Time
 }
--- a/test/capacity/daemon.go
+++ b/test/capacity/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/fleet"
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/membership"
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
 )
@@ -66,6 +67,9 @@
 // Peers implements fleet.Handler.
 func (d *daemon) Peers(peers []scheduler.Peer) { d.loop.SetPeers(peers) }
 
+// Unreachable implements fleet.Handler.
+func (d *daemon) Unreachable([]membership.Unreachable) {}
+
 // LinkUp implements fleet.Handler.
 func (d *daemon) LinkUp(id ident.Daemon) { d.linkCount.Add(1); d.loop.ResyncPeer(id) }
 
