A stream is not continued by a response that is none

Cause: exchange passes a response of another content type on whole, and did so when the response had begun, too. Change: such a response is rejected like an unsigned success. Before: TestStreamIsNotContinuedByAResponseThatIsNone got 200 with the foreign body. After: the stream goes on elsewhere or ends openly.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,6 +44,8 @@
 		return s.handleErrorStatus(ctx, x, pr, entry, r, dispatched)
 	case pr.route.Retry == route.Stream && isEventStream(x.Response.Header):
 		return s.relayStream(ctx, x, pr, entry, r, dispatched)
+	case pr.responseStarted:
+		return rejectSuccess(x, r, errNoStream)
 	}
 	return s.relayResponse(ctx, x, pr, entry, r, dispatched)
 }
--- a/internal/gateway/verify.go
+++ b/internal/gateway/verify.go
@@ -13,6 +13,8 @@
 	errUnsigned = errors.New("the success is not signed")
 	// errEncoded reports that the body of a success is encoded, although no encoding was asked for.
 	errEncoded = errors.New("the body of the success has a content encoding")
+	// errNoStream reports that a stream is to be continued and the response is none.
+	errNoStream = errors.New("the response that is to continue a stream is not a stream")
 )
 
 // verifySuccess returns why a response with a status of 2xx is not a success of its target; nil if it is
