--- a/internal/daemon/subscribers.go
+++ b/internal/daemon/subscribers.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/ident"
 	store "github.com/savorystall/savorystall/internal/platform"
@@ -279,7 +281,11 @@
 		return
 	}
 	var decoded daemonRow
-	if err := json.Unmarshal(row.Value, &decoded); err != nil {
+	err := json.Unmarshal(row.Value, &decoded)
+	if err == nil && decoded.Address == "" {
+		err = merry.New("daemon entry: no address")
+	}
+	if err != nil {
 		event.RowUnreadable.Log(d.storeSync.deps.Log, "table", platform.TableDaemons, "key", row.Key, "revision", row.Revision, "error", err)
 		return
 	}
