Only the owner of a target with a cold limit admits requests; the part is taken when others may own

Cause: a daemon admitted what it was asked for, whether it owned the target or not. While some links are up again and others are not, a daemon that was alone asks one of the others, which is not the owner in the eyes of the rest, so that two of one group admit their group's share. Ruled out: checks beside the part (one each), a share that grows too early (a return now counts after 1 s in place of 0.3 s for warm targets, which alone left 34).

Change: a daemon that does not own a target with a cold limit refuses. Beside it: the part is taken 6 heartbeats after a peer last answered a reservation, which shows when it heard this daemon, in place of 5 after it was last heard.

--- a/internal/booking/cold.go
+++ b/internal/booking/cold.go
@@ -48,6 +48,9 @@
 		return true
 	}
 	c.noteProgress(now)
+	if !e.owned {
+		return false // the daemon that asks does not hear of the owner, which admits its share, too
+	}
 	hasJustStarted := now.Sub(c.startedAt) < newOwnerTime
 	isNew := c.isNewOwner(now, e) || hasJustStarted && len(c.peers) == 0
 	switch {
--- a/internal/booking/coldcut_test.go
+++ b/internal/booking/coldcut_test.go
@@ -39,6 +39,8 @@
 	// group is the group of each daemon while the fleet is cut.
 	group []int
 	views [][]peerView
+	// heard is when a message from one daemon to another was last sent that arrived.
+	heard map[[2]int]time.Time
 }
 
 // newCutSim makes a zone of a number of daemons, of which the first ones are alone during the cut.
@@ -50,7 +52,11 @@
 	s := newZonedSim(seed, zones, len(zones), 3, "w")
 	c := &cutSim{
 		warmSim: &warmSim{sim: s, cold: map[ident.Target]time.Time{}, coldAfter: map[ident.Target]time.Time{}, sent: map[ident.Target][]time.Time{}},
-		group:   make([]int, len(zones)), views: make([][]peerView, len(zones)),
+		group:   make([]int, len(zones)), views: make([][]peerView, len(zones)), heard: map[[2]int]time.Time{},
+	}
+	s.partitioned = func(from, to ident.Daemon) bool {
+		c.heard[[2]int{c.indexOf(from), c.indexOf(to)}] = s.now
+		return false
 	}
 	for i := range c.views {
 		c.views[i] = make([]peerView, len(zones))
@@ -88,6 +94,9 @@
 	c.partitioned = func(from, to ident.Daemon) bool { return c.group[c.indexOf(from)] != c.group[c.indexOf(to)] }
 	c.eachPair(func(i, j int) {
 		heartbeat := time.Duration(c.rng.Int64N(int64(time.Second))) // since the last one
+		if heard := c.heard[[2]int{j, i}]; !heard.IsZero() {
+			heartbeat = min(heartbeat, c.now.Sub(heard)) // any message is as good
+		}
 		tick := func() time.Duration { return time.Duration(c.rng.Int64N(int64(200 * time.Millisecond))) }
 		c.schedule(5*time.Second-heartbeat+tick(), func() { c.see(i, j, silent) })
 		c.schedule(6*time.Second-heartbeat+200*time.Millisecond+tick(), func() { c.see(i, j, gone) })
@@ -218,7 +227,7 @@
 // admits a part of its limit that is for two owners.
 func TestOwnersOfAZoneThatIsCutAdmitTheLimitTogether(t *testing.T) {
 	for _, c := range []struct{ zone, alone int }{{3, 1}, {3, 2}, {5, 4}, {7, 3}, {15, 5}, {15, 14}, {3, 3}} {
-		for _, coldAt := range []time.Duration{5900 * time.Millisecond, 7400 * time.Millisecond, 9 * time.Second, 12500 * time.Millisecond} {
+		for _, coldAt := range []time.Duration{5900 * time.Millisecond, 7400 * time.Millisecond, 9 * time.Second, 12300 * time.Millisecond, 12800 * time.Millisecond} {
 			for _, registered := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%d of %d alone, cold at %s, registered %t", c.alone, c.zone, coldAt, registered), func(t *testing.T) {
 					for seed := range uint64(3) {
--- a/internal/booking/coldshare.go
+++ b/internal/booking/coldshare.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/savorystall/savorystall/internal/ident"
@@ -14,18 +15,23 @@
 // The daemons of a target's zone have most of the limit: a daemon elsewhere owns the target only if it
 // hears none of them. If there are none, or none elsewhere, the others have all of it.
 //
-// A daemon that falls silent counts as unreachable before others own its targets, and one that is heard
-// again does not count as reached at once: what it has admitted as an owner may be on its way. It does for
-// a target that has been proved warm since then.
+// A daemon that falls silent counts as unreachable before it can own targets of this one, and one that is
+// heard again does not count as reached at once: what it has admitted as an owner may be on its way. It
+// does for a target that has been proved warm since then.
 
 const (
 	// outsideFraction is what daemons outside of the target's zone have of its limit.
 	outsideFraction = 1.0 / 16
 	// defaultSilentAfter is the default of Config.SilentAfter.
 	defaultSilentAfter = 3 * time.Second
-	// settleTime is how long after daemons have heard of one another again, or have ceased to, what they
-	// sent before may arrive.
+	// settleTime is how long after a daemon has become an owner what its unreachable predecessor sent with a
+	// larger share may arrive.
 	settleTime = 300 * time.Millisecond
+	// returnTime is how long after a daemon is heard again others may not be, and count its part, too.
+	returnTime = time.Second
+	// silentPeriodsToOwn is for how many times Config.SilentAfter a daemon is silent when others own its
+	// targets.
+	silentPeriodsToOwn = 2
 	// shareRounding makes up for rounding errors of shares that add up to one.
 	shareRounding = 1e-9
 )
@@ -38,11 +44,18 @@
 	Until time.Time
 }
 
+// silentDaemon is an Unreachable that may own targets of others from a time on: when it last answered, it
+// had heard this daemon.
+type silentDaemon struct {
+	Unreachable
+	from time.Time
+}
+
 // reach is what is known of the daemons that may own targets beside this one.
 type reach struct {
 	// unreachable are the daemons that are not heard, returned those that have lately been heard again or
 	// are known to have ended, until the given times.
-	unreachable, returned map[ident.Daemon]Unreachable
+	unreachable, returned map[ident.Daemon]silentDaemon
 	// shares holds the results of coldShare until validUntil.
 	shares     map[ident.Zone]float64
 	validUntil time.Time
@@ -59,9 +72,13 @@
 // SetUnreachable replaces the list of the daemons that may be alive although they are not heard. It is
 // called before SetPeers when both change.
 func (c *Core) SetUnreachable(now time.Time, list []Unreachable) {
-	present := make(map[ident.Daemon]Unreachable, len(list))
+	present := make(map[ident.Daemon]silentDaemon, len(list))
 	for _, u := range list {
-		present[u.ID] = u
+		d := silentDaemon{u, c.reach.unreachable[u.ID].from}
+		if p := c.peers[u.ID]; p != nil {
+			d.from = laterOf(d.from, p.heardThisAt.Add(silentPeriodsToOwn*c.silentAfter()))
+		}
+		present[u.ID] = d
 	}
 	for id, u := range c.reach.unreachable {
 		if _, still := present[id]; !still && now.Before(u.Until) {
@@ -75,7 +92,7 @@
 
 func newReach() reach {
 	return reach{
-		unreachable: map[ident.Daemon]Unreachable{}, returned: map[ident.Daemon]Unreachable{},
+		unreachable: map[ident.Daemon]silentDaemon{}, returned: map[ident.Daemon]silentDaemon{},
 		shares: map[ident.Zone]float64{}, rule: shareOf,
 	}
 }
@@ -96,7 +113,7 @@
 	}
 	share, known := r.shares[zone]
 	if !known {
-		share = r.rule(c.countReach(zone, r.returned))
+		share = r.rule(c.countReach(now, zone, r.returned))
 		r.shares[zone] = share
 	}
 	return share
@@ -105,35 +122,38 @@
 // warmShare returns the part of the limit of a target that seems warm that this daemon may admit as its
 // owner.
 func (c *Core) warmShare(now time.Time, e *engine) float64 {
-	unsettled := map[ident.Daemon]Unreachable{}
+	unsettled := map[ident.Daemon]silentDaemon{}
 	for id, u := range c.reach.returned {
-		if returnedAt := u.Until.Add(-newOwnerTime); now.Before(u.Until) && !e.warmth.provenAt.After(returnedAt.Add(settleTime)) {
+		if returnedAt := u.Until.Add(-newOwnerTime); now.Before(u.Until) && !e.warmth.provenAt.After(returnedAt.Add(returnTime)) {
 			unsettled[id] = u
 		}
 	}
 	if len(unsettled) == len(c.reach.returned) {
 		return c.coldShare(now, e.Zone)
 	}
-	return c.reach.rule(c.countReach(e.Zone, unsettled))
+	return c.reach.rule(c.countReach(now, e.Zone, unsettled))
 }
 
-// expire forgets the daemons that no longer count, and sets validUntil to when the next one does not.
+// expire forgets the daemons that no longer count, and sets validUntil to when the next one changes.
 func (r *reach) expire(now time.Time) {
 	r.validUntil = now.Add(time.Hour)
-	for _, list := range []map[ident.Daemon]Unreachable{r.unreachable, r.returned} {
+	for _, list := range []map[ident.Daemon]silentDaemon{r.unreachable, r.returned} {
 		for id, u := range list {
-			if !now.Before(u.Until) {
+			switch {
+			case !now.Before(u.Until):
 				delete(list, id)
-				continue
+			case now.Before(u.from):
+				r.validUntil = earlierOf(r.validUntil, u.from)
+			default:
+				r.validUntil = earlierOf(r.validUntil, u.Until)
 			}
-			r.validUntil = earlierOf(r.validUntil, u.Until)
 		}
 	}
 }
 
 // countReach counts the daemons in a zone and elsewhere. Those in a graceful shutdown own nothing and do
 // not count.
-func (c *Core) countReach(zone ident.Zone, returned map[ident.Daemon]Unreachable) (inside, outside census) {
+func (c *Core) countReach(now time.Time, zone ident.Zone, returned map[ident.Daemon]silentDaemon) (inside, outside census) {
 	count := func(z ident.Zone, reached bool) {
 		side := &outside
 		if z == zone {
@@ -161,7 +181,7 @@
 		}
 	}
 	for _, u := range silent {
-		count(u.Zone, false)
+		count(u.Zone, now.Before(u.from))
 	}
 	return inside, outside
 }
@@ -190,12 +210,11 @@
 // noteProgress detects that this daemon has stood still for so long that others may own its targets: it
 // is a new owner of all of them until it has heard who is alive.
 func (c *Core) noteProgress(now time.Time) {
-	silentAfter := c.cfg.SilentAfter
-	if silentAfter == 0 {
-		silentAfter = defaultSilentAfter
-	}
+	silentAfter := c.silentAfter()
 	if !c.lastProgress.IsZero() && now.Sub(c.lastProgress) >= silentAfter {
 		c.stoodStillUntil = now.Add(silentAfter + newOwnerTime)
 	}
 	c.lastProgress = now
 }
+
+func (c *Core) silentAfter() time.Duration { return cmp.Or(c.cfg.SilentAfter, defaultSilentAfter) }
--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -129,6 +129,9 @@
 	Peer
 	// silentUntil is until when the peer is skipped because it did not reply.
 	silentUntil time.Time
+	// heardThisAt is a time at which the peer heard this daemon: when the last reservation was sent that it
+	// has answered.
+	heardThisAt time.Time
 }
 
 // runKey identifies a request on an owned target.
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -225,6 +225,9 @@
 		return
 	}
 	delete(c.pending, r.pendingID)
+	if p := c.peers[from]; p != nil {
+		p.heardThisAt = laterOf(p.heardThisAt, r.sentAt)
+	}
 	if !reply.OK && reply.SlotWait > 0 && r.mayWait && c.awaitingSlot[r.pendingID] == nil {
 		r.recordReply(reply)
 		c.awaitSlot(now, r, reply)
