Admissions to cold targets count for 1.3 s again, also where targets are checked

Cause: let them count for 1.1 s, since what is sent to a checked target is sent within 100 ms. The parts of a fleet that is cut add up to the limit, so that nothing is left for such delays. Ruled out: nothing else was looked at. Change: as it was before.

--- a/internal/booking/cold.go
+++ b/internal/booking/cold.go
@@ -57,21 +57,13 @@
 	case e.isCold(now) && (isNew || hasJustStarted):
 		return false
 	case e.isCold(now):
-		return e.admissions.countSince(now.Add(-time.Second-e.service.maxSendDelay())) < min(max(1, limit/coldOwners), partOf(limit, c.coldShare(now, e.Zone)))
+		return e.admissions.countSince(now.Add(-time.Second-MaxColdSendDelay)) < min(max(1, limit/coldOwners), partOf(limit, c.coldShare(now, e.Zone)))
 	case isNew && !e.provedSinceTakeover():
 		return e.admissions.countSince(now.Add(-time.Second)) < partOf(smallLimit(limit), c.coldShare(now, e.Zone))
 	}
 	return e.admissions.countSince(e.warmWindow(now)) < e.maxWarmAdmissions(limit, c.warmShare(now, e))
 }
 
-// maxSendDelay returns how long after its admission a request may be sent to a cold target.
-func (s *service) maxSendDelay() time.Duration {
-	if s.checksWarmth {
-		return MaxProvenSendDelay
-	}
-	return MaxColdSendDelay
-}
-
 // isNewOwner reports whether another daemon may still be, or already be, the owner of the target.
 func (c *Core) isNewOwner(now time.Time, e *engine) bool {
 	return now.Before(e.newOwnerUntil) || now.Before(c.stoodStillUntil)
