A pause between two ticks is not taken for a stand-still

Cause: noteProgress looks for a gap of three heartbeats, and an idle Core ticks once a second. Change: the next tick is due after half of that. With heartbeats of a second, as deployed, an idle Core ticks more often than that already, so that nothing changes there.

--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -300,6 +300,7 @@
 			next = timeout
 		}
 	}
+	next = earlierOf(next, c.lastProgress.Add(c.silentAfter()/2)) // or a pause between two ticks would be taken for a stand-still
 	if at, ok := c.nextHoldExpiry(); ok && at.Before(next) {
 		next = at
 	}
