Lines and a counter tell foreign bytes within a stream from a cut, a truncated event and an end with the target

Cause: 201 and 206 say "answer_cut" and response_aborted for all ways in which the response of a target breaks off, and a stream that ends as complete with foreign bytes in it leaves no line at all. Change: package eventstream parses the stream of each response line by line beside the filter, whose decisions stay as they are. Event 317 names the target, the request, why the bytes are no event, how many events came before and in which attempt; the bytes themselves are not logged, as they may be another caller's. 201 and 206 have response_end (connection, truncated_event, target_ended or a violation) and the code; streams_broken counts by target and cause, the first 500 targets one by one. Conclusion: no change of what callers get.

--- a/internal/daemon/ends.go
+++ b/internal/daemon/ends.go
@@ -98,7 +98,11 @@
 	if e.cause == endCallerGone || !r.limiter.Allow() {
 		return
 	}
-	args := []any{"cause", string(e.cause), "progress", string(e.progress), "answered", e.answered, "caller", e.caller.String()}
+	args := []any{"cause", string(e.cause)}
+	if a := e.aborted; a != nil {
+		args = append(args, "code", a.Failure.Code.Number, "response_end", a.ResponseEnd)
+	}
+	args = append(args, "progress", string(e.progress), "answered", e.answered, "caller", e.caller.String())
 	if a := e.aborted; a != nil {
 		args = append(args, "request", a.AttemptID, "route", a.Route, "target", a.Target, "elapsed_ms", a.Elapsed.Milliseconds(), "left_ms", a.Remaining.Milliseconds(), "reason", a.Failure.Error())
 	}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -71,6 +71,8 @@
 	// that its caller or the operator allows.
 	Elapsed, Remaining time.Duration
 	Failure            *resultcode.Failure
+	// ResponseEnd is how the response of the last target broke off; empty if it did not.
+	ResponseEnd string
 }
 
 func abortedRequest(pr *proxyRequest, f *resultcode.Failure) AbortedRequest {
@@ -79,7 +81,7 @@
 	}
 	return AbortedRequest{
 		AttemptID: pr.info.AttemptID, Route: string(pr.route.Name), Target: pr.stats.target, Sent: pr.stats.attempts > 0,
-		Elapsed: time.Since(pr.arrived), Remaining: time.Until(pr.deadline), Failure: f,
+		Elapsed: time.Since(pr.arrived), Remaining: time.Until(pr.deadline), Failure: f, ResponseEnd: breakCause(f),
 	}
 }
 
@@ -205,7 +207,7 @@
 		args = []any{"request", s.Dialect.ParseRequest(r.Header).AttemptID, "host", r.Host, "path", r.URL.Path}
 	} else {
 		args = []any{
-			"request", pr.info.AttemptID, "route", pr.route.Name, "service", pr.service.Name, "workspace", pr.workspace,
+			"request", pr.info.AttemptID, "response_end", breakCause(f), "route", pr.route.Name, "service", pr.service.Name, "workspace", pr.workspace,
 			"routes_version", pr.table.Version, "target", pr.stats.target, "version", pr.stats.version, "first_target", pr.stats.firstTarget, "first_version", pr.stats.firstVersion, "by", pr.stats.basis.SelectedBy, "asked", pr.stats.basis.OwnersAsked,
 			"expected_ms", pr.stats.basis.Expected.Milliseconds(), "late", pr.plan.Late, "back", pr.stats.basis.CallerRetry, "source", pr.stats.basis.FetchSource, "held", pr.stats.basis.Held, "slot_wait_ms", pr.stats.basis.SlotWait.Milliseconds(),
 			"limit", pr.stats.basis.Limit.String(), "share_used", math.Round(100*pr.stats.basis.ShareUsed) / 100, "alone_ms", pr.stats.basis.UnloadedWait.Milliseconds(),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/eventstream"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/targetconn"
@@ -39,8 +40,15 @@
 	countBefore := pr.events.count
 	buffer := make([]byte, readSize)
 	flusher := http.NewResponseController(pr.w)
+	var check eventstream.Parser
+	eventsSeen, violated := 0, false
 	for {
 		n, err := x.Read(buffer)
+		if violation := check.Feed(buffer[:n], func(eventstream.Event) { eventsSeen++ }); violation != nil && !violated {
+			violated = true
+			s.logForeignBytes(pr, entry, violation, eventsSeen)
+			s.Metrics.StreamBroken(entry.Identity, violation.Error())
+		}
 		complete := pr.events.feed(buffer[:n])
 		if len(complete) > 0 {
 			if r.firstByteTime == 0 {
@@ -67,6 +75,9 @@
 		}
 	}
 	r.targetFailed = r.failure != nil && r.failure.Code == resultcode.AnswerCut && !callerGone(ctx, pr)
+	if r.targetFailed && !violated {
+		s.Metrics.StreamBroken(entry.Identity, breakCause(r.failure))
+	}
 	if r.firstByteTime > 0 {
 		r.cost = pr.streamCost()
 	}
--- /dev/null
+++ b/internal/gateway/streambreak.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"errors"
+
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/eventstream"
+	"github.com/savorystall/savorystall/internal/registry"
+	"github.com/savorystall/savorystall/internal/resultcode"
+)
+
+// Causes for which the response of a target does not end as complete, besides the violations of package
+// eventstream.
+const (
+	breakConnection     = "connection"
+	breakTruncatedEvent = "truncated_event"
+	breakTargetEnded    = "target_ended"
+)
+
+// breakCause returns how a response broke off, for logs and metrics; empty if the failure is another one.
+func breakCause(f *resultcode.Failure) string {
+	if f == nil || f.Code != resultcode.AnswerCut && f.Code != resultcode.TargetProtocol {
+		return ""
+	}
+	var violation eventstream.Violation
+	switch {
+	case errors.As(f, &violation):
+		return string(violation)
+	case errors.Is(f, errTruncatedEvent):
+		return breakTruncatedEvent
+	case errors.Is(f, errTargetEnded):
+		return breakTargetEnded
+	}
+	return breakConnection
+}
+
+// logForeignBytes logs that a target has sent bytes within a stream that are no event of it. The bytes are
+// not logged, as they may belong to the response of another caller.
+func (s *Server) logForeignBytes(pr *proxyRequest, entry registry.Entry, violation error, eventsBefore int) {
+	if !s.logBudgets.failed.Allow() {
+		return
+	}
+	event.StreamMalformed.Log(s.Log, "target", entry.Identity, "cause", violation.Error(), "request", pr.info.AttemptID, "service", entry.Service,
+		"events_before", eventsBefore, "attempt", pr.stats.attempts+1, "last_event", pr.events.lastID)
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -67,6 +67,7 @@
 	metricMembers              = define("members", Gauge, "daemons", "", "Live daemons that this one knows, itself included.")
 	metricForwardedConnections = define("connections_passed_on", Counter, "connections", "", "New connections of callers that a neighbour took over for want of processor time here.")
 	metricUnanswered           = define("connections_unanswered", Counter, "connections", "cause, progress, kept", "Connections of callers that were closed without a complete response to their request, by why, how far the request had got, and whether a request was answered on them before; where routes are served.")
+	metricStreamsBroken        = define("streams_broken", Counter, "attempts", "target, cause", "Event streams of a target that did not end as complete, by cause (connection, truncated_event, target_ended, or why bytes were no event: see event 317); targets beyond the first 500 are counted as other; where routes are served.")
 	metricStoreCalls           = define("store_calls", Counter, "calls", "table, kind, failed", "Calls to the platform's store, by table and what they are for (read, follow, write); where routes are served.")
 	metricTargetWeight         = define("target_weight", Gauge, "ratio to the median", "service, bound", "Least and greatest weight of the service's targets by their estimated speeds, as this daemon sees them (bound: min, max); where routes are served and speeds are estimated.")
 	metricRoutesAge            = define("routes_age", Gauge, "seconds", "", "How long ago the store confirmed the routes in force, where routes are served.")
@@ -84,6 +85,8 @@
 	// series caches counters and histograms by seriesKey: looking one up by its tags
 	// in the scope takes 3 us and allocates a map, four times per request.
 	series sync.Map
+	// brokenStreamTargets bounds the targets that StreamBroken counts one by one.
+	brokenStreamTargets tagLimiter
 }
 
 // seriesKey identifies a counter or histogram by its name and the values of its tags.
@@ -200,6 +203,14 @@
 	}).Inc(1)
 }
 
+// StreamBroken counts an event stream of a target that did not end as complete.
+func (m *Metrics) StreamBroken(target ident.Target, cause string) {
+	name := m.brokenStreamTargets.tag(string(target))
+	m.cachedCounter(seriesKey{metricStreamsBroken, name, cause}, func() map[string]string {
+		return map[string]string{"target": name, "cause": cause}
+	}).Inc(1)
+}
+
 // Preempted counts a preempted stream and the tokens that must be prefilled again to
 // resume it.
 func (m *Metrics) Preempted(service ident.Service, tokens int64) {
