Foreign bytes within a stream end the attempt, and nothing of them reaches the caller

What callers saw: a piece without an ID that no run made, and streams that end as complete without their last events (ORDER). Cause: the filter of events took whatever it could not read an ID from for a comment and delivered it (acceptEvent), dropped an ID that goes back in silence, and took the end of the body for the end of the stream. What makes an event of such a stream one was stated nowhere. The class: input is passed on unless it is known to be wrong, where only what is known to be right may be. Ruled out: H1 (two runs joined), since it shows in a first attempt with one target; H2 (the next response on a kept connection), since it shows on new connections that are closed after it, and the lines of event 317 give attempt 1. Change: package eventstream decides on each line; a field that only this platform's streams have is named by the dialect. At the first bytes that are no event the connection is closed, the attempt has failed (3004, target failed), and what came before them is delivered. A resumable stream goes on elsewhere after its last event, within attempts and budget; another one ends openly, or is answered 502 if nothing was written. Within one response IDs increase; only what another target repeats is dropped.

--- a/internal/daemon/disconnects_test.go
+++ b/internal/daemon/disconnects_test.go
@@ -40,7 +40,8 @@
 func (noopDialect) SetTargetHeaders(http.Header, gateway.ForwardInfo) {}
 func (noopDialect) RemoveTargetNotices(http.Header)                   {}
 
-func (noopDialect) SignsSuccesses() bool { return false }
+func (noopDialect) IsEventField(_, _ []byte) bool { return false }
+func (noopDialect) SignsSuccesses() bool          { return false }
 
 func (noopDialect) ParseResponse(int, http.Header) gateway.ResponseInfo {
 	return gateway.ResponseInfo{}
--- a/internal/eventstream/parser.go
+++ b/internal/eventstream/parser.go
@@ -61,8 +61,10 @@
 // the standard ones, as the first line of an event.
 type ExtraField func(name, value []byte) bool
 
-// Parser parses the stream of one response. The zero value accepts the standard fields only.
+// Parser parses the stream of one response. Without Extra it accepts the standard fields only.
 type Parser struct {
+	// Deliver gets each complete event. Its error ends the parsing like a violation.
+	Deliver func(Event) error
 	// Extra accepts additional fields; it may be nil.
 	Extra ExtraField
 	// pending is the start of an event whose end has not arrived yet; its current line begins at lineStart.
@@ -70,7 +72,8 @@
 	lineStart int
 	current   eventFields
 	lastID    ID
-	violation error
+	// err ended the parsing.
+	err error
 }
 
 // eventFields is what is known of the current event.
@@ -83,15 +86,18 @@
 }
 
 // Reset prepares for another response.
-func (p *Parser) Reset() { *p = Parser{Extra: p.Extra, pending: p.pending[:0]} }
+func (p *Parser) Reset() { *p = Parser{Deliver: p.Deliver, Extra: p.Extra, pending: p.pending[:0]} }
 
 // HasPartialEvent reports whether the bytes that were received so far end within an event.
 func (p *Parser) HasPartialEvent() bool { return len(bytes.TrimSpace(p.pending)) > 0 }
 
-// Feed adds received bytes and calls deliver for each event that is complete. It returns a Violation at the first
-// bytes that are no event. Nothing that follows them is parsed.
-func (p *Parser) Feed(b []byte, deliver func(Event)) error {
-	for len(b) > 0 && p.violation == nil {
+// BufferedBytes returns the memory that the incomplete event occupies.
+func (p *Parser) BufferedBytes() int { return cap(p.pending) }
+
+// Feed adds received bytes and delivers each event that is complete. It returns a Violation at the first bytes
+// that are no event. Nothing that follows them is parsed.
+func (p *Parser) Feed(b []byte) error {
+	for len(b) > 0 && p.err == nil {
 		end := bytes.IndexByte(b, '\n') + 1
 		isComplete := end > 0
 		if !isComplete {
@@ -99,46 +105,48 @@
 		}
 		p.pending = append(p.pending, b[:end]...)
 		b = b[end:]
-		if v := p.parseLine(isComplete, deliver); v != "" {
-			p.violation = v
+		if isComplete {
+			p.err = p.endLine()
+		} else {
+			p.err = p.checkIncompleteLine()
+		}
+		if p.err != nil {
 			p.pending = nil
 		}
 	}
-	return p.violation
+	return p.err
 }
 
-// parseLine parses the last line of pending. An incomplete line is only checked for what can be told already.
-func (p *Parser) parseLine(isComplete bool, deliver func(Event)) Violation {
-	line := p.pending[p.lineStart:]
-	if !isComplete {
-		if len(p.pending) > MaxEventBytes {
-			return TooLong
-		}
-		return checkStart(line)
-	}
-	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+// endLine parses the last line of pending, which is complete.
+func (p *Parser) endLine() error {
+	line := p.pending[p.lineStart : len(p.pending)-1]
+	line = bytes.TrimSuffix(line, []byte("\r"))
 	if len(line) == 0 {
-		return p.endEvent(deliver)
+		return p.endEvent()
 	}
 	if len(p.pending) > MaxEventBytes {
 		return TooLong
 	}
 	p.lineStart = len(p.pending)
-	v := p.addLine(line)
-	p.current.lines++
-	return v
+	return p.addLine(line)
 }
 
-// checkStart judges the start of a line.
-func checkStart(line []byte) Violation {
-	if len(line) > maxNameBytes && bytes.IndexByte(line[:maxNameBytes], ':') < 0 {
+// checkIncompleteLine rejects what can be rejected before the end of the line.
+func (p *Parser) checkIncompleteLine() error {
+	line := p.pending[p.lineStart:]
+	switch {
+	case len(p.pending) > MaxEventBytes:
+		return TooLong
+	case len(line) > maxNameBytes && bytes.IndexByte(line[:maxNameBytes], ':') < 0:
 		return UnknownField
 	}
-	return ""
+	return nil
 }
 
 // addLine records a line of the current event.
-func (p *Parser) addLine(line []byte) Violation {
+func (p *Parser) addLine(line []byte) error {
+	isFirst := p.current.lines == 0
+	p.current.lines++
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
@@ -148,24 +156,29 @@
 	case "event":
 		p.current.hasType = true
 	case "id":
-		if p.current.id.Known {
-			return RepeatedID
-		}
-		id, ok := parseNumber(value)
-		if !ok {
-			return InvalidValue
-		}
-		p.current.id = ID{Value: id, Known: true}
+		return p.addID(value)
 	case "retry":
 		if _, ok := parseNumber(value); !ok {
 			return InvalidValue
 		}
 	default:
-		if p.current.lines > 0 || p.Extra == nil || !p.Extra(name, value) {
+		if !isFirst || p.Extra == nil || !p.Extra(name, value) {
 			return UnknownField
 		}
 	}
-	return ""
+	return nil
+}
+
+func (p *Parser) addID(value []byte) error {
+	if p.current.id.Known {
+		return RepeatedID
+	}
+	id, ok := parseNumber(value)
+	if !ok {
+		return InvalidValue
+	}
+	p.current.id = ID{Value: id, Known: true}
+	return nil
 }
 
 // parseNumber parses a decimal number, which may be surrounded by spaces.
@@ -175,7 +188,7 @@
 }
 
 // endEvent delivers the current event.
-func (p *Parser) endEvent(deliver func(Event)) Violation {
+func (p *Parser) endEvent() error {
 	e := p.current
 	switch {
 	case !e.id.Known && (e.hasData || e.hasType):
@@ -188,11 +201,11 @@
 	if e.id.Known {
 		p.lastID = e.id
 	}
-	deliver(Event{Text: p.pending, ID: e.id})
+	err := p.Deliver(Event{Text: p.pending, ID: e.id})
 	p.current, p.lineStart = eventFields{}, 0
 	p.pending = p.pending[:0]
 	if cap(p.pending) > maxKeptBytes {
 		p.pending = nil
 	}
-	return ""
+	return err
 }
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -134,7 +134,7 @@
 		w: w, id: ident.NewRequest(), inbound: r, info: info,
 		route: matched, workspace: workspace, table: table, arrived: arrived,
 		regions: table.AllowedRegions(matched, info.Key),
-		events:  eventFilter{lastID: info.LastEventID},
+		events:  newEventFilter(info.LastEventID, s.Dialect.IsEventField),
 	}
 	if s.pending.Add(1) > maxPending {
 		s.pending.Add(-1)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,104 +1,107 @@
 package gateway
 
 import (
-	"bytes"
-	"strconv"
+	"errors"
+
+	"github.com/savorystall/savorystall/internal/eventstream"
 )
 
-// eventFilter extracts complete events from one event stream that may be received from
-// several targets in turn, and drops the events that were already delivered. Events are
-// passed on unchanged whatever they contain; only their IDs are parsed.
+// errUnconfirmedEvent reports that the target which is to continue a stream lacks the last delivered event,
+// so that this was none of the stream.
+var errUnconfirmedEvent = errors.New("the next target's stream lacks an event that was delivered")
+
+// maxKeptEventBytes is the largest buffer for complete events that is kept until more arrive.
+const maxKeptEventBytes = 16 << 10
+
+// eventFilter extracts the events of one stream that may be received from several targets in turn, and drops
+// those that were already delivered. Events are passed on unchanged.
 type eventFilter struct {
-	// lastID is the ID of the last delivered event, count the number of delivered events
-	// with an ID.
-	lastID uint64
-	count  int
-	// partialEvent is the start of an event whose end has not arrived yet.
-	partialEvent []byte
-	complete     []byte
+	parser eventstream.Parser
+	// lastID is the ID of the last delivered event and previousID that of the one before it. count is the
+	// number of delivered events with an ID.
+	lastID, previousID eventstream.ID
+	count              int
+	// inAttempt is set once the response of the current target has brought a new event.
+	inAttempt bool
+	// unconfirmed is set if the last delivered event has to come again from the next target.
+	unconfirmed bool
+	complete    []byte
+}
+
+// newEventFilter returns the filter of a stream whose caller has the event with the ID after; zero means that it has none.
+func newEventFilter(after uint64, extra eventstream.ExtraField) eventFilter {
+	return eventFilter{parser: eventstream.Parser{Extra: extra}, lastID: eventstream.ID{Value: after, Known: after > 0}}
 }
 
 // startAttempt prepares for the stream of another target.
 func (f *eventFilter) startAttempt() {
-	f.partialEvent = f.partialEvent[:0]
+	f.parser.Deliver = f.accept
+	f.parser.Reset()
+	f.inAttempt = false
 }
 
-// maxEventBytes bounds one event, which is kept until it is complete.
-const maxEventBytes = 1 << 20
+// resumeAfter returns the ID after which the next target is to go on.
+func (f *eventFilter) resumeAfter() eventstream.ID {
+	if f.unconfirmed {
+		return f.previousID
+	}
+	return f.lastID
+}
 
-// isTooLong reports whether an event has not ended within maxEventBytes.
-func (f *eventFilter) isTooLong() bool { return len(f.partialEvent) > maxEventBytes }
+// distrust records that the target whose response is being received has sent bytes that are no event. If its
+// last event did not follow directly on the one before, that may have been foreign, too: a stream that goes
+// on after it would lack all events in between. The next target has to send it again.
+func (f *eventFilter) distrust() {
+	if !f.inAttempt {
+		return
+	}
+	next := uint64(1) // IDs usually begin at 0 or 1
+	if f.previousID.Known {
+		next = f.previousID.Value + 1
+	}
+	f.unconfirmed = f.lastID.Value > next
+}
 
 // hasPartialEvent reports whether the stream has stopped within an event.
-func (f *eventFilter) hasPartialEvent() bool { return len(bytes.TrimSpace(f.partialEvent)) > 0 }
+func (f *eventFilter) hasPartialEvent() bool { return f.parser.HasPartialEvent() }
 
-// feed adds received bytes and returns the complete events to deliver. The returned slice is
-// valid until the next call.
-func (f *eventFilter) feed(b []byte) []byte {
-	if len(b) == 0 {
-		return nil
-	}
-	f.partialEvent = append(f.partialEvent, b...)
+// feed adds received bytes and returns the complete events to deliver, which are valid until the next call.
+// An error says that what follows them is not of the stream.
+func (f *eventFilter) feed(b []byte) ([]byte, error) {
 	f.complete = f.complete[:0]
-	start := 0
-	for {
-		length := eventLength(f.partialEvent[start:])
-		if length == 0 {
-			break
-		}
-		event := f.partialEvent[start : start+length]
-		start += length
-		if f.acceptEvent(event) {
-			f.complete = append(f.complete, event...)
-		}
+	if cap(f.complete) > maxKeptEventBytes {
+		f.complete = nil
 	}
-	f.partialEvent = append(f.partialEvent[:0], f.partialEvent[start:]...)
-	return f.complete
+	err := f.parser.Feed(b)
+	return f.complete, err
 }
 
-// eventLength returns the length of the event at the start of b including its terminating
-// empty line, or zero if the event is incomplete.
-func eventLength(b []byte) int {
-	for offset := 0; offset < len(b); {
-		end := bytes.IndexByte(b[offset:], '\n')
-		if end < 0 {
-			return 0
-		}
-		line := b[offset : offset+end]
-		offset += end + 1
-		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
-			return offset
+// accept adds an event to those to deliver, unless it was delivered before. What has no ID, such as a comment,
+// is always delivered.
+func (f *eventFilter) accept(e eventstream.Event) error {
+	if e.ID.Known {
+		isNew, err := f.acceptID(e.ID)
+		if !isNew {
+			return err
 		}
 	}
-	return 0
+	f.complete = append(f.complete, e.Text...)
+	return nil
 }
 
-// acceptEvent records an event's ID and reports whether the event must be delivered. An
-// event without a valid ID, such as a comment, is always delivered; the stream cannot be
-// resumed after it.
-func (f *eventFilter) acceptEvent(event []byte) bool {
-	id, ok := eventID(event)
-	if !ok {
-		return true
-	}
-	if id <= f.lastID && f.lastID > 0 {
-		return false
+// acceptID records the ID of an event and reports whether the event is to be delivered.
+func (f *eventFilter) acceptID(id eventstream.ID) (isNew bool, err error) {
+	switch {
+	case f.previousID.Known && id.Value <= f.previousID.Value:
+		return false, nil
+	case f.unconfirmed && id != f.lastID:
+		return false, errUnconfirmedEvent
+	case f.lastID.Known && id.Value <= f.lastID.Value:
+		f.unconfirmed = false
+		return false, nil
 	}
-	f.lastID = id
+	f.previousID, f.lastID = f.lastID, id
+	f.inAttempt = true
 	f.count++
-	return true
-}
-
-var idField = []byte("id:")
-
-func eventID(event []byte) (uint64, bool) {
-	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, idField)
-		if !ok {
-			continue
-		}
-		id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-		return id, err == nil
-	}
-	return 0, false
+	return true, nil
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -68,7 +68,7 @@
 		SetHeaders: func(h http.Header) {
 			s.Dialect.SetTargetHeaders(h, ForwardInfo{
 				Identity: entry.Identity, Workspace: pr.workspace,
-				Remaining: time.Until(pr.deadline), LastEventID: pr.events.lastID, PrefixSource: s.prefixSource(pr, entry),
+				Remaining: time.Until(pr.deadline), LastEventID: pr.events.resumeAfter(), PrefixSource: s.prefixSource(pr, entry),
 			})
 		},
 		MaxConnections: s.connectionLimit(pr.service.MaxConnections),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/evacuation"
 	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/eventstream"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/logging"
 	"github.com/savorystall/savorystall/internal/origin"
@@ -71,9 +72,9 @@
 	Workspace ident.Workspace
 	// Remaining is how much longer the caller waits.
 	Remaining time.Duration
-	// LastEventID is the ID of the last event that was received; zero to start from the
+	// LastEventID is the ID of the event after which the target is to begin; unknown to begin with the
 	// first event.
-	LastEventID uint64
+	LastEventID eventstream.ID
 	// PrefixSource is the address of a target that has cached more of the prompt, from which
 	// it can be copied; empty if there is none.
 	PrefixSource string
@@ -116,6 +117,9 @@
 	// SignsSuccesses reports whether targets sign their responses with a status of 2xx and leave their
 	// bodies unencoded, so that any other one is not theirs.
 	SignsSuccesses() bool
+	// IsEventField reports whether a line of an event with this name and value is a field that the streams
+	// of this platform's targets have in addition to the standard ones, as the first line of an event.
+	IsEventField(name, value []byte) bool
 	// RemoveTargetNotices removes the headers that targets mean for daemons only.
 	RemoveTargetNotices(h http.Header)
 }
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -57,6 +57,7 @@
 func (fakeDialect) SetTargetHeaders(http.Header, ForwardInfo) {}
 func (fakeDialect) RemoveTargetNotices(http.Header)           {}
 
+func (fakeDialect) IsEventField(_, _ []byte) bool               { return false }
 func (fakeDialect) SignsSuccesses() bool                        { return false }
 func (fakeDialect) ParseResponse(int, http.Header) ResponseInfo { return ResponseInfo{} }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/savorystall/savorystall/internal/eventstream"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/targetconn"
@@ -26,57 +25,45 @@
 var (
 	// errTruncatedEvent reports that a stream ended within an event.
 	errTruncatedEvent = errors.New("the stream ended in the middle of an event")
-	// errEventTooLong reports that an event of a stream does not end.
-	errEventTooLong = errors.New("an event of the stream is too long")
 	// errTargetEnded reports that a response without a length ended together with its target.
 	errTargetEnded = errors.New("the response has no length, and its target has ended")
 )
 
 // relayStream relays events as they arrive. Only complete events are sent to the caller: an
 // event that is cut off when a target fails is dropped, and the target that continues the
-// stream sends it again from its start.
+// stream sends it again from its start. Once a target has sent bytes that are no event, nothing
+// that follows on its connection is relayed.
 func (s *Server) relayStream(ctx context.Context, x *targetconn.Exchange, pr *proxyRequest, entry registry.Entry, r attemptResult, dispatched time.Time) attemptResult {
 	pr.events.startAttempt()
 	countBefore := pr.events.count
 	buffer := make([]byte, readSize)
 	flusher := http.NewResponseController(pr.w)
-	var check eventstream.Parser
-	eventsSeen, violated := 0, false
-	for {
-		n, err := x.Read(buffer)
-		if violation := check.Feed(buffer[:n], func(eventstream.Event) { eventsSeen++ }); violation != nil && !violated {
-			violated = true
-			s.logForeignBytes(pr, entry, violation, eventsSeen)
-			s.Metrics.StreamBroken(entry.Identity, violation.Error())
-		}
-		complete := pr.events.feed(buffer[:n])
+	for ended := false; !ended && r.failure == nil; {
+		n, readErr := x.Read(buffer)
+		complete, streamErr := pr.events.feed(buffer[:n])
 		if len(complete) > 0 {
 			if r.firstByteTime == 0 {
 				r.firstByteTime = time.Since(dispatched)
 				s.recordOrigin(pr)
 				s.Placer.FirstByte(pr.id, r.firstByteTime)
 			}
-			if failure := s.writeEvents(pr, x, complete, flusher); failure != nil {
-				r.failure = failure
+			if r.failure = s.writeEvents(pr, x, complete, flusher); r.failure != nil {
 				break
 			}
 		}
-		if pr.events.isTooLong() {
-			r.failure = resultcode.Fail(resultcode.AnswerCut, "").WithCause(errEventTooLong)
-			break
-		}
-		if err == io.EOF {
+		switch {
+		case streamErr != nil:
+			r.failure = s.rejectBytes(pr, x, entry, streamErr, pr.events.count-countBefore)
+		case readErr == io.EOF:
+			ended = true
 			r.failure = s.finishStream(pr, x, entry)
-			break
-		}
-		if err != nil {
-			r.failure = resultcode.Fail(resultcode.AnswerCut, "").WithCause(err)
-			break
+		case readErr != nil:
+			r.failure = resultcode.Fail(resultcode.AnswerCut, "").WithCause(readErr)
 		}
 	}
-	r.targetFailed = r.failure != nil && r.failure.Code == resultcode.AnswerCut && !callerGone(ctx, pr)
-	if r.targetFailed && !violated {
-		s.Metrics.StreamBroken(entry.Identity, breakCause(r.failure))
+	if cause := breakCause(r.failure); cause != "" && !callerGone(ctx, pr) {
+		r.targetFailed = cause != breakUnconfirmed // the target before it sent what this one lacks
+		s.Metrics.StreamBroken(entry.Identity, cause)
 	}
 	if r.firstByteTime > 0 {
 		r.cost = pr.streamCost()
@@ -85,14 +72,26 @@
 	return r
 }
 
+// rejectBytes returns the failure of a stream that holds bytes which are no event of it.
+func (s *Server) rejectBytes(pr *proxyRequest, x *targetconn.Exchange, entry registry.Entry, cause error, eventsBefore int) *resultcode.Failure {
+	x.Abort()
+	failure := resultcode.Fail(resultcode.TargetProtocol, "").WithCause(cause)
+	if cause != errUnconfirmedEvent {
+		s.logForeignBytes(pr, entry, breakCause(failure), eventsBefore)
+	}
+	return failure
+}
+
 // finishStream checks that a stream whose body has ended did not end within an event, or with its
-// target.
+// target, and that it had the event that it was to confirm.
 func (s *Server) finishStream(pr *proxyRequest, x *targetconn.Exchange, entry registry.Entry) *resultcode.Failure {
-	if pr.events.hasPartialEvent() {
+	switch {
+	case pr.events.hasPartialEvent():
 		return resultcode.Fail(resultcode.AnswerCut, "").WithCause(errTruncatedEvent)
-	}
-	if s.endedWithTarget(x, entry) {
+	case s.endedWithTarget(x, entry):
 		return resultcode.Fail(resultcode.AnswerCut, "").WithCause(errTargetEnded)
+	case pr.events.unconfirmed:
+		return resultcode.Fail(resultcode.TargetProtocol, "").WithCause(errUnconfirmedEvent)
 	}
 	if !pr.responseStarted {
 		s.writeHeader(pr, x.Response.StatusCode, x.Response.Header, -1)
--- a/internal/gateway/streambreak.go
+++ b/internal/gateway/streambreak.go
@@ -15,6 +15,8 @@
 	breakConnection     = "connection"
 	breakTruncatedEvent = "truncated_event"
 	breakTargetEnded    = "target_ended"
+	// breakUnconfirmed: the target lacks an event that was delivered from another one.
+	breakUnconfirmed = "unconfirmed_event"
 )
 
 // breakCause returns how a response broke off, for logs and metrics; empty if the failure is another one.
@@ -30,16 +32,18 @@
 		return breakTruncatedEvent
 	case errors.Is(f, errTargetEnded):
 		return breakTargetEnded
+	case errors.Is(f, errUnconfirmedEvent):
+		return breakUnconfirmed
 	}
 	return breakConnection
 }
 
 // logForeignBytes logs that a target has sent bytes within a stream that are no event of it. The bytes are
 // not logged, as they may belong to the response of another caller.
-func (s *Server) logForeignBytes(pr *proxyRequest, entry registry.Entry, violation error, eventsBefore int) {
+func (s *Server) logForeignBytes(pr *proxyRequest, entry registry.Entry, cause string, eventsBefore int) {
 	if !s.logBudgets.failed.Allow() {
 		return
 	}
-	event.StreamMalformed.Log(s.Log, "target", entry.Identity, "cause", violation.Error(), "request", pr.info.AttemptID, "service", entry.Service,
-		"events_before", eventsBefore, "attempt", pr.stats.attempts+1, "last_event", pr.events.lastID)
+	event.StreamMalformed.Log(s.Log, "target", entry.Identity, "cause", cause, "request", pr.info.AttemptID, "service", entry.Service,
+		"events_before", eventsBefore, "attempt", pr.stats.attempts+1, "last_event", pr.events.lastID.Value)
 }
