The event before foreign bytes is confirmed by the next target if it left a gap

What callers saw: a stream that ends as complete without its last events: an event with an ID far ahead cannot be told from a gap when it comes; once foreign bytes follow, the stream went on at another target after that ID, and so behind its end. Cause: the ID of the last delivered event was believed although its target had just shown that it sends foreign bytes. Change: if that event did not follow directly on the one before, the next target is asked to go on before it and has to send it again; else the stream ends openly. The target that lacks it has not failed. Streams without gaps go on as before. Ruled out: ending all such streams openly, since streams with gaps would never go on.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -75,6 +75,7 @@
 // rejectBytes returns the failure of a stream that holds bytes which are no event of it.
 func (s *Server) rejectBytes(pr *proxyRequest, x *targetconn.Exchange, entry registry.Entry, cause error, eventsBefore int) *resultcode.Failure {
 	x.Abort()
+	pr.events.distrust()
 	failure := resultcode.Fail(resultcode.TargetProtocol, "").WithCause(cause)
 	if cause != errUnconfirmedEvent {
 		s.logForeignBytes(pr, entry, breakCause(failure), eventsBefore)
