--- a/internal/booking/candidates.go
+++ b/internal/booking/candidates.go
@@ -21,12 +21,12 @@
 	// objectives.
 	longPrefixTokens = 400
 	// longPrefixShare is the minimum fraction of the prompt that the shared prefix must make up
-	// for that rule. A prompt that is long by itself needs an engine without other prefill
-	// work, and is worth some recomputation.
+	// for that rule. A prompt that is long without its shared prefix needs an engine without
+	// other prefill work, and is worth some recomputation.
 	longPrefixShare = 0.25
 )
 
-// candidates lists the targets to ask first, in order: the home targets of the shared prefix,
+// candidates lists the targets to try first, in order: the home targets of the shared prefix,
 // or the least loaded targets if there is none. Targets that are to be avoided are used only if
 // no others are left.
 func (c *Core) candidates(now time.Time, s *service, r *request) []candidate {
--- a/internal/booking/capacity.go
+++ b/internal/booking/capacity.go
@@ -9,7 +9,7 @@
 // Fair shares are shares of the capacity that is observed for all targets of a service
 // together.
 //
-// Load pattern: several workspaces at once ask for many times their usual rate, while the
+// Load pattern: several workspaces at once demand many times their usual rate, while the
 // stated rate is what engines deliver for an average prompt. Two thirds of these prompts are
 // cached prefixes, which cost an engine nothing, or the engines are faster than stated. If
 // shares were fractions of the stated rate, requests would be refused while engines spend less
--- a/internal/booking/capacity_test.go
+++ b/internal/booking/capacity_test.go
@@ -21,7 +21,7 @@
 }
 
 // Guards against shares that are computed from the stated rate while engines have capacity
-// left. Two workspaces ask for four times their share of the stated rate while the engines,
+// left. Two workspaces demand four times their share of the stated rate while the engines,
 // which have three quarters of the prompts cached, spend less than half of their time on
 // prefill: every second request of these workspaces was refused. With shares of the observed
 // capacity they get more, and the light workspaces lose nothing.
--- a/internal/booking/cold.go
+++ b/internal/booking/cold.go
@@ -19,7 +19,7 @@
 //     started counts as a new owner of a cold target, and of a warm one while it knows no others. No
 //     ingress decides alone. A proof that the target is warm shortens the time in which admissions
 //     count (warmproof.go).
-//   - While daemons that may be alive are not heard, an owner admits its share of these numbers only
+//   - While daemons that may be alive are unreachable, an owner admits its share of these numbers only
 //     (coldshare.go).
 
 const (
@@ -29,7 +29,7 @@
 	// newOwnerTime is how long an owner counts as new: the daemons of a fleet that starts find each
 	// other, and what the previous owner admitted is sent.
 	newOwnerTime = time.Second + MaxColdSendDelay
-	// coldOwners is the number of daemons that may own a target at the same time while all of them hear
+	// coldOwners is the number of daemons that may own a target at the same time while all of them reach
 	// one another.
 	coldOwners = 2
 	// smallPart is the part of the limit for a new owner of a warm target.
@@ -49,7 +49,7 @@
 	}
 	c.noteProgress(now)
 	if !e.owned {
-		return false // the daemon that asks does not hear of the owner, which admits its share, too
+		return false // the sender does not reach the owner, which admits its share, too
 	}
 	hasJustStarted := now.Sub(c.startedAt) < newOwnerTime
 	isNew := c.isNewOwner(now, e) || hasJustStarted && len(c.peers) == 0
@@ -69,7 +69,7 @@
 	return now.Before(e.newOwnerUntil) || now.Before(c.stoodStillUntil)
 }
 
-// provedSinceTakeover reports that this daemon owns the target in place of one that it does not hear, whose
+// provedSinceTakeover reports that this daemon owns the target in place of an unreachable one, whose
 // admissions count for that one's share, and that the target has been warm since.
 func (e *engine) provedSinceTakeover() bool {
 	return !e.takenOverAt.IsZero() && e.warmth.provenAt.After(e.takenOverAt.Add(settleTime))
--- a/internal/booking/cold_test.go
+++ b/internal/booking/cold_test.go
@@ -12,7 +12,7 @@
 	"github.com/savorystall/savorystall/internal/ident"
 )
 
-// Parameters of a zone whose targets come back cold.
+// Parameters of a zone whose targets are cold when it returns.
 const (
 	coldEngines   = 20
 	coldLimit     = 26
--- a/internal/booking/coldcut_test.go
+++ b/internal/booking/coldcut_test.go
@@ -39,8 +39,8 @@
 	// group is the group of each daemon while the fleet is cut.
 	group []int
 	views [][]peerView
-	// heard is when a message from one daemon to another was last sent that arrived.
-	heard map[[2]int]time.Time
+	// lastDelivered is when a message from one daemon to another was last sent that arrived.
+	lastDelivered map[[2]int]time.Time
 }
 
 // newCutSim makes a zone of a number of daemons, of which the first ones are alone during the cut.
@@ -52,10 +52,10 @@
 	s := newZonedSim(seed, zones, len(zones), 3, "w")
 	c := &cutSim{
 		warmSim: &warmSim{sim: s, cold: map[ident.Target]time.Time{}, coldAfter: map[ident.Target]time.Time{}, sent: map[ident.Target][]time.Time{}},
-		group:   make([]int, len(zones)), views: make([][]peerView, len(zones)), heard: map[[2]int]time.Time{},
+		group:   make([]int, len(zones)), views: make([][]peerView, len(zones)), lastDelivered: map[[2]int]time.Time{},
 	}
 	s.partitioned = func(from, to ident.Daemon) bool {
-		c.heard[[2]int{c.indexOf(from), c.indexOf(to)}] = s.now
+		c.lastDelivered[[2]int{c.indexOf(from), c.indexOf(to)}] = s.now
 		return false
 	}
 	for i := range c.views {
@@ -94,8 +94,8 @@
 	c.partitioned = func(from, to ident.Daemon) bool { return c.group[c.indexOf(from)] != c.group[c.indexOf(to)] }
 	c.eachPair(func(i, j int) {
 		heartbeat := time.Duration(c.rng.Int64N(int64(time.Second))) // since the last one
-		if heard := c.heard[[2]int{j, i}]; !heard.IsZero() {
-			heartbeat = min(heartbeat, c.now.Sub(heard)) // any message is as good
+		if sentAt := c.lastDelivered[[2]int{j, i}]; !sentAt.IsZero() {
+			heartbeat = min(heartbeat, c.now.Sub(sentAt)) // any message is as good
 		}
 		tick := func() time.Duration { return time.Duration(c.rng.Int64N(int64(200 * time.Millisecond))) }
 		c.schedule(5*time.Second-heartbeat+tick(), func() { c.see(i, j, silent) })
--- a/internal/booking/coldshare.go
+++ b/internal/booking/coldshare.go
@@ -7,17 +7,17 @@
 	"github.com/savorystall/savorystall/internal/ident"
 )
 
-// Each group of daemons that hear one another owns all targets, so that a fleet which is cut into groups
+// Each group of daemons that reach one another owns all targets, so that a fleet which is cut into groups
 // has as many owners of a target as there are groups, and none of them knows how many. The limit of a cold
 // target is therefore divided among all daemons that may be alive, and an owner admits the parts of those
-// that it hears, its own included. However the fleet is cut, the parts of all groups add up to the limit.
+// that it reaches, its own included. However the fleet is cut, the parts of all groups add up to the limit.
 //
 // The daemons of a target's zone have most of the limit: a daemon elsewhere owns the target only if it
-// hears none of them. If there are none, or none elsewhere, the others have all of it.
+// reaches none of them. If there are none, or none elsewhere, the others have all of it.
 //
 // A daemon that falls silent counts as unreachable before it can own targets of this one, and one that is
-// heard again does not count as reached at once: what it has admitted as an owner may be on its way. It
-// does for a target that has been proved warm since then.
+// reachable again does not count as reached at once: what it has admitted as an owner may be on its way.
+// It does for a target that has been proved warm since then.
 
 const (
 	// outsideFraction is what daemons outside of the target's zone have of its limit.
@@ -27,7 +27,8 @@
 	// settleTime is how long after a daemon has become an owner what its unreachable predecessor sent with a
 	// larger share may arrive.
 	settleTime = 300 * time.Millisecond
-	// returnTime is how long after a daemon is heard again others may not be, and count its part, too.
+	// returnTime is how long after a daemon is reachable again others may still be unreachable, and count its
+	// part, too.
 	returnTime = time.Second
 	// silentPeriodsToOwn is for how many times Config.SilentAfter a daemon is silent when others own its
 	// targets.
@@ -36,7 +37,7 @@
 	shareRounding = 1e-9
 )
 
-// Unreachable is another daemon that may be alive although this one does not hear it.
+// Unreachable is another daemon that may be alive although nothing arrives from it.
 type Unreachable struct {
 	ID   ident.Daemon
 	Zone ident.Zone
@@ -45,7 +46,7 @@
 }
 
 // silentDaemon is an Unreachable that may own targets of others from a time on: when it last answered, it
-// had heard this daemon.
+// had received messages of this daemon.
 type silentDaemon struct {
 	Unreachable
 	from time.Time
@@ -53,8 +54,8 @@
 
 // reach is what is known of the daemons that may own targets beside this one.
 type reach struct {
-	// unreachable are the daemons that are not heard, returned those that have lately been heard again or
-	// are known to have ended, until the given times.
+	// unreachable are the daemons from which nothing arrives, returned those that have lately become
+	// reachable again or are known to have ended, until the given times.
 	unreachable, returned map[ident.Daemon]silentDaemon
 	// shares holds the results of coldShare until validUntil.
 	shares     map[ident.Zone]float64
@@ -69,14 +70,14 @@
 // fraction is the part of the daemons that is reached.
 func (c census) fraction() float64 { return float64(c.reached) / float64(c.all) }
 
-// SetUnreachable replaces the list of the daemons that may be alive although they are not heard. It is
+// SetUnreachable replaces the list of the daemons that may be alive although they are unreachable. It is
 // called before SetPeers when both change.
 func (c *Core) SetUnreachable(now time.Time, list []Unreachable) {
 	present := make(map[ident.Daemon]silentDaemon, len(list))
 	for _, u := range list {
 		d := silentDaemon{u, c.reach.unreachable[u.ID].from}
 		if p := c.peers[u.ID]; p != nil {
-			d.from = laterOf(d.from, p.heardThisAt.Add(silentPeriodsToOwn*c.silentAfter()))
+			d.from = laterOf(d.from, p.reachedAt.Add(silentPeriodsToOwn*c.silentAfter()))
 		}
 		present[u.ID] = d
 	}
@@ -208,7 +209,7 @@
 }
 
 // noteProgress detects that this daemon has stood still for so long that others may own its targets: it
-// is a new owner of all of them until it has heard who is alive.
+// is a new owner of all of them until heartbeats show which daemons are alive.
 func (c *Core) noteProgress(now time.Time) {
 	silentAfter := c.silentAfter()
 	if !c.lastProgress.IsZero() && now.Sub(c.lastProgress) >= silentAfter {
--- a/internal/booking/core.go
+++ b/internal/booking/core.go
@@ -23,8 +23,8 @@
 	// SilentAfter is the time without messages after which daemons no longer rely on one another. Others
 	// own the targets of a silent daemon after twice that at the earliest. Default: 3 s.
 	SilentAfter time.Duration
-	// DerivedRetryAfter is set if refused callers are told to retry when targets are expected to have
-	// spare capacity.
+	// DerivedRetryAfter is set if the Retry-After of refused callers is the time at which targets are
+	// expected to have spare capacity.
 	DerivedRetryAfter bool
 }
 
@@ -34,7 +34,7 @@
 	// trips to a busy owner, and short enough that a tight latency objective leaves time for
 	// another attempt.
 	replyTimeout = 40 * time.Millisecond
-	// runTTL is how long an owner keeps a request about which it hears nothing more, so that a
+	// runTTL is how long an owner keeps a request about which no further message arrives, so that a
 	// lost release frees its slot in the end. No request lasts more than a few seconds beyond
 	// its first byte, and an owner that drops one too early only admits too many for a moment.
 	runTTL = 12 * time.Second
@@ -84,7 +84,7 @@
 	// which this daemon, which has stood still, believes to be the owner.
 	lastProgress, stoodStillUntil time.Time
 	reach                         reach
-	// nextExpiry is when to look next for requests about which nothing is heard.
+	// nextExpiry is when to look next for requests about which no further message arrives.
 	nextExpiry time.Time
 }
 
@@ -129,9 +129,9 @@
 	Peer
 	// silentUntil is until when the peer is skipped because it did not reply.
 	silentUntil time.Time
-	// heardThisAt is a time at which the peer heard this daemon: when the last reservation was sent that it
-	// has answered.
-	heardThisAt time.Time
+	// reachedAt is a time at which the peer was receiving from this daemon: when the last reservation
+	// was sent that it has answered.
+	reachedAt time.Time
 }
 
 // runKey identifies a request on an owned target.
@@ -184,7 +184,7 @@
 	// dispatch is the effect to emit when the request goes to its target.
 	dispatch Dispatch
 	// waitOffers are the targets at which the request may wait for a slot, and mayWait is set once
-	// it asks for that.
+	// its reservations have MayWait set.
 	waitOffers []waitOffer
 	mayWait    bool
 	// waitingSince is when the present wait for a slot began, and slotWait the time of those that
@@ -278,7 +278,7 @@
 	}
 }
 
-// expiryInterval is how often to look for requests about which nothing is heard.
+// expiryInterval is how often to look for requests about which no further message arrives.
 const expiryInterval = time.Second
 
 // minTickInterval is the lower bound of NextTick: everything due within it is handled in one
@@ -313,7 +313,7 @@
 	return max(minTickInterval, next.Sub(now))
 }
 
-// RepliesOverdue reports whether Tick would give up waiting for the reply of an owner.
+// RepliesOverdue reports whether Tick would time out the wait for the reply of an owner.
 func (c *Core) RepliesOverdue(now time.Time) bool {
 	if at, ok := c.nextSlotWaitEnd(); ok && !now.Before(at) {
 		return true
@@ -367,7 +367,7 @@
 		c.handleNoReply(now, r)
 	}
 	c.giveUpSlotWaits(now, overdueAt)
-	c.tellWaitOutcomes(now)
+	c.notifyWaitOutcomes(now)
 }
 
 func (c *Core) expireRuns(now time.Time) {
--- a/internal/booking/doc.go
+++ b/internal/booking/doc.go
@@ -3,7 +3,7 @@
 // state machine without network access: time and randomness are passed in, and the actions to
 // perform are returned as typed effects.
 //
-// Load pattern: callers ask for two to three times the capacity of the targets, in bursts of
+// Load pattern: callers demand two to three times the capacity of the targets, in bursts of
 // one workspace after another, with prompts of 30 to 50,000 tokens of which two fifths are
 // shared within a session. An engine prefills prompts one at a time, and a prompt costs it the
 // tokens that it has not cached, so the time to first token is the work queued ahead. Placement
--- a/internal/booking/endedburst_test.go
+++ b/internal/booking/endedburst_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against idle targets after the burst of a workspace that daemons shed: its grants decay
-// because it asks for less, and the others were held near them for as long as its demand, which
+// because its demand is lower, and the others were held near them for as long as its demand, which
 // decays alike, was above the level.
 func TestEndedBurstOfAShedWorkspaceHoldsNobodyBack(t *testing.T) {
 	const (
--- a/internal/booking/engine.go
+++ b/internal/booking/engine.go
@@ -45,7 +45,7 @@
 	ownedSince time.Time
 	// newOwnerUntil is until when this daemon is a new owner, which may not be the only one.
 	newOwnerUntil time.Time
-	// takenOverAt is when this daemon became the owner in place of one that it does not hear; zero if its
+	// takenOverAt is when this daemon became the owner in place of an unreachable one; zero if its
 	// predecessor was another one.
 	takenOverAt time.Time
 	// runs are the requests on the target in order of arrival; only owners maintain them.
--- a/internal/booking/fallingdemand_test.go
+++ b/internal/booking/fallingdemand_test.go
@@ -9,7 +9,7 @@
 
 // Guards against a lead over a workspace that daemons shed: its demand falls to a lesser one that
 // is still above its share, while what its VM admits of it stays the same. Its grants counted as
-// having decayed because it asks for less, and others got several times as much.
+// having decayed because its demand is lower, and others got several times as much.
 func TestFallingDemandOfAShedWorkspaceRaisesNobody(t *testing.T) {
 	const fall = 10 * time.Second
 	for _, admitted := range []float64{0.6e6, 1.24e6} {
--- a/internal/booking/fetch.go
+++ b/internal/booking/fetch.go
@@ -16,7 +16,7 @@
 // in which the engine continues with other prefill work.
 //
 // Each reply of an owner states how much of a prompt its target has cached. The ingress passes
-// this on to the next owner it asks, which then counts the copy instead of the prefill. This
+// this on to the next owner that it tries, which then counts the copy instead of the prefill. This
 // needs no additional messages.
 
 const (
--- a/internal/booking/health.go
+++ b/internal/booking/health.go
@@ -17,8 +17,8 @@
 
 const (
 	// maxConsecutiveFailures is the number of consecutive failures that blocks a target
-	// temporarily. It is above one so that a request that fails by itself does not block the
-	// target for all others.
+	// temporarily. It is above one so that a request that causes its own failure does not block
+	// the target for all others.
 	maxConsecutiveFailures = 3
 	// maxFailureRate is the fraction of failed requests that blocks a target on which some
 	// requests succeed.
--- a/internal/booking/hold_test.go
+++ b/internal/booking/hold_test.go
@@ -103,7 +103,7 @@
 }
 
 // The owner fails or its notification is lost: the held request must be sent before its caller
-// gives up.
+// times out.
 func TestHeldRequestIsSentOnTimeout(t *testing.T) {
 	b := newBurstFixture(t)
 	b.now = b.now.Add(200 * time.Millisecond)
--- a/internal/booking/ingress.go
+++ b/internal/booking/ingress.go
@@ -91,7 +91,7 @@
 	c.emit(Refuse{Request: id, Failure: f})
 }
 
-// tryNext asks the owner of the next candidate, or ends the placement.
+// tryNext sends a reservation to the owner of the next candidate, or ends the placement.
 func (c *Core) tryNext(now time.Time, r *request) {
 	for c.addFallbacks(now, r); len(r.candidates) > 0; c.addFallbacks(now, r) {
 		r.current, r.candidates = r.candidates[0], r.candidates[1:]
@@ -115,7 +115,7 @@
 		c.sendReservation(now, r, e)
 		return
 	}
-	if c.askToWait(now, r) {
+	if c.reserveWait(now, r) {
 		return
 	}
 	if !r.anyReply && c.placeUnconfirmed(now, r) {
@@ -226,7 +226,7 @@
 	}
 	delete(c.pending, r.pendingID)
 	if p := c.peers[from]; p != nil {
-		p.heardThisAt = laterOf(p.heardThisAt, r.sentAt)
+		p.reachedAt = laterOf(p.reachedAt, r.sentAt)
 	}
 	if !reply.OK && reply.SlotWait > 0 && r.mayWait && c.awaitingSlot[r.pendingID] == nil {
 		r.recordReply(reply)
@@ -292,7 +292,7 @@
 	c.emit(r.dispatch)
 }
 
-// notifyOwner tells the owner of a target about a request that runs there, and releases it at
+// notifyOwner notifies the owner of a target of a request that runs there, and releases it at
 // the daemon that recorded it before. The request keeps its ID: when a link comes up and makes
 // the peer the owner at the same time, that owner is notified twice, and a second ID would
 // stand for a second request that is never released.
@@ -340,7 +340,7 @@
 	delete(c.requests, id)
 	if r.pendingID != 0 {
 		c.withdraw(now, r)
-		c.tellWaitOutcomes(now)
+		c.notifyWaitOutcomes(now)
 		return
 	}
 	if !r.running {
@@ -350,10 +350,10 @@
 	r.current.engine.ingressRuns--
 	r.current.engine.recordOutcome(now, result)
 	c.sendRelease(now, r, Release{ID: r.runID, Elapsed: result.Elapsed, Failed: result.Failed, NotRun: result.NotRun, EventInterval: result.EventInterval})
-	c.tellWaitOutcomes(now)
+	c.notifyWaitOutcomes(now)
 }
 
-// sendRelease tells the daemon that records a run that the request has left its target.
+// sendRelease notifies the daemon that records a run that the request has left its target.
 func (c *Core) sendRelease(now time.Time, r *request, release Release) {
 	switch {
 	case r.runOwner == c.cfg.Self:
@@ -380,7 +380,7 @@
 }
 
 const (
-	// minRetryAfter and retryAfterSpread determine when refused callers are told to retry: not
+	// minRetryAfter and retryAfterSpread determine when refused callers are to retry: not
 	// before a momentary backlog has cleared, and spread out, so that callers refused in one
 	// burst do not return as another.
 	minRetryAfter    = 400 * time.Millisecond
--- a/internal/booking/load_test.go
+++ b/internal/booking/load_test.go
@@ -16,7 +16,7 @@
 // by luck with one of them.
 var seeds = []uint64{1, 2, 3, 4, 5}
 
-// Callers ask for twice what the engines can process. If every request were admitted, each
+// Callers demand twice what the engines can process. If every request were admitted, each
 // would wait behind all before it and none would be in time; those that are admitted have to
 // be.
 func TestOverloadIsRefusedAndAdmittedRequestsAreInTime(t *testing.T) {
@@ -35,8 +35,8 @@
 	}
 }
 
-// A burst of one workspace, eight times its usual rate, must not displace the others: they ask
-// for less than their shares and get all of it.
+// A burst of one workspace, eight times its usual rate, must not displace the others: they
+// demand less than their shares and get all of it.
 func TestHotWorkspaceTakesNothingFromOthers(t *testing.T) {
 	for _, seed := range seeds {
 		is := is.New(t)
@@ -57,7 +57,7 @@
 	}
 }
 
-// Two workspaces ask for four times their shares each, and one for less than its share. The two
+// Two workspaces demand four times their shares each, and one less than its share. The two
 // get the same.
 func TestBackloggedWorkspacesGetEqualShares(t *testing.T) {
 	for _, seed := range seeds {
@@ -152,8 +152,8 @@
 }
 
 // A daemon that owns engines fails under load. Ingresses get no replies for a moment and decide
-// by themselves; once the failure is known, other daemons own its engines and are told by every
-// ingress what runs there.
+// alone; once the failure is known, other daemons own its engines, and every ingress notifies them
+// of what runs there.
 func TestOwnerFailure(t *testing.T) {
 	for _, seed := range seeds {
 		is := is.New(t)
@@ -231,7 +231,7 @@
 
 // Guards against a new owner that counts running streams as prefill backlog. At startup daemons
 // discover each other one after the other, so that engines change owners while streams of
-// seconds run on them. The new owner is told by every ingress what runs there. If it took these
+// seconds run on them. Every ingress notifies the new owner of what runs there. If it took these
 // streams for prompts still in prefill, it would refuse requests that can be in time until the
 // streams have ended.
 func TestNewOwnerDoesNotCountRunningStreamsAsBacklog(t *testing.T) {
--- a/internal/booking/members.go
+++ b/internal/booking/members.go
@@ -57,7 +57,7 @@
 }
 
 // assignOwners determines which targets this daemon owns. A new owner starts with what its
-// peers tell it: each ingress lists the requests that it has running there.
+// peers report: each ingress lists the requests that it has running there.
 func (c *Core) assignOwners(now time.Time) {
 	members := []membership.Member{{ID: c.cfg.Self, Zone: c.cfg.Zone, Leaving: c.leaving}}
 	for _, p := range c.peers {
@@ -111,7 +111,7 @@
 	}
 }
 
-// notifyNewOwner tells the owner of a target about the requests of this ingress that run there.
+// notifyNewOwner notifies the owner of a target of the requests of this ingress that run there.
 func (c *Core) notifyNewOwner(now time.Time, e *engine) {
 	for _, id := range c.sortedRequests() {
 		r := c.requests[id]
--- a/internal/booking/owner.go
+++ b/internal/booking/owner.go
@@ -49,7 +49,7 @@
 	for _, id := range m.Ready {
 		c.dispatchHeld(id)
 	}
-	c.tellWaitOutcomes(now)
+	c.notifyWaitOutcomes(now)
 }
 
 // handleReservation processes a reservation and replies to it.
@@ -187,7 +187,7 @@
 
 // plainSpareLimit admits a late request to a plain target only if it delays no other one.
 //
-// Load pattern: callers of a plain service ask for more than its few targets can do, and those that
+// Load pattern: callers of a plain service demand more than its few targets can do, and those that
 // were refused return within a second. If they were admitted like new ones, half of the work would be
 // late, and as many new requests refused to return in turn.
 func (e *engine) plainSpareLimit() Limit {
@@ -217,7 +217,7 @@
 // have had less (trunk reservation): it rises from nothing at half of its share to all at its share.
 //
 // Without it, when targets deliver less than the rate that is divided, all workspaces are within
-// their shares and the targets are full, so that those that ask for most get most.
+// their shares and the targets are full, so that those with the highest demand get most.
 func (c *Core) headroom(now time.Time, e *engine, res Reservation) float64 {
 	if e.service.rate <= 0 || !e.service.servesModel || res.PreviouslyPlaced {
 		return 0
@@ -233,7 +233,7 @@
 	maxTimeHeadroom = 0.45
 	// maxSlotHeadroom and maxMemoryHeadroom are the fractions of a target's slots and memory that
 	// it leaves: a few slots, and the memory of a long prompt. They are smaller, since a few free
-	// places serve a workspace that asks for little.
+	// places serve a workspace with a low demand.
 	maxSlotHeadroom   = 0.08
 	maxMemoryHeadroom = 0.15
 )
--- a/internal/booking/partition_test.go
+++ b/internal/booking/partition_test.go
@@ -76,7 +76,7 @@
 }
 
 // Guards against a fetch across a partition: a session was served on the far side and now comes
-// to its home on this side. If the home were told to copy the prefix from the other zone, the
+// to its home on this side. If the home had to copy the prefix from the other zone, the
 // copy would never arrive.
 func TestNothingIsFetchedAcrossAPartition(t *testing.T) {
 	is := is.New(t)
--- a/internal/booking/presentdemand.go
+++ b/internal/booking/presentdemand.go
@@ -2,23 +2,23 @@
 
 import "time"
 
-// Whether a workspace lacks capacity is judged by what it asks for at present.
+// Whether a workspace is below its share is determined from its present demand.
 //
-// Load pattern: a hot workspace, part of whose requests daemons shed, stops asking, while others
-// still ask for several times their shares. Its sums of demand and of grants decay alike, so that
+// Load pattern: a hot workspace, part of whose requests daemons shed, stops sending, while others
+// still demand several times their shares. Its sums of demand and of grants decay alike, so that
 // for seconds the demand stays above the level and the grants seem to fall. Workspaces that may be
 // only so far ahead of it would be held near nothing while targets are idle.
 //
 // Therefore the demand and the grants are also observed over a shorter time. From them follows
-// whether the workspace still asks for more than the level, and by how much its grants have decayed
-// only because it asks for less. What daemons admit of a workspace need not fall with what it asks
-// for: grants that have not decayed are not raised.
+// whether the demand of the workspace still exceeds the level, and by how much its grants have decayed
+// only because its demand is lower. What daemons admit of a workspace need not fall with its
+// demand: grants that have not decayed are not raised.
 
 // presentDecayTime is the time constant of the present demand: two intervals of publication, so
 // that a late report does not count as an end of demand.
 const presentDecayTime = 2 * memberPublishInterval
 
-// presentDemand is what a workspace asked for most recently, in the fleet, the part of it that
+// presentDemand is the most recent demand of a workspace, in the fleet, the part of it that
 // daemons shed, and what it was granted.
 type presentDemand struct {
 	asked, shed, granted decayingSum
@@ -45,7 +45,7 @@
 	return sums{asked: present(&p.asked), shed: present(&p.shed), granted: present(&p.granted)}
 }
 
-// withoutDecline returns the grants of a workspace as if it still asked for as much as it did. Of a
+// withoutDecline returns the grants of a workspace as if its demand had not fallen. Of a
 // demand that has ended, the sum s has decayed to x*s, and its present value to x*x*s. What is
 // missing, (1-x)*s, is the difference of the two divided by x, and x follows from the demand. Grants
 // that have decayed by more than the demand have done so for another reason.
--- a/internal/booking/quietfleet_test.go
+++ b/internal/booking/quietfleet_test.go
@@ -14,7 +14,7 @@
 
 // Guards against refusals in a quiet fleet: of a burst that is a small part of the stated rate, the
 // demand is counted before the grants are, so that little seemed to have been granted, and most of
-// the time of full targets was reserved for workspaces that lack nothing.
+// the time of full targets was reserved for workspaces that are not underserved.
 func TestBurstInAQuietFleetMayUseAllOfItsTime(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
--- a/internal/booking/retryafter_test.go
+++ b/internal/booking/retryafter_test.go
@@ -54,7 +54,7 @@
 	is.True(inTime[1] > 0.97*inTime[0])
 }
 
-// retryAfter returns the mean time after which callers of a workspace are told to retry, on a target
+// retryAfter returns the mean time that refusals state for a retry of callers of a workspace, on a target
 // that workspace x has filled a given time before.
 func retryAfter(t *testing.T, full time.Duration, ws ident.Workspace) (mean time.Duration) {
 	now := time.Unix(1000, 0)
--- a/internal/booking/run.go
+++ b/internal/booking/run.go
@@ -35,7 +35,7 @@
 	prefillBefore time.Duration
 	// heldBehind is the run that the request is held back for; nil if there is none.
 	heldBehind *run
-	// expiresAt is when the run is dropped if nothing more is heard about it.
+	// expiresAt is when the run is dropped unless a further message about it arrives.
 	expiresAt time.Time
 	// workspace was granted grantedCost for the request by this owner; zero if nothing was
 	// granted.
--- a/internal/booking/shares.go
+++ b/internal/booking/shares.go
@@ -23,8 +23,8 @@
 	// shareTolerance, and at least of minDeliveredFraction of the stated rate; infinite if about
 	// all that was asked for was granted.
 	grantedLevel float64
-	// minUnderserved is the least granted sum per unit of weight among the workspaces that ask
-	// for more than the level at present, and minShed the least among those of them that daemons
+	// minUnderserved is the least granted sum per unit of weight among the workspaces whose
+	// present demand exceeds the level, and minShed the least among those of them that daemons
 	// shed for lack of processor time; infinite if there is none.
 	minUnderserved, minShed float64
 	// fleetSums reports that the sums received are totals of the fleet, including this
@@ -159,8 +159,8 @@
 	minShedFraction = 0.05
 )
 
-// waterFill computes the max-min fair level for a rate: workspaces that ask for less than the
-// level get what they ask for, and the rest is divided by weight. Infinite means that the rate
+// waterFill computes the max-min fair level for a rate: workspaces whose demand is below the
+// level get all of it, and the rest is divided by weight. Infinite means that the rate
 // suffices for all.
 func (s *shares) waterFill(now time.Time, rate float64) float64 {
 	type demand struct{ asked, weight float64 }
--- a/internal/booking/shares_test.go
+++ b/internal/booking/shares_test.go
@@ -43,9 +43,9 @@
 	own.granted.add(now, granted-own.granted.now(now))
 }
 
-// Guards against refusals beside idle engines: two hot workspaces ask for ten times the stated
+// Guards against refusals beside idle engines: two hot workspaces demand ten times the stated
 // rate of engines that could deliver four times as much. The engines that cache the prompts of
-// one are full, and no daemon lacks processor time. That it is underserved is no reason to
+// one are full, and no daemon is short of processor time. That it is underserved is no reason to
 // refuse the other one.
 func TestLeadOverAWorkspaceThatIsNotShedIsAllowed(t *testing.T) {
 	is := is.New(t)
--- a/internal/booking/sim_test.go
+++ b/internal/booking/sim_test.go
@@ -57,8 +57,8 @@
 	onRefuse func(format string, args ...any)
 	// onOutcome, if set, is called for each request that is refused, and for each first byte.
 	onOutcome func(j *job, late bool)
-	// honored, if set, returns the time after which a refused caller that was told to retry after a
-	// given time does so, once; it takes the place of retryDelay.
+	// honored, if set, returns the time after which a refused caller with a given Retry-After
+	// retries, once; it takes the place of retryDelay.
 	honored func(j *job, retryAfter time.Duration) time.Duration
 	// retryDaemon, if set, returns the daemon that a refused caller returns to.
 	retryDaemon func(j *job) *daemon
--- a/internal/booking/slotwait.go
+++ b/internal/booking/slotwait.go
@@ -9,12 +9,12 @@
 )
 
 // Waiting for slots, at owners and at ingresses. An owner that refuses a request for want of a slot
-// or memory states in its reply how long the request might wait there. The ingress asks the other
+// or memory states in its reply how long the request might wait there. The ingress tries the other
 // candidates first; if none has room, it sends a further reservation with MayWait to the one that
 // expects the earliest first byte. The owner replies with the time for which it lets the request wait,
-// and later with a grant or a refusal. The ingress gives up by itself when that time has passed.
+// and later with a grant or a refusal. Without either, the wait times out at the ingress.
 
-// waitGrace is how long after the stated end of a wait the ingress gives up: the owner's own refusal
+// waitGrace is how long after its stated end a wait times out at the ingress: the owner's own refusal
 // is then on its way.
 const waitGrace = 25 * time.Millisecond
 
@@ -81,7 +81,8 @@
 	return e.isolatedFirstByte(r)
 }
 
-// offerWait adds to a refusal how long the request might wait, and lets it wait if it asks for that.
+// offerWait adds to a refusal how long the request might wait, and lets it wait if its reservation has
+// MayWait set.
 func (c *Core) offerWait(now time.Time, e *engine, from ident.Daemon, res *Reservation, r *run, reply *Reply) {
 	wait, firstByte := c.mayWaitFor(now, e, res, r, reply.Limit)
 	if wait <= 0 {
@@ -103,7 +104,7 @@
 }
 
 // serveWaiting grants slots of a target to the requests that wait for them, and refuses those that can
-// no longer be served. The ingresses are told by tellWaitOutcomes.
+// no longer be served. notifyWaitOutcomes notifies the ingresses.
 func (c *Core) serveWaiting(now time.Time, e *engine) {
 	l := &e.waitlist
 	if len(l.entries) == 0 {
@@ -190,12 +191,12 @@
 		}
 		c.serveWaiting(now, e)
 	}
-	c.tellWaitOutcomes(now)
+	c.notifyWaitOutcomes(now)
 }
 
-// tellWaitOutcomes tells the ingresses how waits have ended. It is called when the state of all
+// notifyWaitOutcomes notifies the ingresses of how waits have ended. It is called when the state of all
 // targets is up to date, since an ingress that is this daemon continues its search at once.
-func (c *Core) tellWaitOutcomes(now time.Time) {
+func (c *Core) notifyWaitOutcomes(now time.Time) {
 	for len(c.waitOutcomes) > 0 {
 		o := c.waitOutcomes[0]
 		c.waitOutcomes = c.waitOutcomes[1:]
@@ -220,9 +221,9 @@
 	return next, ok
 }
 
-// askToWait asks the owner of the best target at which a request may wait to let it wait there. It
-// reports whether the request is placed, waits or awaits that owner's reply.
-func (c *Core) askToWait(now time.Time, r *request) bool {
+// reserveWait sends a reservation with MayWait to the owner of the best target at which a request may
+// wait. It reports whether the request is placed, waits or awaits that owner's reply.
+func (c *Core) reserveWait(now time.Time, r *request) bool {
 	for len(r.waitOffers) > 0 && now.Before(r.Deadline) {
 		best := 0
 		for i, o := range r.waitOffers {
@@ -326,7 +327,7 @@
 	c.releaseAt(now, r.pendingOwner, release)
 }
 
-// releaseAt tells a daemon that a request does not use what it reserved there.
+// releaseAt notifies a daemon that a request does not use its reservation there.
 func (c *Core) releaseAt(now time.Time, owner ident.Daemon, release Release) {
 	if owner == c.cfg.Self {
 		c.handleRelease(now, owner, release)
--- a/internal/booking/slotwait_test.go
+++ b/internal/booking/slotwait_test.go
@@ -28,7 +28,7 @@
 	// stated is the rate of a target in tokens per second.
 	stated float64
 	// amplitude and period describe the wave of the demand. If retries is set, refused callers return
-	// after the time that they are told, but at most after a third of the time that they have left;
+	// after the time stated in the refusal, but at most after a third of the time that they have left;
 	// deadlines are these times by kind.
 	amplitude float64
 	period    time.Duration
--- a/internal/booking/slotwaitfaults_test.go
+++ b/internal/booking/slotwaitfaults_test.go
@@ -117,7 +117,7 @@
 	f.exchange() // the end is not followed by another one
 }
 
-// The owner is killed: its ingress gives up after the stated time.
+// The owner is killed: the wait at its ingress times out after the stated time.
 func TestWaitAtAKilledOwnerEnds(t *testing.T) {
 	f := newWaitFixture(t, 2*time.Second)
 	f.now = f.now.Add(testSlotWait + 30*time.Millisecond)
--- a/internal/booking/slowdown.go
+++ b/internal/booking/slowdown.go
@@ -5,7 +5,7 @@
 // Token streams slow down while their engine performs prefill. The observed slowdown bounds the
 // fraction of time that an engine may spend on prefill.
 //
-// Load pattern: engines are kept busy with prefill by workspaces that ask for many times their
+// Load pattern: engines are kept busy with prefill by workspaces that demand many times their
 // usual rate. An engine alternates between a prefill chunk and one token of each stream. Where
 // a chunk takes 41 ms and a token alone 7 ms, a stream beside constant prefill lasts six times
 // as long; where they take 7 ms each, twice. First tokens are in time all the while. But
--- a/internal/booking/smallfleet_test.go
+++ b/internal/booking/smallfleet_test.go
@@ -63,7 +63,7 @@
 	return sum / n
 }
 
-// hotLoad is a workspace that asks for many times its usual.
+// hotLoad is a workspace that demands many times its usual rate.
 type hotLoad struct {
 	rate       float64 // tokens per second
 	mix        [3]float64
@@ -73,7 +73,7 @@
 }
 
 // smallFleetScenario is the load of a fleet of 16 small VMs in four availability zones with 20
-// targets, of which 30 workspaces ask for more than it can serve.
+// targets, of which 30 workspaces demand more than it can serve.
 type smallFleetScenario struct {
 	// stated is the configured rate, base the demand of the workspaces that are not hot, in
 	// tokens per second; prefill is the prefill rate of a target in tokens per millisecond.
@@ -384,7 +384,7 @@
 	}
 }
 
-// Guards against targets whose slots or memory are given to whoever asks most often. Where the
+// Guards against targets whose slots or memory are given to whoever sends most requests. Where the
 // stated rate is above what the targets deliver for the present mix of requests, all workspaces
 // are within their shares, and a target that is full refuses those that have had little as it
 // refuses those that have had most.
--- a/internal/booking/speed.go
+++ b/internal/booking/speed.go
@@ -15,7 +15,7 @@
 // misjudged. In addition each target is 2.5 times as slow for 600 ms at a time, in 15% of the time,
 // and may change its speed by 2.5 for good. There are about three responses a second.
 //
-// A spell is told from a change by how long it lasts. Observations are collected in short buckets,
+// A spell and a lasting change are distinguished by their duration. Observations are collected in short buckets,
 // and the estimate is a quantile of the buckets of the last three seconds: a target counts as slow
 // only if it was slow in most of that time. Observations are rates of work that was sent and
 // response times in which waiting for other requests is not included, so that the estimate does not
--- a/internal/booking/speed_test.go
+++ b/internal/booking/speed_test.go
@@ -168,8 +168,8 @@
 	is.True(isNear(u.weightAt(12*time.Second), 1))
 }
 
-// Guards against weights that outlive the requests that showed them: an owner that hears nothing more
-// of a target forgets its speed.
+// Guards against weights that outlive the requests that showed them: an owner that receives no further
+// observations of a target lets its speed decay.
 func TestSpeedDecaysWithoutResponses(t *testing.T) {
 	is := is.New(t)
 	u := newUnevenSim(1, 3, 6, true, 1, 1, 2.5)
--- a/internal/booking/types.go
+++ b/internal/booking/types.go
@@ -110,7 +110,7 @@
 	// ColdLimit is how many requests all daemons together may send to a cold target in one second;
 	// zero means that there is no limit.
 	ColdLimit int
-	// ChecksWarmth reports that the owner of a target asks for health checks of the target.
+	// ChecksWarmth reports that the owner of a target requests health checks of the target.
 	ChecksWarmth bool
 	// Rate is the total capacity of the targets, in units of Cost per second; zero means that
 	// it is unknown and workspaces are not limited to shares.
@@ -128,7 +128,7 @@
 	Leaving     bool
 }
 
-// Reservation asks the owner of a target to admit a request.
+// Reservation is sent to the owner of a target to have a request admitted.
 type Reservation struct {
 	// ID increases with each reservation of an ingress's incarnation.
 	ID        uint64
@@ -157,7 +157,7 @@
 	// CachedElsewhere is how many tokens of the prompt's prefix another target has cached, from
 	// which they can be copied.
 	CachedElsewhere int
-	// MayWait asks the owner to let the request wait for a slot or memory if there is none.
+	// MayWait is set if the owner may let the request wait for a slot or memory while there is none.
 	MayWait bool
 }
 
@@ -183,7 +183,7 @@
 	// proceed; zero means to dispatch it at once.
 	Hold time.Duration
 	// SlotWait is set in a refusal for want of a slot or memory: the longest time for which the
-	// request could wait there or, if its reservation asked for that, does wait; zero means that it
+	// request could wait there or, if its reservation has MayWait set, does wait; zero means that it
 	// may not. In the latter case another reply follows.
 	SlotWait time.Duration
 	// ExpectedSpareWait is set in a refusal: the expected time until the target has spare capacity for the
@@ -191,14 +191,14 @@
 	ExpectedSpareWait time.Duration
 }
 
-// FirstByteNotice tells the owner that the first byte of an answer has arrived.
+// FirstByteNotice notifies the owner that the first byte of an answer has arrived.
 type FirstByteNotice struct {
 	ID uint64
 	// Elapsed runs from dispatch to the first byte.
 	Elapsed time.Duration
 }
 
-// Release tells the owner that a request has left its target.
+// Release notifies the owner that a request has left its target.
 type Release struct {
 	ID uint64
 	// Elapsed runs from dispatch to the end; zero means that the request was not dispatched.
--- a/internal/booking/warmproof.go
+++ b/internal/booking/warmproof.go
@@ -28,7 +28,7 @@
 	// minCheckInterval is the minimum interval between two checks of a target. A check costs about as
 	// much as a new connection.
 	minCheckInterval = 200 * time.Millisecond
-	// minSharedCheckInterval bounds the interval while daemons that may own the target, too, are not heard.
+	// minSharedCheckInterval bounds the interval while daemons that may own the target, too, are unreachable.
 	minSharedCheckInterval = 50 * time.Millisecond
 	// checkExpiry is how long the result of a check is awaited. A later proof would change nothing.
 	checkExpiry = time.Second
@@ -43,7 +43,7 @@
 	provenLogFactor = 8
 )
 
-// CheckWarmth asks for a health check of an owned target, whose result is passed to RecordWarmth.
+// CheckWarmth requests a health check of an owned target, whose result is passed to RecordWarmth.
 type CheckWarmth struct {
 	Service ident.Service
 	Target  ident.Target
@@ -116,7 +116,7 @@
 	e.admissions.add(now, size)
 }
 
-// checkWarmth asks for a health check of a target if its admissions are near the limit.
+// checkWarmth requests a health check of a target if its admissions are near the limit.
 func (c *Core) checkWarmth(now time.Time, e *engine) {
 	limit, w := e.service.coldLimit, &e.warmth
 	switch {
--- a/internal/booking/warmproof_test.go
+++ b/internal/booking/warmproof_test.go
@@ -23,7 +23,7 @@
 	busyRate = 150
 )
 
-// warmSim simulates targets that turn cold at random moments, which only their health checks tell.
+// warmSim simulates targets that turn cold at random moments, which only their health checks show.
 type warmSim struct {
 	*sim
 	// cold is the beginning of the cold period of each target, coldAfter the time from which on it may
--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -242,7 +242,7 @@
 }
 
 // connUsage counts the connections that hold a request, may still bring their first one,
-// and were told to close.
+// and were requested to close.
 type connUsage struct{ active, pending, closing int }
 
 func (c *connTracker) usage() connUsage {
--- a/internal/daemon/connproxy.go
+++ b/internal/daemon/connproxy.go
@@ -88,7 +88,7 @@
 // neighbourGone ends a proxy whose neighbour is not known to be alive any more: its caller
 // gets an error instead of waiting for a frozen daemon. A neighbour that has closed the
 // connection has stopped or crashed. Its answer may have arrived and be unread, and the
-// proxy ends by itself after it.
+// proxy ends on its own after it.
 func (p *connProxy) neighbourGone() {
 	if !peerClosed(p.neighbour) {
 		_ = p.neighbour.Close()
--- a/internal/daemon/disconnects.go
+++ b/internal/daemon/disconnects.go
@@ -151,7 +151,7 @@
 }
 
 // poll ends the requests whose callers have disconnected, or only those of them that the
-// server does not detect by itself. If its goroutine is descheduled meanwhile, the next poll
+// server does not detect on its own. If its goroutine is descheduled meanwhile, the next poll
 // runs concurrently.
 func (h *disconnectWatcher) poll(undetectedOnly bool) {
 	h.lastPoll.Store(int64(time.Since(h.started)))
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -47,7 +47,7 @@
 }
 
 // vmPoller polls the platform's VM list. The list provides the initial members of the fleet
-// and tells which targets are leaving.
+// and shows which targets are leaving.
 type vmPoller struct {
 	vms      platform.VMs
 	interval time.Duration
@@ -81,7 +81,7 @@
 }
 
 // poll reads the list once. If that fails, the previous state is kept: heartbeats and the
-// status reported by the targets still tell who is live.
+// status reported by the targets still show who is live.
 func (f *vmPoller) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.timeout)
 	defer cancel()
--- a/internal/daemon/handover_limits_test.go
+++ b/internal/daemon/handover_limits_test.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// Guards against a flooded daemon whose log does not tell why its neighbours got no more connections.
+// Guards against a flooded daemon whose log does not state why its neighbours got no more connections.
 func TestHandoverLineTellsWhyConnectionsWereNotOffered(t *testing.T) {
 	is := is.New(t)
 	s := newOverloadedDaemon(t) // without neighbours
@@ -94,7 +94,7 @@
 	is.Equal(log.Len(), 0)
 }
 
-// Guards against a daemon that forwards nothing before it refuses requests although its settings ask for
+// Guards against a daemon that forwards nothing before it refuses requests although its settings require
 // it, against one that does so although they do not, and against one that does in a zone whose daemons
 // are all short of processor time.
 func TestConnectionsAreForwardedEarlyWhereTheyAreSpread(t *testing.T) {
--- a/internal/daemon/holds.go
+++ b/internal/daemon/holds.go
@@ -86,7 +86,8 @@
 	return []any{"fingerprint", h.Key().String(), "workspace", h.Workspace, "route", h.Route, "parts", partIDs(h), "targets", h.Targets()}
 }
 
-// queue drops the row if too many wait: a hold that the store lacks is lost only if all daemons end.
+// queue drops the row if too many wait: a hold that is missing from the store is lost only if all
+// daemons end.
 func (k *holdKeeper) queue(w holdWrite) {
 	select {
 	case k.writes <- w:
--- a/internal/daemon/linkmonitor.go
+++ b/internal/daemon/linkmonitor.go
@@ -36,7 +36,7 @@
 // linkMonitor measures how long this daemon's own messages take, and limits the requests that it takes
 // while the link of the VM is full. It is safe for concurrent use.
 type linkMonitor struct {
-	// ping asks another daemon for nothing.
+	// ping sends another daemon a request that has no effect.
 	ping  func(ctx context.Context, to ident.Daemon) error
 	conns *connTracker
 	// schedLatency returns the highest scheduling latency since its last call.
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -298,7 +298,7 @@
 }
 
 // callerDisconnected reports whether the caller of a request has closed its connection. The
-// server notices that by itself, but only when it gets to read from the connection, which
+// server notices that on its own, but only when it gets to read from the connection, which
 // on a daemon short of processor time is after the request was sent to a target.
 func callerDisconnected(ctx context.Context) bool {
 	conn, ok := ctx.Value(connContextKey{}).(*callerConn)
@@ -333,8 +333,8 @@
 	return err == nil && occurred
 }
 
-// closeWhenStopping is middleware that asks callers, from the beginning of a graceful
-// shutdown, to open a new connection for their next request, which the balancer then
+// closeWhenStopping is middleware that makes callers, from the beginning of a graceful
+// shutdown, open a new connection for their next request, which the balancer then
 // directs to another daemon. Closing idle connections at that moment instead would cut
 // off requests that are in transit on them.
 func closeWhenStopping(life *Lifecycle, next http.Handler) http.Handler {
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -56,8 +56,8 @@
 	routesConfirmedAt atomic.Int64
 	// applyWithin is the time within which a change of the routes is to be in force.
 	applyWithin time.Duration
-	// storeOutOfTouch reports whether this daemon hears of the store late or not at all for reasons of
-	// its own; nil if that is not known.
+	// storeOutOfTouch reports whether this daemon receives the store's changes late or not at all for
+	// reasons of its own; nil if that is not known.
 	storeOutOfTouch func() bool
 	// balancerLag is how long the balancer takes to notice that the daemon is not ready.
 	balancerLag time.Duration
@@ -139,8 +139,9 @@
 const behindMargin = 500 * time.Millisecond
 
 // routesBehind reports whether this daemon is to take no request, since it would be handled by routes
-// that are no longer in force elsewhere: it has not heard of the store for too long, and for reasons of
-// its own. If the store is away, or the whole zone is cut off, the routes are the best that anyone has.
+// that are no longer in force elsewhere: it has not been in contact with the store for too long, and for
+// reasons of its own. If the store is unreachable, or the whole zone is cut off, no
+// daemon has later routes.
 func (l *loadMonitor) routesBehind() bool {
 	return l.routesConfirmedAt.Load() != 0 && l.routesAge() > l.applyWithin-behindMargin && l.outOfTouch()
 }
@@ -191,7 +192,7 @@
 }
 
 // sinceLastData returns how long ago the last data arrived on a connection according to the
-// kernel, and false if the kernel does not tell.
+// kernel, and false if the kernel does not report it.
 func sinceLastData(conn net.Conn) (since time.Duration, ok bool) {
 	fd := fileDescriptor(conn)
 	if fd < 0 {
--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -89,7 +89,7 @@
 }
 
 // Guards against a daemon short of processor time that refuses what newer routes allow, because it
-// takes its reader's word for the store's of this moment.
+// takes what its reader has sent for the present state of the store.
 func TestRoutesAreAsOldAsTheWordOfTheReader(t *testing.T) {
 	metrics := telemetry.NewMetrics()
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -52,7 +52,7 @@
 	writeReadiness(w, string(o.life.State()), o.life.State() == StateReady)
 }
 
-// writeReadiness tells the load balancer whether the daemon accepts new connections, and
+// writeReadiness reports to the load balancer whether the daemon accepts new connections, and
 // the reason if it does not.
 func writeReadiness(w http.ResponseWriter, reason string, ready bool) {
 	if !ready {
--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -361,7 +361,7 @@
 	is.NoErr(metrics.Close())
 }
 
-// Guards against a live target that is dropped because the store comes back from a copy a second
+// Guards against a live target that is dropped because the store is restored from a backup a second
 // after the daemon's start, before the daemon has followed any table.
 func TestStoreRestoredRightAfterStartKeepsTargets(t *testing.T) {
 	metrics := telemetry.NewMetrics()
--- a/internal/daemon/routedservers.go
+++ b/internal/daemon/routedservers.go
@@ -123,8 +123,8 @@
 // closed.
 const keepAliveMargin = time.Second
 
-// withConnectionHeaders tells callers how long an idle connection is kept open. It asks
-// them to close it if the number of connections nears its limit, which file descriptors
+// withConnectionHeaders states in responses how long an idle connection is kept open. It requests
+// its close if the number of connections nears its limit, which file descriptors
 // and memory impose, since a new connection may reach another daemon. A connection
 // forwarded by a neighbour is closed after its first response: the neighbour does not
 // parse the response and recognizes from the close that none is outstanding.
--- a/internal/daemon/routedservices.go
+++ b/internal/daemon/routedservices.go
@@ -56,7 +56,7 @@
 }
 
 // coldUntil returns when a target is warm at the latest. The targets of a zone may turn cold right
-// before its evacuation ends, and their registrations tell that only later.
+// before its evacuation ends, and their registrations report that only later.
 func coldUntil(e registry.Entry, spec route.Service, evacuated evacuation.Zones) time.Time {
 	if returned := evacuated.EndedAt(e.Zone); !returned.IsZero() {
 		if until := returned.Add(spec.Warmup); until.After(e.ColdUntil) {
--- a/internal/daemon/routesage.go
+++ b/internal/daemon/routesage.go
@@ -25,7 +25,7 @@
 	receivedBefore int64
 }
 
-// vmUsage tells how busy the VM of a daemon is.
+// vmUsage is how busy the VM of a daemon is.
 type vmUsage struct {
 	// SchedLatency is how long a runnable goroutine waited before it ran.
 	SchedLatency time.Duration
--- a/internal/daemon/storeoutage_test.go
+++ b/internal/daemon/storeoutage_test.go
@@ -24,7 +24,7 @@
 )
 
 // fakeTargetFeed is a store with a table of targets that can be made unreachable. It then
-// refuses calls at once or, if hangs is set, blocks each call until its caller gives up.
+// refuses calls at once or, if hangs is set, blocks each call until its context ends.
 type fakeTargetFeed struct {
 	mu   sync.Mutex
 	rows map[string]store.FeedRow
@@ -141,7 +141,7 @@
 	return newTestStoreSyncAmong(t, feed, nil, nil)
 }
 
-// newTestStoreSyncAmong is newTestStoreSync for a daemon that has others to ask.
+// newTestStoreSyncAmong is newTestStoreSync for a daemon that can query others.
 func newTestStoreSyncAmong(t *testing.T, feed store.Feed, peers relay.Peers, others []membership.Member) *testStoreSync {
 	log := slog.New(slog.DiscardHandler)
 	s, err := settings.Parse(nil, func(s *settings.Settings) { s.Daemon, s.Zone, s.Platform.URL = "d", "a", "http://127.0.0.1:9" })
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -72,7 +72,7 @@
 const (
 	// heartbeatMargin is by how much the wait of calls for heartbeatTable is shorter than
 	// the time within which a daemon has to be in contact with the store again. It covers
-	// the slack of the calls and half a second to ask again. Each heartbeat is a call that
+	// the slack of the calls and half a second to retry. Each heartbeat is a call that
 	// is charged for, and one every half second would cost four times as many.
 	heartbeatMargin = 1200 * time.Millisecond
 	// longPollWait is the wait of calls for the other tables. It is the longest that the
--- a/internal/daemon/subscribers.go
+++ b/internal/daemon/subscribers.go
@@ -241,7 +241,7 @@
 func (d *daemonSubscriber) StoreReachable(time.Time) {}
 
 // StoreRestored implements store.Subscriber. Daemons that are missing from the backup
-// write their rows again; until then, the links tell whether they are live.
+// write their rows again; until then, the links show whether they are live.
 func (d *daemonSubscriber) StoreRestored(store.Restore) {}
 
 // Replace implements store.Subscriber.
--- a/internal/daemon/versions.go
+++ b/internal/daemon/versions.go
@@ -86,8 +86,8 @@
 // StoreReachable implements store.Subscriber.
 func (k *versionKeeper) StoreReachable(time.Time) {}
 
-// StoreRestored implements store.Subscriber. What the backup lacks is written again, since the
-// rows are compared with what is in use.
+// StoreRestored implements store.Subscriber. What is missing from the backup is written again, since
+// the rows are compared with what is in use.
 func (k *versionKeeper) StoreRestored(store.Restore) {}
 
 // Replace implements store.Subscriber.
--- a/internal/daemon/where.go
+++ b/internal/daemon/where.go
@@ -19,7 +19,7 @@
 // maxWhereBytes bounds the body of a query.
 const maxWhereBytes = 64 << 10
 
-// where tells where a request would go now. It sends nothing and changes no state.
+// where returns where a request would go now. It sends nothing and changes no state.
 func (o *routedOperators) where(w http.ResponseWriter, r *http.Request) {
 	var q admin.WhereQuery
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxWhereBytes)).Decode(&q); err != nil {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -64,7 +64,7 @@
 	DefaultWatchAfterUse = 10 * time.Second
 	DefaultProbeAfter    = 6 * time.Minute
 	// unlistedDialPeriod is how long a daemon that is missing from the VM list
-	// is still dialed after it was last heard from, since it may reappear in
+	// is still dialed after its last message, since it may reappear in
 	// the list.
 	unlistedDialPeriod = 2 * time.Minute
 )
--- a/internal/membership/unreachable.go
+++ b/internal/membership/unreachable.go
@@ -11,12 +11,12 @@
 	// unreachablePeriod is how long a daemon that has fallen silent may still be alive. It bounds the
 	// effect of VMs that are gone for good and still listed.
 	unreachablePeriod = 10 * time.Minute
-	// unheardPeriod is the same for a daemon that is listed and was never heard. It is shorter, since
-	// most of those are gone.
-	unheardPeriod = time.Minute
+	// neverReachedPeriod is the same for a daemon that is listed and was never reached. It is shorter,
+	// since most of those are gone.
+	neverReachedPeriod = time.Minute
 )
 
-// Unreachable is another daemon that is not heard, and of which nothing says that it has ended: it may be
+// Unreachable is another daemon from which nothing arrives, and whose end is not known: it may be
 // cut off and act on its own.
 type Unreachable struct {
 	ID   ident.Daemon
@@ -42,7 +42,7 @@
 	}
 }
 
-// Unreachable returns the daemons that may be alive although they are not heard, sorted by name.
+// Unreachable returns the daemons that may be alive although nothing arrives from them, sorted by name.
 // Those that have announced their end, or that the VM list no longer has, are not among them.
 func (t *Table) Unreachable(now time.Time) []Unreachable {
 	var list []Unreachable
@@ -50,7 +50,7 @@
 		var until time.Time
 		switch e.stateMachine.State() {
 		case Listed:
-			until = e.createdAt.Add(unheardPeriod)
+			until = e.createdAt.Add(neverReachedPeriod)
 		case Suspect:
 			if !e.mayActAlone {
 				continue
--- a/internal/membership/unreachable_test.go
+++ b/internal/membership/unreachable_test.go
@@ -25,7 +25,7 @@
 		return ids
 	}
 	table.SetVMList(start, listed)
-	is.Equal(unreachable(start), []ident.Daemon{"cut", "left", "struck", "unheard"}) // none was heard yet
+	is.Equal(unreachable(start), []ident.Daemon{"cut", "left", "struck", "unheard"}) // none was reached yet
 	for _, id := range []ident.Daemon{"cut", "left", "struck"} {
 		is.True(table.LinkUp(start, membership.PeerInfo{ID: id, Incarnation: 1, Zone: "a"}))
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -36,7 +36,7 @@
 	// minHold and maxHold bound the minimum time out of rotation, which applies in a zone
 	// with other daemons unless the balancer ignores the readiness. The time doubles when
 	// overload returns within relapseWindow of its end: the caller that caused the
-	// overload has then come back with the daemon's readiness.
+	// overload has then returned with the daemon's readiness.
 	minHold       = 10 * time.Second
 	maxHold       = 40 * time.Second
 	relapseWindow = 10 * time.Second
--- a/internal/overload/smallzone_handover_test.go
+++ b/internal/overload/smallzone_handover_test.go
@@ -16,7 +16,7 @@
 	// openConns holds, by VM, how many connections its Picker counts as open at each VM.
 	openConns [][]int
 	// reported is set if neighbours report their mean latency in place of what the time of their reply
-	// tells, and late if what is known of them is a second old.
+	// shows, and late if what is known of them is a second old.
 	reported, late bool
 	// fixed is set if the limit on what each VM forwards does not follow its latency.
 	fixed bool
