Homes of even and uneven weights are ranked by one type

Cause: homeCandidates and weightedHomes each kept the n highest scores with the same ten lines, one for integers and one for floats, and built the same list.

Change: topHomes, generic in the score, adds a target and returns the list. A score that homeScore leaves out is not added, as before. No change of behaviour.

--- a/internal/booking/candidates.go
+++ b/internal/booking/candidates.go
@@ -75,21 +75,36 @@
 
 // homeCandidates returns the n home targets of a prefix by rendezvous hashing.
 func homeCandidates(prefix uint64, usable []*engine, n int) []candidate {
-	var best [homesPerPrefix]*engine
-	var weights [homesPerPrefix]uint64
+	var homes topHomes[uint64]
 	for _, e := range usable {
-		w := rendezvousWeight(prefix, e.Name)
-		for i := range n {
-			if best[i] == nil || w > weights[i] {
-				copy(best[i+1:n], best[i:n-1])
-				copy(weights[i+1:n], weights[i:n-1])
-				best[i], weights[i] = e, w
-				break
-			}
+		homes.add(e, rendezvousWeight(prefix, e.Name), n)
+	}
+	return homes.candidates(n)
+}
+
+// topHomes holds the targets with the highest scores for a prefix, the highest first. Of equal scores the
+// first one added is kept.
+type topHomes[Score cmp.Ordered] struct {
+	engines [homesPerPrefix]*engine
+	scores  [homesPerPrefix]Score
+}
+
+// add adds a target if it is among the n with the highest scores.
+func (h *topHomes[Score]) add(e *engine, score Score, n int) {
+	for i := range n {
+		if h.engines[i] == nil || score > h.scores[i] {
+			copy(h.engines[i+1:n], h.engines[i:n-1])
+			copy(h.scores[i+1:n], h.scores[i:n-1])
+			h.engines[i], h.scores[i] = e, score
+			return
 		}
 	}
+}
+
+// candidates returns the first n targets, or all if there are fewer.
+func (h *topHomes[Score]) candidates(n int) []candidate {
 	list := make([]candidate, 0, n)
-	for i, e := range best[:n] {
+	for i, e := range h.engines[:n] {
 		if e != nil {
 			list = append(list, candidate{e, homeNames[i]})
 		}
--- a/internal/booking/weights.go
+++ b/internal/booking/weights.go
@@ -168,29 +168,13 @@
 
 // weightedHomes returns the n home targets of a prefix among targets of uneven weights.
 func weightedHomes(prefix uint64, usable []*engine, n int) []candidate {
-	var best [homesPerPrefix]*engine
-	var scores [homesPerPrefix]float64
+	var homes topHomes[float64]
 	for _, e := range usable {
-		score, ok := homeScore(prefix, e, scores[n-1])
-		for i := range n {
-			if !ok {
-				break
-			}
-			if best[i] == nil || score > scores[i] {
-				copy(best[i+1:n], best[i:n-1])
-				copy(scores[i+1:n], scores[i:n-1])
-				best[i], scores[i] = e, score
-				break
-			}
+		if score, ok := homeScore(prefix, e, homes.scores[n-1]); ok {
+			homes.add(e, score, n)
 		}
 	}
-	list := make([]candidate, 0, n)
-	for i, e := range best[:n] {
-		if e != nil {
-			list = append(list, candidate{e, homeNames[i]})
-		}
-	}
-	return list
+	return homes.candidates(n)
 }
 
 // loadScore orders targets with a load, which may exceed 1. Targets of uneven weights are ordered by
