Tests of single connections share the way to accept one

Cause: TestWaitingRequestIsReadAfterIdleTimeout and the test of lines about unanswered ends each listened, dialed and accepted with the same eight lines.

Change: acceptCaller returns both ends. What the tests require is unchanged; the second one's connection is closed once more after it.

--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -292,22 +292,30 @@
 	is.Equal(s.readAnswer(), "hello")
 }
 
-// Guards against closing a kept-alive connection at its idle timeout although its next
-// request arrived in time, because the VM was paused and could not read it.
-func TestWaitingRequestIsReadAfterIdleTimeout(t *testing.T) {
+// acceptCaller returns both ends of a connection that a daemon has accepted.
+func acceptCaller(t *testing.T) (caller net.Conn, conn *trackedConn) {
+	t.Helper()
 	is := is.New(t)
 	l, err := listenDrainable("127.0.0.1:0")
 	is.NoErr(err)
 	t.Cleanup(func() { _ = l.Close() })
-	caller, err := net.Dial("tcp", l.Addr().String())
+	caller, err = net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
 	t.Cleanup(func() { _ = caller.Close() })
-	conn, err := l.Accept()
+	conn, err = l.accept()
 	is.NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
+	return caller, conn
+}
+
+// Guards against closing a kept-alive connection at its idle timeout although its next
+// request arrived in time, because the VM was paused and could not read it.
+func TestWaitingRequestIsReadAfterIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	caller, conn := acceptCaller(t)
 	const idle = 20 * time.Millisecond
 	is.NoErr(conn.SetReadDeadline(time.Now().Add(idle)))
-	_, err = io.WriteString(caller, "GET /")
+	_, err := io.WriteString(caller, "GET /")
 	is.NoErr(err)
 	time.Sleep(2 * idle) // nothing is read in the meantime
 	b := make([]byte, 16)
--- a/internal/daemon/ends_test.go
+++ b/internal/daemon/ends_test.go
@@ -223,14 +223,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := listenDrainable("127.0.0.1:0")
-			is.NoErr(err)
-			t.Cleanup(func() { _ = l.Close() })
-			caller, err := net.Dial("tcp", l.Addr().String())
-			is.NoErr(err)
-			t.Cleanup(func() { _ = caller.Close() })
-			conn, err := l.accept()
-			is.NoErr(err)
+			caller, conn := acceptCaller(t)
 			log := &logBuffer{}
 			conns := newConnTracker(0)
 			conns.ends = newEndRecorder(telemetry.NewMetrics(), slog.New(slog.NewJSONHandler(log, nil)))
@@ -238,7 +231,7 @@
 			if test.first {
 				test.prepare(conn)
 			}
-			_, err = io.WriteString(caller, test.sends)
+			_, err := io.WriteString(caller, test.sends)
 			is.NoErr(err)
 			if test.sends != "" {
 				for end := time.Now().Add(5 * time.Second); !hasUnreadData(conn) && time.Now().Before(end); {
