A connection whose last read held foreign bytes is not used again

What callers saw (the review's test, 3 requests over one connection, each answered with foreign bytes): the next request goes over a connection on which a target has just sent foreign bytes. Cause: a read that brings the last bytes and the end of the body together put the connection back into the pool before the bytes were judged; the abort came too late. Change: Exchange.Read returns the end of the body without bytes, in a read of its own.

--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -258,9 +258,13 @@
 }
 
 // Read reads the body of the response. It returns io.EOF only at the actual end: if
-// the connection is reset within a body of unknown length, it returns that error.
+// the connection is reset within a body of unknown length, it returns that error. It returns
+// io.EOF without bytes, so that the exchange can still be aborted because of the last ones.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.Response.Body.Read(p)
+	if err == io.EOF && n > 0 {
+		return n, nil
+	}
 	if err == io.EOF {
 		x.finish()
 	}
