A stream is continued only by a response with its own status, and one without a media type is checked

What callers saw (the review's tests): a stream that ends as complete after a 204, 206, 302 or 304 to its continuation, or that holds an event of an unsigned 300; events that pass unchecked since the media type is missing or its parameters are malformed. Cause: successes are judged by their signature, and a status from 300 to 399 passed as none; the media type had to parse. Change: once events were delivered, only a response with the same status that is an event stream goes on. On a route of streams a response without a media type is one, whatever the parameters; another type is relayed as a body, as before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"maps"
-	"mime"
 	"net/http"
 	"strings"
 	"time"
@@ -42,17 +41,25 @@
 		return rejectSuccess(x, r, cause)
 	case x.Response.StatusCode >= http.StatusBadRequest:
 		return s.handleErrorStatus(ctx, x, pr, entry, r, dispatched)
+	case pr.responseStarted && (r.status != pr.status || !isEventStream(x.Response.Header)):
+		return rejectSuccess(x, r, errNoStream)
 	case pr.route.Retry == route.Stream && isEventStream(x.Response.Header):
 		return s.relayStream(ctx, x, pr, entry, r, dispatched)
-	case pr.responseStarted:
-		return rejectSuccess(x, r, errNoStream)
 	}
 	return s.relayResponse(ctx, x, pr, entry, r, dispatched)
 }
 
+// isEventStream reports whether the response to a request for a stream is one. One without a media type is
+// taken for a stream, as its events would pass unchecked otherwise.
 func isEventStream(h http.Header) bool {
-	media, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	return err == nil && media == "text/event-stream"
+	media := h.Get("Content-Type")
+	if media == "" {
+		return true
+	}
+	if end := strings.IndexAny(media, ";,"); end >= 0 {
+		media = media[:end]
+	}
+	return strings.EqualFold(strings.TrimSpace(media), "text/event-stream")
 }
 
 // callerCheckTTL is how long the last check that the caller is still connected remains
