Doubted events are confirmed back to the last gap, also after a cut, and a denied one ends the stream

Cause: only the last event and only foreign bytes after it raised a doubt, and the doubt was not carried through. Change: events since the last gap, eight at most, have to come again, the first and the last of them; after a cut this holds only for the first gap of a stream, as streams with gaps throughout may be divided otherwise at the next target. A continuation that ends before the last delivered event is not the end. A denied event and a duplicate ID end the stream openly at once. The target that denies is neither blamed nor counted. Last-Event-Id 0 counts as that event. Ruled out: holding back text without an ID until the first event (a heartbeat would be held back, too); comparing texts.

--- a/internal/eventstream/parser.go
+++ b/internal/eventstream/parser.go
@@ -1,6 +1,9 @@
 // Package eventstream parses a stream of server-sent events
 // (https://html.spec.whatwg.org/multipage/server-sent-events.html) whose events carry increasing IDs, and
 // finds the first bytes that are no event of such a stream. It uses no network.
+//
+// Where the standard ignores what a client cannot use, such as a field of an unknown name or an event without
+// data, this package rejects it. Lines end in LF or CRLF; a byte order mark is rejected.
 package eventstream
 
 import (
@@ -35,6 +38,9 @@
 	MissingData Violation = "missing_data"
 	// IDNotIncreasing is an event whose ID is not above that of the event before it.
 	IDNotIncreasing Violation = "id_not_increasing"
+	// DuplicateID is an event with the ID of the one before it: one of the two is foreign, and it is not known
+	// which.
+	DuplicateID Violation = "duplicate_id"
 	// TooLong is an event that does not end within MaxEventBytes.
 	TooLong Violation = "too_long"
 )
@@ -195,7 +201,9 @@
 		return MissingID
 	case e.id.Known && !e.hasData:
 		return MissingData
-	case e.id.Known && p.lastID.Known && e.id.Value <= p.lastID.Value:
+	case e.id.Known && e.id == p.lastID:
+		return DuplicateID
+	case e.id.Known && p.lastID.Known && e.id.Value < p.lastID.Value:
 		return IDNotIncreasing
 	}
 	if e.id.Known {
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -30,7 +30,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		newline := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(rt, "newline")
 		last := rapid.Uint64Range(1, 30).Draw(rt, "last")
-		filter := newEventFilter(0, func(name, _ []byte) bool { return string(name) == "note" })
+		filter := newEventFilter(eventstream.ID{}, func(name, _ []byte) bool { return string(name) == "note" })
 		var got bytes.Buffer
 		feed := func(text string) {
 			for len(text) > 0 {
@@ -71,7 +71,7 @@
 	f.Add([]byte("\n\n\nid:\n\nid: 99999999999999999999\n\n"), 2)
 	f.Fuzz(func(t *testing.T, text []byte, size int) {
 		size = max(1, min(size, 64))
-		filter := newEventFilter(0, nil)
+		filter := newEventFilter(eventstream.ID{}, nil)
 		filter.startAttempt()
 		var out []byte
 		var err error
@@ -117,16 +117,22 @@
 		{"only event 1", 0, event(1), event(2), known(1), event(1, 2), nil, false},
 		{"gap, confirmed", 0, event(1, 2, 9), event(9, 12), known(2), event(1, 2, 9, 12), nil, false},
 		{"gap, confirmed after repeated events", 0, event(1, 2, 9), event(1, 2, 9, 12), known(2), event(1, 2, 9, 12), nil, false},
+		{"gap from zero, denied", 0, event(0, 9), event(1), known(0), event(0, 9), errUnconfirmedEvent, true},
 		{"gap, denied", 0, event(1, 2, 9), event(3, 4), known(2), event(1, 2, 9), errUnconfirmedEvent, true},
 		{"gap, passed over", 0, event(1, 2, 9), event(10), known(2), event(1, 2, 9), errUnconfirmedEvent, true},
 		{"gap, nothing follows", 0, event(1, 2, 9), "", known(2), event(1, 2, 9), nil, true},
-		{"first event ahead, denied", 0, event(9), event(1), eventstream.ID{}, event(9), errUnconfirmedEvent, true},
-		{"first event ahead, confirmed", 0, event(9), event(9, 10), eventstream.ID{}, event(9, 10), nil, false},
+		{"first event ahead, denied", 0, event(9), event(1), known(0), event(9), errUnconfirmedEvent, true},
+		{"first event ahead, confirmed", 0, event(9), event(9, 10), known(0), event(9, 10), nil, false},
 		{"caller's event, no gap", 5, event(6), event(7), known(6), event(6, 7), nil, false},
 		{"caller's event, gap", 5, event(8), event(8, 9), known(5), event(8, 9), nil, false},
+		{"two after the gap, confirmed", 0, event(1, 8, 9), event(8, 9, 10), known(1), event(1, 8, 9, 10), nil, false},
+		{"two after the gap, denied", 0, event(1, 8, 9), event(2), known(1), event(1, 8, 9), errUnconfirmedEvent, true},
+		{"two after the gap, the last one denied", 0, event(1, 8, 9), event(8, 10), known(1), event(1, 8, 9), errUnconfirmedEvent, true},
+		{"two gaps, nothing follows", 0, event(1, 100, 200), "", known(100), event(1, 100, 200), nil, true},
+		{"many after the gap", 0, event(1, 8, 9, 10, 11, 12, 13, 14, 15, 16), event(17), known(16), event(1, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17), nil, false},
 		{"nothing new in the attempt", 5, event(4, 5), event(6), known(5), event(6), nil, false},
 	} {
-		filter := newEventFilter(c.after, nil)
+		filter := newEventFilter(eventstream.ID{Value: c.after, Known: c.after > 0}, nil)
 		var got bytes.Buffer
 		feed := func(text string) error {
 			complete, err := filter.feed([]byte(text))
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -214,7 +214,7 @@
 			"tokens", pr.info.PromptTokens, "due_ms", pr.plan.Due.Sub(pr.arrived).Milliseconds(),
 			"waited_ms", pr.stats.placementTime.Milliseconds(), "first_ms", pr.stats.firstByteTime.Milliseconds(),
 			"total_ms", time.Since(pr.arrived).Milliseconds(), "left_ms", time.Until(pr.deadline).Milliseconds(), "caller", r.RemoteAddr, "sends", pr.stats.attempts, "runs", pr.stats.runs,
-			"events", pr.events.count, "last_event", pr.events.lastID.Value, "resumed_after", pr.info.LastEventID, "resumes", pr.info.Resumes, "origin", pr.origin, "origin_by", pr.resumed.finding.Status.String(), "origin_asked", pr.resumed.finding.Asked, "origin_silent", pr.resumed.finding.Silent, "status", pr.status,
+			"events", pr.events.count, "last_event", pr.events.lastID.Value, "resumed_after", pr.info.LastEventID.Value, "resumes", pr.info.Resumes, "origin", pr.origin, "origin_by", pr.resumed.finding.Status.String(), "origin_asked", pr.resumed.finding.Asked, "origin_silent", pr.resumed.finding.Silent, "status", pr.status,
 		}
 	}
 	if pr != nil && pr.poisonSubject != nil {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -26,7 +26,7 @@
 // takesUpStream reports whether the caller already has events of a stream, which this request is
 // to continue.
 func (pr *proxyRequest) takesUpStream() bool {
-	return pr.route.Retry == route.Stream && (pr.info.LastEventID > 0 || pr.info.Resumes != "")
+	return pr.route.Retry == route.Stream && (pr.info.LastEventID.Value > 0 || pr.info.Resumes != "")
 }
 
 // streamKey returns the key of the request's stream; zero if the caller takes up a stream without
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -35,6 +35,8 @@
 	// targetFailed reports that the target or the connection to it failed, or that the
 	// target refused a request that its owner expected it to accept.
 	targetFailed bool
+	// isFinal reports that no other target can serve the request.
+	isFinal bool
 	// buffered is an error response of the target itself, not sent to the caller yet because
 	// another target may succeed.
 	buffered      *bufferedResponse
@@ -199,7 +201,7 @@
 // prepareRetry reports whether the request is retried at another target. If so, it takes the
 // retry from the budget and excludes the failed target.
 func (s *Server) prepareRetry(pr *proxyRequest, r attemptResult, target ident.Target) bool {
-	if !r.sent && pr.stats.unsentAttempts > maxUnsentAttempts {
+	if r.isFinal || !r.sent && pr.stats.unsentAttempts > maxUnsentAttempts {
 		return false
 	}
 	// A request that failed in the engine has run, but a repeatable one may run again.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/eventstream"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/targetconn"
@@ -61,10 +62,7 @@
 			r.failure = resultcode.Fail(resultcode.AnswerCut, "").WithCause(readErr)
 		}
 	}
-	if cause := breakCause(r.failure); cause != "" && !callerGone(ctx, pr) {
-		r.targetFailed = cause != breakUnconfirmed // the target before it sent what this one lacks
-		s.Metrics.StreamBroken(entry.Identity, cause)
-	}
+	s.judgeBreak(ctx, pr, entry, &r)
 	if r.firstByteTime > 0 {
 		r.cost = pr.streamCost()
 	}
@@ -72,26 +70,46 @@
 	return r
 }
 
+// judgeBreak records what the failure of a stream says about its target and its events.
+func (s *Server) judgeBreak(ctx context.Context, pr *proxyRequest, entry registry.Entry, r *attemptResult) {
+	cause := breakCause(r.failure)
+	switch {
+	case cause == "" || callerGone(ctx, pr):
+		return
+	case errors.Is(r.failure, errUnconfirmedEvent):
+		r.isFinal = true // the target before it sent what this one lacks, and the caller has it
+		return
+	case errors.Is(r.failure, eventstream.DuplicateID):
+		r.isFinal = true // the foreign one of the two may have been delivered
+	case r.failure.Code == resultcode.AnswerCut:
+		pr.events.distrustFirstGap()
+	}
+	r.targetFailed = true
+	if ctx.Err() == nil { // else the caller's time was up
+		s.Metrics.StreamBroken(entry.Identity, cause)
+	}
+}
+
 // rejectBytes returns the failure of a stream that holds bytes which are no event of it.
 func (s *Server) rejectBytes(pr *proxyRequest, x *targetconn.Exchange, entry registry.Entry, cause error, eventsBefore int) *resultcode.Failure {
 	x.Abort()
-	pr.events.distrust()
 	failure := resultcode.Fail(resultcode.TargetProtocol, "").WithCause(cause)
-	if cause != errUnconfirmedEvent {
+	if !errors.Is(cause, errUnconfirmedEvent) {
+		pr.events.distrust()
 		s.logForeignBytes(pr, entry, breakCause(failure), eventsBefore)
 	}
 	return failure
 }
 
 // finishStream checks that a stream whose body has ended did not end within an event, or with its
-// target, and that it had the event that it was to confirm.
+// target, and that it does not lack events that were delivered.
 func (s *Server) finishStream(pr *proxyRequest, x *targetconn.Exchange, entry registry.Entry) *resultcode.Failure {
 	switch {
 	case pr.events.hasPartialEvent():
 		return resultcode.Fail(resultcode.AnswerCut, "").WithCause(errTruncatedEvent)
 	case s.endedWithTarget(x, entry):
 		return resultcode.Fail(resultcode.AnswerCut, "").WithCause(errTargetEnded)
-	case pr.events.unconfirmed:
+	case pr.events.lacksEvents():
 		return resultcode.Fail(resultcode.TargetProtocol, "").WithCause(errUnconfirmedEvent)
 	}
 	if !pr.responseStarted {
--- a/internal/gateway/streambreak.go
+++ b/internal/gateway/streambreak.go
@@ -19,21 +19,32 @@
 	breakUnconfirmed = "unconfirmed_event"
 )
 
+// breakCauses names the errors with which a response is rejected.
+var breakCauses = []struct {
+	err  error
+	name string
+}{
+	{errTruncatedEvent, breakTruncatedEvent},
+	{errTargetEnded, breakTargetEnded},
+	{errUnconfirmedEvent, breakUnconfirmed},
+	{errUnsigned, "unsigned"},
+	{errEncoded, "encoded"},
+	{errNoStream, "no_stream"},
+}
+
 // breakCause returns how a response broke off, for logs and metrics; empty if the failure is another one.
 func breakCause(f *resultcode.Failure) string {
 	if f == nil || f.Code != resultcode.AnswerCut && f.Code != resultcode.TargetProtocol {
 		return ""
 	}
 	var violation eventstream.Violation
-	switch {
-	case errors.As(f, &violation):
+	if errors.As(f, &violation) {
 		return string(violation)
-	case errors.Is(f, errTruncatedEvent):
-		return breakTruncatedEvent
-	case errors.Is(f, errTargetEnded):
-		return breakTargetEnded
-	case errors.Is(f, errUnconfirmedEvent):
-		return breakUnconfirmed
+	}
+	for _, c := range breakCauses {
+		if errors.Is(f, c.err) {
+			return c.name
+		}
 	}
 	return breakConnection
 }
