An invalid event of an engine's stream ends its connection, not the answer

Cause: the reader of events skipped any line that it did not know, took the last of several ids, and kept an id without data for the next event.

What is wrong ends the connection, and the stream is resumed at the last sound chunk; invalid twice without a chunk between, it fails with target_protocol as before (TestModelProtocolViolations is unchanged). attempt_streams_invalid counts it.

--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -41,6 +41,9 @@
 	start     time.Time
 	// lastProgress is when the last new chunk arrived, initially the start.
 	lastProgress time.Time
+	// violation is the violation of the protocol that ended a connection, nil once a
+	// new chunk has arrived.
+	violation error
 }
 
 // Model runs a request on an engine and passes its answer to the sink. It returns
@@ -224,13 +227,14 @@
 
 func (m *modelAttempt) readEvents(x *exchange) error {
 	in := newEventReader(x.resp.Body, m.cfg.MaxLineBytes)
+	m.assembler.startConnection()
 	for {
 		x.extendDeadline(m.cfg.ProgressTimeout)
 		e, err := in.next()
 		if err != nil {
 			return x.causeOr(err)
 		}
-		if e.comment {
+		if e.isHeartbeat() {
 			if time.Since(m.lastProgress) > m.tokenTimeout() {
 				return errTokenTimeout
 			}
@@ -263,7 +267,7 @@
 		m.metrics.lateChunks.Inc(1)
 		return
 	}
-	m.lastProgress = time.Now()
+	m.lastProgress, m.violation = time.Now(), nil
 	if m.result.FirstByte == 0 {
 		m.result.FirstByte = m.lastProgress.Sub(m.start)
 	}
@@ -283,7 +287,7 @@
 	case errors.As(err, &engineErr):
 		return m.failIncomplete(resultcode.TargetError, err)
 	case errors.As(err, &protocolErr):
-		return m.failIncomplete(resultcode.TargetProtocol, err)
+		return m.handleViolation(err)
 	case errors.Is(err, errTokenTimeout):
 		return m.failIncomplete(resultcode.TargetStalled, err)
 	}
@@ -292,6 +296,19 @@
 	return nil
 }
 
+// handleViolation returns nil if a stream with an invalid event has to be resumed:
+// what was wrong may be its connection alone. Without a new chunk since the last
+// violation it returns the failure.
+func (m *modelAttempt) handleViolation(err error) *resultcode.Failure {
+	m.metrics.violations.Inc(1)
+	if m.violation != nil {
+		return m.failIncomplete(resultcode.TargetProtocol, err)
+	}
+	m.violation = err
+	m.lifecycle.fire(triggerBroken)
+	return nil
+}
+
 // failIncomplete ends an attempt whose answer cannot be completed and cancels its
 // stream.
 func (m *modelAttempt) failIncomplete(code resultcode.Code, cause error) *resultcode.Failure {
@@ -327,7 +344,7 @@
 		case ctx.Err() != nil:
 			return nil, m.answerCanceled(context.Cause(ctx))
 		case errors.Is(err, errStreamNotFound):
-			return nil, m.failIncomplete(m.lostStreamCode(), err)
+			return nil, m.failIncomplete(m.lostStreamCode(), cmp.Or(m.violation, err))
 		}
 		m.lifecycle.fire(triggerBroken)
 		lastErr = err
@@ -339,12 +356,15 @@
 	if errors.Is(err, errInactivityTimeout) {
 		return m.failIncomplete(resultcode.TargetStalled, err)
 	}
-	return m.failIncomplete(m.lostStreamCode(), err)
+	return m.failIncomplete(m.lostStreamCode(), cmp.Or(m.violation, err))
 }
 
-// lostStreamCode returns the code for a lost stream, which depends on whether the
-// first chunk had arrived.
+// lostStreamCode returns the code for a lost stream, which depends on how its
+// connection ended and on whether the first chunk had arrived.
 func (m *modelAttempt) lostStreamCode() resultcode.Code {
+	if m.violation != nil {
+		return resultcode.TargetProtocol
+	}
 	if m.assembler.offset == m.req.StartOffset {
 		return resultcode.ConnectionLost
 	}
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -202,7 +202,7 @@
 }
 
 type metrics struct {
-	resumed, stalled, lateChunks, notRun, unknown tally.Counter
+	resumed, stalled, lateChunks, violations, notRun, unknown tally.Counter
 }
 
 // NewRunner returns a Runner. Close releases its connections.
@@ -216,6 +216,7 @@
 			resumed:    cfg.Scope.Counter("attempt_streams_resumed"),
 			stalled:    cfg.Scope.Counter("attempt_connections_silent"),
 			lateChunks: cfg.Scope.Counter("attempt_late_chunks_dropped"),
+			violations: cfg.Scope.Counter("attempt_streams_invalid"),
 			notRun:     cfg.Scope.Counter("attempt_not_run"),
 			unknown:    cfg.Scope.Counter("attempt_outcome_unknown"),
 		},
--- a/internal/attempt/sse.go
+++ b/internal/attempt/sse.go
@@ -9,15 +9,26 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// event is one server-sent event, or a comment that serves only as a heartbeat.
+// event is one server-sent event. Without data it serves only as a heartbeat.
 type event struct {
-	id      string
-	data    []byte
-	comment bool
+	id    string
+	hasID bool
+	data  []byte
+	// started is set if the event has any line.
+	started bool
 }
 
 var errLineTooLong = merry.New("an event line exceeds the maximum length")
 
+// Lines that make a stream invalid: from there on nothing on the connection can be assigned to
+// the stream.
+const (
+	errUnknownField    = protocolError("a line of the stream is no field of an event")
+	errSecondID        = protocolError("an event has two ids")
+	errIDWithoutData   = protocolError("an event has an id but no data")
+	errCarriageReturns = protocolError("a carriage return within a line")
+)
+
 // eventBufferSize is enough for an ordinary event. Longer lines are assembled from
 // several reads.
 const eventBufferSize = 1 << 10
@@ -41,30 +52,57 @@
 		if err != nil {
 			return event{}, err
 		}
-		if len(line) == 0 {
-			if e.comment || e.data != nil {
-				return e, nil
+		if len(line) > 0 {
+			if err := e.addLine(line); err != nil {
+				return event{}, err
 			}
 			continue
 		}
-		e.addLine(line)
+		if e.hasID && e.data == nil {
+			return event{}, errIDWithoutData
+		}
+		if e.started {
+			return e, nil
+		}
 	}
 }
 
-func (e *event) addLine(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+// isHeartbeat reports whether the event carries nothing.
+func (e *event) isHeartbeat() bool { return e.data == nil }
+
+func (e *event) addLine(line []byte) error {
+	// Some readers take a carriage return alone for the end of a line.
+	if bytes.IndexByte(line, '\r') >= 0 {
+		return errCarriageReturns
+	}
+	e.started = true
+	name, value, colon := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
-	case "":
-		e.comment = true
 	case "id":
-		e.id = string(value)
-	case "data":
-		if e.data != nil {
-			e.data = append(e.data, '\n')
+		if e.hasID {
+			return errSecondID
 		}
-		e.data = append(e.data, value...)
-		e.comment = false
+		e.id, e.hasID = string(value), true
+	case "data":
+		e.addData(value)
+	case "", "event", "retry":
+	default:
+		return errUnknownField
+	}
+	if !colon {
+		return errUnknownField
+	}
+	return nil
+}
+
+func (e *event) addData(value []byte) {
+	if e.data != nil {
+		e.data = append(e.data, '\n')
+	}
+	e.data = append(e.data, value...)
+	if e.data == nil {
+		e.data = []byte{}
 	}
 }
 
