One event of an engine's stream is bounded as a whole, not line by line

Seen: an engine that sends short data lines without an empty line makes the daemon keep them all. One attempt allocated 5.1 GB in 3 s (of data lines 5.1 GB, of data lines and comments 4.8 GB) until its window had passed. One endless line was bounded to 1 MiB, but its connection was resumed 170 times in 3 s, 878 MB in all.

Cause: MaxLineBytes counted each line alone, and a line above it did not count as a violation of the protocol.

Change: MaxEventBytes (1 MiB, as the line before) bounds the sum of an event's lines, comments included; above it the stream is invalid, which ends the attempt at the second time without a new chunk.

What all streams of a daemon hold together is not bounded by this.

--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -226,7 +226,7 @@
 }
 
 func (m *modelAttempt) readEvents(x *exchange) error {
-	in := newEventReader(x.resp.Body, m.cfg.MaxLineBytes)
+	in := newEventReader(x.resp.Body, m.cfg.MaxEventBytes)
 	m.assembler.startConnection()
 	for {
 		x.extendDeadline(m.cfg.ProgressTimeout)
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -58,8 +58,9 @@
 	IdleTimeout time.Duration
 	// MaxIdlePerTarget bounds the idle connections to one target. Default: 64.
 	MaxIdlePerTarget int
-	// MaxLineBytes bounds the length of one line of a stream. Default: 1 MiB.
-	MaxLineBytes int
+	// MaxEventBytes bounds one event of a stream, which is kept until it is complete.
+	// Default: 1 MiB.
+	MaxEventBytes int
 	// Tracer creates the span of each attempt. Default: a tracer of the global
 	// provider.
 	Tracer trace.Tracer
@@ -78,7 +79,7 @@
 	c.UserTimeout = cmp.Or(c.UserTimeout, 5*time.Second)
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, 4*time.Second)
 	c.MaxIdlePerTarget = cmp.Or(c.MaxIdlePerTarget, 64)
-	c.MaxLineBytes = cmp.Or(c.MaxLineBytes, 1<<20)
+	c.MaxEventBytes = cmp.Or(c.MaxEventBytes, 1<<20)
 	if c.Tracer == nil {
 		c.Tracer = otel.Tracer("github.com/savorystall/savorystall/internal/attempt")
 	}
--- a/internal/attempt/sse.go
+++ b/internal/attempt/sse.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-
-	"github.com/ansel1/merry/v2"
 )
 
 // event is one server-sent event. Without data it serves only as a heartbeat.
@@ -18,8 +16,6 @@
 	started bool
 }
 
-var errLineTooLong = merry.New("an event line exceeds the maximum length")
-
 // Lines that make a stream invalid: from there on nothing on the connection can be assigned to
 // the stream.
 const (
@@ -27,6 +23,7 @@
 	errSecondID        = protocolError("an event has two ids")
 	errIDWithoutData   = protocolError("an event has an id but no data")
 	errCarriageReturns = protocolError("a carriage return within a line")
+	errEventTooLong    = protocolError("an event exceeds the maximum length")
 )
 
 // eventBufferSize is enough for an ordinary event. Longer lines are assembled from
@@ -35,23 +32,26 @@
 
 // eventReader reads a stream of server-sent events.
 type eventReader struct {
-	buffered     *bufio.Reader
-	maxLineBytes int
+	buffered      *bufio.Reader
+	maxEventBytes int
 }
 
 func newEventReader(in io.Reader, limit int) *eventReader {
-	return &eventReader{buffered: bufio.NewReaderSize(in, eventBufferSize), maxLineBytes: limit}
+	return &eventReader{buffered: bufio.NewReaderSize(in, eventBufferSize), maxEventBytes: limit}
 }
 
 // next returns the next event. An event that is truncated by the end of the input
 // is dropped, and the error is io.EOF or io.ErrUnexpectedEOF.
 func (r *eventReader) next() (event, error) {
 	var e event
-	for {
+	for size := 0; ; {
 		line, err := r.line()
 		if err != nil {
 			return event{}, err
 		}
+		if size += len(line); size > r.maxEventBytes {
+			return event{}, errEventTooLong
+		}
 		if len(line) > 0 {
 			if err := e.addLine(line); err != nil {
 				return event{}, err
@@ -118,8 +118,8 @@
 	}
 	fullLine := bytes.Clone(line)
 	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(fullLine) > r.maxLineBytes {
-			return nil, errLineTooLong
+		if len(fullLine) > r.maxEventBytes {
+			return nil, errEventTooLong
 		}
 		line, err = r.buffered.ReadSlice('\n')
 		fullLine = append(fullLine, line...)
