Chunks without tokens do not hold an attempt beyond its token timeout

Seen: an engine that sends chunks of zero tokens without end held the attempt and its slot until the caller left, and each of these chunks was passed on (TestChunksWithoutTokensTimeOut: no end within 2 s at a timeout of 100 ms).

Cause: the time since the last new token was looked at for heartbeats alone.

Change: it is looked at after every event that brings no token.

After: the test ends with target_stalled; red before, green now.

--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -237,21 +237,17 @@
 		if err != nil {
 			return x.causeOr(err)
 		}
-		if e.isHeartbeat() {
-			if time.Since(m.lastProgress) > m.tokenTimeout() {
-				return errTokenTimeout
-			}
-			continue
-		}
 		previousOffset := m.assembler.offset
-		done, err := m.assembler.processEvent(e)
-		if err != nil {
-			return err
+		if !e.isHeartbeat() {
+			done, err := m.assembler.processEvent(e)
+			if err != nil || done {
+				return err
+			}
+			m.recordProgress(previousOffset)
 		}
-		if done {
-			return nil
+		if m.assembler.offset == previousOffset && time.Since(m.lastProgress) > m.tokenTimeout() {
+			return errTokenTimeout
 		}
-		m.recordProgress(previousOffset)
 	}
 }
 
