Data of several lines reaches the caller as one event

Seen: data that an engine spreads over several lines went to the caller with bare line feeds: the lines after the first had no field name, and an empty one ended the event early, so that the caller got a piece that no engine sent.

Cause: the lines of an event are joined with line feeds when it is read, and were written as one.

Change: each line is written with its field name.

TestDataOfSeveralLinesStaysOneEvent: red before, green now.

--- a/internal/ingress/sink.go
+++ b/internal/ingress/sink.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -27,8 +28,10 @@
 	event := make([]byte, 0, len(c.Data)+32)
 	event = append(event, "id: "...)
 	event = strconv.AppendUint(event, c.Offset, 10)
-	event = append(event, "\ndata: "...)
-	event = append(event, c.Data...)
+	for line := range bytes.SplitSeq(c.Data, []byte("\n")) {
+		event = append(event, "\ndata: "...)
+		event = append(event, line...)
+	}
 	event = append(event, "\n\n"...)
 	if _, err := s.w.Write(event); err != nil {
 		return err
