The load tool counts foreign lines and events of a stream as WRONG

Cause: it compared the text alone and skipped all other lines.

Change: a line that is no field of an event, a second id, and an event without id or text make a stream WRONG.

--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -90,25 +90,36 @@
 }
 
 // readEventStream reads server-sent events up to the end mark and compares the
-// text with the answer of the simulated engine to this prompt.
+// text with the answer of the simulated engine to this prompt. A line that is no
+// field of an event, or an event without an id or text, is foreign.
 func (c *caller) readEventStream(body io.Reader, mark string, start time.Time) result {
 	var res result
 	var text strings.Builder
 	lines := bufio.NewScanner(body)
+	foreign, hasID := false, false
 	for lines.Scan() {
-		data, found := strings.CutPrefix(lines.Text(), "data: ")
-		if !found {
+		name, value, _ := strings.Cut(lines.Text(), ":")
+		data := strings.TrimPrefix(value, " ")
+		switch {
+		case lines.Text() == "" || name == "" && value != "":
 			continue
-		}
-		if data == "[DONE]" {
-			res.mismatch = text.String() != enginestandin.Text(mark, c.stream.MaxTokens)
+		case name == "id":
+			foreign, hasID = foreign || hasID, true
+			continue
+		case name != "data":
+			foreign = true
+			continue
+		case data == "[DONE]":
+			res.mismatch = foreign || hasID || text.String() != enginestandin.Text(mark, c.stream.MaxTokens)
 			res.tokens = c.stream.MaxTokens
 			return res
 		}
 		if res.firstByte == 0 {
 			res.firstByte = time.Since(start)
 		}
-		text.WriteString(chunkText(data))
+		piece := chunkText(data)
+		foreign, hasID = foreign || !hasID || piece == "", false
+		text.WriteString(piece)
 	}
 	res.truncated = true
 	return res
