Tests of foreign bytes do not depend on short timeouts

TestBytesThatAreNoEventOfTheStream took a header timeout of 300 ms from its neighbours; in 1 of 3 runs under the race detector at a load of 40, 1 of 426 cases was resumed twice because of it (complete, no foreign piece). No case of these tests waits for a timeout, so they get one of a minute. No bound changes.

--- a/internal/attempt/foreign_test.go
+++ b/internal/attempt/foreign_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -155,6 +156,11 @@
 	return n
 }
 
+// noTimeout returns timeouts that none of these streams reaches, however busy the machine is.
+func noTimeout() attempt.Config {
+	return attempt.Config{FirstByteTimeout: time.Minute, ProgressTimeout: time.Minute, ResumeWindow: time.Minute}
+}
+
 // Guards against bytes that are no event of the stream: their connection must not be believed any
 // more, and the rest of the stream be taken up on another one. Otherwise the caller gets a foreign
 // piece, an answer without its last pieces, or a failure although the engine has the whole answer.
@@ -174,7 +180,7 @@
 						is := is.NewRelaxed(t)
 						address := foreignEngine{n, foreign, ending, chunked}.serve(t)
 						sink := &chunkRecorder{}
-						got := newRunner(t, shortTimeouts()).Model(t.Context(), modelRequest(address, "x", soundEvents), sink)
+						got := newRunner(t, noTimeout()).Model(t.Context(), modelRequest(address, "x", soundEvents), sink)
 						t.Logf("%d of %d pieces foreign, failure %v, %d resumed", sink.foreign(all), len(sink.data), got.Failure, got.ResumeCount)
 						is.True(got.Failure == nil)
 						is.Equal(sink.data, all)
@@ -211,7 +217,7 @@
 			is := is.New(t)
 			address := foreignEngine{n: 0, foreign: c.body + last + endMark, ending: "end", chunked: true}.serve(t)
 			sink := &chunkRecorder{}
-			got := newRunner(t, shortTimeouts()).Model(t.Context(), modelRequest(address, "x", 3), sink)
+			got := newRunner(t, noTimeout()).Model(t.Context(), modelRequest(address, "x", 3), sink)
 			is.True(got.Failure == nil)
 			is.Equal(sink.data[:len(sink.data)-1], c.want)
 			is.Equal(got.Tokens, 3)
--- a/internal/attempt/kept_test.go
+++ b/internal/attempt/kept_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -88,7 +89,9 @@
 		t.Run("stream/"+name, func(t *testing.T) {
 			is := is.NewRelaxed(t)
 			address, opened := serveKept(t, func(*http.Request) string { return response })
-			runner := newRunner(t, shortTimeouts())
+			cfg := noTimeout()
+			cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
+			runner := newRunner(t, cfg)
 			var notRun, failed, foreign atomic.Int64
 			var callers sync.WaitGroup
 			for range 4 {
@@ -121,7 +124,9 @@
 		t.Run("plain/"+name, func(t *testing.T) {
 			is := is.NewRelaxed(t)
 			address, opened := serveKept(t, func(*http.Request) string { return response })
-			runner := newRunner(t, shortTimeouts())
+			cfg := noTimeout()
+			cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
+			runner := newRunner(t, cfg)
 			var notRun, failed, foreign atomic.Int64
 			var callers sync.WaitGroup
 			for range 4 {
