--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -24,8 +24,8 @@
 	streamsPath = "/v1/streams/"
 	// cancelTimeout bounds the request that cancels a stream.
 	cancelTimeout = 2 * time.Second
-	// resumeBackoff is the delay before the second attempt to resume a stream. It
-	// doubles with each further one, up to maxResumeBackoff.
+	// resumeBackoff is the delay before the second attempt to resume a stream without
+	// a new chunk. It doubles with each further one, up to maxResumeBackoff.
 	resumeBackoff     = 25 * time.Millisecond
 	maxResumeBackoff  = time.Second
 	maxErrorTextBytes = 512
@@ -41,6 +41,12 @@
 	start     time.Time
 	// lastProgress is when the last new chunk arrived, initially the start.
 	lastProgress time.Time
+	// backoff is the delay before the next attempt to resume the stream, zero once a
+	// new chunk has arrived.
+	backoff time.Duration
+	// violation is the violation of the protocol that ended a connection, nil once a
+	// new chunk has arrived.
+	violation error
 }
 
 // Model runs a request on an engine and passes its answer to the sink. It returns
@@ -223,28 +229,25 @@
 }
 
 func (m *modelAttempt) readEvents(x *exchange) error {
-	in := newEventReader(x.resp.Body, m.cfg.MaxLineBytes)
+	in := newEventReader(x.resp.Body, m.cfg.MaxEventBytes)
+	m.assembler.startConnection()
 	for {
 		x.extendDeadline(m.cfg.ProgressTimeout)
 		e, err := in.next()
 		if err != nil {
 			return x.causeOr(err)
 		}
-		if e.comment {
-			if time.Since(m.lastProgress) > m.tokenTimeout() {
-				return errTokenTimeout
-			}
-			continue
-		}
 		previousOffset := m.assembler.offset
-		done, err := m.assembler.processEvent(e)
-		if err != nil {
-			return err
+		if !e.isHeartbeat() {
+			done, err := m.assembler.processEvent(e)
+			if err != nil || done {
+				return err
+			}
+			m.recordProgress(previousOffset)
 		}
-		if done {
-			return nil
+		if m.assembler.offset == previousOffset && time.Since(m.lastProgress) > m.tokenTimeout() {
+			return errTokenTimeout
 		}
-		m.recordProgress(previousOffset)
 	}
 }
 
@@ -263,7 +266,7 @@
 		m.metrics.lateChunks.Inc(1)
 		return
 	}
-	m.lastProgress = time.Now()
+	m.lastProgress, m.backoff, m.violation = time.Now(), 0, nil
 	if m.result.FirstByte == 0 {
 		m.result.FirstByte = m.lastProgress.Sub(m.start)
 	}
@@ -283,7 +286,7 @@
 	case errors.As(err, &engineErr):
 		return m.failIncomplete(resultcode.TargetError, err)
 	case errors.As(err, &protocolErr):
-		return m.failIncomplete(resultcode.TargetProtocol, err)
+		return m.handleViolation(err)
 	case errors.Is(err, errTokenTimeout):
 		return m.failIncomplete(resultcode.TargetStalled, err)
 	}
@@ -292,6 +295,19 @@
 	return nil
 }
 
+// handleViolation returns nil if a stream with an invalid event has to be resumed:
+// what was wrong may be its connection alone. Without a new chunk since the last
+// violation it returns the failure.
+func (m *modelAttempt) handleViolation(err error) *resultcode.Failure {
+	m.metrics.violations.Inc(1)
+	if m.violation != nil {
+		return m.failIncomplete(resultcode.TargetProtocol, err)
+	}
+	m.violation = err
+	m.lifecycle.fire(triggerBroken)
+	return nil
+}
+
 // failIncomplete ends an attempt whose answer cannot be completed and cancels its
 // stream.
 func (m *modelAttempt) failIncomplete(code resultcode.Code, cause error) *resultcode.Failure {
@@ -310,12 +326,12 @@
 // resume requests the rest of the stream on new connections until one succeeds or
 // the resume window has passed.
 func (m *modelAttempt) resume(ctx context.Context) (*exchange, *resultcode.Failure) {
-	backoff := time.Duration(0)
 	lastErr := error(errInactivityTimeout)
 	for {
-		if !clock.Sleep(ctx, clock.Real, backoff) {
+		if !clock.Sleep(ctx, clock.Real, m.backoff) {
 			return nil, m.answerCanceled(context.Cause(ctx))
 		}
+		m.backoff = min(max(2*m.backoff, resumeBackoff), maxResumeBackoff)
 		if time.Since(m.lastProgress) > m.cfg.ResumeWindow {
 			return nil, m.resumeTimedOut(lastErr)
 		}
@@ -327,11 +343,10 @@
 		case ctx.Err() != nil:
 			return nil, m.answerCanceled(context.Cause(ctx))
 		case errors.Is(err, errStreamNotFound):
-			return nil, m.failIncomplete(m.lostStreamCode(), err)
+			return nil, m.failIncomplete(m.lostStreamCode(), cmp.Or(m.violation, err))
 		}
 		m.lifecycle.fire(triggerBroken)
 		lastErr = err
-		backoff = min(max(2*backoff, resumeBackoff), maxResumeBackoff)
 	}
 }
 
@@ -339,12 +354,15 @@
 	if errors.Is(err, errInactivityTimeout) {
 		return m.failIncomplete(resultcode.TargetStalled, err)
 	}
-	return m.failIncomplete(m.lostStreamCode(), err)
+	return m.failIncomplete(m.lostStreamCode(), cmp.Or(m.violation, err))
 }
 
-// lostStreamCode returns the code for a lost stream, which depends on whether the
-// first chunk had arrived.
+// lostStreamCode returns the code for a lost stream, which depends on how its
+// connection ended and on whether the first chunk had arrived.
 func (m *modelAttempt) lostStreamCode() resultcode.Code {
+	if m.violation != nil {
+		return resultcode.TargetProtocol
+	}
 	if m.assembler.offset == m.req.StartOffset {
 		return resultcode.ConnectionLost
 	}
--- a/internal/attempt/sse.go
+++ b/internal/attempt/sse.go
@@ -5,18 +5,26 @@
 	"bytes"
 	"errors"
 	"io"
-
-	"github.com/ansel1/merry/v2"
 )
 
-// event is one server-sent event, or a comment that serves only as a heartbeat.
+// event is one server-sent event. Without data it serves only as a heartbeat.
 type event struct {
-	id      string
-	data    []byte
-	comment bool
+	id    string
+	hasID bool
+	data  []byte
+	// started is set if the event has any line.
+	started bool
 }
 
-var errLineTooLong = merry.New("an event line exceeds the maximum length")
+// Lines that make a stream invalid: from there on nothing on the connection can be assigned to
+// the stream.
+const (
+	errUnknownField    = protocolError("a line of the stream is no field of an event")
+	errSecondID        = protocolError("an event has two ids")
+	errIDWithoutData   = protocolError("an event has an id but no data")
+	errCarriageReturns = protocolError("a carriage return within a line")
+	errEventTooLong    = protocolError("an event exceeds the maximum length")
+)
 
 // eventBufferSize is enough for an ordinary event. Longer lines are assembled from
 // several reads.
@@ -24,47 +32,77 @@
 
 // eventReader reads a stream of server-sent events.
 type eventReader struct {
-	buffered     *bufio.Reader
-	maxLineBytes int
+	buffered      *bufio.Reader
+	maxEventBytes int
 }
 
 func newEventReader(in io.Reader, limit int) *eventReader {
-	return &eventReader{buffered: bufio.NewReaderSize(in, eventBufferSize), maxLineBytes: limit}
+	return &eventReader{buffered: bufio.NewReaderSize(in, eventBufferSize), maxEventBytes: limit}
 }
 
 // next returns the next event. An event that is truncated by the end of the input
 // is dropped, and the error is io.EOF or io.ErrUnexpectedEOF.
 func (r *eventReader) next() (event, error) {
 	var e event
-	for {
+	for size := 0; ; {
 		line, err := r.line()
 		if err != nil {
 			return event{}, err
 		}
-		if len(line) == 0 {
-			if e.comment || e.data != nil {
-				return e, nil
+		if size += len(line); size > r.maxEventBytes {
+			return event{}, errEventTooLong
+		}
+		if len(line) > 0 {
+			if err := e.addLine(line); err != nil {
+				return event{}, err
 			}
 			continue
 		}
-		e.addLine(line)
+		if e.hasID && e.data == nil {
+			return event{}, errIDWithoutData
+		}
+		if e.started {
+			return e, nil
+		}
 	}
 }
 
-func (e *event) addLine(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+// isHeartbeat reports whether the event carries nothing.
+func (e *event) isHeartbeat() bool { return e.data == nil }
+
+func (e *event) addLine(line []byte) error {
+	// Some readers take a carriage return alone for the end of a line.
+	if bytes.IndexByte(line, '\r') >= 0 {
+		return errCarriageReturns
+	}
+	e.started = true
+	name, value, colon := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
-	case "":
-		e.comment = true
 	case "id":
-		e.id = string(value)
-	case "data":
-		if e.data != nil {
-			e.data = append(e.data, '\n')
+		if e.hasID {
+			return errSecondID
 		}
-		e.data = append(e.data, value...)
-		e.comment = false
+		e.id, e.hasID = string(value), true
+	case "data":
+		e.addData(value)
+	case "", "event", "retry":
+	default:
+		return errUnknownField
+	}
+	if !colon {
+		return errUnknownField
+	}
+	return nil
+}
+
+func (e *event) addData(value []byte) {
+	if e.data != nil {
+		e.data = append(e.data, '\n')
+	}
+	e.data = append(e.data, value...)
+	if e.data == nil {
+		e.data = []byte{}
 	}
 }
 
@@ -80,8 +118,8 @@
 	}
 	fullLine := bytes.Clone(line)
 	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(fullLine) > r.maxLineBytes {
-			return nil, errLineTooLong
+		if len(fullLine) > r.maxEventBytes {
+			return nil, errEventTooLong
 		}
 		line, err = r.buffered.ReadSlice('\n')
 		fullLine = append(fullLine, line...)
