A planned stop answers what it can't complete before the process is killed

Cause: the daemon did not know when the platform kills it after SIGTERM. It sent requests to targets as long as they came: one whose header arrived within stop.balancer_lag and whose body came seconds later, one that had waited, a second attempt. At SIGKILL all that ran was cut without an answer, requests that must not be repeated among them.

Ruled out: requests on kept connections and on new ones after the lag (503, not run, on too); a second SIGTERM (it changes nothing, before and after); a daemon without a configuration (it stopped after 0.9 s and cut nothing, before and after).

Change: stop.grace (0: unknown, as before). Package shutdown decides until when a request is sent to a target: until its route's usual duration, and a sixteenth of the grace at least, before the last moment for an answer, which is a sixteenth before the kill. What can't be sent gets 2008 or its first attempt's failure at that moment, what still runs gets 3008 at the last one, responses that have begun are broken off, and connections that neighbours serve are ended. Event 114 counts them.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -54,6 +54,8 @@
 	// that a neighbour accepted, offers that it refused, offers that it did not answer in
 	// time, and accepted connections that it closed without an answer.
 	forwarded, refused, timedOut, lost atomic.Int64
+	// ended counts the requests that were ended by endAll.
+	ended atomic.Int64
 	// notOffered counts the connections since the last report that were to be forwarded and were
 	// offered to nobody.
 	notOffered notOffered
@@ -290,6 +292,21 @@
 	return h.picker.MaxOpen()
 }
 
+// endAll ends the connections that neighbours serve. Their callers get an error where no part of a response has
+// arrived, and otherwise an end that doesn't look complete.
+func (h *connForwarder) endAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, proxies := range h.proxies {
+		for p := range proxies {
+			if p.requestSent.Load() {
+				h.ended.Add(1)
+			}
+			p.neighbourGone()
+		}
+	}
+}
+
 // wait waits until no connection is being forwarded or ctx ends.
 func (h *connForwarder) wait(ctx context.Context) {
 	ticker := time.NewTicker(drainPollInterval)
--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -22,6 +22,7 @@
 	"github.com/savorystall/savorystall/internal/retry"
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/settings"
+	"github.com/savorystall/savorystall/internal/shutdown"
 	"github.com/savorystall/savorystall/internal/slowreader"
 	"github.com/savorystall/savorystall/internal/targetconn"
 	"github.com/savorystall/savorystall/internal/targetnotice"
@@ -210,9 +211,14 @@
 
 // stop performs a graceful shutdown in the same order as Daemon.stop.
 func (d *Routed) stop(ctx context.Context) error {
+	plan := shutdown.NewPlan(time.Now(), d.deps.Settings.Stop.Grace)
 	wasReady := d.deps.Life.State() == StateReady
 	d.deps.Life.applyTrigger(triggerStop)
 	event.DaemonDraining.Log(d.deps.Log, "daemon", d.deps.Identity.Daemon)
+	d.deps.Gateway.BeginStop(plan)
+	if plan.Bounded() {
+		defer time.AfterFunc(time.Until(plan.AnswerBy()), d.deps.Forwarder.endAll).Stop()
+	}
 	d.deps.Node.AnnounceLeaving()
 	d.deps.Loop.Leave()
 	if wasReady {
@@ -229,6 +235,7 @@
 	})
 	d.deps.Servers.drain(ctx, d.deps.Forwarder, d.accepting)
 	stopWarnings()
+	d.deps.Gateway.LogGrace(d.deps.Forwarder.ended.Load())
 	d.deps.Servers.connections.ends.logReport()
 	d.deps.Life.applyTrigger(triggerDrained)
 	d.cancel()
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -13,6 +13,9 @@
 	DrainSlow       = define(107, slog.LevelWarn, "graceful shutdown waits for requests", "see docs/OPERATIONS.md, a stuck drain")
 )
 
+// GraceOver has the requests that were refused or ended because they could not be completed before the end of the grace.
+var GraceOver = define(114, slog.LevelWarn, "requests were refused or ended because the process is killed at the end of the grace", "see docs/operations/stuck-drain.md")
+
 // SettingsReloaded is logged each time the settings are reloaded.
 var SettingsReloaded = define(108, slog.LevelInfo, "settings were read again and are valid; changes take effect at the next start", "none")
 
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -65,6 +65,7 @@
 	// bodyFingerprint is set once it was needed, or the body was released.
 	bodyFingerprint *poison.Fingerprint
 	stats           requestStats
+	grace           graceLimit
 }
 
 // requestStats holds what is logged about a request.
@@ -102,6 +103,14 @@
 	return defaultTimeout
 }
 
+// timeLeft returns how long a request that arrives may take.
+func timeLeft(r *route.Route, info *RequestInfo) time.Duration {
+	if info.Remaining > 0 {
+		return min(TimeLimit(r), info.Remaining)
+	}
+	return TimeLimit(r)
+}
+
 // accept does all checks that need no target. The returned request is nil on failure.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*proxyRequest, *resultcode.Failure) {
 	arrived := s.arrivalTime(r)
@@ -133,8 +142,9 @@
 	pr := &proxyRequest{
 		w: w, id: ident.NewRequest(), inbound: r, info: info,
 		route: matched, workspace: workspace, table: table, arrived: arrived,
-		regions: table.AllowedRegions(matched, info.Key),
-		events:  newEventFilter(info.LastEventID, s.Dialect.IsEventField),
+		deadline: arrived.Add(timeLeft(matched, &info)),
+		regions:  table.AllowedRegions(matched, info.Key),
+		events:   newEventFilter(info.LastEventID, s.Dialect.IsEventField),
 	}
 	if s.pending.Add(1) > maxPending {
 		s.pending.Add(-1)
@@ -143,7 +153,9 @@
 		return nil, resultcode.Fail(resultcode.FleetFull, "this daemon has %d requests to place", maxPending)
 	}
 	pr.isPending = true
+	s.grace.add(pr)
 	if pr.body, failure = s.readBody(w, pr, table.Limits); failure != nil {
+		s.grace.remove(pr)
 		s.releasePending(pr)
 		return nil, failure
 	}
@@ -220,17 +232,11 @@
 	}
 }
 
-// planRequest selects the service and sets the deadline and the wait plan.
+// planRequest selects the service and sets the wait plan.
 func (s *Server) planRequest(pr *proxyRequest, table *route.Table) {
 	pr.service = s.chooseService(pr.route, table)
-	limit := TimeLimit(pr.route)
-	remaining := limit
-	if pr.info.Remaining > 0 {
-		remaining = min(remaining, pr.info.Remaining)
-	}
-	pr.deadline = pr.arrived.Add(remaining)
 	pr.plan = patience.Decide(patience.Request{
-		Arrived: pr.arrived, Remaining: remaining, MaxWait: limit, Objective: pr.route.Objective,
+		Arrived: pr.arrived, Remaining: timeLeft(pr.route, &pr.info), MaxWait: TimeLimit(pr.route), Objective: pr.route.Objective,
 		Resumed: pr.takesUpStream(), Stated: pr.info.Remaining, Usual: s.usualWait(pr),
 	})
 }
@@ -290,11 +296,18 @@
 	// Without support for read deadlines the body is read without one.
 	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	s.onBody(pr, 0, true)
+	s.grace.enter(pr, graceReceiving, func() { _ = controller.SetReadDeadline(time.Now()) })
 	body, err := readAll(io.LimitReader(r.Body, maxBytes+1), r.ContentLength, func(size int) { s.onBody(pr, size, true) })
 	s.onBody(pr, len(body), false) // before the deadline is cleared, which a slow body's end may set
+	s.grace.enter(pr, graceWaiting, nil)
 	_ = controller.SetReadDeadline(time.Time{})
 	var timeout net.Error
 	switch {
+	case err != nil && pr.grace.isOver():
+		s.grace.unreceived.Add(1)
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		_ = controller.SetReadDeadline(time.Now().Add(lateBodyTime))
+		return nil, resultcode.Fail(resultcode.Stopping, "the body has not arrived")
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return nil, resultcode.Fail(resultcode.BodyTimeout, "")
 	case err != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,6 +230,7 @@
 	daemons atomic.Int64
 	// closing is set once no new requests are accepted.
 	closing atomic.Bool
+	grace   *graceLimiter
 	// pending counts the requests that are being read or placed.
 	pending    atomic.Int64
 	logBudgets logBudgets
@@ -258,7 +259,7 @@
 
 // New returns a Server that knows no targets yet and no other daemon.
 func New(deps Deps) *Server {
-	s := &Server{Deps: deps, resumeCredits: resumeCredits{byWorkspace: map[ident.Workspace]float64{}}, retryBudgets: map[ident.Service]*retry.Window{}}
+	s := &Server{Deps: deps, grace: newGraceLimiter(), resumeCredits: resumeCredits{byWorkspace: map[ident.Workspace]float64{}}, retryBudgets: map[ident.Service]*retry.Window{}}
 	s.logBudgets = logBudgets{
 		failed: logging.NewRateLimiter(failedLogRate), refused: logging.NewRateLimiter(refusedLogRate), served: logging.NewRateLimiter(servedLogRate),
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -65,6 +65,7 @@
 
 // run processes an accepted request until it has a response or a final failure.
 func (s *Server) run(ctx context.Context, pr *proxyRequest) *resultcode.Failure {
+	defer s.grace.remove(pr)
 	ctx, cancel := context.WithDeadline(ctx, pr.deadline)
 	defer cancel()
 	pr.cancel = cancel
@@ -78,8 +79,19 @@
 		if failure := s.heldBack(pr); failure != nil {
 			return correctOutcome(failure, outcome)
 		}
+		if pr.grace.isOver() || s.grace.tooLate(pr) {
+			return s.grace.refuse(outcome)
+		}
+		s.grace.enter(pr, graceWaiting, cancel)
 		placement, dispatched := s.placeOrWait(ctx, pr)
+		s.grace.enter(pr, graceRunning, cancel)
 		s.releasePending(pr)
+		if pr.grace.isOver() || s.grace.tooLate(pr) {
+			if placement.Failure == nil {
+				s.Placer.Finish(pr.id, booking.Result{NotRun: true})
+			}
+			return s.grace.refuse(outcome)
+		}
 		if placement.Failure != nil {
 			return s.placementFailure(ctx, pr, placement.Failure, outcome)
 		}
@@ -193,13 +205,14 @@
 	if r.firstByteTime > 0 {
 		s.Metrics.FirstByte(entry.Service, r.firstByteTime)
 	}
+	s.grace.observe(pr, r, elapsed)
 	s.Metrics.Served(entry.Service, pr.workspace, int64(r.cost))
 }
 
 // prepareRetry reports whether the request is retried at another target. If so, it takes the
 // retry from the budget and excludes the failed target.
 func (s *Server) prepareRetry(pr *proxyRequest, r attemptResult, target ident.Target) bool {
-	if !r.sent && pr.stats.unsentAttempts > maxUnsentAttempts {
+	if !r.sent && pr.stats.unsentAttempts > maxUnsentAttempts || s.grace.tooLate(pr) {
 		return false
 	}
 	// A request that failed in the engine has run, but a repeatable one may run again.
@@ -254,7 +267,7 @@
 	return correctOutcome(f, outcome)
 }
 
-// callerGone reports whether the request ended because its caller disconnected.
+// callerGone reports whether the request ended because its caller disconnected, or because the daemon stops.
 func callerGone(ctx context.Context, pr *proxyRequest) bool {
 	return errors.Is(ctx.Err(), context.Canceled) || pr.inbound.Context().Err() != nil
 }
@@ -262,6 +275,9 @@
 // contextFailure returns the failure of a request whose context has ended: the caller
 // disconnected or the deadline passed.
 func (s *Server) contextFailure(ctx context.Context, pr *proxyRequest, outcome resultcode.Outcome) *resultcode.Failure {
+	if pr.grace.isOver() && pr.inbound.Context().Err() == nil {
+		return s.grace.ended(pr, outcome)
+	}
 	if callerGone(ctx, pr) {
 		return resultcode.Fail(resultcode.CallerGone, "")
 	}
--- /dev/null
+++ b/internal/gateway/stopping.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/resultcode"
+	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/shutdown"
+)
+
+// gracePhase is what a request does when a planned stop ends it.
+type gracePhase int
+
+const (
+	// graceReceiving and graceWaiting end when the request can't be sent to a target any more.
+	graceReceiving gracePhase = iota
+	graceWaiting
+	// graceRunning ends when the response must be complete.
+	graceRunning
+)
+
+// graceLimit ends one request. The zero value has not been added to a limiter.
+type graceLimit struct {
+	mu    sync.Mutex
+	phase gracePhase
+	end   func()
+	timer *time.Timer
+	// over reports that end was called, removed that it must not be called.
+	over, removed bool
+}
+
+// graceLimiter ends the requests that can't be completed before the end of a planned stop. It is safe for concurrent
+// use.
+type graceLimiter struct {
+	plan atomic.Pointer[shutdown.Plan]
+	// usual holds a shutdown.Usual for the name of each route.
+	usual sync.Map
+	// unreceived counts the requests refused while their bodies arrived, waiting those refused before they were
+	// sent to a target, unanswered those ended at a target before and cut those ended after the response had begun.
+	unreceived, waiting, unanswered, cut atomic.Int64
+
+	mu       sync.Mutex
+	requests map[*proxyRequest]bool
+}
+
+func newGraceLimiter() *graceLimiter {
+	return &graceLimiter{requests: map[*proxyRequest]bool{}}
+}
+
+// BeginStop bounds all requests by the end of a planned stop, also those that are in progress.
+func (s *Server) BeginStop(plan shutdown.Plan) {
+	if plan.Bounded() {
+		s.grace.begin(&plan)
+	}
+}
+
+// LogGrace logs how many requests were refused or ended because of the grace, if there were any. Forwarded is the number
+// of connections that were ended while neighbours served them.
+func (s *Server) LogGrace(forwarded int64) {
+	g := s.grace
+	unreceived, waiting, unanswered, cut := g.unreceived.Load(), g.waiting.Load(), g.unanswered.Load(), g.cut.Load()
+	if unreceived+waiting+unanswered+cut+forwarded > 0 {
+		event.GraceOver.Log(s.Log, "unreceived", unreceived, "waiting", waiting, "unanswered", unanswered, "cut", cut, "passed_on", forwarded)
+	}
+}
+
+// usualDuration returns what is observed about how long the requests of a route take.
+func (l *graceLimiter) usualDuration(name string) *shutdown.Usual {
+	usual, known := l.usual.Load(name)
+	if !known {
+		usual, _ = l.usual.LoadOrStore(name, &shutdown.Usual{})
+	}
+	return usual.(*shutdown.Usual)
+}
+
+// observe records a complete response. Of a stream that another daemon can continue, only the time to its first event
+// counts.
+func (l *graceLimiter) observe(pr *proxyRequest, r attemptResult, elapsed time.Duration) {
+	if r.failure != nil {
+		return
+	}
+	if pr.route.Retry == route.Stream && pr.route.Resumable {
+		elapsed = r.firstByteTime
+	}
+	l.usualDuration(pr.route.Name).Observe(elapsed)
+}
+
+// dispatchUntil returns until when a request may be sent to a target.
+func (l *graceLimiter) dispatchUntil(plan *shutdown.Plan, pr *proxyRequest) time.Time {
+	return plan.DispatchUntil(pr.deadline, l.usualDuration(pr.route.Name).Duration())
+}
+
+// tooLate reports whether the daemon stops too soon to send the request to a target.
+func (l *graceLimiter) tooLate(pr *proxyRequest) bool {
+	plan := l.plan.Load()
+	return plan != nil && time.Now().After(l.dispatchUntil(plan, pr))
+}
+
+// refuse returns the failure of a request that is not sent to a target because the daemon stops.
+func (l *graceLimiter) refuse(outcome resultcode.Outcome) *resultcode.Failure {
+	l.waiting.Add(1)
+	return correctOutcome(resultcode.Fail(resultcode.Stopping, "its response can't be expected in time"), outcome)
+}
+
+// ended returns the failure of a request that was ended because the process is about to be killed.
+func (l *graceLimiter) ended(pr *proxyRequest, outcome resultcode.Outcome) *resultcode.Failure {
+	switch {
+	case outcome == resultcode.NotRun && !pr.responseStarted:
+		return l.refuse(outcome)
+	case pr.responseStarted:
+		l.cut.Add(1)
+	default:
+		l.unanswered.Add(1)
+	}
+	return resultcode.Fail(resultcode.DaemonStopped, "after %s", time.Since(pr.arrived).Round(time.Millisecond))
+}
+
+// begin sets the plan and bounds the requests that are in progress.
+func (l *graceLimiter) begin(plan *shutdown.Plan) {
+	l.plan.Store(plan)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for pr := range l.requests {
+		pr.grace.mu.Lock()
+		l.arm(plan, pr)
+		pr.grace.mu.Unlock()
+	}
+}
+
+// add bounds a request by the end of a planned stop, until it is removed.
+func (l *graceLimiter) add(pr *proxyRequest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests[pr] = true
+}
+
+// remove ends the limit of a request.
+func (l *graceLimiter) remove(pr *proxyRequest) {
+	l.mu.Lock()
+	delete(l.requests, pr)
+	l.mu.Unlock()
+	pr.grace.mu.Lock()
+	defer pr.grace.mu.Unlock()
+	pr.grace.removed = true
+	if pr.grace.timer != nil {
+		pr.grace.timer.Stop()
+	}
+}
+
+// enter begins a phase of a request, in which end ends it. The end of the phase before is not called any more.
+func (l *graceLimiter) enter(pr *proxyRequest, phase gracePhase, end func()) {
+	pr.grace.mu.Lock()
+	defer pr.grace.mu.Unlock()
+	pr.grace.phase, pr.grace.end = phase, end
+	if plan := l.plan.Load(); plan != nil {
+		l.arm(plan, pr)
+	}
+}
+
+// arm sets the timer for the end of the phase. The caller holds the lock of the limit.
+func (l *graceLimiter) arm(plan *shutdown.Plan, pr *proxyRequest) {
+	left := time.Until(l.phaseEnd(plan, pr))
+	switch {
+	case pr.grace.removed || pr.grace.over:
+	case pr.grace.timer == nil:
+		pr.grace.timer = time.AfterFunc(left, func() { l.expire(plan, pr) })
+	default:
+		pr.grace.timer.Reset(left)
+	}
+}
+
+func (l *graceLimiter) phaseEnd(plan *shutdown.Plan, pr *proxyRequest) time.Time {
+	if pr.grace.phase == graceRunning {
+		return plan.AnswerBy()
+	}
+	return l.dispatchUntil(plan, pr)
+}
+
+// expire ends a request, unless it has entered a phase that ends later.
+func (l *graceLimiter) expire(plan *shutdown.Plan, pr *proxyRequest) {
+	pr.grace.mu.Lock()
+	defer pr.grace.mu.Unlock()
+	switch {
+	case pr.grace.removed || pr.grace.over || pr.grace.end == nil:
+	case time.Now().Before(l.phaseEnd(plan, pr)):
+		l.arm(plan, pr)
+	default:
+		pr.grace.over = true
+		pr.grace.end()
+	}
+}
+
+// isOver reports whether the request was ended because the daemon stops.
+func (g *graceLimit) isOver() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.over
+}
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -97,6 +97,7 @@
 	TargetProtocol = define(Code{3004, "target_protocol", http.StatusBadGateway, MayHaveRun, "the target's answer broke its protocol", 0})
 	TargetError    = define(Code{3005, "target_error", http.StatusBadGateway, MayHaveRun, "the target reported an error", 0})
 	Internal       = define(Code{3006, "internal", http.StatusInternalServerError, MayHaveRun, "the daemon failed on this request", 0})
+	DaemonStopped  = define(Code{3008, "daemon_stopped", http.StatusGatewayTimeout, MayHaveRun, "this daemon has stopped before the target's answer was complete", 0})
 	NeighbourLost  = define(Code{3007, "neighbour_lost", http.StatusBadGateway, MayHaveRun, "the daemon that the connection was passed on to ended before its answer", 0})
 )
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -222,6 +222,9 @@
 	// BalancerLag is the time that the load balancer needs to notice that readiness
 	// fails. Requests are still accepted during that time. Default 5s.
 	BalancerLag time.Duration `yaml:"balancer_lag" validate:"min=0"`
+	// Grace is the time from SIGTERM until the platform kills the process. Where routes are served, requests
+	// that cannot be completed within it are refused or ended in time. Default 0, which means unknown.
+	Grace time.Duration `yaml:"grace" validate:"min=0"`
 	// WarnAfter is the time after which a drain that is still waiting is logged.
 	// Default 60s.
 	WarnAfter time.Duration `yaml:"warn_after" validate:"min=0"`
--- /dev/null
+++ b/internal/shutdown/shutdown_test.go
@@ -0,0 +1,58 @@
+package shutdown
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return began.Add(d) }
+
+// Guards against requests that are sent to a target so late that they are cut when the process is killed, and
+// against the refusal of those that end in time.
+func TestDispatchUntil(t *testing.T) {
+	p := NewPlan(began, 8*time.Second)
+	is.New(t).Equal(p.AnswerBy(), at(7500*time.Millisecond))
+	for name, c := range map[string]struct{ deadline, usual, until time.Duration }{
+		"quick":                                {20 * time.Second, 20 * time.Millisecond, 7 * time.Second},
+		"unknown":                              {20 * time.Second, 0, 7 * time.Second},
+		"slow":                                 {20 * time.Second, 3 * time.Second, 4500 * time.Millisecond},
+		"longer than the grace":                {60 * time.Second, 30 * time.Second, -22500 * time.Millisecond},
+		"ends by its deadline":                 {7500 * time.Millisecond, 30 * time.Second, 7500 * time.Millisecond},
+		"deadline in the margin":               {7501 * time.Millisecond, 0, 7 * time.Second},
+		"deadline before the end of the grace": {3 * time.Second, 20 * time.Millisecond, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			until := p.DispatchUntil(at(c.deadline), c.usual)
+			is.Equal(until, at(c.until))
+			is.True(p.MayDispatch(until, at(c.deadline), c.usual))
+			is.True(!p.MayDispatch(until.Add(1), at(c.deadline), c.usual))
+		})
+	}
+}
+
+// Guards against refusals by a daemon that does not know the grace.
+func TestUnknownGraceBoundsNothing(t *testing.T) {
+	is := is.New(t)
+	for _, p := range []Plan{{}, NewPlan(began, 0), NewPlan(began, -time.Second)} {
+		is.True(!p.Bounded())
+		is.True(p.MayDispatch(at(time.Hour), at(time.Minute), time.Hour))
+		is.Equal(p.DispatchUntil(at(time.Minute), time.Hour), at(time.Minute))
+	}
+}
+
+func TestUsualFollowsTheMean(t *testing.T) {
+	is := is.New(t)
+	var u Usual
+	is.Equal(u.Duration(), time.Duration(0))
+	u.Observe(time.Second)
+	is.Equal(u.Duration(), time.Second)
+	for range 200 {
+		u.Observe(3 * time.Second)
+	}
+	is.True(u.Duration() > 2900*time.Millisecond && u.Duration() <= 3*time.Second)
+}
