--- a/internal/standin/engine/connection.go
+++ b/internal/standin/engine/connection.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 )
@@ -18,6 +19,8 @@
 	r       *http.Request
 	// skipped reports that FaultSkipToken has already omitted a token.
 	skipped bool
+	// garbageSent is set if FaultGarbage has sent its bytes.
+	garbageSent bool
 }
 
 // streamEvents writes the stream's events after the offset until the stream ends.
@@ -41,6 +44,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		if offset == c.stream.total {
+			if c.applyGarbage(offset) {
+				return
+			}
 			_, _ = c.w.Write([]byte("data: [DONE]\n\n"))
 			return
 		}
@@ -108,7 +114,7 @@
 			_, _ = c.w.Write(b.Bytes())
 			b.Reset()
 			_ = http.NewResponseController(c.w).Flush()
-			if c.applyFault() {
+			if c.applyFault() || c.applyGarbage(i) {
 				return true
 			}
 			if c.fault.Kind == FaultSkipToken && !c.skipped {
@@ -144,6 +150,21 @@
 	return false
 }
 
+// applyGarbage applies FaultGarbage before the token with the index next. It returns
+// as applyFault does.
+func (c *connection) applyGarbage(next int) (ended bool) {
+	if c.fault == nil || c.fault.Kind != FaultGarbage || c.garbageSent {
+		return false
+	}
+	c.garbageSent = true
+	_, _ = io.WriteString(c.w, c.fault.Garbage.Text(next+1))
+	_ = http.NewResponseController(c.w).Flush()
+	if c.fault.AfterGarbage == GarbageDisconnect {
+		panic(http.ErrAbortHandler)
+	}
+	return c.fault.AfterGarbage == GarbageEnd
+}
+
 func (c *connection) dropStream() {
 	c.engine.mu.Lock()
 	defer c.engine.mu.Unlock()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -50,6 +51,11 @@
 	// IgnoreOffset ignores the offset of a request and generates its answer from
 	// the start, as an engine without support for continuation does.
 	IgnoreOffset bool
+	// GarbageFraction is the fraction of connections on which the engine sends bytes
+	// that are no event of the stream. Default: none.
+	GarbageFraction float64
+	// GarbageSeed seeds the choice of these connections and bytes.
+	GarbageSeed uint64
 }
 
 // Defaults of Config.
@@ -122,6 +128,7 @@
 	lastStepAt, statusUpdatedAt, lastSweepAt time.Time
 	orders                                   []Orders
 	cache                                    cache
+	rng                                      *rand.Rand
 }
 
 // New starts an engine. Close stops it.
@@ -137,6 +144,7 @@
 		traceParents: map[string]string{},
 		stepTime:     cfg.Step,
 		cache:        newCache(cfg),
+		rng:          newGarbageRand(cfg.GarbageSeed),
 	}
 	e.router = e.routes()
 	go e.run()
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -1,5 +1,11 @@
 package enginestandin
 
+import (
+	"math/rand/v2"
+
+	"github.com/savorystall/savorystall/internal/standin/garbage"
+)
+
 // FaultKind is the kind of a fault on a connection to the engine.
 type FaultKind int
 
@@ -29,6 +35,22 @@
 	FaultServerError
 	// FaultReject responds that the request was not processed.
 	FaultReject
+	// FaultGarbage sends bytes that are no event after some tokens.
+	FaultGarbage
+)
+
+// AfterGarbage is what an engine does after it has sent garbage.
+type AfterGarbage int
+
+// Values of AfterGarbage.
+const (
+	// GarbageContinue sends the rest of the stream.
+	GarbageContinue AfterGarbage = iota
+	// GarbageEnd ends the response normally, but without the end mark.
+	GarbageEnd
+	// GarbageDisconnect closes the connection; the stream keeps running.
+	GarbageDisconnect
+	afterGarbageCount
 )
 
 // Fault describes a fault to inject.
@@ -40,6 +62,9 @@
 	AfterTokens int
 	// Times is the number of connections that are affected; zero means one.
 	Times int
+	// Garbage is what FaultGarbage sends, and AfterGarbage what the engine does then.
+	Garbage      garbage.Kind
+	AfterGarbage AfterGarbage
 }
 
 // Inject adds a fault, which applies to the next matching connections.
@@ -58,8 +83,8 @@
 }
 
 // consumeFault returns the first pending fault that matches the prompt and
-// decrements its remaining count. It returns nil if none matches. The caller
-// holds e.mu.
+// decrements its remaining count. If none matches, it returns one at random or nil.
+// The caller holds e.mu.
 func (e *Engine) consumeFault(prompt string) *Fault {
 	for i, f := range e.faults {
 		if f.Prompt != "" && f.Prompt != prompt {
@@ -72,5 +97,20 @@
 		fault := *f
 		return &fault
 	}
-	return nil
+	return e.randomGarbage()
+}
+
+// randomGarbage returns a fault for the configured fraction of connections, and
+// otherwise nil. The caller holds e.mu.
+func (e *Engine) randomGarbage() *Fault {
+	if e.cfg.GarbageFraction <= 0 || e.rng.Float64() >= e.cfg.GarbageFraction {
+		return nil
+	}
+	kinds := garbage.Kinds()
+	return &Fault{
+		Kind: FaultGarbage, Garbage: kinds[e.rng.IntN(len(kinds))],
+		AfterTokens: e.rng.IntN(defaultMaxTokens + 1), AfterGarbage: AfterGarbage(e.rng.IntN(int(afterGarbageCount))),
+	}
 }
+
+func newGarbageRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
