--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -7,11 +7,16 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/savorystall/savorystall/internal/standin/garbage"
 )
 
 // Headers with which a request controls the stand-in, and headers of the target
@@ -50,8 +55,26 @@
 	// FailNoLength sends the response without Content-Length; the end of the
 	// connection marks its end.
 	FailNoLength = "unframed"
+	// FailExtraBytes sends bytes behind the complete response, together with it.
+	FailExtraBytes = "extra"
+	// FailLateExtraBytes sends bytes behind the complete response after
+	// extraBytesDelay, when the connection may have been reused.
+	FailLateExtraBytes = "extra-late"
+	// FailExtraResponse sends the response to another request behind the complete
+	// response, together with it.
+	FailExtraResponse = "extra-response"
+	// FailWrongBody runs the request and sends a body that is not the response's.
+	FailWrongBody = "wrong-body"
+	// FailNotHTTP runs the request and sends bytes that are no response.
+	FailNotHTTP = "not-http"
 )
 
+// extraBytesDelay is the delay of FailLateExtraBytes.
+const extraBytesDelay = 20 * time.Millisecond
+
+// garbageFailures are the failures of which Config.GarbageFraction selects one.
+var garbageFailures = []string{FailExtraBytes, FailLateExtraBytes, FailExtraResponse, FailWrongBody, FailNotHTTP}
+
 // Echo is the body of a response.
 type Echo struct {
 	Method string `json:"method"`
@@ -69,6 +92,11 @@
 	Delay time.Duration
 	// MaxBody is the maximum size of a request body in bytes. Default: 8 MiB.
 	MaxBody int64
+	// GarbageFraction is the fraction of responses with bytes that are not the
+	// response's. Default: none.
+	GarbageFraction float64
+	// GarbageSeed seeds the choice of these responses and bytes.
+	GarbageSeed uint64
 }
 
 const defaultMaxBody = 8 << 20
@@ -83,6 +111,7 @@
 	headers   map[string]http.Header
 	totalRuns int
 	leaving   bool
+	rng       *rand.Rand
 }
 
 // New returns a Service. Close aborts its open requests.
@@ -90,7 +119,10 @@
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = defaultMaxBody
 	}
-	return &Service{cfg: cfg, stop: make(chan struct{}), runCounts: map[string]int{}, headers: map[string]http.Header{}}
+	return &Service{
+		cfg: cfg, stop: make(chan struct{}), runCounts: map[string]int{}, headers: map[string]http.Header{},
+		rng: rand.New(rand.NewPCG(cfg.GarbageSeed, 0)),
+	}
 }
 
 // Close aborts the requests that are delayed or stalled.
@@ -238,7 +270,8 @@
 }
 
 func (s *Service) respond(w http.ResponseWriter, r *http.Request, echo Echo) {
-	switch r.Header.Get(HeaderFail) {
+	failure := s.failure(r)
+	switch failure {
 	case FailError:
 		writeJSON(w, http.StatusInternalServerError, echo)
 	case FailReset:
@@ -253,11 +286,28 @@
 		s.blockUntilClosed(r)
 	case FailNoLength:
 		writeWithoutLength(w, echo)
+	case FailExtraBytes, FailLateExtraBytes, FailExtraResponse, FailWrongBody, FailNotHTTP:
+		writeGarbage(w, failure, echo)
 	default:
 		writeJSON(w, http.StatusOK, echo)
 	}
 }
 
+// failure returns the failure that the request asks for, or one of garbageFailures for
+// the configured fraction of the other requests.
+func (s *Service) failure(r *http.Request) string {
+	failure := r.Header.Get(HeaderFail)
+	if failure != "" || s.cfg.GarbageFraction <= 0 {
+		return failure
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rng.Float64() >= s.cfg.GarbageFraction {
+		return ""
+	}
+	return garbageFailures[s.rng.IntN(len(garbageFailures))]
+}
+
 func (s *Service) blockUntilClosed(r *http.Request) {
 	select {
 	case <-r.Context().Done():
@@ -289,6 +339,32 @@
 	_ = buf.Flush()
 }
 
+// writeGarbage sends a response with one of garbageFailures and closes the connection.
+func writeGarbage(w http.ResponseWriter, failure string, echo Echo) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	send := func(text string) { _, _ = io.WriteString(conn, text) }
+	data, _ := json.Marshal(echo)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(data))
+	switch failure {
+	case FailExtraBytes:
+		send(head + string(data) + garbage.Words.Text(0))
+	case FailLateExtraBytes:
+		send(head + string(data))
+		time.Sleep(extraBytesDelay)
+		send(garbage.Words.Text(0))
+	case FailExtraResponse:
+		send(head + string(data) + garbage.ForeignResponse.Text(0))
+	case FailWrongBody:
+		send(head + strings.Repeat("g", len(data)))
+	case FailNotHTTP:
+		send(garbage.Words.Text(0))
+	}
+}
+
 func writeJSON(w http.ResponseWriter, code int, v any) {
 	data, _ := json.Marshal(v)
 	w.Header().Set("Content-Type", "application/json")
