--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -22,13 +22,14 @@
 	Settings []string      `long:"settings" value-name:"FILE" description:"settings file of a daemon to enter in the VM list; repeat for more"`
 	Step     time.Duration `long:"step" default:"20ms" value-name:"DURATION" description:"time in which an emulated engine adds a token to every stream"`
 	Batch    int           `long:"batch" value-name:"STREAMS" description:"streams that an emulated engine runs at once; default: the slots in its document"`
+	Garbage  float64       `long:"garbage" value-name:"FRACTION" description:"fraction of responses, 0 to 1, in which emulated targets send bytes that are no part of them; default: 0"`
 	Args     struct {
 		Documents []string `positional-arg-name:"DOCUMENT" required:"1"`
 	} `positional-args:"true"`
 }
 
 func (c *emulateCommand) run(ctx context.Context, a *app) error {
-	cfg := emulator.Config{PlatformAddress: c.Listen, Step: c.Step, Batch: c.Batch}
+	cfg := emulator.Config{PlatformAddress: c.Listen, Step: c.Step, Batch: c.Batch, GarbageFraction: c.Garbage}
 	for _, path := range c.Settings {
 		s, err := settings.Load(path)
 		if err != nil {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -40,6 +40,9 @@
 	Batch int
 	// Delay is the response time of plain services. Default: none.
 	Delay time.Duration
+	// GarbageFraction is the fraction of responses in which targets send bytes that
+	// are no part of them. Default: none.
+	GarbageFraction float64
 	// Listeners maps addresses to open listeners, which are used instead of new
 	// ones. Default: none.
 	Listeners map[string]net.Listener
@@ -120,15 +123,17 @@
 
 func (e *Emulator) startTarget(doc *document.Document, t document.Target) error {
 	key := TargetKey{doc.Service, t.Name}
+	seed := uint64(len(e.Engines) + len(e.PlainTargets))
 	var handler http.Handler
 	if doc.Kind == document.Model {
 		engine := enginestandin.New(enginestandin.Config{
 			Step: e.cfg.Step, Slots: cmp.Or(e.cfg.Batch, t.Slots),
-			EnforceFencing: doc.Orders != nil && doc.Orders.Fencing == document.Enforced,
+			EnforceFencing:  doc.Orders != nil && doc.Orders.Fencing == document.Enforced,
+			GarbageFraction: e.cfg.GarbageFraction, GarbageSeed: seed,
 		})
 		e.Engines[key], handler = engine, engine
 	} else {
-		plain := plainstandin.New(plainstandin.Config{Delay: e.cfg.Delay})
+		plain := plainstandin.New(plainstandin.Config{Delay: e.cfg.Delay, GarbageFraction: e.cfg.GarbageFraction, GarbageSeed: seed})
 		e.PlainTargets[key], handler = plain, plain
 	}
 	_, err := e.serve(t.Address, e.countRequests(handler))
