--- a/internal/standin/garbage/garbage.go
+++ b/internal/standin/garbage/garbage.go
@@ -69,6 +69,16 @@
 	return kinds
 }
 
+var kindNames = [kindCount]string{
+	Words: "words", Zeros: "zeros", HTML: "HTML", Long: "long", ForeignResponse: "foreign response", NoID: "no ID",
+	EmptyID: "empty ID", WordID: "word ID", NegativeID: "negative ID", UppercaseID: "uppercase ID", TwoIDs: "two IDs",
+	UnterminatedWords: "unterminated words", PassedID: "passed ID", ZeroID: "zero ID", FutureID: "future ID",
+	UnterminatedEvent: "unterminated event",
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string { return kindNames[k] }
+
 // IsTerminated reports whether the garbage ends with an empty line, so that an event
 // that follows it begins on its own line.
 func (k Kind) IsTerminated() bool { return k != UnterminatedWords && k != UnterminatedEvent }
