--- a/internal/standin/plain/garbage_test.go
+++ b/internal/standin/plain/garbage_test.go
@@ -38,9 +38,10 @@
 // does with them.
 func TestGarbageIsSentInsteadOfOrBehindResponse(t *testing.T) {
 	for failure, behind := range map[string]string{
-		plainstandin.FailExtraBytes:     garbage.Words.Text(0),
-		plainstandin.FailLateExtraBytes: garbage.Words.Text(0),
-		plainstandin.FailExtraResponse:  garbage.ForeignResponse.Text(0),
+		plainstandin.FailExtraBytes:        garbage.Words.Text(0),
+		plainstandin.FailLateExtraBytes:    garbage.Words.Text(0),
+		plainstandin.FailExtraResponse:     garbage.ForeignResponse.Text(0),
+		plainstandin.FailLateExtraResponse: garbage.ForeignResponse.Text(0),
 	} {
 		t.Run(failure, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -63,17 +63,19 @@
 	// FailExtraResponse sends the response to another request behind the complete
 	// response, together with it.
 	FailExtraResponse = "extra-response"
+	// FailLateExtraResponse sends that response after extraBytesDelay.
+	FailLateExtraResponse = "extra-response-late"
 	// FailWrongBody runs the request and sends a body that is not the response's.
 	FailWrongBody = "wrong-body"
 	// FailNotHTTP runs the request and sends bytes that are no response.
 	FailNotHTTP = "not-http"
 )
 
-// extraBytesDelay is the delay of FailLateExtraBytes.
+// extraBytesDelay is the delay of FailLateExtraBytes and FailLateExtraResponse.
 const extraBytesDelay = 20 * time.Millisecond
 
 // garbageFailures are the failures of which Config.GarbageFraction selects one.
-var garbageFailures = []string{FailExtraBytes, FailLateExtraBytes, FailExtraResponse, FailWrongBody, FailNotHTTP}
+var garbageFailures = []string{FailExtraBytes, FailLateExtraBytes, FailExtraResponse, FailLateExtraResponse, FailWrongBody, FailNotHTTP}
 
 // Echo is the body of a response.
 type Echo struct {
@@ -286,7 +288,7 @@
 		s.blockUntilClosed(r)
 	case FailNoLength:
 		writeWithoutLength(w, echo)
-	case FailExtraBytes, FailLateExtraBytes, FailExtraResponse, FailWrongBody, FailNotHTTP:
+	case FailExtraBytes, FailLateExtraBytes, FailExtraResponse, FailLateExtraResponse, FailWrongBody, FailNotHTTP:
 		writeGarbage(w, failure, echo)
 	default:
 		writeJSON(w, http.StatusOK, echo)
@@ -352,10 +354,10 @@
 	switch failure {
 	case FailExtraBytes:
 		send(head + string(data) + garbage.Words.Text(0))
-	case FailLateExtraBytes:
+	case FailLateExtraBytes, FailLateExtraResponse:
 		send(head + string(data))
 		time.Sleep(extraBytesDelay)
-		send(garbage.Words.Text(0))
+		send(map[string]garbage.Kind{FailLateExtraBytes: garbage.Words, FailLateExtraResponse: garbage.ForeignResponse}[failure].Text(0))
 	case FailExtraResponse:
 		send(head + string(data) + garbage.ForeignResponse.Text(0))
 	case FailWrongBody:
