--- a/internal/standin/garbage/garbage.go
+++ b/internal/standin/garbage/garbage.go
@@ -91,6 +91,10 @@
 // a lower ID follows it.
 func (k Kind) NeedsLaterEvent() bool { return k == FutureID }
 
+// NeedsEnd reports whether the garbage is no event only if nothing follows it. An event
+// that follows it becomes part of its data.
+func (k Kind) NeedsEnd() bool { return k == UnterminatedEvent }
+
 const foreignBody = "the " + Mark + " of another request\n\n"
 
 // Text returns the garbage for a place in an event stream before the event with the
