What a daemon holds for the events of all streams together is bounded

Cause: an event is kept until it is complete, and was bounded one by one (1 MB). 128 streams whose event does not end and stays below that took the memory of a VM, and the requests of its other callers with it. Complete events that a slow caller does not read were kept in the same way, and a stream kept the buffer of its largest event. Change: package eventmemory, a decision without a network, bounds the sum to a 32nd of memory.limit (8 MB without it). Above it the stream that holds most is ended: 3004, target failed, a resumable stream goes on elsewhere; one that writes to a caller that does not read is disconnected instead. Streams that hold up to 32 KB are not counted. The cause event_memory in savorystall_streams_broken. That a resumable stream goes on after such an end has no test of its own.

--- /dev/null
+++ b/internal/eventmemory/eventmemory.go
@@ -0,0 +1,155 @@
+// Package eventmemory decides which streams are ended because the incomplete events of all streams take more memory
+// than a VM has for them.
+//
+// An event is kept until it is complete, and one that does not end is bounded by its size alone. The load pattern
+// is a target that begins an event in each of its streams and ends none: a hundred events below that bound fill a
+// small VM. The package uses no network; a stream is ended by a function that its owner passes in.
+package eventmemory
+
+import (
+	"errors"
+	"sync"
+)
+
+const (
+	// UncountedBytes is what a stream may hold without being counted, so that no stream of ordinary events is
+	// ended because of others, nor takes a lock. The number of callers' connections bounds what these streams
+	// hold together.
+	UncountedBytes = 32 << 10
+	// limitFraction is the fraction of a VM's memory that the counted streams may hold.
+	limitFraction = 1.0 / 32
+	// defaultLimit is the same in bytes if the memory of the VM is not known.
+	defaultLimit = 8 << 20
+	// reserveFactor is how much of the limit may be held while streams that were ended release their memory.
+	reserveFactor = 2
+	// smallFraction is the part of the limit up to which a stream is not ended for the memory of those.
+	smallFraction = 16
+)
+
+// ErrEnded is the error of a stream that was ended for the memory that it held.
+var ErrEnded = errors.New("the events of the streams take too much memory, and this one holds most")
+
+// Budget is what all streams of a daemon may hold together. It is safe for concurrent use.
+type Budget struct {
+	mu    sync.Mutex
+	limit int64
+	// held is what the counted streams hold, and ending the part of those that were ended and have not released
+	// it yet.
+	held, ending int64
+	counted      map[*Stream]struct{}
+}
+
+// New returns the budget of a VM with the given memory; zero means that it is not known.
+func New(memoryBytes int64) *Budget {
+	limit := int64(float64(memoryBytes) * limitFraction)
+	if memoryBytes <= 0 {
+		limit = defaultLimit
+	}
+	return &Budget{limit: limit, counted: map[*Stream]struct{}{}}
+}
+
+// Held returns the number of bytes that the counted streams hold.
+func (b *Budget) Held() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// Stream is what one stream holds. Apart from Ended, its methods are called by one goroutine at a time. A nil Stream
+// is not bounded.
+type Stream struct {
+	budget *Budget
+	end    func()
+	// bytes is what the stream holds, without what is not counted. It and ended are protected by the lock of
+	// the budget.
+	bytes int64
+	ended bool
+}
+
+// NewStream returns a stream that holds nothing. End is called at most once, when the stream is to end because of
+// what it holds, and not after Release. It must neither block nor call the budget.
+func (b *Budget) NewStream(end func()) *Stream { return &Stream{budget: b, end: end} }
+
+// Hold records that the stream holds this many bytes. It returns ErrEnded if the stream is to end.
+func (s *Stream) Hold(bytes int) error {
+	if s == nil {
+		return nil
+	}
+	counted := int64(bytes)
+	if counted <= UncountedBytes {
+		counted = 0
+	}
+	if counted == s.bytes { // only this goroutine changes it
+		return nil
+	}
+	b := s.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	grows := counted > s.bytes
+	b.set(s, counted)
+	if grows && !s.ended {
+		b.enforce(s)
+	}
+	if s.ended {
+		return ErrEnded
+	}
+	return nil
+}
+
+// Release records that the stream holds nothing any more.
+func (s *Stream) Release() {
+	if s == nil {
+		return
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.budget.set(s, 0)
+}
+
+// Ended reports whether the stream was ended because of what it held.
+func (s *Stream) Ended() bool {
+	if s == nil {
+		return false
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.ended
+}
+
+// set records what a stream holds. The caller holds the lock.
+func (b *Budget) set(s *Stream, bytes int64) {
+	b.held += bytes - s.bytes
+	if s.ended {
+		b.ending += bytes - s.bytes
+	}
+	s.bytes = bytes
+	if bytes > 0 {
+		b.counted[s] = struct{}{}
+	} else {
+		delete(b.counted, s)
+	}
+}
+
+// enforce ends the streams that hold most until the others are within the limit. The stream that has just grown
+// ends first among equals, as it releases its memory at once; unless it is small, it also ends if those that were
+// ended before have not released enough. The caller holds the lock.
+func (b *Budget) enforce(grown *Stream) {
+	for b.held-b.ending > b.limit {
+		largest := grown
+		for s := range b.counted {
+			if !s.ended && (largest.ended || s.bytes > largest.bytes) {
+				largest = s
+			}
+		}
+		b.endStream(largest)
+	}
+	if b.held > reserveFactor*b.limit && grown.bytes > b.limit/smallFraction && !grown.ended {
+		b.endStream(grown)
+	}
+}
+
+func (b *Budget) endStream(s *Stream) {
+	s.ended = true
+	b.ending += s.bytes
+	s.end()
+}
--- a/internal/eventstream/parser.go
+++ b/internal/eventstream/parser.go
@@ -100,6 +100,9 @@
 // BufferedBytes returns the memory that the incomplete event occupies.
 func (p *Parser) BufferedBytes() int { return cap(p.pending) }
 
+// Free frees the buffer. The parser must be reset before it is used again.
+func (p *Parser) Free() { p.pending = nil }
+
 // Feed adds received bytes and delivers each event that is complete. It returns a Violation at the first bytes
 // that are no event. Nothing that follows them is parsed.
 func (p *Parser) Feed(b []byte) error {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -54,6 +54,8 @@
 	status int
 	// events tracks the event stream that has been received so far.
 	events eventFilter
+	// streamEnd ends the current attempt of a stream for the memory that it holds.
+	streamEnd *streamEnd
 	// resumed describes the stream that the caller takes up again. Once origin is set, the
 	// request may only be sent to targets of this service and version.
 	resumed resumedStream
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 
+	"github.com/savorystall/savorystall/internal/eventmemory"
 	"github.com/savorystall/savorystall/internal/eventstream"
 )
 
@@ -32,6 +34,8 @@
 	// it has sent the first of them.
 	unconfirmed, resumed bool
 	complete             []byte
+	// memory bounds what the events of all streams take; it may be nil.
+	memory *eventmemory.Stream
 }
 
 // idGap is the last gap between the IDs that the current target has sent.
@@ -88,15 +92,32 @@
 // hasPartialEvent reports whether the stream has stopped within an event.
 func (f *eventFilter) hasPartialEvent() bool { return f.parser.HasPartialEvent() }
 
+// endAttempt frees the memory of events.
+func (f *eventFilter) endAttempt() {
+	f.parser.Free()
+	f.complete = nil
+	f.memory.Release()
+}
+
 // feed adds received bytes and returns the complete events to deliver, which are valid until the next call.
-// An error says that what follows them is not of the stream.
+// An error says that what follows them is not of the stream, or that the stream takes too much memory.
 func (f *eventFilter) feed(b []byte) ([]byte, error) {
+	f.complete = f.complete[:0]
+	err := f.parser.Feed(b)
+	return f.complete, cmp.Or(err, f.holdMemory())
+}
+
+// delivered frees the memory of the events that feed has returned.
+func (f *eventFilter) delivered() error {
 	f.complete = f.complete[:0]
 	if cap(f.complete) > maxKeptEventBytes {
 		f.complete = nil
 	}
-	err := f.parser.Feed(b)
-	return f.complete, err
+	return f.holdMemory()
+}
+
+func (f *eventFilter) holdMemory() error {
+	return f.memory.Hold(f.parser.BufferedBytes() + cap(f.complete))
 }
 
 // accept adds an event to those to deliver, unless it was delivered before. What has no ID, such as a comment,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,7 +27,9 @@
 
 // exchange sends the request to a target and relays the response.
 func (s *Server) exchange(ctx context.Context, pr *proxyRequest, entry registry.Entry, dispatched time.Time) attemptResult {
-	x, err := s.Pool.Do(ctx, entry.Address, s.targetRequest(ctx, pr, entry, dispatched))
+	exchangeCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x, err := s.Pool.Do(exchangeCtx, entry.Address, s.targetRequest(ctx, pr, entry, dispatched))
 	if err != nil {
 		return s.exchangeFailure(entry, err)
 	}
@@ -44,6 +46,9 @@
 	case pr.responseStarted && (r.status != pr.status || !isEventStream(x.Response.Header)):
 		return rejectSuccess(x, r, errNoStream)
 	case pr.route.Retry == route.Stream && isEventStream(x.Response.Header):
+		pr.streamEnd = &streamEnd{caller: http.NewResponseController(pr.w), endExchange: cancel}
+		pr.events.memory = s.EventMemory.NewStream(pr.streamEnd.end)
+		defer pr.events.endAttempt()
 		return s.relayStream(ctx, x, pr, entry, r, dispatched)
 	}
 	return s.relayResponse(ctx, x, pr, entry, r, dispatched)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/savorystall/savorystall/internal/control"
 	"github.com/savorystall/savorystall/internal/evacuation"
 	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/eventmemory"
 	"github.com/savorystall/savorystall/internal/eventstream"
 	"github.com/savorystall/savorystall/internal/ident"
 	"github.com/savorystall/savorystall/internal/logging"
@@ -171,6 +172,8 @@
 	Pool   *targetconn.Pool
 	// Health converts the headers of health checks. May be nil if CheckWarmth is not called.
 	Health HealthDialect
+	// EventMemory bounds what the events of all streams take. If it is nil, the memory of the VM is not known.
+	EventMemory *eventmemory.Budget
 	// Notices learns what targets say about themselves.
 	Notices *targetnotice.Table
 	// CallerGone reports whether the caller of the request with this context has
@@ -269,6 +272,9 @@
 	if s.Notices == nil {
 		s.Notices = targetnotice.New()
 	}
+	if s.EventMemory == nil {
+		s.EventMemory = eventmemory.New(0)
+	}
 	s.targets.Store(&Targets{})
 	s.daemons.Store(1)
 	return s
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -8,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/eventmemory"
 	"github.com/savorystall/savorystall/internal/eventstream"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
@@ -51,8 +53,11 @@
 			if r.failure = s.writeEvents(pr, x, complete, flusher); r.failure != nil {
 				break
 			}
+			streamErr = cmp.Or(streamErr, pr.events.delivered())
 		}
 		switch {
+		case streamErr == eventmemory.ErrEnded || readErr != nil && readErr != io.EOF && pr.events.memory.Ended():
+			r.failure = resultcode.Fail(resultcode.TargetProtocol, "").WithCause(eventmemory.ErrEnded)
 		case streamErr != nil:
 			r.failure = s.rejectBytes(pr, x, entry, streamErr, pr.events.count-countBefore)
 		case readErr == io.EOF:
@@ -123,10 +128,15 @@
 	if !pr.responseStarted {
 		s.writeHeader(pr, x.Response.StatusCode, x.Response.Header, -1)
 	}
-	if _, err := pr.w.Write(events); err != nil {
-		return resultcode.Fail(resultcode.CallerGone, "").WithCause(err)
+	pr.streamEnd.beginWrite()
+	_, err := pr.w.Write(events)
+	if err == nil {
+		err = flusher.Flush()
+	}
+	if !pr.streamEnd.endWrite() {
+		err = eventmemory.ErrEnded
 	}
-	if err := flusher.Flush(); err != nil {
+	if err != nil {
 		return resultcode.Fail(resultcode.CallerGone, "").WithCause(err)
 	}
 	return nil
--- a/internal/gateway/streambreak.go
+++ b/internal/gateway/streambreak.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/eventmemory"
 	"github.com/savorystall/savorystall/internal/eventstream"
 	"github.com/savorystall/savorystall/internal/registry"
 	"github.com/savorystall/savorystall/internal/resultcode"
@@ -17,6 +18,8 @@
 	breakTargetEnded    = "target_ended"
 	// breakUnconfirmed: the target lacks an event that was delivered from another one.
 	breakUnconfirmed = "unconfirmed_event"
+	// breakEventMemory: the events of all streams took too much memory, and this one held most.
+	breakEventMemory = "event_memory"
 )
 
 // breakCauses names the errors with which a response is rejected.
@@ -27,6 +30,7 @@
 	{errTruncatedEvent, breakTruncatedEvent},
 	{errTargetEnded, breakTargetEnded},
 	{errUnconfirmedEvent, breakUnconfirmed},
+	{eventmemory.ErrEnded, breakEventMemory},
 	{errUnsigned, "unsigned"},
 	{errEncoded, "encoded"},
 	{errNoStream, "no_stream"},
