--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -85,6 +85,10 @@
 		if !bytes.HasPrefix(text, out) {
 			t.Fatalf("%q is no prefix of %q", out, text)
 		}
+		heldBack := text[len(out):]
+		if err == nil && (bytes.Contains(heldBack, []byte("\n\n")) || bytes.Contains(heldBack, []byte("\n\r\n"))) {
+			t.Fatalf("held back %q of %q", heldBack, text)
+		}
 		for event := range bytes.SplitAfterSeq(out, []byte("\n\n")) {
 			if len(event) > 0 && !bytes.Contains(text, event) {
 				t.Fatalf("%q is not in %q", event, text)
