The stand-ins' garbage does not know the platform's names

Cause: the late response to another request named its attempt by the platform's header, outside of platform/.

--- a/internal/standin/garbage/garbage.go
+++ b/internal/standin/garbage/garbage.go
@@ -95,6 +95,11 @@
 // that follows it becomes part of its data.
 func (k Kind) NeedsEnd() bool { return k == UnterminatedEvent }
 
+// Response returns the response to another request. Header holds complete lines, which may name that request.
+func Response(header string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(foreignBody), foreignBody)
+}
+
 const foreignBody = "the " + Mark + " of another request\n\n"
 
 // Text returns the garbage for a place in an event stream before the event with the
@@ -110,7 +115,7 @@
 	case Long:
 		return strings.Repeat("g", LongBytes) + "\n\n"
 	case ForeignResponse:
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nContent-Length: %d\r\n\r\n%s", len(foreignBody), foreignBody)
+		return Response("")
 	case UnterminatedWords:
 		return "these words are " + Mark
 	case UnterminatedEvent:
