--- a/internal/attempt/kept_test.go
+++ b/internal/attempt/kept_test.go
@@ -58,17 +58,43 @@
 	return streamHead + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 }
 
-const keptRequests = 200 // of each caller
+const (
+	keptCallers  = 4
+	keptRequests = 200 // of each caller
+)
+
+// keptCounts counts requests that failed, not run, so that they are sent again, or for their callers, and those
+// that got foreign bytes.
+type keptCounts struct{ notRun, failed, foreign atomic.Int64 }
 
-// count counts a failed request: not run, so that it is sent again, or failed for its caller.
-func count(got attempt.Result, notRun, failed *atomic.Int64) {
+func (n *keptCounts) count(got attempt.Result) {
 	switch {
 	case got.Failure == nil:
 	case got.Outcome == resultcode.NotRun:
-		notRun.Add(1)
+		n.notRun.Add(1)
 	default:
-		failed.Add(1)
+		n.failed.Add(1)
+	}
+}
+
+// String returns the counts for the log of a test.
+func (n *keptCounts) String() string {
+	return fmt.Sprintf("%d not run, %d failed, %d foreign of %d", n.notRun.Load(), n.failed.Load(), n.foreign.Load(), keptCallers*keptRequests)
+}
+
+// callKept makes the requests of all callers.
+func callKept(call func(n *keptCounts)) *keptCounts {
+	n := &keptCounts{}
+	var callers sync.WaitGroup
+	for range keptCallers {
+		callers.Go(func() {
+			for range keptRequests {
+				call(n)
+			}
+		})
 	}
+	callers.Wait()
+	return n
 }
 
 // Guards against bytes behind a complete response on a kept connection: a late response to another
@@ -92,25 +118,18 @@
 			cfg := noTimeout()
 			cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
 			runner := newRunner(t, cfg)
-			var notRun, failed, foreign atomic.Int64
-			var callers sync.WaitGroup
-			for range 4 {
-				callers.Go(func() {
-					for range keptRequests {
-						sink := &chunkRecorder{}
-						got := runner.Model(t.Context(), modelRequest(address, "x", soundEvents), sink)
-						count(got, &notRun, &failed)
-						foreign.Add(int64(sink.foreign(sound)))
-						if got.Failure == nil && len(sink.data) != soundEvents {
-							t.Errorf("%d pieces", len(sink.data))
-						}
-					}
-				})
-			}
-			callers.Wait()
-			t.Logf("%d connections, %d not run, %d failed, %d foreign of %d", opened.Load(), notRun.Load(), failed.Load(), foreign.Load(), 4*keptRequests)
-			is.Equal(foreign.Load(), int64(0))
-			is.Equal(failed.Load(), int64(0))
+			n := callKept(func(n *keptCounts) {
+				sink := &chunkRecorder{}
+				got := runner.Model(t.Context(), modelRequest(address, "x", soundEvents), sink)
+				n.count(got)
+				n.foreign.Add(int64(sink.foreign(sound)))
+				if got.Failure == nil && len(sink.data) != soundEvents {
+					t.Errorf("%d pieces", len(sink.data))
+				}
+			})
+			t.Logf("%d connections, %s", opened.Load(), n)
+			is.Equal(n.foreign.Load(), int64(0))
+			is.Equal(n.failed.Load(), int64(0))
 		})
 	}
 	plain := func(text string) string {
@@ -127,24 +146,17 @@
 			cfg := noTimeout()
 			cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
 			runner := newRunner(t, cfg)
-			var notRun, failed, foreign atomic.Int64
-			var callers sync.WaitGroup
-			for range 4 {
-				callers.Go(func() {
-					for range keptRequests {
-						w := httptest.NewRecorder()
-						req := attempt.PlainRequest{Attempt: ident.NewAttempt(), Address: address, Method: "GET", Path: "/", Header: http.Header{}}
-						count(runner.Plain(t.Context(), req, w), &notRun, &failed)
-						if strings.Contains(w.Body.String(), "foreign") {
-							foreign.Add(1)
-						}
-					}
-				})
-			}
-			callers.Wait()
-			t.Logf("%d connections, %d not run, %d failed, %d foreign of %d", opened.Load(), notRun.Load(), failed.Load(), foreign.Load(), 4*keptRequests)
-			is.Equal(foreign.Load(), int64(0))
-			is.Equal(failed.Load(), int64(0))
+			n := callKept(func(n *keptCounts) {
+				w := httptest.NewRecorder()
+				req := attempt.PlainRequest{Attempt: ident.NewAttempt(), Address: address, Method: "GET", Path: "/", Header: http.Header{}}
+				n.count(runner.Plain(t.Context(), req, w))
+				if strings.Contains(w.Body.String(), "foreign") {
+					n.foreign.Add(1)
+				}
+			})
+			t.Logf("%d connections, %s", opened.Load(), n)
+			is.Equal(n.foreign.Load(), int64(0))
+			is.Equal(n.failed.Load(), int64(0))
 		})
 	}
 }
