What may still be sent in a planned stop is decided in one place

Cause: the gateway compared times itself where Plan.MayDispatch, which has the test, does the same. Change: it asks the plan; the decision is the same (a plan without a bound is never set).

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -96,7 +96,7 @@
 // tooLate reports whether the daemon stops too soon to send the request to a target.
 func (l *graceLimiter) tooLate(pr *proxyRequest) bool {
 	plan := l.plan.Load()
-	return plan != nil && time.Now().After(l.dispatchUntil(plan, pr))
+	return plan != nil && !plan.MayDispatch(time.Now(), pr.deadline, l.usualDuration(pr.route.Name).Duration())
 }
 
 // refuse returns the failure of a request that is not sent to a target because the daemon stops.
