A late response is not taken for that to the next request of a kept connection

Callers of the documents' binding could get the answer to another caller, a failure, or "not run" for a request that runs, if an engine sent a complete response late, after the next request had been sent on the same connection.

Ruled out: a connection for each request (costs a round trip for engines that behave); a check of the idle connection (the bytes come after it).

Change: engines return X-Savorystall-Attempt. A response that names another attempt, or none on a connection that had a request before, ends the connection, and the stream is taken up on a new one by its attempt, as after a lost connection. A connection whose response names none is closed, so that such engines work as before, without reuse. A response without a body counts as idle before it is delivered, so that the connection is closed explicitly.

The tests of bytes behind a response state the attempt now, as their connections would not be reused otherwise.

Conclusion: fixed for engines.

--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -212,6 +212,8 @@
 	conn          *trackedConn
 	initialWrites uint64
 	sent          bool
+	// connReused is set if an earlier request was sent on the present connection.
+	connReused bool
 }
 
 // withTrace returns a context that makes the writeTracker observe the request's
@@ -233,7 +235,14 @@
 		f.sent = true
 		return
 	}
-	f.conn, f.initialWrites = conn, conn.writeCount()
+	f.conn, f.initialWrites, f.connReused = conn, conn.writeCount(), info.Reused
+}
+
+// reused reports whether an earlier request was sent on the connection.
+func (f *writeTracker) reused() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.connReused
 }
 
 // updateSent takes the current connection into account. The caller holds f.mu.
--- a/internal/attempt/exchange.go
+++ b/internal/attempt/exchange.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// closeConnection ends the exchange and closes its connection, also if the response
+// has no body: the transport counts the connection as idle by then.
+func (x *exchange) closeConnection() {
+	x.tracker.seal()
+	x.abort()
+}
+
 // maxDrainBytes bounds how much of a response is discarded to make its connection
 // reusable.
 const maxDrainBytes = 4096
--- a/internal/attempt/kept_test.go
+++ b/internal/attempt/kept_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,8 +22,8 @@
 )
 
 // serveKept starts a target that answers each request on a kept connection with respond, and
-// counts the connections.
-func serveKept(t *testing.T, respond func(r *http.Request) string) (address string, opened *atomic.Int64) {
+// counts the connections. Respond gets the number of the request on its connection, counted from one.
+func serveKept(t *testing.T, respond func(r *http.Request, n int) string) (address string, opened *atomic.Int64) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -38,13 +39,14 @@
 			opened.Add(1)
 			conns.Go(func() {
 				defer func() { _ = conn.Close() }()
-				for in := bufio.NewReader(conn); ; {
+				in := bufio.NewReader(conn)
+				for n := 1; ; n++ {
 					r, err := http.ReadRequest(in)
 					if err != nil {
 						return
 					}
 					_, _ = io.Copy(io.Discard, r.Body)
-					if _, err := io.WriteString(conn, respond(r)); err != nil {
+					if _, err := io.WriteString(conn, respond(r, n)); err != nil {
 						return
 					}
 				}
@@ -54,6 +56,11 @@
 	return l.Addr().String(), opened
 }
 
+// withAttempt returns the response with the name of the request's attempt in its first head.
+func withAttempt(r *http.Request, response string) string {
+	return strings.Replace(response, streamHead, streamHead+"X-Savorystall-Attempt: "+r.Header.Get("X-Savorystall-Attempt")+"\r\n", 1)
+}
+
 func chunkedStream(body string) string {
 	return streamHead + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 }
@@ -114,10 +121,8 @@
 	} {
 		t.Run("stream/"+name, func(t *testing.T) {
 			is := is.NewRelaxed(t)
-			address, opened := serveKept(t, func(*http.Request) string { return response })
-			cfg := noTimeout()
-			cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
-			runner := newRunner(t, cfg)
+			address, opened := serveKept(t, func(r *http.Request, _ int) string { return withAttempt(r, response) })
+			runner := newRunner(t, noTimeout())
 			n := callKept(func(n *keptCounts) {
 				sink := &chunkRecorder{}
 				got := runner.Model(t.Context(), modelRequest(address, "x", soundEvents), sink)
@@ -142,7 +147,7 @@
 	} {
 		t.Run("plain/"+name, func(t *testing.T) {
 			is := is.NewRelaxed(t)
-			address, opened := serveKept(t, func(*http.Request) string { return response })
+			address, opened := serveKept(t, func(*http.Request, int) string { return response })
 			cfg := noTimeout()
 			cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
 			runner := newRunner(t, cfg)
@@ -160,3 +165,83 @@
 		})
 	}
 }
+
+// Guards against a late response to another request, which arrives after the next request was sent on a kept
+// connection and is taken for the response to that one: its caller would get the answer to another caller, or
+// "not run" for a request that runs.
+func TestLateResponseIsNotTakenForThatToTheNextRequest(t *testing.T) {
+	const otherAttempt = "X-Savorystall-Attempt: other\r\n"
+	foreignStream := chunkedStream(event("1", `data: {"choices":[{"text":"foreign","finish_reason":"stop"}]}`) + endMark)
+	notProcessed := "HTTP/1.1 503 Service Unavailable\r\nX-Savorystall-Not-Processed: true\r\nContent-Length: 0\r\n"
+	var sound []string
+	for n := 1; n <= soundEvents; n++ {
+		sound = append(sound, soundData(n))
+	}
+	for name, late := range map[string]string{
+		"stream":                           foreignStream,
+		"stream of another attempt":        strings.Replace(foreignStream, streamHead, streamHead+otherAttempt, 1),
+		"not processed":                    notProcessed + "\r\n",
+		"not processed of another attempt": notProcessed + otherAttempt + "\r\n",
+		"error":                            "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			var received sync.Map
+			address, opened := serveKept(t, func(r *http.Request, n int) string {
+				if r.Method == http.MethodGet {
+					return streamHead + "\r\n" + soundStream(0, soundEvents) + endMark
+				}
+				received.Store(r.Header.Get("X-Savorystall-Attempt"), true)
+				own := withAttempt(r, chunkedStream(soundStream(0, soundEvents)+endMark))
+				if n == 1 {
+					return own
+				}
+				return late + own
+			})
+			runner := newRunner(t, noTimeout())
+			n := callKept(func(n *keptCounts) {
+				sink := &chunkRecorder{}
+				req := modelRequest(address, "x", soundEvents)
+				got := runner.Model(t.Context(), req, sink)
+				n.count(got)
+				if _, ran := received.Load(string(req.Attempt)); ran && got.Outcome == resultcode.NotRun {
+					t.Error("a request that runs is reported as not run")
+				}
+				if got.Failure == nil && !slices.Equal(sink.data, sound) {
+					n.foreign.Add(1)
+				}
+			})
+			t.Logf("%d connections, %s", opened.Load(), n)
+			is.Equal(n.foreign.Load(), int64(0))
+			is.Equal(n.failed.Load(), int64(0))
+		})
+	}
+}
+
+// Guards against a kept connection to an engine that does not name the attempts of its responses: what arrives late
+// on it could not be told from the response to the next request.
+func TestConnectionsOfEnginesThatNameNoAttemptAreNotReused(t *testing.T) {
+	for name, respond := range map[string]struct {
+		response string
+		outcome  resultcode.Outcome
+	}{
+		"stream":        {chunkedStream(soundStream(0, soundEvents) + endMark), resultcode.Ran},
+		"not processed": {"HTTP/1.1 503 Service Unavailable\r\nX-Savorystall-Not-Processed: true\r\nContent-Length: 0\r\n\r\n", resultcode.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var requests atomic.Int64
+			address, opened := serveKept(t, func(*http.Request, int) string {
+				requests.Add(1)
+				return respond.response
+			})
+			runner := newRunner(t, noTimeout())
+			for range 20 {
+				got := runner.Model(t.Context(), modelRequest(address, "x", soundEvents), &chunkRecorder{})
+				is.Equal(got.Outcome, respond.outcome)
+				is.Equal(got.ResumeCount, 0)
+			}
+			is.Equal(opened.Load(), requests.Load())
+		})
+	}
+}
--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -117,7 +117,8 @@
 
 // open sends the request. It returns a nil exchange without a failure if the
 // connection was lost after the request may have been sent but before the
-// response, so that the stream may exist.
+// response, or if the response is that to another request, so that the stream may
+// exist.
 func (m *modelAttempt) open(ctx context.Context) (*exchange, *resultcode.Failure) {
 	req, err := m.buildRequest(ctx)
 	if err != nil {
@@ -134,8 +135,14 @@
 		return nil, m.handleOpenError(ctx, x, err)
 	}
 	m.lifecycle.fire(triggerConnected)
+	if m.isForeign(x) {
+		x.closeConnection()
+		m.metrics.violations.Inc(1)
+		m.lifecycle.fire(triggerLost)
+		return nil, nil
+	}
 	if x.resp.StatusCode != http.StatusOK {
-		defer x.finish()
+		defer m.finish(x)
 		return nil, m.statusFailure(x.resp)
 	}
 	m.result.Status = x.resp.StatusCode
@@ -147,6 +154,26 @@
 	return x, nil
 }
 
+// isForeign reports whether the response is that to another request, which may have
+// arrived late on a reused connection.
+func (m *modelAttempt) isForeign(x *exchange) bool {
+	if named := x.resp.Header.Get(headerAttempt); named != "" {
+		return named != string(m.req.Attempt)
+	}
+	return x.tracker.reused()
+}
+
+// finish ends an exchange whose response was read. Its connection is reused only if
+// the engine names the attempt of a response: a late response to this request could
+// otherwise be taken for that to the next one.
+func (m *modelAttempt) finish(x *exchange) {
+	if x.resp.Header.Get(headerAttempt) == "" {
+		x.closeConnection()
+		return
+	}
+	x.finish()
+}
+
 func (m *modelAttempt) buildRequest(ctx context.Context) (*http.Request, error) {
 	h := requestHeader(ctx, m.req.Header)
 	h.Set("Content-Type", "application/json")
@@ -224,7 +251,7 @@
 		x.abort()
 		return err
 	}
-	x.finish()
+	m.finish(x)
 	return nil
 }
 
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -19,6 +19,9 @@
 
 // generate handles a new completion or chat request.
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	if attempt := r.Header.Get(HeaderAttempt); attempt != "" {
+		w.Header().Set(HeaderAttempt, attempt)
+	}
 	var g generateRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodySize)).Decode(&g); err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
