Bounds of a graceful shutdown are named as the glossary names them

Cause: shutdown.Usual is an adjective, 'planned stop' and 'the grace' are paraphrases of what the glossary calls graceful shutdown and grace period, one comment stood for four counters, and the limiter's file was named after none of its types. Change: MeanDuration, a comment on each field and phase, gracelimiter.go, units and zero values in the doc comments. Renames and comments only.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -292,8 +292,8 @@
 	return h.picker.MaxOpen()
 }
 
-// endAll ends the connections that neighbours serve. Their callers get an error where no part of a response has
-// arrived, and otherwise an end that doesn't look complete.
+// endAll ends the connections that neighbours serve. A caller to whom no part of a response was relayed gets an error,
+// and any other caller a response that is recognizably incomplete.
 func (h *connForwarder) endAll() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -13,7 +13,8 @@
 	DrainSlow       = define(107, slog.LevelWarn, "graceful shutdown waits for requests", "see docs/OPERATIONS.md, a stuck drain")
 )
 
-// GraceOver has the requests that were refused or ended because they could not be completed before the end of the grace.
+// GraceOver is logged once per graceful shutdown that refused or ended requests because they could not be completed
+// before the end of the grace period. It has their numbers.
 var GraceOver = define(114, slog.LevelWarn, "requests were refused or ended because the process is killed at the end of the grace", "see docs/operations/stuck-drain.md")
 
 // SettingsReloaded is logged each time the settings are reloaded.
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/gracelimiter.go
@@ -11,38 +11,49 @@
 	"github.com/savorystall/savorystall/internal/shutdown"
 )
 
-// gracePhase is what a request does when a planned stop ends it.
+// gracePhase is the part of its processing that a request is in, which determines when a graceful shutdown ends it.
 type gracePhase int
 
 const (
-	// graceReceiving and graceWaiting end when the request can't be sent to a target any more.
+	// graceReceiving is the reading of the body. It ends when the request can't be sent to a target any more.
 	graceReceiving gracePhase = iota
+	// graceWaiting is the wait for a target. It ends at the same time.
 	graceWaiting
-	// graceRunning ends when the response must be complete.
+	// graceRunning is an attempt at a target. It ends when the response must be complete.
 	graceRunning
 )
 
-// graceLimit ends one request. The zero value has not been added to a limiter.
+// graceLimit is the bound of one request. The zero value has not been added to a limiter.
 type graceLimit struct {
 	mu    sync.Mutex
 	phase gracePhase
+	// end ends the request in its present phase.
 	end   func()
 	timer *time.Timer
-	// over reports that end was called, removed that it must not be called.
-	over, removed bool
+	// over is set once end was called.
+	over bool
+	// removed is set once end must not be called any more.
+	removed bool
 }
 
-// graceLimiter ends the requests that can't be completed before the end of a planned stop. It is safe for concurrent
-// use.
+// graceLimiter ends the requests that can't be completed before the end of the grace period of a graceful shutdown.
+// It is safe for concurrent use.
 type graceLimiter struct {
+	// plan is nil until a graceful shutdown with a known end begins.
 	plan atomic.Pointer[shutdown.Plan]
-	// usual holds a shutdown.Usual for the name of each route.
-	usual sync.Map
-	// unreceived counts the requests refused while their bodies arrived, waiting those refused before they were
-	// sent to a target, unanswered those ended at a target before and cut those ended after the response had begun.
-	unreceived, waiting, unanswered, cut atomic.Int64
-
-	mu       sync.Mutex
+	// meanDurations holds a shutdown.MeanDuration for the name of each route.
+	meanDurations sync.Map
+	// unreceived counts the requests that were refused while their bodies arrived.
+	unreceived atomic.Int64
+	// waiting counts those that were refused before they were sent to a target.
+	waiting atomic.Int64
+	// unanswered counts those that were ended at a target before their responses had begun.
+	unanswered atomic.Int64
+	// cut counts those that were ended after their responses had begun.
+	cut atomic.Int64
+
+	mu sync.Mutex
+	// requests are those that have been added and not removed.
 	requests map[*proxyRequest]bool
 }
 
@@ -50,15 +61,15 @@
 	return &graceLimiter{requests: map[*proxyRequest]bool{}}
 }
 
-// BeginStop bounds all requests by the end of a planned stop, also those that are in progress.
+// BeginStop bounds all requests by the end of a graceful shutdown, also those that are in progress.
 func (s *Server) BeginStop(plan shutdown.Plan) {
 	if plan.Bounded() {
 		s.grace.begin(&plan)
 	}
 }
 
-// LogGrace logs how many requests were refused or ended because of the grace, if there were any. Forwarded is the number
-// of connections that were ended while neighbours served them.
+// LogGrace logs how many requests were refused or ended because of the end of the grace period, if there were any.
+// Forwarded is the number of connections that were ended while neighbours served them.
 func (s *Server) LogGrace(forwarded int64) {
 	g := s.grace
 	unreceived, waiting, unanswered, cut := g.unreceived.Load(), g.waiting.Load(), g.unanswered.Load(), g.cut.Load()
@@ -67,16 +78,16 @@
 	}
 }
 
-// usualDuration returns what is observed about how long the requests of a route take.
-func (l *graceLimiter) usualDuration(name string) *shutdown.Usual {
-	usual, known := l.usual.Load(name)
+// meanDuration returns the mean duration of the requests of a route.
+func (l *graceLimiter) meanDuration(name string) *shutdown.MeanDuration {
+	mean, known := l.meanDurations.Load(name)
 	if !known {
-		usual, _ = l.usual.LoadOrStore(name, &shutdown.Usual{})
+		mean, _ = l.meanDurations.LoadOrStore(name, &shutdown.MeanDuration{})
 	}
-	return usual.(*shutdown.Usual)
+	return mean.(*shutdown.MeanDuration)
 }
 
-// observe records a complete response. Of a stream that another daemon can continue, only the time to its first event
+// observe records how long a complete response took. Of a stream that another daemon can continue, only the time to its first event
 // counts.
 func (l *graceLimiter) observe(pr *proxyRequest, r attemptResult, elapsed time.Duration) {
 	if r.failure != nil {
@@ -85,27 +96,27 @@
 	if pr.route.Retry == route.Stream && pr.route.Resumable {
 		elapsed = r.firstByteTime
 	}
-	l.usualDuration(pr.route.Name).Observe(elapsed)
+	l.meanDuration(pr.route.Name).Observe(elapsed)
 }
 
 // dispatchUntil returns until when a request may be sent to a target.
 func (l *graceLimiter) dispatchUntil(plan *shutdown.Plan, pr *proxyRequest) time.Time {
-	return plan.DispatchUntil(pr.deadline, l.usualDuration(pr.route.Name).Duration())
+	return plan.DispatchUntil(pr.deadline, l.meanDuration(pr.route.Name).Value())
 }
 
-// tooLate reports whether the daemon stops too soon to send the request to a target.
+// tooLate reports whether the daemon stops too early for the request to be sent to a target.
 func (l *graceLimiter) tooLate(pr *proxyRequest) bool {
 	plan := l.plan.Load()
-	return plan != nil && !plan.MayDispatch(time.Now(), pr.deadline, l.usualDuration(pr.route.Name).Duration())
+	return plan != nil && !plan.MayDispatch(time.Now(), pr.deadline, l.meanDuration(pr.route.Name).Value())
 }
 
-// refuse returns the failure of a request that is not sent to a target because the daemon stops.
+// refuse counts a request that is not sent to a target because the daemon stops, and returns its failure.
 func (l *graceLimiter) refuse(outcome resultcode.Outcome) *resultcode.Failure {
 	l.waiting.Add(1)
 	return correctOutcome(resultcode.Fail(resultcode.Stopping, "its response can't be expected in time"), outcome)
 }
 
-// ended returns the failure of a request that was ended because the process is about to be killed.
+// ended counts a request that was ended because the process is about to be killed, and returns its failure.
 func (l *graceLimiter) ended(pr *proxyRequest, outcome resultcode.Outcome) *resultcode.Failure {
 	switch {
 	case outcome == resultcode.NotRun && !pr.responseStarted:
@@ -130,14 +141,14 @@
 	}
 }
 
-// add bounds a request by the end of a planned stop, until it is removed.
+// add bounds a request by the end of a graceful shutdown, until it is removed.
 func (l *graceLimiter) add(pr *proxyRequest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.requests[pr] = true
 }
 
-// remove ends the limit of a request.
+// remove removes the bound of a request.
 func (l *graceLimiter) remove(pr *proxyRequest) {
 	l.mu.Lock()
 	delete(l.requests, pr)
@@ -150,7 +161,8 @@
 	}
 }
 
-// enter begins a phase of a request, in which end ends it. The end of the phase before is not called any more.
+// enter begins a phase of a request, in which the request is ended by calling end, or not at all if end is nil. The
+// function of the previous phase is not called any more.
 func (l *graceLimiter) enter(pr *proxyRequest, phase gracePhase, end func()) {
 	pr.grace.mu.Lock()
 	defer pr.grace.mu.Unlock()
@@ -172,6 +184,7 @@
 	}
 }
 
+// phaseEnd returns when the present phase of the request ends. The caller holds the lock of the limit.
 func (l *graceLimiter) phaseEnd(plan *shutdown.Plan, pr *proxyRequest) time.Time {
 	if pr.grace.phase == graceRunning {
 		return plan.AnswerBy()
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -16,7 +16,7 @@
 func TestDispatchUntil(t *testing.T) {
 	p := NewPlan(began, 8*time.Second)
 	is.New(t).Equal(p.AnswerBy(), at(7500*time.Millisecond))
-	for name, c := range map[string]struct{ deadline, usual, until time.Duration }{
+	for name, c := range map[string]struct{ deadline, expected, until time.Duration }{
 		"quick":                                {20 * time.Second, 20 * time.Millisecond, 7 * time.Second},
 		"unknown":                              {20 * time.Second, 0, 7 * time.Second},
 		"slow":                                 {20 * time.Second, 3 * time.Second, 4500 * time.Millisecond},
@@ -27,15 +27,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			until := p.DispatchUntil(at(c.deadline), c.usual)
+			until := p.DispatchUntil(at(c.deadline), c.expected)
 			is.Equal(until, at(c.until))
-			is.True(p.MayDispatch(until, at(c.deadline), c.usual))
-			is.True(!p.MayDispatch(until.Add(1), at(c.deadline), c.usual))
+			is.True(p.MayDispatch(until, at(c.deadline), c.expected))
+			is.True(!p.MayDispatch(until.Add(1), at(c.deadline), c.expected))
 		})
 	}
 }
 
-// Guards against refusals by a daemon that does not know the grace.
+// Guards against refusals by a daemon that does not know the grace period.
 func TestUnknownGraceBoundsNothing(t *testing.T) {
 	is := is.New(t)
 	for _, p := range []Plan{{}, NewPlan(began, 0), NewPlan(began, -time.Second)} {
@@ -45,14 +45,14 @@
 	}
 }
 
-func TestUsualFollowsTheMean(t *testing.T) {
+func TestMeanDurationFollowsTheDurations(t *testing.T) {
 	is := is.New(t)
-	var u Usual
-	is.Equal(u.Duration(), time.Duration(0))
-	u.Observe(time.Second)
-	is.Equal(u.Duration(), time.Second)
+	var m MeanDuration
+	is.Equal(m.Value(), time.Duration(0))
+	m.Observe(time.Second)
+	is.Equal(m.Value(), time.Second)
 	for range 200 {
-		u.Observe(3 * time.Second)
+		m.Observe(3 * time.Second)
 	}
-	is.True(u.Duration() > 2900*time.Millisecond && u.Duration() <= 3*time.Second)
+	is.True(m.Value() > 2900*time.Millisecond && m.Value() <= 3*time.Second)
 }
