Comments on event streams say what a field or error is

Cause: targets 'lacked' events, events were 'doubted' where the glossary has unconfirmed ones, fields shared a comment, and Feed didn't say what a call after an error returns. Change: comments, maxUnconfirmedEvents, missesEvents. Run: go vet ./..., staticcheck, go test of internal/gateway, internal/eventstream and internal/attempt: green.

--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -48,10 +48,12 @@
 	mu            sync.Mutex
 	startedWrites uint64
 	sealed        bool
-	// reading is set while a read is in progress, closed once the connection is
-	// closed; changed is signaled after a change of either.
-	reading, closed bool
-	changed         *sync.Cond
+	// reading is set while a read is in progress.
+	reading bool
+	// closed is set once the connection is closed.
+	closed bool
+	// changed is signaled after a change of reading or closed.
+	changed *sync.Cond
 }
 
 func newTrackedConn(c net.Conn) *trackedConn {
--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -295,9 +295,9 @@
 	return nil
 }
 
-// handleViolation returns nil if a stream with an invalid event has to be resumed:
-// what was wrong may be its connection alone. Without a new chunk since the last
-// violation it returns the failure.
+// handleViolation returns nil if a stream with an invalid event has to be resumed,
+// since the fault may be limited to its connection. If no new chunk has arrived since
+// the last violation, it returns the failure.
 func (m *modelAttempt) handleViolation(err error) *resultcode.Failure {
 	m.metrics.violations.Inc(1)
 	if m.violation != nil {
--- a/internal/eventstream/parser.go
+++ b/internal/eventstream/parser.go
@@ -73,19 +73,22 @@
 	Deliver func(Event) error
 	// Extra accepts additional fields; it may be nil.
 	Extra ExtraField
-	// pending is the start of an event whose end has not arrived yet; its current line begins at lineStart.
-	pending   []byte
+	// pending is the start of an event whose end has not arrived yet.
+	pending []byte
+	// lineStart is the index in pending at which the current line begins.
 	lineStart int
 	current   eventFields
-	lastID    ID
-	// err ended the parsing.
+	// lastID is the ID of the last delivered event that has one.
+	lastID ID
+	// err is the error that ended the parsing; nil before that.
 	err error
 }
 
-// eventFields is what is known of the current event.
+// eventFields describes the lines of the current event that are complete.
 type eventFields struct {
-	lines   int
-	id      ID
+	lines int
+	id    ID
+	// hasData is set if the event has a data field, even an empty one.
 	hasData bool
 	// hasType is set if the event has a type, which has no meaning without data.
 	hasType bool
@@ -104,7 +107,8 @@
 func (p *Parser) Free() { p.pending = nil }
 
 // Feed adds received bytes and delivers each event that is complete. It returns a Violation at the first bytes
-// that are no event. Nothing that follows them is parsed.
+// that are no event, or the error of Deliver. After an error nothing is parsed until Reset, and Feed returns the
+// same error again.
 func (p *Parser) Feed(b []byte) error {
 	for len(b) > 0 && p.err == nil {
 		end := bytes.IndexByte(b, '\n') + 1
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,41 +8,47 @@
 	"github.com/savorystall/savorystall/internal/eventstream"
 )
 
-// errUnconfirmedEvent reports that the target which is to continue a stream lacks an event that was delivered,
-// so that this was none of the stream.
+// errUnconfirmedEvent reports that the target which is to continue a stream does not have an event that was
+// delivered: that event was not part of the stream.
 var errUnconfirmedEvent = errors.New("the next target's stream lacks an event that was delivered")
 
 // maxKeptEventBytes is the largest buffer for complete events that is kept until more arrive.
 const maxKeptEventBytes = 16 << 10
 
-// maxDoubtedEvents is how many events that follow a gap without another one are doubted once foreign bytes come.
-const maxDoubtedEvents = 8
+// maxUnconfirmedEvents is the largest number of events after a gap that become unconfirmed when foreign bytes arrive.
+const maxUnconfirmedEvents = 8
 
 // eventFilter extracts the events of one stream that may be received from several targets in turn, and drops
 // those that were already delivered. Events are passed on unchanged.
 type eventFilter struct {
 	parser eventstream.Parser
-	// lastID is the ID of the last delivered event and count the number of delivered events with an ID.
+	// lastID is the ID of the last delivered event.
 	lastID eventstream.ID
-	count  int
-	// gap is the last gap of the current attempt, and gaps the number of all gaps of the stream.
-	gap  idGap
+	// count is the number of delivered events with an ID.
+	count int
+	// gap is the last gap of the current attempt.
+	gap idGap
+	// gaps is the number of gaps of the whole stream.
 	gaps int
 	// attemptID is the ID of the last event of the current attempt.
 	attemptID eventstream.ID
-	// unconfirmed is set if the next target has to send the events from the gap on again, and resumed once
-	// it has sent the first of them.
-	unconfirmed, resumed bool
-	complete             []byte
-	// memory bounds what the events of all streams take; it may be nil.
+	// unconfirmed is set if the next target has to send the events from the gap on again.
+	unconfirmed bool
+	// resumed is set once it has sent the first of them.
+	resumed bool
+	// complete holds the events to deliver.
+	complete []byte
+	// memory bounds the memory of the events of all streams; it may be nil.
 	memory *eventmemory.Stream
 }
 
 // idGap is the last gap between the IDs that the current target has sent.
 type idGap struct {
-	// from is the ID of the event before the gap and to that of the one after it.
-	from, to eventstream.ID
-	// events is the number of events since the gap; zero if there is none.
+	// from is the ID of the event before the gap.
+	from eventstream.ID
+	// to is the ID of the event after it.
+	to eventstream.ID
+	// events is the number of events since the gap; zero if there is no gap.
 	events int
 }
 
@@ -61,7 +67,7 @@
 	}
 }
 
-// resumeAfter returns the ID after which the next target is to go on.
+// resumeAfter returns the ID after which the next target is to continue the stream.
 func (f *eventFilter) resumeAfter() eventstream.ID {
 	if f.unconfirmed {
 		return f.gap.from
@@ -70,22 +76,22 @@
 }
 
 // distrust records that the target whose response is being received has sent bytes that are no event. If its
-// last events follow a gap, they may have been foreign, too: a stream that goes on after them would lack all
-// events in between. The next target has to send them again.
+// last events follow a gap, they may be foreign as well, and a stream that is resumed after them would miss all
+// events in between. They become unconfirmed: the next target has to send them again.
 func (f *eventFilter) distrust() {
-	f.unconfirmed = f.unconfirmed || f.gap.events > 0 && f.gap.events <= maxDoubtedEvents
+	f.unconfirmed = f.unconfirmed || f.gap.events > 0 && f.gap.events <= maxUnconfirmedEvents
 }
 
-// distrustFirstGap records that the response has broken off without such bytes. Its last events are doubted
-// only if no other event of the stream left a gap.
+// distrustFirstGap records that the response has broken off without such bytes. Its last events become unconfirmed
+// only if the stream has no other gap.
 func (f *eventFilter) distrustFirstGap() {
 	if f.gaps == 1 {
 		f.distrust()
 	}
 }
 
-// lacksEvents reports whether a response that has ended lacks events that were delivered.
-func (f *eventFilter) lacksEvents() bool {
+// missesEvents reports whether a response that has ended did not contain all events that were delivered.
+func (f *eventFilter) missesEvents() bool {
 	return f.unconfirmed || f.attemptID.Known && f.attemptID.Value < f.lastID.Value
 }
 
@@ -100,7 +106,7 @@
 }
 
 // feed adds received bytes and returns the complete events to deliver, which are valid until the next call.
-// An error says that what follows them is not of the stream, or that the stream takes too much memory.
+// An error means that what follows them is not part of the stream, or that the stream was ended for its memory.
 func (f *eventFilter) feed(b []byte) ([]byte, error) {
 	f.complete = f.complete[:0]
 	err := f.parser.Feed(b)
@@ -116,6 +122,7 @@
 	return f.holdMemory()
 }
 
+// holdMemory reports the present memory of the stream to the budget. It returns an error if the stream was ended.
 func (f *eventFilter) holdMemory() error {
 	return f.memory.Hold(f.parser.BufferedBytes() + cap(f.complete))
 }
@@ -156,7 +163,7 @@
 	return true, nil
 }
 
-// confirm compares an event of the next target with the doubted ones, of which it has to send the first and
+// confirm compares an event of the next target with the unconfirmed ones, of which it has to send the first and
 // the last one.
 func (f *eventFilter) confirm(id eventstream.ID) error {
 	switch {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -54,8 +54,8 @@
 	return s.relayResponse(ctx, x, pr, entry, r, dispatched)
 }
 
-// isEventStream reports whether the response to a request for a stream is one. One without a media type is
-// taken for a stream, as its events would pass unchecked otherwise.
+// isEventStream reports whether the response to a request for a stream is one. A response without a media type
+// counts as a stream, as its events would otherwise be relayed unchecked.
 func isEventStream(h http.Header) bool {
 	media := h.Get("Content-Type")
 	if media == "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,7 +172,8 @@
 	Pool   *targetconn.Pool
 	// Health converts the headers of health checks. May be nil if CheckWarmth is not called.
 	Health HealthDialect
-	// EventMemory bounds what the events of all streams take. If it is nil, the memory of the VM is not known.
+	// EventMemory bounds the memory of the events of all streams. Default: the budget of a VM whose memory is not
+	// known.
 	EventMemory *eventmemory.Budget
 	// Notices learns what targets say about themselves.
 	Notices *targetnotice.Table
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -75,14 +75,15 @@
 	return r
 }
 
-// judgeBreak records what the failure of a stream says about its target and its events.
+// judgeBreak derives from the failure of a stream whether its target failed, whether its last events are unconfirmed
+// and whether another target can continue it.
 func (s *Server) judgeBreak(ctx context.Context, pr *proxyRequest, entry registry.Entry, r *attemptResult) {
 	cause := breakCause(r.failure)
 	switch {
 	case cause == "" || callerGone(ctx, pr):
 		return
 	case errors.Is(r.failure, errUnconfirmedEvent):
-		r.isFinal = true // the target before it sent what this one lacks, and the caller has it
+		r.isFinal = true // the caller has an event of the previous target that this one does not have
 		return
 	case errors.Is(r.failure, eventstream.DuplicateID):
 		r.isFinal = true // the foreign one of the two may have been delivered
@@ -90,12 +91,12 @@
 		pr.events.distrustFirstGap()
 	}
 	r.targetFailed = true
-	if ctx.Err() == nil { // else the caller's time was up
+	if ctx.Err() == nil { // otherwise the deadline of the request has passed
 		s.Metrics.StreamBroken(entry.Identity, cause)
 	}
 }
 
-// rejectBytes returns the failure of a stream that holds bytes which are no event of it.
+// rejectBytes aborts the exchange of a stream that holds bytes which are no event of it, and returns its failure.
 func (s *Server) rejectBytes(pr *proxyRequest, x *targetconn.Exchange, entry registry.Entry, cause error, eventsBefore int) *resultcode.Failure {
 	x.Abort()
 	failure := resultcode.Fail(resultcode.TargetProtocol, "").WithCause(cause)
@@ -107,14 +108,14 @@
 }
 
 // finishStream checks that a stream whose body has ended did not end within an event, or with its
-// target, and that it does not lack events that were delivered.
+// target, and that no delivered event is missing from it.
 func (s *Server) finishStream(pr *proxyRequest, x *targetconn.Exchange, entry registry.Entry) *resultcode.Failure {
 	switch {
 	case pr.events.hasPartialEvent():
 		return resultcode.Fail(resultcode.AnswerCut, "").WithCause(errTruncatedEvent)
 	case s.endedWithTarget(x, entry):
 		return resultcode.Fail(resultcode.AnswerCut, "").WithCause(errTargetEnded)
-	case pr.events.lacksEvents():
+	case pr.events.missesEvents():
 		return resultcode.Fail(resultcode.TargetProtocol, "").WithCause(errUnconfirmedEvent)
 	}
 	if !pr.responseStarted {
--- a/internal/gateway/streambreak.go
+++ b/internal/gateway/streambreak.go
@@ -10,15 +10,15 @@
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
-// Causes for which the response of a target does not end as complete, besides the violations of package
+// Causes for which the response of a target is incomplete, besides the violations of package
 // eventstream.
 const (
 	breakConnection     = "connection"
 	breakTruncatedEvent = "truncated_event"
 	breakTargetEnded    = "target_ended"
-	// breakUnconfirmed: the target lacks an event that was delivered from another one.
+	// breakUnconfirmed: the target does not have an event of another target that was delivered.
 	breakUnconfirmed = "unconfirmed_event"
-	// breakEventMemory: the events of all streams took too much memory, and this one held most.
+	// breakEventMemory: the events of all streams took too much memory, and this stream was ended to free some.
 	breakEventMemory = "event_memory"
 )
 
@@ -36,7 +36,7 @@
 	{errNoStream, "no_stream"},
 }
 
-// breakCause returns how a response broke off, for logs and metrics; empty if the failure is another one.
+// breakCause returns why a response is incomplete, for logs and metrics; empty if the failure has another reason.
 func breakCause(f *resultcode.Failure) string {
 	if f == nil || f.Code != resultcode.AnswerCut && f.Code != resultcode.TargetProtocol {
 		return ""
