Long functions of the gateway, the stop and the stand-ins are split

Change: checkPlacement, receive, closeAll and streamedAnswer are extracted in the order the statements had; the stand-in's map literal is two cases.

--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -239,6 +239,13 @@
 	d.deps.Gateway.LogGrace(d.deps.Forwarder.ended.Load())
 	d.deps.Servers.connections.ends.logReport()
 	d.deps.Life.applyTrigger(triggerDrained)
+	d.closeAll(ctx)
+	event.DaemonStopped.Log(d.deps.Log, "daemon", d.deps.Identity.Daemon)
+	return nil
+}
+
+// closeAll ends all tasks and closes all connections once no request is left.
+func (d *Routed) closeAll(ctx context.Context) {
 	d.cancel()
 	_ = d.deps.Node.Stop(ctx)
 	_ = d.deps.Servers.operators.Close()
@@ -251,8 +258,6 @@
 	d.deps.Store.Close()
 	_ = d.deps.Tracing.Close(ctx)
 	_ = d.deps.Metrics.Close()
-	event.DaemonStopped.Log(d.deps.Log, "daemon", d.deps.Identity.Daemon)
-	return nil
 }
 
 func sleepContext(ctx context.Context, wait time.Duration) {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -54,7 +54,7 @@
 	status int
 	// events tracks the event stream that has been received so far.
 	events eventFilter
-	// streamEnd ends the current attempt of a stream for the memory that it holds.
+	// streamEnd ends the current attempt of a stream that holds too much memory.
 	streamEnd *streamEnd
 	// resumed describes the stream that the caller takes up again. Once origin is set, the
 	// request may only be sent to targets of this service and version.
@@ -67,7 +67,8 @@
 	// bodyFingerprint is set once it was needed, or the body was released.
 	bodyFingerprint *poison.Fingerprint
 	stats           requestStats
-	grace           graceLimit
+	// grace bounds the request during a graceful shutdown.
+	grace graceLimit
 }
 
 // requestStats holds what is logged about a request.
@@ -148,22 +149,29 @@
 		regions:  table.AllowedRegions(matched, info.Key),
 		events:   newEventFilter(info.LastEventID, s.Dialect.IsEventField),
 	}
+	if failure := s.receive(w, pr); failure != nil {
+		return nil, failure
+	}
+	s.planRequest(pr, table)
+	s.streams.countAsked(pr)
+	return pr, nil
+}
+
+// receive reads the body of a request, which is pending from then on.
+func (s *Server) receive(w http.ResponseWriter, pr *proxyRequest) (failure *resultcode.Failure) {
 	if s.pending.Add(1) > maxPending {
 		s.pending.Add(-1)
-		s.recordShedDemand(r)
-		s.discardBody(w, r, matched)
-		return nil, resultcode.Fail(resultcode.FleetFull, "this daemon has %d requests to place", maxPending)
+		s.recordShedDemand(pr.inbound)
+		s.discardBody(w, pr.inbound, pr.route)
+		return resultcode.Fail(resultcode.FleetFull, "this daemon has %d requests to place", maxPending)
 	}
 	pr.isPending = true
 	s.grace.add(pr)
-	if pr.body, failure = s.readBody(w, pr, table.Limits); failure != nil {
+	if pr.body, failure = s.readBody(w, pr, pr.table.Limits); failure != nil {
 		s.grace.remove(pr)
 		s.releasePending(pr)
-		return nil, failure
 	}
-	s.planRequest(pr, table)
-	s.streams.countAsked(pr)
-	return pr, nil
+	return failure
 }
 
 // arrivalTime returns when a request arrived. On a daemon short of processor time that can
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -88,26 +88,8 @@
 		placement, dispatched := s.placeOrWait(ctx, pr)
 		s.grace.enter(pr, graceRunning, cancel)
 		s.releasePending(pr)
-		if pr.grace.isOver() || s.grace.tooLate(pr) {
-			if placement.Failure == nil {
-				s.Placer.Finish(pr.id, booking.Result{NotRun: true})
-			}
-			return s.grace.refuse(outcome)
-		}
-		if placement.Failure != nil {
-			return s.placementFailure(ctx, pr, placement.Failure, outcome)
-		}
-		if s.CallerGone(ctx) {
-			s.Placer.Finish(pr.id, booking.Result{})
-			return resultcode.Fail(resultcode.CallerGone, "")
-		}
-		if failure := s.heldBack(pr); failure != nil { // it was not, when it began to wait
-			s.Placer.Finish(pr.id, booking.Result{NotRun: true})
-			return correctOutcome(failure, outcome)
-		}
-		if s.waitedTooLong(pr) {
-			s.Placer.Finish(pr.id, booking.Result{})
-			return busyFailure()
+		if failure := s.checkPlacement(ctx, pr, placement, outcome); failure != nil {
+			return failure
 		}
 		r := s.attempt(ctx, pr, placement.Target, dispatched)
 		if r.failure == nil {
@@ -123,6 +105,33 @@
 	}
 }
 
+// checkPlacement returns the failure of a request that may not be sent to its target after the wait for a placement,
+// and nil if it may. It releases a booking that is not used.
+func (s *Server) checkPlacement(ctx context.Context, pr *proxyRequest, placement control.Placement, outcome resultcode.Outcome) *resultcode.Failure {
+	if pr.grace.isOver() || s.grace.tooLate(pr) {
+		if placement.Failure == nil {
+			s.Placer.Finish(pr.id, booking.Result{NotRun: true})
+		}
+		return s.grace.refuse(outcome)
+	}
+	if placement.Failure != nil {
+		return s.placementFailure(ctx, pr, placement.Failure, outcome)
+	}
+	if s.CallerGone(ctx) {
+		s.Placer.Finish(pr.id, booking.Result{})
+		return resultcode.Fail(resultcode.CallerGone, "")
+	}
+	if failure := s.heldBack(pr); failure != nil { // the request may have become held back during its wait
+		s.Placer.Finish(pr.id, booking.Result{NotRun: true})
+		return correctOutcome(failure, outcome)
+	}
+	if s.waitedTooLong(pr) {
+		s.Placer.Finish(pr.id, booking.Result{})
+		return busyFailure()
+	}
+	return nil
+}
+
 // waitedTooLong reports whether a request has waited in this daemon so long that its
 // response cannot be in time any more.
 //
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -94,37 +94,57 @@
 // field of an event, or an event without an id or text, is foreign.
 func (c *caller) readEventStream(body io.Reader, mark string, start time.Time) result {
 	var res result
-	var text strings.Builder
+	var answer streamedAnswer
 	lines := bufio.NewScanner(body)
-	foreign, hasID := false, false
 	for lines.Scan() {
 		name, value, _ := strings.Cut(lines.Text(), ":")
 		data := strings.TrimPrefix(value, " ")
 		switch {
-		case lines.Text() == "" || name == "" && value != "":
-			continue
+		case lines.Text() == "" || name == "" && value != "": // the end of an event, or a comment
 		case name == "id":
-			foreign, hasID = foreign || hasID, true
-			continue
+			answer.addID()
 		case name != "data":
-			foreign = true
-			continue
+			answer.foreign = true
 		case data == "[DONE]":
-			res.mismatch = foreign || hasID || text.String() != enginestandin.Text(mark, c.stream.MaxTokens)
+			res.mismatch = !answer.equals(enginestandin.Text(mark, c.stream.MaxTokens))
 			res.tokens = c.stream.MaxTokens
 			return res
+		default:
+			if res.firstByte == 0 {
+				res.firstByte = time.Since(start)
+			}
+			answer.addText(chunkText(data))
 		}
-		if res.firstByte == 0 {
-			res.firstByte = time.Since(start)
-		}
-		piece := chunkText(data)
-		foreign, hasID = foreign || !hasID || piece == "", false
-		text.WriteString(piece)
 	}
 	res.truncated = true
 	return res
 }
 
+// streamedAnswer is the part of an answer that has arrived as events.
+type streamedAnswer struct {
+	text strings.Builder
+	// hasID is set if the current event has an id.
+	hasID bool
+	// foreign is set once anything has arrived that is no part of the answer.
+	foreign bool
+}
+
+func (a *streamedAnswer) addID() {
+	a.foreign = a.foreign || a.hasID
+	a.hasID = true
+}
+
+func (a *streamedAnswer) addText(text string) {
+	a.foreign = a.foreign || !a.hasID || text == ""
+	a.hasID = false
+	a.text.WriteString(text)
+}
+
+// equals reports whether the answer has the given text and nothing foreign.
+func (a *streamedAnswer) equals(text string) bool {
+	return !a.foreign && !a.hasID && a.text.String() == text
+}
+
 func chunkText(data string) string {
 	var chunk struct {
 		Choices []struct {
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -63,7 +63,8 @@
 	// FailExtraResponse sends the response to another request behind the complete
 	// response, together with it.
 	FailExtraResponse = "extra-response"
-	// FailLateExtraResponse sends that response after extraBytesDelay.
+	// FailLateExtraResponse sends the response to another request behind the complete
+	// response after extraBytesDelay.
 	FailLateExtraResponse = "extra-response-late"
 	// FailWrongBody runs the request and sends a body that is not the response's.
 	FailWrongBody = "wrong-body"
@@ -295,8 +296,8 @@
 	}
 }
 
-// failure returns the failure that the request asks for, or one of garbageFailures for
-// the configured fraction of the other requests.
+// failure returns the failure that the request selects, or one of garbageFailures for
+// the configured fraction of the other requests; empty if there is none.
 func (s *Service) failure(r *http.Request) string {
 	failure := r.Header.Get(HeaderFail)
 	if failure != "" || s.cfg.GarbageFraction <= 0 {
@@ -349,17 +350,23 @@
 	}
 	defer func() { _ = conn.Close() }()
 	send := func(text string) { _, _ = io.WriteString(conn, text) }
+	sendLate := func(text string) {
+		time.Sleep(extraBytesDelay)
+		send(text)
+	}
 	data, _ := json.Marshal(echo)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(data))
 	switch failure {
 	case FailExtraBytes:
 		send(head + string(data) + garbage.Words.Text(0))
-	case FailLateExtraBytes, FailLateExtraResponse:
+	case FailLateExtraBytes:
 		send(head + string(data))
-		time.Sleep(extraBytesDelay)
-		send(map[string]garbage.Kind{FailLateExtraBytes: garbage.Words, FailLateExtraResponse: garbage.ForeignResponse}[failure].Text(0))
+		sendLate(garbage.Words.Text(0))
 	case FailExtraResponse:
 		send(head + string(data) + garbage.ForeignResponse.Text(0))
+	case FailLateExtraResponse:
+		send(head + string(data))
+		sendLate(garbage.ForeignResponse.Text(0))
 	case FailWrongBody:
 		send(head + strings.Repeat("g", len(data)))
 	case FailNotHTTP:
