One log buffer for the tests in place of four

Change: test/logbuffer; what differs, the parsing of lines, stays with each test. The checks are the same.

--- a/internal/daemon/ends_test.go
+++ b/internal/daemon/ends_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"io"
 	"log/slog"
@@ -10,7 +9,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -21,28 +19,14 @@
 	"github.com/savorystall/savorystall/internal/logging"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/telemetry"
+	"github.com/savorystall/savorystall/test/logbuffer"
 )
 
-// logBuffer is a log that can be read while it is written.
-type logBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-// lines returns the lines of an event that have been written so far; those of event 207
+// eventLines returns the lines of an event that have been written so far; those of event 207
 // without all but their counts.
-func (b *logBuffer) lines(t *testing.T, number float64) (lines []map[string]any) {
+func eventLines(t *testing.T, log *logbuffer.Buffer, number float64) (lines []map[string]any) {
 	t.Helper()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for line := range strings.Lines(b.buf.String()) {
+	for line := range strings.Lines(log.String()) {
 		var fields map[string]any
 		if err := json.Unmarshal([]byte(line), &fields); err != nil {
 			t.Fatal(err)
@@ -62,14 +46,14 @@
 type endTest struct {
 	address string
 	conns   *connTracker
-	log     *logBuffer
+	log     *logbuffer.Buffer
 	metrics *telemetry.Metrics
 }
 
 func newEndTest(t *testing.T, handler http.HandlerFunc) *endTest {
 	t.Helper()
 	is := is.New(t)
-	e := &endTest{conns: newConnTracker(0), log: &logBuffer{}, metrics: telemetry.NewMetrics()}
+	e := &endTest{conns: newConnTracker(0), log: &logbuffer.Buffer{}, metrics: telemetry.NewMetrics()}
 	e.conns.ends = newEndRecorder(e.metrics, slog.New(slog.NewJSONHandler(e.log, nil)))
 	l, err := listenDrainable("127.0.0.1:0")
 	is.NoErr(err)
@@ -181,7 +165,7 @@
 		answered        any
 	}
 	var got []record
-	for _, line := range e.log.lines(t, 206) {
+	for _, line := range eventLines(t, e.log, 206) {
 		got = append(got, record{line["cause"], line["progress"], line["answered"]})
 	}
 	is.Equal(got, []record{
@@ -189,7 +173,7 @@
 	}) // neither the caller that left nor the one that was answered
 	e.conns.ends.logReport()
 	e.conns.ends.logReport() // nothing since
-	is.Equal(e.log.lines(t, 207), []map[string]any{{"canceled/sent/kept": 1.0, "canceled/read/kept": 1.0, "response_aborted/sent/kept": 1.0, "panic/read/kept": 1.0, "caller_gone/sent": 1.0}})
+	is.Equal(eventLines(t, e.log, 207), []map[string]any{{"canceled/sent/kept": 1.0, "canceled/read/kept": 1.0, "response_aborted/sent/kept": 1.0, "panic/read/kept": 1.0, "caller_gone/sent": 1.0}})
 	is.Equal(e.counters(t), []string{
 		`savorystall_connections_unanswered{cause="caller_gone",kept="false",progress="sent"} 1`,
 		`savorystall_connections_unanswered{cause="canceled",kept="true",progress="read"} 1`,
@@ -224,7 +208,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			caller, conn := acceptCaller(t)
-			log := &logBuffer{}
+			log := &logbuffer.Buffer{}
 			conns := newConnTracker(0)
 			conns.ends = newEndRecorder(telemetry.NewMetrics(), slog.New(slog.NewJSONHandler(log, nil)))
 			conns.track(conn, http.StateNew)
@@ -249,7 +233,7 @@
 				test.prepare(conn)
 			}
 			is.NoErr(conn.Close())
-			lines := log.lines(t, 206)
+			lines := eventLines(t, log, 206)
 			if test.cause == nil {
 				is.Equal(len(lines), 0)
 				return
@@ -264,11 +248,11 @@
 // Guards against a log that is flooded when many connections end at once.
 func TestLinesOfUnansweredConnectionsAreLimited(t *testing.T) {
 	is := is.New(t)
-	log := &logBuffer{}
+	log := &logbuffer.Buffer{}
 	r := newEndRecorder(telemetry.NewMetrics(), slog.New(slog.NewJSONHandler(log, nil)))
 	r.limiter = logging.NewRateLimiter(1)
 	for range 100 {
 		r.record(unansweredEnd{cause: endCanceled, progress: progressSent, caller: &net.TCPAddr{}})
 	}
-	is.True(len(log.lines(t, 206)) <= 2)
+	is.True(len(eventLines(t, log, 206)) <= 2)
 }
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -15,6 +15,7 @@
 	"github.com/savorystall/savorystall/internal/platform"
 	"github.com/savorystall/savorystall/internal/scheduler"
 	"github.com/savorystall/savorystall/test/faultlink"
+	"github.com/savorystall/savorystall/test/logbuffer"
 )
 
 // A hung daemon keeps its connections open but reads nothing. The other daemons
@@ -161,7 +162,7 @@
 	stopNode(t, b)
 	ra.eventually(t, "loss of b", func(r *recorder) bool { return r.linkLosses["b"] == 1 })
 
-	log := &lockedBuffer{}
+	log := &logbuffer.Buffer{}
 	outdated := newRecorder()
 	n, err := fleet.New(fleet.Config{
 		Self: "b", Incarnation: 4, Zone: "hall-a", Listen: address, Heartbeat: testHeartbeat,
@@ -180,7 +181,7 @@
 // admits too many requests, although the members look right to all other
 // daemons. These must log the address of the older daemon.
 func TestDuplicateDaemonNameIsLogged(t *testing.T) {
-	log := &lockedBuffer{}
+	log := &logbuffer.Buffer{}
 	ra := newRecorder()
 	a, err := fleet.New(fleet.Config{
 		Self: "a", Incarnation: 1, Zone: "hall-a", Listen: "127.0.0.1:0", Heartbeat: testHeartbeat,
@@ -201,21 +202,3 @@
 	ra.eventually(t, "another refusal", func(*recorder) bool { return strings.Contains(log.String(), "event=604") })
 	is.Equal(strings.Count(log.String(), "event=609"), 1)
 }
-
-// lockedBuffer collects log lines from concurrent goroutines.
-type lockedBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -1,15 +1,14 @@
 package logging_test
 
 import (
-	"bytes"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/savorystall/savorystall/internal/logging"
+	"github.com/savorystall/savorystall/test/logbuffer"
 )
 
 // stalledOutput is standard output whose reader has stopped reading.
@@ -47,28 +46,16 @@
 	w.Close()
 }
 
-type lockedBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Write(p)
-}
-
 // Lines that were logged before Close must be written before it returns.
 func TestCloseWritesQueuedLines(t *testing.T) {
 	is := is.New(t)
-	var out lockedBuffer
+	var out logbuffer.Buffer
 	w := logging.NewWriter(&out)
 	for range 500 {
 		_, _ = w.Write([]byte("line\n"))
 	}
 	w.Close()
-	is.Equal(strings.Count(out.buffer.String(), "line\n"), 500)
+	is.Equal(strings.Count(out.String(), "line\n"), 500)
 }
 
 func TestRateLimiter(t *testing.T) {
--- a/internal/order/reconciler_test.go
+++ b/internal/order/reconciler_test.go
@@ -1,7 +1,6 @@
 package order
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"log/slog"
@@ -19,6 +18,7 @@
 	"github.com/savorystall/savorystall/internal/platform"
 	enginestandin "github.com/savorystall/savorystall/internal/standin/engine"
 	platformstandin "github.com/savorystall/savorystall/internal/standin/platform"
+	"github.com/savorystall/savorystall/test/logbuffer"
 	"github.com/savorystall/savorystall/test/process"
 )
 
@@ -77,29 +77,11 @@
 	return slices.Clone(f.received)
 }
 
-// logBuffer collects log output for inspection by tests.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *logBuffer) contains(text string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return strings.Contains(b.text.String(), text)
-}
-
 type fixture struct {
 	platform *platformstandin.Server
 	client   *platform.Client
 	url      string
-	log      logBuffer
+	log      logbuffer.Buffer
 }
 
 func newFixture(t *testing.T, c platformstandin.Config) *fixture {
@@ -224,7 +206,7 @@
 	f.reconciler(t, "d1", target).SetTargets([]Desired{currentDesired})
 	eventually(t, "the state", holds(target, "", currentDesired))
 	f.reconciler(t, "d2", target).SetTargets([]Desired{staleDesired})
-	eventually(t, "the stale daemon to notice", func() bool { return f.log.contains("event=524") })
+	eventually(t, "the stale daemon to notice", func() bool { return strings.Contains(f.log.String(), "event=524") })
 	is.New(t).True(holds(target, "", currentDesired)())
 }
 
@@ -235,7 +217,7 @@
 	f, target := newFixture(t, platformstandin.Config{}), &fakeTarget{fenced: true}
 	target.current.Fencing = 1 << 60
 	f.reconciler(t, "d1", target).SetTargets([]Desired{newDesired(1, "m")})
-	eventually(t, "the report", func() bool { return f.log.contains("event=525") })
+	eventually(t, "the report", func() bool { return strings.Contains(f.log.String(), "event=525") })
 	target.mu.Lock()
 	target.current.Fencing = 0
 	target.mu.Unlock()
