Events in doubt are not delivered if bytes of the same read show that they are foreign

Cause: each event of a read was added to what is delivered before the rest of the read was parsed.

Change: at a violation the filter goes back to before the first gap of the read, or before the first of two events with one id, and the stream goes on elsewhere after what was delivered. "same ID again" may be whole now (neither is delivered); with an open end nothing else is accepted than before, or one event less.

Conclusion: fixed within a read. An event far ahead in a read of its own stays open.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -22,14 +22,7 @@
 // those that were already delivered. Events are passed on unchanged.
 type eventFilter struct {
 	parser eventstream.Parser
-	// lastID is the ID of the last delivered event.
-	lastID eventstream.ID
-	// count is the number of delivered events with an ID.
-	count int
-	// gap is the last gap of the current attempt.
-	gap idGap
-	// gaps is the number of gaps of the whole stream.
-	gaps int
+	progress
 	// attemptID is the ID of the last event of the current attempt.
 	attemptID eventstream.ID
 	// unconfirmed is set if the next target has to send the events from the gap on again.
@@ -38,10 +31,36 @@
 	resumed bool
 	// complete holds the events to deliver.
 	complete []byte
+	// withdrawn is set if events of the current attempt were removed before they were delivered.
+	withdrawn bool
+	// beforeGap is the state before the first event of the current read that left a gap.
+	beforeGap checkpoint
+	// beforeLast is the state before the last event of the current read.
+	beforeLast checkpoint
 	// memory bounds the memory of the events of all streams; it may be nil.
 	memory *eventmemory.Stream
 }
 
+// progress describes the events that were delivered.
+type progress struct {
+	// lastID is the ID of the last delivered event.
+	lastID eventstream.ID
+	// count is the number of delivered events with an ID.
+	count int
+	// gap is the last gap of the current attempt.
+	gap idGap
+	// gaps is the number of gaps of the whole stream.
+	gaps int
+}
+
+// checkpoint is a state of the filter within one read.
+type checkpoint struct {
+	isSet bool
+	progress
+	// completeBytes is the length of the events to deliver.
+	completeBytes int
+}
+
 // idGap is the last gap between the IDs that the current target has sent.
 type idGap struct {
 	// from is the ID of the event before the gap.
@@ -54,14 +73,14 @@
 
 // newEventFilter returns the filter of a stream whose caller has the event with the ID after.
 func newEventFilter(after eventstream.ID, extra eventstream.ExtraField) eventFilter {
-	return eventFilter{parser: eventstream.Parser{Extra: extra}, lastID: after}
+	return eventFilter{parser: eventstream.Parser{Extra: extra}, progress: progress{lastID: after}}
 }
 
 // startAttempt prepares for the stream of another target.
 func (f *eventFilter) startAttempt() {
 	f.parser.Deliver = f.accept
 	f.parser.Reset()
-	f.resumed, f.attemptID = false, eventstream.ID{}
+	f.resumed, f.withdrawn, f.attemptID = false, false, eventstream.ID{}
 	if !f.unconfirmed {
 		f.gap = idGap{}
 	}
@@ -109,10 +128,28 @@
 // An error means that what follows them is not part of the stream, or that the stream was ended for its memory.
 func (f *eventFilter) feed(b []byte) ([]byte, error) {
 	f.complete = f.complete[:0]
+	f.beforeGap, f.beforeLast = checkpoint{}, checkpoint{}
 	err := f.parser.Feed(b)
+	var violation eventstream.Violation
+	if errors.As(err, &violation) {
+		f.withdraw(violation)
+	}
 	return f.complete, cmp.Or(err, f.holdMemory())
 }
 
+// withdraw removes the events of the current read that may be foreign, as bytes that are no event follow them: those
+// after a gap, and the first of two events with one ID.
+func (f *eventFilter) withdraw(violation eventstream.Violation) {
+	to := f.beforeGap
+	if !to.isSet && violation == eventstream.DuplicateID {
+		to = f.beforeLast
+	}
+	if to.isSet {
+		f.progress, f.complete = to.progress, f.complete[:to.completeBytes]
+		f.withdrawn = true
+	}
+}
+
 // delivered frees the memory of the events that feed has returned.
 func (f *eventFilter) delivered() error {
 	f.complete = f.complete[:0]
@@ -149,9 +186,13 @@
 	if f.lastID.Known && id.Value <= f.lastID.Value {
 		return false, nil
 	}
+	f.beforeLast = checkpoint{isSet: true, progress: f.progress, completeBytes: len(f.complete)}
 	before := f.lastID
 	before.Known = true // 0 if there is none: IDs usually begin at 0 or 1
 	if id.Value > before.Value+1 {
+		if !f.beforeGap.isSet {
+			f.beforeGap = f.beforeLast
+		}
 		f.gap = idGap{from: before, to: id}
 		f.gaps++
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -85,7 +85,7 @@
 	case errors.Is(r.failure, errUnconfirmedEvent):
 		r.isFinal = true // the caller has an event of the previous target that this one does not have
 		return
-	case errors.Is(r.failure, eventstream.DuplicateID):
+	case errors.Is(r.failure, eventstream.DuplicateID) && !pr.events.withdrawn:
 		r.isFinal = true // the foreign one of the two may have been delivered
 	case r.failure.Code == resultcode.AnswerCut:
 		pr.events.distrustFirstGap()
