--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,8 @@
 	Remaining time.Duration
 	// Key is the bearer key.
 	Key string
-	// LastEventID is the ID of the last event that the caller has received. Many callers state 0 for none.
+	// LastEventID is the ID of the last event that the caller has received. It is unknown if the
+	// caller states 0 and resumes no attempt, as many do that have none.
 	LastEventID eventstream.ID
 	// Resumes is the AttemptID of the request that brought the first event of the stream that
 	// this one resumes; empty if not stated.
