A comment before a version line and a `retry` without a value are sound

Sound streams were rejected as foreign, and taken up elsewhere or cut: with a comment line before the weight-versions line of an event, and with a `retry` that is empty or above 64 bits (found by the review; passed them on).

Cause: the comment counted as the first line of the event, and `retry` was parsed as an event's ID is.

Ruled out: ignoring any value of `retry`, as the standard does: words there are bytes that a sound engine does not send. A lone `event:` stays rejected, as does a byte order mark.

Change: comments do not count as fields; `retry` takes digits of any number, or none.

Conclusion: fixed.

--- a/internal/eventstream/parser.go
+++ b/internal/eventstream/parser.go
@@ -86,7 +86,8 @@
 
 // eventFields describes the lines of the current event that are complete.
 type eventFields struct {
-	lines int
+	// fields is the number of lines that are no comments.
+	fields int
 	id    ID
 	// hasData is set if the event has a data field, even an empty one.
 	hasData bool
@@ -158,12 +159,14 @@
 
 // addLine records a line of the current event.
 func (p *Parser) addLine(line []byte) error {
-	isFirst := p.current.lines == 0
-	p.current.lines++
 	name, value, _ := bytes.Cut(line, []byte(":"))
+	if len(name) == 0 {
+		return nil // a comment
+	}
+	isFirst := p.current.fields == 0
+	p.current.fields++
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
-	case "": // a comment
 	case "data":
 		p.current.hasData = true
 	case "event":
@@ -171,7 +174,7 @@
 	case "id":
 		return p.addID(value)
 	case "retry":
-		if _, ok := parseNumber(value); !ok {
+		if !isDigits(value) {
 			return InvalidValue
 		}
 	default:
@@ -194,6 +197,16 @@
 	return nil
 }
 
+// isDigits reports whether the value consists of decimal digits, which may be surrounded by spaces, or is empty.
+func isDigits(value []byte) bool {
+	for _, c := range bytes.Trim(value, " ") {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
 // parseNumber parses a decimal number, which may be surrounded by spaces.
 func parseNumber(value []byte) (n uint64, ok bool) {
 	n, err := strconv.ParseUint(string(bytes.Trim(value, " ")), 10, 64)
--- a/internal/eventstream/parser_test.go
+++ b/internal/eventstream/parser_test.go
@@ -42,6 +42,8 @@
 		"data: a\ndata: b\nid: 1\ndata:\n\n",
 		"weights: 3\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nweights: 4\n\n",
 		": comment\n\nid: 1\n: inside\ndata: a\n\n:\n\nretry: 500\n\nid: 2\nevent: token\nretry: 10\ndata: b\n\n",
+		": comment\nweights: 3\nid: 1\ndata: a\n\n: a\r\n: b\r\nweights: 4\r\n\r\n",
+		"retry:\n\nretry\n\nretry: 99999999999999999999\nid: 1\ndata: a\n\n",
 		"\n\nid: 1\ndata: a\n\n\n\nid: 2\ndata: \n\n",
 		"id: 1\ndata: \x00\xff\r\x01 id: 7 : HTTP/1.1 200 OK\n\nid: 2\ndata: id: 1\n\n",
 		"id: 18446744073709551615\ndata: " + strings.Repeat("x", 900<<10) + "\n\n",
