Spaces behind the last event do not end a stream as complete

Cause: whether the body ends within an event was asked of its bytes without white space.

Change: any byte behind the last event is a partial event.

Conclusion: fixed.

--- a/internal/eventstream/parser.go
+++ b/internal/eventstream/parser.go
@@ -88,7 +88,7 @@
 type eventFields struct {
 	// fields is the number of lines that are no comments.
 	fields int
-	id    ID
+	id     ID
 	// hasData is set if the event has a data field, even an empty one.
 	hasData bool
 	// hasType is set if the event has a type, which has no meaning without data.
@@ -99,7 +99,7 @@
 func (p *Parser) Reset() { *p = Parser{Deliver: p.Deliver, Extra: p.Extra, pending: p.pending[:0]} }
 
 // HasPartialEvent reports whether the bytes that were received so far end within an event.
-func (p *Parser) HasPartialEvent() bool { return len(bytes.TrimSpace(p.pending)) > 0 }
+func (p *Parser) HasPartialEvent() bool { return len(p.pending) > 0 }
 
 // BufferedBytes returns the memory that the incomplete event occupies.
 func (p *Parser) BufferedBytes() int { return cap(p.pending) }
--- a/internal/eventstream/parser_test.go
+++ b/internal/eventstream/parser_test.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// Guards against a stream that ends as complete although foreign bytes, or the start of an event, are all that came
+// of its rest.
+func TestBytesBehindTheLastEventAreAPartialEvent(t *testing.T) {
+	for _, rest := range []string{" ", "    ", "\r", "\r\r", "\t", "i", ":"} {
+		p := &Parser{}
+		if _, _, err := parse(p, "id: 1\ndata: a\n\n"+rest, 4096); err != nil || !p.HasPartialEvent() {
+			t.Errorf("%q behind the last event: %v, partial: %v", rest, err, p.HasPartialEvent())
+		}
+	}
+}
+
 // Guards against an event that was cut off and is joined to the next response.
 func TestResetDropsPartialEventAndViolation(t *testing.T) {
 	is := is.New(t)
