The first request of a route does not decide alone how long its requests take

Cause: the mean began with the first duration, at the weight of all later ones together.

Change: the first sixteen durations have equal weights.

Figures: TestFirstDurationDoesNotDecideAlone red without the change, green with it.

Conclusion: fixed. A route of which half the requests are slow still has a mean in between: requests are refused by it that would have been quick.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -54,25 +54,25 @@
 	return !p.Bounded() || !now.After(p.DispatchUntil(deadline, expected))
 }
 
-// newestWeight is the weight of the newest duration in the mean.
+// newestWeight is the weight of the newest duration in the mean once earlier ones are known.
 const newestWeight = 1.0 / 16
 
-// MeanDuration is the exponentially weighted mean of how long the requests of a route take at their targets. The zero
-// value holds no duration. It is safe for concurrent use.
+// MeanDuration is the exponentially weighted mean of how long the requests of a route take at their targets. The first
+// durations have equal weights, so that none of them decides alone. The zero value holds no duration. It is safe for
+// concurrent use.
 type MeanDuration struct {
-	mu   sync.Mutex
-	mean time.Duration
+	mu    sync.Mutex
+	mean  time.Duration
+	count float64
 }
 
 // Observe records how long a request took.
 func (m *MeanDuration) Observe(elapsed time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.mean == 0 {
-		m.mean = elapsed
-		return
-	}
-	m.mean += time.Duration(newestWeight * float64(elapsed-m.mean))
+	m.count++
+	weight := max(newestWeight, 1/m.count)
+	m.mean += time.Duration(weight * float64(elapsed-m.mean))
 }
 
 // Value returns the mean; zero if no duration was observed.
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -56,3 +56,14 @@
 	}
 	is.True(m.Value() > 2900*time.Millisecond && m.Value() <= 3*time.Second)
 }
+
+// Guards against quick requests that are refused in a planned stop, since the first request of their route was slow.
+func TestFirstDurationDoesNotDecideAlone(t *testing.T) {
+	is := is.New(t)
+	var m MeanDuration
+	m.Observe(10 * time.Second)
+	for range 10 {
+		m.Observe(10 * time.Millisecond)
+	}
+	is.True(m.Value() < time.Second)
+}
