What is sent late counts against a cold target's limit without a proof, too

Cause: an owner counted admissions to a target that seems warm over exactly a second. Callers that wait for a place get it the moment it is free, so that a burst is admitted a second after the one before, and what of that one was sent some milliseconds late arrives in the same second.

The test is left so: the limit is to hold while a target seems warm, too.

Change: the window is 1.1 s, with the 100 ms for sending, whether or not there is a proof, also for a new owner's part.

Not bounded: what is sent over 100 ms after its admission to a target of a service without checks.

--- a/internal/booking/cold.go
+++ b/internal/booking/cold.go
@@ -59,7 +59,7 @@
 	case e.isCold(now):
 		return e.admissions.countSince(now.Add(-time.Second-MaxColdSendDelay)) < min(max(1, limit/coldOwners), partOf(limit, c.coldShare(now, e.Zone)))
 	case isNew && !e.provedSinceTakeover():
-		return e.admissions.countSince(now.Add(-time.Second)) < partOf(smallLimit(limit), c.coldShare(now, e.Zone))
+		return e.admissions.countSince(now.Add(-time.Second-MaxProvenSendDelay)) < partOf(smallLimit(limit), c.coldShare(now, e.Zone))
 	}
 	return e.admissions.countSince(e.warmWindow(now)) < e.maxWarmAdmissions(limit, c.warmShare(now, e))
 }
--- a/internal/booking/warmproof.go
+++ b/internal/booking/warmproof.go
@@ -35,9 +35,6 @@
 	// checkFraction is the part of the limit at which a check is due. The other half is left for the
 	// requests that arrive before the result does, and for checks that are lost.
 	checkFraction = 0.5
-	// proofMemory is how long after a proof the send delay counts in addition to a second. By its end the
-	// admissions that this leaves out were themselves made under the limit without a proof.
-	proofMemory = 2 * (time.Second + MaxProvenSendDelay)
 	// provenLogFactor is the size of the log of admissions, in units of the limit, of a target that is
 	// checked. Held requests count from the end of their hold, while others are admitted.
 	provenLogFactor = 8
@@ -80,13 +77,10 @@
 // forgetProof discards what is not valid for a new owner.
 func (w *warmthState) forgetProof() { w.provenAt, w.pendingID = time.Time{}, 0 }
 
-// warmWindow returns the time since which admissions to a target that seems warm count.
+// warmWindow returns the time since which admissions to a target that seems warm count. Those of just
+// over a second ago may be sent late and arrive in the same second as the present ones.
 func (e *engine) warmWindow(now time.Time) time.Time {
-	start := now.Add(-time.Second)
-	if proven := e.warmth.provenAt; e.service.checksWarmth && !proven.IsZero() && now.Sub(proven) < proofMemory {
-		return laterOf(start, proven).Add(-MaxProvenSendDelay)
-	}
-	return start
+	return laterOf(now.Add(-time.Second), e.warmth.provenAt).Add(-MaxProvenSendDelay)
 }
 
 // maxWarmAdmissions returns how many admissions may count for a target that seems warm. If the target is
--- a/internal/booking/warmproof_test.go
+++ b/internal/booking/warmproof_test.go
@@ -190,6 +190,36 @@
 	})
 }
 
+// Guards against requests without a proof that are sent late and arrive together with those that were
+// admitted a second after them.
+func TestDelayedRequestsWithoutAProofDoNotExceedTheColdLimit(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		checked bool
+	}{{"not checked", false}, {"all checks lost", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			peak := 0
+			for seed := range uint64(warmSeeds) {
+				w := newWarmSim(seed, busyRate, c.checked)
+				w.turnCold()
+				w.sendDelay = func() time.Duration { return time.Duration(w.rng.Int64N(int64(booking.MaxProvenSendDelay))) }
+				w.fault = func(there, _ time.Duration, r booking.Warmth) (time.Duration, time.Duration, booking.Warmth) {
+					return there, time.Hour, r
+				}
+				w.run(warmDuration)
+				peak = max(peak, w.peakWhileCold())
+			}
+			t.Logf("at most %d requests in a second of a cold period", peak)
+			if peak > warmLimit {
+				t.Errorf("%d requests in a second to a cold target, %d are tolerated", peak, warmLimit)
+			}
+			if peak < warmLimit/2 {
+				t.Errorf("the load is too low to show anything: %d requests in a second", peak)
+			}
+		})
+	}
+}
+
 // Guards against the admissions of a second owner: daemons that take the owner for dead while it goes on.
 func TestTwoOwnersDoNotExceedTheColdLimit(t *testing.T) {
 	checkPeak(t, busyRate, func(w *warmSim) {
