A target that registers again right after another one is not dropped

Cause: after a restore of the store a target that the backup lacks is kept for 2.5 s. The follower of the targets gathers changes for 0.8 s after each answer. Where another target registers just before the missing one, an answer without the latter is on its way; with a store that takes 0.46 s to answer, the row that was written 1.2 s after the restore is read 2.9 s after it, 0.35 s after the drop. By the code, without any delay it takes a row written from 1.7 s on; live targets are back within 2 s.

Ruled out: the simulation.

Change: while a target is missing, the gathering ends a second before its time is over and is 0.15 s from then on. Nothing is kept for longer than before.

--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -370,6 +370,22 @@
 	is.New(t).NoErr(metrics.Close())
 }
 
+// Guards against a live target that is dropped although it registered again in time after the store
+// was restored from a backup. Another target registers just before it, and the answer with that row is
+// on its way. The follower then gathered changes for 800 ms, and the next answer came after the end of
+// the grace period.
+func TestTargetRewrittenRightAfterAnotherOneIsKept(t *testing.T) {
+	metrics := telemetry.NewMetrics()
+	steps := []simulationStep{
+		{Kind: stepRestore, Size: 3116, Pause: 12}, {Kind: stepDelay, Size: 1, Pause: 5}, {Kind: stepDropHistory, Pause: 551},
+		{Kind: stepDelay, Size: 958, Pause: 611}, {Kind: stepJoin, Size: 93, Pause: 1956},
+	}
+	for range 20 {
+		is.New(t).Equal(runSimulation(t, steps, false, metrics), nil)
+	}
+	is.New(t).NoErr(metrics.Close())
+}
+
 // Guards against a target that is not used any more since the store was restored from a backup right
 // after the target had registered.
 func TestTargetThatRegisteredRightBeforeARestoreIsUsed(t *testing.T) {
--- a/internal/daemon/storesync.go
+++ b/internal/daemon/storesync.go
@@ -130,6 +130,9 @@
 
 func (s *storeSync) follow(group *store.FeedGroup, table string, wait, coalesceDelay time.Duration, subscriber store.Subscriber) func(context.Context) {
 	cfg := store.FollowerConfig{Feed: s.deps.Relay, Table: table, Wait: wait, CoalesceDelay: coalesceDelay, Group: group, OutageSince: s.deps.Relay.OutageSince, Logger: s.deps.Log}
+	if table == platform.TableTargets {
+		cfg.AwaitedUntil = s.nextLapse
+	}
 	if table == heartbeatTable {
 		cfg.Heartbeat, cfg.OnCurrent = true, func() {
 			at := s.deps.Relay.ConfirmedAt()
@@ -140,6 +143,14 @@
 	return store.NewFollower(cfg, subscriber).Run
 }
 
+// nextLapse returns until when a target that the store lacks may register again before it is dropped;
+// zero if there is none.
+func (s *storeSync) nextLapse() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.NextLapse()
+}
+
 // snapshot returns the routes and targets as last read.
 func (s *storeSync) snapshot() routingView {
 	s.mu.Lock()
--- a/internal/platform/feed_test.go
+++ b/internal/platform/feed_test.go
@@ -434,3 +434,47 @@
 		is.Equal(seen, []string{fmt.Sprint(map[string]string{"k": "read"}, false), fmt.Sprint(map[string]string{"k": "changed"}, false)})
 	})
 }
+
+// Guards against a row that is written in time and read too late: it is written just after another one,
+// while the follower gathers changes, and the next call would come after the end of the time for which the
+// subscriber waits for it. With nothing to wait for, changes share a call as before.
+func TestAwaitedRowIsReadBeforeItIsGivenUp(t *testing.T) {
+	const awaited = 2500 * time.Millisecond
+	for _, first := range []time.Duration{900, 1400, 1900, 2100} {
+		for _, isAwaited := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				feed, subscriber := newFakeFeed(), &recordingSubscriber{}
+				started := time.Now()
+				ctx, cancel := context.WithCancel(t.Context())
+				f := platform.NewFollower(platform.FollowerConfig{
+					Feed: feed, Table: "t", Wait: longWait, CoalesceDelay: 800 * time.Millisecond, Logger: slog.New(slog.DiscardHandler),
+					AwaitedUntil: func() time.Time {
+						if !isAwaited {
+							return time.Time{}
+						}
+						return started.Add(awaited)
+					},
+				}, subscriber)
+				go f.Run(ctx)
+				time.Sleep(first * time.Millisecond)
+				before := feed.callCount()
+				for i := range 20 {
+					feed.put(fmt.Sprint("k", i), "v", false)
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(time.Until(started.Add(awaited)))
+				subscriber.mu.Lock()
+				read := len(subscriber.rows)
+				subscriber.mu.Unlock()
+				is.True(!isAwaited || read == 20)
+				time.Sleep(time.Second)
+				calls := feed.callCount() - before
+				t.Logf("first row after %s, awaited %v: %d of 20 rows in time, %d calls", first*time.Millisecond, isAwaited, read, calls)
+				is.True(calls <= 4 && (isAwaited || calls <= 2))
+				cancel()
+				synctest.Wait()
+			})
+		}
+	}
+}
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -25,6 +25,10 @@
 	// after the other), and each answer costs a call; changes within the delay share
 	// one.
 	CoalesceDelay time.Duration
+	// AwaitedUntil returns until when the subscriber waits for rows that the table lacks; zero
+	// if it waits for none. Shortly before that time CoalesceDelay is cut, since a row that was
+	// written in time would otherwise be read too late. It may be nil.
+	AwaitedUntil func() time.Time
 	// Group connects the followers of one store; nil means that there is only this one.
 	Group *FeedGroup
 	// Heartbeat reports that this is the group's follower with the short Wait, which
@@ -52,6 +56,11 @@
 	feedBackoffBase          = 100 * time.Millisecond
 	feedBackoffCap           = 1500 * time.Millisecond
 	defaultFeedCoalesceDelay = 150 * time.Millisecond
+	// awaitedRowsMargin is how long before the end of FollowerConfig.AwaitedUntil the
+	// coalescing of changes ends, or is cut to minCoalesceDelay: time for two slow answers, one
+	// that is on its way without the row, and the next with it.
+	awaitedRowsMargin = time.Second
+	minCoalesceDelay  = 150 * time.Millisecond
 	// readerRetryDelay is the pause before a daemon that is queried instead of the store, and
 	// does not keep up with it, is queried again.
 	readerRetryDelay = 150 * time.Millisecond
@@ -125,7 +134,7 @@
 		case errors.Is(err, errOlderEra):
 			clock.Sleep(ctx, clock.Real, feedBackoffBase)
 		case changed:
-			clock.Sleep(ctx, clock.Real, f.cfg.CoalesceDelay)
+			clock.Sleep(ctx, clock.Real, f.coalesceDelay(time.Now()))
 		case errors.Is(err, ErrHistoryLost):
 			event.FeedHistoryLost.Log(f.cfg.Logger, "table", f.cfg.Table, "revision", f.revision)
 			f.synced = false
@@ -144,6 +153,18 @@
 	}
 }
 
+// coalesceDelay returns how long the follower waits after a change before it requests the next one.
+func (f *Follower) coalesceDelay(now time.Time) time.Duration {
+	if f.cfg.AwaitedUntil == nil {
+		return f.cfg.CoalesceDelay
+	}
+	until := f.cfg.AwaitedUntil()
+	if until.IsZero() {
+		return f.cfg.CoalesceDelay
+	}
+	return min(f.cfg.CoalesceDelay, max(minCoalesceDelay, until.Add(-awaitedRowsMargin).Sub(now)))
+}
+
 // backOff waits after a failed call. While the heartbeat follower finds the store
 // unreachable, the others rely on it to detect the recovery.
 func (f *Follower) backOff(ctx context.Context) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -338,6 +338,17 @@
 	return list
 }
 
+// NextLapse returns when the first of the lapsed entries is dropped unless it is renewed; zero if
+// there are none.
+func (r *Registry) NextLapse() (next time.Time) {
+	for _, l := range r.lapsed {
+		if next.IsZero() || l.due.Before(next) {
+			next = l.due
+		}
+	}
+	return next
+}
+
 // Targets returns the entries ordered by identity. If two entries have the same address, only
 // the one whose process started last is returned: an address is reused once its former target
 // is gone, and the removal of the old entry may not have arrived yet.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -54,10 +54,12 @@
 	dropped, next := r.Expire(at(9))
 	is.Equal(len(dropped), 0)
 	is.Equal(next, at(10.5))
+	is.Equal(r.NextLapse(), at(10.5))
 	dropped, next = r.Expire(at(10.5))
 	is.Equal(dropped, []ident.Target{"t2"})
 	is.Equal(names(r), []ident.Target{"t1"}) // t2 is considered gone
 	is.True(next.IsZero())
+	is.True(r.NextLapse().IsZero())
 }
 
 // A removal long after the recovery is a departure, not an effect of the outage.
