A failed call after a restore does not end the grace period of targets

Cause: as the store stops answering within five seconds after a restore from a backup, the lapses of targets that the backup lacks are cleared, so that they get a new grace period after the outage. If no outage is seen (the store was confirmed less than 2.5 s before), the registry keeps the time of the restore as that of the recovery. The table is then read anew, and a target that it still lacks counts as one that left, because more than a second has passed since. A refused call 1.04 s after the restore drops a live target at 1.11 s; it registers at 1.2 s.

Ruled out: the simulation. The outage of 5 ms is one refused call, and what the registry knows was enough to keep the target.

Change: a grace period that was interrupted goes on to its end, if the store was not away. The end is the one without the interruption, so that nothing is kept for longer than a quiet daemon keeps it; what the store itself reports as removed is dropped as before.

--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -386,6 +386,22 @@
 	is.New(t).NoErr(metrics.Close())
 }
 
+// Guards against a live target that is dropped before it can register again after the store was restored
+// from a backup: one refused call a second after the restore made the daemon read the table anew, and
+// the target that it still lacked was taken for one that had left.
+func TestRefusedCallAfterARestoreKeepsTargets(t *testing.T) {
+	metrics := telemetry.NewMetrics()
+	steps := []simulationStep{
+		{Kind: stepDropHistory, Pause: 1}, {Kind: stepWriteRoutes, Pause: 2}, {Kind: stepJoin, Pause: 56}, {Kind: stepWriteRoutes},
+		{Kind: stepWriteRoutes, Pause: 1}, {Kind: stepWriteRoutes, Pause: 656}, {Kind: stepRestore, Size: 2556, Pause: 1015},
+		{Kind: stepWriteRoutes, Pause: 26}, {Kind: stepOutage, Size: 5, Pause: 940},
+	}
+	for range 60 {
+		is.New(t).Equal(runSimulation(t, steps, false, metrics), nil)
+	}
+	is.New(t).NoErr(metrics.Close())
+}
+
 // Guards against a target that is not used any more since the store was restored from a backup right
 // after the target had registered.
 func TestTargetThatRegisteredRightBeforeARestoreIsUsed(t *testing.T) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -100,6 +100,9 @@
 	cfg     Config
 	entries map[ident.Target]Entry
 	lapsed  map[ident.Target]lapse
+	// interrupted holds the targets whose lapse was cleared as the store stopped answering or was
+	// restored once more. Their grace period goes on if it turns out that the store was not away.
+	interrupted map[ident.Target]bool
 	// recoveredAt is when the store first answered after the last outage, recoveredNotBefore
 	// the earliest time at which that outage may have ended.
 	recoveredAt, recoveredNotBefore time.Time
@@ -145,7 +148,7 @@
 		cfg.DepartureRetention = defaultDepartureRetention
 	}
 	return &Registry{
-		cfg: cfg, entries: map[ident.Target]Entry{}, lapsed: map[ident.Target]lapse{}, departed: map[ident.Target]time.Time{},
+		cfg: cfg, entries: map[ident.Target]Entry{}, lapsed: map[ident.Target]lapse{}, interrupted: map[ident.Target]bool{}, departed: map[ident.Target]time.Time{},
 		untrusted: map[ident.Target]bool{}, quarantined: map[ident.Target]Entry{},
 	}
 }
@@ -203,6 +206,7 @@
 	for id, l := range r.lapsed {
 		if !l.removedByStore {
 			delete(r.lapsed, id)
+			r.interrupted[id] = true
 		}
 	}
 }
@@ -215,6 +219,7 @@
 	}
 	r.entries[e.Identity] = e
 	delete(r.lapsed, e.Identity)
+	delete(r.interrupted, e.Identity)
 	delete(r.departed, e.Identity)
 }
 
@@ -234,6 +239,7 @@
 func (r *Registry) drop(now time.Time, id ident.Target) {
 	delete(r.entries, id)
 	delete(r.lapsed, id)
+	delete(r.interrupted, id)
 	r.departed[id] = now
 	r.pruneDeparted(now)
 }
@@ -253,7 +259,9 @@
 		return
 	}
 	l.due = earlier(r.graceEnd(), l.due)
-	if r.recoveredAt.IsZero() || now.Sub(r.recoveredAt) > r.cfg.LapseWindow || !now.Before(l.due) {
+	lapsedBefore := r.interrupted[id] && !l.removedByStore
+	late := now.Sub(r.recoveredAt) > r.cfg.LapseWindow && !lapsedBefore
+	if r.recoveredAt.IsZero() || late || !now.Before(l.due) {
 		r.drop(now, id)
 		return
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -206,6 +206,30 @@
 	is.Equal(len(names(r)), 0)
 }
 
+// One call fails over a second after the store was restored from a backup, and no outage shows: the table is
+// read again. A live target that is still missing was dropped at once, before it had written its entry again.
+// Its grace period has to go on, and must not begin anew either.
+func TestFailedCallDoesNotEndGracePeriod(t *testing.T) {
+	is := is.New(t)
+	r := registry.New(registry.Config{})
+	r.Put(entry("back", "1"))
+	r.Put(entry("gone", "2"))
+	r.Put(entry("leaves", "3"))
+	r.StoreRestored(at(0), at(0))
+	r.Replace(at(0), []registry.Entry{entry("leaves", "3")})
+	r.StoreUnreachable(at(1.1))
+	r.StoreRecovered(at(1.2), time.Time{})
+	r.Replace(at(1.2), nil)
+	is.Equal(names(r), []ident.Target{"back", "gone"}) // an entry that the backup held has been removed since
+	r.Put(entry("back", "1"))
+	r.Remove(at(1.3), "back")
+	is.Equal(names(r), []ident.Target{"gone"})
+	r.Expire(at(2.4))
+	is.Equal(names(r), []ident.Target{"gone"})
+	r.Expire(at(2.5))
+	is.Equal(len(names(r)), 0)
+}
+
 // A target that left before this daemon started must not get requests because of its entry in
 // a backup.
 func TestUnknownTargetInBackupIsQuarantined(t *testing.T) {
