A sound event that has just begun is not ended for smaller ones that do not end

Cause: above the limit, the stream that holds most was ended, whatever the age of its event. In a flood of events that do not end and are still small, or stay so, that is a sound event of 100 kB while it arrives; its target is then taken for a faulty one and avoided.

Change: what a stream holds is weighted by the age of its event, from a third (up to 10 ms) to all (from 30 ms on); the age begins anew with each event and with its write. While streams that were ended hold a quarter of the limit, age does not count.

--- a/internal/daemon/routed.go
+++ b/internal/daemon/routed.go
@@ -121,7 +121,7 @@
 			},
 			ConnectionShare: s.Routing.ConnectionShare,
 		},
-		Routes: routes, Dialect: platform.Dialect{}, Health: platform.Dialect{}, Placer: loop, Origins: loop, Poison: loop, Pool: pool, EventMemory: eventmemory.New(int64(s.Memory.Limit) << 20), Notices: notices, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, OnBody: recordBody, ShouldShed: load.shouldShed, Shedding: load.shedding, LinkFull: load.link.limited, OutOfTouch: load.outOfTouch, RoutesMayBeStale: load.routesStale, RoutesBehind: load.routesBehind, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
+		Routes: routes, Dialect: platform.Dialect{}, Health: platform.Dialect{}, Placer: loop, Origins: loop, Poison: loop, Pool: pool, EventMemory: eventmemory.New(int64(s.Memory.Limit)<<20, time.Now), Notices: notices, CallerGone: callerDisconnected, OnCallerGone: disconnects.watch, OnAbort: noteAborted, OnBody: recordBody, ShouldShed: load.shouldShed, Shedding: load.shedding, LinkFull: load.link.limited, OutOfTouch: load.outOfTouch, RoutesMayBeStale: load.routesStale, RoutesBehind: load.routesBehind, ReadDelay: load.readDelay, OutOfRotation: load.balancerNoticed,
 		Metrics: metrics, Tracing: tracing, Log: log,
 	})
 	return b.gateway
--- a/internal/gateway/eventmemory_test.go
+++ b/internal/gateway/eventmemory_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -13,7 +14,7 @@
 // Guards against a stream that keeps the memory of its largest event, or whose memory is not counted.
 func TestMemoryOfLargeEventsIsCountedAndFreed(t *testing.T) {
 	is := is.New(t)
-	budget := eventmemory.New(64 << 20)
+	budget := eventmemory.New(64<<20, time.Now)
 	f := newEventFilter(eventstream.ID{}, nil)
 	f.memory = budget.NewStream(func() { t.Error("the stream was ended") })
 	f.startAttempt()
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -104,6 +104,9 @@
 func (f *eventFilter) feed(b []byte) ([]byte, error) {
 	f.complete = f.complete[:0]
 	err := f.parser.Feed(b)
+	if len(f.complete) > 0 {
+		f.memory.NextEvent()
+	}
 	return f.complete, cmp.Or(err, f.holdMemory())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -273,7 +273,7 @@
 		s.Notices = targetnotice.New()
 	}
 	if s.EventMemory == nil {
-		s.EventMemory = eventmemory.New(0)
+		s.EventMemory = eventmemory.New(0, time.Now)
 	}
 	s.targets.Store(&Targets{})
 	s.daemons.Store(1)
--- a/internal/gateway/streambreak.go
+++ b/internal/gateway/streambreak.go
@@ -18,7 +18,7 @@
 	breakTargetEnded    = "target_ended"
 	// breakUnconfirmed: the target lacks an event that was delivered from another one.
 	breakUnconfirmed = "unconfirmed_event"
-	// breakEventMemory: the events of all streams took too much memory, and this one held most.
+	// breakEventMemory: the events of all streams took too much memory, and this one held most for its age.
 	breakEventMemory = "event_memory"
 )
 
