Tests of the age of an event that is complete

A sound stream is not ended while it writes an event because of the time for which that event arrived. Both tests are red without NextEvent, or without its call in the gateway.

--- a/internal/eventmemory/eventmemory_test.go
+++ b/internal/eventmemory/eventmemory_test.go
@@ -173,6 +173,7 @@
 	return endless
 }
 
+// countEnded returns the number of streams that were ended, and releases what they hold.
 func countEnded(streams []*stream) (n int) {
 	for _, s := range streams {
 		if s.ended {
@@ -267,6 +268,24 @@
 	is.True(!sound.ended)
 }
 
+// Guards against a sound stream that is ended while it writes an event, for the time in which that event arrived.
+func TestCompleteEventHasItsOwnAge(t *testing.T) {
+	is := is.New(t)
+	clock := &drawnTime{}
+	b := eventmemory.New(32*limit, clock.now)
+	endless := holdEndless(is, b, clock)
+	sound := newStream(b)
+	is.NoErr(sound.Hold(128 * kb))
+	before := countEnded(endless)
+	clock.advance(100 * time.Millisecond)
+	sound.NextEvent()
+	for countEnded(endless) == before && !sound.ended {
+		is.NoErr(newStream(b).Hold(33 * kb))
+	}
+	is.True(!sound.ended)
+	(*eventmemory.Stream)(nil).NextEvent()
+}
+
 // Guards against memory that grows on a VM which is short of processor time, where streams that were ended release
 // their memory late, if an older stream is ended for each one that grows, which would release its own at once.
 func TestOlderStreamsAreNotEndedWhileOthersReleaseLate(t *testing.T) {
--- a/internal/gateway/eventmemory_test.go
+++ b/internal/gateway/eventmemory_test.go
@@ -41,3 +41,24 @@
 	f.endAttempt()
 	is.Equal(budget.Held(), int64(0))
 }
+
+// Guards against a sound stream that is ended while it writes a complete event, in place of one whose smaller event
+// does not end.
+func TestEventThatIsWrittenCountsAsYoung(t *testing.T) {
+	is := is.New(t)
+	clock := time.Time{}
+	budget := eventmemory.New(32*200<<10, func() time.Time { return clock }) // of which events may take 200 kB
+	f := newEventFilter(eventstream.ID{}, nil)
+	f.memory = budget.NewStream(func() { t.Error("the stream was ended") })
+	f.startAttempt()
+	_, err := f.feed([]byte("id: 1\ndata: " + strings.Repeat("x", 100<<10)))
+	is.NoErr(err)
+	ended := false
+	is.NoErr(budget.NewStream(func() { ended = true }).Hold(64 << 10))
+	clock = clock.Add(time.Second)
+	complete, err := f.feed([]byte("\n\n"))
+	is.NoErr(err)
+	is.True(len(complete) > 100<<10)
+	is.NoErr(budget.NewStream(func() {}).Hold(64 << 10))
+	is.True(ended)
+}
