Small streams do not grow beyond three times the limit on the memory of events

Cause: above twice the limit, a stream that grows was ended only if it held more than a sixteenth of the limit.

Change: above three times the limit, every stream that grows is ended.

--- a/internal/eventmemory/eventmemory.go
+++ b/internal/eventmemory/eventmemory.go
@@ -23,8 +23,10 @@
 	defaultLimit = 8 << 20
 	// reserveFactor is how much of the limit may be held while streams that were ended release their memory.
 	reserveFactor = 2
-	// smallFraction is the part of the limit up to which a stream is not ended for the memory of those.
+	// smallFraction is the part of the limit up to which a stream is not ended for the memory of those, unless all
+	// streams hold maxHeldFactor times the limit.
 	smallFraction = 16
+	maxHeldFactor = 3
 	// minCountedAge and maxCountedAge bound the age of an event in the comparison of streams. An event that a target
 	// sends at once is complete within the former, or little more on a busy VM. The larger their quotient is, the
 	// more streams with slow sound events are ended for larger events of faulty targets that are only younger.
@@ -157,8 +159,8 @@
 	}
 }
 
-// enforce ends streams until the others are within the limit. The stream that has just grown also ends, unless it is
-// small, if those that were ended before have not released enough. The caller holds the lock.
+// enforce ends streams until the others are within the limit. The stream that has just grown also ends if those that
+// were ended before have not released enough. The caller holds the lock.
 func (b *Budget) enforce(grown *Stream) {
 	if b.held-b.ending > b.limit {
 		now := b.now()
@@ -166,11 +168,17 @@
 			b.endStream(b.largest(grown, now))
 		}
 	}
-	if b.held > reserveFactor*b.limit && grown.bytes > b.limit/smallFraction && !grown.ended {
+	if b.exceedsReserve(grown) && !grown.ended {
 		b.endStream(grown)
 	}
 }
 
+// exceedsReserve reports whether a stream that grows is to end for the memory that ended streams have not released.
+func (b *Budget) exceedsReserve(grown *Stream) bool {
+	isSmall := grown.bytes <= b.limit/smallFraction
+	return b.held > maxHeldFactor*b.limit || b.held > reserveFactor*b.limit && !isSmall
+}
+
 // largest returns the stream that holds most, weighted by age unless streams that were ended are slow to release their
 // memory. Among equals it is the one that has just grown, as it releases its memory at once.
 func (b *Budget) largest(grown *Stream, now time.Time) *Stream {
--- a/internal/eventmemory/eventmemory_test.go
+++ b/internal/eventmemory/eventmemory_test.go
@@ -304,6 +304,42 @@
 	is.True(b.Held() <= limit)
 }
 
+// Guards against many streams, each of them small enough to grow while others release their memory late, that take
+// several times the limit together. A daemon that is short of processor time releases memory late.
+func TestSmallStreamsAreBoundedWhileOthersReleaseLate(t *testing.T) {
+	const (
+		step         = 10 * time.Millisecond
+		releaseSteps = 10 // steps until a stream that was ended releases its memory
+		streams      = 256
+		newPerStep   = 10
+	)
+	is := is.New(t)
+	clock := &drawnTime{}
+	b := eventmemory.New(32*limit, clock.now)
+	var flood []*stream
+	stepsSinceEnd := map[*stream]int{}
+	most := int64(0)
+	for range 100 {
+		for range min(newPerStep, streams-len(flood)) {
+			flood = append(flood, newStream(b))
+		}
+		for _, s := range flood {
+			if s.ended {
+				stepsSinceEnd[s]++
+				if stepsSinceEnd[s] == releaseSteps {
+					s.Release()
+				}
+			} else if s.Hold(min(mb, s.bytes+32*kb)) != nil {
+				s.Release() // its own goroutine
+			}
+			most = max(most, b.Held())
+		}
+		clock.advance(step)
+	}
+	t.Logf("%d kB were held at most, of a limit of %d", most/kb, limit/kb)
+	is.True(most <= 3*limit)
+}
+
 // Guards against a flood that takes more than the limit because of how its events arrive.
 func TestFloodIsBoundedHoweverItsEventsArrive(t *testing.T) {
 	const streams = 128
