--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -134,6 +134,9 @@
 	if errors.As(err, &violation) {
 		f.withdraw(violation)
 	}
+	if len(f.complete) > 0 {
+		f.memory.NextEvent()
+	}
 	return f.complete, cmp.Or(err, f.holdMemory())
 }
 
