--- a/internal/eventmemory/accounting_test.go
+++ b/internal/eventmemory/accounting_test.go
@@ -16,7 +16,7 @@
 // or after its release.
 func TestReleasedStreamsHoldNothing(t *testing.T) {
 	is := is.New(t)
-	budget := eventmemory.New(64 << 20, time.Now)
+	budget := eventmemory.New(64<<20, time.Now)
 	crowd := budget.NewStream(func() {}) // half of the limit is held all the while
 	is.NoErr(crowd.Hold(1 << 20))
 	var ended atomic.Int64
