One raw target for the tests of attempts

Change: serveConnections, expectNoForeignBytes, endlessTarget by serve. Checks, bounds and sub-tests are the same.

--- a/internal/attempt/endless_test.go
+++ b/internal/attempt/endless_test.go
@@ -20,31 +20,18 @@
 // them.
 func serveStreams(t *testing.T, write func(w io.Writer) error) (address string, requests *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
 	requests = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil || r.Method == http.MethodDelete {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				requests.Add(1)
-				if _, err = io.WriteString(conn, streamHead+"\r\n"); err == nil {
-					_ = write(conn)
-				}
-			}()
+	address = serveConnections(t, func(conn net.Conn, in *bufio.Reader) {
+		r, err := readWholeRequest(in)
+		if err != nil || r.Method == http.MethodDelete {
+			return
+		}
+		requests.Add(1)
+		if _, err = io.WriteString(conn, streamHead+"\r\n"); err == nil {
+			_ = write(conn)
 		}
-	}()
-	return l.Addr().String(), requests
+	})
+	return address, requests
 }
 
 // Guards against an event that never ends: each of its lines is short, but their sum takes the
--- a/internal/attempt/foreign_test.go
+++ b/internal/attempt/foreign_test.go
@@ -89,30 +89,11 @@
 
 func (e foreignEngine) serve(t *testing.T) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	done := make(chan struct{})
-	t.Cleanup(func() {
-		_ = l.Close()
-		<-done
-	})
-	go func() {
-		defer close(done)
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(conn, e.response(r))
-				}
-			}()
+	return serveConnections(t, func(conn net.Conn, in *bufio.Reader) {
+		if r, err := readWholeRequest(in); err == nil {
+			_, _ = io.WriteString(conn, e.response(r))
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 func (e foreignEngine) response(r *http.Request) string {
@@ -161,9 +142,8 @@
 	return attempt.Config{FirstByteTimeout: time.Minute, ProgressTimeout: time.Minute, ResumeWindow: time.Minute}
 }
 
-// Guards against bytes that are no event of the stream: their connection must not be believed any
-// more, and the rest of the stream be taken up on another one. Otherwise the caller gets a foreign
-// piece, an answer without its last pieces, or a failure although the engine has the whole answer.
+// Guards against bytes that are no event of the stream: nothing that follows them on their connection may be used, and
+// the stream is resumed on another one. Otherwise the caller gets a foreign piece, an answer without its last pieces, or a failure although the engine has the whole answer.
 func TestBytesThatAreNoEventOfTheStream(t *testing.T) {
 	var all []string
 	for n := 1; n <= soundEvents; n++ {
--- a/internal/attempt/kept_test.go
+++ b/internal/attempt/kept_test.go
@@ -24,34 +24,20 @@
 // counts the connections.
 func serveKept(t *testing.T, respond func(r *http.Request) string) (address string, opened *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	var conns sync.WaitGroup
-	t.Cleanup(func() { _ = l.Close() })
 	opened = &atomic.Int64{}
-	go func() {
+	address = serveConnections(t, func(conn net.Conn, in *bufio.Reader) {
+		opened.Add(1)
 		for {
-			conn, err := l.Accept()
+			r, err := readWholeRequest(in)
 			if err != nil {
 				return
 			}
-			opened.Add(1)
-			conns.Go(func() {
-				defer func() { _ = conn.Close() }()
-				for in := bufio.NewReader(conn); ; {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					if _, err := io.WriteString(conn, respond(r)); err != nil {
-						return
-					}
-				}
-			})
+			if _, err := io.WriteString(conn, respond(r)); err != nil {
+				return
+			}
 		}
-	}()
-	return l.Addr().String(), opened
+	})
+	return address, opened
 }
 
 func chunkedStream(body string) string {
@@ -63,9 +49,15 @@
 	keptRequests = 200 // of each caller
 )
 
-// keptCounts counts requests that failed, not run, so that they are sent again, or for their callers, and those
-// that got foreign bytes.
-type keptCounts struct{ notRun, failed, foreign atomic.Int64 }
+// keptCounts counts the outcomes of requests.
+type keptCounts struct {
+	// notRun counts those that failed as not run, which callers may send again.
+	notRun atomic.Int64
+	// failed counts those that failed otherwise.
+	failed atomic.Int64
+	// foreign counts the foreign pieces or bodies that callers got.
+	foreign atomic.Int64
+}
 
 func (n *keptCounts) count(got attempt.Result) {
 	switch {
@@ -113,12 +105,7 @@
 		"words behind chunks":         chunkedStream(stream) + "words\r\n\r\n",
 	} {
 		t.Run("stream/"+name, func(t *testing.T) {
-			is := is.NewRelaxed(t)
-			address, opened := serveKept(t, func(*http.Request) string { return response })
-			cfg := noTimeout()
-			cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
-			runner := newRunner(t, cfg)
-			n := callKept(func(n *keptCounts) {
+			expectNoForeignBytes(t, response, func(runner *attempt.Runner, address string, n *keptCounts) {
 				sink := &chunkRecorder{}
 				got := runner.Model(t.Context(), modelRequest(address, "x", soundEvents), sink)
 				n.count(got)
@@ -127,9 +114,6 @@
 					t.Errorf("%d pieces", len(sink.data))
 				}
 			})
-			t.Logf("%d connections, %s", opened.Load(), n)
-			is.Equal(n.foreign.Load(), int64(0))
-			is.Equal(n.failed.Load(), int64(0))
 		})
 	}
 	plain := func(text string) string {
@@ -141,12 +125,7 @@
 		"words":         plain("own") + "words",
 	} {
 		t.Run("plain/"+name, func(t *testing.T) {
-			is := is.NewRelaxed(t)
-			address, opened := serveKept(t, func(*http.Request) string { return response })
-			cfg := noTimeout()
-			cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
-			runner := newRunner(t, cfg)
-			n := callKept(func(n *keptCounts) {
+			expectNoForeignBytes(t, response, func(runner *attempt.Runner, address string, n *keptCounts) {
 				w := httptest.NewRecorder()
 				req := attempt.PlainRequest{Attempt: ident.NewAttempt(), Address: address, Method: "GET", Path: "/", Header: http.Header{}}
 				n.count(runner.Plain(t.Context(), req, w))
@@ -154,9 +133,21 @@
 					n.foreign.Add(1)
 				}
 			})
-			t.Logf("%d connections, %s", opened.Load(), n)
-			is.Equal(n.foreign.Load(), int64(0))
-			is.Equal(n.failed.Load(), int64(0))
 		})
 	}
 }
+
+// expectNoForeignBytes makes the requests of all callers by call to a target that sends the given response to each, and
+// fails the test if one fails or gets foreign bytes.
+func expectNoForeignBytes(t *testing.T, response string, call func(runner *attempt.Runner, address string, n *keptCounts)) {
+	t.Helper()
+	is := is.NewRelaxed(t)
+	address, opened := serveKept(t, func(*http.Request) string { return response })
+	cfg := noTimeout()
+	cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
+	runner := newRunner(t, cfg)
+	n := callKept(func(n *keptCounts) { call(runner, address, n) })
+	t.Logf("%d connections, %s", opened.Load(), n)
+	is.Equal(n.foreign.Load(), int64(0))
+	is.Equal(n.failed.Load(), int64(0))
+}
--- a/internal/attempt/plain_test.go
+++ b/internal/attempt/plain_test.go
@@ -141,27 +141,14 @@
 }
 
 func newBreakingServer(t *testing.T) *breakingServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	s := &breakingServer{address: l.Addr().String()}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
+	s := &breakingServer{}
+	s.address = serveConnections(t, s.serve)
 	return s
 }
 
-func (s *breakingServer) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
+func (s *breakingServer) serve(c net.Conn, in *bufio.Reader) {
 	for {
-		req, err := http.ReadRequest(reader)
+		req, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
--- a/internal/targetconn/endless_test.go
+++ b/internal/targetconn/endless_test.go
@@ -1,6 +1,7 @@
 package targetconn_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -18,27 +19,12 @@
 // caller closes, and returns its address.
 func endlessTarget(t *testing.T, first, rest string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				_, err := io.WriteString(conn, first)
-				for repeated := []byte(rest); err == nil; {
-					_, err = conn.Write(repeated)
-				}
-			}()
+	return serve(t, func(conn *net.TCPConn, _ *bufio.Reader, _ int) {
+		_, err := io.WriteString(conn, first)
+		for repeated := []byte(rest); err == nil; {
+			_, err = conn.Write(repeated)
 		}
-	}()
-	return listener.Addr().String()
+	}).address
 }
 
 // Guards against a target whose response never ends, in its head, in what follows it or in its body,
