Tests of event streams say what their cases' fields are

Cause: up to four unnamed fields of a case shared one comment, two tests of the event filter had the same renderer, and comments had streams 'go on' and connections 'taken up'. Change: a comment a field, eventsWithIDs, drawIDs, the field's terms. Run: go vet, staticcheck; go test ./internal/gateway ./internal/standin/... green, ./internal/targetconn -run 'TestBytes|TestEndless' green.

--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -97,24 +97,32 @@
 	})
 }
 
-// Guards against a stream that goes on after a foreign event: its ID was far ahead, so that the next target is
-// asked to go on behind events that the caller never got.
-func TestEventBeforeForeignBytesIsConfirmedByTheNextTarget(t *testing.T) {
-	event := func(ids ...int) (text string) {
-		for _, id := range ids {
-			text += fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
-		}
-		return text
+// eventsWithIDs returns events with these IDs as a target sends them.
+func eventsWithIDs(ids ...uint64) (text string) {
+	for _, id := range ids {
+		text += fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
 	}
+	return text
+}
+
+// Guards against a stream that is resumed after a foreign event: its ID is far ahead, so that the next target leaves
+// out events that the caller never got.
+func TestEventBeforeForeignBytesIsConfirmedByTheNextTarget(t *testing.T) {
+	event := eventsWithIDs
 	known := func(id uint64) eventstream.ID { return eventstream.ID{Value: id, Known: true} }
 	for _, c := range []struct {
-		name          string
-		after         uint64
+		name string
+		// after is the ID of the caller's last event; zero if it has none.
+		after uint64
+		// first and second are what the two targets send; foreign bytes follow the first.
 		first, second string
-		resumeAfter   eventstream.ID
-		want          string
-		wantErr       error
-		unconfirmed   bool
+		// resumeAfter is the event after which the second target is to begin.
+		resumeAfter eventstream.ID
+		// want is what the caller gets.
+		want string
+		// wantErr is the error of the second target's events.
+		wantErr     error
+		unconfirmed bool
 	}{
 		{"no gap", 0, event(1, 2), event(3), known(2), event(1, 2, 3), nil, false},
 		{"from zero", 0, event(0, 1), event(2), known(1), event(0, 1, 2), nil, false},
--- a/internal/gateway/foreignevents_test.go
+++ b/internal/gateway/foreignevents_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -20,23 +19,22 @@
 	}
 }
 
+// drawIDs draws the IDs of a stream, some of them with gaps between.
+func drawIDs(rt *rapid.T) (ids []uint64) {
+	next := rapid.Uint64Range(0, 3).Draw(rt, "first")
+	for range rapid.IntRange(1, 12).Draw(rt, "events") {
+		ids = append(ids, next)
+		next += rapid.SampledFrom([]uint64{1, 1, 1, 2, 5, 100}).Draw(rt, "step")
+	}
+	return ids
+}
+
 // All targets send the same sound events, with gaps, and foreign bytes or a cut after some of them; each may
 // repeat what the caller has. The caller gets each event once and in order, the stream is complete only with
 // its last event, and every target confirms what it has to.
 func TestSoundEventsBeforeForeignBytesAreDeliveredOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		var ids []uint64
-		next := rapid.Uint64Range(0, 3).Draw(rt, "first")
-		for range rapid.IntRange(1, 12).Draw(rt, "events") {
-			ids = append(ids, next)
-			next += rapid.SampledFrom([]uint64{1, 1, 1, 2, 5, 100}).Draw(rt, "step")
-		}
-		render := func(from []uint64) (out string) {
-			for _, id := range from {
-				out += fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
-			}
-			return out
-		}
+		ids := drawIDs(rt)
 		after, begin := uint64(0), 0
 		if begin = rapid.IntRange(0, len(ids)-1).Draw(rt, "callerHas"); begin > 0 {
 			after = ids[begin-1]
@@ -62,7 +60,7 @@
 			if attempt == 4 {
 				end, how = len(ids), "cut"
 			}
-			out, err := filter.feed([]byte(render(ids[first:end])))
+			out, err := filter.feed([]byte(eventsWithIDs(ids[first:end]...)))
 			got.Write(out)
 			if err != nil {
 				rt.Fatalf("attempt %d: %v", attempt, err)
@@ -76,8 +74,8 @@
 				filter.distrust()
 			}
 		}
-		if got.String() != render(ids[begin:]) || filter.unconfirmed {
-			rt.Fatalf("got %q, want %q, unconfirmed %v", got.String(), render(ids[begin:]), filter.unconfirmed)
+		if got.String() != eventsWithIDs(ids[begin:]...) || filter.unconfirmed {
+			rt.Fatalf("got %q, want %q, unconfirmed %v", got.String(), eventsWithIDs(ids[begin:]...), filter.unconfirmed)
 		}
 	})
 }
--- a/internal/standin/engine/garbage_test.go
+++ b/internal/standin/engine/garbage_test.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// Guards against a share of spoilt streams that has no effect, or affects all of them.
+// Guards against a fraction of spoilt streams that has no effect, or affects all of them.
 func TestGarbageFractionSpoilsSomeStreams(t *testing.T) {
 	is := is.New(t)
 	spoilt := 0
--- a/internal/standin/plain/garbage_test.go
+++ b/internal/standin/plain/garbage_test.go
@@ -65,7 +65,7 @@
 	})
 }
 
-// Guards against a share of spoilt responses that has no effect, or affects all of them.
+// Guards against a fraction of spoilt responses that has no effect, or affects all of them.
 func TestGarbageFractionSpoilsSomeResponses(t *testing.T) {
 	is := is.New(t)
 	sound := exchange(t, plainstandin.Config{GarbageFraction: 1e-12}, "")
--- a/internal/targetconn/extra_test.go
+++ b/internal/targetconn/extra_test.go
@@ -20,10 +20,14 @@
 	const chunks = "Transfer-Encoding: chunked\r\n"
 	stray := responseText("b", "stray") // as if it were the response to the next request
 	for name, c := range map[string]struct {
-		// head and body follow the name of the first request; want is the body that its caller
-		// gets, failed an error, reused that its connection serves the next request.
-		head, body, want string
-		failed, reused   bool
+		// head and body follow the name of the first request in its response.
+		head, body string
+		// want is the body that the caller of the first request gets.
+		want string
+		// failed is set if that caller gets an error.
+		failed bool
+		// reused is set if the connection serves the next request.
+		reused bool
 	}{
 		"length":                        {"Content-Length: 3\r\n", "one", "one", false, true},
 		"length, response behind":       {"Content-Length: 3\r\n", "one" + stray, "one", false, false},
@@ -81,13 +85,16 @@
 	}
 }
 
-// Guards against bytes that arrive after a connection was taken up again, before or after the
-// request is read: the response to another request is skipped, anything else is an error, and
+// Guards against bytes that arrive on a connection that is reused, before or after its next request
+// is read: the response to another request is skipped, anything else is an error, and
 // neither is a part of the response.
 func TestBytesThatArriveAfterTheReuse(t *testing.T) {
 	for name, c := range map[string]struct {
-		early  string
-		want   string
+		// early arrives before the response to the second request.
+		early string
+		// want is the body that the caller of that request gets.
+		want string
+		// failed is set if that caller gets an error.
 		failed bool
 	}{
 		"response to another request": {responseText("a", "late"), "own", false},
