--- a/internal/attempt/kept_test.go
+++ b/internal/attempt/kept_test.go
@@ -25,35 +25,20 @@
 // counts the connections. Respond gets the number of the request on its connection, counted from one.
 func serveKept(t *testing.T, respond func(r *http.Request, n int) string) (address string, opened *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	var conns sync.WaitGroup
-	t.Cleanup(func() { _ = l.Close() })
 	opened = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := l.Accept()
+	address = serveConnections(t, func(conn net.Conn, in *bufio.Reader) {
+		opened.Add(1)
+		for n := 1; ; n++ {
+			r, err := readWholeRequest(in)
 			if err != nil {
 				return
 			}
-			opened.Add(1)
-			conns.Go(func() {
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
-				for n := 1; ; n++ {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					if _, err := io.WriteString(conn, respond(r, n)); err != nil {
-						return
-					}
-				}
-			})
+			if _, err := io.WriteString(conn, respond(r, n)); err != nil {
+				return
+			}
 		}
-	}()
-	return l.Addr().String(), opened
+	})
+	return address, opened
 }
 
 // withAttempt returns the response with the name of the request's attempt in its first head.
@@ -70,9 +55,15 @@
 	keptRequests = 200 // of each caller
 )
 
-// keptCounts counts requests that failed, not run, so that they are sent again, or for their callers, and those
-// that got foreign bytes.
-type keptCounts struct{ notRun, failed, foreign atomic.Int64 }
+// keptCounts counts the outcomes of requests.
+type keptCounts struct {
+	// notRun counts those that failed as not run, which callers may send again.
+	notRun atomic.Int64
+	// failed counts those that failed otherwise.
+	failed atomic.Int64
+	// foreign counts the foreign pieces or bodies that callers got.
+	foreign atomic.Int64
+}
 
 func (n *keptCounts) count(got attempt.Result) {
 	switch {
@@ -120,10 +111,8 @@
 		"words behind chunks":         chunkedStream(stream) + "words\r\n\r\n",
 	} {
 		t.Run("stream/"+name, func(t *testing.T) {
-			is := is.NewRelaxed(t)
-			address, opened := serveKept(t, func(r *http.Request, _ int) string { return withAttempt(r, response) })
-			runner := newRunner(t, noTimeout())
-			n := callKept(func(n *keptCounts) {
+			respond := func(r *http.Request, _ int) string { return withAttempt(r, response) }
+			expectNoForeignBytes(t, respond, func(runner *attempt.Runner, address string, n *keptCounts) {
 				sink := &chunkRecorder{}
 				got := runner.Model(t.Context(), modelRequest(address, "x", soundEvents), sink)
 				n.count(got)
@@ -132,9 +121,6 @@
 					t.Errorf("%d pieces", len(sink.data))
 				}
 			})
-			t.Logf("%d connections, %s", opened.Load(), n)
-			is.Equal(n.foreign.Load(), int64(0))
-			is.Equal(n.failed.Load(), int64(0))
 		})
 	}
 	plain := func(text string) string {
@@ -146,12 +132,8 @@
 		"words":         plain("own") + "words",
 	} {
 		t.Run("plain/"+name, func(t *testing.T) {
-			is := is.NewRelaxed(t)
-			address, opened := serveKept(t, func(*http.Request, int) string { return response })
-			cfg := noTimeout()
-			cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
-			runner := newRunner(t, cfg)
-			n := callKept(func(n *keptCounts) {
+			respond := func(*http.Request, int) string { return response }
+			expectNoForeignBytes(t, respond, func(runner *attempt.Runner, address string, n *keptCounts) {
 				w := httptest.NewRecorder()
 				req := attempt.PlainRequest{Attempt: ident.NewAttempt(), Address: address, Method: "GET", Path: "/", Header: http.Header{}}
 				n.count(runner.Plain(t.Context(), req, w))
@@ -159,13 +141,25 @@
 					n.foreign.Add(1)
 				}
 			})
-			t.Logf("%d connections, %s", opened.Load(), n)
-			is.Equal(n.foreign.Load(), int64(0))
-			is.Equal(n.failed.Load(), int64(0))
 		})
 	}
 }
 
+// expectNoForeignBytes makes the requests of all callers by call to a target that responds to each by respond, and
+// fails the test if one fails or gets foreign bytes.
+func expectNoForeignBytes(t *testing.T, respond func(r *http.Request, n int) string, call func(runner *attempt.Runner, address string, n *keptCounts)) {
+	t.Helper()
+	is := is.NewRelaxed(t)
+	address, opened := serveKept(t, respond)
+	cfg := noTimeout()
+	cfg.PlainFirstByteTimeout, cfg.PlainProgressTimeout = time.Minute, time.Minute
+	runner := newRunner(t, cfg)
+	n := callKept(func(n *keptCounts) { call(runner, address, n) })
+	t.Logf("%d connections, %s", opened.Load(), n)
+	is.Equal(n.foreign.Load(), int64(0))
+	is.Equal(n.failed.Load(), int64(0))
+}
+
 // Guards against a late response to another request, which arrives after the next request was sent on a kept
 // connection and is taken for the response to that one: its caller would get the answer to another caller, or
 // "not run" for a request that runs.
