--- a/review/driver/env.go
+++ b/review/driver/env.go
@@ -148,7 +148,7 @@
 		"listen.frontend": ports[0], "listen.readiness": ports[1], "port_range.0": port(ports[2]), "port_range.1": port(ports[3]),
 		"provider.address": strings.TrimPrefix(e.url, "http://"), "bounds.retry_budget_ratio": "0.2", "bounds.retry_slack": "52",
 		"bounds.budget_window_s": "10", "bounds.contact_ms": "3000", "bounds.config_apply_ms": "2000", "bounds.cold_over": e.coldOver, "bounds.cold_slack": e.coldSlack,
-		"bounds.grace_s": "8", "limits.max_fds": "4200", "limits.memory_mb": "284",
+		"limits.max_fds": "4200", "limits.memory_mb": "284",
 	}
 }
 
