--- a/review/driver-2/store.go
+++ b/review/driver-2/store.go
@@ -72,15 +72,6 @@
 	s.announce()
 }
 
-// drop deletes a row on behalf of the operator or an engine.
-func (s *store) drop(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ver++
-	s.rows[rowKey{table, "", key}] = row{Table: table, Key: key, Ver: s.ver, Deleted: true}
-	s.announce()
-}
-
 // announce wakes the calls that wait. The caller holds the lock.
 func (s *store) announce() {
 	close(s.changed)
