--- a/review/driver-2/client.go
+++ b/review/driver-2/client.go
@@ -39,6 +39,9 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
+	if request.Header.Get("Authorization") == "" {
+		request.Header.Del("Authorization")
+	}
 	f.rec.line("client sends %s %s with %d bytes to %s", method, attempt, len(body), d.name)
 	response, err := client.Do(request)
 	if err != nil {
--- a/review/driver-2/fixture.go
+++ b/review/driver-2/fixture.go
@@ -186,12 +186,17 @@
 	prefix    = "/puxa403/"
 )
 
-// configure writes the operator's configuration.
+// configure writes the operator's configuration with one tenant.
 func (f *fixture) configure(route, service map[string]any) {
+	f.configureTenants(7, route, service, map[string]any{"name": workspace, "api_keys": []string{key}, "priority": 1})
+}
+
+// configureTenants writes a version of the operator's configuration.
+func (f *fixture) configureTenants(version int, route, service map[string]any, tenants ...any) {
 	config := map[string]any{
-		"version": 7, "routes": []any{route}, "services": []any{service},
+		"version": version, "routes": []any{route}, "services": []any{service},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tokens_per_s": 470000},
-		"tenants": []any{map[string]any{"name": workspace, "api_keys": []string{key}, "priority": 1}},
+		"tenants": tenants,
 	}
 	text, _ := json.Marshal(config) // maps of plain values
 	f.rec.line("the operator writes %s", text)
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -27,9 +27,10 @@
 
 // cases maps the name of a case to the function that plays it. Trouble is false for the run without disruption.
 var cases = map[string]func(f *fixture, trouble bool) error{
-	"refused-but-run":  refusedButRun,
-	"memory":           memory,
-	"cut-failure-body": cutFailureBody,
+	"refused-but-run": refusedButRun,
+	"memory":          memory,
+	"foreign-tenant":  foreignTenant,
+	"token-usage":     tokenUsage,
 }
 
 func main() { os.Exit(run()) }
