--- a/review/driver-2/case_refused.go
+++ b/review/driver-2/case_refused.go
@@ -9,15 +9,15 @@
 )
 
 const (
-	// shedShare is the part of its requests that the grey engine rejects, and extraShare the part of its answers
-	// that it sends twice.
-	shedShare  = 0.25
+	// shedShare is the part of their requests that the grey engines reject, and extraShare the part of its answers
+	// that one of the two sends twice.
+	shedShare  = 0.45
 	extraShare = 0.03
-	// warmUp is how long the engine works well before each disruption, and troubleTime how long it does not.
+	// warmUp is how long the engines work well before each disruption, and troubleTime how long they do not.
 	warmUp      = 2 * time.Second
-	troubleTime = 5 * time.Second
+	troubleTime = 4 * time.Second
 	// disruptions is how often that happens.
-	disruptions = 4
+	disruptions = 12
 	// filingInterval is the time between two requests.
 	filingInterval = 5 * time.Millisecond
 	// lateRunTime is how long the case waits for runs after the last answer.
@@ -50,9 +50,9 @@
 	return f.runs[id]
 }
 
-// refusedButRun: clients send unrepeatable requests to a service with one engine. With trouble, the engine rejects
-// a part of its requests (503 with Not-Executed) and sends a few of its answers twice, the second time late: where
-// the response to the next request on the connection is expected. Every answer of the engine has the Attempt-Id of
+// refusedButRun: clients send unrepeatable requests to a service with two engines. With trouble, both reject a part of
+// their requests (503 with Not-Executed), and one sends a few of its answers twice, the second time late: where the
+// response to the next request on the connection is expected. Every answer of an engine has the Attempt-Id of
 // its request. The rule is broken if a request is answered 503 and has run, or has run twice.
 func refusedButRun(f *fixture, trouble bool) error {
 	work := &filings{runs: map[string]int{}, rng: rand.New(rand.NewPCG(1, 2))}
@@ -60,7 +60,8 @@
 	isTroubled := func() bool {
 		return trouble && time.Since(started)%(warmUp+troubleTime) > warmUp
 	}
-	_, err := f.startEngine("i-7f3a91c2", "hall-a", 6, func(c *engineConn, r *http.Request, body []byte) {
+	const garbling = "i-7f3a91c2"
+	handle := func(c *engineConn, r *http.Request, body []byte) {
 		id := r.Header.Get("Attempt-Id")
 		answer := encodeAnswer(r, http.StatusOK, stamp, []byte("filed "+id))
 		if isTroubled() && work.draw(shedShare) {
@@ -72,15 +73,17 @@
 			time.Sleep(15 * time.Millisecond)
 		}
 		_, _ = c.Write(answer) // fails if the daemon has closed the connection
-		if isTroubled() && work.draw(extraShare) {
+		if c.engine.id == garbling && isTroubled() && work.draw(extraShare) {
 			c.late = answer
 		}
-	})
-	if err != nil {
-		return err
+	}
+	for _, id := range []string{garbling, "i-02d9e6b4"} {
+		if _, err := f.startEngine(id, "hall-a", 6, handle); err != nil {
+			return err
+		}
 	}
 	f.configure(
-		map[string]any{"name": "r-tdhbjph", "host": host, "prefix": prefix, "kind": "non_idempotent", "timeout_ms": 1500, "goal_ms": 300, "priority": 2, "service": service, "attempts": 2, "public": false, "sticky": false, "resumable": false},
+		map[string]any{"name": "r-tdhbjph", "host": host, "prefix": prefix, "kind": "non_idempotent", "timeout_ms": 1500, "goal_ms": 300, "priority": 2, "service": service, "attempts": 4, "public": false, "sticky": false, "resumable": false},
 		map[string]any{"name": service, "health_path": "/healthz", "max_conns": 96, "protocol": "h1", "tls": false},
 	)
 	d, err := f.startDaemon("edge-hall-a-1", "hall-a")
