A reset that the write is told of is no end of the answer

The engine answers a long upload at once, without a length, sends a part and resets the connection while the upload is still being written. The kernel tells the error of a reset once, to whichever call comes first. If that is the write of the upload, the read of the answer gets an orderly end, by which such an answer counts as whole. The write's error was looked at only to decide whether the connection is kept.

A rule "a failed write breaks the answer" was not taken: a target may end its answer in order and close without reading the rest of the upload, which fails the write as well.

Change: dialing.Conn, which all connections to targets, neighbours and the store of routes are: its Read returns the end only if the kernel still has the connection, or no write was told of the loss (it waits for a write that is about to return; none blocks by then). So it holds for each reader: bodies of all kinds, streams and those that are taken up, heads, the documents' binding, and connections that a neighbour serves, whose loss was passed to the caller as an orderly end.

What a caller gets. The answer is broken: a repeatable request or resumable stream goes elsewhere within attempts and budget, others get 502, or a body broken off once 64 KiB or an event are passed on; never a promise of "not run". An engine that ends its side in order has sent its whole answer, whether it reads the rest of the upload or not: nothing of the answer can be missing before its end. It counts at the first attempt.

--- a/internal/daemon/connproxy.go
+++ b/internal/daemon/connproxy.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/dialing"
 	"github.com/savorystall/savorystall/internal/gateway"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
@@ -30,7 +31,7 @@
 // answer, so that the end of the connection shows whether an answer is outstanding.
 type connProxy struct {
 	caller    tcpConn
-	neighbour *net.TCPConn
+	neighbour *dialing.Conn
 	// acceptedAt is when the caller's connection was accepted. sendDelays records how long
 	// its first bytes waited from then on; it may be nil.
 	acceptedAt time.Time
--- a/internal/daemon/connproxy_test.go
+++ b/internal/daemon/connproxy_test.go
@@ -14,6 +14,9 @@
 
 	"github.com/matryer/is"
 	"golang.org/x/sys/unix"
+
+	"github.com/savorystall/savorystall/internal/dialing"
+	"github.com/savorystall/savorystall/test/slowupload"
 )
 
 // startScriptedNeighbour starts a fake neighbour that accepts each forwarded connection and
@@ -224,7 +227,7 @@
 		_ = neighbour.Close()
 	}()
 	_ = acceptedTCP.SetReadDeadline(time.Now().Add(-time.Second)) // as on a VM that resumes after firstRequestTimeout
-	p := connProxy{caller: newTrackedConn(acceptedTCP), neighbour: toNeighbour.(*net.TCPConn)}
+	p := connProxy{caller: newTrackedConn(acceptedTCP), neighbour: dialing.NewConn(toNeighbour.(*net.TCPConn))}
 	go p.copyRequest()
 	time.Sleep(100 * time.Millisecond)
 	is.True(received.Load())
@@ -279,6 +282,34 @@
 	is.Equal(len(body), size)
 }
 
+// Guards against a part of an answer that ends in order at the caller, though the neighbour that sent it was
+// lost while the caller's upload was still being written to it.
+func TestPartOfALostNeighboursAnswerDoesNotEndInOrder(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe who"
+	is := is.New(t)
+	s := newOverloadedDaemon(t, slowupload.Serve(t, func(conn *net.TCPConn) {
+		_, _ = conn.Write(acceptMessage(0))
+		_, _ = conn.Read(make([]byte, 100))
+		_, _ = io.WriteString(conn, part)
+		time.Sleep(slowupload.ArrivalTime)
+		slowupload.Reset(conn)
+	}))
+	for range 30 {
+		conn, err := net.Dial("tcp", s.address)
+		is.NoErr(err)
+		caller := dialing.NewConn(conn.(*net.TCPConn))
+		_ = caller.SetDeadline(time.Now().Add(5 * time.Second))
+		go func() {
+			_, _ = io.WriteString(caller, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000000\r\n\r\n")
+			_, _ = caller.Write(make([]byte, slowupload.UploadBytes))
+		}()
+		got, err := io.ReadAll(caller)
+		is.NoErr(caller.Close())
+		is.True(strings.HasPrefix(part, string(got)))
+		is.True(err != nil) // it has ended openly
+	}
+}
+
 // setSendBuffer limits the send buffers of the connections that a listener accepts.
 func setSendBuffer(t *testing.T, l *drainableListener, size int) {
 	t.Helper()
--- a/internal/daemon/forwardedlistener.go
+++ b/internal/daemon/forwardedlistener.go
@@ -101,7 +101,7 @@
 // offerConn opens a connection to a neighbour and waits until the neighbour accepts it.
 // routesVersion is the version of the routes in force here: a caller that was answered by
 // them must not be answered by older ones.
-func offerConn(address string, routesVersion uint64) (*net.TCPConn, error) {
+func offerConn(address string, routesVersion uint64) (*dialing.Conn, error) {
 	deadline := time.Now().Add(forwardAcceptTimeout)
 	conn, err := neighbourDialer.DialContext(context.Background(), "tcp", address)
 	if err != nil {
@@ -111,7 +111,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return conn.(*net.TCPConn), nil
+	return conn.(*dialing.Conn), nil
 }
 
 // awaitAccept waits for the accept message.
--- a/internal/dialing/dialing.go
+++ b/internal/dialing/dialing.go
@@ -4,6 +4,8 @@
 // TCP_USER_TIMEOUT detects this on a connection with unacknowledged bytes, and keepalive
 // probes detect it on an idle one; both result in a read error. If a proxy in between still
 // acknowledges, only the deadlines of the exchange help.
+//
+// What a connection brings before it is lost is never taken for all that its peer has sent; see Conn.
 package dialing
 
 import (
@@ -53,7 +55,7 @@
 	}}
 }
 
-// DialContext opens a connection. A connection that the kernel established in time counts as
+// DialContext opens a connection; over TCP it is a *Conn. A connection that the kernel established in time counts as
 // open, even if this process gets to run only later.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	dialCtx, cancel := turn.WithTimeout(ctx, d.connectTimeout)
@@ -62,6 +64,9 @@
 	if err != nil && ctx.Err() == nil && dialCtx.Err() != nil {
 		err = &net.OpError{Op: "dial", Net: network, Err: dialCtx.Err()} // otherwise it would look like a cancellation by the caller
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return NewConn(tcp), err
+	}
 	return conn, err
 }
 
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/savorystall/savorystall/internal/dialing"
 )
 
 // Request is one request to a target, with its complete body.
@@ -327,7 +329,7 @@
 // deliver a request that is buffered in the socket, for instance because the
 // receive window is full, to the target long after the caller has disconnected.
 func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(*dialing.Conn); ok {
 		_ = tcp.SetLinger(0) // on failure the unsent data is delivered
 	}
 	_ = c.Conn.Close() // the connection no longer counts, whatever the error
@@ -336,7 +338,7 @@
 // shutdown notifies the target immediately that nobody waits any more. Unlike a close, it does
 // not wait until the goroutines that read and write the connection were scheduled.
 func (c *conn) shutdown() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(*dialing.Conn); ok {
 		_, _ = tcp.CloseRead(), tcp.CloseWrite() // these fail if the connection has ended
 	}
 }
