An answer whose status is none reaches no caller

Cause: callers got answers with a status that is none. net/http takes any three characters that make a number for a status. Below 100 (000, 001, 099, also "+20" and "-00") the answer was taken for an interim one: its head was dropped, and its body read as the next head. A body that reads like an answer of the engine became the caller's answer; or the head behind a "099" that was sent first. 600, 700 and 999 were passed on.

Ruled out: that the head behind such an answer belongs to another request: it bears the attempt of this one, so that MatchesResponse cannot tell.

Change: internal/responsehead checks the status line of each head, interim ones too, as its bytes arrive and before net/http parses it: HTTP/1 and a minor version, three digits from 100 to 599, a reason without control bytes. targetconn reads all heads through it (new and kept connections, answers that are skipped as those to other requests, health checks, streams that are taken up). HTTP/2.0, HTTP/9.9 and control bytes in the reason are judged by the same rule.

What a caller gets: a repeatable request and a resumable stream go to another target within attempts and budget, others get 502 (3004 in place of 3001, which says that the connection broke). A target that answers so counts as failed, no longer as one that may have been ended by the request.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/savorystall/savorystall/internal/event"
 	"github.com/savorystall/savorystall/internal/registry"
+	"github.com/savorystall/savorystall/internal/responsehead"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/route"
 	"github.com/savorystall/savorystall/internal/targetconn"
@@ -140,7 +141,7 @@
 	return source.Address
 }
 
-// exchangeFailure returns the result of an exchange that got no response.
+// exchangeFailure returns the result of an exchange that got no response, or one with a malformed head.
 func (s *Server) exchangeFailure(entry registry.Entry, err error) attemptResult {
 	var unsent *targetconn.UnsentError
 	if errors.Is(err, targetconn.ErrCallerGone) {
@@ -155,6 +156,13 @@
 			targetFailed: !errors.Is(err, targetconn.ErrConnectionLimit) && !errors.Is(err, context.Canceled),
 		}
 	}
+	var violation responsehead.Violation
+	if errors.As(err, &violation) {
+		return attemptResult{
+			failure: resultcode.Fail(resultcode.TargetProtocol, "target %s", entry.Identity).WithCause(err),
+			sent:    true, targetFailed: true,
+		}
+	}
 	canceled := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	return attemptResult{
 		failure: resultcode.Fail(resultcode.ConnectionLost, "target %s", entry.Identity).WithCause(err),
--- /dev/null
+++ b/internal/responsehead/checker.go
@@ -0,0 +1,169 @@
+// Package responsehead rejects responses whose status lines are none by the protocol (RFC 9112, section
+// 4), before anything that their heads state is believed. net/http takes any three digits for a status.
+package responsehead
+
+import "net/http"
+
+// Violation is the error of a head that breaks a rule of the protocol.
+type Violation string
+
+// Error implements error.
+func (v Violation) Error() string { return "malformed response: " + string(v) }
+
+// Violations of a head.
+const (
+	ErrVersion = Violation("the status line does not begin with HTTP/1 and a minor version")
+	ErrStatus  = Violation("the status is not a number from 100 to 599")
+	ErrReason  = Violation("a control byte in the reason")
+)
+
+// Statuses of responses (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// state is what the next byte of a head belongs to.
+type state int
+
+const (
+	inVersion state = iota
+	inStatus
+	afterStatus
+	inReason
+	afterReason
+	atLine
+	inLine
+	done
+)
+
+// Checker checks the heads of one response: those of its interim responses and its own. The zero value
+// expects the first byte of the first one.
+type Checker struct {
+	state state
+	// position is the number of bytes of the version or of the status that were read.
+	position int
+	status   int
+}
+
+// Done reports whether the response's own head has ended, so that its body follows.
+func (c *Checker) Done() bool { return c.state == done }
+
+// Check checks the next bytes of a response up to the end of its own head, and returns how many bytes it
+// has checked. If the error is a Violation, the last of them is the one that breaks the rule. The rest of
+// the head has not been read by then, so that no reader of these bytes takes the head for complete.
+func (c *Checker) Check(p []byte) (n int, err error) {
+	for n < len(p) && !c.Done() {
+		b := p[n]
+		n++
+		if err := c.next(b); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+func (c *Checker) next(b byte) error {
+	switch c.state {
+	case inVersion:
+		return c.version(b)
+	case inStatus:
+		return c.statusDigit(b)
+	case afterStatus:
+		return c.reasonStart(b)
+	case inReason:
+		return c.reason(b)
+	case afterReason:
+		if b != '\n' {
+			return ErrReason
+		}
+		c.state = atLine
+	case inLine, atLine:
+		c.line(b)
+	}
+	return nil
+}
+
+// versionPattern is the version and the blank behind it; a zero stands for any digit.
+const versionPattern = "HTTP/1.0 "
+
+func (c *Checker) version(b byte) error {
+	want := versionPattern[c.position]
+	if b != want && !(want == '0' && isDigit(b)) {
+		return ErrVersion
+	}
+	if c.position++; c.position == len(versionPattern) {
+		c.state, c.position, c.status = inStatus, 0, 0
+	}
+	return nil
+}
+
+// statusDigits is the length of a status.
+const statusDigits = 3
+
+func (c *Checker) statusDigit(b byte) error {
+	if !isDigit(b) {
+		return ErrStatus
+	}
+	c.status = c.status*10 + int(b-'0')
+	if c.position++; c.position < statusDigits {
+		return nil
+	}
+	if c.status < minStatus || c.status > maxStatus {
+		return ErrStatus
+	}
+	c.state = afterStatus
+	return nil
+}
+
+// reasonStart takes the byte behind the status: a blank, or the end of a line without a reason.
+func (c *Checker) reasonStart(b byte) error {
+	switch b {
+	case ' ':
+		c.state = inReason
+	case '\r':
+		c.state = afterReason
+	case '\n':
+		c.state = atLine
+	default:
+		return ErrStatus
+	}
+	return nil
+}
+
+func (c *Checker) reason(b byte) error {
+	switch {
+	case b == '\r':
+		c.state = afterReason
+	case b == '\n':
+		c.state = atLine
+	case isControl(b):
+		return ErrReason
+	}
+	return nil
+}
+
+// line takes a byte of a field, or of the empty line that ends a head.
+func (c *Checker) line(b byte) {
+	switch {
+	case b == '\n' && c.state == atLine:
+		c.endHead()
+	case b == '\n':
+		c.state = atLine
+	case b != '\r' || c.state != atLine:
+		c.state = inLine
+	}
+}
+
+// endHead ends a head. Another one follows that of an interim response, unless it switches protocols.
+func (c *Checker) endHead() {
+	c.state, c.position = done, 0
+	if c.status < http.StatusOK && c.status != http.StatusSwitchingProtocols {
+		c.state = inVersion
+	}
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// isControl reports whether a byte may not stand in a reason (RFC 9112, section 4). A tab may.
+func isControl(b byte) bool { return b < ' ' && b != '\t' || b == '\x7f' }
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -235,10 +235,14 @@
 }
 
 // readFinalHeader reads the header of one response and skips informational (1xx)
-// responses.
+// responses. If any of them is malformed, the error is a responsehead.Violation.
 func (x *Exchange) readFinalHeader(request *http.Request) (*http.Response, error) {
 	x.conn.limit.allowance = maxHeadBytes
 	defer func() { x.conn.limit.allowance = unlimited }()
+	buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered()) // cannot fail
+	if err := x.conn.head.ExpectHead(buffered); err != nil {
+		return nil, err
+	}
 	for {
 		response, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/savorystall/savorystall/internal/dialing"
+	"github.com/savorystall/savorystall/internal/responsehead"
 )
 
 // Config configures a Pool. Zero fields take their defaults.
@@ -103,8 +104,9 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	// limit bounds what reader reads.
+	// limit bounds what reader reads, and head checks the heads in it.
 	limit *limitedReader
+	head  *responsehead.Reader
 	// reuseDeadline is the time from which on the connection must not be used for a
 	// new request.
 	reuseDeadline time.Time
@@ -293,8 +295,9 @@
 		p.release(address)
 		return nil, &UnsentError{Cause: err}
 	}
-	bounded := &limitedReader{raw, unlimited}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded, openedAt: openedAt}, nil
+	head := responsehead.NewReader(raw)
+	bounded := &limitedReader{head, unlimited}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize), limit: bounded, head: head, openedAt: openedAt}, nil
 }
 
 // reuseDeadline returns the time until which a connection may be reused according
