An answer with a line in its head that is no field reaches no caller

Cause: callers got answers in whose heads a name holds a blank, inside it or before the colon: net/http lets such names pass as names of their own. What they state is not believed: "Content-Length : 3" and "Transfer-Encoding : chunked" do not frame the body, so that the caller's body is not the engine's (chunk sizes in it, or all up to the end of the connection); "Attempt-Id : other" does not say whose answer it is. The line itself was left out by the daemon's writer. A line that begins with a blank is joined to the value before it, the signature's too.

Change: responsehead checks each line of each head, interim ones too, by RFC 9112, section 5, as its bytes arrive: a token, a colon, a value without control bytes. What follows the first wrong byte is not passed to the parser. Names of trailers, which net/http reads within the body, are checked at the end of the body, also of answers that are skipped as those to other requests. The same path as for status lines. A sound head with a line feed alone at the end of its lines, empty values, or bytes above 127 in them passes as before.

What a caller gets: as for a status that is none. A trailer comes behind the body: a resumable stream goes on elsewhere behind its last event, another one breaks off.

Conclusion: fixed for the routes. Open: a folded line within a trailer, which net/http joins; it states nothing that is passed on.

--- a/internal/gateway/streambreak.go
+++ b/internal/gateway/streambreak.go
@@ -7,6 +7,7 @@
 	"github.com/savorystall/savorystall/internal/eventmemory"
 	"github.com/savorystall/savorystall/internal/eventstream"
 	"github.com/savorystall/savorystall/internal/registry"
+	"github.com/savorystall/savorystall/internal/responsehead"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -34,6 +35,7 @@
 	{errUnsigned, "unsigned"},
 	{errEncoded, "encoded"},
 	{errNoStream, "no_stream"},
+	{responsehead.ErrFieldName, "trailer"},
 }
 
 // breakCause returns why a response is incomplete, for logs and metrics; empty if the failure has another reason.
--- a/internal/responsehead/checker.go
+++ b/internal/responsehead/checker.go
@@ -1,5 +1,9 @@
-// Package responsehead rejects responses whose status lines are none by the protocol (RFC 9112, section
-// 4), before anything that their heads state is believed. net/http takes any three digits for a status.
+// Package responsehead rejects responses whose heads are none by the protocol (RFC 9112, sections 4
+// and 5), before anything that they state is believed.
+//
+// net/http reads such heads leniently: it takes any three digits for a status, a field whose name
+// holds a blank for one that states nothing, and a line that begins with a blank for the rest of the
+// one before it. A field that would state the length of the body or whose response it is then counts as absent.
 package responsehead
 
 import "net/http"
@@ -12,9 +16,12 @@
 
 // Violations of a head.
 const (
-	ErrVersion = Violation("the status line does not begin with HTTP/1 and a minor version")
-	ErrStatus  = Violation("the status is not a number from 100 to 599")
-	ErrReason  = Violation("a control byte in the reason")
+	ErrVersion   = Violation("the status line does not begin with HTTP/1 and a minor version")
+	ErrStatus    = Violation("the status is not a number from 100 to 599")
+	ErrReason    = Violation("a control byte in the reason")
+	ErrFieldName = Violation("a blank, control or other invalid byte in the name of a field")
+	ErrNoName    = Violation("a line that begins with a blank or has no name of a field")
+	ErrValue     = Violation("a control byte in the value of a field")
 )
 
 // Statuses of responses (RFC 9110, section 15).
@@ -33,7 +40,10 @@
 	inReason
 	afterReason
 	atLine
-	inLine
+	inName
+	inValue
+	afterValue
+	afterHead
 	done
 )
 
@@ -72,14 +82,22 @@
 	case afterStatus:
 		return c.reasonStart(b)
 	case inReason:
-		return c.reason(b)
+		return c.text(b, afterReason, ErrReason)
 	case afterReason:
+		return c.lineFeed(b, atLine, ErrReason)
+	case atLine:
+		return c.lineStart(b)
+	case inName:
+		return c.name(b)
+	case inValue:
+		return c.text(b, afterValue, ErrValue)
+	case afterValue:
+		return c.lineFeed(b, atLine, ErrValue)
+	case afterHead:
 		if b != '\n' {
-			return ErrReason
+			return ErrNoName
 		}
-		c.state = atLine
-	case inLine, atLine:
-		c.line(b)
+		c.endHead()
 	}
 	return nil
 }
@@ -131,28 +149,50 @@
 	return nil
 }
 
-func (c *Checker) reason(b byte) error {
+// text takes a byte of a reason or value, which ends with its line.
+func (c *Checker) text(b byte, afterReturn state, violation Violation) error {
 	switch {
 	case b == '\r':
-		c.state = afterReason
+		c.state = afterReturn
 	case b == '\n':
 		c.state = atLine
 	case isControl(b):
-		return ErrReason
+		return violation
+	}
+	return nil
+}
+
+// lineFeed takes the byte behind a carriage return, which ends a line only together with a line feed.
+func (c *Checker) lineFeed(b byte, next state, violation Violation) error {
+	if b != '\n' {
+		return violation
 	}
+	c.state = next
 	return nil
 }
 
-// line takes a byte of a field, or of the empty line that ends a head.
-func (c *Checker) line(b byte) {
+func (c *Checker) lineStart(b byte) error {
 	switch {
-	case b == '\n' && c.state == atLine:
-		c.endHead()
+	case b == '\r':
+		c.state = afterHead
 	case b == '\n':
-		c.state = atLine
-	case b != '\r' || c.state != atLine:
-		c.state = inLine
+		c.endHead()
+	case isToken(b):
+		c.state = inName
+	default:
+		return ErrNoName
+	}
+	return nil
+}
+
+func (c *Checker) name(b byte) error {
+	switch {
+	case b == ':':
+		c.state = inValue
+	case !isToken(b):
+		return ErrFieldName
 	}
+	return nil
 }
 
 // endHead ends a head. Another one follows that of an interim response, unless it switches protocols.
@@ -165,5 +205,34 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
-// isControl reports whether a byte may not stand in a reason (RFC 9112, section 4). A tab may.
+// isControl reports whether a byte may not stand in a reason or value (RFC 9110, section 5.5). A tab may.
 func isControl(b byte) bool { return b < ' ' && b != '\t' || b == '\x7f' }
+
+// tokenBytes holds the bytes of a token other than letters and digits (RFC 9110, section 5.6.2).
+const tokenBytes = "!#$%&'*+-.^_`|~"
+
+// isTokenByte is set for the bytes of a token.
+var isTokenByte = func() (set [256]bool) {
+	for b := range set {
+		set[b] = isDigit(byte(b)) || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
+	}
+	for i := range len(tokenBytes) {
+		set[tokenBytes[i]] = true
+	}
+	return set
+}()
+
+func isToken(b byte) bool { return isTokenByte[b] }
+
+// CheckTrailer returns the error of a trailer whose names are none. It is read by net/http, which has rejected
+// other malformed lines by then.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		for i := range len(name) {
+			if !isToken(name[i]) {
+				return ErrFieldName
+			}
+		}
+	}
+	return nil
+}
--- a/internal/responsehead/checker_test.go
+++ b/internal/responsehead/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -19,6 +20,7 @@
 		"HTTP/1.1 200\r\n" + rest,
 		"HTTP/1.1 200 \tsehr gut \xfc\r\n" + rest,
 		strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+rest, "\r\n", "\n"),
+		"HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~9:\r\nY: \t a: b \xfc\t\r\n" + rest,
 		"HTTP/1.1 204 No Content\r\n\r\nhi",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
 		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nhi",
@@ -95,3 +97,37 @@
 		{"HTTP/1.1 200 \x7f", "\r\n" + rest, responsehead.ErrReason},
 	})
 }
+
+// Guards against a line that is no field and is left out of a head, or read otherwise: the caller would get a body
+// that is not the target's.
+func TestLinesThatAreNoFieldFail(t *testing.T) {
+	var heads []brokenHead
+	for _, before := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n", "HTTP/1.1 200 OK\nA: b\n"} {
+		heads = append(heads,
+			brokenHead{before + "X ", "Sum: a\r\n" + rest, responsehead.ErrFieldName},
+			brokenHead{before + "Content-Length ", ": 1\r\n" + rest, responsehead.ErrFieldName},
+			brokenHead{before + "Transfer-Encoding\t", ": chunked\r\n" + rest, responsehead.ErrFieldName},
+			brokenHead{before + "X\x00", ": a\r\n" + rest, responsehead.ErrFieldName},
+			brokenHead{before + "X\xfc", ": a\r\n" + rest, responsehead.ErrFieldName},
+			brokenHead{before + "X\r", "\n" + rest, responsehead.ErrFieldName},
+			brokenHead{before + "X\n", rest, responsehead.ErrFieldName},
+			brokenHead{before + ":", " a\r\n" + rest, responsehead.ErrNoName},
+			brokenHead{before + " ", "X: a\r\n" + rest, responsehead.ErrNoName},
+			brokenHead{before + "\t", "\r\n" + rest, responsehead.ErrNoName},
+			brokenHead{before + "\rX", ": a\r\n" + rest, responsehead.ErrNoName},
+			brokenHead{before + "X: a\x00", "\r\n" + rest, responsehead.ErrValue},
+			brokenHead{before + "X: a\rb", "\r\n" + rest, responsehead.ErrValue},
+			brokenHead{before + "X: a\x7f", "\r\n" + rest, responsehead.ErrValue},
+		)
+	}
+	checkBrokenHeads(t, heads)
+}
+
+// Guards against a trailer with a name that is none, which net/http lets pass.
+func TestTrailersWithNamesThatAreNoneFail(t *testing.T) {
+	for name, want := range map[string]error{"X-Sum": nil, "X Sum": responsehead.ErrFieldName, "X-Sum ": responsehead.ErrFieldName, "X\x01": responsehead.ErrFieldName} {
+		if err := responsehead.CheckTrailer(http.Header{"A": {"b"}, name: {"a"}}); err != want {
+			t.Errorf("%q: %v, want %v", name, err, want)
+		}
+	}
+}
--- a/internal/responsehead/reader.go
+++ b/internal/responsehead/reader.go
@@ -44,9 +44,10 @@
 	return len(p), nil
 }
 
-// Read implements io.Reader. The error after the bytes up to a malformed one is a Violation.
+// Read implements io.Reader. After the bytes up to a malformed one the input ends with a Violation. A reader of
+// lines may report the last line instead; see Violation.
 func (r *Reader) Read(p []byte) (int, error) {
-	if err := r.ended(); err != nil {
+	if err := r.Violation(); err != nil {
 		return 0, err
 	}
 	n, err := r.in.Read(p)
@@ -61,7 +62,8 @@
 	return checked, err
 }
 
-func (r *Reader) ended() error {
+// Violation returns the error of the malformed head at which the input has ended; nil if there is none.
+func (r *Reader) Violation() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.violation
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/savorystall/savorystall/internal/dialing"
+	"github.com/savorystall/savorystall/internal/responsehead"
 )
 
 // Request is one request to a target, with its complete body.
@@ -227,13 +229,21 @@
 		if response.Close {
 			return errMismatch
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := skipBody(response); err != nil {
 			return err
 		}
 	}
 	return errMismatch
 }
 
+// skipBody reads a response to its end.
+func skipBody(response *http.Response) error {
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	return responsehead.CheckTrailer(response.Trailer)
+}
+
 // readFinalHeader reads the header of one response and skips informational (1xx)
 // responses. If any of them is malformed, the error is a responsehead.Violation.
 func (x *Exchange) readFinalHeader(request *http.Request) (*http.Response, error) {
@@ -246,7 +256,7 @@
 	for {
 		response, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(x.conn.head.Violation(), err)
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
@@ -264,14 +274,17 @@
 }
 
 // Read reads the body of the response. It returns io.EOF only at the actual end: if
-// the connection is reset within a body of unknown length, it returns that error. It returns
-// io.EOF without bytes, so that the exchange can still be aborted because of the last ones.
+// the connection is reset within a body of unknown length, it returns that error, and after
+// a malformed trailer a responsehead.Violation. It returns io.EOF without bytes, so that the exchange can still be aborted because of the last ones.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.Response.Body.Read(p)
 	if err == io.EOF && n > 0 {
 		return n, nil
 	}
 	if err == io.EOF {
+		if err := responsehead.CheckTrailer(x.Response.Trailer); err != nil {
+			return 0, err
+		}
 		x.finish()
 	}
 	return n, err
