Malformed heads fail in the documents' binding, at the stores and with orders too

A service's 000 reached WriteHeader, which panics ("invalid WriteHeader code 0"); its 600 and names with blanks were forwarded; a stream with such a head was taken for sound, also where it was taken up. "Store-Era : 3" of the platform's store counted as no era, so that a store that was never restored would look like one of another era.

Change: responsehead.Transport, an http.Transport whose connections check the head from the moment at which a request gets the connection (no byte of the answer can have been read by then), and whose bodies in chunks end only with sound trailers. It delivers the bytes up to the wrong one before the error: net/http would otherwise take a kept connection that fails at its first byte for an idle one that was closed, and send a GET again by itself. Used by the attempts, the store of routes, the platform's client and orders. Not used: the operators' tool and the load client, which read daemons' answers. Over TLS nothing is checked.

What a caller gets: 502, 3004, may have run; a stream is asked for by its attempt ID.

--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/savorystall/savorystall/internal/dialing"
+	"github.com/savorystall/savorystall/internal/responsehead"
 )
 
 const (
@@ -156,23 +157,23 @@
 
 // pool holds the reusable connections to one address.
 type pool struct {
-	transport *http.Transport
+	transport *responsehead.Transport
 	lastUsed  time.Time
 }
 
-func (r *Runner) newTransport() *http.Transport {
-	return &http.Transport{
+func (r *Runner) newTransport() *responsehead.Transport {
+	return responsehead.NewTransport(&http.Transport{
 		DialContext:         r.dialer.dialTracked,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: r.cfg.MaxIdlePerTarget,
 		IdleConnTimeout:     r.cfg.IdleTimeout,
 		WriteBufferSize:     writeBufferSize,
 		ReadBufferSize:      readBufferSize,
-	}
+	})
 }
 
 // pooledTransport returns the transport that reuses connections to the address.
-func (r *Runner) pooledTransport(address string) *http.Transport {
+func (r *Runner) pooledTransport(address string) *responsehead.Transport {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -224,8 +225,18 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: f.gotConn})
 }
 
+// trackedConnOf returns the tracked connection that a connection of the transport reads from and writes to.
+func trackedConnOf(c net.Conn) (*trackedConn, bool) {
+	checked, ok := c.(*responsehead.Conn)
+	if !ok {
+		return nil, false
+	}
+	tracked, ok := checked.NetConn().(*trackedConn)
+	return tracked, ok
+}
+
 func (f *writeTracker) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*trackedConn)
+	conn, ok := trackedConnOf(info.Conn)
 	if ok && info.Reused {
 		conn.awaitIdle()
 	}
--- a/internal/attempt/exchange.go
+++ b/internal/attempt/exchange.go
@@ -37,9 +37,10 @@
 	return x
 }
 
-// send writes the request and waits for the response header. After an error,
+// send writes the request and waits for the response header; the error of a malformed
+// one is a responsehead.Violation. After an error,
 // sealAndCheckSent reports whether the request may have been sent.
-func (x *exchange) send(t *http.Transport, req *http.Request) error {
+func (x *exchange) send(t http.RoundTripper, req *http.Request) error {
 	resp, err := t.RoundTrip(req.WithContext(x.tracker.withTrace(x.ctx)))
 	if err != nil {
 		return x.causeOr(err)
@@ -85,9 +86,11 @@
 const maxDrainBytes = 4096
 
 // finish ends an exchange whose response was read. Its connection is reused if
-// the response ends within maxDrainBytes.
+// the response ends within maxDrainBytes, and in order.
 func (x *exchange) finish() {
-	_, _ = io.CopyN(io.Discard, x.resp.Body, maxDrainBytes)
+	if _, err := io.CopyN(io.Discard, x.resp.Body, maxDrainBytes); err != nil && err != io.EOF {
+		x.tracker.seal()
+	}
 	_ = x.resp.Body.Close()
 	x.timer.Stop()
 	x.cancel(context.Canceled)
--- a/internal/attempt/model.go
+++ b/internal/attempt/model.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/savorystall/savorystall/internal/clock"
+	"github.com/savorystall/savorystall/internal/responsehead"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -203,6 +204,10 @@
 		return m.canceledWithCode(resultcode.ConnectionLost, context.Cause(ctx))
 	}
 	m.checkInactivity(err)
+	if errors.As(err, new(responsehead.Violation)) {
+		m.metrics.violations.Inc(1)
+		m.violation = err
+	}
 	m.lifecycle.fire(triggerLost)
 	return nil
 }
--- a/internal/attempt/plain.go
+++ b/internal/attempt/plain.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/savorystall/savorystall/internal/responsehead"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -70,7 +71,7 @@
 // selectTransport returns the transport for the request. Requests that must not be
 // repeated, and TRACE, which net/http would retry on its own, get one that never
 // reuses connections.
-func (p *plainAttempt) selectTransport() *http.Transport {
+func (p *plainAttempt) selectTransport() *responsehead.Transport {
 	if p.req.Unrepeatable || p.req.Method == http.MethodTrace {
 		return p.unpooled
 	}
@@ -90,7 +91,7 @@
 	return newRequest(ctx, p.req.Method, u, h, p.req.Body), nil
 }
 
-// noResponseFailure returns the failure of a request without a response header.
+// noResponseFailure returns the failure of a request without a response header, or with a malformed one.
 func (p *plainAttempt) noResponseFailure(ctx context.Context, x *exchange, err error) *resultcode.Failure {
 	sent := x.sealAndCheckSent()
 	if sent {
@@ -113,6 +114,9 @@
 		p.handleSilentConn(p.req.Address)
 		return newFailure(resultcode.TargetStalled, err)
 	}
+	if errors.As(err, new(responsehead.Violation)) {
+		return newFailure(resultcode.TargetProtocol, err)
+	}
 	return newFailure(resultcode.ConnectionLost, err)
 }
 
--- a/internal/attempt/runner.go
+++ b/internal/attempt/runner.go
@@ -24,6 +24,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/savorystall/savorystall/internal/ident"
+	"github.com/savorystall/savorystall/internal/responsehead"
 	"github.com/savorystall/savorystall/internal/resultcode"
 )
 
@@ -190,7 +191,7 @@
 	cfg    Config
 	dialer *dialer
 	// unpooled opens a new connection for each request.
-	unpooled *http.Transport
+	unpooled *responsehead.Transport
 	// cancelContext is the context of the requests that cancel streams. It ends
 	// with the runner.
 	cancelContext     context.Context
--- a/internal/order/http.go
+++ b/internal/order/http.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/savorystall/savorystall/internal/responsehead"
 )
 
 const (
@@ -29,7 +31,7 @@
 // silently.
 func NewHTTPClient() *HTTPClient {
 	return &HTTPClient{client: &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
+		Transport: responsehead.NewTransport(&http.Transport{DisableKeepAlives: true}),
 		// The protocol has no redirects; following one would send an order to
 		// another target.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/savorystall/savorystall/internal/clock"
 	"github.com/savorystall/savorystall/internal/event"
+	"github.com/savorystall/savorystall/internal/responsehead"
 )
 
 // Defaults of ClientConfig.
@@ -104,7 +105,7 @@
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = maxIdleConns
 	return &http.Client{
-		Transport: transport,
+		Transport: responsehead.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
