The framing of chunks in an answer of HTTP/1.0 reaches no caller

Cause: callers got a complete 200 with chunk sizes in its body, or its begin cut to a length, where an engine answers in HTTP/1.0 and says that the body has chunks: net/http drops Transfer-Encoding from such an answer, so that its body ends with a length beside it or with the connection. It is the class of the names with blanks: what a head states of its body counts as absent.

Found by looking for the class, not seen by the users.

--- a/internal/responsehead/checker.go
+++ b/internal/responsehead/checker.go
@@ -22,6 +22,7 @@
 	ErrFieldName = Violation("a blank, control or other invalid byte in the name of a field")
 	ErrNoName    = Violation("a line that begins with a blank or has no name of a field")
 	ErrValue     = Violation("a control byte in the value of a field")
+	ErrFraming   = Violation("a Transfer-Encoding in a response of HTTP/1.0, which has none")
 )
 
 // Statuses of responses (RFC 9110, section 15).
@@ -54,8 +55,19 @@
 	// position is the number of bytes of the version or of the status that were read.
 	position int
 	status   int
+	// minorVersion is a digit.
+	minorVersion byte
+	// matched is how many bytes of the name match framingName; noMatch if one did not.
+	matched int
 }
 
+// framingName is the name of a field that net/http drops from a response of HTTP/1.0: the body would be passed on
+// together with the framing of its chunks (RFC 9112, section 6.1).
+const framingName = "transfer-encoding"
+
+// noMatch is the number of matched bytes of another name.
+const noMatch = -1
+
 // Done reports whether the response's own head has ended, so that its body follows.
 func (c *Checker) Done() bool { return c.state == done }
 
@@ -107,7 +119,10 @@
 
 func (c *Checker) version(b byte) error {
 	want := versionPattern[c.position]
-	if b != want && !(want == '0' && isDigit(b)) {
+	switch {
+	case want == '0' && isDigit(b):
+		c.minorVersion = b
+	case b != want:
 		return ErrVersion
 	}
 	if c.position++; c.position == len(versionPattern) {
@@ -178,7 +193,8 @@
 	case b == '\n':
 		c.endHead()
 	case isToken(b):
-		c.state = inName
+		c.state, c.matched = inName, 0
+		c.matchName(b)
 	default:
 		return ErrNoName
 	}
@@ -187,14 +203,34 @@
 
 func (c *Checker) name(b byte) error {
 	switch {
+	case b == ':' && c.minorVersion == '0' && c.matched == len(framingName):
+		return ErrFraming
 	case b == ':':
 		c.state = inValue
 	case !isToken(b):
 		return ErrFieldName
+	default:
+		c.matchName(b)
 	}
 	return nil
 }
 
+// matchName compares the next byte of a name with framingName.
+func (c *Checker) matchName(b byte) {
+	if c.matched != noMatch && c.matched < len(framingName) && lower(b) == framingName[c.matched] {
+		c.matched++
+		return
+	}
+	c.matched = noMatch
+}
+
+func lower(b byte) byte {
+	if b >= 'A' && b <= 'Z' {
+		return b + 'a' - 'A'
+	}
+	return b
+}
+
 // endHead ends a head. Another one follows that of an interim response, unless it switches protocols.
 func (c *Checker) endHead() {
 	c.state, c.position = done, 0
--- a/internal/responsehead/checker_test.go
+++ b/internal/responsehead/checker_test.go
@@ -16,6 +16,8 @@
 	return []string{
 		"HTTP/1.1 200 OK\r\n" + rest,
 		"HTTP/1.0 404 Not Found\r\n" + rest,
+		"HTTP/1.0 200 OK\r\nTransfer-Encodings: a\r\nX-Transfer-Encoding: a\r\nTransfer: a\r\n" + rest,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + rest,
 		"HTTP/1.7 599 \r\n" + rest,
 		"HTTP/1.1 200\r\n" + rest,
 		"HTTP/1.1 200 \tsehr gut \xfc\r\n" + rest,
@@ -123,6 +125,16 @@
 	checkBrokenHeads(t, heads)
 }
 
+// Guards against a body that holds the framing of its chunks, since its response is one of HTTP/1.0 and says that it has
+// chunks.
+func TestChunksOfHTTP10Fail(t *testing.T) {
+	var heads []brokenHead
+	for _, name := range []string{"Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING"} {
+		heads = append(heads, brokenHead{"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n" + name + ":", " chunked\r\n" + rest, responsehead.ErrFraming})
+	}
+	checkBrokenHeads(t, heads)
+}
+
 // Guards against a trailer with a name that is none, which net/http lets pass.
 func TestTrailersWithNamesThatAreNoneFail(t *testing.T) {
 	for name, want := range map[string]error{"X-Sum": nil, "X Sum": responsehead.ErrFieldName, "X-Sum ": responsehead.ErrFieldName, "X\x01": responsehead.ErrFieldName} {
