A cut answer does not end in order at a caller of HTTP/1.0

A caller of HTTP/1.0 knows no chunks, so that an answer whose length is not known ends with the connection; where the daemon breaks it off (the engine's stream is cut, say), it closed the connection in order, and the part looked complete.

Ruled out: callers of HTTP/1.1 (chunks or a length show it), whole answers, and a connection that a neighbour serves: its reset is passed on as one.

Change: where the handler of a request of HTTP/1.0 aborts, the connection is reset, for routes and documents. Not covered: a process that is killed while it answers; the kernel ends its connections as it likes.

Callers of HTTP/1.1 are served by the same code as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -188,7 +188,8 @@
 		connections: conns,
 		callers: &http.Server{
 			ConnState:         conns.track,
-			Handler:           closeWhenStopping(life, in),
+			ConnContext:       withConn,
+			Handler:           resetAborted(closeWhenStopping(life, in)),
 			ReadHeaderTimeout: s.Callers.HeaderTimeout,
 			MaxHeaderBytes:    s.Callers.HeaderBytes,
 			IdleTimeout:       idleTimeout,
--- a/internal/daemon/forwardedlistener.go
+++ b/internal/daemon/forwardedlistener.go
@@ -160,7 +160,7 @@
 // data lingers: closing it at once would reset it, and the answer might be lost.
 func (c *trackedConn) Close() error {
 	c.recordEnd()
-	if !c.forwarded || !hasUnreadData(c.tcpConn) || c.CloseWrite() != nil {
+	if c.resets.Load() || !c.forwarded || !hasUnreadData(c.tcpConn) || c.CloseWrite() != nil {
 		return c.tcpConn.Close()
 	}
 	go func() {
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -333,6 +333,25 @@
 	return err == nil && occurred
 }
 
+// resetAborted is middleware that resets the connection of an HTTP/1.0 caller if its response is aborted. Such a
+// caller knows no chunks: without a length, the end of the connection in order would be that of a whole body.
+func resetAborted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn := trackedConnOf(r.Context()); conn != nil && !r.ProtoAtLeast(1, 1) {
+			aborted := true
+			defer func() {
+				if aborted {
+					conn.resetOnClose()
+				}
+			}()
+			next.ServeHTTP(w, r)
+			aborted = false
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // closeWhenStopping is middleware that makes callers, from the beginning of a graceful
 // shutdown, open a new connection for their next request, which the balancer then
 // directs to another daemon. Closing idle connections at that moment instead would cut
--- a/internal/daemon/routedservers.go
+++ b/internal/daemon/routedservers.go
@@ -74,7 +74,7 @@
 	r.callers = &http.Server{
 		ConnState:         func(c net.Conn, state http.ConnState) { r.connections.track(c, state); watcher.pollIfDue(c, state) },
 		ConnContext:       withConn,
-		Handler:           withConnectionHeaders(s.Callers.IdleTimeout, func() bool { return r.connections.nearLimit() || load.link.limited() }, closeWhenStopping(life, countRequests(trackRequests(g)))),
+		Handler:           withConnectionHeaders(s.Callers.IdleTimeout, func() bool { return r.connections.nearLimit() || load.link.limited() }, resetAborted(closeWhenStopping(life, countRequests(trackRequests(g))))),
 		ReadHeaderTimeout: s.Callers.HeaderTimeout,
 		MaxHeaderBytes:    s.Callers.HeaderBytes,
 		IdleTimeout:       s.Callers.IdleTimeout,
--- a/internal/daemon/trackedconn.go
+++ b/internal/daemon/trackedconn.go
@@ -46,6 +46,9 @@
 	// it serves one.
 	readAhead atomic.Bool
 
+	// resets reports that the connection is to be reset instead of ended in order.
+	resets atomic.Bool
+
 	// received counts the bytes that are read from callers; nil if they are not to be counted.
 	received *atomic.Int64
 	// use is what the connection occupies for its current request.
@@ -124,6 +127,12 @@
 	return c.SetReadDeadline(time.Now().Add(requestRestTimeout)) == nil
 }
 
+// resetOnClose makes Close reset the connection, so that what was sent of a response does not look complete.
+func (c *trackedConn) resetOnClose() {
+	c.resets.Store(true)
+	_ = c.SetLinger(0) // fails only on a closed connection
+}
+
 // closeIfIdle closes the connection unless a request has arrived or arrives first, and
 // reports whether none had. Closing is left to the reading goroutine: only it knows what it
 // has read.
