Comments of responsehead are wrapped; one check in the gateway is shorter

Cause: the whole diff read as a newcomer; a line of the package's comment was longer than the others, and a variable was named and not used. Ruled out: any change of behaviour. Change: these two.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -156,8 +156,7 @@
 			targetFailed: !errors.Is(err, targetconn.ErrConnectionLimit) && !errors.Is(err, context.Canceled),
 		}
 	}
-	var violation responsehead.Violation
-	if errors.As(err, &violation) {
+	if errors.As(err, new(responsehead.Violation)) {
 		return attemptResult{
 			failure: resultcode.Fail(resultcode.TargetProtocol, "target %s", entry.Identity).WithCause(err),
 			sent:    true, targetFailed: true,
--- a/internal/responsehead/checker.go
+++ b/internal/responsehead/checker.go
@@ -1,9 +1,10 @@
 // Package responsehead rejects responses whose heads are none by the protocol (RFC 9112, sections 4
 // and 5), before anything that they state is believed.
 //
-// net/http, by which all heads are parsed, reads such heads leniently: it takes any three digits for a status, a field whose name
-// holds a blank for one that states nothing, and a line that begins with a blank for the rest of the
-// one before it. A field that would state the length of the body or whose response it is then counts as absent.
+// net/http, by which all heads are parsed, reads such heads leniently: it takes any three digits for a
+// status, a field whose name holds a blank for one that states nothing, and a line that begins with a
+// blank for the rest of the one before it. A field that would state the length of the body or whose
+// response it is then counts as absent.
 package responsehead
 
 import "net/http"
