A request is sent at most once over each connection to a target

What callers saw: an unrepeatable request was answered 503, not run, and ran; others ran twice within one client attempt. A repeatable one got the 500 of its first run although the second one succeeded.

Cause: a target rejects a request and repeats that rejection late, where the next response on the connection is expected. If no other target is left, the request goes to the same one again, and the pool hands out the newest idle connection: the one that the request was sent on. Both sendings have the caller's Attempt-Id, so that the repeated rejection passes for the response to the second sending, which runs meanwhile.

Ruled out: a rejection without an ID (all of the stand-in's have one); the late response to another request (its ID differs, it is skipped); outcomes of several attempts that are put together wrongly (each of the four had only rejections on record when it was answered 503). Responses of the documents' binding: each attempt has an ID of its own, and a stream is taken up again on a new connection.

Change: a request remembers the connections on which it was sent (targetconn.History), and the pool takes another one or opens one for it. If the target allows no more connections, an idle one of the history is replaced. On a connection of its own a repeated response cannot reach the second sending. Other requests use the connections as before; there the ID tells the two apart.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -19,6 +19,7 @@
 	"github.com/savorystall/savorystall/internal/region"
 	"github.com/savorystall/savorystall/internal/resultcode"
 	"github.com/savorystall/savorystall/internal/route"
+	"github.com/savorystall/savorystall/internal/targetconn"
 )
 
 // proxyRequest is an accepted request and its state until the response is complete.
@@ -54,6 +55,8 @@
 	status int
 	// events tracks the event stream that has been received so far.
 	events eventFilter
+	// sentOn holds the connections to targets on which the request was sent.
+	sentOn targetconn.History
 	// streamEnd ends the current attempt of a stream that holds too much memory.
 	streamEnd *streamEnd
 	// resumed describes the stream that the caller takes up again. Once origin is set, the
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -85,6 +85,7 @@
 			})
 		},
 		MaxConnections: s.connectionLimit(pr.service.MaxConnections),
+		History:        &pr.sentOn,
 		MatchesResponse: func(status int, h http.Header) bool {
 			echoed := s.Dialect.ParseResponse(status, h)
 			s.observeNotices(entry, status, echoed)
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -32,6 +32,11 @@
 	Body       []byte
 	// MaxConnections limits the connections to the address; zero means no limit.
 	MaxConnections int
+	// History holds the connections on which the request was sent before; it is not sent on them
+	// again, and the connection on which it is sent is added. A target may repeat its response
+	// late: on the same connection, it would be taken for the response to the second sending. It
+	// may be nil if the request is sent once.
+	History *History
 	// MatchesResponse reports whether the response with this status and header belongs to the
 	// request. If it is nil, every response does.
 	MatchesResponse func(status int, h http.Header) bool
@@ -80,7 +85,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
-	c, err := p.connect(ctx, address, r.MaxConnections)
+	c, err := p.connect(ctx, address, r.MaxConnections, r.History)
 	if err != nil {
 		return nil, err
 	}
@@ -96,6 +101,7 @@
 		x.cancelUnsent()
 		return nil, &UnsentError{Cause: err}
 	}
+	r.History.add(c)
 	sent, err := x.send(first, rest)
 	if err != nil && !sent {
 		x.terminate()
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -14,6 +14,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -218,9 +219,9 @@
 	return 0
 }
 
-// takeIdle returns an idle connection, or nil after counting a new one that the
-// caller must open.
-func (p *Pool) takeIdle(address string, limit int) (*conn, error) {
+// takeIdle returns an idle connection that is not in the history, or nil after counting a new one that
+// the caller must open.
+func (p *Pool) takeIdle(address string, limit int, history *History) (*conn, error) {
 	now := p.cfg.Now()
 	var stale []*conn
 	defer func() { closeAll(stale) }()
@@ -231,9 +232,7 @@
 		t = &target{}
 		p.targets[address] = t
 	}
-	for len(t.idle) > 0 {
-		c := t.idle[len(t.idle)-1]
-		t.idle = t.idle[:len(t.idle)-1]
+	for c := t.popIdle(history); c != nil; c = t.popIdle(history) {
 		if now.Before(c.reuseDeadline) && noPendingInput(c.Conn) {
 			return c, nil
 		}
@@ -241,12 +240,29 @@
 		stale = append(stale, c)
 	}
 	if limit > 0 && t.open >= limit {
-		return nil, ErrConnectionLimit
+		if len(t.idle) == 0 {
+			return nil, ErrConnectionLimit
+		}
+		stale = append(stale, t.idle[0]) // the new connection replaces it
+		t.idle = slices.Delete(t.idle, 0, 1)
+		return nil, nil
 	}
 	t.open++
 	return nil, nil
 }
 
+// popIdle removes and returns the newest idle connection that is not in the history; nil if there is
+// none. The caller holds the lock of the pool.
+func (t *target) popIdle(history *History) *conn {
+	for i, c := range slices.Backward(t.idle) {
+		if !history.contains(c) {
+			t.idle = slices.Delete(t.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // release stops counting a connection that was closed.
 func (p *Pool) release(address string) {
 	p.mu.Lock()
@@ -280,9 +296,9 @@
 	p.putIdle(c)
 }
 
-// connect returns an idle connection to the address or opens a new one.
-func (p *Pool) connect(ctx context.Context, address string, limit int) (*conn, error) {
-	c, err := p.takeIdle(address, limit)
+// connect returns an idle connection to the address that is not in the history or opens a new one.
+func (p *Pool) connect(ctx context.Context, address string, limit int, history *History) (*conn, error) {
+	c, err := p.takeIdle(address, limit, history)
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
