Requests without a key run for no workspace

What callers saw: once a change of the configuration had added a tenant named "public", requests without a key on public routes ran at the targets as that tenant's, whose key their callers do not hold. They used its share, too.

Cause: the name that stands for such callers, route.Anonymous, was "public", which an operator may give as well; it was sent as any other name.

Ruled out: a Tenant header of the caller (it is removed, the test sends one); a key that is taken for another's (the four forms without a known key all ran as "public", with and without such a tenant).

Change: Anonymous is the empty name, with which the adapter sends no Tenant header at all. A workspace without a name is refused with the document, so that no operator can name one so. Shares, held-back requests, origins of streams and lines go by the name, and are apart by that.

While daemons of the last release run beside this one, the demand of callers without a key counts apart, and a stream of theirs that is taken up at the other release may be unknown there (not run).

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -101,6 +101,7 @@
 
 // Workspace is a customer and its keys.
 type Workspace struct {
+	// Name is not empty.
 	Name ident.Workspace
 	Keys []string
 	// Priority replaces that of the route if HasPriority is set.
@@ -163,6 +164,9 @@
 		t.hosts[host] = append(t.hosts[host], r)
 	}
 	for i := range d.Workspaces {
+		if d.Workspaces[i].Name == Anonymous {
+			return nil, merry.Errorf("workspace %d has no name", i+1)
+		}
 		for _, key := range d.Workspaces[i].Keys {
 			t.keys[key] = &d.Workspaces[i]
 		}
@@ -216,8 +220,9 @@
 	return s, ok
 }
 
-// Anonymous is the workspace of requests that need no key and have no known one.
-const Anonymous ident.Workspace = "public"
+// Anonymous stands for the workspace of requests that need no key and have no known one. No workspace of
+// a document has this name.
+const Anonymous ident.Workspace = ""
 
 // Identify returns the workspace of a request. Public routes, and documents that require no
 // keys, accept requests from anyone; a known key still identifies its workspace.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// Guards against requests without a key that count as those of a workspace, if a document has one of the name
+// that stands for them.
+func TestNewTableRejectsWorkspaceWithoutName(t *testing.T) {
+	is := is.New(t)
+	_, err := route.NewTable(route.Document{Workspaces: []route.Workspace{{Name: "club"}, {Name: route.Anonymous, Keys: []string{"k"}}}})
+	is.True(err != nil)
+	is.Equal(err.Error(), "workspace 2 has no name")
+}
+
 // An empty key in a document must not admit requests without a key.
 func TestEmptyKeyInDocumentAdmitsNobody(t *testing.T) {
 	is := is.New(t)
