A late response without an attempt ID answers no request

What callers saw: an unrepeatable request was answered 503, not run, and ran, or ran twice; others got a failure that was another request's.

One without an Attempt-Id and without a signature passed for the response to whatever request was sent on the connection last, also if it was the late response to an earlier one.

Change: on a connection on which an earlier request was sent, a response that names no attempt is skipped like one that names another. On a connection of its own it is believed as before. Whoever names attempts in some responses only would be awaited until the deadline; from the first such response on, the connections to that target are used once, until another process runs there (Pool.StopReuse).

Health checks name no attempt in either direction, and are matched as before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -86,11 +86,14 @@
 		},
 		MaxConnections: s.connectionLimit(pr.service.MaxConnections),
 		History:        &pr.sentOn,
-		MatchesResponse: func(status int, h http.Header) bool {
+		MatchesResponse: func(status int, h http.Header, reused bool) bool {
 			echoed := s.Dialect.ParseResponse(status, h)
 			s.observeNotices(entry, status, echoed)
 			s.Dialect.RemoveTargetNotices(h)
-			return echoed.AttemptID == pr.info.AttemptID || echoed.AttemptID == "" && !echoed.Signed
+			if echoed.AttemptID == "" && pr.info.AttemptID != "" {
+				s.Pool.StopReuse(entry.Address)
+			}
+			return echoed.answers(pr.info.AttemptID, reused)
 		},
 		MaySend: func() error {
 			if s.checkSend(pr, entry.Identity) != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,16 @@
 	PauseMalformed string
 }
 
+// answers reports whether the response is that to the request with an attempt ID. One that names no attempt is
+// the target's own, such as a rejection, if no earlier request was sent on its connection; on a reused one, it
+// may be a late response to that.
+func (i *ResponseInfo) answers(attemptID string, reused bool) bool {
+	if i.AttemptID != "" || attemptID == "" {
+		return i.AttemptID == attemptID
+	}
+	return !reused && !i.Signed
+}
+
 // refusedBy reports whether the response states that the request, which is meant for the target of this
 // identity, has not run. A target's own status 421 without another identity does not: its application may
 // have run the request.
--- a/internal/gateway/warmthcheck.go
+++ b/internal/gateway/warmthcheck.go
@@ -86,7 +86,9 @@
 			return nil
 		},
 		// A late response to an earlier request on the connection names that request.
-		MatchesResponse: func(status int, h http.Header) bool { return s.Dialect.ParseResponse(status, h).AttemptID == "" },
+		MatchesResponse: func(status int, h http.Header, _ bool) bool {
+			return s.Dialect.ParseResponse(status, h).AttemptID == ""
+		},
 	})
 	if err != nil {
 		var unsent *targetconn.UnsentError
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -38,8 +38,9 @@
 	// may be nil if the request is sent once.
 	History *History
 	// MatchesResponse reports whether the response with this status and header belongs to the
-	// request. If it is nil, every response does.
-	MatchesResponse func(status int, h http.Header) bool
+	// request; reused tells that an earlier request was sent on the connection, to which the
+	// response may belong. If it is nil, every response does.
+	MatchesResponse func(status int, h http.Header, reused bool) bool
 	// OnMismatch is called for each response that does not belong to the request; it may be
 	// nil.
 	OnMismatch func()
@@ -66,6 +67,8 @@
 	written  chan struct{}
 	writeErr error
 	ended    bool
+	// reused reports that an earlier request was sent on the connection.
+	reused bool
 }
 
 // maxMismatches is the number of responses to other requests that are skipped
@@ -102,6 +105,7 @@
 		return nil, &UnsentError{Cause: err}
 	}
 	r.History.add(c)
+	x.reused, c.used = c.used, true
 	sent, err := x.send(first, rest)
 	if err != nil && !sent {
 		x.terminate()
@@ -225,7 +229,7 @@
 		if err != nil {
 			return err
 		}
-		if r.MatchesResponse == nil || r.MatchesResponse(response.StatusCode, response.Header) {
+		if r.MatchesResponse == nil || r.MatchesResponse(response.StatusCode, response.Header, x.reused) {
 			x.Response = response
 			return nil
 		}
--- a/internal/targetconn/history_test.go
+++ b/internal/targetconn/history_test.go
@@ -95,3 +95,31 @@
 	is.Equal(send(t, p, tg.address, r), "own")
 	is.Equal(p.ConnectionCount(tg.address), 1)
 }
+
+// Guards against a connection that is reused although the responses on it do not tell their requests, also after
+// all connections to the target were closed for a while.
+func TestStopReuseLastsUntilTheTargetRestarts(t *testing.T) {
+	is := is.New(t)
+	tg, _ := serveCounted(t)
+	p := targetconn.New(targetconn.Config{})
+	defer p.Close()
+	for range 3 {
+		send(t, p, tg.address, request("a"))
+	}
+	is.Equal(tg.opened.Load(), int64(1))
+	x, err := p.Do(t.Context(), tg.address, request("a"))
+	is.NoErr(err)
+	p.StopReuse(tg.address)
+	_, err = io.Copy(io.Discard, x)
+	is.NoErr(err)
+	is.Equal(p.ConnectionCount(tg.address), 0)
+	for range 3 {
+		send(t, p, tg.address, request("a"))
+	}
+	is.Equal(tg.opened.Load(), int64(4))
+	p.TargetRestarted(tg.address)
+	for range 3 {
+		send(t, p, tg.address, request("a"))
+	}
+	is.Equal(tg.opened.Load(), int64(5))
+}
--- a/internal/targetconn/targetconn.go
+++ b/internal/targetconn/targetconn.go
@@ -98,6 +98,8 @@
 	open int
 	// restartedAt is when a new process was known at the address. Older connections are not reused.
 	restartedAt time.Time
+	// usedOnce reports that each connection is used for one request.
+	usedOnce bool
 }
 
 // conn is one connection to a target.
@@ -112,6 +114,8 @@
 	// new request.
 	reuseDeadline time.Time
 	openedAt      time.Time
+	// used reports that a request was sent on the connection.
+	used bool
 }
 
 // ErrConnectionLimit is the cause of the error if the address has reached its
@@ -188,7 +192,20 @@
 	p.mu.Lock()
 	var drop []*conn
 	if t := p.targets[address]; t != nil {
-		t.restartedAt = p.cfg.Now()
+		t.restartedAt, t.usedOnce = p.cfg.Now(), false
+		drop = t.takeIdle()
+	}
+	p.mu.Unlock()
+	closeAll(drop)
+}
+
+// StopReuse makes the pool use each connection to an address for one request until another process
+// runs there. It is called for a target whose responses do not tell to which request they belong.
+func (p *Pool) StopReuse(address string) {
+	p.mu.Lock()
+	var drop []*conn
+	if t := p.targets[address]; t != nil {
+		t.usedOnce = true
 		drop = t.takeIdle()
 	}
 	p.mu.Unlock()
@@ -268,7 +285,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t := p.targets[address]; t != nil {
-		if t.open--; t.open <= 0 && len(t.idle) == 0 {
+		if t.open--; t.open <= 0 && len(t.idle) == 0 && !t.usedOnce {
 			delete(p.targets, address)
 		}
 	}
@@ -278,7 +295,7 @@
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	t := p.targets[c.address]
-	if p.closed || t == nil || c.openedAt.Before(t.restartedAt) {
+	if p.closed || t == nil || t.usedOnce && c.used || c.openedAt.Before(t.restartedAt) {
 		p.mu.Unlock()
 		_ = c.Conn.Close() // it is idle
 		p.release(c.address)
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -68,7 +68,7 @@
 func request(name string) targetconn.Request {
 	return targetconn.Request{
 		Method: http.MethodPost, RequestTarget: "/x?y=1", Host: "h.example", Header: http.Header{nameHeader: {name}}, Body: []byte("hello"),
-		MatchesResponse: func(_ int, h http.Header) bool { return h.Get(nameHeader) == name },
+		MatchesResponse: func(_ int, h http.Header, _ bool) bool { return h.Get(nameHeader) == name },
 	}
 }
 
