One accept loop for the servers that tests write byte by byte

Change: test/rawserver has it once. Tests only; what they check is as before. The loops of targetconn and daemon stay: they count or number connections in the order in which they were accepted.

--- a/internal/attempt/rawserver_test.go
+++ b/internal/attempt/rawserver_test.go
@@ -7,33 +7,13 @@
 	"net/http"
 	"testing"
 
-	"github.com/matryer/is"
+	"github.com/savorystall/savorystall/test/rawserver"
 )
 
 // serveConnections starts a target that calls serve for each connection, and closes the connection after it.
 func serveConnections(t *testing.T, serve func(conn net.Conn, in *bufio.Reader)) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	done := make(chan struct{})
-	t.Cleanup(func() {
-		_ = l.Close()
-		<-done
-	})
-	go func() {
-		defer close(done)
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				serve(conn, bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return rawserver.Serve(t, func(conn *net.TCPConn) { serve(conn, bufio.NewReader(conn)) })
 }
 
 // readWholeRequest reads a request with its body, which it discards.
--- a/internal/responsehead/transport_test.go
+++ b/internal/responsehead/transport_test.go
@@ -13,35 +13,24 @@
 	"github.com/matryer/is"
 
 	"github.com/savorystall/savorystall/internal/responsehead"
+	"github.com/savorystall/savorystall/test/rawserver"
 )
 
 // serveTexts starts a server that answers the requests of each connection with texts in turn, and counts them.
 func serveTexts(t *testing.T, texts ...string) (url string, requests *atomic.Int64) {
 	t.Helper()
 	requests = &atomic.Int64{}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
+	address := rawserver.Serve(t, func(conn *net.TCPConn) {
+		in := bufio.NewReader(conn)
+		for _, text := range texts {
+			if _, err := http.ReadRequest(in); err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
-				for _, text := range texts {
-					if _, err := http.ReadRequest(in); err != nil {
-						return
-					}
-					requests.Add(1)
-					_, _ = io.WriteString(conn, text)
-				}
-			}()
+			requests.Add(1)
+			_, _ = io.WriteString(conn, text)
 		}
-	}()
-	return "http://" + l.Addr().String(), requests
+	})
+	return "http://" + address, requests
 }
 
 // get returns the body of a response.
--- a/test/slowupload/slowupload.go
+++ b/test/slowupload/slowupload.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/savorystall/savorystall/test/rawserver"
 )
 
 const (
@@ -39,20 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				handle(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return rawserver.ServeListener(t, l, handle)
 }
 
 // EndInOrder ends the server's side of a connection and waits until the caller's kernel has the end.
